--- /dev/null
+++ b/caller/client.go
@@ -0,0 +1,149 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+const maxEventBytes = 4 << 20
+
+type (
+	// Client sends requests as a caller does.
+	Client struct {
+		// Base is the node's URL, http://HOST:PORT.
+		Base  string
+		Token string
+		HTTP  *http.Client
+	}
+
+	// Call is one request to send.
+	Call struct {
+		Pipeline string
+		Key      string
+		// Attempt is sent if it is above zero.
+		Attempt int
+		Body    Body
+		// OnToken gets the tokens of a stream; it may be nil.
+		OnToken func(TokenBody)
+	}
+
+	// Result is how a request ended: exactly one of the two is set.
+	Result struct {
+		Status  int
+		Answer  *AnswerBody
+		Refusal *RefusalBody
+	}
+)
+
+// ErrCut is returned for a stream that ended without its final event.
+var ErrCut = errors.New("caller: the stream was cut")
+
+// Send sends a request and returns its answer or refusal. An error means that neither came.
+func (c *Client) Send(ctx context.Context, call Call) (Result, error) {
+	data, err := json.Marshal(call.Body)
+	if err != nil {
+		return Result{}, errors.Wrap(err, "caller: unable to encode")
+	}
+	target := c.Base + "/v1/pipelines/" + url.PathEscape(call.Pipeline) + "/requests"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(data))
+	if err != nil {
+		return Result{}, errors.Wrap(err, "caller: unable to make a request")
+	}
+	// Without GetBody net/http does not send the request a second time by itself.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+c.Token)
+	if call.Key != "" {
+		req.Header.Set(HeaderKey, call.Key)
+	}
+	if call.Attempt > 0 {
+		req.Header.Set(HeaderAttempt, strconv.Itoa(call.Attempt))
+	}
+	res, err := c.HTTP.Do(req)
+	if err != nil {
+		return Result{}, errors.Wrap(err, "caller: unable to send")
+	}
+	defer res.Body.Close()
+	if strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
+		return readStream(res.Body, call.OnToken)
+	}
+	return readResult(res)
+}
+
+func readResult(res *http.Response) (Result, error) {
+	result := Result{Status: res.StatusCode}
+	decoder := json.NewDecoder(res.Body)
+	if res.StatusCode == http.StatusOK {
+		result.Answer = &AnswerBody{}
+		return result, wrapDecode(decoder.Decode(result.Answer))
+	}
+	result.Refusal = &RefusalBody{}
+	return result, wrapDecode(decoder.Decode(result.Refusal))
+}
+
+// wrapDecode wraps an error; errors.Wrap would make one out of nil.
+func wrapDecode(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Wrap(err, "caller: unable to decode")
+}
+
+// readStream reads events up to the final one and checks their numbers.
+func readStream(body io.Reader, onToken func(TokenBody)) (Result, error) {
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, maxEventBytes)
+	var event string
+	next := 0
+	for scanner.Scan() {
+		name, value, _ := strings.Cut(scanner.Text(), ": ")
+		switch name {
+		case "id":
+			if value != strconv.Itoa(next) {
+				return Result{}, errors.Errorf("caller: event %s where %d was due", value, next)
+			}
+			next++
+		case "event":
+			event = value
+		case "data":
+			result, done, err := takeEvent(event, []byte(value), onToken)
+			if done || err != nil {
+				return result, err
+			}
+		}
+	}
+	return Result{}, ErrCut
+}
+
+func takeEvent(event string, data []byte, onToken func(TokenBody)) (result Result, done bool, err error) {
+	result.Status = http.StatusOK
+	switch event {
+	case EventToken:
+		var token TokenBody
+		if err := json.Unmarshal(data, &token); err != nil {
+			return result, false, errors.Wrap(err, "caller: unable to decode a token")
+		}
+		if onToken != nil {
+			onToken(token)
+		}
+		return result, false, nil
+	case EventAnswer:
+		result.Answer = &AnswerBody{}
+		err = json.Unmarshal(data, result.Answer)
+	case EventRefusal:
+		result.Refusal = &RefusalBody{}
+		err = json.Unmarshal(data, result.Refusal)
+	default:
+		return result, false, errors.Errorf("caller: unknown event %q", event)
+	}
+	return result, true, wrapDecode(err)
+}
--- /dev/null
+++ b/caller/message.go
@@ -0,0 +1,159 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// MaxBodyBytes bounds a request's body.
+	MaxBodyBytes = 1 << 20
+	maxTokens    = 8192
+)
+
+// Headers of requests and answers.
+const (
+	HeaderKey        = "Idempotency-Key"
+	HeaderAttempt    = "Basilstall-Attempt"
+	HeaderRequest    = "Basilstall-Request"
+	HeaderVerdict    = "Basilstall-Verdict"
+	HeaderRetryAfter = "Basilstall-Retry-After-Ms"
+)
+
+type (
+	// Body is what a caller sends.
+	Body struct {
+		model.Input
+		// Timeout is a duration such as "1.5s"; Deadline is a time in RFC 3339. The nearer
+		// one holds, and the pipeline's deadline caps both.
+		Timeout  string `json:"Timeout,omitempty"`
+		Deadline string `json:"Deadline,omitempty"`
+		// Stream asks for server-sent events.
+		Stream bool `json:"Stream,omitempty"`
+	}
+
+	// AnswerBody is a whole answer.
+	AnswerBody struct {
+		Request  string
+		Verdict  model.Verdict
+		Output   string
+		Tokens   int
+		Checksum string
+		RanOn    string
+		Repeated bool `json:",omitempty"`
+		Stages   []StageBody
+	}
+
+	// StageBody is what one stage cost.
+	StageBody struct {
+		Stage        string
+		Endpoint     string
+		Attempts     int
+		Milliseconds float64
+		BusySeconds  float64
+		Tokens       int `json:",omitempty"`
+	}
+
+	// RefusalBody is an honest refusal.
+	RefusalBody struct {
+		Request                string
+		Verdict                model.Verdict
+		Reason                 model.Reason
+		RetryAfterMilliseconds int64
+		Detail                 string
+	}
+
+	// TokenBody is the data of a token event.
+	TokenBody struct {
+		Index int
+		Text  string
+	}
+)
+
+var errTrailing = errors.New("the body holds more than one JSON value")
+
+// DecodeBody parses a request's body strictly. The error is a sentence for the caller.
+func DecodeBody(data []byte) (Body, error) {
+	var body Body
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		return body, errors.Wrap(err, "the body is not the JSON expected")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return body, errTrailing
+	}
+	if body.Text == "" {
+		return body, errors.New("Text is missing or empty")
+	}
+	if body.MaxTokens < 0 || body.MaxTokens > maxTokens {
+		return body, errors.Errorf("MaxTokens must be from 0 to %d", maxTokens)
+	}
+	return body, nil
+}
+
+// DeadlineAt returns the request's deadline. The error is a sentence for the caller.
+func (b Body) DeadlineAt(now time.Time, most time.Duration) (time.Time, error) {
+	deadline := now.Add(most)
+	if b.Timeout != "" {
+		d, err := time.ParseDuration(b.Timeout)
+		if err != nil || d <= 0 {
+			return deadline, errors.Errorf("Timeout %q is not a duration above zero, such as \"1.5s\"", b.Timeout)
+		}
+		if at := now.Add(d); at.Before(deadline) {
+			deadline = at
+		}
+	}
+	if b.Deadline != "" {
+		at, err := time.Parse(time.RFC3339Nano, b.Deadline)
+		if err != nil {
+			return deadline, errors.Errorf("Deadline %q is not a time in RFC 3339", b.Deadline)
+		}
+		if !at.After(now) {
+			return deadline, errors.Errorf("Deadline %q has passed; send one in the future", b.Deadline)
+		}
+		if at.Before(deadline) {
+			deadline = at
+		}
+	}
+	return deadline, nil
+}
+
+func newAnswerBody(id string, a model.Answer) AnswerBody {
+	body := AnswerBody{
+		Request:  id,
+		Verdict:  a.Verdict,
+		Output:   a.Output,
+		Tokens:   a.Tokens,
+		Checksum: a.Checksum,
+		RanOn:    a.RanOn,
+		Repeated: a.Repeated,
+	}
+	for _, s := range a.Stages {
+		body.Stages = append(body.Stages, StageBody{
+			Stage:        s.Stage,
+			Endpoint:     s.Endpoint,
+			Attempts:     s.Attempts,
+			Milliseconds: float64(s.Elapsed) / float64(time.Millisecond),
+			BusySeconds:  s.Busy.Seconds(),
+			Tokens:       s.Tokens,
+		})
+	}
+	return body
+}
+
+func newRefusalBody(id string, r *model.Refusal) RefusalBody {
+	return RefusalBody{
+		Request:                id,
+		Verdict:                r.Verdict,
+		Reason:                 r.Reason,
+		RetryAfterMilliseconds: r.RetryAfter.Milliseconds(),
+		Detail:                 r.Detail,
+	}
+}
--- /dev/null
+++ b/caller/refusal.go
@@ -0,0 +1,53 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"basilstall.example/basilstall/model"
+)
+
+// statuses maps reasons to HTTP status codes.
+var statuses = map[model.Reason]int{
+	model.BadRequest:       http.StatusBadRequest,
+	model.Unauthorized:     http.StatusUnauthorized,
+	model.UnknownPipeline:  http.StatusNotFound,
+	model.KeyMismatch:      http.StatusUnprocessableEntity,
+	model.KeyClosed:        http.StatusConflict,
+	model.KeyTooOld:        http.StatusConflict,
+	model.KeyAhead:         http.StatusConflict,
+	model.OutcomeUnknown:   http.StatusConflict,
+	model.CustomerLimit:    http.StatusTooManyRequests,
+	model.StageFailed:      http.StatusBadGateway,
+	model.StageTimeout:     http.StatusGatewayTimeout,
+	model.DeadlinePassed:   http.StatusGatewayTimeout,
+	model.CannotFinish:     http.StatusServiceUnavailable,
+	model.Overloaded:       http.StatusServiceUnavailable,
+	model.Draining:         http.StatusServiceUnavailable,
+	model.NotReady:         http.StatusServiceUnavailable,
+	model.NoEndpoint:       http.StatusServiceUnavailable,
+	model.OwnerUnreachable: http.StatusServiceUnavailable,
+	model.OwnerUnknown:     http.StatusServiceUnavailable,
+	model.TableUnavailable: http.StatusServiceUnavailable,
+	model.CallerGone:       http.StatusServiceUnavailable,
+}
+
+// refuse writes a refusal at once, with when to come back.
+func (s *Server) refuse(c echo.Context, id string, r *model.Refusal) error {
+	s.seams.Refused(r)
+	h := c.Response().Header()
+	h.Set(HeaderVerdict, string(r.Verdict))
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+		h.Set(HeaderRetryAfter, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	}
+	status, known := statuses[r.Reason]
+	if !known {
+		status = http.StatusInternalServerError
+	}
+	return c.JSON(status, newRefusalBody(id, r))
+}
--- /dev/null
+++ b/dispatch/attempts.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/endpoint"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// leastHedgeDelay keeps hedges away from jitter.
+	leastHedgeDelay = 25 * time.Millisecond
+	hedgeFactor     = 1.5
+	// silentFactor is how far above the 99th percentile a lost race must have waited for its
+	// connection to be held silent.
+	silentFactor = 3
+)
+
+type (
+	// attempts is the state of one stage's calls. It belongs to the goroutine that runs the
+	// stage; the calls report to it over a channel.
+	attempts struct {
+		d        *Dispatcher
+		pool     *pool
+		job      Job
+		deadline time.Time
+		carry    model.Carry
+
+		made     int
+		excluded []string
+		endpoint string
+		busy     time.Duration
+		// reached is true once any call may have been read by an endpoint.
+		reached bool
+	}
+
+	// outcome is how one call ended.
+	outcome struct {
+		attempt int
+		target  *endpointState
+		elapsed time.Duration
+		reply   model.StageReply
+		err     error
+	}
+)
+
+func (a *attempts) timing() model.StageTiming {
+	return model.StageTiming{
+		Stage:    a.job.Work.Stage.Name,
+		Endpoint: a.endpoint,
+		Attempts: a.made,
+		Busy:     a.busy,
+		Tokens:   a.carry.Tokens,
+	}
+}
+
+func (a *attempts) repeatable() bool {
+	return !a.job.Work.Stage.NonIdempotent
+}
+
+// call returns the prepared call with its identity.
+func (a *attempts) call() model.StageCall {
+	call := a.job.Plugin.Prepare(a.job.Work)
+	call.Request = a.job.Work.Request.ID
+	call.Stage = a.job.Work.Stage.Name
+	call.Attempt = a.made
+	call.Customer = a.job.Work.Request.Account()
+	call.Deadline = a.deadline
+	return call
+}
+
+func (a *attempts) target(e *endpointState) endpoint.Target {
+	return endpoint.Target{
+		Address: e.candidate.Endpoint.Address,
+		Path:    a.job.Plugin.Path,
+		Fresh:   !a.repeatable(),
+		Timeout: time.Until(a.deadline),
+	}
+}
+
+// unary makes calls until one is answered: again elsewhere after a fault, and beside a slow
+// one where the retry budget allows it. The first good reply wins.
+func (a *attempts) unary(ctx context.Context) error {
+	ctx, cancel := context.WithDeadline(ctx, a.deadline)
+	defer cancel()
+	outcomes := make(chan outcome, kernel.MaxAttempts)
+	running := map[int]startedCall{}
+	if !a.launch(ctx, running, outcomes) {
+		return a.refuse(model.NoEndpoint, errors.New("no endpoint"))
+	}
+	hedge := time.NewTimer(a.hedgeDelay())
+	defer hedge.Stop()
+	for {
+		select {
+		case o := <-outcomes:
+			delete(running, o.attempt)
+			done, err := a.settle(ctx, o, len(running))
+			if done {
+				a.abandon(running)
+				return err
+			}
+			if len(running) == 0 && !a.launch(ctx, running, outcomes) {
+				return a.refuse(model.NoEndpoint, o.err)
+			}
+		case <-hedge.C:
+			if !a.hedge(ctx, running, outcomes) {
+				continue
+			}
+			hedge.Reset(a.hedgeDelay() << a.made)
+		case <-ctx.Done():
+			a.abandon(running)
+			return a.refuse(model.StageTimeout, context.Cause(ctx))
+		}
+	}
+}
+
+type startedCall struct {
+	target *endpointState
+	at     time.Time
+}
+
+func (a *attempts) launch(ctx context.Context, running map[int]startedCall, outcomes chan<- outcome) bool {
+	now := time.Now()
+	e := a.pool.pick(now, "", a.excluded)
+	if e == nil {
+		return false
+	}
+	a.made++
+	attempt := a.made
+	call := a.call()
+	target := a.target(e)
+	running[attempt] = startedCall{target: e, at: now}
+	a.excluded = append(a.excluded, e.candidate.Endpoint.Name)
+	go func() {
+		reply, err := a.d.client.Unary(ctx, target, call)
+		outcomes <- outcome{attempt: attempt, target: e, elapsed: time.Since(now), reply: reply, err: err}
+	}()
+	return true
+}
+
+func (a *attempts) hedge(ctx context.Context, running map[int]startedCall, outcomes chan<- outcome) bool {
+	if !a.repeatable() || a.d.plain || a.made >= kernel.MaxAttempts || !a.pool.mayRetry() {
+		return false
+	}
+	a.d.metrics.Retried(model.RetryHedge, a.pool.name)
+	return a.launch(ctx, running, outcomes)
+}
+
+// settle takes one outcome in. It reports whether the stage is over.
+func (a *attempts) settle(ctx context.Context, o outcome, stillRunning int) (bool, error) {
+	now := time.Now()
+	a.busy += o.elapsed
+	if o.err == nil {
+		a.reached = true
+		a.noteLoad(o.target, &o.reply.Load)
+		carry, err := a.job.Plugin.Accept(a.job.Work, o.reply)
+		if err == nil {
+			a.pool.succeeded(now, o.target, o.elapsed, &o.reply.Load)
+			a.carry = carry
+			a.endpoint = o.target.candidate.Endpoint.Name
+			return true, nil
+		}
+		o.err = &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: err}
+	}
+	fault := asFault(o.err)
+	a.noteFault(now, o.target, fault)
+	if ctx.Err() != nil {
+		return true, a.refuse(model.StageTimeout, fault)
+	}
+	if stillRunning > 0 {
+		return false, nil
+	}
+	if !a.mayRepeat(fault) {
+		return true, a.refuse(model.StageFailed, fault)
+	}
+	return false, nil
+}
+
+// mayRepeat decides on one more call after a fault and counts it.
+func (a *attempts) mayRepeat(fault *endpoint.Fault) bool {
+	if !a.repeatable() && fault.Verdict != model.NotRun {
+		return false
+	}
+	if a.made >= kernel.MaxAttempts || !a.pool.mayRetry() {
+		return false
+	}
+	a.d.metrics.Retried(fault.RetryReason(), a.pool.name)
+	return true
+}
+
+func (a *attempts) noteFault(now time.Time, e *endpointState, fault *endpoint.Fault) {
+	if fault.Verdict != model.NotRun {
+		a.reached = true
+	}
+	a.pool.failed(now, e, fault.Kind != endpoint.Cancelled)
+}
+
+func (a *attempts) noteLoad(e *endpointState, load *model.Load) {
+	if load != nil && load.Leaving {
+		a.d.OnLeaving(a.pool.name, e.candidate.Endpoint.Name)
+	}
+}
+
+// abandon accounts for calls that lost the race. One that waited far longer than its pool
+// needs is held to be on a silent connection: the connections to its endpoint are retired.
+func (a *attempts) abandon(running map[int]startedCall) {
+	now := time.Now()
+	limit := silentFactor * a.pool.quantile(&a.pool.service, timeoutQuantile, fallbackLatency)
+	for _, s := range running {
+		a.reached = true
+		waited := now.Sub(s.at)
+		a.busy += waited
+		silent := waited > limit
+		a.pool.failed(now, s.target, silent)
+		if silent {
+			a.d.metrics.Event("ConnectionsRetired")
+			a.d.client.Retire(s.target.candidate.Endpoint.Address)
+		}
+	}
+}
+
+func (a *attempts) hedgeDelay() time.Duration {
+	p95 := a.pool.quantile(&a.pool.service, hedgeQuantile, fallbackLatency)
+	return max(leastHedgeDelay, time.Duration(hedgeFactor*float64(p95)))
+}
+
+// refuse ends the stage; its verdict rests on whether any call may have been read.
+func (a *attempts) refuse(reason model.Reason, err error) error {
+	verdict := model.NotRun
+	if a.reached {
+		verdict = model.MayHaveRun
+	}
+	detail := "stage " + a.job.Work.Stage.Name + " failed"
+	if err != nil {
+		detail = "stage " + a.job.Work.Stage.Name + ": " + err.Error()
+	}
+	return model.NewRefusal(verdict, reason, kernel.RetryAfter(a.pool.estimate().Expected()), detail)
+}
+
+func asFault(err error) *endpoint.Fault {
+	var fault *endpoint.Fault
+	if errors.As(err, &fault) {
+		return fault
+	}
+	return &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"basilstall.example/basilstall/endpoint"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/metric"
+	"basilstall.example/basilstall/model"
+)
+
+type (
+	// Dispatcher carries stages out. It is safe for concurrent use.
+	Dispatcher struct {
+		// OnLeaving is called when an endpoint itself says that it is leaving.
+		OnLeaving func(pool, endpoint string)
+
+		client  *endpoint.Client
+		metrics *metric.Set
+		domain  string
+		// plain switches to the baseline policies: round robin, no limits, naive retries.
+		plain bool
+
+		mu    sync.Mutex
+		pools map[string]*pool
+	}
+
+	// Job is one stage of one request.
+	Job struct {
+		Work   kernel.Work
+		Plugin kernel.Plugin
+		// Later estimates the stages that still follow.
+		Later []kernel.StageEstimate
+		// Weight is the customer's share.
+		Weight int
+		// Emit gets the tokens of a stream; nil where nobody listens.
+		Emit func(model.Token)
+	}
+
+	// Result is what a stage gave.
+	Result struct {
+		Carry  model.Carry
+		Timing model.StageTiming
+	}
+
+	// EndpointStatus is what operators see of an endpoint.
+	EndpointStatus struct {
+		Endpoint model.Endpoint
+		InFlight int
+		Calls    uint64
+		Faults   uint64
+		Load     model.Load
+		Ejected  bool
+	}
+)
+
+// NewDispatcher returns a dispatcher for a node in a failure domain.
+func NewDispatcher(domain string, plain bool, metrics *metric.Set) *Dispatcher {
+	return &Dispatcher{
+		OnLeaving: func(string, string) {},
+		client:    endpoint.NewClient(),
+		metrics:   metrics,
+		domain:    domain,
+		plain:     plain,
+		pools:     map[string]*pool{},
+	}
+}
+
+// SetEndpoints brings all pools in line with the platform's list.
+func (d *Dispatcher) SetEndpoints(listed []model.Endpoint) {
+	byPool := map[string][]model.Endpoint{}
+	for _, e := range listed {
+		byPool[e.Pool] = append(byPool[e.Pool], e)
+	}
+	for _, name := range d.poolNames() {
+		if byPool[name] == nil {
+			byPool[name] = nil
+		}
+	}
+	for name, endpoints := range byPool {
+		d.pool(name).setEndpoints(endpoints)
+	}
+}
+
+// MarkLeaving gives an endpoint no more work; it reports whether that is news.
+func (d *Dispatcher) MarkLeaving(poolName, endpointName string) bool {
+	return d.pool(poolName).markLeaving(endpointName)
+}
+
+// Estimate tells what a request that comes now can expect of a stage.
+func (d *Dispatcher) Estimate(stage model.Stage) kernel.StageEstimate {
+	return d.pool(stage.Pool).estimate()
+}
+
+// Estimates returns the estimates of several stages.
+func (d *Dispatcher) Estimates(stages []model.Stage) []kernel.StageEstimate {
+	out := make([]kernel.StageEstimate, 0, len(stages))
+	for _, s := range stages {
+		out = append(out, d.Estimate(s))
+	}
+	return out
+}
+
+// Status returns what is known of all endpoints.
+func (d *Dispatcher) Status() []EndpointStatus {
+	var out []EndpointStatus
+	for _, name := range d.poolNames() {
+		out = append(out, d.pool(name).status()...)
+	}
+	return out
+}
+
+// Close closes the idle connections.
+func (d *Dispatcher) Close() {
+	d.client.Close()
+}
+
+// Run carries a stage out. The error is a *model.Refusal whose verdict is NotRun only if no
+// endpoint was asked. The result's timing is filled in with an error too.
+func (d *Dispatcher) Run(ctx context.Context, job Job) (Result, error) {
+	start := time.Now()
+	p := d.pool(job.Work.Stage.Pool)
+	deadline := kernel.StageDeadline(job.Work.Request.Deadline, job.Later)
+	latest := deadline
+	if median := p.estimate().Median; median > 0 {
+		latest = deadline.Add(-median)
+	}
+	waiter := kernel.Waiter{
+		Customer: job.Work.Request.Account(),
+		Weight:   job.Weight,
+		Deadline: job.Work.Request.Deadline,
+		Latest:   latest,
+	}
+	if !p.enter(ctx, start, waiter) {
+		return Result{}, waitRefusal(ctx, p)
+	}
+	defer p.leave()
+	a := &attempts{d: d, pool: p, job: job, deadline: job.Work.Request.Deadline, carry: job.Work.Carry}
+	var err error
+	if job.Plugin.Streams {
+		err = a.stream(ctx)
+	} else {
+		err = a.unary(ctx)
+	}
+	timing := a.timing()
+	timing.Elapsed = time.Since(start)
+	return Result{Carry: a.carry, Timing: timing}, err
+}
+
+func waitRefusal(ctx context.Context, p *pool) error {
+	e := p.estimate()
+	if ctx.Err() == context.Canceled {
+		return model.NewRefusal(model.NotRun, model.CallerGone, 0, "the caller went away")
+	}
+	return model.NewRefusal(model.NotRun, model.Overloaded, kernel.RetryAfter(e.Expected()),
+		"pool "+p.name+" had no place in time")
+}
+
+func (d *Dispatcher) pool(name string) *pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pools[name]
+	if p == nil {
+		p = newPool(name, d.domain, d.plain)
+		d.pools[name] = p
+	}
+	return p
+}
+
+func (d *Dispatcher) poolNames() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names := make([]string, 0, len(d.pools))
+	for name := range d.pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/engine/engine.go
@@ -0,0 +1,58 @@
+// Package engine holds the plug-in for model engines: streams of tokens that can be resumed.
+package engine
+
+import (
+	"strings"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+// defaultMaxTokens holds where neither the caller nor the stage says how many tokens.
+const defaultMaxTokens = 256
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Kind:    model.Generate,
+		Path:    "/generate",
+		Streams: true,
+		Prepare: prepare,
+		Check:   check,
+	})
+}
+
+func prepare(w kernel.Work) model.StageCall {
+	return model.StageCall{
+		Model:     w.Stage.Model,
+		Adapter:   w.Stage.Adapter,
+		Text:      prompt(w),
+		Prefix:    w.Request.Input.Prefix,
+		MaxTokens: maxTokens(w),
+	}
+}
+
+func prompt(w kernel.Work) string {
+	parts := append([]string{w.Request.Input.Text}, w.Carry.Items...)
+	return strings.Join(parts, "\n")
+}
+
+func maxTokens(w kernel.Work) int {
+	most := w.Stage.MaxTokens
+	if most == 0 {
+		most = defaultMaxTokens
+	}
+	if w.Request.Input.MaxTokens > 0 {
+		return min(most, w.Request.Input.MaxTokens)
+	}
+	return most
+}
+
+func check(s model.Stage) string {
+	if s.Model == "" {
+		return "a Generate stage needs a Model"
+	}
+	if s.Operation != "" || s.NonIdempotent {
+		return "only a Call stage has Operation or NonIdempotent"
+	}
+	return ""
+}
--- /dev/null
+++ b/kernel/budget.go
@@ -0,0 +1,85 @@
+package kernel
+
+import (
+	"time"
+)
+
+const (
+	// timeoutFactor is how far above the 99th percentile a progress timeout lies.
+	timeoutFactor = 3
+	leastTimeout  = 100 * time.Millisecond
+	// typicalStage is assumed of a pool that has not answered yet.
+	typicalStage = 20 * time.Millisecond
+	// leastRetryAfter and mostRetryAfter bound what callers are told.
+	leastRetryAfter = 50 * time.Millisecond
+	mostRetryAfter  = 10 * time.Second
+)
+
+// StageEstimate is what a node expects of one stage of a request.
+type StageEstimate struct {
+	// Median is the pool's median service time; zero if unknown.
+	Median time.Duration
+	// QueuedCost is the work waiting before this request, in seconds of an endpoint.
+	QueuedCost float64
+	// Places is how many calls the pool may have in flight.
+	Places float64
+}
+
+// Expected returns how long the stage should take, wait included.
+func (e StageEstimate) Expected() time.Duration {
+	return e.wait() + e.service()
+}
+
+func (e StageEstimate) wait() time.Duration {
+	if e.Places <= 0 || e.QueuedCost <= 0 {
+		return 0
+	}
+	return time.Duration(e.QueuedCost / e.Places * float64(time.Second))
+}
+
+func (e StageEstimate) service() time.Duration {
+	if e.Median <= 0 {
+		return typicalStage
+	}
+	return e.Median
+}
+
+// CanFinish tells whether a request should be taken at the door: whether its stages fit
+// into what is left of its deadline. If not, it returns when to come back: when the queues
+// will have drained enough, as far as can be told.
+func CanFinish(now, deadline time.Time, stages []StageEstimate) (bool, time.Duration) {
+	var need, wait time.Duration
+	for _, e := range stages {
+		need += e.Expected()
+		wait += e.wait()
+	}
+	left := deadline.Sub(now)
+	if need <= left {
+		return true, 0
+	}
+	return false, RetryAfter(min(need-left, wait))
+}
+
+// RetryAfter brings a time to come back within what callers are told.
+func RetryAfter(d time.Duration) time.Duration {
+	return min(max(d, leastRetryAfter), mostRetryAfter)
+}
+
+// StageDeadline returns when a stage must be done for the later ones to fit in, by their
+// medians.
+func StageDeadline(deadline time.Time, later []StageEstimate) time.Time {
+	for _, e := range later {
+		deadline = deadline.Add(-e.service())
+	}
+	return deadline
+}
+
+// ProgressTimeout returns how long a call may go without progress, from the quantiles of
+// what the pool showed, never past the deadline.
+func ProgressTimeout(now, deadline time.Time, p99 time.Duration) time.Duration {
+	left := deadline.Sub(now)
+	if p99 <= 0 {
+		return left
+	}
+	return min(left, max(leastTimeout, timeoutFactor*p99))
+}
--- /dev/null
+++ b/kernel/fairqueue.go
@@ -0,0 +1,172 @@
+package kernel
+
+import (
+	"container/heap"
+	"time"
+)
+
+// finishedSlack is how many tags of idle customers are kept before the old ones are dropped.
+const finishedSlack = 16
+
+type (
+	// Waiter is a stage call that waits for a place at a pool.
+	Waiter struct {
+		Customer string
+		// Weight is the customer's share; at least 1.
+		Weight int
+		// Cost is the expected work in seconds of an endpoint.
+		Cost float64
+		// Deadline orders the waiters of one customer.
+		Deadline time.Time
+		// Latest is when starting becomes useless.
+		Latest time.Time
+		// Ready is called once, when the waiter is taken from the queue.
+		Ready func()
+
+		index int
+		queue *customerQueue
+	}
+
+	// FairQueue shares a pool between customers by start-time fair queueing, weighted and
+	// work-conserving, and serves the waiters of one customer by earliest deadline. A
+	// customer without waiters costs nothing: its queue is dropped.
+	FairQueue struct {
+		customers map[string]*customerQueue
+		// finished keeps the tags of customers that ran out of waiters while ahead of the
+		// virtual time; an older tag says nothing and is dropped.
+		finished map[string]float64
+		// virtual is the start tag of the customer last served; it never falls.
+		virtual float64
+		length  int
+		cost    float64
+	}
+
+	customerQueue struct {
+		name    string
+		waiters waiterHeap
+		// start is the virtual time at which the customer's next waiter may start.
+		start float64
+	}
+
+	waiterHeap []*Waiter
+)
+
+// NewFairQueue returns an empty queue.
+func NewFairQueue() *FairQueue {
+	return &FairQueue{customers: map[string]*customerQueue{}, finished: map[string]float64{}}
+}
+
+// Len returns how many wait.
+func (q *FairQueue) Len() int {
+	return q.length
+}
+
+// Cost returns the expected work of all that wait.
+func (q *FairQueue) Cost() float64 {
+	return q.cost
+}
+
+// Push adds a waiter.
+func (q *FairQueue) Push(w *Waiter) {
+	c := q.customers[w.Customer]
+	if c == nil {
+		c = &customerQueue{name: w.Customer, start: max(q.virtual, q.finished[w.Customer])}
+		q.customers[w.Customer] = c
+		delete(q.finished, w.Customer)
+	}
+	w.queue = c
+	heap.Push(&c.waiters, w)
+	q.length++
+	q.cost += w.Cost
+}
+
+// Remove takes a waiter out that gave up; it reports whether the waiter still waited.
+func (q *FairQueue) Remove(w *Waiter) bool {
+	c := w.queue
+	if c == nil {
+		return false
+	}
+	heap.Remove(&c.waiters, w.index)
+	q.forget(c, w)
+	return true
+}
+
+// Pop takes the next waiter out: the customer that is furthest behind, then the earliest
+// deadline. Nil means that nobody waits.
+func (q *FairQueue) Pop() *Waiter {
+	var next *customerQueue
+	for _, c := range q.customers {
+		if next == nil || c.before(next) {
+			next = c
+		}
+	}
+	if next == nil {
+		return nil
+	}
+	w := heap.Pop(&next.waiters).(*Waiter)
+	q.virtual = max(q.virtual, next.start)
+	next.start = max(next.start, q.virtual) + w.Cost/float64(max(1, w.Weight))
+	q.forget(next, w)
+	return w
+}
+
+// forget keeps the sums right and drops what idle customers would cost.
+func (q *FairQueue) forget(c *customerQueue, w *Waiter) {
+	w.queue = nil
+	q.length--
+	q.cost = max(0, q.cost-w.Cost)
+	if len(c.waiters) == 0 {
+		delete(q.customers, c.name)
+		q.finished[c.name] = c.start
+	}
+	if len(q.finished) > 2*len(q.customers)+finishedSlack {
+		q.dropOldTags()
+	}
+	if q.length == 0 {
+		q.cost = 0
+	}
+}
+
+func (q *FairQueue) dropOldTags() {
+	for name, tag := range q.finished {
+		if tag <= q.virtual || q.length == 0 {
+			delete(q.finished, name)
+		}
+	}
+}
+
+func (c *customerQueue) before(other *customerQueue) bool {
+	if c.start != other.start {
+		return c.start < other.start
+	}
+	return c.waiters[0].Deadline.Before(other.waiters[0].Deadline)
+}
+
+// Len implements heap.Interface.
+func (h waiterHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h waiterHeap) Less(i, j int) bool { return h[i].Deadline.Before(h[j].Deadline) }
+
+// Swap implements heap.Interface.
+func (h waiterHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// Push implements heap.Interface.
+func (h *waiterHeap) Push(x any) {
+	w := x.(*Waiter)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+
+// Pop implements heap.Interface.
+func (h *waiterHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return w
+}
--- /dev/null
+++ b/kernel/health.go
@@ -0,0 +1,63 @@
+package kernel
+
+import "time"
+
+const (
+	// failuresToEject is how many failures in a row put an endpoint aside.
+	failuresToEject = 3
+	firstEjection   = time.Second
+	longestEjection = 30 * time.Second
+	// healthFloor is the share of a pool that is used however bad its health looks: when
+	// most of a pool fails, the fault is likely ours or the network's.
+	healthFloor = 0.5
+)
+
+// Health is what a node's own calls tell of an endpoint.
+type Health struct {
+	// Failures counts failures in a row.
+	Failures int
+	// EjectedUntil is zero while the endpoint is in use.
+	EjectedUntil time.Time
+	// Ejections counts ejections in a row; each lasts twice as long as the one before.
+	Ejections int
+	// Probing is true while one call tries an endpoint whose ejection ended.
+	Probing bool
+}
+
+// WithFailure returns the health after a failed call.
+func (h Health) WithFailure(now time.Time) Health {
+	h.Failures++
+	if h.Failures < failuresToEject && !h.Probing {
+		return h
+	}
+	h.Probing = false
+	d := firstEjection << min(h.Ejections, 10)
+	h.EjectedUntil = now.Add(min(d, longestEjection))
+	h.Ejections++
+	return h
+}
+
+// WithSuccess returns the health after a good call.
+func (h Health) WithSuccess() Health {
+	return Health{}
+}
+
+// WithProbe returns the health with a probe under way.
+func (h Health) WithProbe() Health {
+	h.Probing = true
+	return h
+}
+
+// Usable tells whether the endpoint may get a call: it is in use, or its ejection ended and
+// no other call tries it.
+func (h Health) Usable(now time.Time) bool {
+	if h.EjectedUntil.IsZero() {
+		return true
+	}
+	return !now.Before(h.EjectedUntil) && !h.Probing
+}
+
+// Ejected tells whether the endpoint was put aside and has not answered well since.
+func (h Health) Ejected() bool {
+	return !h.EjectedUntil.IsZero()
+}
--- /dev/null
+++ b/kernel/quantiles.go
@@ -0,0 +1,71 @@
+package kernel
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	quantileBuckets = 72
+	quantileFloor   = 100 * time.Microsecond
+	quantileGrowth  = 1.2
+	// quantileMemory is the count at which all buckets are halved, so that old
+	// observations lose weight.
+	quantileMemory = 512
+)
+
+// Quantiles estimates quantiles of recent durations from 100 µs to about 50 s, within a
+// fifth, in fixed memory. It changes in place.
+type Quantiles struct {
+	counts [quantileBuckets]uint32
+	total  uint32
+}
+
+// Observe adds a duration.
+func (q *Quantiles) Observe(d time.Duration) {
+	q.counts[quantileBucket(d)]++
+	q.total++
+	if q.total < quantileMemory {
+		return
+	}
+	q.total = 0
+	for i := range q.counts {
+		q.counts[i] /= 2
+		q.total += q.counts[i]
+	}
+}
+
+// Count returns the weight of what was observed.
+func (q *Quantiles) Count() int {
+	return int(q.total)
+}
+
+// Quantile returns the upper bound of the bucket that holds the quantile p, or the fallback
+// while too little was observed.
+func (q *Quantiles) Quantile(p float64, fallback time.Duration) time.Duration {
+	const enough = 8
+	if q.total < enough {
+		return fallback
+	}
+	rank := uint32(math.Ceil(p * float64(q.total)))
+	var seen uint32
+	for i, n := range q.counts {
+		seen += n
+		if seen >= rank {
+			return quantileBound(i)
+		}
+	}
+	return quantileBound(quantileBuckets - 1)
+}
+
+func quantileBucket(d time.Duration) int {
+	if d <= quantileFloor {
+		return 0
+	}
+	i := int(math.Log(float64(d)/float64(quantileFloor))/math.Log(quantileGrowth)) + 1
+	return min(i, quantileBuckets-1)
+}
+
+func quantileBound(i int) time.Duration {
+	return time.Duration(float64(quantileFloor) * math.Pow(quantileGrowth, float64(i)))
+}
--- /dev/null
+++ b/kernel/retry.go
@@ -0,0 +1,36 @@
+package kernel
+
+const (
+	// retryShare is how much of a retry each success earns.
+	retryShare = 0.1
+	retryMost  = 20.0
+	// MaxAttempts bounds the calls of one stage of one request.
+	MaxAttempts = 4
+)
+
+// RetryBudget bounds retries and hedges of a pool to a share of its successes, so that
+// retries cannot multiply the load of a failing pool.
+type RetryBudget struct {
+	// Tokens is between 0 and retryMost.
+	Tokens float64
+}
+
+// NewRetryBudget returns a full budget.
+func NewRetryBudget() RetryBudget {
+	return RetryBudget{Tokens: retryMost}
+}
+
+// WithSuccess returns the budget after a success.
+func (b RetryBudget) WithSuccess() RetryBudget {
+	b.Tokens = min(retryMost, b.Tokens+retryShare)
+	return b
+}
+
+// WithRetry returns the budget less one retry, and whether the retry may be made.
+func (b RetryBudget) WithRetry() (RetryBudget, bool) {
+	if b.Tokens < 1 {
+		return b, false
+	}
+	b.Tokens--
+	return b, true
+}
--- /dev/null
+++ b/kernel/routing.go
@@ -0,0 +1,143 @@
+package kernel
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// loadMemory is how long a reported load counts; its weight falls to zero over this time.
+	loadMemory = 2 * time.Second
+	// foreignPenalty is how many calls in flight a call to another failure domain is worth.
+	foreignPenalty = 1.0
+	// prefixBound is how far above the pool's mean an endpoint's load may rise before a
+	// prefix moves on to its next endpoint (bounded-load rendezvous hashing).
+	prefixBound = 1.25
+	// prefixSlack is the load that is always allowed, so that an idle pool keeps prefixes.
+	prefixSlack = 2.0
+)
+
+// Candidate is an endpoint as the routing sees it.
+type Candidate struct {
+	Endpoint model.Endpoint
+	// InFlight counts the node's own calls to it.
+	InFlight int
+	// Load was reported at LoadAt on a reply.
+	Load   model.Load
+	LoadAt time.Time
+	Health Health
+}
+
+// Usable returns the candidates that may get a call: not leaving, not put aside, not among
+// the excluded names. If health alone leaves less than the floor, health is disregarded.
+func Usable(now time.Time, candidates []Candidate, excluded []string) []Candidate {
+	var staying, healthy []Candidate
+	for _, c := range candidates {
+		if c.Endpoint.State == model.Leaving || slices.Contains(excluded, c.Endpoint.Name) {
+			continue
+		}
+		staying = append(staying, c)
+		if c.Health.Usable(now) {
+			healthy = append(healthy, c)
+		}
+	}
+	if float64(len(healthy)) >= healthFloor*float64(len(staying)) && len(healthy) > 0 {
+		return healthy
+	}
+	return leastEjected(staying, healthy)
+}
+
+// leastEjected fills the healthy ones up to the floor with those that fail least.
+func leastEjected(staying, healthy []Candidate) []Candidate {
+	floor := int(math.Ceil(healthFloor * float64(len(staying))))
+	sorted := slices.Clone(staying)
+	slices.SortStableFunc(sorted, func(a, b Candidate) int {
+		return a.Health.Ejections - b.Health.Ejections
+	})
+	for _, c := range sorted {
+		if len(healthy) >= floor {
+			break
+		}
+		if !slices.ContainsFunc(healthy, func(h Candidate) bool { return h.Endpoint.Name == c.Endpoint.Name }) {
+			healthy = append(healthy, c)
+		}
+	}
+	return healthy
+}
+
+// PickTwoChoices returns the less loaded of two random candidates, the node's own failure
+// domain first. The two numbers are uniform in [0, 1). It returns -1 for no candidates.
+func PickTwoChoices(now time.Time, candidates []Candidate, domain string, first, second float64) int {
+	if len(candidates) == 0 {
+		return -1
+	}
+	var own []int
+	for i, c := range candidates {
+		if c.Endpoint.FailureDomain == domain {
+			own = append(own, i)
+		}
+	}
+	a := int(first * float64(len(candidates)))
+	b := int(second * float64(len(candidates)))
+	if len(own) > 0 {
+		a = own[int(first*float64(len(own)))]
+	}
+	if a == b {
+		b = (b + 1) % len(candidates)
+	}
+	if loadOf(now, candidates[b], domain) < loadOf(now, candidates[a], domain) {
+		return b
+	}
+	return a
+}
+
+// PickPrefix returns the candidate that a prompt's prefix hashes to, or the next in the
+// hash's order where that one is loaded beyond the bound. It returns -1 for no candidates.
+func PickPrefix(now time.Time, candidates []Candidate, prefix string) int {
+	if len(candidates) == 0 {
+		return -1
+	}
+	var total float64
+	for _, c := range candidates {
+		total += loadOf(now, c, c.Endpoint.FailureDomain)
+	}
+	bound := prefixBound*(total+1)/float64(len(candidates)) + prefixSlack
+	best, least := -1, 0
+	var bestScore uint64
+	for i, c := range candidates {
+		load := loadOf(now, c, c.Endpoint.FailureDomain)
+		if load < loadOf(now, candidates[least], candidates[least].Endpoint.FailureDomain) {
+			least = i
+		}
+		if load >= bound {
+			continue
+		}
+		score := rendezvousScore(prefix, c.Endpoint.Name)
+		if best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return least
+	}
+	return best
+}
+
+// loadOf estimates how loaded an endpoint is: the node's own calls in flight, and what others
+// gave it, as far as the last report says and as long as it is fresh.
+func loadOf(now time.Time, c Candidate, domain string) float64 {
+	load := float64(c.InFlight)
+	age := now.Sub(c.LoadAt)
+	if age < loadMemory && !c.LoadAt.IsZero() {
+		fresh := 1 - float64(age)/float64(loadMemory)
+		others := float64(c.Load.Running+c.Load.Queued) - float64(c.InFlight)
+		load += fresh * max(0, others)
+	}
+	if c.Endpoint.FailureDomain != domain {
+		load += foreignPenalty
+	}
+	return load
+}
--- /dev/null
+++ b/list/list.go
@@ -0,0 +1,86 @@
+// Package list speaks to the platform's list of live and leaving hosts and endpoints. The list
+// lags; it is one witness among several.
+package list
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// Path is the list's.
+	Path = "/list"
+	// HostsPath takes a host's own entry.
+	HostsPath   = "/list/hosts"
+	callTimeout = 2 * time.Second
+)
+
+// Client reads the list and announces the node's own host.
+type Client struct {
+	base   string
+	client *http.Client
+}
+
+// NewClient returns a client for the platform at an address, HOST:PORT.
+func NewClient(address string) *Client {
+	return &Client{
+		base:   "http://" + address,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: callTimeout},
+	}
+}
+
+// Get returns the list as the platform gives it now.
+func (c *Client) Get(ctx context.Context) (model.HostList, error) {
+	var hosts model.HostList
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+Path, nil)
+	if err != nil {
+		return hosts, errors.Wrap(err, "list: unable to make a request")
+	}
+	res, err := c.client.Do(req)
+	if err != nil {
+		c.client.CloseIdleConnections()
+		return hosts, errors.Wrap(err, "list: unable to read")
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return hosts, errors.Errorf("list: unable to read: %s", res.Status)
+	}
+	if err := json.NewDecoder(res.Body).Decode(&hosts); err != nil {
+		return hosts, errors.Wrap(err, "list: unable to decode")
+	}
+	return hosts, nil
+}
+
+// Announce tells the platform of the node's own host.
+func (c *Client) Announce(ctx context.Context, host model.Host) error {
+	body, err := json.Marshal(host)
+	if err != nil {
+		return errors.Wrap(err, "list: unable to encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+HostsPath, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "list: unable to make a request")
+	}
+	res, err := c.client.Do(req)
+	if err != nil {
+		c.client.CloseIdleConnections()
+		return errors.Wrap(err, "list: unable to announce")
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errors.Errorf("list: unable to announce: %s", res.Status)
+	}
+	return nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,72 @@
+// Package metric counts what a node does, one set a node, in the Prometheus text format.
+package metric
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"basilstall.example/basilstall/model"
+)
+
+// Set holds a node's metrics. A counter exists once it was used, so that idle customers and
+// pools cost nothing.
+type Set struct {
+	set *metrics.Set
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{set: metrics.NewSet()}
+}
+
+// Refused counts a refusal that a caller was told.
+func (s *Set) Refused(r *model.Refusal) {
+	s.count(`basilstall_refusals_total{reason=%q,verdict=%q}`, string(r.Reason), string(r.Verdict))
+}
+
+// Retried counts a repeated stage call.
+func (s *Set) Retried(reason model.Reason, pool string) {
+	s.count(`basilstall_retries_total{reason=%q,pool=%q}`, string(reason), pool)
+}
+
+// Answered counts a whole answer and its time.
+func (s *Set) Answered(pipeline string, elapsed time.Duration) {
+	s.count(`basilstall_answers_total{pipeline=%q}`, pipeline)
+	s.set.GetOrCreateHistogram(fmt.Sprintf(`basilstall_answer_seconds{pipeline=%q}`, pipeline)).Update(elapsed.Seconds())
+}
+
+// Spent adds to a stage's cost.
+func (s *Set) Spent(customer string, timing model.StageTiming, pool string) {
+	s.set.GetOrCreateFloatCounter(fmt.Sprintf(`basilstall_endpoint_seconds_total{pool=%q,customer=%q}`, pool, customer)).Add(timing.Busy.Seconds())
+	if timing.Tokens > 0 {
+		s.set.GetOrCreateCounter(fmt.Sprintf(`basilstall_tokens_total{pool=%q,customer=%q}`, pool, customer)).Add(timing.Tokens)
+	}
+}
+
+// Event counts something else by its name.
+func (s *Set) Event(name string) {
+	s.count(`basilstall_events_total{event=%q}`, name)
+}
+
+// Gauge registers a value that is read when the metrics are.
+func (s *Set) Gauge(name string, read func() float64) {
+	s.set.GetOrCreateGauge("basilstall_"+name, read)
+}
+
+// Write writes all metrics and the process's own.
+func (s *Set) Write(w io.Writer) {
+	s.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// Count returns the value of an event's counter, for tests and status.
+func (s *Set) Count(name string) uint64 {
+	return s.set.GetOrCreateCounter(fmt.Sprintf(`basilstall_events_total{event=%q}`, name)).Get()
+}
+
+func (s *Set) count(format string, args ...any) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(format, args...)).Inc()
+}
--- /dev/null
+++ b/node/drain.go
@@ -0,0 +1,231 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/peer"
+	"basilstall.example/basilstall/table"
+)
+
+const (
+	// handoverPart bounds the entries of one message.
+	handoverPart = 2000
+	handoverWait = 5 * time.Second
+	// heirLinger is how long a node that gave its keys away still passes late arrivals on.
+	heirLinger = 2500 * time.Millisecond
+	drainPoll  = 20 * time.Millisecond
+)
+
+// Draining tells whether the node is on its way out.
+func (n *Node) Draining() bool {
+	return n.draining.Load()
+}
+
+// Drain takes the node out: it tells list, peers and balancer, still takes requests for the
+// drain delay, gives its keys away, waits for what is in flight, and closes. It returns how
+// many requests were cut because they exceeded the drain limit.
+func (n *Node) Drain(ctx context.Context) int {
+	if n.draining.Swap(true) {
+		return 0
+	}
+	n.log.Info().Msg("draining")
+	ctx, cancel := context.WithTimeout(ctx, n.options.DrainDelay+n.options.DrainLimit)
+	defer cancel()
+	n.fleet.mu.Lock()
+	n.fleet.m.Leave(time.Now())
+	n.fleet.mu.Unlock()
+	n.announce(ctx)
+	sleep(ctx, n.options.DrainDelay)
+	n.stopCallers(ctx)
+	n.handOver(ctx)
+	n.awaitIdle(ctx)
+	n.tellEnded(ctx)
+	cut := int(n.inFlight.Load())
+	n.log.Info().Int("Cut", cut).Msg("drained")
+	n.Close()
+	return cut
+}
+
+// handOver gives all keys to a live member: first what is remembered of them, then, by one
+// write of the claims row, the keys themselves. From the first message on nothing new runs
+// here.
+func (n *Node) handOver(ctx context.Context) {
+	n.keys.mu.Lock()
+	handing := make(chan struct{})
+	n.keys.handing = handing
+	entries := n.keys.ledger.Export(n.member.ID())
+	n.pending = n.keys.ledger.Running()
+	cutoff := n.keys.ledger.Cutoff()
+	n.keys.mu.Unlock()
+
+	heir, ok := n.giveKeys(ctx, entries, cutoff)
+	n.keys.mu.Lock()
+	n.keys.handing = nil
+	if ok {
+		n.keys.heir = &heir
+	}
+	n.keys.mu.Unlock()
+	close(handing)
+	if !ok {
+		n.metrics.Event("HandoverFailed")
+		n.log.Warn().Msg("keys were not handed over; they stay closed up to the horizon")
+		return
+	}
+	n.log.Info().Str("Heir", heir.Node).Int("Keys", len(entries)).Msg("keys handed over")
+	sleep(ctx, heirLinger)
+}
+
+// giveKeys tries the live members in turn. A swap whose answer is lost for good counts as
+// done for this node: it must not run its keys any more.
+func (n *Node) giveKeys(ctx context.Context, entries map[string]kernel.LedgerEntry, cutoff time.Time) (kernel.Member, bool) {
+	if !n.inRow() {
+		return kernel.Member{}, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		for _, heir := range n.heirs() {
+			if !n.sendEntries(ctx, heir, entries, cutoff) {
+				continue
+			}
+			if n.swapTransfer(ctx, heir) {
+				return heir, true
+			}
+		}
+		sleep(ctx, 10*drainPoll)
+	}
+	return kernel.Member{}, false
+}
+
+// inRow tells whether any key may belong to this node.
+func (n *Node) inRow() bool {
+	row := n.claims.current()
+	for _, era := range row.Eras {
+		for _, m := range era.Members {
+			if m.ID() == n.member.ID() {
+				return true
+			}
+		}
+	}
+	for _, t := range row.Transfers {
+		if t.To.ID() == n.member.ID() {
+			return true
+		}
+	}
+	return false
+}
+
+// heirs returns the live members, those in the newest era last: they are the likelier to
+// have much to do.
+func (n *Node) heirs() []kernel.Member {
+	alive, _ := n.fleet.alive()
+	var heirs []kernel.Member
+	for _, m := range alive {
+		if m.ID() != n.member.ID() {
+			heirs = append(heirs, m)
+		}
+	}
+	return heirs
+}
+
+func (n *Node) sendEntries(ctx context.Context, heir kernel.Member, entries map[string]kernel.LedgerEntry, cutoff time.Time) bool {
+	part := map[string]kernel.LedgerEntry{}
+	sent := 0
+	send := func(last bool) bool {
+		message := peer.Handover{From: n.member, Cutoff: cutoff, Entries: part, Last: last}
+		var reply peer.HandoverReply
+		err := n.peers.Call(ctx, heir.Address, peer.KindHandover, message, &reply)
+		part = map[string]kernel.LedgerEntry{}
+		return err == nil
+	}
+	for id, entry := range entries {
+		part[id] = entry
+		sent++
+		if len(part) >= handoverPart && sent < len(entries) && !send(false) {
+			return false
+		}
+	}
+	return send(true)
+}
+
+// swapTransfer writes the transfer into the claims row. It reports whether it is there.
+func (n *Node) swapTransfer(ctx context.Context, heir kernel.Member) bool {
+	for ctx.Err() == nil {
+		row, version, err := n.store.Claims(ctx, n.claims.current())
+		if err != nil {
+			sleep(ctx, 10*drainPoll)
+			continue
+		}
+		n.claims.set(time.Now(), row, version)
+		if row.Left(n.member.ID()) {
+			return true
+		}
+		next := row.WithTransfer(n.member.ID(), heir, uuid.NewString())
+		written, err := n.store.SwapClaims(ctx, version, row, next)
+		if err == nil {
+			n.claims.set(time.Now(), next, written)
+			return true
+		}
+		var conflict *table.Conflict
+		if !errors.As(err, &conflict) && !errors.Is(err, table.ErrUnavailable) && !errors.Is(err, table.ErrUnknown) {
+			return false
+		}
+	}
+	return false
+}
+
+// answerHandover takes over what a member that leaves remembers.
+func (n *Node) answerHandover(_ context.Context, body []byte) (any, error) {
+	var h peer.Handover
+	if err := peer.DecodeBody(body, &h); err != nil {
+		return nil, err
+	}
+	if n.draining.Load() {
+		return nil, errors.New("node: draining")
+	}
+	n.keys.mu.Lock()
+	defer n.keys.mu.Unlock()
+	n.keys.ledger.Import(h.From.ID(), h.Entries, h.Cutoff)
+	n.metrics.Event("HandoverTaken")
+	return peer.HandoverReply{Held: len(h.Entries)}, nil
+}
+
+// tellEnded gives the heir the outcome of the keys that still ran at the handover.
+func (n *Node) tellEnded(ctx context.Context) {
+	n.keys.mu.Lock()
+	heir := n.keys.heir
+	ended := n.keys.ledger.ExportEnded(n.pending)
+	cutoff := n.keys.ledger.Cutoff()
+	n.keys.mu.Unlock()
+	if heir == nil || heir.Node == "" || len(ended) == 0 {
+		return
+	}
+	if !n.sendEntries(ctx, *heir, ended, cutoff) {
+		n.metrics.Event("HandoverFailed")
+	}
+}
+
+// awaitIdle waits until nothing is in flight here, or ctx ends.
+func (n *Node) awaitIdle(ctx context.Context) {
+	for n.inFlight.Load() > 0 {
+		if !sleep(ctx, drainPoll) {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/node/fleet.go
@@ -0,0 +1,192 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
+)
+
+const (
+	heartbeatEvery   = 500 * time.Millisecond
+	heartbeatTimeout = 2 * time.Second
+	listEvery        = time.Second
+	announceEvery    = 3 * time.Second
+)
+
+// fleet guards the membership.
+type fleet struct {
+	mu sync.Mutex
+	m  *kernel.Membership
+}
+
+func (f *fleet) size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.m.Alive())
+}
+
+func (f *fleet) alive() ([]kernel.Member, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.m.Alive(), f.m.StoodSince()
+}
+
+func (f *fleet) members() []kernel.MemberInfo {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.m.Members()
+}
+
+// isAlive tells whether a member is held to be alive or leaving.
+func (f *fleet) reachable(id string) bool {
+	for _, info := range f.members() {
+		if info.Member.ID() == id {
+			return info.State != kernel.MemberDead
+		}
+	}
+	return true
+}
+
+// followFleet heartbeats the neighbours until the node stops.
+func (n *Node) followFleet() {
+	n.every(heartbeatEvery, func(ctx context.Context) {
+		n.fleet.mu.Lock()
+		n.fleet.m.Tick(time.Now())
+		neighbours := n.fleet.m.Neighbours()
+		n.fleet.mu.Unlock()
+		for _, info := range neighbours {
+			go n.heartbeat(ctx, info.Member.Address)
+		}
+		if len(neighbours) == 0 {
+			for _, seed := range n.options.PeerSeeds {
+				go n.heartbeat(ctx, seed)
+			}
+		}
+	})
+}
+
+func (n *Node) heartbeat(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	var reply peer.Heartbeat
+	if err := n.peers.Call(ctx, address, peer.KindHeartbeat, n.ownHeartbeat(), &reply); err != nil {
+		n.metrics.Event("HeartbeatFailed")
+		return
+	}
+	n.takeHeartbeat(reply)
+}
+
+func (n *Node) ownHeartbeat() peer.Heartbeat {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return peer.Heartbeat{
+		News:         n.fleet.m.Outgoing(),
+		Revision:     n.Settings().Revision,
+		ClaimsNumber: n.claims.number(),
+	}
+}
+
+func (n *Node) answerHeartbeat(_ context.Context, body []byte) (any, error) {
+	var heartbeat peer.Heartbeat
+	if err := peer.DecodeBody(body, &heartbeat); err != nil {
+		return nil, err
+	}
+	n.takeHeartbeat(heartbeat)
+	return n.ownHeartbeat(), nil
+}
+
+// takeHeartbeat takes a peer's word in. The first news is the peer's own state.
+func (n *Node) takeHeartbeat(h peer.Heartbeat) {
+	if len(h.News) == 0 {
+		return
+	}
+	now := time.Now()
+	n.fleet.mu.Lock()
+	n.fleet.m.Heard(now, h.News[0])
+	var leaving []kernel.News
+	for _, news := range h.News[1:] {
+		if news.Endpoint != "" {
+			leaving = append(leaving, news)
+			continue
+		}
+		n.fleet.m.Take(now, news)
+	}
+	n.fleet.mu.Unlock()
+	for _, news := range leaving {
+		n.noteLeaving(news.Pool, news.Endpoint)
+	}
+	if h.Revision > n.Settings().Revision {
+		go n.pullSettings(n.ctx, h.News[0].Member.Address)
+	}
+	if h.ClaimsNumber > n.claims.number() {
+		n.claims.wake()
+	}
+}
+
+// noteLeaving stops new work for an endpoint that is leaving and passes the news on.
+func (n *Node) noteLeaving(pool, endpoint string) {
+	if !n.dispatcher.MarkLeaving(pool, endpoint) {
+		return
+	}
+	n.metrics.Event("EndpointLeaving")
+	n.log.Info().Str("Pool", pool).Str("Endpoint", endpoint).Msg("endpoint is leaving")
+	n.fleet.mu.Lock()
+	n.fleet.m.PassOn(pool, endpoint)
+	n.fleet.mu.Unlock()
+}
+
+// followList reads the platform's list until the node stops.
+func (n *Node) followList() {
+	n.every(listEvery, func(ctx context.Context) {
+		hosts, err := n.list.Get(ctx)
+		if err != nil {
+			n.metrics.Event("ListFailed")
+			return
+		}
+		n.takeList(hosts)
+	})
+}
+
+func (n *Node) takeList(hosts model.HostList) {
+	if len(hosts.Endpoints) > 0 {
+		n.dispatcher.SetEndpoints(hosts.Endpoints)
+		n.listed.Store(true)
+	}
+	now := time.Now()
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	for _, h := range hosts.Hosts {
+		if h.State == model.Live {
+			member := kernel.Member{Node: h.Name, Incarnation: h.Incarnation, Address: h.Address}
+			n.fleet.m.Listed(now, member, h.FailureDomain)
+		}
+	}
+}
+
+// announceHost tells the list of this host until the node stops.
+func (n *Node) announceHost() {
+	n.every(announceEvery, func(ctx context.Context) {
+		n.announce(ctx)
+	})
+}
+
+func (n *Node) announce(ctx context.Context) {
+	state := model.Live
+	if n.draining.Load() {
+		state = model.Leaving
+	}
+	host := model.Host{
+		Name:          n.options.Name,
+		Incarnation:   n.member.Incarnation,
+		Address:       n.member.Address,
+		FailureDomain: n.options.FailureDomain,
+		State:         state,
+	}
+	if err := n.list.Announce(ctx, host); err != nil {
+		n.metrics.Event("AnnounceFailed")
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,256 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	// The stage plug-ins register themselves with the kernel.
+	_ "basilstall.example/basilstall/engine"
+	_ "basilstall.example/basilstall/pool"
+	_ "basilstall.example/basilstall/service"
+
+	"basilstall.example/basilstall/caller"
+	"basilstall.example/basilstall/config"
+	"basilstall.example/basilstall/dispatch"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/list"
+	"basilstall.example/basilstall/metric"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/operator"
+	"basilstall.example/basilstall/peer"
+	"basilstall.example/basilstall/table"
+)
+
+// Node is one process between callers and endpoints.
+type Node struct {
+	options    config.Options
+	member     kernel.Member
+	log        zerolog.Logger
+	metrics    *metric.Set
+	store      *table.Store
+	list       *list.Client
+	peers      *peer.Client
+	peerServer *peer.Server
+	callers    *caller.Server
+	operators  *operator.Server
+	dispatcher *dispatch.Dispatcher
+	records    *records
+	rates      *rates
+	fleet      *fleet
+	claims     *claimsKeeper
+	// keys arbitrates the keys that this node owns; durable remembers those that the table
+	// named this process for.
+	keys      *keyOwner
+	durable   *keyOwner
+	committer *committer
+	// pending holds the keys that ran when the keys were handed over.
+	pending []string
+
+	settingsMu sync.Mutex
+	settings   atomic.Pointer[kernel.Settings]
+	// listed is true once the platform's list named endpoints.
+	listed atomic.Bool
+	// tableDown is true while the last call to the table failed.
+	tableDown atomic.Bool
+	draining  atomic.Bool
+	inFlight  atomic.Int64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+}
+
+// NewNode starts a node. Drain or Close ends it.
+func NewNode(options config.Options, log zerolog.Logger) (*Node, error) {
+	incarnation, err := uuid.NewV7()
+	if err != nil {
+		return nil, err
+	}
+	peerServer, err := peer.NewServer(options.PeersListen, options.PeersToken)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	metrics := metric.NewSet()
+	store := table.NewStore(options.Platform)
+	n := &Node{
+		options:    options,
+		member:     kernel.Member{Node: options.Name, Incarnation: incarnation.String(), Address: peerServer.Address()},
+		log:        log.With().Str("Node", options.Name).Logger(),
+		metrics:    metrics,
+		store:      store,
+		list:       list.NewClient(options.Platform),
+		peers:      peer.NewClient(options.Name, options.PeersToken),
+		peerServer: peerServer,
+		dispatcher: dispatch.NewDispatcher(options.FailureDomain, options.Plain, metrics),
+		records:    newRecords(),
+		rates:      newRates(),
+		claims:     newClaimsKeeper(),
+		keys:       newKeyOwner(),
+		durable:    newKeyOwner(),
+		committer:  newCommitter(store),
+	}
+	n.fleet = &fleet{m: kernel.NewMembership(now, n.member, options.FailureDomain)}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	settings := kernel.NewSettings()
+	n.settings.Store(&settings)
+	n.dispatcher.OnLeaving = n.noteLeaving
+	if err := n.listen(); err != nil {
+		n.Close()
+		return nil, err
+	}
+	n.registerGauges()
+	n.startLoops()
+	n.log.Info().Str("Callers", n.CallersAddress()).Str("Operators", n.OperatorsAddress()).Str("Peers", n.member.Address).Msg("node started")
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	var err error
+	if n.callers, err = caller.NewServer(n.options.CallersListen, n.callerSeams()); err != nil {
+		return err
+	}
+	if n.operators, err = operator.NewServer(n.options.OperatorsListen, n.options.OperatorsToken, n.operatorSeams()); err != nil {
+		return err
+	}
+	n.peerServer.OnRefused = func(remote string) {
+		n.metrics.Event("PeerTokenRefused")
+		n.log.Warn().Str("Remote", remote).Msg("peer token refused")
+	}
+	n.peerServer.Serve(n.member, map[peer.Kind]peer.Handler{
+		peer.KindHeartbeat: n.answerHeartbeat,
+		peer.KindForward:   n.answerForward,
+		peer.KindSettings:  n.answerSettings,
+		peer.KindHandover:  n.answerHandover,
+		peer.KindExplain:   n.answerExplain,
+	})
+	return nil
+}
+
+func (n *Node) startLoops() {
+	for _, loop := range []func(){n.followSettings, n.followFleet, n.followList, n.announceHost, n.keepClaims} {
+		n.loops.Add(1)
+		go func() {
+			defer n.loops.Done()
+			loop()
+		}()
+	}
+}
+
+// every calls work at once and then again and again, with jitter, until the node stops.
+func (n *Node) every(period time.Duration, work func(context.Context)) {
+	for {
+		work(n.ctx)
+		if !sleep(n.ctx, jitter(period)) {
+			return
+		}
+	}
+}
+
+// jitter spreads the nodes' periodic work by a fifth to either side.
+func jitter(d time.Duration) time.Duration {
+	const spread = 0.4
+	return time.Duration(float64(d) * (1 - spread/2 + spread*rand.Float64()))
+}
+
+// CallersAddress returns where callers reach the node.
+func (n *Node) CallersAddress() string { return n.callers.Address() }
+
+// OperatorsAddress returns where operators reach the node.
+func (n *Node) OperatorsAddress() string { return n.operators.Address() }
+
+// PeersAddress returns where other nodes reach the node.
+func (n *Node) PeersAddress() string { return n.member.Address }
+
+// Close ends the node at once; what is in flight is cut.
+func (n *Node) Close() {
+	n.cancel()
+	if n.callers != nil {
+		n.callers.Close()
+	}
+	if n.operators != nil {
+		n.operators.Close()
+	}
+	n.peerServer.Close()
+	n.peers.Close()
+	n.loops.Wait()
+	n.dispatcher.Close()
+	n.store.Close()
+	n.list.Close()
+}
+
+func (n *Node) stopCallers(ctx context.Context) {
+	n.callers.Shutdown(ctx)
+}
+
+// Ready tells whether the balancer should send requests here, and why not.
+func (n *Node) Ready() (bool, string) {
+	switch {
+	case n.draining.Load():
+		return false, "draining"
+	case n.Settings().Revision == 0:
+		return false, "no settings yet"
+	case !n.listed.Load():
+		return false, "no endpoints yet"
+	default:
+		return true, ""
+	}
+}
+
+// noteTable logs when the table goes away and comes back.
+func (n *Node) noteTable(err error) {
+	if n.ctx.Err() != nil {
+		return
+	}
+	down := err != nil
+	if down {
+		n.metrics.Event("TableFailed")
+	}
+	if n.tableDown.Swap(down) == down {
+		return
+	}
+	if down {
+		n.log.Warn().Err(err).Msg("table does not answer")
+		return
+	}
+	n.log.Info().Msg("table answers again")
+}
+
+func (n *Node) registerGauges() {
+	n.metrics.Gauge("requests_in_flight", func() float64 { return float64(n.inFlight.Load()) })
+	n.metrics.Gauge("settings_revision", func() float64 { return float64(n.Settings().Revision) })
+	n.metrics.Gauge("claims_number", func() float64 { return float64(n.claims.number()) })
+	n.metrics.Gauge("keys_remembered", func() float64 { return float64(n.keys.len()) })
+	n.metrics.Gauge("members_alive", func() float64 { return float64(n.fleet.size()) })
+	n.metrics.Gauge("table_reads", func() float64 { return float64(n.store.Reads()) })
+	n.metrics.Gauge("table_writes", func() float64 { return float64(n.store.Writes()) })
+}
+
+// remember keeps what happened to a request, for operators, and counts it.
+func (n *Node) remember(req model.Request, began time.Time, answer model.Answer, p progress, refusal *model.Refusal, forwarded string) {
+	record := model.Record{
+		Request:   req.ID,
+		Node:      n.options.Name,
+		Customer:  req.Customer,
+		Team:      req.Team,
+		Pipeline:  req.Pipeline,
+		Key:       req.Key,
+		Forwarded: forwarded,
+		Began:     began,
+		Elapsed:   time.Since(began),
+		Verdict:   answer.Verdict,
+		Stages:    p.stages,
+	}
+	if refusal != nil {
+		record.Verdict = refusal.Verdict
+		record.Reason = refusal.Reason
+		record.Detail = refusal.Detail
+	}
+	n.records.add(record)
+}
--- /dev/null
+++ b/node/runner.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basilstall.example/basilstall/dispatch"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+// progress is how far a request got.
+type progress struct {
+	stages []model.StageTiming
+	// reached is true once any endpoint may have been asked to do something.
+	reached bool
+	// sent is true once the non-idempotent call may have reached its service.
+	sent bool
+}
+
+// run takes a request through all stages of its pipeline. The refusal's verdict is NotRun
+// only if no endpoint was asked.
+func (n *Node) run(ctx context.Context, req model.Request, pipeline model.Pipeline, emit func(model.Token)) (model.Answer, progress, *model.Refusal) {
+	var p progress
+	if refusal := n.admit(time.Now(), req, pipeline); refusal != nil {
+		return model.Answer{}, p, refusal
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	customer, _ := n.Settings().Customer(req.Team, req.Customer)
+	var carry model.Carry
+	for i, stage := range pipeline.Stages {
+		job := dispatch.Job{
+			Work:   kernel.Work{Request: req, Stage: stage, Carry: carry},
+			Later:  n.dispatcher.Estimates(pipeline.Stages[i+1:]),
+			Weight: customer.Weight,
+		}
+		job.Plugin, _ = kernel.PluginFor(stage.Kind)
+		if i == len(pipeline.Stages)-1 {
+			job.Emit = emit
+		}
+		result, err := n.dispatcher.Run(ctx, job)
+		result.Timing.Stage = stage.Name
+		p.stages = append(p.stages, result.Timing)
+		n.metrics.Spent(req.Account(), result.Timing, stage.Pool)
+		if err != nil {
+			return model.Answer{}, p.after(stage, err), p.refusal(err)
+		}
+		p.reached = true
+		p.sent = p.sent || stage.NonIdempotent
+		carry = result.Carry
+	}
+	return n.answer(req, carry, p), p, nil
+}
+
+// after returns the progress after a stage failed.
+func (p progress) after(stage model.Stage, err error) progress {
+	if model.AsRefusal(err).Verdict == model.NotRun {
+		return p
+	}
+	p.reached = true
+	p.sent = p.sent || stage.NonIdempotent
+	return p
+}
+
+// refusal returns a stage's refusal with the verdict of the whole request.
+func (p progress) refusal(err error) *model.Refusal {
+	refusal := model.AsRefusal(err)
+	if p.reached {
+		return refusal.WithVerdict(model.MayHaveRun)
+	}
+	return refusal
+}
+
+func (n *Node) answer(req model.Request, carry model.Carry, p progress) model.Answer {
+	return model.Answer{
+		ID:       req.ID,
+		Pipeline: req.Pipeline,
+		Verdict:  model.Ran,
+		Output:   carry.Output,
+		Tokens:   carry.Tokens,
+		Checksum: strconv.FormatUint(xxhash.Sum64String(carry.Output), 16),
+		Stages:   p.stages,
+		RanOn:    n.options.Name,
+	}
+}
+
+// admit refuses at the door what exceeds its customer's rate or cannot finish in time.
+func (n *Node) admit(now time.Time, req model.Request, pipeline model.Pipeline) *model.Refusal {
+	if !now.Before(req.Deadline) {
+		return model.NewRefusal(model.NotRun, model.DeadlinePassed, 0, "the deadline has passed")
+	}
+	if n.options.Plain {
+		return nil
+	}
+	if refusal := n.rates.admit(now, req, n.Settings(), n.fleet.size()); refusal != nil {
+		return refusal
+	}
+	ok, retryAfter := kernel.CanFinish(now, req.Deadline, n.dispatcher.Estimates(pipeline.Stages))
+	if !ok {
+		return model.NewRefusal(model.NotRun, model.CannotFinish, retryAfter, "the deadline is too near for the present load")
+	}
+	return nil
+}
--- /dev/null
+++ b/node/serve.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"basilstall.example/basilstall/caller"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/operator"
+	"basilstall.example/basilstall/peer"
+)
+
+func (n *Node) callerSeams() caller.Seams {
+	return caller.Seams{
+		Caller:   func(token string) (kernel.Caller, bool) { return n.Settings().Caller(token) },
+		Pipeline: func(team, name string) (model.Pipeline, bool) { return n.Settings().Pipeline(team, name) },
+		Serve:    n.Serve,
+		NewID:    func() string { return n.options.Name + "." + uuid.NewString() },
+		Draining: n.Draining,
+		Ready:    n.Ready,
+		Count:    n.metrics.Event,
+		Refused:  n.metrics.Refused,
+	}
+}
+
+func (n *Node) operatorSeams() operator.Seams {
+	return operator.Seams{
+		Settings:  n.Settings,
+		Store:     n.store,
+		OnApplied: n.readSettingsNow,
+		Status:    n.Status,
+		Endpoints: n.dispatcher.Status,
+		Explain:   n.Explain,
+		Ready:     n.Ready,
+		Metrics:   n.metrics.Write,
+		Count:     n.metrics.Event,
+	}
+}
+
+// Serve takes one request of a caller. Emit gets the tokens of a stream as they come; nil
+// where the caller wants the answer alone.
+func (n *Node) Serve(ctx context.Context, req model.Request, pipeline model.Pipeline, emit func(model.Token)) (model.Answer, *model.Refusal) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	began := time.Now()
+	var answer model.Answer
+	var refusal *model.Refusal
+	if pipeline.NonIdempotent() {
+		answer, refusal = n.serveWithKey(ctx, req, pipeline, began)
+	} else {
+		var p progress
+		answer, p, refusal = n.run(ctx, req, pipeline, emit)
+		n.remember(req, began, answer, p, refusal, "")
+	}
+	if refusal == nil {
+		n.metrics.Answered(req.Pipeline, time.Since(began))
+	}
+	return answer, refusal
+}
+
+func (n *Node) serveWithKey(ctx context.Context, req model.Request, pipeline model.Pipeline, began time.Time) (model.Answer, *model.Refusal) {
+	key, err := kernel.ParseKey(req.Account(), req.Key)
+	if err != nil {
+		return model.Answer{}, model.NewRefusal(model.NotRun, model.BadRequest, 0, err.Error())
+	}
+	if pipeline.Keys != "" && pipeline.Keys != key.Mode() {
+		return model.Answer{}, model.NewRefusal(model.MayHaveRun, model.BadRequest, 0,
+			"this pipeline takes only keys of mode "+string(pipeline.Keys)+": Claims are UUIDv7, Durable any other form")
+	}
+	answer, refusal := n.serveKeyed(ctx, keyedRequest{Request: req, key: key, pipeline: pipeline})
+	if answer.ID == req.ID && answer.RanOn == n.options.Name {
+		return answer, refusal
+	}
+	// The request ran elsewhere or earlier: this node's record says where to ask.
+	forwarded := answer.RanOn
+	if forwarded == "" {
+		if owner, ok := n.claims.current().OwnerOf(key); ok {
+			forwarded = owner.Node
+		}
+	}
+	if forwarded != n.options.Name {
+		n.remember(req, began, answer, progress{stages: answer.Stages}, refusal, forwarded)
+	}
+	return answer, refusal
+}
+
+// readSettingsNow brings a change that this node has just written in force without delay.
+func (n *Node) readSettingsNow() {
+	snapshot, err := n.store.Snapshot(n.ctx)
+	n.noteTable(err)
+	if err == nil {
+		n.applySettings(snapshot)
+	}
+}
+
+// Status returns what operators see of the node and the fleet.
+func (n *Node) Status() operator.Status {
+	row := n.claims.current()
+	ready, why := n.Ready()
+	status := operator.Status{
+		Node:          n.options.Name,
+		Incarnation:   n.member.Incarnation,
+		FailureDomain: n.options.FailureDomain,
+		Ready:         ready,
+		NotReady:      why,
+		Draining:      n.draining.Load(),
+		TableAnswers:  !n.tableDown.Load(),
+		Revision:      n.Settings().Revision,
+		InFlight:      n.inFlight.Load(),
+		Era:           row.Newest().Number,
+		EraFrom:       row.Newest().From,
+		Horizon:       row.Horizon,
+		Keys:          n.keys.len(),
+	}
+	for _, info := range n.fleet.members() {
+		status.Members = append(status.Members, operator.MemberStatus{
+			Node:          info.Member.Node,
+			Incarnation:   info.Member.Incarnation,
+			FailureDomain: info.FailureDomain,
+			State:         memberState(info.State),
+		})
+	}
+	for _, m := range row.Newest().Members {
+		status.EraMembers = append(status.EraMembers, m.Node)
+	}
+	return status
+}
+
+func memberState(s kernel.MemberState) string {
+	switch s {
+	case kernel.MemberAlive:
+		return "Alive"
+	case kernel.MemberLeaving:
+		return "Leaving"
+	default:
+		return "Dead"
+	}
+}
+
+// Explain returns what is known of a request; it asks the node that ran it.
+func (n *Node) Explain(ctx context.Context, id string) (model.Record, bool) {
+	record, ok := n.records.get(id)
+	asked := record.Forwarded
+	if !ok {
+		asked, _, _ = strings.Cut(id, ".")
+	}
+	if asked == "" || asked == n.options.Name {
+		return record, ok
+	}
+	for _, info := range n.fleet.members() {
+		if info.Member.Node != asked {
+			continue
+		}
+		var reply peer.ExplainReply
+		err := n.peers.Call(ctx, info.Member.Address, peer.KindExplain, peer.Explain{Request: id}, &reply)
+		if err == nil && reply.Found {
+			return reply.Record, true
+		}
+	}
+	return record, ok
+}
+
+func (n *Node) answerExplain(_ context.Context, body []byte) (any, error) {
+	var e peer.Explain
+	if err := peer.DecodeBody(body, &e); err != nil {
+		return nil, err
+	}
+	record, ok := n.records.get(e.Request)
+	return peer.ExplainReply{Found: ok, Record: record}, nil
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,129 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"basilstall.example/basilstall/dispatch"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/table"
+)
+
+const headerTimeout = 10 * time.Second
+
+type (
+	// Seams are what the server needs of its node.
+	Seams struct {
+		// Settings returns what is in force.
+		Settings func() kernel.Settings
+		// Store reads and writes the settings.
+		Store *table.Store
+		// OnApplied is called after a change was written.
+		OnApplied func()
+		Status    func() Status
+		Endpoints func() []dispatch.EndpointStatus
+		Explain   func(ctx context.Context, request string) (model.Record, bool)
+		Ready     func() (bool, string)
+		Metrics   func(io.Writer)
+		Count     func(event string)
+	}
+
+	// Server is the listener for operators.
+	Server struct {
+		seams    Seams
+		token    string
+		listener net.Listener
+		server   *http.Server
+	}
+)
+
+// NewServer listens on an address, HOST:PORT, and serves.
+func NewServer(address, token string, seams Seams) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "operator: unable to listen")
+	}
+	s := &Server{seams: seams, token: token, listener: listener}
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.GET("/healthz", s.getHealth)
+	e.GET("/readyz", s.getReady)
+	e.GET("/metrics", s.getMetrics, s.authorize)
+	v1 := e.Group("/v1", s.authorize)
+	v1.GET("/status", s.getStatus)
+	v1.GET("/endpoints", s.getEndpoints)
+	v1.GET("/requests/:Request", s.getRequest)
+	v1.GET("/settings", s.getSettings)
+	v1.GET("/settings/*", s.getDocument)
+	v1.PUT("/settings/*", s.putDocument)
+	v1.POST("/check/*", s.checkDocument)
+	v1.GET("/history", s.getHistory)
+	s.server = &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = s.server.Serve(listener) }()
+	return s, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Close ends all connections at once.
+func (s *Server) Close() {
+	_ = s.server.Close()
+}
+
+func (s *Server) authorize(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		token := strings.TrimPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(token), []byte(s.token)) != 1 {
+			s.seams.Count("OperatorTokenRefused")
+			return c.JSON(http.StatusUnauthorized, Problem{Detail: "the operator's token is wrong"})
+		}
+		return next(c)
+	}
+}
+
+func (s *Server) getHealth(c echo.Context) error {
+	return c.String(http.StatusOK, "ok\n")
+}
+
+func (s *Server) getReady(c echo.Context) error {
+	ready, why := s.seams.Ready()
+	if !ready {
+		return c.String(http.StatusServiceUnavailable, why+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (s *Server) getMetrics(c echo.Context) error {
+	c.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
+	s.seams.Metrics(c.Response())
+	return nil
+}
+
+func (s *Server) getStatus(c echo.Context) error {
+	return c.JSON(http.StatusOK, s.seams.Status())
+}
+
+func (s *Server) getEndpoints(c echo.Context) error {
+	return c.JSON(http.StatusOK, s.seams.Endpoints())
+}
+
+func (s *Server) getRequest(c echo.Context) error {
+	record, ok := s.seams.Explain(c.Request().Context(), c.Param("Request"))
+	if !ok {
+		return c.JSON(http.StatusNotFound, Problem{Detail: "no record of this request; records are kept in a bounded ring"})
+	}
+	return c.JSON(http.StatusOK, record)
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,305 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	dialTimeout  = time.Second
+	helloTimeout = 2 * time.Second
+	// pingEvery is how often a connection with calls in flight is tried; after silentAfter
+	// without a frame it is held silent and closed, with all its calls.
+	pingEvery   = 500 * time.Millisecond
+	silentAfter = 1500 * time.Millisecond
+	writeWait   = 2 * time.Second
+)
+
+// ErrRefused is returned where the peer refused the token.
+var ErrRefused = errors.New("peer: the token was refused")
+
+type (
+	// Client calls peers. It opens a connection to a peer when one is needed and is safe for
+	// concurrent use.
+	Client struct {
+		hello Hello
+		mu    sync.Mutex
+		conns map[string]*clientConn
+		// dialing keeps concurrent calls from opening several connections to one peer.
+		dialing map[string]*sync.Mutex
+		closed  bool
+	}
+
+	// CallError is the error of a call that got no reply.
+	CallError struct {
+		// Verdict is NotRun only if nothing of the call was written.
+		Verdict model.Verdict
+		Err     error
+	}
+
+	clientConn struct {
+		conn      net.Conn
+		mu        sync.Mutex
+		calls     map[uint64]chan Frame
+		number    uint64
+		writing   sync.Mutex
+		lastFrame atomic.Int64
+		done      chan struct{}
+		once      sync.Once
+	}
+)
+
+// Error implements error.
+func (e *CallError) Error() string {
+	return "peer: " + string(e.Verdict) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error {
+	return e.Err
+}
+
+// NewClient returns a client that introduces itself as a node.
+func NewClient(node, token string) *Client {
+	return &Client{
+		hello:   Hello{Token: token, Node: node},
+		conns:   map[string]*clientConn{},
+		dialing: map[string]*sync.Mutex{},
+	}
+}
+
+// Call sends a message to the peer at an address and decodes its reply. The error is a
+// *CallError.
+func (c *Client) Call(ctx context.Context, address string, kind Kind, message, reply any) error {
+	body, err := encodeBody(message)
+	if err != nil {
+		return &CallError{Verdict: model.NotRun, Err: err}
+	}
+	conn, err := c.connection(ctx, address)
+	if err != nil {
+		return &CallError{Verdict: model.NotRun, Err: err}
+	}
+	frame, err := conn.call(ctx, kind, body)
+	if err != nil {
+		return err
+	}
+	if err := DecodeBody(frame.Body, reply); err != nil {
+		return &CallError{Verdict: model.MayHaveRun, Err: err}
+	}
+	return nil
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	conns := c.conns
+	c.conns = map[string]*clientConn{}
+	c.mu.Unlock()
+	for _, conn := range conns {
+		conn.close()
+	}
+}
+
+func (c *Client) connection(ctx context.Context, address string) (*clientConn, error) {
+	lock := c.dialLock(address)
+	lock.Lock()
+	defer lock.Unlock()
+	if conn := c.open(address); conn != nil {
+		return conn, nil
+	}
+	conn, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		conn.close()
+		return nil, net.ErrClosed
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+func (c *Client) dialLock(address string) *sync.Mutex {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lock := c.dialing[address]
+	if lock == nil {
+		lock = &sync.Mutex{}
+		c.dialing[address] = lock
+	}
+	return lock
+}
+
+func (c *Client) open(address string) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn := c.conns[address]
+	if conn == nil {
+		return nil
+	}
+	select {
+	case <-conn.done:
+		delete(c.conns, address)
+		return nil
+	default:
+		return conn
+	}
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*clientConn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn := newClientConn(raw)
+	helloCtx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	body, err := encodeBody(c.hello)
+	if err != nil {
+		conn.close()
+		return nil, err
+	}
+	frame, err := conn.call(helloCtx, KindHello, body)
+	if err != nil {
+		conn.close()
+		return nil, err
+	}
+	var reply HelloReply
+	if err := DecodeBody(frame.Body, &reply); err != nil {
+		conn.close()
+		return nil, err
+	}
+	if reply.Refused {
+		conn.close()
+		return nil, ErrRefused
+	}
+	return conn, nil
+}
+
+func newClientConn(raw net.Conn) *clientConn {
+	c := &clientConn{conn: raw, calls: map[uint64]chan Frame{}, done: make(chan struct{})}
+	c.lastFrame.Store(time.Now().UnixNano())
+	go func() {
+		defer c.close()
+		c.readFrames()
+	}()
+	go func() {
+		defer c.close()
+		c.watchSilence()
+	}()
+	return c
+}
+
+func (c *clientConn) readFrames() {
+	reader := bufio.NewReader(c.conn)
+	for {
+		frame, err := ReadFrame(reader)
+		if err != nil {
+			return
+		}
+		c.lastFrame.Store(time.Now().UnixNano())
+		c.mu.Lock()
+		waiting := c.calls[frame.Number]
+		delete(c.calls, frame.Number)
+		c.mu.Unlock()
+		if waiting != nil {
+			waiting <- frame
+		}
+	}
+}
+
+// watchSilence pings while calls are in flight and returns once the peer went silent.
+func (c *clientConn) watchSilence() {
+	ticker := time.NewTicker(pingEvery)
+	defer ticker.Stop()
+	body, _ := encodeBody(Empty{})
+	idleUntil := time.Now()
+	for {
+		select {
+		case <-c.done:
+			return
+		case now := <-ticker.C:
+			if !c.busy() {
+				idleUntil = now
+				continue
+			}
+			heard := time.Unix(0, c.lastFrame.Load())
+			if now.Sub(heard) > silentAfter && now.Sub(idleUntil) > silentAfter {
+				return
+			}
+			if c.write(Frame{Kind: KindPing, Body: body}) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (c *clientConn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls) > 0
+}
+
+func (c *clientConn) call(ctx context.Context, kind Kind, body []byte) (Frame, error) {
+	reply := make(chan Frame, 1)
+	c.mu.Lock()
+	c.number++
+	number := c.number
+	c.calls[number] = reply
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.calls, number)
+		c.mu.Unlock()
+	}()
+	select {
+	case <-c.done:
+		return Frame{}, &CallError{Verdict: model.NotRun, Err: net.ErrClosed}
+	default:
+	}
+	if err := c.write(Frame{Kind: kind, Number: number, Body: body}); err != nil {
+		c.close()
+		return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: err}
+	}
+	select {
+	case frame := <-reply:
+		return frame, nil
+	case <-c.done:
+		return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: net.ErrClosed}
+	case <-ctx.Done():
+		return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: context.Cause(ctx)}
+	}
+}
+
+func (c *clientConn) write(f Frame) error {
+	data, err := EncodeFrame(f)
+	if err != nil {
+		return err
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeWait)); err != nil {
+		return err
+	}
+	_, err = c.conn.Write(data)
+	return err
+}
+
+func (c *clientConn) close() {
+	c.once.Do(func() {
+		close(c.done)
+		_ = c.conn.Close()
+	})
+}
--- /dev/null
+++ b/peer/frame.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// MaxFrame bounds a frame's length in bytes, so that a stranger cannot make a node
+	// allocate without end.
+	MaxFrame    = 8 << 20
+	frameHeader = 4
+)
+
+// ErrFrameTooLong is returned for a frame above MaxFrame.
+var ErrFrameTooLong = errors.New("peer: frame too long")
+
+// Frame is one message on the wire.
+type Frame struct {
+	Kind Kind
+	// Number pairs a reply with its call.
+	Number uint64
+	Reply  bool
+	Body   msgpack.RawMessage
+}
+
+// EncodeFrame returns the bytes of a frame.
+func EncodeFrame(f Frame) ([]byte, error) {
+	body, err := msgpack.Marshal(&f)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: unable to encode a frame")
+	}
+	if len(body) > MaxFrame {
+		return nil, ErrFrameTooLong
+	}
+	out := make([]byte, frameHeader, frameHeader+len(body))
+	binary.BigEndian.PutUint32(out, uint32(len(body)))
+	return append(out, body...), nil
+}
+
+// ReadFrame reads one frame.
+func ReadFrame(r io.Reader) (Frame, error) {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return Frame{}, err
+	}
+	length := binary.BigEndian.Uint32(header[:])
+	if length > MaxFrame {
+		return Frame{}, ErrFrameTooLong
+	}
+	// The buffer grows with what arrives: a header alone must not cost MaxFrame.
+	body, err := io.ReadAll(io.LimitReader(r, int64(length)))
+	if err != nil {
+		return Frame{}, err
+	}
+	if len(body) < int(length) {
+		return Frame{}, io.ErrUnexpectedEOF
+	}
+	return DecodeFrame(body)
+}
+
+// DecodeFrame decodes a frame's bytes after the length.
+func DecodeFrame(body []byte) (Frame, error) {
+	var f Frame
+	if err := msgpack.Unmarshal(body, &f); err != nil {
+		return Frame{}, errors.Wrap(err, "peer: unable to decode a frame")
+	}
+	return f, nil
+}
+
+func encodeBody(value any) (msgpack.RawMessage, error) {
+	body, err := msgpack.Marshal(value)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: unable to encode a body")
+	}
+	return body, nil
+}
+
+// DecodeBody decodes the body of a call into a message.
+func DecodeBody(body []byte, into any) error {
+	if err := msgpack.Unmarshal(body, into); err != nil {
+		return errors.Wrap(err, "peer: unable to decode a body")
+	}
+	return nil
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"time"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+// Kind says what a frame's body is.
+type Kind uint8
+
+// The kinds of calls.
+const (
+	KindHello Kind = iota + 1
+	KindPing
+	KindHeartbeat
+	KindForward
+	KindSettings
+	KindHandover
+	KindExplain
+)
+
+type (
+	// Hello opens a connection.
+	Hello struct {
+		Token string
+		// Node names the caller, for logs.
+		Node string
+	}
+
+	// HelloReply answers Hello; a wrong token gets Refused.
+	HelloReply struct {
+		Refused bool
+		// Member is who answers, so that a caller notices a restarted process.
+		Member kernel.Member
+	}
+
+	// Heartbeat goes to a few neighbours; the reply is one too.
+	Heartbeat struct {
+		News []kernel.News
+		// Revision is the head revision of the settings in force.
+		Revision uint64
+		// ClaimsNumber is the number of the claims row that the node has read.
+		ClaimsNumber uint64
+	}
+
+	// Forward asks the owner of a key to run a request.
+	Forward struct {
+		Request model.Request
+		// Left is the time until the deadline: clocks differ between hosts.
+		Left time.Duration
+	}
+
+	// ForwardReply carries either an answer or a refusal.
+	ForwardReply struct {
+		Answer  model.Answer
+		Refusal *model.Refusal
+	}
+
+	// SettingsPull asks for the documents changed after a revision.
+	SettingsPull struct {
+		After uint64
+	}
+
+	// SettingsReply has the head revision and the documents asked for.
+	SettingsReply struct {
+		Snapshot model.Snapshot
+	}
+
+	// Handover gives the keys of a member that leaves to another one.
+	Handover struct {
+		From    kernel.Member
+		Cutoff  time.Time
+		Entries map[string]kernel.LedgerEntry
+		// Last marks the last part.
+		Last bool
+	}
+
+	// HandoverReply acknowledges that the entries are held.
+	HandoverReply struct {
+		Held int
+	}
+
+	// Explain asks what happened to a request.
+	Explain struct {
+		Request string
+	}
+
+	// ExplainReply has the record; Found is false where the node has none.
+	ExplainReply struct {
+		Found  bool
+		Record model.Record
+	}
+
+	// Empty is the body of calls that say nothing more.
+	Empty struct{}
+)
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,174 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/subtle"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/kernel"
+)
+
+type (
+	// Handler answers one call: it decodes the body and returns the reply's message.
+	Handler func(ctx context.Context, body []byte) (any, error)
+
+	// Server answers peers' calls.
+	Server struct {
+		// Handlers has one entry a kind; it is not changed once the server runs.
+		Handlers map[Kind]Handler
+		// OnRefused is called for each wrong token.
+		OnRefused func(remote string)
+
+		token    string
+		member   kernel.Member
+		listener net.Listener
+		ctx      context.Context
+		cancel   context.CancelFunc
+		mu       sync.Mutex
+		conns    map[net.Conn]struct{}
+	}
+)
+
+// NewServer listens on an address, HOST:PORT. Serve starts the work.
+func NewServer(address, token string) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: unable to listen")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		OnRefused: func(string) {},
+		token:     token,
+		listener:  listener,
+		ctx:       ctx,
+		cancel:    cancel,
+		conns:     map[net.Conn]struct{}{},
+	}, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Serve begins to answer in the name of a member.
+func (s *Server) Serve(member kernel.Member, handlers map[Kind]Handler) {
+	s.member = member
+	s.Handlers = handlers
+	go func() {
+		for {
+			conn, err := s.listener.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns[conn] = struct{}{}
+			s.mu.Unlock()
+			go func() {
+				defer s.drop(conn)
+				s.serveConn(conn)
+			}()
+		}
+	}()
+}
+
+// Close ends the server and its connections.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+func (s *Server) drop(conn net.Conn) {
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+	_ = conn.Close()
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	w := &replyWriter{conn: conn}
+	if !s.greet(conn, reader, w) {
+		return
+	}
+	for {
+		frame, err := ReadFrame(reader)
+		if err != nil {
+			return
+		}
+		if frame.Kind == KindPing {
+			w.write(Frame{Kind: KindPing, Reply: true, Body: frame.Body})
+			continue
+		}
+		handler := s.Handlers[frame.Kind]
+		if handler == nil {
+			return
+		}
+		go func() {
+			reply, err := handler(s.ctx, frame.Body)
+			if err != nil {
+				_ = conn.Close()
+				return
+			}
+			w.reply(frame, reply)
+		}()
+	}
+}
+
+// greet checks the first frame, which must be a Hello with the right token.
+func (s *Server) greet(conn net.Conn, reader *bufio.Reader, w *replyWriter) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
+	frame, err := ReadFrame(reader)
+	if err != nil || frame.Kind != KindHello {
+		return false
+	}
+	var hello Hello
+	if DecodeBody(frame.Body, &hello) != nil {
+		return false
+	}
+	refused := subtle.ConstantTimeCompare([]byte(hello.Token), []byte(s.token)) != 1
+	w.reply(frame, HelloReply{Refused: refused, Member: s.member})
+	if refused {
+		s.OnRefused(conn.RemoteAddr().String())
+		return false
+	}
+	return conn.SetReadDeadline(time.Time{}) == nil
+}
+
+type replyWriter struct {
+	mu   sync.Mutex
+	conn net.Conn
+}
+
+func (w *replyWriter) reply(call Frame, message any) {
+	body, err := encodeBody(message)
+	if err != nil {
+		_ = w.conn.Close()
+		return
+	}
+	w.write(Frame{Kind: call.Kind, Number: call.Number, Reply: true, Body: body})
+}
+
+func (w *replyWriter) write(f Frame) {
+	data, err := EncodeFrame(f)
+	if err != nil {
+		_ = w.conn.Close()
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.conn.SetWriteDeadline(time.Now().Add(writeWait))
+	if _, err := w.conn.Write(data); err != nil {
+		_ = w.conn.Close()
+	}
+}
--- /dev/null
+++ b/scenario/commands_test.go
@@ -0,0 +1,344 @@
+package scenario_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/sample"
+	"basilstall.example/basilstall/standin"
+)
+
+// cmdStandin starts the stand-in: standin FILE.
+func cmdStandin(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	p, err := f.start("standin", "standin", "--config", ts.MkAbs(args[0]))
+	ts.Check(err)
+	f.platform = p.lines[0]
+	ts.Setenv("PLATFORM", f.platform)
+}
+
+// cmdNode starts nodes: node NAMES DOMAINS [FLAGS...], both lists with commas.
+func cmdNode(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	domains := strings.Split(args[1], ",")
+	for i, name := range strings.Split(args[0], ",") {
+		flags := []string{
+			"serve", "--name", name, "--failure-domain", domains[i%len(domains)], "--platform", f.platform,
+			"--operators-token", operatorsToken, "--peers-token", peersToken,
+		}
+		p, err := f.start(name, append(flags, args[2:]...)...)
+		ts.Check(err)
+		ts.Setenv(name+"_CALLERS", p.lines[0])
+		ts.Setenv(name+"_OPERATORS", p.lines[1])
+		ts.Setenv(name+"_PEERS", p.lines[2])
+	}
+}
+
+// cmdSettled waits until all nodes that run are ready and own the newest era's keys together,
+// and until that era has begun, so that what follows meets the whole fleet.
+func cmdSettled(ts *testscript.TestScript, _ bool, _ []string) {
+	f := fleetOf(ts)
+	ts.Check(waitFor(func() bool {
+		nodes := f.nodes()
+		for _, p := range nodes {
+			s, err := f.status(p)
+			if err != nil || !s.Ready || len(s.EraMembers) != len(nodes) || !s.EraFrom.Before(time.Now()) {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
+// cmdSignal sends a signal: signal NAME TERM|KILL|STOP|CONT.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	for _, name := range strings.Split(args[0], ",") {
+		ts.Check(f.procs[name].cmd.Process.Signal(signals[args[1]]))
+	}
+}
+
+// cmdExited waits for a process to end: exited NAME [CODE].
+func cmdExited(ts *testscript.TestScript, _ bool, args []string) {
+	p := fleetOf(ts).procs[args[0]]
+	<-p.done
+	if len(args) > 1 && strconv.Itoa(p.code) != args[1] {
+		ts.Fatalf("%s exited with %d", args[0], p.code)
+	}
+}
+
+// cmdFault switches a fault on: fault TARGET KIND [Delay=1s] [Factor=10] [Count=3] [Times=1].
+func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
+	fault := standin.Fault{Target: args[0], Kind: standin.FaultKind(args[1])}
+	var err error
+	for _, arg := range args[2:] {
+		name, value, _ := strings.Cut(arg, "=")
+		switch name {
+		case "Delay":
+			fault.Delay, err = time.ParseDuration(value)
+		case "Factor":
+			fault.Factor, err = strconv.ParseFloat(value, 64)
+		case "Count":
+			fault.Count, err = strconv.Atoi(value)
+		case "Times":
+			fault.Times, err = strconv.Atoi(value)
+		default:
+			ts.Fatalf("unknown %s", arg)
+		}
+		ts.Check(err)
+	}
+	ts.Check(fleetOf(ts).fault(fault))
+}
+
+// cmdClear switches faults off: clear [TARGET].
+func cmdClear(ts *testscript.TestScript, _ bool, args []string) {
+	target := ""
+	if len(args) > 0 {
+		target = args[0]
+	}
+	ts.Check(fleetOf(ts).clear(target))
+}
+
+// cmdLoad starts a load: load NAME PIPELINE [count=N] [workers=N] [keys=v7|v4] [fan] [tries=N]
+// [tokens=N] [stream] [numbers] [pause=D] [via=NODES].
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	plan := loadPlan{
+		pipeline: args[1], token: sample.BilbaoToken, account: sample.BilbaoAccount,
+		count: 100, workers: 8, tries: 1, tokens: 8,
+	}
+	addresses := f.callers
+	var err error
+	for _, arg := range args[2:] {
+		name, value, _ := strings.Cut(arg, "=")
+		switch name {
+		case "count":
+			plan.count, err = strconv.Atoi(value)
+		case "workers":
+			plan.workers, err = strconv.Atoi(value)
+		case "tries":
+			plan.tries, err = strconv.Atoi(value)
+		case "tokens":
+			plan.tokens, err = strconv.Atoi(value)
+		case "pause":
+			plan.pause, err = time.ParseDuration(value)
+		case "keys":
+			plan.keys = value
+		case "fan":
+			plan.fan = true
+		case "stream":
+			plan.stream = true
+		case "numbers":
+			plan.numbers = true
+		case "via":
+			addresses = f.callersOf(strings.Split(value, ","))
+		default:
+			ts.Fatalf("unknown %s", arg)
+		}
+		ts.Check(err)
+	}
+	f.loads[args[0]] = startLoad(plan, addresses)
+}
+
+// cmdJoin waits until a load has ended.
+func cmdJoin(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		<-fleetOf(ts).loads[name].done
+	}
+}
+
+// cmdReached waits until a load has sent some requests: reached NAME N.
+func cmdReached(ts *testscript.TestScript, _ bool, args []string) {
+	l := fleetOf(ts).loads[args[0]]
+	n, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	ts.Check(waitFor(func() bool { return l.ended.Load() >= int64(n) }))
+}
+
+// cmdExpect checks a figure of a load: expect NAME FIGURE OPERATOR NUMBER.
+func cmdExpect(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	l := f.loads[args[0]]
+	<-l.done
+	got, err := f.figure(l, args[1])
+	ts.Check(err)
+	want, err := strconv.ParseFloat(args[3], 64)
+	ts.Check(err)
+	ts.Logf("%s: %s is %g, wanted %s %s; reasons %v", args[0], args[1], got, args[2], args[3], l.reasonCounts())
+	if !compare(got, args[2], want) {
+		ts.Fatalf("%s: %s is %g, wanted %s %s; reasons %v", args[0], args[1], got, args[2], args[3], l.reasonCounts())
+	}
+}
+
+func compare(got float64, operator string, want float64) bool {
+	switch operator {
+	case "==":
+		return got == want
+	case ">=":
+		return got >= want
+	case "<=":
+		return got <= want
+	default:
+		return false
+	}
+}
+
+// figure reads one figure of a load against the stand-in's journal.
+func (f *fleet) figure(l *load, name string) (float64, error) {
+	journal, err := f.journal()
+	if err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	count := func(o *outcome) bool { return false }
+	switch name {
+	case "doubles":
+		count = func(o *outcome) bool { return journal.Keys[l.plan.account+"/"+o.key] > 1 }
+	case "untrue":
+		count = func(o *outcome) bool { return notRunUntrue(l, o, journal) }
+	case "wrong":
+		count = func(o *outcome) bool { return o.gaps || wrongAnswer(l, o) }
+	case "cut":
+		count = func(o *outcome) bool { return o.cut > 0 }
+	case "missing":
+		count = func(o *outcome) bool { return !o.ran() }
+	case "silent-runs":
+		// Ran, but no caller was ever told so, nor that it may have.
+		count = func(o *outcome) bool {
+			return journal.Keys[l.plan.account+"/"+o.key] > 0 && !slices.Contains(o.verdicts, model.Ran) && !slices.Contains(o.verdicts, model.MayHaveRun)
+		}
+	case "ran-share":
+		for _, o := range l.outcomes {
+			if o.ran() {
+				n++
+			}
+		}
+		return float64(n) / float64(len(l.outcomes)), nil
+	case "refusals":
+		for _, o := range l.outcomes {
+			for _, reason := range o.reasons {
+				if reason != "" {
+					n++
+				}
+			}
+		}
+		return float64(n), nil
+	default:
+		reason, ok := strings.CutPrefix(name, "reason-")
+		if !ok {
+			return 0, fmt.Errorf("unknown figure %s", name)
+		}
+		count = func(o *outcome) bool { return slices.Contains(o.reasons, model.Reason(reason)) }
+	}
+	for _, o := range l.outcomes {
+		if count(o) {
+			n++
+		}
+	}
+	return float64(n), nil
+}
+
+// notRunUntrue tells whether a request that was refused as NotRun was seen by an endpoint, or
+// a key whose last word was NotRun has run.
+func notRunUntrue(l *load, o *outcome, journal standin.JournalSummary) bool {
+	for _, id := range o.notRunID {
+		if journal.Requests[id] > 0 {
+			return true
+		}
+	}
+	if o.key == "" || len(o.verdicts) == 0 {
+		return false
+	}
+	last := o.verdicts[len(o.verdicts)-1]
+	return last == model.NotRun && journal.Keys[l.plan.account+"/"+o.key] > 0
+}
+
+func wrongAnswer(l *load, o *outcome) bool {
+	pipeline, ok := bilbaoPipeline(l.plan.pipeline)
+	if !ok {
+		return true
+	}
+	want := standin.ExpectedOutput(pipeline, model.Input{Text: o.text}, l.plan.tokens)
+	for _, answer := range o.answers {
+		if answer != want {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *load) reasonCounts() map[model.Reason]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := map[model.Reason]int{}
+	for _, o := range l.outcomes {
+		for _, reason := range o.reasons {
+			counts[reason]++
+		}
+	}
+	return counts
+}
+
+// cmdAwait waits until all nodes that run (or NODES) show something:
+//
+//	await metric NAME[,NODES] AT-LEAST   await state MEMBER STATE
+//	await leaving ENDPOINT               await revision N
+func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	ts.Check(waitFor(func() bool {
+		for _, p := range f.nodes() {
+			if !f.shows(p, args) {
+				return false
+			}
+		}
+		return true
+	}))
+}
+
+func (f *fleet) shows(p *process, args []string) bool {
+	switch args[0] {
+	case "metric":
+		return metricAtLeast(f.metrics(p), args[1], args[2])
+	case "state":
+		s, err := f.status(p)
+		if err != nil || p.name == args[1] {
+			return err == nil
+		}
+		return slices.ContainsFunc(s.Members, func(m memberStatus) bool { return m.Node == args[1] && m.State == args[2] })
+	case "leaving":
+		endpoints, err := f.endpoints(p)
+		if err != nil {
+			return false
+		}
+		return slices.ContainsFunc(endpoints, func(e endpointStatus) bool {
+			return e.Endpoint.Name == args[1] && e.Endpoint.State == model.Leaving
+		})
+	case "revision":
+		s, err := f.status(p)
+		return err == nil && strconv.FormatUint(s.Revision, 10) == args[1]
+	default:
+		return false
+	}
+}
+
+func metricAtLeast(text, name, least string) bool {
+	want, err := strconv.ParseFloat(least, 64)
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(text) {
+		if rest, ok := strings.CutPrefix(line, name+" "); ok {
+			got, err := strconv.ParseFloat(strings.TrimSpace(rest), 64)
+			return err == nil && got >= want
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/scenario/fleet_test.go
@@ -0,0 +1,225 @@
+package scenario_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"basilstall.example/basilstall/dispatch"
+	"basilstall.example/basilstall/operator"
+	"basilstall.example/basilstall/standin"
+)
+
+const (
+	fleetKey = "fleet"
+	// waitMost ends a wait for a condition that never comes; no verdict rests on it.
+	waitMost = 2 * time.Minute
+	pollWait = 20 * time.Millisecond
+
+	operatorsToken = "scenario-operators"
+	peersToken     = "scenario-peers"
+)
+
+type (
+	// process is one process that a script started.
+	process struct {
+		name  string
+		cmd   *exec.Cmd
+		log   string
+		done  chan struct{}
+		code  int
+		lines []string
+	}
+
+	// fleet is what a script has started.
+	fleet struct {
+		dir      string
+		env      []string
+		mu       sync.Mutex
+		platform string
+		procs    map[string]*process
+		loads    map[string]*load
+		client   *http.Client
+	}
+)
+
+func newFleet(dir string, env []string) *fleet {
+	return &fleet{
+		dir: dir, env: env, procs: map[string]*process{}, loads: map[string]*load{},
+		client: &http.Client{Timeout: 5 * time.Second},
+	}
+}
+
+func fleetOf(ts *testscript.TestScript) *fleet {
+	return ts.Value(fleetKey).(*fleet)
+}
+
+// start runs the binary under test and waits until it wrote its addresses.
+func (f *fleet) start(name string, args ...string) (*process, error) {
+	addresses := filepath.Join(f.dir, name+".addresses")
+	_ = os.Remove(addresses)
+	logFile, err := os.Create(filepath.Join(f.dir, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer logFile.Close()
+	path, err := exec.LookPath("basilstall")
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(path, append(args, "--addresses-file", addresses)...)
+	cmd.Env = f.env
+	cmd.Stderr = logFile
+	cmd.Stdout = logFile
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &process{name: name, cmd: cmd, log: logFile.Name(), done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		p.code = cmd.ProcessState.ExitCode()
+		close(p.done)
+	}()
+	f.mu.Lock()
+	f.procs[name] = p
+	f.mu.Unlock()
+	err = waitFor(func() bool {
+		data, err := os.ReadFile(addresses)
+		if err != nil {
+			return p.exited()
+		}
+		p.lines = strings.Fields(string(data))
+		return true
+	})
+	if err == nil && len(p.lines) == 0 {
+		data, _ := os.ReadFile(p.log)
+		err = fmt.Errorf("%s exited: %s", name, data)
+	}
+	return p, err
+}
+
+func (p *process) exited() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (f *fleet) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.procs {
+		if !p.exited() {
+			_ = p.cmd.Process.Kill()
+			<-p.done
+		}
+	}
+}
+
+// nodes returns the nodes that run, by name.
+func (f *fleet) nodes() []*process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*process
+	for name, p := range f.procs {
+		if name != "standin" && !p.exited() {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b *process) int { return strings.Compare(a.name, b.name) })
+	return out
+}
+
+// callers returns the addresses for callers of all nodes that run.
+func (f *fleet) callers() []string {
+	var out []string
+	for _, p := range f.nodes() {
+		out = append(out, p.lines[0])
+	}
+	return out
+}
+
+func (f *fleet) status(p *process) (operator.Status, error) {
+	var s operator.Status
+	return s, f.operate(p, "/v1/status", &s)
+}
+
+func (f *fleet) endpoints(p *process) ([]dispatch.EndpointStatus, error) {
+	var e []dispatch.EndpointStatus
+	return e, f.operate(p, "/v1/endpoints", &e)
+}
+
+func (f *fleet) operate(p *process, path string, into any) error {
+	c := &operator.Client{Base: "http://" + p.lines[1], Token: operatorsToken, HTTP: f.client}
+	return c.Get(context.Background(), path, into)
+}
+
+func (f *fleet) metrics(p *process) string {
+	req, _ := http.NewRequest(http.MethodGet, "http://"+p.lines[1]+"/metrics", nil)
+	req.Header.Set("Authorization", "Bearer "+operatorsToken)
+	res, err := f.client.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer res.Body.Close()
+	data, _ := io.ReadAll(res.Body)
+	return string(data)
+}
+
+func (f *fleet) journal() (standin.JournalSummary, error) {
+	var s standin.JournalSummary
+	return s, f.platformGet("/journal/summary", &s)
+}
+
+func (f *fleet) platformGet(path string, into any) error {
+	res, err := f.client.Get("http://" + f.platform + path)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	return json.NewDecoder(res.Body).Decode(into)
+}
+
+func (f *fleet) fault(fault standin.Fault) error {
+	body, err := json.Marshal(fault)
+	if err != nil {
+		return err
+	}
+	res, err := f.client.Post("http://"+f.platform+"/faults", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
+}
+
+// waitFor polls until a condition holds.
+func waitFor(condition func() bool) error {
+	for end := time.Now().Add(waitMost); time.Now().Before(end); time.Sleep(pollWait) {
+		if condition() {
+			return nil
+		}
+	}
+	return fmt.Errorf("the condition did not come within %s", waitMost)
+}
+
+var signals = map[string]syscall.Signal{
+	"TERM": syscall.SIGTERM,
+	"KILL": syscall.SIGKILL,
+	"STOP": syscall.SIGSTOP,
+	"CONT": syscall.SIGCONT,
+}
--- /dev/null
+++ b/scenario/load_test.go
@@ -0,0 +1,198 @@
+package scenario_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"basilstall.example/basilstall/caller"
+	"basilstall.example/basilstall/model"
+)
+
+type (
+	// loadPlan says what a load sends.
+	loadPlan struct {
+		pipeline string
+		token    string
+		account  string
+		// count is how many requests (or keys) are sent, by how many workers.
+		count   int
+		workers int
+		// keys is "" for none, "v7" for UUIDv7, "v4" for keys without a time.
+		keys string
+		// fan sends each key to all nodes at once instead of to one.
+		fan bool
+		// tries bounds the tries of one key; each goes to another node.
+		tries   int
+		tokens  int
+		stream  bool
+		numbers bool
+		pause   time.Duration
+	}
+
+	// outcome is all that the callers learned of one request or key.
+	outcome struct {
+		text     string
+		key      string
+		ids      []string
+		notRunID []string
+		verdicts []model.Verdict
+		reasons  []model.Reason
+		answers  []string
+		// cut counts tries that ended without an answer or refusal.
+		cut int
+		// gaps is true if a stream had a gap or a repeat.
+		gaps bool
+	}
+
+	// load is a load that runs or ran.
+	load struct {
+		plan     loadPlan
+		done     chan struct{}
+		sent     atomic.Int64
+		ended    atomic.Int64
+		mu       sync.Mutex
+		outcomes []*outcome
+	}
+)
+
+// startLoad sends requests in the background; the addresses are asked for before each try, so
+// that a balancer's view of the nodes is followed.
+func startLoad(plan loadPlan, addresses func() []string) *load {
+	l := &load{plan: plan, done: make(chan struct{})}
+	client := &http.Client{
+		Timeout:   20 * time.Second,
+		Transport: &http.Transport{MaxIdleConnsPerHost: plan.workers * 2},
+	}
+	work := make(chan int)
+	var wg sync.WaitGroup
+	for range plan.workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range work {
+				l.one(client, addresses, i)
+				time.Sleep(plan.pause)
+			}
+		}()
+	}
+	go func() {
+		for i := range plan.count {
+			work <- i
+		}
+		close(work)
+		wg.Wait()
+		client.CloseIdleConnections()
+		close(l.done)
+	}()
+	return l
+}
+
+func (l *load) one(client *http.Client, addresses func() []string, i int) {
+	o := &outcome{text: "load " + l.plan.pipeline + " " + uuid.NewString()}
+	switch l.plan.keys {
+	case "v7":
+		o.key = uuid.Must(uuid.NewV7()).String()
+	case "v4":
+		o.key = uuid.NewString()
+	}
+	l.sent.Add(1)
+	if l.plan.fan {
+		var wg sync.WaitGroup
+		for _, address := range addresses() {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				l.try(client, address, o, 0)
+			}()
+		}
+		wg.Wait()
+	}
+	l.retry(client, addresses, o, i)
+	l.ended.Add(1)
+	l.mu.Lock()
+	l.outcomes = append(l.outcomes, o)
+	l.mu.Unlock()
+}
+
+// retry tries until the request ran, each time through another node.
+func (l *load) retry(client *http.Client, addresses func() []string, o *outcome, i int) {
+	for attempt := range l.plan.tries {
+		if o.final() {
+			return
+		}
+		nodes := addresses()
+		if len(nodes) == 0 {
+			return
+		}
+		address := nodes[(i+attempt)%len(nodes)]
+		number := 0
+		if l.plan.numbers {
+			number = attempt + 1
+		}
+		wait := l.try(client, address, o, number)
+		if !o.final() {
+			time.Sleep(wait + time.Duration(rand.IntN(20))*time.Millisecond)
+		}
+	}
+}
+
+// try sends the request once and returns when to come back.
+func (l *load) try(client *http.Client, address string, o *outcome, number int) time.Duration {
+	next := 0
+	gaps := false
+	call := caller.Call{
+		Pipeline: l.plan.pipeline, Key: o.key, Attempt: number,
+		Body: caller.Body{Input: model.Input{Text: o.text, MaxTokens: l.plan.tokens}, Stream: l.plan.stream},
+		OnToken: func(t caller.TokenBody) {
+			gaps = gaps || t.Index != next
+			next++
+		},
+	}
+	c := &caller.Client{Base: "http://" + address, Token: l.plan.token, HTTP: client}
+	result, err := c.Send(context.Background(), call)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o.gaps = o.gaps || gaps
+	switch {
+	case err != nil:
+		o.cut++
+		o.verdicts = append(o.verdicts, model.MayHaveRun)
+		o.reasons = append(o.reasons, "Cut")
+		return 100 * time.Millisecond
+	case result.Answer != nil:
+		o.ids = append(o.ids, result.Answer.Request)
+		o.verdicts = append(o.verdicts, model.Ran)
+		o.answers = append(o.answers, result.Answer.Output)
+		o.reasons = append(o.reasons, "")
+		return 0
+	default:
+		r := result.Refusal
+		o.ids = append(o.ids, r.Request)
+		o.verdicts = append(o.verdicts, r.Verdict)
+		o.reasons = append(o.reasons, r.Reason)
+		if r.Verdict == model.NotRun {
+			o.notRunID = append(o.notRunID, r.Request)
+		}
+		return time.Duration(r.RetryAfterMilliseconds) * time.Millisecond
+	}
+}
+
+// final tells whether the caller has its answer.
+func (o *outcome) final() bool {
+	return o.ran()
+}
+
+func (o *outcome) ran() bool {
+	for _, v := range o.verdicts {
+		if v == model.Ran {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/service/service.go
@@ -0,0 +1,50 @@
+// Package service holds the plug-in for plain services: one call, which may be one that must
+// not be repeated.
+package service
+
+import (
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+var errEmpty = errors.New("service: empty reply")
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Kind:    model.Call,
+		Path:    "/call",
+		Prepare: prepare,
+		Accept:  accept,
+		Check:   check,
+	})
+}
+
+func prepare(w kernel.Work) model.StageCall {
+	text := w.Carry.Output
+	if text == "" {
+		text = w.Request.Input.Text
+	}
+	return model.StageCall{
+		Text:      text,
+		Key:       w.Request.Key,
+		Operation: w.Stage.Operation,
+	}
+}
+
+func accept(w kernel.Work, r model.StageReply) (model.Carry, error) {
+	if r.Text == "" {
+		return w.Carry, errEmpty
+	}
+	carry := w.Carry
+	carry.Output = r.Text
+	return carry, nil
+}
+
+func check(s model.Stage) string {
+	if s.Operation == "" {
+		return "a Call stage needs an Operation"
+	}
+	return ""
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,208 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// cachedPrefixes is how many prompt prefixes an engine keeps.
+	cachedPrefixes = 8
+	// cachedSpeedup is how much sooner the first token comes with a cached prefix.
+	cachedSpeedup = 5
+	// prefixTokens is what a cached prefix counts for.
+	prefixTokens = 512
+)
+
+type (
+	// prefixCache keeps the prefixes last used.
+	prefixCache struct {
+		mu    sync.Mutex
+		order []string
+	}
+
+	// engineState is what orders change.
+	engineState struct {
+		endpoint *endpoint
+		mu       sync.Mutex
+		adapters []string
+		// fencing is the highest fencing number of any order that was obeyed.
+		fencing uint64
+	}
+)
+
+func newPrefixCache() *prefixCache {
+	return &prefixCache{}
+}
+
+// use notes that a prefix was used and reports whether it was cached.
+func (c *prefixCache) use(prefix string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.Index(c.order, prefix)
+	if i >= 0 {
+		c.order = slices.Delete(c.order, i, i+1)
+	}
+	c.order = append(c.order, prefix)
+	if len(c.order) > cachedPrefixes {
+		c.order = c.order[1:]
+	}
+	return i >= 0
+}
+
+// stream is one answer of an engine on its way.
+type stream struct {
+	encoder *json.Encoder
+	flush   func()
+	double  bool
+	reorder bool
+	held    *model.TokenEvent
+}
+
+func (s *stream) send(event model.TokenEvent) {
+	if s.reorder && s.held == nil && !event.Final {
+		s.held = &event
+		return
+	}
+	s.write(event)
+	if s.held != nil {
+		s.write(*s.held)
+		s.held = nil
+	}
+}
+
+func (s *stream) write(event model.TokenEvent) {
+	_ = s.encoder.Encode(event)
+	if s.double {
+		_ = s.encoder.Encode(event)
+	}
+	s.flush()
+}
+
+func (e *endpoint) generate(w http.ResponseWriter, r *http.Request) {
+	call, ok := e.begin(w, r)
+	if !ok {
+		return
+	}
+	if !e.occupy(r.Context()) {
+		return
+	}
+	defer e.vacate()
+	e.record(call)
+	cached := call.Prefix != "" && e.cache.use(call.Prefix)
+	first := e.pool.ServiceTime
+	if cached {
+		first /= cachedSpeedup
+	}
+	if !e.work(r.Context(), first) {
+		return
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	w.WriteHeader(http.StatusOK)
+	s := &stream{encoder: json.NewEncoder(w), flush: w.(http.Flusher).Flush}
+	_, s.double = e.faults.strike(e.target(), FaultDouble)
+	_, s.reorder = e.faults.strike(e.target(), FaultReorder)
+	cut, hasCut := e.faults.strike(e.target(), FaultCutAfter)
+	hang, hasHang := e.faults.strike(e.target(), FaultHangAfter)
+	event := model.TokenEvent{Request: call.Request, Stage: call.Stage, Attempt: call.Attempt}
+	for i := call.From; i < call.MaxTokens; i++ {
+		if hasCut && i-call.From >= cut.Count {
+			panic(http.ErrAbortHandler)
+		}
+		if hasHang && i-call.From >= hang.Count {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		event.Index = i
+		event.Text = TokenText(call.Text, i)
+		s.send(event)
+		if i+1 < call.MaxTokens && !e.work(r.Context(), e.pool.TokenTime) {
+			return
+		}
+	}
+	load := e.load()
+	final := model.TokenEvent{
+		Request: call.Request, Stage: call.Stage, Attempt: call.Attempt,
+		Index: call.MaxTokens, Final: true, Count: call.MaxTokens, Load: &load,
+	}
+	if cached {
+		final.CachedTokens = prefixTokens
+	}
+	if _, hit := e.faults.strike(e.target(), FaultSwap); hit {
+		final.Request = "another-request"
+	}
+	s.send(final)
+}
+
+// Order is what an engine is told to do; the engine keeps the highest fencing number.
+type Order struct {
+	// Kind is "Load" or "Evict".
+	Kind    string
+	Adapter string
+	Fencing uint64
+}
+
+// EngineReport is what an engine says of itself.
+type EngineReport struct {
+	Adapters []string
+	Fencing  uint64
+}
+
+func newEngineState(e *endpoint) *engineState {
+	return &engineState{endpoint: e}
+}
+
+func (s *engineState) order(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCallBytes)).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if _, hit := s.endpoint.faults.strike(s.endpoint.target(), FaultDown); hit {
+		panic(http.ErrAbortHandler)
+	}
+	accepted := s.obey(o)
+	s.endpoint.journal.addOrder(OrderRun{
+		Endpoint: s.endpoint.name, Kind: o.Kind, Adapter: o.Adapter, Fencing: o.Fencing,
+		Accepted: accepted, At: time.Now(),
+	})
+	if !accepted {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	sleep(r.Context(), s.endpoint.pool.LoadTime)
+	if _, hit := s.endpoint.faults.strike(s.endpoint.target(), FaultLostAnswer); hit {
+		panic(http.ErrAbortHandler)
+	}
+	s.report(w, r)
+}
+
+func (s *engineState) obey(o Order) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.endpoint.pool.HonoursFencing && o.Fencing < s.fencing {
+		return false
+	}
+	s.fencing = max(s.fencing, o.Fencing)
+	i := slices.Index(s.adapters, o.Adapter)
+	if o.Kind == "Load" && i < 0 {
+		s.adapters = append(s.adapters, o.Adapter)
+	}
+	if o.Kind == "Evict" && i >= 0 {
+		s.adapters = slices.Delete(s.adapters, i, i+1)
+	}
+	return true
+}
+
+func (s *engineState) report(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	report := EngineReport{Adapters: slices.Clone(s.adapters), Fencing: s.fencing}
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(report)
+}
--- /dev/null
+++ b/standin/fault.go
@@ -0,0 +1,115 @@
+package standin
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// FaultKind names a fault that the stand-in can cause.
+type FaultKind string
+
+// The faults.
+const (
+	// FaultDelay adds Delay to each call.
+	FaultDelay FaultKind = "Delay"
+	// FaultSlow multiplies service and token times by Factor.
+	FaultSlow FaultKind = "Slow"
+	// FaultError answers with status 500 after the work was done.
+	FaultError FaultKind = "Error"
+	// FaultRefuse answers with status 503 and the verdict NotRun, before any work.
+	FaultRefuse FaultKind = "Refuse"
+	// FaultHang takes the call and never answers.
+	FaultHang FaultKind = "Hang"
+	// FaultDown closes each connection on which a call arrives, before any work.
+	FaultDown FaultKind = "Down"
+	// FaultLostAnswer does the work and closes the connection.
+	FaultLostAnswer FaultKind = "LostAnswer"
+	// FaultSilent makes the connections that are open now silent.
+	FaultSilent FaultKind = "Silent"
+	// FaultCut closes the connections that are open now.
+	FaultCut FaultKind = "Cut"
+	// FaultCutAfter cuts a stream after Count tokens.
+	FaultCutAfter FaultKind = "CutAfter"
+	// FaultHangAfter lets a stream hang after Count tokens.
+	FaultHangAfter FaultKind = "HangAfter"
+	// FaultSwap answers in the name of another request.
+	FaultSwap FaultKind = "Swap"
+	// FaultDouble sends each event of a stream twice.
+	FaultDouble FaultKind = "Double"
+	// FaultReorder swaps neighbouring events of a stream.
+	FaultReorder FaultKind = "Reorder"
+	// FaultStale answers reads of the table from an older state, Delay ago.
+	FaultStale FaultKind = "Stale"
+	// FaultLeave lets endpoints say that they are leaving; the list shows it after its lag.
+	FaultLeave FaultKind = "Leave"
+	// FaultLeaveList shows endpoints as leaving in the list alone.
+	FaultLeaveList FaultKind = "LeaveList"
+)
+
+type (
+	// Fault is a fault that is switched on.
+	Fault struct {
+		// Target is "table", "list", "objects", "weights", a pool's name, or POOL/ENDPOINT.
+		Target string
+		Kind   FaultKind
+		Delay  time.Duration `json:",omitempty"`
+		Factor float64       `json:",omitempty"`
+		// Count is the tokens after which a stream is cut.
+		Count int `json:",omitempty"`
+		// Times bounds how often the fault strikes; 0 is no bound.
+		Times int `json:",omitempty"`
+		// Operation restricts the fault to calls on table keys with this prefix.
+		Operation string `json:",omitempty"`
+	}
+
+	faults struct {
+		mu sync.Mutex
+		on []*Fault
+	}
+)
+
+// add switches a fault on.
+func (f *faults) add(fault Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.on = append(f.on, &fault)
+}
+
+// clear switches all faults of a target off; all faults for an empty target.
+func (f *faults) clear(target string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.on = slices.DeleteFunc(f.on, func(fault *Fault) bool {
+		return target == "" || fault.Target == target
+	})
+}
+
+// strike returns the first fault of one of the kinds that is on for a target and counts it.
+func (f *faults) strike(target string, kinds ...FaultKind) (Fault, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, fault := range f.on {
+		if !slices.Contains(kinds, fault.Kind) || !covers(fault.Target, target) {
+			continue
+		}
+		hit := *fault
+		if fault.Times > 0 {
+			fault.Times--
+			if fault.Times == 0 {
+				f.on = slices.Delete(f.on, i, i+1)
+			}
+		}
+		return hit, true
+	}
+	return Fault{}, false
+}
+
+func covers(fault, target string) bool {
+	if fault == target {
+		return true
+	}
+	pool, _, ok := strings.Cut(target, "/")
+	return ok && fault == pool
+}
--- /dev/null
+++ b/standin/list.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"basilstall.example/basilstall/list"
+	"basilstall.example/basilstall/model"
+)
+
+// hostTTL is how long the list keeps a host that says nothing.
+const hostTTL = 10 * time.Second
+
+type (
+	// listService is the platform's list. What it shows is as old as its lag.
+	listService struct {
+		faults    *faults
+		lag       time.Duration
+		endpoints func() []model.Endpoint
+
+		mu    sync.Mutex
+		hosts map[string]hostEntry
+		past  []pastList
+	}
+
+	hostEntry struct {
+		host model.Host
+		seen time.Time
+	}
+
+	pastList struct {
+		at   time.Time
+		list model.HostList
+	}
+)
+
+func newListService(f *faults, lag time.Duration, endpoints func() []model.Endpoint) *listService {
+	return &listService{faults: f, lag: lag, endpoints: endpoints, hosts: map[string]hostEntry{}}
+}
+
+func (l *listService) register(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+list.Path, l.get)
+	mux.HandleFunc("POST "+list.HostsPath, l.announce)
+}
+
+func (l *listService) begin(r *http.Request) {
+	if _, hit := l.faults.strike("list", FaultDown); hit {
+		panic(http.ErrAbortHandler)
+	}
+	if delay, hit := l.faults.strike("list", FaultDelay); hit {
+		sleep(r.Context(), delay.Delay)
+	}
+}
+
+func (l *listService) get(w http.ResponseWriter, r *http.Request) {
+	l.begin(r)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(l.view(time.Now()))
+}
+
+func (l *listService) announce(w http.ResponseWriter, r *http.Request) {
+	l.begin(r)
+	var host model.Host
+	if err := json.NewDecoder(r.Body).Decode(&host); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.mu.Lock()
+	l.hosts[host.Name] = hostEntry{host: host, seen: time.Now()}
+	l.mu.Unlock()
+	w.WriteHeader(http.StatusOK)
+}
+
+// view returns the list as it was a lag ago, or the oldest state known.
+func (l *listService) view(now time.Time) model.HostList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	current := model.HostList{Endpoints: l.endpoints()}
+	for name, entry := range l.hosts {
+		if now.Sub(entry.seen) > hostTTL {
+			delete(l.hosts, name)
+			continue
+		}
+		current.Hosts = append(current.Hosts, entry.host)
+	}
+	if l.lag == 0 {
+		return current
+	}
+	l.past = append(l.past, pastList{at: now, list: current})
+	for len(l.past) > 1 && now.Sub(l.past[1].at) >= l.lag {
+		l.past = l.past[1:]
+	}
+	return l.past[0].list
+}
--- /dev/null
+++ b/table/store.go
@@ -0,0 +1,136 @@
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// callTimeout bounds a call: a silent connection must not hold up what needs the table.
+	callTimeout  = 2 * time.Second
+	maxRowsBytes = 64 << 20
+)
+
+// Store reads and writes the project's rows. It is safe for concurrent use.
+type Store struct {
+	base   string
+	client *http.Client
+	reads  atomic.Uint64
+	writes atomic.Uint64
+}
+
+// NewStore returns a store for the platform at an address, HOST:PORT.
+func NewStore(address string) *Store {
+	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	return &Store{
+		base:   "http://" + address,
+		client: &http.Client{Transport: transport, Timeout: callTimeout},
+	}
+}
+
+// Reads returns how many reads were sent.
+func (s *Store) Reads() uint64 { return s.reads.Load() }
+
+// Writes returns how many transactions were sent.
+func (s *Store) Writes() uint64 { return s.writes.Load() }
+
+// Close closes idle connections.
+func (s *Store) Close() { s.client.CloseIdleConnections() }
+
+// Get returns a row, or ErrNotFound.
+func (s *Store) Get(ctx context.Context, key string) (Row, error) {
+	rows, err := s.read(ctx, "key", key)
+	if err != nil {
+		return Row{}, err
+	}
+	if len(rows) == 0 {
+		return Row{}, ErrNotFound
+	}
+	return rows[0], nil
+}
+
+// List returns the rows whose keys begin with a prefix, in order of their keys.
+func (s *Store) List(ctx context.Context, prefix string) ([]Row, error) {
+	return s.read(ctx, "prefix", prefix)
+}
+
+// Commit carries a transaction out. A *Conflict or ErrUnavailable says that nothing was
+// written; ErrUnknown leaves that open.
+func (s *Store) Commit(ctx context.Context, tx Transaction) (uint64, error) {
+	body, err := json.Marshal(tx)
+	if err != nil {
+		return 0, errors.Wrap(err, "table: unable to encode a transaction")
+	}
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.base+TransactionsPath, bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.Wrap(err, "table: unable to make a request")
+	}
+	// Without GetBody net/http cannot send the transaction a second time by itself.
+	req.GetBody = nil
+	s.writes.Add(1)
+	res, err := s.client.Do(req)
+	if err != nil {
+		s.client.CloseIdleConnections()
+		if !connected.Load() {
+			return 0, errors.Wrap(ErrUnavailable, err.Error())
+		}
+		return 0, errors.Wrap(ErrUnknown, err.Error())
+	}
+	defer res.Body.Close()
+	return readCommit(res)
+}
+
+func readCommit(res *http.Response) (uint64, error) {
+	switch res.StatusCode {
+	case http.StatusOK:
+		var done Committed
+		if err := json.NewDecoder(res.Body).Decode(&done); err != nil {
+			return 0, errors.Wrap(ErrUnknown, err.Error())
+		}
+		return done.Version, nil
+	case http.StatusConflict:
+		conflict := &Conflict{}
+		if err := json.NewDecoder(res.Body).Decode(conflict); err != nil {
+			return 0, errors.Wrap(ErrUnknown, err.Error())
+		}
+		return 0, conflict
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return 0, errors.Wrap(ErrUnavailable, res.Status)
+	default:
+		return 0, errors.Wrap(ErrUnknown, res.Status)
+	}
+}
+
+func (s *Store) read(ctx context.Context, name, value string) ([]Row, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.base+RowsPath+"?"+url.Values{name: {value}}.Encode(), nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "table: unable to make a request")
+	}
+	s.reads.Add(1)
+	res, err := s.client.Do(req)
+	if err != nil {
+		s.client.CloseIdleConnections()
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, errors.Wrap(ErrUnavailable, res.Status)
+	}
+	var rows []Row
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxRowsBytes)).Decode(&rows); err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return rows, nil
+}
