table: tell a stale read from a lost race

Cause: scenario settings, with reads 1.5 s stale, got NotApplied for a change that nobody else had raced: the document read was older than the base, and any difference counted as a lost race. Eight tries without a pause were also over long before the reads were fresh again.

Change: a document older than the base is a stale read and is read again; the pause between tries doubles from 20 ms. A base that is itself stale still loses, with the newer document.

--- a/table/settings.go
+++ b/table/settings.go
@@ -22,6 +22,9 @@
 	// changed at the same moment.
 	settingsTries = 8
 	resolvePause  = 150 * time.Millisecond
+	// conflictPause doubles with each try: another document's change is over at once, but
+	// reads may be stale for seconds.
+	conflictPause = 10 * time.Millisecond
 )
 
 type head struct {
@@ -93,7 +96,10 @@
 // head and the history change in one transaction. On NotApplied with a nil error, current is
 // the document that won the race. The operation's number makes the change idempotent.
 func (s *Store) SetDocument(ctx context.Context, doc model.Document, base uint64) (outcome ChangeOutcome, current model.Document, err error) {
-	for range settingsTries {
+	for try := range settingsTries {
+		if try > 0 && !pause(ctx, conflictPause<<try) {
+			break
+		}
 		old, oldVersion, err := s.document(ctx, doc.Path)
 		if err != nil {
 			return NotApplied, old, err
@@ -101,7 +107,11 @@
 		if old.Operation == doc.Operation {
 			return Applied, old, nil
 		}
-		if old.Revision != base {
+		if old.Revision < base {
+			// The read was stale: the caller has seen a newer document.
+			continue
+		}
+		if old.Revision > base {
 			return s.lostRace(ctx, doc, old)
 		}
 		h, headVersion, err := s.head(ctx)
@@ -122,7 +132,7 @@
 			return NotApplied, old, err
 		}
 	}
-	return NotApplied, model.Document{}, errors.Wrap(ErrUnavailable, "the settings kept changing")
+	return NotApplied, model.Document{}, errors.Wrap(ErrUnavailable, "the settings kept changing or the reads were stale")
 }
 
 // lostRace tells an operation that was applied earlier from one that lost to another change.
