kernel: accuse a neighbour only after it had time to speak; let cut sides meet again

Cause: driving 2 to 400 memberships with made-up time showed two faults. When a member died the ring closed, and its neighbours watched members that had never had a reason to speak to them: healthy members were accused, held dead, and refuted it for seconds. And two sides that held each other dead never spoke again until the list brought them back.

Change: silence counts from when a member became a neighbour; one dead member in turn is tried each round; a far neighbour in turn makes news spread in logarithmic time.

Also: tests of each decision in the kernel, two of them random state machines.

--- /dev/null
+++ b/kernel/admission_test.go
@@ -0,0 +1,201 @@
+package kernel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+func TestFairQueueSharesByWeightWhateverABurstBrings(t *testing.T) {
+	q := kernel.NewFairQueue()
+	push := func(customer string, weight, n int) {
+		for range n {
+			q.Push(&kernel.Waiter{Customer: customer, Weight: weight, Cost: 1, Deadline: ledgerStart})
+		}
+	}
+	push("burst", 1, 500)
+	push("small", 1, 20)
+	push("large", 4, 80)
+	counts := map[string]int{}
+	for range 120 {
+		counts[q.Pop().Customer]++
+	}
+	must.EqOp(t, 20, counts["small"])
+	must.EqOp(t, 80, counts["large"])
+	must.EqOp(t, 20, counts["burst"])
+	// Work-conserving: alone, the burst gets everything.
+	for range 480 {
+		must.EqOp(t, "burst", q.Pop().Customer)
+	}
+	must.Nil(t, q.Pop())
+}
+
+func TestFairQueueServesOneCustomerByEarliestDeadline(t *testing.T) {
+	q := kernel.NewFairQueue()
+	for _, s := range []int{3, 1, 2} {
+		q.Push(&kernel.Waiter{Customer: "c", Cost: 1, Deadline: ledgerStart.Add(time.Duration(s) * time.Second)})
+	}
+	for _, s := range []int{1, 2, 3} {
+		must.EqOp(t, ledgerStart.Add(time.Duration(s)*time.Second), q.Pop().Deadline)
+	}
+}
+
+func TestFairQueueDoesNotPayACustomerForComingOneByOne(t *testing.T) {
+	// "one" always has a single waiter; it must not get more than its half.
+	q := kernel.NewFairQueue()
+	for range 300 {
+		q.Push(&kernel.Waiter{Customer: "many", Cost: 1, Deadline: ledgerStart})
+	}
+	one := 0
+	q.Push(&kernel.Waiter{Customer: "one", Cost: 1, Deadline: ledgerStart})
+	for range 200 {
+		if q.Pop().Customer == "one" {
+			one++
+			q.Push(&kernel.Waiter{Customer: "one", Cost: 1, Deadline: ledgerStart})
+		}
+	}
+	must.Between(t, 99, one, 101)
+}
+
+// TestFairQueueLosesNobody: whatever is pushed, removed and popped, each waiter leaves once.
+func TestFairQueueLosesNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := kernel.NewFairQueue()
+		inside := map[*kernel.Waiter]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				w := &kernel.Waiter{
+					Customer: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "customer")),
+					Weight:   rapid.IntRange(0, 3).Draw(t, "weight"),
+					Cost:     float64(rapid.IntRange(1, 9).Draw(t, "cost")),
+					Deadline: ledgerStart.Add(time.Duration(rapid.IntRange(0, 99).Draw(t, "deadline"))),
+				}
+				q.Push(w)
+				inside[w] = true
+			},
+			"pop": func(t *rapid.T) {
+				w := q.Pop()
+				must.EqOp(t, len(inside) > 0, w != nil)
+				if w != nil {
+					must.True(t, inside[w])
+					delete(inside, w)
+					must.False(t, q.Remove(w))
+				}
+			},
+			"remove": func(t *rapid.T) {
+				for w := range inside {
+					must.True(t, q.Remove(w))
+					delete(inside, w)
+					break
+				}
+			},
+			"": func(t *rapid.T) {
+				must.EqOp(t, len(inside), q.Len())
+				cost := 0.0
+				for w := range inside {
+					cost += w.Cost
+				}
+				must.InDelta(t, cost, q.Cost(), 0.001)
+			},
+		})
+	})
+}
+
+func TestCanFinishRefusesAtTheDoorWithATimeToComeBack(t *testing.T) {
+	stage := func(median time.Duration, queued, places float64) kernel.StageEstimate {
+		return kernel.StageEstimate{Median: median, QueuedCost: queued, Places: places}
+	}
+	cases := []struct {
+		name   string
+		left   time.Duration
+		stages []kernel.StageEstimate
+		ok     bool
+		again  time.Duration
+	}{
+		{"fits", time.Second, []kernel.StageEstimate{stage(300*time.Millisecond, 0, 4)}, true, 0},
+		{"too near", 100 * time.Millisecond, []kernel.StageEstimate{stage(300*time.Millisecond, 0, 4)}, false, 50 * time.Millisecond},
+		{"queues too long", time.Second, []kernel.StageEstimate{stage(300*time.Millisecond, 8, 4)}, false, 1300 * time.Millisecond},
+		{"an unknown pool is taken for quick", 50 * time.Millisecond, []kernel.StageEstimate{{}}, true, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ok, again := kernel.CanFinish(ledgerStart, ledgerStart.Add(c.left), c.stages)
+			must.EqOp(t, c.ok, ok)
+			must.EqOp(t, c.again, again)
+		})
+	}
+}
+
+func TestLimitGrowsWhileUsedAndIsCutOnceForEachCongestion(t *testing.T) {
+	l := kernel.NewLimit(10, 1, 100)
+	free := model.Load{Running: 1, Slots: 8}
+	full := model.Load{Running: 8, Queued: 9, Slots: 8}
+	grown := l
+	for range 100 {
+		grown = grown.WithReply(ledgerStart, time.Millisecond, time.Millisecond, free, int(grown.Value))
+	}
+	must.Between(t, 15, grown.Value, 20)
+	must.EqOp(t, 10, l.WithReply(ledgerStart, time.Millisecond, time.Millisecond, free, 1).Value, must.Sprint("an unused limit says nothing"))
+	cut := l.WithReply(ledgerStart, time.Millisecond, time.Millisecond, full, 9)
+	must.Less(t, 10, cut.Value)
+	must.EqOp(t, cut.Value, cut.WithReply(ledgerStart.Add(time.Millisecond), 0, 0, full, 9).Value)
+	for i := range 200 {
+		cut = cut.WithCut(ledgerStart.Add(time.Duration(i) * time.Second))
+	}
+	must.EqOp(t, 1, cut.Value)
+}
+
+func TestRetriesAreAShareOfSuccesses(t *testing.T) {
+	b := kernel.NewRetryBudget()
+	retries := 0
+	for range 1000 {
+		var ok bool
+		if b, ok = b.WithRetry(); ok {
+			retries++
+		}
+	}
+	must.EqOp(t, 20, retries, must.Sprint("a pool that answers nothing is not retried for long"))
+	for range 1000 {
+		b = b.WithSuccess()
+		var ok bool
+		if b, ok = b.WithRetry(); ok {
+			retries++
+		}
+	}
+	must.Between(t, 119, retries, 121)
+}
+
+func TestRateShareHoldsTheFleetsRateAndForgetsTheIdle(t *testing.T) {
+	var share kernel.RateShare
+	taken := 0
+	now := ledgerStart
+	for range 10_000 {
+		now = now.Add(time.Millisecond)
+		var ok bool
+		if share, ok, _ = share.WithRequest(now, 90, 9); ok {
+			taken++
+		}
+	}
+	must.Between(t, 100, taken, 111)
+	must.False(t, share.Idle(now))
+	must.True(t, share.Idle(now.Add(2*time.Second)))
+}
+
+func TestQuantilesFollowWhatIsRecent(t *testing.T) {
+	var q kernel.Quantiles
+	must.EqOp(t, time.Second, q.Quantile(0.5, time.Second))
+	for range 1000 {
+		q.Observe(10 * time.Millisecond)
+	}
+	must.Between(t, 10*time.Millisecond, q.Quantile(0.99, 0), 12*time.Millisecond)
+	for range 2000 {
+		q.Observe(100 * time.Millisecond)
+	}
+	must.Between(t, 100*time.Millisecond, q.Quantile(0.5, 0), 120*time.Millisecond)
+}
--- /dev/null
+++ b/kernel/claims_test.go
@@ -0,0 +1,153 @@
+package kernel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+func members(n int) []kernel.Member {
+	out := make([]kernel.Member, n)
+	for i := range out {
+		out[i] = kernel.Member{Node: fmt.Sprintf("node-%03d", i), Incarnation: "1", Address: "10.0.0.1:1"}
+	}
+	return out
+}
+
+// TestOwnersNeverChange: whatever is written to the row, a key time that had an owner keeps
+// it, unless the owner itself gave its keys away.
+func TestOwnersNeverChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := members(6)
+		row := kernel.NewClaims(ledgerStart, ledgerStart.Add(time.Second), all[:3], "w")
+		given := map[string]bool{}
+		for range rapid.IntRange(1, 12).Draw(t, "writes") {
+			before := row
+			step := time.Duration(rapid.IntRange(0, 3000).Draw(t, "step")) * time.Millisecond
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				row = row.WithHorizon(row.Horizon.Add(step), "w")
+			case 1:
+				from := rapid.IntRange(0, 5).Draw(t, "from")
+				row = row.WithEra(all[from:], row.Horizon.Add(step), "w")
+			case 2:
+				left := all[rapid.IntRange(0, 5).Draw(t, "left")]
+				heir := all[rapid.IntRange(0, 5).Draw(t, "heir")]
+				if given[left.ID()] || given[heir.ID()] || left == heir {
+					continue
+				}
+				given[left.ID()] = true
+				row = row.WithTransfer(left.ID(), heir, "w")
+			}
+			must.EqOp(t, before.Number+1, row.Number)
+			must.False(t, row.Horizon.Before(before.Horizon))
+			for i := range 50 {
+				key := timedKey(fmt.Sprint("k", i), ledgerStart.Add(time.Duration(i)*200*time.Millisecond))
+				old, ok := before.OwnerOf(key)
+				if !ok {
+					continue
+				}
+				owner, ok := row.OwnerOf(key)
+				must.True(t, ok)
+				must.True(t, owner == old || given[old.ID()])
+			}
+		}
+	})
+}
+
+func TestOwnersShareTheKeysEvenly(t *testing.T) {
+	row := kernel.NewClaims(ledgerStart, ledgerStart.Add(time.Minute), members(9), "w")
+	counts := map[string]int{}
+	for range 9000 {
+		owner, ok := row.OwnerOf(timedKey(uuid.NewString(), ledgerStart))
+		must.True(t, ok)
+		counts[owner.Node]++
+	}
+	for node, n := range counts {
+		must.Between(t, 850, n, 1150, must.Sprint(node))
+	}
+}
+
+func TestWithoutBeforeKeepsWhatKeptErasNeed(t *testing.T) {
+	all := members(4)
+	row := kernel.NewClaims(ledgerStart, ledgerStart.Add(time.Second), all[:2], "w")
+	row = row.WithTransfer(all[0].ID(), all[2], "w")
+	row = row.WithEra(all[1:3], ledgerStart.Add(2*time.Second), "w")
+	row = row.WithTransfer(all[2].ID(), all[3], "w")
+	row = row.WithEra(all[1:], ledgerStart.Add(3*time.Second), "w")
+	pruned := row.WithoutBefore(ledgerStart.Add(1500 * time.Millisecond))
+	must.Len(t, 2, pruned.Eras)
+	must.Len(t, 1, pruned.Transfers)
+	key := timedKey("k", ledgerStart.Add(1200*time.Millisecond))
+	want, _ := row.OwnerOf(key)
+	got, ok := pruned.OwnerOf(key)
+	must.True(t, ok)
+	must.EqOp(t, want, got)
+	_, ok = pruned.OwnerOf(timedKey("k", ledgerStart))
+	must.False(t, ok)
+}
+
+func TestKeeperWritesSeldomAndInOrder(t *testing.T) {
+	all := members(3)
+	horizon := 40 * time.Second
+	row := kernel.NewClaims(ledgerStart, ledgerStart.Add(horizon), all, "w")
+	cases := []struct {
+		name  string
+		self  int
+		row   kernel.Claims
+		alive []kernel.Member
+		after time.Duration
+		want  kernel.ClaimsAction
+	}{
+		{"nothing to do", 0, row, all, time.Second, kernel.KeepClaims},
+		{"the first extends", 0, row, all, 11 * time.Second, kernel.ExtendHorizon},
+		{"the second waits for it", 1, row, all, 10500 * time.Millisecond, kernel.KeepClaims},
+		{"the second extends in its place", 1, row, all, 12 * time.Second, kernel.ExtendHorizon},
+		{"a member is gone", 0, row, all[:2], 3 * time.Second, kernel.StartEra},
+		{"its absence has not stood yet", 0, row, all[:2], time.Second, kernel.KeepClaims},
+		{"who is not alive itself writes nothing", 2, row, all[:2], 9 * time.Second, kernel.KeepClaims},
+		{"no row yet", 0, kernel.Claims{}, all, 3 * time.Second, kernel.CreateClaims},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			k := kernel.Keeper{Self: all[c.self], Horizon: horizon, Settle: 2 * time.Second}
+			now := ledgerStart.Add(c.after)
+			must.EqOp(t, c.want, k.Decide(now, c.row, c.alive, ledgerStart))
+		})
+	}
+}
+
+func TestParseKey(t *testing.T) {
+	v7 := "018bcfe5-6800-7abc-8def-0123456789ab"
+	cases := []struct {
+		raw  string
+		ok   bool
+		mode model.KeyMode
+	}{
+		{v7, true, model.Claims},
+		{"018BCFE5-6800-7ABC-8DEF-0123456789AB", true, model.Claims},
+		{"3d3b0b8e-6f0a-4a9e-8a55-1f3a7d0c9b11", true, model.Durable},
+		{"order-17", true, model.Durable},
+		{"", false, ""},
+		{"two words", false, ""},
+		{string(make([]byte, 129)), false, ""},
+	}
+	for _, c := range cases {
+		key, err := kernel.ParseKey("team/customer", c.raw)
+		must.EqOp(t, c.ok, err == nil, must.Sprint(c.raw))
+		if c.ok {
+			must.EqOp(t, c.mode, key.Mode())
+		}
+	}
+	lower, _ := kernel.ParseKey("c", v7)
+	upper, _ := kernel.ParseKey("c", "018BCFE5-6800-7ABC-8DEF-0123456789AB")
+	must.EqOp(t, lower.ID, upper.ID)
+	must.EqOp(t, int64(0x018bcfe56800), lower.Issued.UnixMilli())
+}
--- /dev/null
+++ b/kernel/ledger_test.go
@@ -0,0 +1,148 @@
+package kernel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+var ledgerStart = time.UnixMilli(1_700_000_000_000)
+
+func timedKey(id string, at time.Time) kernel.Key {
+	return kernel.Key{ID: id, Issued: at}
+}
+
+func refusal(v model.Verdict) *model.Refusal {
+	return model.NewRefusal(v, model.Overloaded, time.Second, "")
+}
+
+func TestLedgerRemembersAnswersAndRefusals(t *testing.T) {
+	key := timedKey("c/k", ledgerStart)
+	cases := []struct {
+		name    string
+		end     func(*kernel.Ledger)
+		attempt int
+		action  kernel.LedgerAction
+		verdict model.Verdict
+	}{
+		{"in flight is joined", func(*kernel.Ledger) {}, 2, kernel.LedgerJoin, ""},
+		{"answered is repeated", func(l *kernel.Ledger) { l.Finish(key, model.Answer{Output: "x"}) }, 2, kernel.LedgerAnswer, ""},
+		{"NotRun closes the same attempt", func(l *kernel.Ledger) { l.Refuse(key, refusal(model.NotRun), false) }, 1, kernel.LedgerRefuse, model.NotRun},
+		{"NotRun lets a higher attempt run", func(l *kernel.Ledger) { l.Refuse(key, refusal(model.NotRun), false) }, 2, kernel.LedgerRun, ""},
+		{"unsent lets the same attempt run", func(l *kernel.Ledger) { l.Refuse(key, refusal(model.MayHaveRun), false) }, 1, kernel.LedgerRun, ""},
+		{"sent closes for good", func(l *kernel.Ledger) { l.Refuse(key, refusal(model.MayHaveRun), true) }, 9, kernel.LedgerRefuse, model.MayHaveRun},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := kernel.NewLedger(time.Time{})
+			must.EqOp(t, kernel.LedgerRun, l.Admit(key, 1, 1).Action)
+			c.end(l)
+			d := l.Admit(key, 1, c.attempt)
+			must.EqOp(t, c.action, d.Action)
+			if c.verdict != "" {
+				must.EqOp(t, c.verdict, d.Refusal.Verdict)
+			}
+		})
+	}
+}
+
+func TestLedgerRefusesAnotherRequestUnderTheSameKey(t *testing.T) {
+	l := kernel.NewLedger(time.Time{})
+	key := timedKey("c/k", ledgerStart)
+	l.Admit(key, 1, 0)
+	l.Finish(key, model.Answer{})
+	d := l.Admit(key, 2, 0)
+	must.EqOp(t, kernel.LedgerRefuse, d.Action)
+	must.EqOp(t, model.KeyMismatch, d.Refusal.Reason)
+}
+
+func TestLedgerNeverRunsAForgottenKey(t *testing.T) {
+	l := kernel.NewLedger(time.Time{})
+	key := timedKey("c/k", ledgerStart)
+	l.Admit(key, 1, 0)
+	l.Finish(key, model.Answer{})
+	l.Expire(ledgerStart.Add(time.Hour), time.Minute)
+	must.EqOp(t, 0, l.Len())
+	// The clock goes back: the cutoff does not.
+	l.Expire(ledgerStart, time.Minute)
+	d := l.Admit(key, 1, 0)
+	must.EqOp(t, model.KeyTooOld, d.Refusal.Reason)
+	must.EqOp(t, model.MayHaveRun, d.Refusal.Verdict)
+}
+
+// ledgerModel is what a ledger must do, kept beside it by the state machine.
+type ledgerModel struct {
+	ledger  *kernel.Ledger
+	running map[string]bool
+	sent    map[string]bool
+	told    map[string]int
+	highest map[string]int
+}
+
+// TestLedgerHoldsInRandomInterleavings: a key whose call was sent never runs again, one that
+// runs is never started beside itself, and an attempt that was told NotRun never runs.
+func TestLedgerHoldsInRandomInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &ledgerModel{
+			ledger: kernel.NewLedger(time.Time{}), running: map[string]bool{}, sent: map[string]bool{},
+			told: map[string]int{}, highest: map[string]int{},
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"admit":  m.admit,
+			"finish": func(t *rapid.T) { m.end(t, true, "") },
+			"lost":   func(t *rapid.T) { m.end(t, true, model.MayHaveRun) },
+			"unsent": func(t *rapid.T) { m.end(t, false, model.MayHaveRun) },
+			"refuse": func(t *rapid.T) { m.end(t, false, model.NotRun) },
+		})
+	})
+}
+
+func (m *ledgerModel) admit(t *rapid.T) {
+	id := fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "key"))
+	attempt := rapid.IntRange(0, 4).Draw(t, "attempt")
+	d := m.ledger.Admit(timedKey(id, ledgerStart), 1, attempt)
+	told, wasTold := m.told[id]
+	switch d.Action {
+	case kernel.LedgerRun:
+		must.False(t, m.running[id])
+		must.False(t, m.sent[id])
+		must.True(t, !wasTold || attempt > told)
+		m.running[id] = true
+	case kernel.LedgerJoin:
+		must.True(t, m.running[id])
+	case kernel.LedgerRefuse:
+		must.False(t, m.running[id])
+		if d.Refusal.Verdict == model.NotRun {
+			must.False(t, m.sent[id])
+		}
+	default:
+		must.True(t, m.sent[id])
+	}
+	if d.Action == kernel.LedgerRun || d.Action == kernel.LedgerJoin {
+		m.highest[id] = max(m.highest[id], attempt)
+	}
+}
+
+func (m *ledgerModel) end(t *rapid.T, sent bool, verdict model.Verdict) {
+	id := fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "key"))
+	if !m.running[id] {
+		t.Skip("not running")
+	}
+	key := timedKey(id, ledgerStart)
+	if verdict == "" {
+		m.ledger.Finish(key, model.Answer{})
+	} else {
+		m.ledger.Refuse(key, refusal(verdict), sent)
+	}
+	if verdict == model.NotRun {
+		m.told[id] = max(m.told[id], m.highest[id])
+	}
+	m.running[id] = false
+	m.sent[id] = m.sent[id] || sent
+}
--- a/kernel/membership.go
+++ b/kernel/membership.go
@@ -17,8 +17,9 @@
 	accusationLasts = 10 * time.Second
 	// newsMost bounds the news on one heartbeat.
 	newsMost = 16
-	// newsRounds times the logarithm of the fleet's size is how often a piece of news is sent.
-	newsRounds = 3
+	// newsRounds times the logarithm of the fleet's size is for how many rounds a piece of
+	// news is sent.
+	newsRounds = 2
 	// forgetAfter is how long a dead member is remembered, so that the lagging list does not
 	// bring it back.
 	forgetAfter = 2 * time.Minute
@@ -72,10 +73,19 @@
 		news    []outgoing
 		// stoodSince is when the set of live members last changed.
 		stoodSince time.Time
+		// turn picks the dead member that is tried next.
+		turn int
+		// watchedSince holds the members that the node should hear of.
+		watchedSince map[string]time.Time
+		// order is the ring, nil after a change.
+		order []string
+		// longTurn picks the far member that is heartbeaten next.
+		longTurn int
 	}
 
 	outgoing struct {
 		news News
+		// left counts the rounds in which it is still sent.
 		left int
 	}
 )
@@ -141,7 +151,7 @@
 	clear(info.accusers)
 	if info.State == MemberDead {
 		// It does not know that it is held dead: the news makes it raise its beat.
-		m.tell(News{Member: info.Member, Beat: info.Beat, State: MemberDead, FailureDomain: info.FailureDomain})
+		m.tell(info.news())
 	}
 }
 
@@ -177,53 +187,105 @@
 	m.tell(News{Pool: pool, Endpoint: endpoint})
 }
 
-// Neighbours returns the live members that the node heartbeats: those one, two and four
-// places further on the ring of names. Their answers and the heartbeats of those before it
-// make six members watched.
+// Neighbours returns the members that the node heartbeats: those one, two and four places
+// further on the ring of names. Their answers and the heartbeats of those before it make six
+// members watched. In a large fleet one member further off, in turn, makes news spread in a
+// number of rounds that grows with the logarithm of the fleet. One dead member in turn is tried too: two sides of a cut that hold each
+// other dead would else never speak again.
 func (m *Membership) Neighbours() []MemberInfo {
 	ring := m.ring()
-	at := slices.IndexFunc(ring, func(i MemberInfo) bool { return i.Member.Node == m.self.Member.Node })
+	at := slices.Index(ring, m.self.Member.Node)
 	var out []MemberInfo
-	for _, step := range []int{1, 2, 4} {
-		next := ring[(at+step)%len(ring)]
-		if next.Member.Node == m.self.Member.Node || step >= len(ring) {
-			continue
+	for _, step := range append([]int{1, 2, 4}, m.longStep(len(ring))...) {
+		if step < len(ring) {
+			out = append(out, *m.members[ring[(at+step)%len(ring)]])
 		}
-		out = append(out, next)
+	}
+	if dead, ok := m.nextDead(); ok {
+		m.tell(dead.news())
+		out = append(out, dead)
 	}
 	return out
 }
 
+func (m *Membership) longStep(ringSize int) []int {
+	const shortest = 8
+	if ringSize <= shortest {
+		return nil
+	}
+	m.longTurn++
+	steps := bits.Len(uint(ringSize-1)) - bits.Len(shortest) + 1
+	return []int{shortest << (m.longTurn % steps)}
+}
+
+func (m *Membership) nextDead() (MemberInfo, bool) {
+	var dead []MemberInfo
+	for _, info := range m.members {
+		if info.State == MemberDead {
+			dead = append(dead, *info)
+		}
+	}
+	if len(dead) == 0 {
+		return MemberInfo{}, false
+	}
+	slices.SortFunc(dead, func(a, b MemberInfo) int { return strings.Compare(a.Member.Node, b.Member.Node) })
+	m.turn++
+	return dead[m.turn%len(dead)], true
+}
+
+// watch returns whom the node should hear of, and notes since when: a member that was not a
+// neighbour before had no reason to speak.
+func (m *Membership) watch(now time.Time) []string {
+	names := m.watched()
+	since := make(map[string]time.Time, len(names))
+	for _, name := range names {
+		since[name] = now
+		if before, was := m.watchedSince[name]; was {
+			since[name] = before
+		}
+	}
+	m.watchedSince = since
+	return names
+}
+
 // watched returns whom the node should hear of: its neighbours and those it is one to.
 func (m *Membership) watched() []string {
 	ring := m.ring()
-	at := slices.IndexFunc(ring, func(i MemberInfo) bool { return i.Member.Node == m.self.Member.Node })
+	at := slices.Index(ring, m.self.Member.Node)
 	var out []string
 	for _, step := range []int{1, 2, 4, -1, -2, -4} {
-		if step >= len(ring) || -step >= len(ring) {
-			continue
+		if step < len(ring) && -step < len(ring) {
+			out = append(out, ring[(at+step+len(ring))%len(ring)])
 		}
-		out = append(out, ring[(at+step+len(ring))%len(ring)].Member.Node)
 	}
 	return out
 }
 
-func (m *Membership) ring() []MemberInfo {
-	ring := []MemberInfo{m.self}
-	for _, info := range m.members {
+// ring returns the names of all members that are not dead, in order.
+func (m *Membership) ring() []string {
+	if m.order != nil {
+		return m.order
+	}
+	m.order = []string{m.self.Member.Node}
+	for name, info := range m.members {
 		if info.State != MemberDead {
-			ring = append(ring, *info)
+			m.order = append(m.order, name)
 		}
 	}
-	slices.SortFunc(ring, func(a, b MemberInfo) int { return strings.Compare(a.Member.Node, b.Member.Node) })
-	return ring
+	slices.Sort(m.order)
+	return m.order
 }
 
-// Tick accuses members that went silent and forgets those long dead.
+// Tick begins a round of heartbeats: it accuses members that went silent, forgets those long
+// dead, and drops news that was sent for enough rounds.
 func (m *Membership) Tick(now time.Time) {
-	for _, name := range m.watched() {
+	for i := range m.news {
+		m.news[i].left--
+	}
+	m.news = slices.DeleteFunc(m.news, func(o outgoing) bool { return o.left <= 0 })
+	for _, name := range m.watch(now) {
 		info := m.members[name]
-		if info == nil || info.State == MemberDead || now.Sub(info.Heard) < SilentAfter {
+		if info == nil || now.Sub(info.Heard) < SilentAfter || now.Sub(m.watchedSince[name]) < SilentAfter {
 			continue
 		}
 		m.Take(now, News{Member: info.Member, Beat: info.Beat, Accuser: m.self.Member.Node})
@@ -238,25 +300,22 @@
 	}
 }
 
-// Outgoing returns the news for one heartbeat: always the node's own state first.
+// Outgoing returns the news for one heartbeat: the node's own state first, then what it
+// learned last.
 func (m *Membership) Outgoing() []News {
 	out := []News{m.selfNews()}
-	kept := m.news[:0]
-	for _, o := range m.news {
-		if len(out) < newsMost {
-			out = append(out, o.news)
-			o.left--
-		}
-		if o.left > 0 {
-			kept = append(kept, o)
-		}
+	for i := len(m.news) - 1; i >= 0 && len(out) < newsMost; i-- {
+		out = append(out, m.news[i].news)
 	}
-	m.news = kept
 	return out
 }
 
 func (m *Membership) selfNews() News {
-	return News{Member: m.self.Member, Beat: m.self.Beat, State: m.self.State, FailureDomain: m.self.FailureDomain}
+	return m.self.news()
+}
+
+func (i MemberInfo) news() News {
+	return News{Member: i.Member, Beat: i.Beat, State: i.State, FailureDomain: i.FailureDomain}
 }
 
 // refute answers news that the node itself is dead or accused: it raises its beat.
@@ -315,6 +374,7 @@
 
 func (m *Membership) put(now time.Time, news News) {
 	info := m.members[news.Member.Node]
+	m.order = nil
 	if info == nil || info.Member.ID() != news.Member.ID() {
 		info = &MemberInfo{Heard: now, Changed: now}
 		m.members[news.Member.Node] = info
--- /dev/null
+++ b/kernel/membership_test.go
@@ -0,0 +1,148 @@
+package kernel_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+)
+
+// gossip drives the memberships of a fleet with made-up time: each round, every node that is
+// up heartbeats its neighbours over links that are not cut.
+type gossip struct {
+	now   time.Time
+	nodes []*kernel.Membership
+	names map[string]int
+	down  map[int]bool
+	cut   func(a, b int) bool
+}
+
+func newGossip(n int) *gossip {
+	g := &gossip{now: ledgerStart, names: map[string]int{}, down: map[int]bool{}, cut: func(int, int) bool { return false }}
+	all := members(n)
+	for i, m := range all {
+		node := kernel.NewMembership(g.now, m, "d")
+		for _, other := range all {
+			node.Listed(g.now, other, "d")
+		}
+		g.nodes = append(g.nodes, node)
+		g.names[m.Node] = i
+	}
+	return g
+}
+
+// round lets all heartbeats of one period pass at the same moment, then all their answers: in
+// a round news gets two steps further at most.
+func (g *gossip) round() {
+	g.now = g.now.Add(500 * time.Millisecond)
+	var pairs [][2]int
+	for a, node := range g.nodes {
+		if g.down[a] {
+			continue
+		}
+		node.Tick(g.now)
+		for _, info := range node.Neighbours() {
+			b := g.names[info.Member.Node]
+			if !g.down[b] && !g.cut(a, b) {
+				pairs = append(pairs, [2]int{a, b})
+			}
+		}
+	}
+	g.exchange(pairs, 0, 1)
+	g.exchange(pairs, 1, 0)
+}
+
+func (g *gossip) exchange(pairs [][2]int, from, to int) {
+	all := make([][]kernel.News, len(pairs))
+	for i, pair := range pairs {
+		all[i] = g.nodes[pair[from]].Outgoing()
+	}
+	for i, pair := range pairs {
+		node := g.nodes[pair[to]]
+		node.Heard(g.now, all[i][0])
+		for _, n := range all[i][1:] {
+			node.Take(g.now, n)
+		}
+	}
+}
+
+// agreed counts the nodes that are up and see just so many alive.
+func (g *gossip) agreed(alive int) int {
+	n := 0
+	for i, node := range g.nodes {
+		if !g.down[i] && len(node.Alive()) == alive {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *gossip) until(t *testing.T, alive int) time.Duration {
+	t.Helper()
+	began := g.now
+	for range 200 {
+		g.round()
+		if g.agreed(alive) == len(g.nodes)-len(g.down) {
+			return g.now.Sub(began)
+		}
+	}
+	t.Fatalf("%d of %d nodes see %d alive", g.agreed(alive), len(g.nodes)-len(g.down), alive)
+	return 0
+}
+
+func TestADeadMemberIsKnownEverywhereWithinSeconds(t *testing.T) {
+	for _, n := range []int{2, 3, 9, 100, 400} {
+		g := newGossip(n)
+		for range 60 {
+			g.round()
+		}
+		g.down[n/2] = true
+		took := g.until(t, n-1)
+		t.Logf("%d nodes: %s", n, took)
+		must.LessEq(t, 8*time.Second, took)
+		delete(g.down, n/2)
+		must.LessEq(t, 8*time.Second, g.until(t, n))
+	}
+}
+
+func TestACutLinkKillsNobody(t *testing.T) {
+	g := newGossip(9)
+	g.cut = func(a, b int) bool { return a+b == 1 }
+	for range 60 {
+		g.round()
+		must.EqOp(t, 9, g.agreed(9))
+	}
+}
+
+func TestARegionThatIsCutOffComesBack(t *testing.T) {
+	g := newGossip(9)
+	g.cut = func(a, b int) bool { return (a < 3) != (b < 3) }
+	for range 40 {
+		g.round()
+	}
+	must.EqOp(t, 3, g.agreed(3))
+	must.EqOp(t, 6, g.agreed(6))
+	g.cut = func(int, int) bool { return false }
+	t.Logf("together again after %s", g.until(t, 9))
+}
+
+func TestALeavingMemberIsNotAliveAndSoonForgotten(t *testing.T) {
+	g := newGossip(9)
+	g.round()
+	g.nodes[4].Leave(g.now)
+	g.until(t, 8)
+	g.down[4] = true
+	g.until(t, 8)
+}
+
+func TestARestartedProcessReplacesTheOldOne(t *testing.T) {
+	m := kernel.NewMembership(ledgerStart, members(1)[0], "d")
+	old := kernel.Member{Node: "x", Incarnation: "1"}
+	fresh := kernel.Member{Node: "x", Incarnation: "2"}
+	m.Take(ledgerStart, kernel.News{Member: fresh, Beat: 1})
+	must.False(t, m.Take(ledgerStart, kernel.News{Member: old, Beat: 99}))
+	must.False(t, m.Take(ledgerStart, kernel.News{Member: old, Beat: 100, State: kernel.MemberDead}))
+	must.Len(t, 2, m.Alive())
+}
--- /dev/null
+++ b/kernel/routing_test.go
@@ -0,0 +1,119 @@
+package kernel_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+func candidates(n int) []kernel.Candidate {
+	domains := []string{"zorrotza", "basauri", "erandio"}
+	out := make([]kernel.Candidate, n)
+	for i := range out {
+		out[i].Endpoint = model.Endpoint{
+			Name: fmt.Sprintf("runner-%d", i), FailureDomain: domains[i%len(domains)], State: model.Live,
+		}
+	}
+	return out
+}
+
+func TestUsableLeavesOutTheLeavingAndKeepsAFloor(t *testing.T) {
+	now := ledgerStart
+	ejected := kernel.Health{}.WithFailure(now).WithFailure(now).WithFailure(now)
+	must.False(t, ejected.Usable(now))
+	cs := candidates(4)
+	cs[0].Endpoint.State = model.Leaving
+	cs[1].Health = ejected
+	names := func(cs []kernel.Candidate) string {
+		s := ""
+		for _, c := range cs {
+			s += c.Endpoint.Name[7:]
+		}
+		return s
+	}
+	must.EqOp(t, "23", names(kernel.Usable(now, cs, nil)))
+	must.EqOp(t, "3", names(kernel.Usable(now, cs, []string{"runner-2"})))
+	cs[2].Health, cs[3].Health = ejected, ejected
+	must.EqOp(t, "12", names(kernel.Usable(now, cs, nil)), must.Sprint("all of the pool fails: half of it is used all the same"))
+	must.EqOp(t, "123", names(kernel.Usable(now.Add(2*time.Second), cs, nil)), must.Sprint("each is tried again"))
+}
+
+func TestEjectionsLastLongerEachTimeAndOneProbeAtATime(t *testing.T) {
+	now := ledgerStart
+	h := kernel.Health{}
+	var last time.Duration
+	for range 8 {
+		for !h.Ejected() || h.Usable(now) {
+			h = h.WithProbe().WithFailure(now)
+		}
+		length := h.EjectedUntil.Sub(now)
+		must.True(t, length >= last && length <= 30*time.Second)
+		last = length
+		now = h.EjectedUntil
+		must.True(t, h.Usable(now))
+		must.False(t, h.WithProbe().Usable(now))
+	}
+	must.False(t, h.WithSuccess().Ejected())
+}
+
+func TestTwoChoicesSpreadsTheLoadAndPrefersTheOwnDomain(t *testing.T) {
+	cs := candidates(12)
+	random := rand.New(rand.NewPCG(1, 2))
+	own := 0
+	for range 1200 {
+		i := kernel.PickTwoChoices(ledgerStart, cs, "zorrotza", random.Float64(), random.Float64())
+		cs[i].InFlight++
+		if cs[i].Endpoint.FailureDomain == "zorrotza" {
+			own++
+		}
+	}
+	for _, c := range cs {
+		must.Between(t, 75, c.InFlight, 125, must.Sprint(c.Endpoint.Name))
+	}
+	idle := candidates(12)
+	i := kernel.PickTwoChoices(ledgerStart, idle, "basauri", 0.5, 0.9)
+	must.EqOp(t, "basauri", idle[i].Endpoint.FailureDomain)
+	must.EqOp(t, -1, kernel.PickTwoChoices(ledgerStart, nil, "basauri", 0, 0))
+}
+
+func TestStaleLoadReportsLoseTheirWeight(t *testing.T) {
+	cs := candidates(2)
+	cs[0].Endpoint.FailureDomain, cs[1].Endpoint.FailureDomain = "x", "x"
+	cs[0].Load = model.Load{Running: 8, Queued: 20, Slots: 8}
+	cs[0].LoadAt = ledgerStart
+	must.EqOp(t, 1, kernel.PickTwoChoices(ledgerStart, cs, "x", 0, 0.9))
+	must.EqOp(t, 0, kernel.PickTwoChoices(ledgerStart.Add(5*time.Second), cs, "x", 0, 0.9))
+}
+
+func TestPrefixStaysUntilItsEndpointIsLoadedBeyondTheBound(t *testing.T) {
+	cs := candidates(12)
+	home := kernel.PickPrefix(ledgerStart, cs, "agreement-17")
+	must.EqOp(t, home, kernel.PickPrefix(ledgerStart, cs, "agreement-17"))
+	for cs[home].InFlight < 50 {
+		i := kernel.PickPrefix(ledgerStart, cs, "agreement-17")
+		if i != home {
+			break
+		}
+		cs[home].InFlight++
+	}
+	must.Between(t, 1, cs[home].InFlight, 5, must.Sprint("one hot prefix spills over"))
+	// Without one endpoint only its own prefixes move.
+	fresh := candidates(12)
+	moved := 0
+	for i := range 200 {
+		prefix := fmt.Sprint("p", i)
+		before := fresh[kernel.PickPrefix(ledgerStart, fresh, prefix)].Endpoint.Name
+		after := fresh[:11][kernel.PickPrefix(ledgerStart, fresh[:11], prefix)].Endpoint.Name
+		if before != after {
+			must.EqOp(t, "runner-11", before)
+			moved++
+		}
+	}
+	must.Between(t, 5, moved, 35)
+}
