Route prefixes by free slots and judge congestion by the whole pool

Prefix routing let hot engines queue while others idled (bounded by the mean of a node's own, lagging view), and one hot engine's queue was taken for congestion of the pool, so that the limit shut requests out that had room elsewhere. Expected times did not know the number of tokens, so long answers were started too late.

Ruled out: the stand-in (plain ran on the same one), fairness and deadlines at the door (refusals came from the pool's limit).

Change: a prefix keeps its engine only while that has a free slot; congestion is the queue over all slots of the pool and a cut waits for its effect; limits are bounded by the slots; times are estimated from first token, gap and the request's tokens; engines report load with the first token.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -91,6 +91,7 @@
 			sh.statusCommand(),
 			sh.endpointsCommand(),
 			sh.explainCommand(),
+			sh.replayCommand(),
 			sh.versionCommand(),
 		},
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -90,20 +90,19 @@
 	return d.pool(poolName).markLeaving(endpointName)
 }
 
-// Estimate tells what a request that comes now can expect of a stage.
-func (d *Dispatcher) Estimate(stage model.Stage) kernel.StageEstimate {
-	return d.pool(stage.Pool).estimate()
-}
-
-// Estimates returns the estimates of several stages.
-func (d *Dispatcher) Estimates(stages []model.Stage) []kernel.StageEstimate {
+// Estimates tells what a request that comes now can expect of several stages.
+func (d *Dispatcher) Estimates(req model.Request, stages []model.Stage) []kernel.StageEstimate {
 	out := make([]kernel.StageEstimate, 0, len(stages))
 	for _, s := range stages {
-		out = append(out, d.Estimate(s))
+		out = append(out, d.estimate(req, s))
 	}
 	return out
 }
 
+func (d *Dispatcher) estimate(req model.Request, stage model.Stage) kernel.StageEstimate {
+	return d.pool(stage.Pool).estimate(kernel.TokensOf(req, stage))
+}
+
 // Status returns what is known of all endpoints.
 func (d *Dispatcher) Status() []EndpointStatus {
 	var out []EndpointStatus
@@ -123,19 +122,16 @@
 func (d *Dispatcher) Run(ctx context.Context, job Job) (Result, error) {
 	start := time.Now()
 	p := d.pool(job.Work.Stage.Pool)
-	deadline := kernel.StageDeadline(job.Work.Request.Deadline, job.Later)
-	latest := deadline
-	if median := p.estimate().Median; median > 0 {
-		latest = deadline.Add(-median)
-	}
+	estimate := d.estimate(job.Work.Request, job.Work.Stage)
 	waiter := kernel.Waiter{
 		Customer: job.Work.Request.Account(),
 		Weight:   job.Weight,
 		Deadline: job.Work.Request.Deadline,
-		Latest:   latest,
+		Cost:     estimate.Cost(),
+		Latest:   estimate.Latest(kernel.StageDeadline(job.Work.Request.Deadline, job.Later)),
 	}
 	if !p.enter(ctx, start, waiter) {
-		return Result{}, waitRefusal(ctx, p)
+		return Result{}, waitRefusal(ctx, p, estimate)
 	}
 	defer p.leave()
 	a := &attempts{d: d, pool: p, job: job, deadline: job.Work.Request.Deadline, carry: job.Work.Carry}
@@ -150,8 +146,7 @@
 	return Result{Carry: a.carry, Timing: timing}, err
 }
 
-func waitRefusal(ctx context.Context, p *pool) error {
-	e := p.estimate()
+func waitRefusal(ctx context.Context, p *pool, e kernel.StageEstimate) error {
 	if ctx.Err() == context.Canceled {
 		return model.NewRefusal(model.NotRun, model.CallerGone, 0, "the caller went away")
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -16,6 +16,7 @@
 	// fallbackLatency stands in for quantiles while too little was observed.
 	fallbackLatency = 300 * time.Millisecond
 	medianQuantile  = 0.5
+	longQuantile    = 0.9
 	hedgeQuantile   = 0.95
 	timeoutQuantile = 0.99
 )
@@ -119,10 +120,7 @@
 	if p.plain {
 		return p.pickPlain()
 	}
-	candidates := make([]kernel.Candidate, 0, len(p.endpoints))
-	for _, e := range p.endpoints {
-		candidates = append(candidates, e.candidate)
-	}
+	candidates := p.candidates()
 	usable := kernel.Usable(now, candidates, excluded)
 	if len(usable) == 0 {
 		usable = kernel.Usable(now, candidates, nil)
@@ -163,18 +161,49 @@
 	defer p.mu.Unlock()
 	e.candidate.InFlight--
 	e.candidate.Health = e.candidate.Health.WithSuccess()
-	median := p.service.Quantile(medianQuantile, fallbackLatency)
-	var reported model.Load
 	if load != nil {
-		reported = *load
-		e.candidate.Load = reported
+		e.candidate.Load = *load
 		e.candidate.LoadAt = now
 	}
-	p.limit = p.limit.WithReply(now, elapsed, median, reported, p.inFlight)
+	reported := kernel.PoolLoadOf(now, p.candidates())
+	median := p.service.Quantile(medianQuantile, fallbackLatency)
+	p.limit = p.limit.WithSlots(p.slots()).WithReply(now, elapsed, median, reported, p.inFlight)
 	p.service.Observe(elapsed)
 	p.budget = p.budget.WithSuccess()
 }
 
+// reported takes a load in that came before the end of a call.
+func (p *pool) reported(now time.Time, e *endpointState, load model.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.candidate.Load = load
+	e.candidate.LoadAt = now
+}
+
+func (p *pool) candidates() []kernel.Candidate {
+	out := make([]kernel.Candidate, 0, len(p.endpoints))
+	for _, e := range p.endpoints {
+		out = append(out, e.candidate)
+	}
+	return out
+}
+
+// slots sums up the slots of the endpoints that have ever reported any; those that have not
+// are taken to have as many as the others.
+func (p *pool) slots() int {
+	known, sum := 0, 0
+	for _, e := range p.endpoints {
+		if e.candidate.Load.Slots > 0 {
+			known++
+			sum += e.candidate.Load.Slots
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return sum * len(p.endpoints) / known
+}
+
 // failed records a fault; blamed tells whether the endpoint is held to be its cause.
 func (p *pool) failed(now time.Time, e *endpointState, blamed bool) {
 	p.mu.Lock()
@@ -212,15 +241,24 @@
 	return q.Quantile(level, fallback)
 }
 
-// estimate tells what a request that comes now can expect of the pool.
-func (p *pool) estimate() kernel.StageEstimate {
+// estimate tells what a request that comes now can expect of the pool; tokens is zero for a
+// unary call.
+func (p *pool) estimate(tokens int) kernel.StageEstimate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return kernel.StageEstimate{
+	e := kernel.StageEstimate{
 		Median:     p.service.Quantile(medianQuantile, 0),
+		Long:       p.service.Quantile(longQuantile, 0),
 		QueuedCost: p.queue.Cost(),
 		Places:     p.limit.Value,
 	}
+	gap := p.gap.Quantile(medianQuantile, 0)
+	if tokens == 0 || gap == 0 {
+		return e
+	}
+	e.Median = p.first.Quantile(medianQuantile, 0) + time.Duration(tokens)*gap
+	e.Long = p.first.Quantile(longQuantile, 0) + time.Duration(tokens)*gap
+	return e
 }
 
 // enter waits for a place at the pool. It gives up when ctx ends or starting has become
@@ -239,7 +277,6 @@
 	}
 	ready := make(chan struct{})
 	w.Ready = func() { close(ready) }
-	w.Cost = p.service.Quantile(medianQuantile, fallbackLatency).Seconds()
 	p.queue.Push(&w)
 	p.mu.Unlock()
 
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -69,6 +69,7 @@
 		now := time.Now()
 		if event.Load != nil {
 			load = event.Load
+			a.pool.reported(now, e, *load)
 		}
 		if event.Final {
 			return a.checkCount(event)
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -8,9 +8,6 @@
 	"basilstall.example/basilstall/model"
 )
 
-// defaultMaxTokens holds where neither the caller nor the stage says how many tokens.
-const defaultMaxTokens = 256
-
 func init() {
 	kernel.Register(kernel.Plugin{
 		Kind:    model.Generate,
@@ -27,7 +24,7 @@
 		Adapter:   w.Stage.Adapter,
 		Text:      prompt(w),
 		Prefix:    w.Request.Input.Prefix,
-		MaxTokens: maxTokens(w),
+		MaxTokens: kernel.TokensOf(w.Request, w.Stage),
 	}
 }
 
@@ -36,17 +33,6 @@
 	return strings.Join(parts, "\n")
 }
 
-func maxTokens(w kernel.Work) int {
-	most := w.Stage.MaxTokens
-	if most == 0 {
-		most = defaultMaxTokens
-	}
-	if w.Request.Input.MaxTokens > 0 {
-		return min(most, w.Request.Input.MaxTokens)
-	}
-	return most
-}
-
 func check(s model.Stage) string {
 	if s.Model == "" {
 		return "a Generate stage needs a Model"
--- a/kernel/admission_test.go
+++ b/kernel/admission_test.go
@@ -9,7 +9,6 @@
 	"pgregory.net/rapid"
 
 	"basilstall.example/basilstall/kernel"
-	"basilstall.example/basilstall/model"
 )
 
 func TestFairQueueSharesByWeightWhateverABurstBrings(t *testing.T) {
@@ -133,22 +132,24 @@
 }
 
 func TestLimitGrowsWhileUsedAndIsCutOnceForEachCongestion(t *testing.T) {
+	const median = 50 * time.Millisecond
 	l := kernel.NewLimit(10, 1, 100)
-	free := model.Load{Running: 1, Slots: 8}
-	full := model.Load{Running: 8, Queued: 9, Slots: 8}
+	free := kernel.PoolLoad{Slots: 48}
+	full := kernel.PoolLoad{Queued: 13, Slots: 48}
 	grown := l
 	for range 100 {
-		grown = grown.WithReply(ledgerStart, time.Millisecond, time.Millisecond, free, int(grown.Value))
+		grown = grown.WithReply(ledgerStart, median, median, free, int(grown.Value))
 	}
-	must.Between(t, 15, grown.Value, 20)
-	must.EqOp(t, 10, l.WithReply(ledgerStart, time.Millisecond, time.Millisecond, free, 1).Value, must.Sprint("an unused limit says nothing"))
-	cut := l.WithReply(ledgerStart, time.Millisecond, time.Millisecond, full, 9)
-	must.Less(t, 10, cut.Value)
-	must.EqOp(t, cut.Value, cut.WithReply(ledgerStart.Add(time.Millisecond), 0, 0, full, 9).Value)
+	must.InDelta(t, 20, grown.Value, 0.01)
+	must.EqOp(t, 10, l.WithReply(ledgerStart, median, median, free, 1).Value, must.Sprint("an unused limit says nothing"))
+	cut := l.WithReply(ledgerStart, median, median, full, 9)
+	must.EqOp(t, 8.5, cut.Value)
+	must.EqOp(t, 8.5, cut.WithReply(ledgerStart.Add(time.Millisecond), median, median, full, 9).Value)
 	for i := range 200 {
-		cut = cut.WithCut(ledgerStart.Add(time.Duration(i) * time.Second))
+		cut = cut.WithCut(ledgerStart.Add(time.Duration(i)*time.Second), median)
 	}
 	must.EqOp(t, 1, cut.Value)
+	must.EqOp(t, 60, kernel.NewLimit(100, 1, 200).WithSlots(48).Value)
 }
 
 func TestRetriesAreAShareOfSuccesses(t *testing.T) {
--- a/kernel/budget.go
+++ b/kernel/budget.go
@@ -17,14 +17,27 @@
 
 // StageEstimate is what a node expects of one stage of a request.
 type StageEstimate struct {
-	// Median is the pool's median service time; zero if unknown.
+	// Median is the expected service time of this call; zero if unknown.
 	Median time.Duration
+	// Long is a service time that few calls exceed: a call that has less time left is not
+	// worth its start. Zero if unknown.
+	Long time.Duration
 	// QueuedCost is the work waiting before this request, in seconds of an endpoint.
 	QueuedCost float64
 	// Places is how many calls the pool may have in flight.
 	Places float64
 }
 
+// Cost returns the expected work in seconds of an endpoint.
+func (e StageEstimate) Cost() float64 {
+	return e.service().Seconds()
+}
+
+// Latest returns when the call must start at the latest to be done at the deadline.
+func (e StageEstimate) Latest(deadline time.Time) time.Time {
+	return deadline.Add(-max(e.Long, e.Median))
+}
+
 // Expected returns how long the stage should take, wait included.
 func (e StageEstimate) Expected() time.Duration {
 	return e.wait() + e.service()
--- a/kernel/plugin.go
+++ b/kernel/plugin.go
@@ -7,6 +7,9 @@
 	"basilstall.example/basilstall/model"
 )
 
+// defaultMaxTokens holds where neither the caller nor the stage says how many tokens.
+const defaultMaxTokens = 256
+
 var (
 	pluginsMu sync.Mutex
 	plugins   = map[model.StageKind]Plugin{}
@@ -66,3 +69,19 @@
 	slices.Sort(kinds)
 	return kinds
 }
+
+// TokensOf returns how many tokens a stage may generate for a request; zero for a stage that
+// generates none.
+func TokensOf(req model.Request, stage model.Stage) int {
+	if stage.Kind != model.Generate {
+		return 0
+	}
+	most := stage.MaxTokens
+	if most == 0 {
+		most = defaultMaxTokens
+	}
+	if req.Input.MaxTokens > 0 {
+		return min(most, req.Input.MaxTokens)
+	}
+	return most
+}
--- a/kernel/routing.go
+++ b/kernel/routing.go
@@ -14,10 +14,9 @@
 	// foreignPenalty is how many calls in flight a call to another failure domain is worth.
 	foreignPenalty = 1.0
 	// prefixBound is how far above the pool's mean an endpoint's load may rise before a
-	// prefix moves on to its next endpoint (bounded-load rendezvous hashing).
+	// prefix moves on to its next endpoint (bounded-load rendezvous hashing), where the
+	// endpoint does not report its slots.
 	prefixBound = 1.25
-	// prefixSlack is the load that is always allowed, so that an idle pool keeps prefixes.
-	prefixSlack = 2.0
 )
 
 // Candidate is an endpoint as the routing sees it.
@@ -95,24 +94,26 @@
 }
 
 // PickPrefix returns the candidate that a prompt's prefix hashes to, or the next in the
-// hash's order where that one is loaded beyond the bound. It returns -1 for no candidates.
+// hash's order where that one has no free slot: a cached prefix saves less than a wait costs.
+// If none has one, it returns the least loaded. It returns -1 for no candidates.
 func PickPrefix(now time.Time, candidates []Candidate, prefix string) int {
 	if len(candidates) == 0 {
 		return -1
 	}
+	loads := make([]float64, len(candidates))
 	var total float64
-	for _, c := range candidates {
-		total += loadOf(now, c, c.Endpoint.FailureDomain)
+	for i, c := range candidates {
+		loads[i] = loadOf(now, c, c.Endpoint.FailureDomain)
+		total += loads[i]
 	}
-	bound := prefixBound*(total+1)/float64(len(candidates)) + prefixSlack
+	mean := (total + 1) / float64(len(candidates))
 	best, least := -1, 0
 	var bestScore uint64
 	for i, c := range candidates {
-		load := loadOf(now, c, c.Endpoint.FailureDomain)
-		if load < loadOf(now, candidates[least], candidates[least].Endpoint.FailureDomain) {
+		if relative(c, loads[i]) < relative(candidates[least], loads[least]) {
 			least = i
 		}
-		if load >= bound {
+		if !hasRoom(c, loads[i], mean) {
 			continue
 		}
 		score := rendezvousScore(prefix, c.Endpoint.Name)
@@ -126,6 +127,18 @@
 	return best
 }
 
+func hasRoom(c Candidate, load, mean float64) bool {
+	if c.Load.Slots > 0 {
+		return load+1 <= float64(c.Load.Slots)
+	}
+	return load < prefixBound*mean+1
+}
+
+// relative is the load for each slot.
+func relative(c Candidate, load float64) float64 {
+	return load / float64(max(1, c.Load.Slots))
+}
+
 // loadOf estimates how loaded an endpoint is: the node's own calls in flight, and what others
 // gave it, as far as the last report says and as long as it is fresh.
 func loadOf(now time.Time, c Candidate, domain string) float64 {
--- a/kernel/routing_test.go
+++ b/kernel/routing_test.go
@@ -102,7 +102,14 @@
 		}
 		cs[home].InFlight++
 	}
-	must.Between(t, 1, cs[home].InFlight, 5, must.Sprint("one hot prefix spills over"))
+	must.Between(t, 1, cs[home].InFlight, 3, must.Sprint("one hot prefix spills over"))
+	for i := range cs {
+		cs[i].Load.Slots = 4
+	}
+	cs[home].InFlight = 3
+	must.EqOp(t, home, kernel.PickPrefix(ledgerStart, cs, "agreement-17"))
+	cs[home].InFlight = 4
+	must.NotEqOp(t, home, kernel.PickPrefix(ledgerStart, cs, "agreement-17"), must.Sprint("no free slot"))
 	// Without one endpoint only its own prefixes move.
 	fresh := candidates(12)
 	moved := 0
--- a/node/claims.go
+++ b/node/claims.go
@@ -127,8 +127,8 @@
 	written, err := n.store.SwapClaims(n.ctx, version, row, next)
 	var conflict *table.Conflict
 	if errors.As(err, &conflict) {
+		// The row has changed; the next turn reads it.
 		n.metrics.Event("ClaimsConflict")
-		n.claims.wake()
 		return
 	}
 	n.noteTable(err)
--- /dev/null
+++ b/replay/replay.go
@@ -0,0 +1,132 @@
+package replay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"basilstall.example/basilstall/caller"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/standin"
+)
+
+const (
+	// graceAfterDeadline is how long the replay waits for an answer that is already late.
+	graceAfterDeadline = 3 * time.Second
+	idleConnections    = 512
+)
+
+type (
+	// sent is one request that was sent, and how it ended.
+	sent struct {
+		entry   Entry
+		result  caller.Result
+		err     error
+		latency time.Duration
+		// whole is true if the answer is whole and its request's own.
+		whole bool
+	}
+
+	// Replay sends one trace to one set-up.
+	Replay struct {
+		trace  Trace
+		setup  *Setup
+		client *http.Client
+		keysMu sync.Mutex
+		// keys has the key that each name in the trace stands for.
+		keys map[string]string
+	}
+)
+
+// NewReplay returns a replay of a trace on a set-up.
+func NewReplay(trace Trace, setup *Setup) *Replay {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
+	return &Replay{
+		trace:  trace,
+		setup:  setup,
+		client: &http.Client{Transport: transport},
+		keys:   map[string]string{},
+	}
+}
+
+// Run sends the trace and returns the report.
+func (r *Replay) Run(ctx context.Context) Report {
+	defer r.client.CloseIdleConnections()
+	before := r.setup.Standin.Usage()
+	all := make([]sent, len(r.trace.Entries))
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i, entry := range r.trace.Entries {
+		planned := start.Add(time.Duration(entry.At))
+		time.Sleep(time.Until(planned))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			all[i] = r.send(ctx, i, entry, planned)
+		}()
+	}
+	wg.Wait()
+	report := newReport(all, r.trace.Length())
+	report.check(all, r.setup.Standin.Journal.Summary())
+	report.charge(before, r.setup.Standin.Usage())
+	return report
+}
+
+func (r *Replay) send(ctx context.Context, i int, entry Entry, planned time.Time) sent {
+	s := sent{entry: entry}
+	deadline := planned.Add(time.Duration(entry.Deadline))
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(graceAfterDeadline))
+	defer cancel()
+	call := caller.Call{Pipeline: entry.Pipeline, Key: r.key(entry.Key)}
+	call.Body = caller.Body{
+		Input:    model.Input{Text: entry.text(i), Prefix: entry.Prefix, MaxTokens: entry.Tokens},
+		Deadline: deadline.Format(time.RFC3339Nano),
+	}
+	client := &caller.Client{Base: "http://" + r.setup.address(), Token: r.setup.tokens[entry.Customer], HTTP: r.client}
+	s.result, s.err = client.Send(ctx, call)
+	s.latency = time.Since(planned)
+	if s.result.Answer != nil {
+		s.whole = r.isWhole(call, s.result.Answer)
+	}
+	return s
+}
+
+// key returns the key that a name stands for, made when the name is first sent.
+func (r *Replay) key(name string) string {
+	if name == "" {
+		return ""
+	}
+	r.keysMu.Lock()
+	defer r.keysMu.Unlock()
+	if r.keys[name] == "" {
+		r.keys[name] = uuid.Must(uuid.NewV7()).String()
+	}
+	return r.keys[name]
+}
+
+func (r *Replay) isWhole(call caller.Call, answer *caller.AnswerBody) bool {
+	pipeline, ok := r.setup.Pipeline(call.Pipeline)
+	return ok && answer.Output == standin.ExpectedOutput(pipeline, call.Body.Input, call.Body.MaxTokens)
+}
+
+func (s sent) attained() bool {
+	return s.result.Answer != nil && s.whole && s.latency <= time.Duration(s.entry.Deadline)
+}
+
+// charge takes the endpoints' work during the replay from the stand-in's counts.
+func (r *Report) charge(before, after standin.Usage) {
+	r.TableReads = after.TableReads - before.TableReads
+	r.TableWrites = after.TableWrites - before.TableWrites
+	r.Pools = map[string]standin.PoolUsage{}
+	for pool, u := range after.Pools {
+		old := before.Pools[pool]
+		r.Pools[pool] = standin.PoolUsage{
+			Calls:       u.Calls - old.Calls,
+			BusySeconds: u.BusySeconds - old.BusySeconds,
+			Tokens:      u.Tokens - old.Tokens,
+		}
+	}
+}
--- /dev/null
+++ b/replay/setup.go
@@ -0,0 +1,157 @@
+package replay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"basilstall.example/basilstall/config"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/node"
+	"basilstall.example/basilstall/sample"
+	"basilstall.example/basilstall/standin"
+)
+
+const (
+	setupWait    = 20 * time.Second
+	setupPoll    = 20 * time.Millisecond
+	balanceEvery = 100 * time.Millisecond
+)
+
+// Setup is a sample's stand-in with nodes in this process, and the balancer's view of them.
+type Setup struct {
+	Standin  *standin.Standin
+	Settings kernel.Settings
+	Team     string
+
+	nodes  []*node.Node
+	tokens map[string]string
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	ready  []string
+	turn   int
+}
+
+// NewSetup starts a sample with nodes and waits until they own keys together.
+func NewSetup(ctx context.Context, head Head, plain bool, log zerolog.Logger) (*Setup, error) {
+	s := &Setup{tokens: map[string]string{}}
+	var c standin.Config
+	var domains []string
+	switch head.Sample {
+	case "Bilbao":
+		c, domains, s.Team = sample.Bilbao(), sample.BilbaoDomains, "bilbao"
+		s.Settings, _ = kernel.NewSettings().WithSnapshot(sample.BilbaoSnapshot())
+	case "Moravia":
+		c, domains, s.Team = sample.Moravia(), sample.MoraviaDomains, "moravia"
+		s.Settings, _ = kernel.NewSettings().WithSnapshot(sample.MoraviaSnapshot())
+	default:
+		return nil, errors.Errorf("replay: unknown sample %q", head.Sample)
+	}
+	for _, team := range s.Settings.Teams() {
+		for _, customer := range team.Customers {
+			s.tokens[customer.Name] = customer.Token
+		}
+	}
+	var err error
+	if s.Standin, err = standin.NewStandin(c); err != nil {
+		return nil, err
+	}
+	for i := range max(1, head.Nodes) {
+		options := config.NewOptions()
+		options.Name = fmt.Sprintf("entry-%d", i+1)
+		options.FailureDomain = domains[i%len(domains)]
+		options.Platform = s.Standin.Address()
+		options.OperatorsToken = "replay-operator"
+		options.PeersToken = "replay-peers"
+		options.Plain = plain
+		n, err := node.NewNode(*options, log)
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.nodes = append(s.nodes, n)
+	}
+	balance, cancel := context.WithCancel(ctx)
+	s.cancel = cancel
+	go s.balance(balance)
+	return s, s.await(ctx)
+}
+
+// Pipeline returns a pipeline of the sample.
+func (s *Setup) Pipeline(name string) (model.Pipeline, bool) {
+	return s.Settings.Pipeline(s.Team, name)
+}
+
+// KillNode ends the last node at once.
+func (s *Setup) KillNode() {
+	s.nodes[len(s.nodes)-1].Close()
+}
+
+// Close ends nodes and stand-in.
+func (s *Setup) Close() {
+	if s.cancel != nil {
+		s.cancel()
+	}
+	for _, n := range s.nodes {
+		n.Close()
+	}
+	s.Standin.Close()
+}
+
+// address returns a node for the next request, as the balancer picks it.
+func (s *Setup) address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.ready) == 0 {
+		return s.nodes[0].CallersAddress()
+	}
+	s.turn++
+	return s.ready[s.turn%len(s.ready)]
+}
+
+// balance follows the nodes' readiness as the platform's balancer does.
+func (s *Setup) balance(ctx context.Context) {
+	client := &http.Client{Timeout: time.Second}
+	for ctx.Err() == nil {
+		var ready []string
+		for _, n := range s.nodes {
+			res, err := client.Get("http://" + n.CallersAddress() + "/readyz")
+			if err != nil {
+				continue
+			}
+			_ = res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				ready = append(ready, n.CallersAddress())
+			}
+		}
+		s.mu.Lock()
+		s.ready = ready
+		s.mu.Unlock()
+		time.Sleep(balanceEvery)
+	}
+}
+
+func (s *Setup) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, setupWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		settled := 0
+		for _, n := range s.nodes {
+			status := n.Status()
+			if status.Ready && len(status.EraMembers) == len(s.nodes) && status.EraFrom.Before(time.Now()) {
+				settled++
+			}
+		}
+		if settled == len(s.nodes) {
+			return nil
+		}
+		time.Sleep(setupPoll)
+	}
+	return errors.New("replay: the nodes did not settle")
+}
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -71,7 +71,7 @@
 			{Name: "encoders", Kind: model.Encode, Endpoints: 3, Slots: 4, ServiceTime: 12 * time.Millisecond},
 			{Name: "retrievers", Kind: model.Retrieve, Endpoints: 3, Slots: 8, ServiceTime: 6 * time.Millisecond},
 			{Name: "rerankers", Kind: model.Rerank, Endpoints: 3, Slots: 4, ServiceTime: 8 * time.Millisecond},
-			{Name: "runners", Kind: model.Generate, Endpoints: 12, Slots: 4, ServiceTime: 40 * time.Millisecond, TokenTime: 5 * time.Millisecond},
+			{Name: "runners", Kind: model.Generate, Endpoints: 12, Slots: 4, ServiceTime: 15 * time.Millisecond, PromptTime: 25 * time.Millisecond, TokenTime: 5 * time.Millisecond},
 		},
 	}
 	for _, name := range services {
--- a/standin/config.go
+++ b/standin/config.go
@@ -39,6 +39,9 @@
 		Slots int `yaml:"Slots" validate:"gte=1"`
 		// ServiceTime is the time of a call; for an engine, until the first token.
 		ServiceTime time.Duration `yaml:"ServiceTime"`
+		// PromptTime is an engine's further time until the first token for each KiB of the
+		// prompt; a cached prefix saves most of it.
+		PromptTime time.Duration `yaml:"PromptTime"`
 		// TokenTime is the time between an engine's tokens.
 		TokenTime time.Duration `yaml:"TokenTime"`
 		// HonoursFencing tells whether the pool's engines refuse an old fencing number.
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -27,8 +27,12 @@
 	queued   atomic.Int64
 	running  atomic.Int64
 	leaving  atomic.Bool
-	cache    *prefixCache
-	engine   *engineState
+	// calls, busy (nanoseconds with a slot held) and tokens sum up the work done.
+	calls  atomic.Int64
+	busy   atomic.Int64
+	tokens atomic.Int64
+	cache  *prefixCache
+	engine *engineState
 	// previous is the identity of an earlier call, for replies in another's name.
 	mu       sync.Mutex
 	previous model.StageCall
@@ -98,22 +102,24 @@
 	return call, true
 }
 
-// occupy waits for a slot; it reports false where the caller went away first.
-func (e *endpoint) occupy(ctx context.Context) bool {
+// occupy waits for a slot and returns the function that gives it back, or nil where the
+// caller went away first.
+func (e *endpoint) occupy(ctx context.Context) (vacate func()) {
 	e.queued.Add(1)
 	defer e.queued.Add(-1)
 	select {
 	case e.slots <- struct{}{}:
-		e.running.Add(1)
-		return true
 	case <-ctx.Done():
-		return false
+		return nil
+	}
+	e.running.Add(1)
+	e.calls.Add(1)
+	began := time.Now()
+	return func() {
+		e.busy.Add(int64(time.Since(began)))
+		e.running.Add(-1)
+		<-e.slots
 	}
-}
-
-func (e *endpoint) vacate() {
-	e.running.Add(-1)
-	<-e.slots
 }
 
 // work takes the time of a call, made longer by faults; it reports false where the caller
@@ -133,10 +139,11 @@
 	if !ok {
 		return
 	}
-	if !e.occupy(r.Context()) {
+	vacate := e.occupy(r.Context())
+	if vacate == nil {
 		return
 	}
-	defer e.vacate()
+	defer vacate()
 	e.record(call)
 	// A plain service finishes what it began, also when nobody waits any more.
 	ctx := r.Context()
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -13,8 +13,9 @@
 const (
 	// cachedPrefixes is how many prompt prefixes an engine keeps.
 	cachedPrefixes = 8
-	// cachedSpeedup is how much sooner the first token comes with a cached prefix.
+	// cachedSpeedup is how much less time a prompt takes with a cached prefix.
 	cachedSpeedup = 5
+	bytesPerKiB   = 1024
 	// prefixTokens is what a cached prefix counts for.
 	prefixTokens = 512
 )
@@ -89,17 +90,18 @@
 	if !ok {
 		return
 	}
-	if !e.occupy(r.Context()) {
+	vacate := e.occupy(r.Context())
+	if vacate == nil {
 		return
 	}
-	defer e.vacate()
+	defer vacate()
 	e.record(call)
 	cached := call.Prefix != "" && e.cache.use(call.Prefix)
-	first := e.pool.ServiceTime
+	prompt := time.Duration(len(call.Text)) * e.pool.PromptTime / bytesPerKiB
 	if cached {
-		first /= cachedSpeedup
+		prompt /= cachedSpeedup
 	}
-	if !e.work(r.Context(), first) {
+	if !e.work(r.Context(), e.pool.ServiceTime+prompt) {
 		return
 	}
 	w.Header().Set("Content-Type", "application/x-ndjson")
@@ -110,6 +112,8 @@
 	cut, hasCut := e.faults.strike(e.target(), FaultCutAfter)
 	hang, hasHang := e.faults.strike(e.target(), FaultHangAfter)
 	event := model.TokenEvent{Request: call.Request, Stage: call.Stage, Attempt: call.Attempt}
+	first := e.load()
+	event.Load = &first
 	for i := call.From; i < call.MaxTokens; i++ {
 		if hasCut && i-call.From >= cut.Count {
 			panic(http.ErrAbortHandler)
@@ -121,6 +125,8 @@
 		event.Index = i
 		event.Text = TokenText(call.Text, i)
 		s.send(event)
+		event.Load = nil
+		e.tokens.Add(1)
 		if i+1 < call.MaxTokens && !e.work(r.Context(), e.pool.TokenTime) {
 			return
 		}
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -28,11 +28,23 @@
 	server    *http.Server
 }
 
-// Usage is how much the table was used.
-type Usage struct {
-	TableReads  uint64
-	TableWrites uint64
-}
+type (
+	// Usage is how much was used.
+	Usage struct {
+		TableReads  uint64
+		TableWrites uint64
+		// Pools has the work of each pool.
+		Pools map[string]PoolUsage
+	}
+
+	// PoolUsage is the work of one pool.
+	PoolUsage struct {
+		Calls int
+		// BusySeconds sums the time in which calls held a slot.
+		BusySeconds float64
+		Tokens      int
+	}
+)
 
 // NewStandin starts a stand-in; Close ends it.
 func NewStandin(c Config) (*Standin, error) {
@@ -105,10 +117,18 @@
 	}
 }
 
-// Usage returns how much the table was used.
+// Usage returns how much was used.
 func (s *Standin) Usage() Usage {
 	reads, writes := s.table.usage()
-	return Usage{TableReads: reads, TableWrites: writes}
+	u := Usage{TableReads: reads, TableWrites: writes, Pools: map[string]PoolUsage{}}
+	for _, e := range s.endpoints {
+		pool := u.Pools[e.pool.Name]
+		pool.Calls += int(e.calls.Load())
+		pool.BusySeconds += time.Duration(e.busy.Load()).Seconds()
+		pool.Tokens += int(e.tokens.Load())
+		u.Pools[e.pool.Name] = pool
+	}
+	return u
 }
 
 // Close ends the stand-in.
