Order adapters to engines by one leaseholder at a time, and measure beside plain

Cause: nothing loaded adapters on demand, and some engines ignore fencing numbers, so that two nodes that both believe they hold a lease could both be obeyed.

Change: a node that stands by for a pool takes its lease (fencing number, conditional write) once the row has not changed for a lease and the longest order; a holder asks its own clock just before each order. A level-triggered planner loads by deadline within the weight store's rate, repeats nothing that is under way, evicts the idle. A pool of which nobody wants an adapter costs no lease and no read.

Shown by: a random state machine over two orderers with pauses and lost answers; scenario orders: frozen holder, thaw, lost answers, no order of an earlier holder after one of a later, no adapter loaded twice on an engine without need.

Also: basilstall measure replays traces under loads and faults beside the baseline.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test ci demo
+.PHONY: build test ci demo measure
 
 build:
 	go build -o basilstall .
@@ -11,3 +11,7 @@
 
 demo:
 	go run . demo
+
+# Reprints the table of docs/design/measurements.md; takes about 13 minutes.
+measure:
+	go run . measure traces/bilbao.jsonl traces/moravia.jsonl
--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -32,6 +32,7 @@
 	model.OwnerUnreachable: http.StatusServiceUnavailable,
 	model.OwnerUnknown:     http.StatusServiceUnavailable,
 	model.TableUnavailable: http.StatusServiceUnavailable,
+	model.AdapterNotLoaded: http.StatusServiceUnavailable,
 	model.CallerGone:       http.StatusServiceUnavailable,
 }
 
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -92,6 +92,7 @@
 			sh.endpointsCommand(),
 			sh.explainCommand(),
 			sh.replayCommand(),
+			sh.measureCommand(),
 			sh.versionCommand(),
 		},
 	}
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -30,7 +30,9 @@
 		deadline time.Time
 		carry    model.Carry
 
-		made     int
+		made int
+		// unloaded counts the calls among them that met an engine without the adapter.
+		unloaded int
 		excluded []string
 		endpoint string
 		busy     time.Duration
@@ -185,7 +187,7 @@
 	if !a.repeatable() && fault.Verdict != model.NotRun {
 		return false
 	}
-	if a.made >= kernel.MaxAttempts || !a.pool.mayRetry() {
+	if a.made-a.unloaded >= kernel.MaxAttempts || !a.pool.mayRetry() {
 		return false
 	}
 	a.d.metrics.Retried(fault.RetryReason(), a.pool.name)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -17,6 +17,9 @@
 	Dispatcher struct {
 		// OnLeaving is called when an endpoint itself says that it is leaving.
 		OnLeaving func(pool, endpoint string)
+		// OnAdapter is called when a request uses an adapter of engines that load adapters on
+		// demand; waiting tells that no engine known has it.
+		OnAdapter func(pool, adapter string, deadline time.Time, waiting bool)
 
 		client  *endpoint.Client
 		metrics *metric.Set
@@ -61,6 +64,7 @@
 func NewDispatcher(domain string, plain bool, metrics *metric.Set) *Dispatcher {
 	return &Dispatcher{
 		OnLeaving: func(string, string) {},
+		OnAdapter: func(string, string, time.Time, bool) {},
 		client:    endpoint.NewClient(),
 		metrics:   metrics,
 		domain:    domain,
@@ -117,6 +121,17 @@
 	return out
 }
 
+// Endpoints returns the endpoints of a pool that do not leave.
+func (d *Dispatcher) Endpoints(pool string) []model.Endpoint {
+	var out []model.Endpoint
+	for _, e := range d.pool(pool).status() {
+		if e.Endpoint.State != model.Leaving {
+			out = append(out, e.Endpoint)
+		}
+	}
+	return out
+}
+
 // Close closes the idle connections.
 func (d *Dispatcher) Close() {
 	d.client.Close()
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -17,6 +17,8 @@
 	fallbackLatency = 300 * time.Millisecond
 	medianQuantile  = 0.5
 	longQuantile    = 0.9
+	// lackMemory is how long an engine is not asked again for an adapter that it lacked.
+	lackMemory      = time.Second
 	hedgeQuantile   = 0.95
 	timeoutQuantile = 0.99
 )
@@ -33,6 +35,9 @@
 		queue     *kernel.FairQueue
 		budget    kernel.RetryBudget
 		inFlight  int
+		// onDemand is true once an engine said that it lacked an adapter: only then is the use
+		// of adapters told.
+		onDemand bool
 		// turn is the next endpoint for the plain round robin.
 		turn int
 		// service holds whole calls; first and gap are for streams: until the first token
@@ -49,6 +54,8 @@
 		leaving bool
 		calls   uint64
 		faults  uint64
+		// lacks holds when the engine last said that it lacks an adapter.
+		lacks map[string]time.Time
 	}
 )
 
@@ -143,6 +150,47 @@
 	return e
 }
 
+// noteLack notes that an engine lacks an adapter.
+func (p *pool) noteLack(now time.Time, e *endpointState, adapter string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.candidate.InFlight--
+	e.candidate.Health.Probing = false
+	p.onDemand = true
+	if e.lacks == nil {
+		e.lacks = map[string]time.Time{}
+	}
+	e.lacks[adapter] = now
+}
+
+// lacking returns the engines that said a moment ago that they lack an adapter, and whether
+// these are all that could get the call.
+func (p *pool) lacking(now time.Time, adapter string) (names []string, all bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	staying := 0
+	for _, e := range p.endpoints {
+		if e.candidate.Endpoint.State == model.Leaving {
+			continue
+		}
+		staying++
+		at, lacks := e.lacks[adapter]
+		if lacks && now.Sub(at) < lackMemory {
+			names = append(names, e.candidate.Endpoint.Name)
+		} else if lacks {
+			delete(e.lacks, adapter)
+		}
+	}
+	return names, len(names) > 0 && len(names) == staying
+}
+
+// loadsOnDemand tells whether the pool's engines load adapters on demand.
+func (p *pool) loadsOnDemand() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.onDemand
+}
+
 // pickPlain is the baseline: round robin over all that the list names.
 func (p *pool) pickPlain() *endpointState {
 	if len(p.endpoints) == 0 {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -17,6 +17,8 @@
 	leastTokenTimeout = 400 * time.Millisecond
 	fallbackFirst     = time.Second
 	fallbackGap       = 100 * time.Millisecond
+	// adapterPoll is how often a request looks whether its adapter is loaded.
+	adapterPoll = 50 * time.Millisecond
 )
 
 var errGap = errors.New("a token is missing")
@@ -28,7 +30,11 @@
 	defer cancel()
 	var output strings.Builder
 	for {
-		e := a.pool.pick(time.Now(), a.prefix(), a.excluded)
+		lacking, ok := a.awaitAdapter(ctx)
+		if !ok {
+			return a.refuse(model.AdapterNotLoaded, errors.New("the adapter is not loaded in time"))
+		}
+		e := a.pool.pick(time.Now(), a.prefix(), append(lacking, a.excluded...))
 		if e == nil {
 			return a.refuse(model.NoEndpoint, errors.New("no endpoint"))
 		}
@@ -36,25 +42,75 @@
 		if err == nil {
 			a.endpoint = e.candidate.Endpoint.Name
 			a.carry.Output = output.String()
+			a.tellAdapter(false)
 			return nil
 		}
-		fault := asFault(err)
-		if ctx.Err() != nil {
-			return a.refuse(model.StageTimeout, fault)
-		}
-		if !a.mayRepeat(fault) {
-			return a.refuse(model.StageFailed, fault)
+		if refusal := a.afterStreamFault(ctx, e, asFault(err)); refusal != nil {
+			return refusal
 		}
-		if a.carry.Tokens > 0 {
-			a.d.metrics.Retried(model.RetryResume, a.pool.name)
+	}
+}
+
+// afterStreamFault returns the refusal that ends the stage, or nil where another call follows.
+func (a *attempts) afterStreamFault(ctx context.Context, e *endpointState, fault *endpoint.Fault) error {
+	if fault.Kind == endpoint.NotLoaded {
+		return nil
+	}
+	if ctx.Err() != nil {
+		return a.refuse(model.StageTimeout, fault)
+	}
+	if !a.mayRepeat(fault) {
+		return a.refuse(model.StageFailed, fault)
+	}
+	if a.carry.Tokens > 0 {
+		a.d.metrics.Retried(model.RetryResume, a.pool.name)
+	}
+	// A silent connection is not yet the endpoint's fault: it gets one more try.
+	if fault.Kind != endpoint.Silent || !fault.Reused {
+		a.excluded = append(a.excluded, e.candidate.Endpoint.Name)
+	}
+	return nil
+}
+
+// awaitAdapter waits while all engines lack the adapter, for as long as the answer could still
+// be in time. It returns those that lack it.
+func (a *attempts) awaitAdapter(ctx context.Context) ([]string, bool) {
+	adapter := adapterName(a.job.Work.Stage)
+	latest := a.d.estimate(a.job.Work.Request, a.job.Weight, a.job.Work.Stage).Latest(a.deadline)
+	for {
+		names, all := a.pool.lacking(time.Now(), adapter)
+		if !all {
+			return names, true
 		}
-		// A silent connection is not yet the endpoint's fault: it gets one more try.
-		if fault.Kind != endpoint.Silent || !fault.Reused {
-			a.excluded = append(a.excluded, e.candidate.Endpoint.Name)
+		a.tellAdapter(true)
+		if !time.Now().Before(latest) || !pause(ctx, adapterPoll) {
+			return nil, false
 		}
 	}
 }
 
+func (a *attempts) tellAdapter(waiting bool) {
+	if a.pool.loadsOnDemand() {
+		a.d.OnAdapter(a.pool.name, adapterName(a.job.Work.Stage), a.deadline, waiting)
+	}
+}
+
+// adapterName is what an engine must have loaded for a stage.
+func adapterName(s model.Stage) string {
+	return s.Model + "/" + s.Adapter
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // streamOnce makes one call for the tokens from the next one on.
 func (a *attempts) streamOnce(ctx context.Context, e *endpointState, output *strings.Builder) error {
 	start := time.Now()
@@ -107,6 +163,11 @@
 }
 
 func (a *attempts) noteStreamFault(now time.Time, e *endpointState, fault *endpoint.Fault) {
+	if fault.Kind == endpoint.NotLoaded {
+		a.unloaded++
+		a.pool.noteLack(now, e, adapterName(a.job.Work.Stage))
+		return
+	}
 	if fault.Kind == endpoint.Silent && fault.Reused {
 		a.reached = true
 		a.pool.failed(now, e, false)
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -17,6 +17,9 @@
 	"basilstall.example/basilstall/model"
 )
 
+// StatusNotLoaded is how an engine says that it lacks the adapter and did nothing.
+const StatusNotLoaded = http.StatusFailedDependency
+
 const (
 	// maxReplyBytes bounds a unary reply.
 	maxReplyBytes = 4 << 20
@@ -114,6 +117,9 @@
 		return c.fault(ctx, target, seen, err)
 	}
 	defer res.Body.Close()
+	if res.StatusCode == StatusNotLoaded {
+		return &Fault{Kind: NotLoaded, Verdict: model.NotRun, Err: errors.New("the adapter is not loaded")}
+	}
 	if res.StatusCode != http.StatusOK {
 		return statusFault(res.StatusCode, model.MayHaveRun, res.Status)
 	}
--- a/endpoint/error.go
+++ b/endpoint/error.go
@@ -21,6 +21,8 @@
 	Status FaultKind = "Status"
 	// Mismatch: the reply belongs to another call.
 	Mismatch FaultKind = "Mismatch"
+	// NotLoaded: the engine lacks the adapter and did nothing.
+	NotLoaded FaultKind = "NotLoaded"
 	// Cancelled: the caller of this package gave up.
 	Cancelled FaultKind = "Cancelled"
 )
--- /dev/null
+++ b/kernel/orders_test.go
@@ -0,0 +1,179 @@
+package kernel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"basilstall.example/basilstall/kernel"
+)
+
+// TestNoTwoOrderersAtOnce: two nodes, any pauses, slow and lost answers, engines that ignore
+// fencing numbers. No order of an earlier holder arrives after the first order of a later one.
+func TestNoTwoOrderersAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &leaseModel{now: ledgerStart, nodes: members(2)}
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"read":  func(t *rapid.T) { m.read(rapid.IntRange(0, 1).Draw(t, "node")) },
+			"write": m.write,
+			"order": m.order,
+		})
+	})
+}
+
+type leaseModel struct {
+	now     time.Time
+	nodes   []kernel.Member
+	row     kernel.Lease
+	version uint64
+	watches [2]kernel.LeaseWatch
+	// latest is by fencing number the latest arrival of an order.
+	latest map[uint64]time.Time
+	first  map[uint64]time.Time
+}
+
+func (m *leaseModel) read(i int) {
+	m.watches[i] = m.watches[i].WithRead(m.now, m.row, m.version)
+}
+
+func (m *leaseModel) write(t *rapid.T) {
+	i := rapid.IntRange(0, 1).Draw(t, "node")
+	w := m.watches[i]
+	next := kernel.Lease{Holder: m.nodes[i], Number: w.Lease.Number}
+	switch {
+	case w.ShouldRenew(m.now):
+	case w.MayTake(m.now, i):
+		next.Number++
+	default:
+		t.Skip("may not write")
+	}
+	if w.Version != m.version {
+		t.Skip("conflict")
+	}
+	sent := m.now
+	m.version++
+	m.row = next
+	if rapid.Bool().Draw(t, "answer lost") {
+		return
+	}
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "answer ms")) * time.Millisecond)
+	m.watches[i] = w.WithWritten(m.now, sent, next, m.version)
+}
+
+func (m *leaseModel) order(t *rapid.T) {
+	i := rapid.IntRange(0, 1).Draw(t, "node")
+	w := m.watches[i]
+	if !w.MayOrder(m.now) {
+		t.Skip("no lease")
+	}
+	if m.latest == nil {
+		m.latest, m.first = map[uint64]time.Time{}, map[uint64]time.Time{}
+	}
+	number := w.Lease.Number
+	arrival := m.now.Add(kernel.LongestOrder)
+	if _, known := m.first[number]; !known {
+		m.first[number] = m.now
+	}
+	m.latest[number] = arrival
+	for other, last := range m.latest {
+		if other < number {
+			must.False(t, last.After(m.first[number]), must.Sprintf("an order with number %d after one with %d", other, number))
+		}
+		if other > number {
+			must.False(t, arrival.After(m.first[other]), must.Sprintf("an order with number %d after one with %d", number, other))
+		}
+	}
+}
+
+func TestOrdersReachTheWantedStateWithoutRepeats(t *testing.T) {
+	o := kernel.NewOrders(100 * time.Millisecond)
+	engines := []kernel.EngineView{{Name: "e1", Most: 2}, {Name: "e2", Most: 2}, {Name: "e3", Most: 2}}
+	sent := map[kernel.Order]int{}
+	now := ledgerStart
+	for i := range 60 {
+		now = now.Add(100 * time.Millisecond)
+		o.Want(now, kernel.Demand{Adapter: "a", Used: now})
+		o.Want(now, kernel.Demand{Adapter: "b", Used: now, Deadline: now.Add(time.Second)})
+		loads := 0
+		for _, order := range o.Plan(now, engines) {
+			sent[order]++
+			loads++
+			// The engine obeys some time later; every third order is lost.
+			if (i+loads)%3 != 0 {
+				obey(engines, order)
+				o.Ended(order)
+			}
+		}
+		must.LessEq(t, 1, loads, must.Sprint("the weight store's rate"))
+	}
+	must.EqOp(t, 2, copiesOf(engines, "a"))
+	must.EqOp(t, 2, copiesOf(engines, "b"))
+	total := 0
+	for _, n := range sent {
+		total += n
+	}
+	must.LessEq(t, 8, total, must.Sprint(sent))
+	must.Len(t, 0, o.Plan(now.Add(time.Second), engines))
+}
+
+func TestOrdersLoadTheMostUrgentAndEvictTheIdle(t *testing.T) {
+	o := kernel.NewOrders(time.Second)
+	now := ledgerStart
+	for i, name := range []string{"late", "soon", "calm"} {
+		d := kernel.Demand{Adapter: name, Used: now}
+		if name != "calm" {
+			d.Deadline = now.Add(time.Duration(5-i) * time.Second)
+		}
+		o.Want(now, d)
+	}
+	engines := []kernel.EngineView{{Name: "e1", Most: 1, Adapters: []string{"old"}}}
+	plan := o.Plan(now, engines)
+	must.Eq(t, []kernel.Order{
+		{Engine: "e1", Adapter: "old", Evict: true},
+		{Engine: "e1", Adapter: "soon"},
+	}, plan)
+	idle := o.Plan(now.Add(2*kernel.AdapterIdle), []kernel.EngineView{{Name: "e1", Most: 1, Adapters: []string{"soon"}}})
+	must.Eq(t, []kernel.Order{{Engine: "e1", Adapter: "soon", Evict: true}}, idle)
+}
+
+func obey(engines []kernel.EngineView, order kernel.Order) {
+	for i, e := range engines {
+		if e.Name != order.Engine {
+			continue
+		}
+		kept := []string{}
+		for _, a := range e.Adapters {
+			if a != order.Adapter {
+				kept = append(kept, a)
+			}
+		}
+		if !order.Evict {
+			kept = append(kept, order.Adapter)
+		}
+		engines[i].Adapters = kept
+	}
+}
+
+func copiesOf(engines []kernel.EngineView, adapter string) int {
+	n := 0
+	for _, e := range engines {
+		for _, a := range e.Adapters {
+			if a == adapter {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func ExampleLeaseRank() {
+	rank, standsBy := kernel.LeaseRank("runners", members(1)[0], members(1))
+	fmt.Println(rank, standsBy)
+	// Output: 0 true
+}
--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -16,6 +16,7 @@
 
 	defaultHorizon   = 30 * time.Second
 	defaultRetention = 10 * time.Minute
+	defaultLoadEvery = 500 * time.Millisecond
 )
 
 type (
@@ -41,7 +42,7 @@
 // NewSettings returns the settings of a fleet in which nothing was set yet.
 func NewSettings() Settings {
 	return Settings{
-		Fleet:     model.FleetSettings{Horizon: defaultHorizon, Retention: defaultRetention},
+		Fleet:     model.FleetSettings{Horizon: defaultHorizon, Retention: defaultRetention, WeightLoadEvery: defaultLoadEvery},
 		Documents: map[string]model.Document{},
 		teams:     map[string]model.TeamSettings{},
 		tokens:    map[string]Caller{},
--- a/model/settings.go
+++ b/model/settings.go
@@ -77,6 +77,9 @@
 		Horizon time.Duration `yaml:"Horizon" validate:"gte=1s,lte=1h"`
 		// Retention is how long a key and its answer are remembered.
 		Retention time.Duration `yaml:"Retention" validate:"gte=10s,lte=24h"`
+		// WeightLoadEvery is the weight store's rate: the least time between two loads that
+		// one pool's engines are ordered to make.
+		WeightLoadEvery time.Duration `yaml:"WeightLoadEvery" validate:"gte=10ms,lte=10m"`
 	}
 
 	// Document is one settings document as the table holds it.
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -46,6 +46,7 @@
 	KeyMismatch      Reason = "KeyMismatch"
 	OutcomeUnknown   Reason = "OutcomeUnknown"
 	TableUnavailable Reason = "TableUnavailable"
+	AdapterNotLoaded Reason = "AdapterNotLoaded"
 )
 
 // The reasons of repeated stage calls.
--- a/node/node.go
+++ b/node/node.go
@@ -49,6 +49,7 @@
 	keys      *keyOwner
 	durable   *keyOwner
 	committer *committer
+	orderer   *orderer
 	// pending holds the keys that ran when the keys were handed over.
 	pending []string
 
@@ -95,12 +96,14 @@
 		keys:       newKeyOwner(),
 		durable:    newKeyOwner(),
 		committer:  newCommitter(store),
+		orderer:    newOrderer(),
 	}
 	n.fleet = &fleet{m: kernel.NewMembership(now, n.member, options.FailureDomain)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	settings := kernel.NewSettings()
 	n.settings.Store(&settings)
 	n.dispatcher.OnLeaving = n.noteLeaving
+	n.dispatcher.OnAdapter = n.noteAdapter
 	if err := n.listen(); err != nil {
 		n.Close()
 		return nil, err
@@ -129,12 +132,13 @@
 		peer.KindSettings:  n.answerSettings,
 		peer.KindHandover:  n.answerHandover,
 		peer.KindExplain:   n.answerExplain,
+		peer.KindDemand:    n.answerDemand,
 	})
 	return nil
 }
 
 func (n *Node) startLoops() {
-	for _, loop := range []func(){n.followSettings, n.followFleet, n.followList, n.announceHost, n.keepClaims} {
+	for _, loop := range []func(){n.followSettings, n.followFleet, n.followList, n.announceHost, n.keepClaims, n.giveOrders} {
 		n.loops.Add(1)
 		go func() {
 			defer n.loops.Done()
@@ -181,6 +185,7 @@
 	n.peers.Close()
 	n.loops.Wait()
 	n.dispatcher.Close()
+	n.orderer.client.Close()
 	n.store.Close()
 	n.list.Close()
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -19,6 +19,7 @@
 	KindSettings
 	KindHandover
 	KindExplain
+	KindDemand
 )
 
 type (
@@ -93,6 +94,12 @@
 		Record model.Record
 	}
 
+	// Demand tells the holder of a pool's lease what is wanted of its engines.
+	Demand struct {
+		Pool   string
+		Wanted []kernel.Demand
+	}
+
 	// Empty is the body of calls that say nothing more.
 	Empty struct{}
 )
--- a/replay/setup.go
+++ b/replay/setup.go
@@ -30,6 +30,8 @@
 	Settings kernel.Settings
 	Team     string
 
+	// domain is the first failure domain.
+	domain string
 	nodes  []*node.Node
 	tokens map[string]string
 	cancel context.CancelFunc
@@ -53,6 +55,7 @@
 	default:
 		return nil, errors.Errorf("replay: unknown sample %q", head.Sample)
 	}
+	s.domain = domains[0]
 	for _, team := range s.Settings.Teams() {
 		for _, customer := range team.Customers {
 			s.tokens[customer.Name] = customer.Token
@@ -88,9 +91,19 @@
 	return s.Settings.Pipeline(s.Team, name)
 }
 
-// KillNode ends the last node at once.
-func (s *Setup) KillNode() {
-	s.nodes[len(s.nodes)-1].Close()
+// KillNode ends a node at once, in the order of their start.
+func (s *Setup) KillNode(i int) {
+	s.nodes[i].Close()
+}
+
+// LoseDomain ends what stands in the first failure domain: its endpoints and its node.
+func (s *Setup) LoseDomain() {
+	for _, e := range s.Standin.Endpoints() {
+		if e.FailureDomain == s.domain {
+			s.Standin.Fault(standin.Fault{Target: e.Pool + "/" + e.Name, Kind: standin.FaultDown})
+		}
+	}
+	s.KillNode(0)
 }
 
 // Close ends nodes and stand-in.
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -37,6 +37,8 @@
 			"mark":    cmdMark,
 			"quiet":   cmdQuiet,
 			"change":  cmdChange,
+			"holder":  cmdHolder,
+			"orders":  cmdOrders,
 		},
 		RequireUniqueNames: true,
 		Setup: func(env *testscript.Env) error {
--- a/standin/config.go
+++ b/standin/config.go
@@ -46,6 +46,9 @@
 		TokenTime time.Duration `yaml:"TokenTime"`
 		// HonoursFencing tells whether the pool's engines refuse an old fencing number.
 		HonoursFencing bool `yaml:"HonoursFencing"`
+		// MostAdapters is how many adapters an engine has room for; 0 means that it needs none
+		// loaded.
+		MostAdapters int `yaml:"MostAdapters" validate:"gte=0"`
 		// LoadTime is how long an engine takes to load an adapter from the weight store.
 		LoadTime time.Duration `yaml:"LoadTime"`
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"basilstall.example/basilstall/engine"
 	"basilstall.example/basilstall/model"
 )
 
@@ -90,6 +91,10 @@
 	if !ok {
 		return
 	}
+	if !e.engine.loaded(call) {
+		http.Error(w, "adapter not loaded", http.StatusFailedDependency)
+		return
+	}
 	vacate := e.occupy(r.Context())
 	if vacate == nil {
 		return
@@ -145,26 +150,19 @@
 	s.send(final)
 }
 
-// Order is what an engine is told to do; the engine keeps the highest fencing number.
-type Order struct {
-	// Kind is "Load" or "Evict".
-	Kind    string
-	Adapter string
-	Fencing uint64
-}
-
-// EngineReport is what an engine says of itself.
-type EngineReport struct {
-	Adapters []string
-	Fencing  uint64
-}
-
 func newEngineState(e *endpoint) *engineState {
 	return &engineState{endpoint: e}
 }
 
+// loaded tells whether the engine has what a call needs.
+func (s *engineState) loaded(call model.StageCall) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoint.pool.MostAdapters == 0 || slices.Contains(s.adapters, call.Model+"/"+call.Adapter)
+}
+
 func (s *engineState) order(w http.ResponseWriter, r *http.Request) {
-	var o Order
+	var o engine.OrderMessage
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCallBytes)).Decode(&o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -172,7 +170,7 @@
 	if _, hit := s.endpoint.faults.strike(s.endpoint.target(), FaultDown); hit {
 		panic(http.ErrAbortHandler)
 	}
-	accepted := s.obey(o)
+	accepted := s.accept(o)
 	s.endpoint.journal.addOrder(OrderRun{
 		Endpoint: s.endpoint.name, Kind: o.Kind, Adapter: o.Adapter, Fencing: o.Fencing,
 		Accepted: accepted, At: time.Now(),
@@ -181,20 +179,30 @@
 		http.Error(w, "old fencing number", http.StatusConflict)
 		return
 	}
-	sleep(r.Context(), s.endpoint.pool.LoadTime)
+	if o.Kind == "Load" {
+		sleep(r.Context(), s.endpoint.pool.LoadTime)
+	}
+	s.obey(o)
 	if _, hit := s.endpoint.faults.strike(s.endpoint.target(), FaultLostAnswer); hit {
 		panic(http.ErrAbortHandler)
 	}
 	s.report(w, r)
 }
 
-func (s *engineState) obey(o Order) bool {
+// accept checks the fencing number, if the engine is one that does.
+func (s *engineState) accept(o engine.OrderMessage) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.endpoint.pool.HonoursFencing && o.Fencing < s.fencing {
 		return false
 	}
 	s.fencing = max(s.fencing, o.Fencing)
+	return true
+}
+
+func (s *engineState) obey(o engine.OrderMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	i := slices.Index(s.adapters, o.Adapter)
 	if o.Kind == "Load" && i < 0 {
 		s.adapters = append(s.adapters, o.Adapter)
@@ -202,12 +210,11 @@
 	if o.Kind == "Evict" && i >= 0 {
 		s.adapters = slices.Delete(s.adapters, i, i+1)
 	}
-	return true
 }
 
 func (s *engineState) report(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	report := EngineReport{Adapters: slices.Clone(s.adapters), Fencing: s.fencing}
+	report := engine.StateMessage{Adapters: slices.Clone(s.adapters), Most: s.endpoint.pool.MostAdapters, Fencing: s.fencing}
 	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(report)
