peer: keep a reply that came just before the connection's end; test the edges

Cause: the test of a wrong token failed at times: the server answers and closes, and the client, finding reply and end at once, took either. Any reply before a close could be lost so, and became MayHaveRun.

Change: at the connection's end a reply that is there is taken. Errors of durations in YAML name their line.

--- a/peer/client.go
+++ b/peer/client.go
@@ -277,7 +277,13 @@
 	case frame := <-reply:
 		return frame, nil
 	case <-c.done:
-		return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: net.ErrClosed}
+		// The reply may have come just before the end.
+		select {
+		case frame := <-reply:
+			return frame, nil
+		default:
+			return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: net.ErrClosed}
+		}
 	case <-ctx.Done():
 		return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: context.Cause(ctx)}
 	}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,143 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
+)
+
+func newServer(t *testing.T, handler peer.Handler) *peer.Server {
+	t.Helper()
+	s, err := peer.NewServer("127.0.0.1:0", "secret")
+	must.NoError(t, err)
+	s.Serve(kernel.Member{Node: "b"}, map[peer.Kind]peer.Handler{peer.KindSettings: handler})
+	t.Cleanup(s.Close)
+	return s
+}
+
+func TestManyCallsShareAConnectionAndGetTheirOwnReplies(t *testing.T) {
+	s := newServer(t, func(_ context.Context, body []byte) (any, error) {
+		var pull peer.SettingsPull
+		if err := peer.DecodeBody(body, &pull); err != nil {
+			return nil, err
+		}
+		return peer.SettingsReply{Snapshot: model.Snapshot{Revision: pull.After * 2}}, nil
+	})
+	c := peer.NewClient("a", "secret")
+	defer c.Close()
+	var wg sync.WaitGroup
+	for i := range uint64(200) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var reply peer.SettingsReply
+			err := c.Call(t.Context(), s.Address(), peer.KindSettings, peer.SettingsPull{After: i}, &reply)
+			must.NoError(t, err)
+			must.EqOp(t, 2*i, reply.Snapshot.Revision)
+		}()
+	}
+	wg.Wait()
+}
+
+func TestAWrongTokenIsRefusedAndCounted(t *testing.T) {
+	refused := make(chan string, 1)
+	s := newServer(t, nil)
+	s.OnRefused = func(remote string) { refused <- remote }
+	c := peer.NewClient("a", "wrong")
+	defer c.Close()
+	err := c.Call(t.Context(), s.Address(), peer.KindSettings, peer.SettingsPull{}, &peer.SettingsReply{})
+	must.ErrorIs(t, err, peer.ErrRefused)
+	<-refused
+}
+
+func TestTheVerdictRestsOnWhetherAnythingWasWritten(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, closed.Close())
+	c := peer.NewClient("a", "secret")
+	defer c.Close()
+	must.EqOp(t, model.NotRun, verdictOf(t, c, closed.Addr().String()))
+
+	cut := newServer(t, func(context.Context, []byte) (any, error) { return nil, errors.New("cut") })
+	must.EqOp(t, model.MayHaveRun, verdictOf(t, c, cut.Address()))
+}
+
+func verdictOf(t *testing.T, c *peer.Client, address string) model.Verdict {
+	t.Helper()
+	err := c.Call(t.Context(), address, peer.KindSettings, peer.SettingsPull{}, &peer.SettingsReply{})
+	var call *peer.CallError
+	must.True(t, errors.As(err, &call))
+	return call.Verdict
+}
+
+// TestASilentPeerEndsItsCalls: a peer that took the connection and then says nothing ends the
+// calls on it long before their own deadline.
+func TestASilentPeerEndsItsCalls(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		frame, err := peer.ReadFrame(conn)
+		if err != nil {
+			return
+		}
+		frame.Reply = true
+		data, _ := peer.EncodeFrame(frame)
+		_, _ = conn.Write(data)
+		// From here on it reads and says nothing.
+		for {
+			if _, err := peer.ReadFrame(conn); err != nil {
+				return
+			}
+		}
+	}()
+	c := peer.NewClient("a", "secret")
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	err = c.Call(ctx, listener.Addr().String(), peer.KindSettings, peer.SettingsPull{}, &peer.SettingsReply{})
+	must.ErrorIs(t, err, net.ErrClosed)
+	must.NoError(t, ctx.Err())
+}
+
+func TestFramesSurviveTheWire(t *testing.T) {
+	frame := peer.Frame{Kind: peer.KindForward, Number: 7, Reply: true, Body: []byte{0x80}}
+	data, err := peer.EncodeFrame(frame)
+	must.NoError(t, err)
+	got, err := peer.ReadFrame(bytes.NewReader(data))
+	must.NoError(t, err)
+	must.Eq(t, frame, got)
+	_, err = peer.ReadFrame(bytes.NewReader([]byte{0xff, 0xff, 0xff, 0xff}))
+	must.ErrorIs(t, err, peer.ErrFrameTooLong)
+}
+
+func FuzzReadFrame(f *testing.F) {
+	good, _ := peer.EncodeFrame(peer.Frame{Kind: peer.KindHeartbeat, Number: 1, Body: []byte{0x80}})
+	f.Add(good)
+	f.Add([]byte{0, 0, 0, 1, 0xc0})
+	f.Add([]byte{0, 0, 0, 9})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		frame, err := peer.ReadFrame(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		_ = peer.DecodeBody(frame.Body, &peer.Heartbeat{})
+		_ = peer.DecodeBody(frame.Body, &peer.Forward{})
+		_ = peer.DecodeBody(frame.Body, &peer.Handover{})
+	})
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -114,17 +115,36 @@
 	s := &stream{encoder: json.NewEncoder(w), flush: w.(http.Flusher).Flush}
 	_, s.double = e.faults.strike(e.target(), FaultDouble)
 	_, s.reorder = e.faults.strike(e.target(), FaultReorder)
+	if !e.sendTokens(r.Context(), s, call) {
+		return
+	}
+	load := e.load()
+	final := model.TokenEvent{
+		Request: call.Request, Stage: call.Stage, Attempt: call.Attempt,
+		Index: call.MaxTokens, Final: true, Count: call.MaxTokens, Load: &load,
+	}
+	if cached {
+		final.CachedTokens = prefixTokens
+	}
+	if _, hit := e.faults.strike(e.target(), FaultSwap); hit {
+		final.Request = "another-request"
+	}
+	s.send(final)
+}
+
+// sendTokens sends the tokens that were asked for; it reports false where the caller went
+// away. The first one carries the load.
+func (e *endpoint) sendTokens(ctx context.Context, s *stream, call model.StageCall) bool {
 	cut, hasCut := e.faults.strike(e.target(), FaultCutAfter)
 	hang, hasHang := e.faults.strike(e.target(), FaultHangAfter)
-	event := model.TokenEvent{Request: call.Request, Stage: call.Stage, Attempt: call.Attempt}
-	first := e.load()
-	event.Load = &first
+	load := e.load()
+	event := model.TokenEvent{Request: call.Request, Stage: call.Stage, Attempt: call.Attempt, Load: &load}
 	for i := call.From; i < call.MaxTokens; i++ {
 		if hasCut && i-call.From >= cut.Count {
 			panic(http.ErrAbortHandler)
 		}
 		if hasHang && i-call.From >= hang.Count {
-			<-r.Context().Done()
+			<-ctx.Done()
 			panic(http.ErrAbortHandler)
 		}
 		event.Index = i
@@ -132,22 +152,11 @@
 		s.send(event)
 		event.Load = nil
 		e.tokens.Add(1)
-		if i+1 < call.MaxTokens && !e.work(r.Context(), e.pool.TokenTime) {
-			return
+		if i+1 < call.MaxTokens && !e.work(ctx, e.pool.TokenTime) {
+			return false
 		}
 	}
-	load := e.load()
-	final := model.TokenEvent{
-		Request: call.Request, Stage: call.Stage, Attempt: call.Attempt,
-		Index: call.MaxTokens, Final: true, Count: call.MaxTokens, Load: &load,
-	}
-	if cached {
-		final.CachedTokens = prefixTokens
-	}
-	if _, hit := e.faults.strike(e.target(), FaultSwap); hit {
-		final.Request = "another-request"
-	}
-	s.send(final)
+	return true
 }
 
 func newEngineState(e *endpoint) *engineState {
--- a/yamldoc/yamldoc.go
+++ b/yamldoc/yamldoc.go
@@ -42,15 +42,26 @@
 	if err == nil {
 		return nil
 	}
-	return &Error{Document: document, Line: lineOf(err), Reason: reasonOf(err)}
+	return &Error{Document: document, Line: lineOf(err, data), Reason: reasonOf(err)}
 }
 
-func lineOf(err error) int {
+// lineOf returns the line that the error names. Errors of time.ParseDuration come without
+// one: they quote the value, which is looked for.
+func lineOf(err error, data []byte) int {
 	var withToken yaml.Error
 	if errors.As(err, &withToken) && withToken.GetToken() != nil {
 		return withToken.GetToken().Position.Line
 	}
-	return 0
+	_, quoted, found := strings.Cut(err.Error(), "duration ")
+	value := strings.Trim(quoted, "\"")
+	if !found || value == "" {
+		return 0
+	}
+	at := bytes.Index(data, []byte(value))
+	if at < 0 {
+		return 0
+	}
+	return 1 + bytes.Count(data[:at], []byte("\n"))
 }
 
 func reasonOf(err error) string {
