--- a/cli/replay.go
+++ b/cli/replay.go
@@ -10,13 +10,28 @@
 	"basilstall.example/basilstall/replay"
 )
 
+// replayFlags are the flags of replay.
+type replayFlags struct {
+	trace     *string
+	outcomes  *string
+	load      *float64
+	condition *string
+	plain     *bool
+	durable   *bool
+	asJSON    *bool
+}
+
 func (sh *shell) replayCommand() *ff.Command {
 	fs := ff.NewFlagSet("replay")
-	trace := fs.StringLong("trace", "", "the recorded trace, JSON lines")
-	outcomes := fs.StringLong("outcomes", "", "YAML file with the outcomes that must be reached")
-	load := fs.Float64Long("load", 1, "multiplies the trace's load")
-	plain := fs.BoolLong("plain", "run with the baseline policies: round robin, no admission, naive retries")
-	asJSON := fs.BoolLong("json", "print one line of JSON")
+	flags := replayFlags{
+		trace:     fs.StringLong("trace", "", "the recorded trace, JSON lines"),
+		outcomes:  fs.StringLong("outcomes", "", "YAML file with the outcomes that must be reached"),
+		load:      fs.Float64Long("load", 1, "multiplies the trace's load"),
+		condition: fs.StringLong("condition", "healthy", "what goes wrong meanwhile, as in the table of measure"),
+		plain:     fs.BoolLong("plain", "run with the baseline policies: round robin, no admission, naive retries"),
+		durable:   fs.BoolLong("durable", "send keys that the table arbitrates instead of UUIDv7"),
+		asJSON:    fs.BoolLong("json", "print one line of JSON"),
+	}
 	return &ff.Command{
 		Name:      "replay",
 		Usage:     "basilstall replay --trace FILE [--outcomes FILE] [FLAGS]",
@@ -24,35 +39,46 @@
 		LongHelp:  "Exits 0 if all outcomes are reached, 1 if one is missed, 2 if a file is wrong.",
 		Flags:     fs,
 		Exec: func(ctx context.Context, _ []string) error {
-			t, err := replay.ReadTrace(*trace)
-			if err != nil {
-				return exitWith(ExitUsage, err)
-			}
-			var wanted replay.Outcomes
-			if *outcomes != "" {
-				if wanted, err = replay.ReadOutcomes(*outcomes); err != nil {
-					return exitWith(ExitUsage, err)
-				}
-			}
-			setup, err := replay.NewSetup(ctx, t.Head, *plain, sh.logger("error"))
-			if err != nil {
-				return exitWith(ExitFailed, err)
-			}
-			defer setup.Close()
-			report := replay.NewReplay(t.WithLoad(*load), setup).Run(ctx)
-			if *asJSON {
-				_ = sh.printJSON(report)
-			} else {
-				report.Print(sh.stdout)
-			}
-			if *outcomes == "" {
-				return nil
-			}
-			return sh.printMissed(wanted.Missed(report))
+			return sh.replay(ctx, flags)
 		},
 	}
 }
 
+func (sh *shell) replay(ctx context.Context, flags replayFlags) error {
+	trace, err := replay.ReadTrace(*flags.trace)
+	if err != nil {
+		return exitWith(ExitUsage, err)
+	}
+	var wanted replay.Outcomes
+	if *flags.outcomes != "" {
+		if wanted, err = replay.ReadOutcomes(*flags.outcomes); err != nil {
+			return exitWith(ExitUsage, err)
+		}
+	}
+	condition, ok := replay.ConditionNamed(*flags.condition)
+	if !ok {
+		return usageError("unknown condition %q", *flags.condition)
+	}
+	setup, err := replay.NewSetup(ctx, trace.Head, *flags.plain, sh.logger("fatal"))
+	if err != nil {
+		return exitWith(ExitFailed, err)
+	}
+	defer setup.Close()
+	condition.Begin(setup)
+	run := replay.NewReplay(trace.WithLoad(*flags.load), setup)
+	run.Durable = *flags.durable
+	report := run.Run(ctx)
+	if *flags.asJSON {
+		_ = sh.printJSON(report)
+	} else {
+		report.Print(sh.stdout)
+	}
+	if *flags.outcomes == "" {
+		return nil
+	}
+	return sh.printMissed(wanted.Missed(report))
+}
+
 func (sh *shell) printMissed(missed []string) error {
 	if len(missed) == 0 {
 		return nil
--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -14,7 +14,7 @@
 	// TeamsPath is the path below which each team has its subtree.
 	TeamsPath = "teams/"
 
-	defaultHorizon   = 30 * time.Second
+	defaultHorizon   = 2 * time.Minute
 	defaultRetention = 10 * time.Minute
 	defaultLoadEvery = 500 * time.Millisecond
 )
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -55,6 +55,16 @@
 	}
 }
 
+// ConditionNamed returns the condition of that name.
+func ConditionNamed(name string) (Condition, bool) {
+	for _, c := range Conditions() {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return Condition{}, false
+}
+
 // Measure runs a trace with both policies at the same time, each on a set-up of its own.
 func Measure(ctx context.Context, trace Trace, load float64, condition Condition) (Measurement, error) {
 	m := Measurement{Trace: trace.Head.Sample, Load: load, Condition: condition.Name}
--- a/replay/replay.go
+++ b/replay/replay.go
@@ -32,6 +32,9 @@
 
 	// Replay sends one trace to one set-up.
 	Replay struct {
+		// Durable sends keys of a form that the table arbitrates instead of UUIDv7.
+		Durable bool
+
 		trace  Trace
 		setup  *Setup
 		client *http.Client
@@ -102,11 +105,18 @@
 	r.keysMu.Lock()
 	defer r.keysMu.Unlock()
 	if r.keys[name] == "" {
-		r.keys[name] = uuid.Must(uuid.NewV7()).String()
+		r.keys[name] = r.newKey()
 	}
 	return r.keys[name]
 }
 
+func (r *Replay) newKey() string {
+	if r.Durable {
+		return uuid.NewString()
+	}
+	return uuid.Must(uuid.NewV7()).String()
+}
+
 func (r *Replay) isWhole(call caller.Call, answer *caller.AnswerBody) bool {
 	pipeline, ok := r.setup.Pipeline(call.Pipeline)
 	return ok && answer.Output == standin.ExpectedOutput(pipeline, call.Body.Input, call.Body.MaxTokens)
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -62,7 +62,8 @@
 
 func config(team, settings string, domains, services []string) standin.Config {
 	c := standin.Config{
-		Platform: "127.0.0.1:0",
+		Platform:   "127.0.0.1:0",
+		TableDelay: 5 * time.Millisecond,
 		Settings: []standin.SettingsFile{
 			{Path: "fleet", YAML: fleetYAML},
 			{Path: "teams/" + team, YAML: settings},
--- /dev/null
+++ b/table/store_test.go
@@ -0,0 +1,108 @@
+package table_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/standin"
+	"basilstall.example/basilstall/table"
+)
+
+func newStore(t *testing.T) (*table.Store, *standin.Standin) {
+	t.Helper()
+	s, err := standin.NewStandin(standin.Config{Platform: "127.0.0.1:0"})
+	must.NoError(t, err)
+	t.Cleanup(s.Close)
+	store := table.NewStore(s.Address())
+	t.Cleanup(store.Close)
+	return store, s
+}
+
+func row(key, writer string) table.KeyRow {
+	return table.KeyRow{Key: key, Writer: writer}
+}
+
+func TestTheFirstInsertOfAKeyWins(t *testing.T) {
+	store, _ := newStore(t)
+	first, err := store.InsertKeys(t.Context(), []table.KeyRow{row("a", "1"), row("b", "1")})
+	must.NoError(t, err)
+	must.EqOp(t, "1", first[0].Writer)
+	second, err := store.InsertKeys(t.Context(), []table.KeyRow{row("b", "2"), row("c", "2"), row("a", "2")})
+	must.NoError(t, err)
+	must.EqOp(t, "1", second[0].Writer)
+	must.EqOp(t, "2", second[1].Writer)
+	must.EqOp(t, "1", second[2].Writer)
+}
+
+func TestALostAnswerToAnInsertIsReadBack(t *testing.T) {
+	store, s := newStore(t)
+	s.Fault(standin.Fault{Target: "table", Kind: standin.FaultLostAnswer, Times: 1})
+	got, err := store.InsertKeys(t.Context(), []table.KeyRow{row("a", "1")})
+	must.NoError(t, err)
+	must.EqOp(t, "1", got[0].Writer)
+	s.Fault(standin.Fault{Target: "table", Kind: standin.FaultDown})
+	_, err = store.InsertKeys(t.Context(), []table.KeyRow{row("b", "1")})
+	must.Error(t, err)
+}
+
+func TestTheClaimsRowIsSwappedOnceForEachVersion(t *testing.T) {
+	store, s := newStore(t)
+	start := time.UnixMilli(1_700_000_000_000).UTC()
+	members := []kernel.Member{{Node: "a", Incarnation: "1"}}
+	none, version, err := store.Claims(t.Context(), kernel.Claims{})
+	must.NoError(t, err)
+	must.EqOp(t, 0, none.Number)
+	row := kernel.NewClaims(start, start.Add(time.Second), members, "w1")
+	s.Fault(standin.Fault{Target: "table", Kind: standin.FaultLostAnswer, Times: 1})
+	_, err = store.SwapClaims(t.Context(), version, none, row)
+	must.NoError(t, err, must.Sprint("recognised by its writer"))
+	_, err = store.SwapClaims(t.Context(), version, none, kernel.NewClaims(start, start, members, "w2"))
+	must.Error(t, err)
+	got, _, err := store.Claims(t.Context(), kernel.Claims{})
+	must.NoError(t, err)
+	must.Eq(t, row, got)
+}
+
+func TestAnErasMembersAreReadOnce(t *testing.T) {
+	store, s := newStore(t)
+	start := time.UnixMilli(1_700_000_000_000).UTC()
+	row := kernel.NewClaims(start, start.Add(time.Second), []kernel.Member{{Node: "a"}}, "w1")
+	_, err := store.SwapClaims(t.Context(), 0, kernel.Claims{}, row)
+	must.NoError(t, err)
+	known, _, err := store.Claims(t.Context(), kernel.Claims{})
+	must.NoError(t, err)
+	before := s.Usage().TableReads
+	_, _, err = store.Claims(t.Context(), known)
+	must.NoError(t, err)
+	must.EqOp(t, before+1, s.Usage().TableReads)
+}
+
+func TestAChangeIsAppliedOnceWhateverHappensToItsAnswer(t *testing.T) {
+	store, s := newStore(t)
+	change := func(operation, yaml string, base uint64) (table.ChangeOutcome, model.Document) {
+		outcome, doc, _ := store.SetDocument(t.Context(), model.Document{Path: "fleet", Operation: operation, YAML: yaml}, base)
+		return outcome, doc
+	}
+	outcome, doc := change("op1", "Horizon: 1s", 0)
+	must.EqOp(t, table.Applied, outcome)
+	must.EqOp(t, 1, doc.Revision)
+	s.Fault(standin.Fault{Target: "table", Kind: standin.FaultLostAnswer, Times: 1})
+	outcome, doc = change("op2", "Horizon: 2s", 1)
+	must.EqOp(t, table.Applied, outcome, must.Sprint("resolved by the history row"))
+	must.EqOp(t, 2, doc.Revision)
+	outcome, doc = change("op2", "Horizon: 2s", 1)
+	must.EqOp(t, table.Applied, outcome, must.Sprint("asked again"))
+	must.EqOp(t, 2, doc.Revision)
+	outcome, doc = change("op3", "Horizon: 3s", 1)
+	must.EqOp(t, table.NotApplied, outcome)
+	must.EqOp(t, "op2", doc.Operation, must.Sprint("the winner is shown"))
+	outcome, _ = change("op4", "Horizon: 4s", 2)
+	must.EqOp(t, table.Applied, outcome)
+	outcome, doc = change("op2", "Horizon: 2s", 1)
+	must.EqOp(t, table.Applied, outcome, must.Sprint("applied once, and overwritten since"))
+	must.EqOp(t, 2, doc.Revision)
+}
