Let members grant keys to each other while the table is down, so that a crash costs seconds

A shorter horizon would have cost the keys of each table outage longer than that.

Change: the row has two ends. Below Firm (a few seconds ahead) owners are final. Up to Horizon an owner runs keys only as far as all members of the newest era have granted, and an era starts above what its writer, or a member it asked, has granted; that member grants no more until the row has changed. Nothing but a promise is kept in memory, no clock is trusted. A member lost during an outage stops further grants, not safety.

Shown by: the explorer, over the kernel's own functions: all 411,717 states with grants hold, all 637,193 to 1,114,729 without them; ten faults put in are found, among them running without grants, one grant taken for all, an era below what was granted, grants that go on while an era is written. Scenario keys_outage: the table down for several times the firm horizon, no key refused; a node killed meanwhile: keys ahead are refused, none runs twice; with the table back all keys are served again.

--- a/kernel/claims.go
+++ b/kernel/claims.go
@@ -30,14 +30,19 @@
 	}
 
 	// Claims is the row that the whole fleet agrees on: who owns which keys. Every
-	// (key, time) has one owner for ever, because an era only ever begins at the highest
-	// horizon written before and a member only runs keys below the horizon that it has read.
+	// (key, time) that a member may run has one owner for ever: below Firm, because an era
+	// only ever begins at or above the Firm written before; from Firm up to Horizon, because
+	// a member runs such keys only as far as all members of the newest era have granted, and
+	// whoever starts an era starts it above what at least one of them granted (see Grants).
 	Claims struct {
 		// Number grows by one with each write of the row.
 		Number uint64
 		// Writer is unique to the write, so that a lost answer can be resolved by reading.
 		Writer string
-		// Horizon is the end of key time that is given out. It never shrinks.
+		// Firm is the end of the key time whose owners are final. It never shrinks.
+		Firm time.Time
+		// Horizon is the end of the key time that is given out; it is not below Firm. What
+		// lies between serves while the table is down.
 		Horizon time.Time
 		// Eras is in order of From; all but the newest are closed.
 		Eras []Era
@@ -52,10 +57,11 @@
 }
 
 // NewClaims returns the first row: one era, from one point in key time to another.
-func NewClaims(from, horizon time.Time, members []Member, writer string) Claims {
+func NewClaims(from, firm, horizon time.Time, members []Member, writer string) Claims {
 	return Claims{
 		Number:  1,
 		Writer:  writer,
+		Firm:    firm,
 		Horizon: horizon,
 		Eras:    []Era{{Number: 1, From: from, Members: sortedMembers(members)}},
 	}
@@ -69,21 +75,21 @@
 	return c.Eras[len(c.Eras)-1]
 }
 
-// WithHorizon returns the row with its horizon moved on, never back.
-func (c Claims) WithHorizon(horizon time.Time, writer string) Claims {
+// WithHorizon returns the row with Firm and Horizon moved on, never back.
+func (c Claims) WithHorizon(firm, horizon time.Time, writer string) Claims {
 	c.Number++
 	c.Writer = writer
-	if horizon.After(c.Horizon) {
-		c.Horizon = horizon
-	}
+	c.Firm = later(c.Firm, firm)
+	c.Horizon = later(later(c.Horizon, horizon), c.Firm)
 	return c
 }
 
-// WithEra returns the row with a new era that starts where the old horizon ended.
-func (c Claims) WithEra(members []Member, horizon time.Time, writer string) Claims {
-	era := Era{Number: c.Newest().Number + 1, From: c.Horizon, Members: sortedMembers(members)}
+// WithEra returns the row with a new era. It starts at from, which is above all that was run
+// beyond Firm, and not below Firm.
+func (c Claims) WithEra(members []Member, from, firm, horizon time.Time, writer string) Claims {
+	era := Era{Number: c.Newest().Number + 1, From: later(c.Firm, from), Members: sortedMembers(members)}
 	c.Eras = append(slices.Clone(c.Eras), era)
-	return c.WithHorizon(horizon, writer)
+	return c.WithHorizon(firm, horizon, writer)
 }
 
 // WithTransfer returns the row in which every key of the member that left belongs to another.
@@ -163,6 +169,13 @@
 	return slices.ContainsFunc(c.Transfers, func(t Transfer) bool { return t.From == id })
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func rendezvous(subject string, members []Member) Member {
 	var best Member
 	var bestScore uint64
--- a/kernel/keeper.go
+++ b/kernel/keeper.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// firstHorizon keeps the first era, which has few members, short.
-	firstHorizon = 2 * time.Second
+	// firstFirm keeps the first era, which has few members, short, and gives a new era some
+	// key time at once.
+	firstFirm = 2 * time.Second
 	// rankDelay is how long each further node waits for those before it to write.
 	rankDelay = 700 * time.Millisecond
 )
@@ -27,7 +28,9 @@
 // harm; the ranks only keep the fleet's writes few.
 type Keeper struct {
 	Self Member
-	// Horizon is how far ahead of the present the fleet claims key time.
+	// Firm is how far ahead of the present the owners of keys are made final.
+	Firm time.Duration
+	// Horizon is how far ahead of the present key time is given out.
 	Horizon time.Duration
 	// Settle is how long the set of live members must have stood before an era starts.
 	Settle time.Duration
@@ -54,27 +57,25 @@
 		}
 		return StartEra
 	}
-	left := row.Horizon.Sub(now) + time.Duration(rank)*rankDelay
-	if left < k.Horizon*3/4 {
+	left := row.Firm.Sub(now) + time.Duration(rank)*rankDelay
+	if left < k.Firm*2/3 {
 		return ExtendHorizon
 	}
 	return KeepClaims
 }
 
-// Next returns the row to write for an action.
-func (k Keeper) Next(now time.Time, row Claims, alive []Member, action ClaimsAction, writer string) Claims {
+// Next returns the row to write for an action. From is above what was granted; it matters only
+// to StartEra.
+func (k Keeper) Next(now time.Time, row Claims, alive []Member, action ClaimsAction, from time.Time, writer string) Claims {
 	now = now.Truncate(time.Millisecond)
+	firm, horizon := now.Add(k.Firm), now.Add(k.Horizon)
 	switch action {
 	case CreateClaims:
-		return NewClaims(now, now.Add(min(k.Horizon, firstHorizon)), alive, writer)
+		return NewClaims(now, now.Add(min(k.Firm, firstFirm)), horizon, alive, writer)
 	case StartEra:
-		horizon := row.Horizon.Add(min(k.Horizon, firstHorizon))
-		if now.Add(k.Horizon).After(horizon) {
-			horizon = now.Add(k.Horizon)
-		}
-		return row.WithEra(alive, horizon, writer)
+		return row.WithEra(alive, from, later(firm, later(from, row.Firm).Add(firstFirm)), horizon, writer)
 	case ExtendHorizon:
-		return row.WithHorizon(now.Add(k.Horizon), writer)
+		return row.WithHorizon(firm, horizon, writer)
 	default:
 		return row
 	}
--- a/kernel/settings.go
+++ b/kernel/settings.go
@@ -15,6 +15,7 @@
 	TeamsPath = "teams/"
 
 	defaultHorizon   = 2 * time.Minute
+	defaultFirm      = 6 * time.Second
 	defaultRetention = 10 * time.Minute
 	defaultLoadEvery = 500 * time.Millisecond
 )
@@ -42,7 +43,7 @@
 // NewSettings returns the settings of a fleet in which nothing was set yet.
 func NewSettings() Settings {
 	return Settings{
-		Fleet:     model.FleetSettings{Horizon: defaultHorizon, Retention: defaultRetention, WeightLoadEvery: defaultLoadEvery},
+		Fleet:     model.FleetSettings{Horizon: defaultHorizon, FirmHorizon: defaultFirm, Retention: defaultRetention, WeightLoadEvery: defaultLoadEvery},
 		Documents: map[string]model.Document{},
 		teams:     map[string]model.TeamSettings{},
 		tokens:    map[string]Caller{},
--- a/model/settings.go
+++ b/model/settings.go
@@ -72,9 +72,12 @@
 
 	// FleetSettings is the document that holds for the whole fleet.
 	FleetSettings struct {
-		// Horizon is how far ahead key intervals are claimed: the length of a table outage
-		// that keyed requests ride out, and how long a crash closes its owner's keys.
+		// Horizon is how far ahead key intervals are given out: the longest table outage that
+		// keyed requests ride out.
 		Horizon time.Duration `yaml:"Horizon" validate:"gte=1s,lte=1h"`
+		// FirmHorizon is how far ahead the owners of keys are final: how long a crash closes
+		// its owner's keys.
+		FirmHorizon time.Duration `yaml:"FirmHorizon" validate:"gte=1s,lte=1h"`
 		// Retention is how long a key and its answer are remembered.
 		Retention time.Duration `yaml:"Retention" validate:"gte=10s,lte=24h"`
 		// WeightLoadEvery is the weight store's rate: the least time between two loads that
--- a/node/claims.go
+++ b/node/claims.go
@@ -13,13 +13,15 @@
 )
 
 const (
-	// claimsEvery bounds how seldom the row is read; a short horizon is read more often.
+	// claimsEvery bounds how seldom the row is read; a short firm horizon is read more often.
 	claimsEvery = 2 * time.Second
 	// claimsSoonest bounds how often it is read at all.
 	claimsSoonest = 100 * time.Millisecond
-	// claimsShare is the part of the horizon that may pass between two reads.
-	claimsShare  = 8
+	// claimsShare is the part of the firm horizon that may pass between two reads.
+	claimsShare  = 6
 	settleBefore = 1500 * time.Millisecond
+	// claimsTimeout bounds a read, so that keyed requests do not wait for a table that hangs.
+	claimsTimeout = time.Second
 )
 
 // claimsKeeper holds the claims row as last read.
@@ -27,14 +29,24 @@
 	mu      sync.Mutex
 	row     kernel.Claims
 	version uint64
-	readAt  time.Time
+	// triedAt is when the row was last read, or reading it failed.
+	triedAt time.Time
+	failed  error
 	// reading keeps concurrent reads to one.
 	reading sync.Mutex
 	woken   chan struct{}
+	grants  *kernel.Grants
 }
 
-func newClaimsKeeper() *claimsKeeper {
-	return &claimsKeeper{woken: make(chan struct{}, 1)}
+func newClaimsKeeper(self kernel.Member) *claimsKeeper {
+	return &claimsKeeper{woken: make(chan struct{}, 1), grants: kernel.NewGrants(self)}
+}
+
+// bound returns up to what key time this node may run the keys that it owns.
+func (c *claimsKeeper) bound() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.grants.Bound(c.row)
 }
 
 func (c *claimsKeeper) current() kernel.Claims {
@@ -51,12 +63,18 @@
 func (c *claimsKeeper) set(now time.Time, row kernel.Claims, version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readAt = now
+	c.triedAt, c.failed = now, nil
 	if row.Number > c.row.Number {
 		c.row, c.version = row, version
 	}
 }
 
+func (c *claimsKeeper) fail(now time.Time, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.triedAt, c.failed = now, err
+}
+
 func (c *claimsKeeper) snapshot() (kernel.Claims, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -77,15 +95,18 @@
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	c.mu.Lock()
-	fresh := time.Since(c.readAt) < claimsSoonest
-	known := c.row
+	fresh := time.Since(c.triedAt) < claimsSoonest
+	known, failed := c.row, c.failed
 	c.mu.Unlock()
 	if fresh {
-		return nil
+		return failed
 	}
+	ctx, cancel := context.WithTimeout(ctx, claimsTimeout)
+	defer cancel()
 	row, version, err := n.store.Claims(ctx, known)
 	n.noteTable(err)
 	if err != nil {
+		c.fail(time.Now(), err)
 		return err
 	}
 	c.set(time.Now(), row, version)
@@ -95,8 +116,8 @@
 // keepClaims reads the row again and again and writes it where the kernel says so.
 func (n *Node) keepClaims() {
 	for {
-		horizon := n.Settings().Fleet.Horizon
-		wait := time.NewTimer(jitter(min(claimsEvery, horizon/claimsShare)))
+		firm := n.Settings().Fleet.FirmHorizon
+		wait := time.NewTimer(jitter(min(claimsEvery, firm/claimsShare)))
 		select {
 		case <-n.ctx.Done():
 			wait.Stop()
@@ -108,23 +129,38 @@
 		if n.refreshClaims(n.ctx) == nil && !n.draining.Load() {
 			n.writeClaims(time.Now())
 		}
-		n.keys.expire(time.Now(), n.Settings().Fleet.Retention)
-		n.durable.expire(time.Now(), n.Settings().Fleet.Retention)
+		retention := n.Settings().Fleet.Retention
+		n.keys.expire(time.Now(), retention)
+		n.durable.expire(time.Now(), retention)
 	}
 }
 
-func (n *Node) writeClaims(now time.Time) {
+func (n *Node) keeper() kernel.Keeper {
 	fleet := n.Settings().Fleet
-	keeper := kernel.Keeper{Self: n.member, Horizon: fleet.Horizon, Settle: settleBefore}
+	return kernel.Keeper{
+		Self:    n.member,
+		Firm:    min(fleet.FirmHorizon, fleet.Horizon),
+		Horizon: fleet.Horizon,
+		Settle:  settleBefore,
+	}
+}
+
+func (n *Node) writeClaims(now time.Time) {
+	keeper := n.keeper()
 	row, version := n.claims.snapshot()
 	alive, stood := n.fleet.alive()
 	action := keeper.Decide(now, row, alive, stood)
 	if action == kernel.KeepClaims {
 		return
 	}
-	next := keeper.Next(now, row, alive, action, uuid.NewString())
-	next = next.WithoutBefore(now.Add(-fleet.Retention))
+	var from time.Time
+	if action == kernel.StartEra {
+		from = n.sealEra(row)
+	}
+	next := keeper.Next(now, row, alive, action, from, uuid.NewString())
+	next = next.WithoutBefore(now.Add(-n.Settings().Fleet.Retention))
 	written, err := n.store.SwapClaims(n.ctx, version, row, next)
+	n.cancelEra(err)
 	var conflict *table.Conflict
 	if errors.As(err, &conflict) {
 		// The row has changed; the next turn reads it.
--- /dev/null
+++ b/node/grants.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/peer"
+	"basilstall.example/basilstall/table"
+)
+
+const (
+	// grantsEvery is how often the node looks whether it needs grants.
+	grantsEvery  = 500 * time.Millisecond
+	grantTimeout = time.Second
+)
+
+// keepGrants asks for grants whenever they are needed, until the node stops.
+func (n *Node) keepGrants() {
+	n.every(grantsEvery, func(context.Context) {
+		n.askGrants(time.Now())
+	})
+}
+
+// askGrants asks all members of the newest era to let keys keep their owners for longer. It
+// is needed only while the table does not move the firm horizon on.
+func (n *Node) askGrants(now time.Time) {
+	row := n.claims.current()
+	firm := n.keeper().Firm
+	if row.Number == 0 || n.claims.bound().Sub(now) > firm/2 {
+		return
+	}
+	message := peer.Grant{Era: row.Newest().Number, Until: now.Add(firm).Truncate(time.Millisecond)}
+	var wg sync.WaitGroup
+	for _, m := range row.Newest().Members {
+		if row.Left(m.ID()) || !n.fleet.reachable(m.ID()) {
+			continue
+		}
+		if m.ID() == n.member.ID() {
+			n.claims.grant(message)
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			n.askGrant(m, message)
+		}()
+	}
+	wg.Wait()
+}
+
+func (n *Node) askGrant(m kernel.Member, message peer.Grant) {
+	ctx, cancel := context.WithTimeout(n.ctx, grantTimeout)
+	defer cancel()
+	var reply peer.GrantReply
+	if err := n.peers.Call(ctx, m.Address, peer.KindGrant, message, &reply); err != nil || !reply.Granted {
+		n.metrics.Event("GrantMissing")
+		return
+	}
+	n.claims.takeGrant(m.ID(), message.Era, reply.Until)
+}
+
+func (c *claimsKeeper) grant(message peer.Grant) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.grants.Grant(c.row, message.Era, message.Until)
+}
+
+func (c *claimsKeeper) takeGrant(member string, era uint64, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.grants.Take(member, era, until)
+}
+
+func (c *claimsKeeper) seal(number uint64) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.grants.Seal(c.row, number)
+}
+
+func (c *claimsKeeper) beginEra(row kernel.Claims) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.grants.BeginEra(row)
+}
+
+func (n *Node) answerGrant(_ context.Context, body []byte) (any, error) {
+	var message peer.Grant
+	if err := peer.DecodeBody(body, &message); err != nil {
+		return nil, err
+	}
+	until, granted := n.claims.grant(message)
+	return peer.GrantReply{Granted: granted, Until: until}, nil
+}
+
+// answerSeal is asked by a node outside the era that is about to write the next one. A member
+// that has not read the row yet cannot say how far it granted in that row's newest era.
+func (n *Node) answerSeal(_ context.Context, body []byte) (any, error) {
+	var message peer.Seal
+	if err := peer.DecodeBody(body, &message); err != nil {
+		return nil, err
+	}
+	if n.claims.number() < message.Number {
+		return peer.SealReply{}, nil
+	}
+	return peer.SealReply{Sealed: true, From: n.claims.seal(message.Number)}, nil
+}
+
+// sealEra returns above what key time a new era must start: what this node granted, if it is
+// of the newest era, else what a member of that era says, else the whole horizon.
+func (n *Node) sealEra(row kernel.Claims) time.Time {
+	for _, m := range row.Newest().Members {
+		if m.ID() == n.member.ID() {
+			return n.claims.beginEra(row)
+		}
+	}
+	for _, m := range row.Newest().Members {
+		if row.Left(m.ID()) || !n.fleet.reachable(m.ID()) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(n.ctx, grantTimeout)
+		var reply peer.SealReply
+		err := n.peers.Call(ctx, m.Address, peer.KindSeal, peer.Seal{Number: row.Number}, &reply)
+		cancel()
+		if err == nil && reply.Sealed {
+			return reply.From
+		}
+	}
+	n.metrics.Event("EraAboveHorizon")
+	return row.Horizon
+}
+
+// cancelEra lets grants go on after a write that certainly had no effect.
+func (n *Node) cancelEra(err error) {
+	var conflict *table.Conflict
+	if !errors.As(err, &conflict) && !errors.Is(err, table.ErrUnavailable) {
+		return
+	}
+	n.claims.mu.Lock()
+	defer n.claims.mu.Unlock()
+	n.claims.grants.CancelEra()
+}
--- a/node/keys.go
+++ b/node/keys.go
@@ -128,10 +128,7 @@
 	case ok:
 		return owner, nil
 	case row.Ahead(key):
-		// NotRun would not stay true: the horizon moves on, and a held-up attempt may run.
-		wait := kernel.RetryAfter(key.Issued.Sub(row.Horizon))
-		return owner, model.NewRefusal(model.MayHaveRun, model.KeyAhead, wait,
-			"the key's time of issue is ahead of the time that this fleet has claimed")
+		return owner, keyAhead(key, row.Horizon)
 	default:
 		return owner, model.NewRefusal(model.MayHaveRun, model.KeyTooOld, 0,
 			"the key was issued longer ago than keys are remembered")
@@ -203,6 +200,9 @@
 	if !n.owns(req.key) {
 		return model.Answer{}, model.NewRefusal(model.MayHaveRun, model.OwnerUnknown, ownerAgain, "the key belongs to another node")
 	}
+	if !n.mayRun(ctx, req.key) {
+		return model.Answer{}, keyAhead(req.key, n.claims.bound())
+	}
 	f, answer, refusal := n.keys.take(req, n.launch)
 	if f == nil {
 		return answer, refusal
@@ -210,6 +210,25 @@
 	return f.wait(ctx, req.Deadline)
 }
 
+// mayRun tells whether the key's time is within what this node may run, after another look at
+// the row and at what the other members grant.
+func (n *Node) mayRun(ctx context.Context, key kernel.Key) bool {
+	if key.Issued.Before(n.claims.bound()) {
+		return true
+	}
+	if n.refreshClaims(ctx) != nil {
+		n.askGrants(time.Now())
+	}
+	return key.Issued.Before(n.claims.bound())
+}
+
+// keyAhead refuses a key whose time is beyond a bound. NotRun would not stay true: the bound
+// moves on, and a held-up attempt may run.
+func keyAhead(key kernel.Key, bound time.Time) *model.Refusal {
+	return model.NewRefusal(model.MayHaveRun, model.KeyAhead, kernel.RetryAfter(key.Issued.Sub(bound)),
+		"the key's time of issue is ahead of the time that this fleet may serve now")
+}
+
 func (n *Node) owns(key kernel.Key) bool {
 	owner, ok := n.claims.current().OwnerOf(key)
 	return ok && owner.ID() == n.member.ID()
--- a/node/node.go
+++ b/node/node.go
@@ -92,12 +92,12 @@
 		dispatcher: dispatch.NewDispatcher(options.FailureDomain, options.Plain, metrics),
 		records:    newRecords(),
 		rates:      newRates(),
-		claims:     newClaimsKeeper(),
 		keys:       newKeyOwner(),
 		durable:    newKeyOwner(),
 		committer:  newCommitter(store),
 		orderer:    newOrderer(),
 	}
+	n.claims = newClaimsKeeper(n.member)
 	n.fleet = &fleet{m: kernel.NewMembership(now, n.member, options.FailureDomain)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	settings := kernel.NewSettings()
@@ -133,12 +133,14 @@
 		peer.KindHandover:  n.answerHandover,
 		peer.KindExplain:   n.answerExplain,
 		peer.KindDemand:    n.answerDemand,
+		peer.KindGrant:     n.answerGrant,
+		peer.KindSeal:      n.answerSeal,
 	})
 	return nil
 }
 
 func (n *Node) startLoops() {
-	for _, loop := range []func(){n.followSettings, n.followFleet, n.followList, n.announceHost, n.keepClaims, n.giveOrders} {
+	for _, loop := range []func(){n.followSettings, n.followFleet, n.followList, n.announceHost, n.keepClaims, n.keepGrants, n.giveOrders} {
 		n.loops.Add(1)
 		go func() {
 			defer n.loops.Done()
--- a/peer/message.go
+++ b/peer/message.go
@@ -20,6 +20,8 @@
 	KindHandover
 	KindExplain
 	KindDemand
+	KindGrant
+	KindSeal
 )
 
 type (
@@ -100,6 +102,30 @@
 		Wanted []kernel.Demand
 	}
 
+	// Grant asks a member of the newest era to grant that keys keep their owners.
+	Grant struct {
+		Era   uint64
+		Until time.Time
+	}
+
+	// GrantReply has how far the member grants, if it does.
+	GrantReply struct {
+		Granted bool
+		Until   time.Time
+	}
+
+	// Seal asks a member of the newest era to grant no more while an era is written against
+	// the row of that number.
+	Seal struct {
+		Number uint64
+	}
+
+	// SealReply has above what key time that era must start.
+	SealReply struct {
+		Sealed bool
+		From   time.Time
+	}
+
 	// Empty is the body of calls that say nothing more.
 	Empty struct{}
 )
--- a/table/claims.go
+++ b/table/claims.go
@@ -24,6 +24,7 @@
 	claimsRow struct {
 		Number    uint64
 		Writer    string
+		Firm      time.Time
 		Horizon   time.Time
 		Eras      []eraRef
 		Transfers []kernel.Transfer
@@ -52,6 +53,7 @@
 	claims := kernel.Claims{
 		Number:    stored.Number,
 		Writer:    stored.Writer,
+		Firm:      stored.Firm,
 		Horizon:   stored.Horizon,
 		Transfers: stored.Transfers,
 	}
@@ -107,6 +109,7 @@
 	stored := claimsRow{
 		Number:    next.Number,
 		Writer:    next.Writer,
+		Firm:      next.Firm,
 		Horizon:   next.Horizon,
 		Transfers: next.Transfers,
 	}
