--- /dev/null
+++ b/kernel/bench_test.go
@@ -0,0 +1,192 @@
+package kernel_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+var benchSink any
+
+func BenchmarkPickTwoChoices(b *testing.B) {
+	for _, n := range []int{12, 790} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			cs := candidates(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				benchSink = kernel.PickTwoChoices(ledgerStart, kernel.Usable(ledgerStart, cs, nil), "basauri", rand.Float64(), rand.Float64())
+			}
+		})
+	}
+}
+
+func BenchmarkPickPrefix(b *testing.B) {
+	for _, n := range []int{12, 790} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			cs := candidates(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				benchSink = kernel.PickPrefix(ledgerStart, cs, "agreement-17")
+			}
+		})
+	}
+}
+
+func BenchmarkFairQueue(b *testing.B) {
+	for _, n := range []int{5, 740} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			q := kernel.NewFairQueue()
+			names := make([]string, n)
+			for i := range names {
+				names[i] = fmt.Sprint("customer-", i)
+				q.Push(&kernel.Waiter{Customer: names[i], Cost: 1, Deadline: ledgerStart})
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				q.Push(&kernel.Waiter{Customer: names[i%n], Cost: 1, Deadline: ledgerStart})
+				benchSink = q.Pop()
+			}
+		})
+	}
+}
+
+func BenchmarkAhead(b *testing.B) {
+	for _, n := range []int{5, 740} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			q := kernel.NewFairQueue()
+			for i := range n {
+				q.Push(&kernel.Waiter{Customer: fmt.Sprint("customer-", i), Cost: 1, Deadline: ledgerStart})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				benchSink = q.Ahead(kernel.Waiter{Customer: "customer-1", Cost: 1, Deadline: ledgerStart})
+			}
+		})
+	}
+}
+
+func BenchmarkOwnerOf(b *testing.B) {
+	for _, n := range []int{9, 400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			row := kernel.NewClaims(ledgerStart, ledgerStart, ledgerStart.Add(time.Minute), members(n), "w")
+			key := timedKey("team/customer/key", ledgerStart)
+			b.ReportAllocs()
+			for b.Loop() {
+				benchSink, _ = row.OwnerOf(key)
+			}
+		})
+	}
+}
+
+func BenchmarkLedger(b *testing.B) {
+	l := kernel.NewLedger(time.Time{})
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		key := timedKey(fmt.Sprint("key-", i), ledgerStart)
+		l.Admit(key, 1, 0)
+		l.Finish(key, model.Answer{})
+	}
+}
+
+func BenchmarkLimitAndBudget(b *testing.B) {
+	l := kernel.NewLimit(10, 1, 100)
+	budget := kernel.NewRetryBudget()
+	load := kernel.PoolLoad{Slots: 48}
+	b.ReportAllocs()
+	for b.Loop() {
+		l = l.WithReply(ledgerStart, time.Millisecond, time.Millisecond, load, 9)
+		budget = budget.WithSuccess()
+	}
+	benchSink = l
+}
+
+// BenchmarkHeartbeats is one node's part of a second: two rounds, each with its neighbours'
+// answers; it reports the bytes sent.
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, n := range []int{9, 400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			g := newGossip(n)
+			for range 60 {
+				g.round()
+			}
+			node := g.nodes[0]
+			now := g.now
+			bytes := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				bytes = 0
+				for range 2 {
+					now = now.Add(500 * time.Millisecond)
+					for _, info := range node.Members()[1:] {
+						node.Heard(now, kernel.News{Member: info.Member, Beat: info.Beat, FailureDomain: "d"})
+					}
+					node.Tick(now)
+					// As many heartbeats come in as go out, and each is answered.
+					for range 2 * len(node.Neighbours()) {
+						data, _ := msgpack.Marshal(node.Outgoing())
+						bytes += len(data)
+					}
+				}
+			}
+			b.ReportMetric(float64(bytes), "sent-B/s")
+		})
+	}
+}
+
+// BenchmarkSettings applies a whole snapshot; it reports its size and what it keeps in memory.
+func BenchmarkSettings(b *testing.B) {
+	for _, n := range []int{5, 740, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			snapshot := customersSnapshot(n)
+			bytes := 0
+			for _, d := range snapshot.Documents {
+				bytes += len(d.YAML)
+			}
+			before := heap()
+			s, _ := kernel.NewSettings().WithSnapshot(snapshot)
+			held := heap() - before
+			for b.Loop() {
+				benchSink, _ = kernel.NewSettings().WithSnapshot(snapshot)
+			}
+			b.ReportMetric(float64(bytes), "document-B")
+			b.ReportMetric(float64(held)/float64(n), "held-B/customer")
+			runtime.KeepAlive(s)
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// customersSnapshot has 16 pipelines and the customers spread over as many teams.
+func customersSnapshot(customers int) model.Snapshot {
+	const teams = 16
+	s := model.Snapshot{Revision: teams}
+	for t := range teams {
+		var text strings.Builder
+		fmt.Fprintf(&text, "Team: team-%d\nCustomers:\n", t)
+		for c := t; c < max(customers, teams); c += teams {
+			fmt.Fprintf(&text, "  - {Name: customer-%d, Token: token-of-customer-%d, Weight: 1}\n", c, c)
+		}
+		text.WriteString("Pipelines:\n  - Name: ask\n    Deadline: 5s\n    Stages:\n")
+		text.WriteString("      - {Name: e, Kind: Encode, Pool: encoders}\n      - {Name: g, Kind: Generate, Pool: runners, Model: m}\n")
+		s.Documents = append(s.Documents, model.Document{Path: fmt.Sprintf("teams/team-%d", t), Revision: uint64(t + 1), YAML: text.String()})
+	}
+	return s
+}
