--- a/cli/measure.go
+++ b/cli/measure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 
 	"github.com/peterbourgon/ff/v4"
 
@@ -14,10 +15,10 @@
 
 func (sh *shell) measureCommand() *ff.Command {
 	fs := ff.NewFlagSet("measure")
-	quick := fs.BoolLong("quick", "measure the healthy condition at one load only")
+	only := fs.StringListLong("load", "a multiple of the trace's load, repeatable; 0.5, 1, 1.5 and 3 if not given")
 	return &ff.Command{
 		Name:      "measure",
-		Usage:     "basilstall measure [--quick] TRACE...",
+		Usage:     "basilstall measure [--load N]... TRACE...",
 		ShortHelp: "replay traces under loads and faults beside the baseline policies and print a table",
 		LongHelp:  "Both policies run at the same time, each on nodes and stand-ins of its own. All of it takes about 13 minutes for two traces.",
 		Flags:     fs,
@@ -25,9 +26,9 @@
 			if len(files) == 0 {
 				return usageError("a TRACE is needed")
 			}
-			loads, conditions := measuredLoads, replay.Conditions()
-			if *quick {
-				loads, conditions = []float64{1}, conditions[:1]
+			loads, err := parseLoads(*only)
+			if err != nil {
+				return err
 			}
 			replay.PrintMeasurementsHead(sh.stdout)
 			for _, file := range files {
@@ -35,7 +36,7 @@
 				if err != nil {
 					return exitWith(ExitUsage, err)
 				}
-				if err := sh.measure(ctx, trace, loads, conditions); err != nil {
+				if err := sh.measure(ctx, trace, loads, replay.Conditions()); err != nil {
 					return exitWith(ExitFailed, fmt.Errorf("%s: %w", file, err))
 				}
 			}
@@ -44,6 +45,21 @@
 	}
 }
 
+func parseLoads(texts []string) ([]float64, error) {
+	if len(texts) == 0 {
+		return measuredLoads, nil
+	}
+	var loads []float64
+	for _, text := range texts {
+		load, err := strconv.ParseFloat(text, 64)
+		if err != nil || load <= 0 {
+			return nil, usageError("--load %q is not a number above zero", text)
+		}
+		loads = append(loads, load)
+	}
+	return loads, nil
+}
+
 func (sh *shell) measure(ctx context.Context, trace replay.Trace, loads []float64, conditions []replay.Condition) error {
 	for _, condition := range conditions {
 		for _, load := range loads {
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -36,6 +36,8 @@
 		excluded []string
 		endpoint string
 		busy     time.Duration
+		// hedging is true while a call is started beside another.
+		hedging bool
 		// reached is true once any call may have been read by an endpoint.
 		reached bool
 	}
@@ -75,11 +77,13 @@
 	return call
 }
 
+// target says where a call goes. A call that must not be repeated and one beside another that
+// may be on a silent connection get a connection of their own.
 func (a *attempts) target(e *endpointState) endpoint.Target {
 	return endpoint.Target{
-		Address: e.candidate.Endpoint.Address,
+		Address: e.address,
 		Path:    a.job.Plugin.Path,
-		Fresh:   !a.repeatable(),
+		Fresh:   !a.repeatable() || a.hedging,
 		Timeout: time.Until(a.deadline),
 	}
 }
@@ -136,7 +140,7 @@
 	call := a.call()
 	target := a.target(e)
 	running[attempt] = startedCall{target: e, at: now}
-	a.excluded = append(a.excluded, e.candidate.Endpoint.Name)
+	a.excluded = append(a.excluded, e.name)
 	go func() {
 		reply, err := a.d.client.Unary(ctx, target, call)
 		outcomes <- outcome{attempt: attempt, target: e, elapsed: time.Since(now), reply: reply, err: err}
@@ -149,6 +153,8 @@
 		return false
 	}
 	a.d.metrics.Retried(model.RetryHedge, a.pool.name)
+	a.hedging = true
+	defer func() { a.hedging = false }()
 	return a.launch(ctx, running, outcomes)
 }
 
@@ -163,7 +169,7 @@
 		if err == nil {
 			a.pool.succeeded(now, o.target, o.elapsed, &o.reply.Load)
 			a.carry = carry
-			a.endpoint = o.target.candidate.Endpoint.Name
+			a.endpoint = o.target.name
 			return true, nil
 		}
 		o.err = &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: err}
@@ -203,12 +209,13 @@
 
 func (a *attempts) noteLoad(e *endpointState, load *model.Load) {
 	if load != nil && load.Leaving {
-		a.d.OnLeaving(a.pool.name, e.candidate.Endpoint.Name)
+		a.d.OnLeaving(a.pool.name, e.name)
 	}
 }
 
-// abandon accounts for calls that lost the race. One that waited far longer than its pool
-// needs is held to be on a silent connection: the connections to its endpoint are retired.
+// abandon accounts for calls that lost the race. The connections to their endpoints are
+// retired, since they may be silent: a new one costs a round trip, a silent one a hedge each
+// time. Only an endpoint that had far longer than its pool needs is blamed.
 func (a *attempts) abandon(running map[int]startedCall) {
 	now := time.Now()
 	limit := silentFactor * a.pool.quantile(&a.pool.service, timeoutQuantile, fallbackLatency)
@@ -216,12 +223,9 @@
 		a.reached = true
 		waited := now.Sub(s.at)
 		a.busy += waited
-		silent := waited > limit
-		a.pool.failed(now, s.target, silent)
-		if silent {
-			a.d.metrics.Event("ConnectionsRetired")
-			a.d.client.Retire(s.target.candidate.Endpoint.Address)
-		}
+		a.pool.failed(now, s.target, waited > limit)
+		a.d.metrics.Event("ConnectionsRetired")
+		a.d.client.Retire(s.target.address)
 	}
 }
 
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -49,6 +49,9 @@
 
 	// endpointState is what the node's own calls tell of an endpoint.
 	endpointState struct {
+		// name and address never change: another address is another endpointState.
+		name      string
+		address   string
 		candidate kernel.Candidate
 		// leaving is set by the endpoint's own word or by a peer's; the list lags behind it.
 		leaving bool
@@ -83,7 +86,7 @@
 	for _, endpoint := range listed {
 		e := known[endpoint.Name]
 		if e == nil || e.candidate.Endpoint.Address != endpoint.Address {
-			e = &endpointState{}
+			e = &endpointState{name: endpoint.Name, address: endpoint.Address}
 		}
 		e.candidate.Endpoint = endpoint
 		if e.leaving {
@@ -277,6 +280,14 @@
 	return ok
 }
 
+// canRetry tells whether the budget has a retry left.
+func (p *pool) canRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.budget.WithRetry()
+	return ok || p.plain
+}
+
 func (p *pool) observe(q *kernel.Quantiles, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -40,7 +40,7 @@
 		}
 		err := a.streamOnce(ctx, e, &output)
 		if err == nil {
-			a.endpoint = e.candidate.Endpoint.Name
+			a.endpoint = e.name
 			a.carry.Output = output.String()
 			a.tellAdapter(false)
 			return nil
@@ -67,7 +67,7 @@
 	}
 	// A silent connection is not yet the endpoint's fault: it gets one more try.
 	if fault.Kind != endpoint.Silent || !fault.Reused {
-		a.excluded = append(a.excluded, e.candidate.Endpoint.Name)
+		a.excluded = append(a.excluded, e.name)
 	}
 	return nil
 }
@@ -202,8 +202,12 @@
 func (a *attempts) tokenTimeout(now time.Time) time.Duration {
 	first := a.pool.quantile(&a.pool.first, timeoutQuantile, fallbackFirst)
 	gap := a.pool.quantile(&a.pool.gap, timeoutQuantile, fallbackGap)
-	d := kernel.ProgressTimeout(now, a.deadline, max(first, gap))
-	return max(leastTokenTimeout, d)
+	d := max(leastTokenTimeout, kernel.ProgressTimeout(now, a.deadline, max(first, gap)))
+	if !a.pool.canRetry() {
+		return a.deadline.Sub(now)
+	}
+	// However slow the pool is, half of the time is left for another call.
+	return min(d, a.deadline.Sub(now)/2)
 }
 
 // prefix returns what the routing hashes: the caller's prefix, or the adapter and model.
--- a/kernel/explorer_test.go
+++ b/kernel/explorer_test.go
@@ -15,7 +15,7 @@
 // answers to swaps, messages held up for ever, pauses (an action that simply does not come), a
 // crash, and one leave with a handover. The key's time is beyond the first row's Firm, so that
 // it runs under grants, or once the row has moved on. Eras are written in two steps, so that
-// anything can happen between the seal and the write. Two invariants hold in every state: the key's service is
+// with grants anything can happen between the seal and the write. Two invariants hold in every state: the key's service is
 // called at most once, and an attempt that was told NotRun does not run.
 
 const (
@@ -348,7 +348,14 @@
 			era.Eras[len(era.Eras)-1].From = time.UnixMilli(exploreKeyTime)
 		}
 		next := s.clone()
-		next.pending = append(next.pending, explorePending{version: version, row: era})
+		if e.grants {
+			next.pending = append(next.pending, explorePending{version: version, row: era})
+			e.push(next)
+			continue
+		}
+		// Without grants nothing can change between the two steps that the row does not show.
+		next.rows = append(next.rows, era)
+		next.rowsKey += rowKey(era)
 		e.push(next)
 	}
 }
--- a/node/drain.go
+++ b/node/drain.go
@@ -40,7 +40,7 @@
 	n.fleet.m.Leave(time.Now())
 	n.fleet.mu.Unlock()
 	n.announce(ctx)
-	sleep(ctx, n.options.DrainDelay)
+	n.awaitBalancer(ctx)
 	n.stopCallers(ctx)
 	n.handOver(ctx)
 	n.awaitIdle(ctx)
@@ -51,6 +51,20 @@
 	return cut
 }
 
+// awaitBalancer waits until no request has come for the drain delay: the balancer has noticed,
+// however late, and no kept connection is about to carry one. Callers that keep coming without
+// a balancer are waited for no longer than half the drain limit.
+func (n *Node) awaitBalancer(ctx context.Context) {
+	end := time.Now().Add(n.options.DrainDelay + n.options.DrainLimit/2)
+	sleep(ctx, n.options.DrainDelay)
+	for time.Now().Before(end) {
+		quiet := time.Since(time.Unix(0, n.lastArrival.Load()))
+		if quiet >= n.options.DrainDelay || !sleep(ctx, n.options.DrainDelay-quiet) {
+			return
+		}
+	}
+}
+
 // handOver gives all keys to a live member: first what is remembered of them, then, by one
 // write of the claims row, the keys themselves. From the first message on nothing new runs
 // here.
--- a/node/node.go
+++ b/node/node.go
@@ -61,6 +61,8 @@
 	tableDown atomic.Bool
 	draining  atomic.Bool
 	inFlight  atomic.Int64
+	// lastArrival is when a caller's request last came, in nanoseconds since 1970.
+	lastArrival atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/node/serve.go
+++ b/node/serve.go
@@ -47,6 +47,7 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	began := time.Now()
+	n.lastArrival.Store(began.UnixNano())
 	var answer model.Answer
 	var refusal *model.Refusal
 	if pipeline.NonIdempotent() {
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,6 +15,9 @@
 	"basilstall.example/basilstall/standin"
 )
 
+// logTail is how much of a log is shown where a process ended badly, in bytes.
+const logTail = 6000
+
 // cmdStandin starts the stand-in: standin FILE.
 func cmdStandin(ts *testscript.TestScript, _ bool, args []string) {
 	f := fleetOf(ts)
@@ -73,7 +77,8 @@
 	p := fleetOf(ts).procs[args[0]]
 	<-p.done
 	if len(args) > 1 && strconv.Itoa(p.code) != args[1] {
-		ts.Fatalf("%s exited with %d", args[0], p.code)
+		log, _ := os.ReadFile(p.log)
+		ts.Fatalf("%s exited with %d:\n%s", args[0], p.code, log[max(0, len(log)-logTail):])
 	}
 }
 
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -163,8 +163,7 @@
 		return
 	}
 	if _, hit := e.faults.strike(e.target(), FaultSwap); hit {
-		other := e.swap(call)
-		reply.Request, reply.Stage, reply.Attempt = other.Request, other.Stage, other.Attempt
+		reply = e.answer(e.swap(call))
 	}
 	e.reply(w, http.StatusOK, reply)
 }
@@ -191,15 +190,16 @@
 	_ = json.NewEncoder(w).Encode(reply)
 }
 
-// swap returns the identity of the call before this one, so that a reply can be sent in the
-// name of another request.
+// swap returns the call before this one, so that another request's reply can be sent.
 func (e *endpoint) swap(call model.StageCall) model.StageCall {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	other := e.previous
 	e.previous = call
 	if other.Request == "" || other.Request == call.Request {
+		other = call
 		other.Request = "another-request"
+		other.Text += " of another request"
 	}
 	return other
 }
