--- a/kernel/routing.go
+++ b/kernel/routing.go
@@ -33,7 +33,8 @@
 // Usable returns the candidates that may get a call: not leaving, not put aside, not among
 // the excluded names. If health alone leaves less than the floor, health is disregarded.
 func Usable(now time.Time, candidates []Candidate, excluded []string) []Candidate {
-	var staying, healthy []Candidate
+	staying := make([]Candidate, 0, len(candidates))
+	healthy := make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
 		if c.Endpoint.State == model.Leaving || slices.Contains(excluded, c.Endpoint.Name) {
 			continue
