kernel: test the paused leaseholder step by step

Cause: with the holder's clock not asked, the random state machine passed: 100 random runs seldom reach the interleaving that counts. Change: longer waits, and that interleaving as a test of its own. Seen to fail with the mechanism off.

--- a/kernel/orders_test.go
+++ b/kernel/orders_test.go
@@ -18,7 +18,7 @@
 		m := &leaseModel{now: ledgerStart, nodes: members(2)}
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": func(t *rapid.T) {
-				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "ms")) * time.Millisecond)
+				m.now = m.now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
 			},
 			"read":  func(t *rapid.T) { m.read(rapid.IntRange(0, 1).Draw(t, "node")) },
 			"write": m.write,
@@ -27,6 +27,21 @@
 	})
 }
 
+// TestAHolderWhoseLeaseLapsedWhileItWasPausedOrdersNothing is the one interleaving that counts
+// most, step by step.
+func TestAHolderWhoseLeaseLapsedWhileItWasPausedOrdersNothing(t *testing.T) {
+	at := func(s int) time.Time { return ledgerStart.Add(time.Duration(s) * time.Second) }
+	lease := kernel.Lease{Holder: members(2)[0], Number: 1}
+	holder := kernel.LeaseWatch{}.WithRead(at(0), kernel.Lease{}, 0).WithWritten(at(3), at(1), lease, 1)
+	must.True(t, holder.MayOrder(at(3)))
+	must.True(t, holder.MayOrder(at(6)))
+	must.False(t, holder.MayOrder(at(7)), must.Sprint("a lease counts from when its write was sent"))
+	other := kernel.LeaseWatch{}.WithRead(at(2), lease, 1)
+	must.False(t, other.MayTake(at(9), 0), must.Sprint("the last order may still be under way"))
+	must.True(t, other.MayTake(at(10), 0))
+	must.False(t, other.MayTake(at(10), 1), must.Sprint("the next in rank waits longer"))
+}
+
 type leaseModel struct {
 	now     time.Time
 	nodes   []kernel.Member
