--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
@@ -83,7 +84,7 @@
 			return names, true
 		}
 		a.tellAdapter(true)
-		if !time.Now().Before(latest) || !pause(ctx, adapterPoll) {
+		if !time.Now().Before(latest) || !clock.Sleep(ctx, adapterPoll) {
 			return nil, false
 		}
 	}
@@ -100,17 +101,6 @@
 	return s.Model + "/" + s.Adapter
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // streamOnce makes one call for the tokens from the next one on.
 func (a *attempts) streamOnce(ctx context.Context, e *endpointState, output *strings.Builder) error {
 	start := time.Now()
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -70,13 +70,7 @@
 
 // Unary makes a call and returns the whole reply; the error is a *Fault.
 func (c *Client) Unary(ctx context.Context, target Target, call model.StageCall) (model.StageReply, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	seen := &evidence{}
-	watch := newWatch(target.Timeout, func() {
-		seen.silent.Store(true)
-		cancel(errSilent)
-	})
+	ctx, seen, watch := begin(ctx, target.Timeout)
 	defer watch.stop()
 	res, err := c.send(ctx, target, call, seen)
 	if err != nil {
@@ -104,13 +98,7 @@
 // Stream makes a call and hands each event that belongs to it to accept, in the order of
 // arrival, up to the final one; the error is a *Fault. The timeout holds between events.
 func (c *Client) Stream(ctx context.Context, target Target, call model.StageCall, accept func(model.TokenEvent) error) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	seen := &evidence{}
-	watch := newWatch(target.Timeout, func() {
-		seen.silent.Store(true)
-		cancel(errSilent)
-	})
+	ctx, seen, watch := begin(ctx, target.Timeout)
 	defer watch.stop()
 	res, err := c.send(ctx, target, call, seen)
 	if err != nil {
@@ -247,14 +235,23 @@
 	}
 }
 
-// watch calls silent once when progress stays away for the timeout.
+// watch ends a call that makes no progress for the timeout.
 type watch struct {
 	timer   *time.Timer
 	timeout time.Duration
+	cancel  context.CancelCauseFunc
 }
 
-func newWatch(timeout time.Duration, silent func()) watch {
-	return watch{timer: time.AfterFunc(timeout, silent), timeout: timeout}
+// begin returns the context of a call, what its connection will show, and the watch over its
+// progress, which must be stopped.
+func begin(ctx context.Context, timeout time.Duration) (context.Context, *evidence, watch) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	seen := &evidence{}
+	timer := time.AfterFunc(timeout, func() {
+		seen.silent.Store(true)
+		cancel(errSilent)
+	})
+	return ctx, seen, watch{timer: timer, timeout: timeout, cancel: cancel}
 }
 
 func (w watch) progress() {
@@ -263,4 +260,5 @@
 
 func (w watch) stop() {
 	w.timer.Stop()
+	w.cancel(nil)
 }
--- a/node/drain.go
+++ b/node/drain.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/peer"
 	"basilstall.example/basilstall/table"
@@ -56,10 +57,10 @@
 // a balancer are waited for no longer than half the drain limit.
 func (n *Node) awaitBalancer(ctx context.Context) {
 	end := time.Now().Add(n.options.DrainDelay + n.options.DrainLimit/2)
-	sleep(ctx, n.options.DrainDelay)
+	clock.Sleep(ctx, n.options.DrainDelay)
 	for time.Now().Before(end) {
 		quiet := time.Since(time.Unix(0, n.lastArrival.Load()))
-		if quiet >= n.options.DrainDelay || !sleep(ctx, n.options.DrainDelay-quiet) {
+		if quiet >= n.options.DrainDelay || !clock.Sleep(ctx, n.options.DrainDelay-quiet) {
 			return
 		}
 	}
@@ -91,7 +92,7 @@
 		return
 	}
 	n.log.Info().Str("Heir", heir.Node).Int("Keys", len(entries)).Msg("keys handed over")
-	sleep(ctx, heirLinger)
+	clock.Sleep(ctx, heirLinger)
 }
 
 // giveKeys tries the live members in turn. A swap whose answer is lost for good counts as
@@ -111,7 +112,7 @@
 				return heir, true
 			}
 		}
-		sleep(ctx, 10*drainPoll)
+		clock.Sleep(ctx, 10*drainPoll)
 	}
 	return kernel.Member{}, false
 }
@@ -172,7 +173,7 @@
 	for ctx.Err() == nil {
 		row, version, err := n.store.Claims(ctx, n.claims.current())
 		if err != nil {
-			sleep(ctx, 10*drainPoll)
+			clock.Sleep(ctx, 10*drainPoll)
 			continue
 		}
 		n.claims.set(time.Now(), row, version)
@@ -227,19 +228,8 @@
 // awaitIdle waits until nothing is in flight here, or ctx ends.
 func (n *Node) awaitIdle(ctx context.Context) {
 	for n.inFlight.Load() > 0 {
-		if !sleep(ctx, drainPoll) {
+		if !clock.Sleep(ctx, drainPoll) {
 			return
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	_ "basilstall.example/basilstall/service"
 
 	"basilstall.example/basilstall/caller"
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/config"
 	"basilstall.example/basilstall/dispatch"
 	"basilstall.example/basilstall/kernel"
@@ -155,7 +156,7 @@
 func (n *Node) every(period time.Duration, work func(context.Context)) {
 	for {
 		work(n.ctx)
-		if !sleep(n.ctx, jitter(period)) {
+		if !clock.Sleep(n.ctx, jitter(period)) {
 			return
 		}
 	}
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/model"
 )
 
@@ -131,7 +132,7 @@
 	if delay, hit := e.faults.strike(e.target(), FaultDelay); hit {
 		d += delay.Delay
 	}
-	return sleep(ctx, d)
+	return clock.Sleep(ctx, d)
 }
 
 func (e *endpoint) unary(w http.ResponseWriter, r *http.Request) {
@@ -210,14 +211,3 @@
 		Key: call.Key, Operation: call.Operation, Customer: call.Customer, At: time.Now(),
 	})
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/engine"
 	"basilstall.example/basilstall/model"
 )
@@ -189,7 +190,7 @@
 		return
 	}
 	if o.Kind == "Load" {
-		sleep(r.Context(), s.endpoint.pool.LoadTime)
+		clock.Sleep(r.Context(), s.endpoint.pool.LoadTime)
 	}
 	s.obey(o)
 	if _, hit := s.endpoint.faults.strike(s.endpoint.target(), FaultLostAnswer); hit {
--- a/standin/list.go
+++ b/standin/list.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/list"
 	"basilstall.example/basilstall/model"
 )
@@ -50,7 +51,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if delay, hit := l.faults.strike("list", FaultDelay); hit {
-		sleep(r.Context(), delay.Delay)
+		clock.Sleep(r.Context(), delay.Delay)
 	}
 }
 
--- a/standin/table.go
+++ b/standin/table.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/table"
 )
 
@@ -60,7 +61,7 @@
 		d += delay.Delay
 	}
 	if d > 0 {
-		sleep(r.Context(), d)
+		clock.Sleep(r.Context(), d)
 	}
 }
 
--- a/table/settings.go
+++ b/table/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/model"
 )
 
@@ -97,7 +98,7 @@
 // the document that won the race. The operation's number makes the change idempotent.
 func (s *Store) SetDocument(ctx context.Context, doc model.Document, base uint64) (outcome ChangeOutcome, current model.Document, err error) {
 	for try := range settingsTries {
-		if try > 0 && !pause(ctx, conflictPause<<try) {
+		if try > 0 && !clock.Sleep(ctx, conflictPause<<try) {
 			break
 		}
 		old, oldVersion, err := s.document(ctx, doc.Path)
@@ -165,7 +166,7 @@
 			return NotApplied, doc, ErrUnavailable
 		}
 		if !errors.As(err, &conflict) {
-			if !pause(ctx, resolvePause) {
+			if !clock.Sleep(ctx, resolvePause) {
 				break
 			}
 			continue
@@ -189,18 +190,6 @@
 	return Unknown, doc, ErrUnknown
 }
 
-// pause waits and reports whether ctx still stands.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Operation returns the change with an operation number, if there is one.
 func (s *Store) Operation(ctx context.Context, operation string) (model.Document, bool, error) {
 	all, err := s.History(ctx, "")
