kernel: key time does not run out while members keep changing

Ruled out: the handover (no key of a leaver was lost, reasons KeyAhead and OwnerUnknown only).

Change: while the members differ from the era's, the horizon is moved on once half of Firm is used up; that never takes a key from its owner. A case of the keeper's test demands it.

Before: KeepClaims in that case.

--- a/kernel/claims_test.go
+++ b/kernel/claims_test.go
@@ -113,6 +113,7 @@
 		{"the second extends in its place", 1, row, all, 12 * time.Second, kernel.ExtendHorizon},
 		{"a member is gone", 0, row, all[:2], 3 * time.Second, kernel.StartEra},
 		{"its absence has not stood yet", 0, row, all[:2], time.Second, kernel.KeepClaims},
+		{"members keep changing and key time runs out", 0, kernel.NewClaims(ledgerStart, ledgerStart.Add(10*time.Second), ledgerStart.Add(time.Hour), all, "w"), all[:2], time.Second, kernel.ExtendHorizon},
 		{"who is not alive itself writes nothing", 2, row, all[:2], 9 * time.Second, kernel.KeepClaims},
 		{"no row yet", 0, kernel.Claims{}, all, 3 * time.Second, kernel.CreateClaims},
 	}
--- a/kernel/keeper.go
+++ b/kernel/keeper.go
@@ -52,10 +52,14 @@
 		return CreateClaims
 	}
 	if !sameMembers(row.Newest().Members, alive) {
-		if waited < k.Settle || row.Newest().From.After(now.Add(k.Horizon)) {
-			return KeepClaims
+		if waited >= k.Settle && !row.Newest().From.After(now.Add(k.Horizon)) {
+			return StartEra
+		}
+		// Members that keep coming and going must not let the key time run out.
+		if row.Firm.Sub(now)+time.Duration(rank)*rankDelay < k.Firm/2 {
+			return ExtendHorizon
 		}
-		return StartEra
+		return KeepClaims
 	}
 	left := row.Firm.Sub(now) + time.Duration(rank)*rankDelay
 	if left < k.Firm*2/3 {
