--- a/cli/cli.go
+++ b/cli/cli.go
@@ -84,6 +84,7 @@
 		},
 		Subcommands: []*ff.Command{
 			sh.serveCommand(),
+			sh.edgeCommand(),
 			sh.standinCommand(),
 			sh.demoCommand(),
 			sh.requestCommand(),
--- /dev/null
+++ b/endpoint/exchange.go
@@ -0,0 +1,272 @@
+package endpoint
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// exchangeDial bounds the opening of a connection: several times a lost opening packet's
+	// detection on a healthy network, and short beside any objective worth a second endpoint.
+	exchangeDial = 700 * time.Millisecond
+	// exchangeBuffer holds a typical reply's head and small body in one read.
+	exchangeBuffer = 4 << 10
+	// smallBody is written before the reply is awaited; a longer one is written beside, since
+	// an endpoint may answer before it has read the body.
+	smallBody = 2 << 10
+	// writeLag is how long the end of a write may lag behind the reply to it.
+	writeLag = 2 * time.Millisecond
+	// mostStrays is how many replies to earlier requests are skipped before a connection is
+	// given up.
+	mostStrays = 2
+	// mostHead bounds a reply's status line and header fields.
+	mostHead = 64 << 10
+)
+
+var (
+	errStray      = errors.New("endpoint: the reply belongs to another request")
+	errUnfinished = errors.New("endpoint: the reply is not finished")
+)
+
+type (
+	// Exchange is one request, sent as it stands on a connection that carries nothing else
+	// until its reply was read.
+	Exchange struct {
+		Address string
+		Method  string
+		URI     string
+		Host    string
+		// Header holds all fields but Host and Content-Length.
+		Header http.Header
+		Body   []byte
+		// EchoField and EchoValue name a field that the reply must repeat; none if empty.
+		EchoField string
+		EchoValue string
+		// FreshAfter is how long a connection may have been idle for this request to use it.
+		FreshAfter time.Duration
+		// BeforeSend decides, when a connection is open, whether the request is still to be
+		// sent; nil means yes. Its error is returned as it is.
+		BeforeSend func() error
+	}
+
+	// ExchangeReply is the reply to an exchange. Body ends with io.EOF only if it is whole.
+	ExchangeReply struct {
+		Status int
+		Header http.Header
+		Body   io.Reader
+
+		conn *exchangeConn
+		stop func() bool
+		// whole is true once Body returned io.EOF.
+		whole bool
+		// dirty is true where the connection must not be used again.
+		dirty bool
+		idle  time.Duration
+		owner *Exchanger
+	}
+
+	// limitedHead counts what may still be read of a reply's head.
+	limitedHead struct {
+		conn net.Conn
+		left atomic.Int64
+	}
+)
+
+func (l *limitedHead) Read(p []byte) (int, error) {
+	if l.left.Load() <= 0 {
+		return 0, errors.New("endpoint: the reply's head is too long")
+	}
+	n, err := l.conn.Read(p)
+	l.left.Add(-int64(n))
+	return n, err
+}
+
+// Send carries one exchange out. The context bounds the whole exchange, its body included;
+// its end closes the connection. The error is a *Fault, but for that of BeforeSend.
+func (x *Exchanger) Send(ctx context.Context, e Exchange) (*ExchangeReply, error) {
+	conn, fault := x.connection(ctx, e)
+	if fault != nil {
+		return nil, fault
+	}
+	if e.BeforeSend != nil {
+		if err := e.BeforeSend(); err != nil {
+			x.keep(conn, conn.idleFor)
+			return nil, err
+		}
+	}
+	stop := context.AfterFunc(ctx, conn.close)
+	reply, err := conn.exchange(e)
+	if err != nil {
+		stop()
+		conn.close()
+		return nil, conn.fault(ctx, err)
+	}
+	reply.stop = stop
+	reply.owner = x
+	return reply, nil
+}
+
+func (c *exchangeConn) exchange(e Exchange) (*ExchangeReply, error) {
+	c.wrote.Store(false)
+	c.head.left.Store(mostHead)
+	written := c.write(e)
+	for range mostStrays + 1 {
+		reply, err := c.read(e)
+		if err != nil {
+			return nil, err
+		}
+		if e.EchoField != "" && reply.Header.Get(e.EchoField) != e.EchoValue {
+			if err := skip(reply); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		reply.dirty = reply.dirty || !allWritten(written)
+		return reply, nil
+	}
+	return nil, errStray
+}
+
+// allWritten tells whether all of the request has left. If not, the endpoint answered before it
+// had read the request, and what is still to be written would be taken for the next one.
+func allWritten(written <-chan error) bool {
+	timer := time.NewTimer(writeLag)
+	defer timer.Stop()
+	select {
+	case err := <-written:
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
+// skip reads a reply to an earlier request to its end; this is only possible where its end
+// does not end the connection.
+func skip(reply *ExchangeReply) error {
+	if reply.dirty {
+		return errStray
+	}
+	if _, err := io.Copy(io.Discard, reply.Body); err != nil {
+		return errStray
+	}
+	return nil
+}
+
+// write sends the request; the channel gets one error, nil where all of it was written.
+func (c *exchangeConn) write(e Exchange) <-chan error {
+	done := make(chan error, 1)
+	send := func() {
+		c.wrote.Store(true)
+		_, err := c.conn.Write(requestBytes(e))
+		done <- err
+	}
+	if len(e.Body) <= smallBody {
+		send()
+	} else {
+		go send()
+	}
+	return done
+}
+
+func (c *exchangeConn) read(e Exchange) (*ExchangeReply, error) {
+	for {
+		res, err := http.ReadResponse(c.reader, &http.Request{Method: e.Method})
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("endpoint: the reply switches protocols")
+		}
+		if res.StatusCode < http.StatusOK {
+			continue
+		}
+		c.head.left.Store(1 << 62)
+		reply := &ExchangeReply{Status: res.StatusCode, Header: res.Header, conn: c, dirty: res.Close}
+		reply.idle = keepAlive(res.Header)
+		reply.Body = &wholeBody{reply: reply, body: res.Body}
+		return reply, nil
+	}
+}
+
+// wholeBody notes whether a body was read to its proper end.
+type wholeBody struct {
+	reply *ExchangeReply
+	body  io.Reader
+}
+
+func (b *wholeBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err == io.EOF {
+		b.reply.whole = true
+	}
+	return n, err
+}
+
+// Close ends the exchange; the connection is kept where that is safe. It may be called again.
+func (r *ExchangeReply) Close() {
+	if r.conn == nil {
+		return
+	}
+	conn := r.conn
+	r.conn = nil
+	alive := r.stop()
+	if alive && r.whole && !r.dirty && conn.reader.Buffered() == 0 {
+		r.owner.keep(conn, r.idle)
+		return
+	}
+	conn.close()
+}
+
+func requestBytes(e Exchange) []byte {
+	var b strings.Builder
+	b.Grow(512 + len(e.Body))
+	b.WriteString(e.Method + " " + e.URI + " HTTP/1.1\r\nHost: " + e.Host + "\r\n")
+	if len(e.Body) > 0 || (e.Method != http.MethodGet && e.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(e.Body)) + "\r\n")
+	}
+	_ = e.Header.Write(&b)
+	b.WriteString("\r\n")
+	b.Write(e.Body)
+	return []byte(b.String())
+}
+
+// keepAlive returns how long the endpoint keeps an idle connection, as it says.
+func keepAlive(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil && seconds > 0 {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return unstatedIdle
+}
+
+// fault says what the connection shows of a failed exchange.
+func (c *exchangeConn) fault(ctx context.Context, err error) *Fault {
+	f := &Fault{Kind: Cut, Verdict: model.MayHaveRun, Reused: c.used, Err: err}
+	if !c.wrote.Load() {
+		f.Verdict = model.NotRun
+	}
+	switch {
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		f.Kind = Cancelled
+	case ctx.Err() != nil:
+		f.Kind = Silent
+	case errors.Is(err, errStray):
+		f.Kind = Mismatch
+	}
+	return f
+}
--- /dev/null
+++ b/kernel/gather.go
@@ -0,0 +1,540 @@
+package kernel
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// roomMargin is the share of an endpoint's room that is given out: sizes are approximate.
+	roomMargin = 0.97
+	// foreignWait is how long a piece waits for an endpoint in the failure domain where its
+	// inputs lie before another may make it: about one call's share of a free endpoint.
+	foreignWait = 150 * time.Millisecond
+	// makerPause is how long an endpoint that refused a call as full gets no other: a part of
+	// the shortest call.
+	makerPause = 60 * time.Millisecond
+	// pieceTries bounds how often a piece is asked for.
+	pieceTries = 3
+	// paceWeight is the weight of the newest call in an endpoint's pace.
+	paceWeight = 0.3
+	// slowPace is how many times the stated time a call may take before an endpoint counts as
+	// slow and is asked only when no other is free.
+	slowPace = 1.8
+	// lateBacklog is how many full batches an endpoint may have waiting for work that comes
+	// late to be taken all the same.
+	lateBacklog = 0.5
+)
+
+type (
+	// PieceGroup is the pieces of one stage of one request. They are wanted together.
+	PieceGroup struct {
+		// ID is unique among the groups of one gathering.
+		ID     uint64
+		Pieces []model.Piece
+		// ResultBytes is the approximate size of one result.
+		ResultBytes int64
+		// Domain is the failure domain where the inputs lie or the results are wanted; empty
+		// where it does not matter.
+		Domain string
+		// Due is when the results must be there for the request to be on time; Until is when
+		// they become useless.
+		Due   time.Time
+		Until time.Time
+	}
+
+	// PieceBatch is a call to be made.
+	PieceBatch struct {
+		ID       uint64
+		Endpoint model.Endpoint
+		Pieces   []model.Piece
+		// groups holds the group of each piece.
+		groups []uint64
+		bytes  []int64
+		// startedAt is when the call was handed out, stated what it should take.
+		startedAt time.Time
+		stated    time.Duration
+	}
+
+	// MadePiece is a result with its place.
+	MadePiece struct {
+		Number int
+		Handle string
+		Domain string
+	}
+
+	// GroupOutcome says how a group ended: whole, with one result for each piece, or with a
+	// fault.
+	GroupOutcome struct {
+		Group uint64
+		Made  []MadePiece
+		Fault model.PieceFault
+	}
+
+	// Gathering collects the pieces of one pool from all nodes, and cuts them into calls as its
+	// endpoints come free. An endpoint works on one call at a time and takes the same time for
+	// a call whatever it holds, so pieces wait here, where others can join them, and never at
+	// an endpoint. No piece is started whose result would find no room. It changes in place.
+	Gathering struct {
+		traits  model.PieceTraits
+		makers  map[string]*maker
+		groups  map[uint64]*waitingGroup
+		running map[uint64]PieceBatch
+		// results holds what is known to occupy room, by handle.
+		results map[string]heldResult
+		batches uint64
+	}
+
+	maker struct {
+		endpoint model.Endpoint
+		calls    int
+		// used is the room taken by results and by calls under way.
+		used        int64
+		pausedUntil time.Time
+		health      Health
+		// pace is how long calls take, relative to what is stated.
+		pace float64
+	}
+
+	waitingGroup struct {
+		PieceGroup
+		arrived time.Time
+		waiting []model.Piece
+		made    []MadePiece
+		tries   map[int]int
+	}
+
+	heldResult struct {
+		maker string
+		bytes int64
+		until time.Time
+	}
+)
+
+// NewGathering returns a gathering for a pool.
+func NewGathering(traits model.PieceTraits) *Gathering {
+	return &Gathering{
+		traits:  traits,
+		makers:  map[string]*maker{},
+		groups:  map[uint64]*waitingGroup{},
+		running: map[uint64]PieceBatch{},
+		results: map[string]heldResult{},
+	}
+}
+
+// SetTraits takes over what the newest routing says of the pool.
+func (g *Gathering) SetTraits(traits model.PieceTraits) {
+	g.traits = traits
+}
+
+// SetEndpoints brings the makers in line with the roster. What a maker held is gone with it.
+func (g *Gathering) SetEndpoints(endpoints []model.Endpoint) {
+	listed := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		listed[e.Name] = true
+		m := g.makers[e.Name]
+		if m == nil {
+			m = &maker{pace: 1}
+			g.makers[e.Name] = m
+		}
+		m.endpoint = e
+	}
+	for name := range g.makers {
+		if listed[name] {
+			continue
+		}
+		delete(g.makers, name)
+		for handle, r := range g.results {
+			if r.maker == name {
+				delete(g.results, handle)
+			}
+		}
+	}
+}
+
+// Add takes a group in, or tells that it cannot be made in time and when to come back.
+func (g *Gathering) Add(now time.Time, group PieceGroup) (accepted bool, retryAfter time.Duration) {
+	wait := g.Wait(group.Due, len(group.Pieces), group.ResultBytes)
+	finish := now.Add(wait + g.callTime(len(group.Pieces)))
+	overdue := finish.After(group.Due) && g.backlog() > lateBacklog
+	if overdue || finish.After(group.Until) {
+		return false, RetryAfter(max(wait, g.callTime(g.traits.Batch)))
+	}
+	g.groups[group.ID] = &waitingGroup{
+		PieceGroup: group,
+		arrived:    now,
+		waiting:    slices.Clone(group.Pieces),
+		tries:      map[int]int{},
+	}
+	return true, 0
+}
+
+// Cancel forgets a group and returns what was made for it; what is still being made turns up as
+// unwanted.
+func (g *Gathering) Cancel(id uint64) []MadePiece {
+	w := g.groups[id]
+	if w == nil {
+		return nil
+	}
+	delete(g.groups, id)
+	return w.made
+}
+
+// Wait estimates how long pieces that are due at a time wait until their call starts: the work
+// due before them, by the time of full batches and by room.
+func (g *Gathering) Wait(due time.Time, pieces int, bytes int64) time.Duration {
+	makers := g.staying()
+	if makers == 0 {
+		return lapsedGrace
+	}
+	ahead := 0
+	var aheadBytes int64
+	for _, w := range g.groups {
+		if w.Due.After(due) {
+			continue
+		}
+		ahead += len(w.waiting)
+		aheadBytes += int64(len(w.waiting)) * w.ResultBytes
+	}
+	full := g.callTime(g.traits.Batch)
+	batches := float64(ahead) / float64(max(1, g.traits.Batch))
+	if g.traits.Room > 0 {
+		byRoom := float64(aheadBytes+int64(pieces)*bytes) / (float64(g.traits.Room) * roomMargin)
+		batches = max(batches, byRoom-1)
+	}
+	calls := float64(makers * max(1, g.traits.Slots))
+	// With all endpoints busy, one comes free after a call's share on average.
+	first := float64(full) / (2 * calls)
+	if g.free() > 0 {
+		first = 0
+	}
+	return time.Duration(first + batches/calls*float64(full))
+}
+
+// backlog is how many full batches wait for each endpoint.
+func (g *Gathering) backlog() float64 {
+	waiting := 0
+	for _, w := range g.groups {
+		waiting += len(w.waiting)
+	}
+	return float64(waiting) / float64(max(1, g.traits.Batch*g.staying()))
+}
+
+func (g *Gathering) staying() int {
+	n := 0
+	for _, m := range g.makers {
+		if m.endpoint.State != model.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *Gathering) free() int {
+	n := 0
+	for _, m := range g.makers {
+		if m.endpoint.State != model.Leaving && m.calls < max(1, g.traits.Slots) {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *Gathering) callTime(pieces int) time.Duration {
+	return g.traits.CallTime + time.Duration(min(pieces, g.traits.Batch))*g.traits.PieceTime
+}
+
+// Next hands out a call that is to be made now; false means that none is.
+func (g *Gathering) Next(now time.Time) (PieceBatch, bool) {
+	order := g.order(now)
+	if len(order) == 0 {
+		return PieceBatch{}, false
+	}
+	for _, m := range g.idle(now) {
+		if batch := g.fill(now, m, order); len(batch.Pieces) > 0 {
+			return g.start(now, m, batch), true
+		}
+	}
+	return PieceBatch{}, false
+}
+
+// order returns the groups with waiting pieces: those that can still be on time by when they
+// are due, then the late ones.
+func (g *Gathering) order(now time.Time) []*waitingGroup {
+	var out []*waitingGroup
+	for _, w := range g.groups {
+		if len(w.waiting) > 0 {
+			out = append(out, w)
+		}
+	}
+	shortest := now.Add(g.callTime(1))
+	slices.SortFunc(out, func(a, b *waitingGroup) int {
+		if la, lb := shortest.After(a.Due), shortest.After(b.Due); la != lb {
+			if la {
+				return 1
+			}
+			return -1
+		}
+		if c := a.Due.Compare(b.Due); c != 0 {
+			return c
+		}
+		return int(int64(a.ID) - int64(b.ID))
+	})
+	return out
+}
+
+// idle returns the makers that may get a call, those that keep their pace and have most room
+// first.
+func (g *Gathering) idle(now time.Time) []*maker {
+	var out, slow []*maker
+	for _, m := range g.makers {
+		if m.calls >= max(1, g.traits.Slots) || m.endpoint.State == model.Leaving {
+			continue
+		}
+		if now.Before(m.pausedUntil) || !m.health.Usable(now) {
+			continue
+		}
+		if m.pace > slowPace {
+			slow = append(slow, m)
+		} else {
+			out = append(out, m)
+		}
+	}
+	byRoom := func(a, b *maker) int {
+		if a.used != b.used {
+			return int(a.used - b.used)
+		}
+		if a.endpoint.Name < b.endpoint.Name {
+			return -1
+		}
+		return 1
+	}
+	slices.SortFunc(out, byRoom)
+	slices.SortFunc(slow, byRoom)
+	return append(out, slow...)
+}
+
+// fill collects the pieces that a maker is to make next. A group's pieces stay together where
+// they fit.
+func (g *Gathering) fill(now time.Time, m *maker, order []*waitingGroup) PieceBatch {
+	var batch PieceBatch
+	room := math.Inf(1)
+	if g.traits.Room > 0 {
+		room = float64(g.traits.Room)*roomMargin - float64(m.used)
+	}
+	for _, w := range order {
+		if !g.suits(now, m, w) {
+			continue
+		}
+		fits := min(len(w.waiting), g.traits.Batch-len(batch.Pieces))
+		if w.ResultBytes > 0 && !math.IsInf(room, 1) {
+			fits = min(fits, int(room/float64(w.ResultBytes)))
+		}
+		if fits <= 0 || (fits < len(w.waiting) && len(batch.Pieces) > 0 && len(w.waiting) <= g.traits.Batch/2) {
+			continue
+		}
+		for _, p := range w.waiting[:fits] {
+			batch.Pieces = append(batch.Pieces, p)
+			batch.groups = append(batch.groups, w.ID)
+			batch.bytes = append(batch.bytes, w.ResultBytes)
+			room -= float64(w.ResultBytes)
+		}
+		if len(batch.Pieces) >= g.traits.Batch {
+			break
+		}
+	}
+	return batch
+}
+
+// suits tells whether a maker may make a group: in the domain where the inputs lie, or
+// anywhere once the group has waited.
+func (g *Gathering) suits(now time.Time, m *maker, w *waitingGroup) bool {
+	if w.Domain == "" || m.endpoint.FailureDomain == w.Domain {
+		return true
+	}
+	if now.Sub(w.arrived) >= foreignWait {
+		return true
+	}
+	for _, other := range g.makers {
+		if other.endpoint.FailureDomain == w.Domain && other.endpoint.State != model.Leaving {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *Gathering) start(now time.Time, m *maker, batch PieceBatch) PieceBatch {
+	g.batches++
+	batch.ID = g.batches
+	batch.Endpoint = m.endpoint
+	batch.startedAt = now
+	batch.stated = g.callTime(len(batch.Pieces))
+	m.calls++
+	if m.health.Ejected() {
+		m.health = m.health.WithProbe()
+	}
+	for i, p := range batch.Pieces {
+		m.used += batch.bytes[i]
+		w := g.groups[batch.groups[i]]
+		w.tries[p.Number]++
+		w.waiting = slices.DeleteFunc(w.waiting, func(q model.Piece) bool { return q.Number == p.Number })
+	}
+	g.running[batch.ID] = batch
+	return batch
+}
+
+// Expected returns how long a call may take before its endpoint is given up: what is stated,
+// times the pace that the endpoint showed.
+func (g *Gathering) Expected(batch PieceBatch) time.Duration {
+	pace := 1.0
+	if m := g.makers[batch.Endpoint.Name]; m != nil {
+		pace = max(1, m.pace)
+	}
+	return time.Duration(float64(batch.stated) * pace)
+}
+
+// Refused takes in that an endpoint did not run a call: its pieces wait again.
+func (g *Gathering) Refused(now time.Time, batch PieceBatch) []GroupOutcome {
+	m := g.end(batch, nil)
+	if m != nil {
+		m.pausedUntil = now.Add(makerPause)
+		m.health.Probing = false
+	}
+	return g.retryPieces(now, batch, nil, model.PieceNoRoom, false)
+}
+
+// Failed takes in that a call ended without an answer. What it made, if anything, is lost.
+func (g *Gathering) Failed(now time.Time, batch PieceBatch) []GroupOutcome {
+	if m := g.end(batch, nil); m != nil {
+		m.health = m.health.WithFailure(now)
+	}
+	return g.retryPieces(now, batch, nil, model.PieceFailed, true)
+}
+
+// Done takes the results of a call in. It returns the groups that ended, and the handles that
+// nobody waits for any more.
+func (g *Gathering) Done(now time.Time, batch PieceBatch, results []model.PieceResult) (ended []GroupOutcome, unwanted []string) {
+	if m := g.end(batch, results); m != nil {
+		m.health = m.health.WithSuccess()
+		took := float64(now.Sub(batch.startedAt)) / float64(max(1, batch.stated))
+		m.pace += paceWeight * (took - m.pace)
+	}
+	failed := map[int]model.PieceFault{}
+	for i, p := range batch.Pieces {
+		r := results[i]
+		if r.Handle == "" {
+			failed[i] = r.Fault
+			continue
+		}
+		g.results[r.Handle] = heldResult{maker: batch.Endpoint.Name, bytes: batch.bytes[i], until: now.Add(g.traits.Keep)}
+		w := g.groups[batch.groups[i]]
+		if w == nil {
+			unwanted = append(unwanted, r.Handle)
+			continue
+		}
+		w.made = append(w.made, MadePiece{Number: p.Number, Handle: r.Handle, Domain: batch.Endpoint.FailureDomain})
+	}
+	ended = g.retryPieces(now, batch, failed, "", true)
+	for _, id := range slices.Compact(slices.Clone(batch.groups)) {
+		w := g.groups[id]
+		if w == nil || len(w.made) < len(w.Pieces) {
+			continue
+		}
+		slices.SortFunc(w.made, func(a, b MadePiece) int { return a.Number - b.Number })
+		ended = append(ended, GroupOutcome{Group: id, Made: w.made})
+		delete(g.groups, id)
+	}
+	return ended, unwanted
+}
+
+// end frees the slot of a call, and the room of the pieces that were not made.
+func (g *Gathering) end(batch PieceBatch, results []model.PieceResult) *maker {
+	delete(g.running, batch.ID)
+	m := g.makers[batch.Endpoint.Name]
+	if m == nil {
+		return nil
+	}
+	m.calls--
+	for i, bytes := range batch.bytes {
+		if results == nil || results[i].Handle == "" {
+			m.used -= bytes
+		}
+	}
+	return m
+}
+
+// retryPieces puts pieces that were not made back among the waiting ones, or ends their groups.
+// With failed nil, all pieces of the call share one fault.
+func (g *Gathering) retryPieces(now time.Time, batch PieceBatch, failed map[int]model.PieceFault, all model.PieceFault, counts bool) []GroupOutcome {
+	var ended []GroupOutcome
+	for i, p := range batch.Pieces {
+		fault := all
+		if failed != nil {
+			var bad bool
+			if fault, bad = failed[i]; !bad {
+				continue
+			}
+		}
+		w := g.groups[batch.groups[i]]
+		if w == nil {
+			continue
+		}
+		if !counts {
+			w.tries[p.Number]--
+		}
+		hopeless := fault == model.PieceInputGone || fault == model.PieceLate
+		if hopeless || w.tries[p.Number] >= pieceTries || !now.Add(g.callTime(1)).Before(w.Until) {
+			ended = append(ended, GroupOutcome{Group: w.ID, Made: w.made, Fault: fault})
+			delete(g.groups, w.ID)
+			continue
+		}
+		w.waiting = append(w.waiting, p)
+	}
+	return ended
+}
+
+// Expire ends the groups that can no longer be made in time and forgets results that their
+// makers no longer hold.
+func (g *Gathering) Expire(now time.Time) []GroupOutcome {
+	var ended []GroupOutcome
+	latest := now.Add(g.callTime(1))
+	for id, w := range g.groups {
+		if len(w.waiting) == 0 || latest.Before(w.Until) {
+			continue
+		}
+		ended = append(ended, GroupOutcome{Group: id, Made: w.made, Fault: model.PieceLate})
+		delete(g.groups, id)
+	}
+	for handle, r := range g.results {
+		if now.After(r.until) {
+			g.Release(handle)
+		}
+	}
+	return ended
+}
+
+// Release takes in that a result is no longer held; it returns its maker, if that is known.
+func (g *Gathering) Release(handle string) (model.Endpoint, bool) {
+	r, ok := g.results[handle]
+	if !ok {
+		return model.Endpoint{}, false
+	}
+	delete(g.results, handle)
+	m := g.makers[r.maker]
+	if m == nil {
+		return model.Endpoint{}, false
+	}
+	m.used -= r.bytes
+	return m.endpoint, true
+}
+
+// Waiting returns how many pieces wait and how many calls are under way.
+func (g *Gathering) Waiting() (pieces, calls int) {
+	for _, w := range g.groups {
+		pieces += len(w.waiting)
+	}
+	return pieces, len(g.running)
+}
--- /dev/null
+++ b/kernel/placement.go
@@ -0,0 +1,107 @@
+package kernel
+
+import (
+	"math"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// prefillSpread is how many tokens more than the least loaded engine of its choice an engine
+	// may have to read before a prompt moves on to its next one: reading them takes about as long
+	// as reading a long shared prefix again.
+	prefillSpread = 6000
+	// decodeTokens is what a request that generates counts for beside the tokens to be read: its
+	// share of the step time of the others, in tokens.
+	decodeTokens = 150
+	// slotShare is the share of an engine's slots that may be taken before others are preferred.
+	slotShare = 0.9
+)
+
+// EngineChoice is an engine that may get a prompt.
+type EngineChoice struct {
+	Candidate
+	// Reading is how many prompt tokens this node's requests there have still to be read.
+	Reading int
+}
+
+// AffinityKey returns the part of a prompt that decides where it goes: the last one that other
+// requests share. The parts before it are then cached with it.
+func AffinityKey(p model.Prompt) string {
+	switch len(p.Parts) {
+	case 0:
+		return ""
+	case 1:
+		return p.Parts[0].ID
+	default:
+		return p.Parts[len(p.Parts)-2].ID
+	}
+}
+
+// HomeDomain returns the failure domain where all nodes place the prompts of a key, so that
+// stages can make their results there. Empty for no engines.
+func HomeDomain(key string, engines []model.Endpoint) string {
+	best, domain := uint64(0), ""
+	for _, e := range engines {
+		if e.State == model.Leaving {
+			continue
+		}
+		if score := rendezvousScore(key, e.Name); domain == "" || score > best {
+			best, domain = score, e.FailureDomain
+		}
+	}
+	return domain
+}
+
+// PickEngine returns the index of the engine for a prompt, -1 for none: in the failure domain
+// where its inputs lie, by the affinity key, and the next one by hash where an engine has much
+// more to read than the least loaded.
+func PickEngine(now time.Time, engines []EngineChoice, key, domain string) int {
+	inDomain := false
+	for _, e := range engines {
+		inDomain = inDomain || e.Endpoint.FailureDomain == domain
+	}
+	least := math.Inf(1)
+	for _, e := range engines {
+		if !inDomain || e.Endpoint.FailureDomain == domain {
+			least = min(least, e.burden(now))
+		}
+	}
+	best, fallback := -1, -1
+	var bestScore uint64
+	for i, e := range engines {
+		if inDomain && e.Endpoint.FailureDomain != domain {
+			continue
+		}
+		burden := e.burden(now)
+		if fallback < 0 || burden < engines[fallback].burden(now) {
+			fallback = i
+		}
+		if burden > least+prefillSpread || e.full(now) {
+			continue
+		}
+		score := rendezvousScore(key, e.Endpoint.Name)
+		if key == "" {
+			score = uint64(math.MaxUint32) - uint64(min(burden, math.MaxUint32))
+		}
+		if best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return fallback
+	}
+	return best
+}
+
+func (e EngineChoice) burden(now time.Time) float64 {
+	return float64(e.Reading) + decodeTokens*loadOf(now, e.Candidate, e.Endpoint.FailureDomain)
+}
+
+func (e EngineChoice) full(now time.Time) bool {
+	if e.Load.Slots == 0 {
+		return false
+	}
+	return loadOf(now, e.Candidate, e.Endpoint.FailureDomain) >= slotShare*float64(e.Load.Slots)
+}
--- /dev/null
+++ b/kernel/routes.go
@@ -0,0 +1,137 @@
+package kernel
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basilstall.example/basilstall/model"
+)
+
+type (
+	// RouteTable answers which route a request takes and whose key it bears, by one version of
+	// the routing. It is immutable.
+	RouteTable struct {
+		routing model.Routing
+		// byHost holds each host's routes, longest prefix first.
+		byHost  map[string][]model.Route
+		holders map[string]model.KeyHolder
+	}
+
+	// RoutingView is the newest routing known, and when it was proven to be the newest of all.
+	RoutingView struct {
+		Table *RouteTable
+		// ProvenAt is the start of the store call whose answer showed Table to be current.
+		ProvenAt time.Time
+	}
+)
+
+// NewRouteTable returns the table of a routing.
+func NewRouteTable(routing model.Routing) *RouteTable {
+	t := &RouteTable{routing: routing, byHost: map[string][]model.Route{}, holders: map[string]model.KeyHolder{}}
+	for _, r := range routing.Routes {
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b model.Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, holder := range routing.Customers {
+		for _, key := range holder.Keys {
+			t.holders[key] = holder
+		}
+	}
+	return t
+}
+
+// Version returns the version of the routing; 0 for no table.
+func (t *RouteTable) Version() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.routing.Version
+}
+
+// Limits returns the bounds on what callers may send.
+func (t *RouteTable) Limits() model.CallerLimits {
+	return t.routing.Limits
+}
+
+// Pool returns a pool by its name.
+func (t *RouteTable) Pool(name string) (model.Pool, bool) {
+	p, ok := t.routing.Pools[name]
+	return p, ok
+}
+
+// Pools returns all pools.
+func (t *RouteTable) Pools() map[string]model.Pool {
+	return t.routing.Pools
+}
+
+// HasCustomers tells whether callers must show keys on routes that are not public.
+func (t *RouteTable) HasCustomers() bool {
+	return len(t.routing.Customers) > 0
+}
+
+// Match returns the route with the longest prefix of a path on a host.
+func (t *RouteTable) Match(host, path string) (model.Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return model.Route{}, false
+}
+
+// Holder returns the customer that holds an API key.
+func (t *RouteTable) Holder(key string) (model.KeyHolder, bool) {
+	if key == "" {
+		return model.KeyHolder{}, false
+	}
+	h, ok := t.holders[key]
+	return h, ok
+}
+
+// PoolFor returns the pool that a request of a route goes to. One request always gets the same
+// pool of a split; over many requests the pools get their weights.
+func PoolFor(route model.Route, request string) string {
+	total := uint64(0)
+	for _, w := range route.Split {
+		total += uint64(max(0, w.Weight))
+	}
+	if total == 0 {
+		return route.Split[0].Pool
+	}
+	point := xxhash.Sum64String(request) % total
+	for _, w := range route.Split {
+		weight := uint64(max(0, w.Weight))
+		if point < weight {
+			return w.Pool
+		}
+		point -= weight
+	}
+	return route.Split[len(route.Split)-1].Pool
+}
+
+// With returns the view after a store call that began at a time and showed a table, or, with
+// nil, that nothing newer exists. A version never gives way to an older one.
+func (v RoutingView) With(began time.Time, table *RouteTable) RoutingView {
+	if table != nil && table.Version() > v.Table.Version() {
+		v.Table = table
+	}
+	if v.Table != nil && began.After(v.ProvenAt) {
+		v.ProvenAt = began
+	}
+	return v
+}
+
+// Proven tells whether the view is young enough to trust an API key by it: a key that was taken
+// away must stop working within the limit.
+func (v RoutingView) Proven(now time.Time, limit time.Duration) bool {
+	return v.Table != nil && now.Sub(v.ProvenAt) <= limit
+}
--- /dev/null
+++ b/kernel/stageplan.go
@@ -0,0 +1,117 @@
+package kernel
+
+import (
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// typicalBatch is the share of a full batch that a call is taken to hold.
+	typicalBatch = 0.4
+	// crowdedWait is the wait at a pool above which late work is refused: with less, what comes
+	// late takes little from what does not.
+	crowdedWait = 200 * time.Millisecond
+	// firstEventMargin is taken off an objective: the way back to the caller and the lag of
+	// timers.
+	firstEventMargin = 15 * time.Millisecond
+)
+
+type (
+	// StagePlan says by when each stage of a request must be done. It is immutable.
+	StagePlan struct {
+		// Due is by when each stage's results must be there for the answer to be on time, Until
+		// by when for it to come at all.
+		Due   []time.Time
+		Until []time.Time
+		// Last lists the stages with pieces that no other stage follows: their results are the
+		// request's inputs.
+		Last []int
+		// Expected is how long all stages and the first event should take from now.
+		Expected time.Duration
+	}
+
+	// PoolOutlook is what a node expects of a pool: how long pieces wait, as far as its gatherer
+	// last told.
+	PoolOutlook struct {
+		Traits model.PieceTraits
+		Wait   time.Duration
+	}
+)
+
+// PlanStages plans the stages of a request that was received at a time. The outlook has an entry
+// for each stage's pool; firstEvent is how long the engine takes to the first event.
+func PlanStages(now time.Time, f model.Forward, a Admission, outlook map[string]PoolOutlook, firstEvent time.Duration) StagePlan {
+	stages := a.Route.Stages
+	plan := StagePlan{Due: make([]time.Time, len(stages)), Until: make([]time.Time, len(stages))}
+	rest := make([]time.Duration, len(stages))
+	followed := make([]bool, len(stages))
+	for i := range rest {
+		rest[i] = firstEvent
+	}
+	for i := len(stages) - 1; i >= 0; i-- {
+		own := time.Duration(0)
+		if PiecesOf(f, i) > 0 {
+			own = stageTime(outlook[stages[i].Pool])
+		}
+		for _, before := range stages[i].After {
+			rest[before] = max(rest[before], rest[i]+own)
+			followed[before] = followed[before] || PiecesOf(f, i) > 0
+		}
+		plan.Expected = max(plan.Expected, rest[i]+own)
+	}
+	plan.Expected = max(plan.Expected, firstEvent)
+	due := f.ReceivedAt.Add(a.Route.Objective - firstEventMargin)
+	for i := range stages {
+		plan.Due[i] = due.Add(-rest[i])
+		plan.Until[i] = a.Until.Add(-rest[i])
+		if !followed[i] && PiecesOf(f, i) > 0 {
+			plan.Last = append(plan.Last, i)
+		}
+	}
+	return plan
+}
+
+// PiecesOf returns how many pieces a stage of a request has.
+func PiecesOf(f model.Forward, stage int) int {
+	if stage >= len(f.Pieces) {
+		return 0
+	}
+	return f.Pieces[stage]
+}
+
+func stageTime(o PoolOutlook) time.Duration {
+	pieces := time.Duration(max(1, int(typicalBatch*float64(o.Traits.Batch))))
+	return o.Wait + o.Traits.CallTime + pieces*o.Traits.PieceTime
+}
+
+// DomainOf returns the failure domain where most of the results lie; empty for none.
+func DomainOf(made []MadePiece) string {
+	counts := map[string]int{}
+	best := ""
+	for _, m := range made {
+		counts[m.Domain]++
+		if counts[m.Domain] > counts[best] || best == "" {
+			best = m.Domain
+		}
+	}
+	return best
+}
+
+// AdmitStages refuses a request whose stages can't be done in time, before its first piece: what
+// would come late takes room and calls from what would not. The time to come back is when the
+// longest queue will have drained.
+func AdmitStages(now time.Time, f model.Forward, a Admission, plan StagePlan, outlook map[string]PoolOutlook) *model.Refusal {
+	var wait time.Duration
+	for i, s := range a.Route.Stages {
+		if PiecesOf(f, i) > 0 {
+			wait = max(wait, outlook[s.Pool].Wait)
+		}
+	}
+	late := now.Add(plan.Expected).After(f.ReceivedAt.Add(a.Route.Objective))
+	hopeless := now.Add(plan.Expected).After(a.Until)
+	if hopeless || (late && wait > crowdedWait) {
+		return model.NewRefusal(model.NotRun, model.StageLate, RetryAfter(wait), "the stages would be late")
+	}
+	return nil
+}
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -47,6 +47,14 @@
 	OutcomeUnknown   Reason = "OutcomeUnknown"
 	TableUnavailable Reason = "TableUnavailable"
 	AdapterNotLoaded Reason = "AdapterNotLoaded"
+	// StaleRouting: what is known of routes and keys is too old to decide by.
+	StaleRouting Reason = "StaleRouting"
+	// TooLarge: the request exceeds what callers may send.
+	TooLarge Reason = "TooLarge"
+	// StageLate: a stage's results could not be made in time.
+	StageLate Reason = "StageLate"
+	// EndpointRefused: the endpoint did not run the request, and no other could be asked.
+	EndpointRefused Reason = "EndpointRefused"
 )
 
 // The reasons of repeated stage calls.
@@ -58,6 +66,10 @@
 	RetryMismatch Reason = "RetryMismatch"
 	RetryHedge    Reason = "RetryHedge"
 	RetryResume   Reason = "RetryResume"
+	// RetryNotRun: the endpoint said that it did not run the call.
+	RetryNotRun Reason = "RetryNotRun"
+	// RetryPiece: a piece was made again because its result or an input was gone.
+	RetryPiece Reason = "RetryPiece"
 )
 
 // Refusal is the error that ends a request without a whole answer.
--- a/peer/message.go
+++ b/peer/message.go
@@ -22,6 +22,9 @@
 	KindDemand
 	KindGrant
 	KindSeal
+	KindGather
+	KindGatherCancel
+	KindRelease
 )
 
 type (
@@ -126,6 +129,47 @@
 		From   time.Time
 	}
 
+	// Gather asks the gatherer of a pool for the pieces of one stage of one request. Times are
+	// given as what is left: clocks differ between hosts.
+	Gather struct {
+		Pool string
+		// Group is unique among the sender's groups.
+		Group       string
+		Request     string
+		Stage       int
+		Numbers     []int
+		Key         string
+		Inputs      []string
+		ResultBytes int64
+		Domain      string
+		DueIn       time.Duration
+		UntilIn     time.Duration
+	}
+
+	// GatherReply ends a group.
+	GatherReply struct {
+		Outcome kernel.GroupOutcome
+		// Refused is true where the group was not taken; RetryAfter says when to come back.
+		Refused    bool
+		RetryAfter time.Duration
+		// Wait is how long pieces that come now wait.
+		Wait time.Duration
+		// Leaving is true where the node gathers no more: the sender asks another one.
+		Leaving bool
+	}
+
+	// GatherCancel withdraws a group that nobody waits for any more.
+	GatherCancel struct {
+		Pool  string
+		Group string
+	}
+
+	// Release frees results that are no longer needed.
+	Release struct {
+		Pool    string
+		Handles []string
+	}
+
 	// Empty is the body of calls that say nothing more.
 	Empty struct{}
 )
--- a/peer/server.go
+++ b/peer/server.go
@@ -21,6 +21,9 @@
 	Server struct {
 		// Handlers has one entry a kind; it is not changed once the server runs.
 		Handlers map[Kind]Handler
+		// EndWithConn lists the kinds whose handlers' contexts end with the connection: work that
+		// is of no use without its caller.
+		EndWithConn map[Kind]bool
 		// OnRefused is called for each wrong token.
 		OnRefused func(remote string)
 
@@ -101,6 +104,8 @@
 	if !s.greet(conn, reader, w) {
 		return
 	}
+	connCtx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
 	for {
 		frame, err := ReadFrame(reader)
 		if err != nil {
@@ -114,8 +119,12 @@
 		if handler == nil {
 			return
 		}
+		ctx := s.ctx
+		if s.EndWithConn[frame.Kind] {
+			ctx = connCtx
+		}
 		go func() {
-			reply, err := handler(s.ctx, frame.Body)
+			reply, err := handler(ctx, frame.Body)
 			if err != nil {
 				_ = conn.Close()
 				return
--- /dev/null
+++ b/relay/gather.go
@@ -0,0 +1,255 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
+)
+
+const (
+	// gatherPatience is how long beyond the time by which a group is due its sender waits for the
+	// gatherer's answer before it turns to the next node.
+	gatherPatience = 200 * time.Millisecond
+	// releaseTimeout bounds the word to a gatherer that results are no longer needed.
+	releaseTimeout = time.Second
+	// gathererTries is how many nodes are asked to gather a group.
+	gathererTries = 3
+)
+
+type (
+	// gatherRequest is the pieces of one stage of one request.
+	gatherRequest struct {
+		pool   string
+		pieces []model.Piece
+		bytes  int64
+		domain string
+		due    time.Time
+		until  time.Time
+	}
+
+	// gatherResult is a gatherer's answer.
+	gatherResult struct {
+		outcome    kernel.GroupOutcome
+		refused    bool
+		leaving    bool
+		retryAfter time.Duration
+		wait       time.Duration
+	}
+)
+
+// gather has the pieces of a group made by the pool's gatherer: one node for each pool, the same
+// for all nodes, so that pieces of all requests share calls. A gatherer that doesn't answer is
+// passed over for the next one.
+func (r *Relay) gather(ctx context.Context, req gatherRequest) ([]kernel.MadePiece, *model.Refusal) {
+	g := r.hub.find(req.pool)
+	if g == nil {
+		return nil, model.NewRefusal(model.NotRun, model.NoEndpoint, kernel.RetryAfter(refusedRetry), "the pool "+req.pool+" is not known")
+	}
+	tried := 0
+	for _, node := range kernel.Gatherers(req.pool, r.gathererNodes()) {
+		if tried >= gathererTries || ctx.Err() != nil {
+			break
+		}
+		tried++
+		result, err := r.askGatherer(ctx, node, g, req)
+		if err != nil {
+			r.noteGatherer(node, req, err)
+			continue
+		}
+		if result.leaving {
+			continue
+		}
+		g.noteWait(result.wait)
+		if result.refused {
+			return nil, model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(result.retryAfter), "pool "+req.pool+" has no time for the pieces")
+		}
+		if result.outcome.Fault != "" {
+			return result.outcome.Made, model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(max(result.wait, refusedRetry)),
+				fmt.Sprintf("pool %s: pieces not made: %s", req.pool, result.outcome.Fault))
+		}
+		return result.outcome.Made, nil
+	}
+	return nil, model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(refusedRetry), "no node gathered the pieces of pool "+req.pool)
+}
+
+// gathererNodes returns the names of the nodes that may gather.
+func (r *Relay) gathererNodes() []string {
+	var names []string
+	for _, n := range *r.nodes.Load() {
+		if !n.Leaving && !r.suspects.suspected(r.now(), n.Name) {
+			names = append(names, n.Name)
+		}
+	}
+	if !slices.Contains(names, r.options.Name) {
+		names = append(names, r.options.Name)
+	}
+	return names
+}
+
+func (r *Relay) noteGatherer(node string, req gatherRequest, err error) {
+	r.suspects.suspect(r.now(), node)
+	r.metrics.Event("GathererFailed")
+	r.log.Info().Str("Request", req.pieces[0].Request).Str("Pool", req.pool).Str("Gatherer", node).Err(err).Msg("gatherer did not answer")
+}
+
+func (r *Relay) askGatherer(ctx context.Context, node string, g *gatherer, req gatherRequest) (gatherResult, error) {
+	if node == r.options.Name {
+		group := kernel.PieceGroup{
+			ID:          r.groups.Add(1),
+			Pieces:      req.pieces,
+			ResultBytes: req.bytes,
+			Domain:      req.domain,
+			Due:         req.due,
+			Until:       req.until,
+		}
+		return g.gather(ctx, group), nil
+	}
+	address := r.addressOf(node)
+	now := r.now()
+	first := req.pieces[0]
+	message := peer.Gather{
+		Pool:        req.pool,
+		Request:     first.Request,
+		Stage:       first.Stage,
+		Key:         first.Key,
+		Inputs:      first.Inputs,
+		ResultBytes: req.bytes,
+		Domain:      req.domain,
+		DueIn:       req.due.Sub(now),
+		UntilIn:     req.until.Sub(now),
+		Group:       fmt.Sprintf("%s/%d", r.options.Name, r.groups.Add(1)),
+	}
+	for _, p := range req.pieces {
+		message.Numbers = append(message.Numbers, p.Number)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, max(gatherPatience, req.until.Sub(now)+gatherPatience))
+	defer cancel()
+	var reply peer.GatherReply
+	err := r.peers.Call(callCtx, address, peer.KindGather, message, &reply)
+	if ctx.Err() != nil {
+		r.cancelGroup(address, message)
+		return gatherResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}}, nil
+	}
+	if err != nil {
+		return gatherResult{}, err
+	}
+	return gatherResult{
+		outcome:    reply.Outcome,
+		refused:    reply.Refused,
+		leaving:    reply.Leaving,
+		retryAfter: reply.RetryAfter,
+		wait:       reply.Wait,
+	}, nil
+}
+
+// cancelGroup withdraws a group whose request was given up.
+func (r *Relay) cancelGroup(address string, m peer.Gather) {
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
+		defer cancel()
+		var empty peer.Empty
+		if r.peers.Call(ctx, address, peer.KindGatherCancel, peer.GatherCancel{Pool: m.Pool, Group: m.Group}, &empty) != nil {
+			r.metrics.Event("GatherCancelFailed")
+		}
+	}()
+}
+
+func (r *Relay) addressOf(node string) string {
+	for _, n := range *r.nodes.Load() {
+		if n.Name == node {
+			return n.Address
+		}
+	}
+	return ""
+}
+
+// release frees results by way of the pool's gatherer, which keeps account of the room.
+func (r *Relay) release(pool string, handles []string) {
+	g := r.hub.find(pool)
+	if g == nil {
+		return
+	}
+	nodes := kernel.Gatherers(pool, r.gathererNodes())
+	if len(nodes) == 0 || nodes[0] == r.options.Name {
+		g.free(handles)
+		return
+	}
+	address := r.addressOf(nodes[0])
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
+		defer cancel()
+		var empty peer.Empty
+		if r.peers.Call(ctx, address, peer.KindRelease, peer.Release{Pool: pool, Handles: handles}, &empty) != nil {
+			r.metrics.Event("ReleaseFailed")
+		}
+	}()
+}
+
+// Handlers answer other nodes' calls to this one's gatherers.
+func (r *Relay) Handlers() map[peer.Kind]peer.Handler {
+	return map[peer.Kind]peer.Handler{
+		peer.KindGather:       r.answerGather,
+		peer.KindGatherCancel: r.answerGatherCancel,
+		peer.KindRelease:      r.answerRelease,
+	}
+}
+
+func (r *Relay) answerGather(ctx context.Context, body []byte) (any, error) {
+	var m peer.Gather
+	if err := peer.DecodeBody(body, &m); err != nil {
+		return nil, err
+	}
+	g := r.hub.find(m.Pool)
+	if g == nil || r.leaving.Load() {
+		return peer.GatherReply{Leaving: true}, nil
+	}
+	now := r.now()
+	group := kernel.PieceGroup{
+		ID:          r.groups.Add(1),
+		ResultBytes: m.ResultBytes,
+		Domain:      m.Domain,
+		Due:         now.Add(m.DueIn),
+		Until:       now.Add(m.UntilIn),
+	}
+	for _, n := range m.Numbers {
+		group.Pieces = append(group.Pieces, model.Piece{
+			Request: m.Request, Stage: m.Stage, Number: n, Key: m.Key, Inputs: m.Inputs, Deadline: group.Until,
+		})
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.remote.add(m.Group, cancel)
+	defer r.remote.remove(m.Group)
+	result := g.gather(ctx, group)
+	return peer.GatherReply{
+		Outcome:    result.outcome,
+		Refused:    result.refused,
+		RetryAfter: result.retryAfter,
+		Wait:       result.wait,
+	}, nil
+}
+
+func (r *Relay) answerGatherCancel(_ context.Context, body []byte) (any, error) {
+	var m peer.GatherCancel
+	if err := peer.DecodeBody(body, &m); err != nil {
+		return nil, err
+	}
+	r.remote.cancel(m.Group)
+	return peer.Empty{}, nil
+}
+
+func (r *Relay) answerRelease(_ context.Context, body []byte) (any, error) {
+	var m peer.Release
+	if err := peer.DecodeBody(body, &m); err != nil {
+		return nil, err
+	}
+	if g := r.hub.find(m.Pool); g != nil {
+		g.free(m.Handles)
+	}
+	return peer.Empty{}, nil
+}
--- /dev/null
+++ b/relay/log.go
@@ -0,0 +1,62 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// answersBurst and answersPeriod bound the lines on answers that were whole: refusals and
+	// failures are all logged, successes are a sample under load.
+	answersBurst  = 10
+	answersPeriod = time.Second
+)
+
+func sampled(log zerolog.Logger) zerolog.Logger {
+	return log.Sample(&zerolog.BurstSampler{Burst: answersBurst, Period: answersPeriod})
+}
+
+// logEnd writes the line that ends a request: what it was admitted under and how it ended.
+func (r *Relay) logEnd(f model.Forward, a kernel.Admission, view kernel.RoutingView, o Outcome) {
+	now := r.now()
+	log := &r.log
+	if o.Refusal == nil && o.Whole {
+		log = &r.answers
+	}
+	line := log.Info().Str("Request", f.ID).Str("Route", a.Route.Name).Str("Customer", a.Customer).
+		Uint64("Routing", view.Table.Version()).Dur("RoutingAge", now.Sub(view.ProvenAt)).
+		Dur("Elapsed", now.Sub(f.ReceivedAt)).Int("Attempts", o.Attempts)
+	if o.Endpoint != "" {
+		line = line.Str("Endpoint", o.Endpoint)
+	}
+	switch {
+	case o.Refusal != nil:
+		line.Str("Outcome", "Refused").Str("Verdict", string(o.Refusal.Verdict)).
+			Str("Reason", string(o.Refusal.Reason)).Dur("RetryAfter", o.Refusal.RetryAfter).
+			Msg(o.Refusal.Detail)
+	case o.Whole:
+		line.Str("Outcome", "Answered").Int("Status", o.Status).Msg("request answered")
+	default:
+		line.Str("Outcome", "BrokenOff").Int("Status", o.Status).Msg("answer broken off")
+	}
+}
+
+// logAttempt writes a line on a send that did not bring the answer.
+func (r *Relay) logAttempt(f model.Forward, e model.Endpoint, attempt int, reason model.Reason, err error) {
+	r.log.Info().Str("Request", f.ID).Str("Endpoint", e.Name).Str("Pool", e.Pool).Int("Attempt", attempt).
+		Dur("RosterAge", r.Roster().Age(r.now())).Str("Reason", string(reason)).AnErr("Error", err).
+		Msg("attempt failed")
+}
+
+// logRoster writes a line for each endpoint that came, went or began to leave.
+func (r *Relay) logRoster(before, after kernel.Roster) {
+	for _, change := range after.Changes(before) {
+		r.log.Info().Str("Endpoint", change.Endpoint.Name).Str("Pool", change.Endpoint.Pool).
+			Str("Address", change.Endpoint.Address).Str("State", string(change.Endpoint.State)).
+			Msg(change.What)
+	}
+}
--- /dev/null
+++ b/relay/pool.go
@@ -0,0 +1,181 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// fallbackFirstEvent stands in for the time to a stream's first event while too few were
+	// seen: a long prompt read beside others.
+	fallbackFirstEvent = 300 * time.Millisecond
+	firstEventQuantile = 0.7
+)
+
+type (
+	// pool is what this node knows of one pool by its own requests.
+	pool struct {
+		name   string
+		mu     sync.Mutex
+		budget *kernel.SharedBudget
+		states map[string]*endpointState
+		// firstEvent is the time until a stream's first event.
+		firstEvent kernel.Quantiles
+	}
+
+	endpointState struct {
+		inFlight int
+		// reading is how many prompt tokens of requests without a first event it has.
+		reading int
+		load    model.Load
+		loadAt  time.Time
+		health  kernel.Health
+	}
+)
+
+func (r *Relay) pool(name string) *pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[name]
+	if p == nil {
+		p = &pool{name: name, budget: kernel.NewSharedBudget(r.options.Budget), states: map[string]*endpointState{}}
+		r.pools[name] = p
+	}
+	return p
+}
+
+func (p *pool) state(name string) *endpointState {
+	s := p.states[name]
+	if s == nil {
+		s = &endpointState{}
+		p.states[name] = s
+	}
+	return s
+}
+
+// candidates returns the listed endpoints with what is known of them, and forgets those that
+// are gone.
+func (p *pool) candidates(listed []model.Endpoint) []kernel.Candidate {
+	out := make([]kernel.Candidate, 0, len(listed))
+	for _, e := range listed {
+		s := p.state(e.Name)
+		out = append(out, kernel.Candidate{Endpoint: e, InFlight: s.inFlight, Load: s.load, LoadAt: s.loadAt, Health: s.health})
+	}
+	if len(p.states) > 2*len(listed)+8 {
+		for name, s := range p.states {
+			if s.inFlight == 0 && !slices.ContainsFunc(listed, func(e model.Endpoint) bool { return e.Name == name }) {
+				delete(p.states, name)
+			}
+		}
+	}
+	return out
+}
+
+// pick chooses an endpoint for a unary request and counts it as in flight.
+func (p *pool) pick(now time.Time, roster kernel.Roster, domain string, excluded []string) (model.Endpoint, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable := kernel.Usable(now, p.candidates(roster.Endpoints(p.name)), excluded)
+	i := kernel.PickTwoChoices(now, usable, domain, rand.Float64(), rand.Float64())
+	if i < 0 {
+		return model.Endpoint{}, false
+	}
+	p.take(usable[i], 0)
+	return usable[i].Endpoint, true
+}
+
+// pickEngine chooses an engine for a prompt and counts it as in flight.
+func (p *pool) pickEngine(now time.Time, roster kernel.Roster, prompt model.Prompt, domain string, excluded []string) (model.Endpoint, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable := kernel.Usable(now, p.candidates(roster.Endpoints(p.name)), excluded)
+	choices := make([]kernel.EngineChoice, 0, len(usable))
+	for _, c := range usable {
+		choices = append(choices, kernel.EngineChoice{Candidate: c, Reading: p.state(c.Endpoint.Name).reading})
+	}
+	i := kernel.PickEngine(now, choices, kernel.AffinityKey(prompt), domain)
+	if i < 0 {
+		return model.Endpoint{}, false
+	}
+	p.take(usable[i], prompt.TokensIn)
+	return usable[i].Endpoint, true
+}
+
+func (p *pool) take(c kernel.Candidate, reading int) {
+	s := p.state(c.Endpoint.Name)
+	s.inFlight++
+	s.reading += reading
+	if c.Health.Ejected() {
+		s.health = s.health.WithProbe()
+	}
+}
+
+// readPrompt notes that an engine has read a prompt.
+func (p *pool) readPrompt(name string, tokens int, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(name).reading -= tokens
+	p.firstEvent.Observe(took)
+}
+
+// dropPrompt notes that a prompt will not be read.
+func (p *pool) dropPrompt(name string, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(name).reading -= tokens
+}
+
+// leave counts a request as no longer in flight.
+func (p *pool) leave(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state(name).inFlight--
+}
+
+func (p *pool) succeeded(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(name)
+	s.health = s.health.WithSuccess()
+}
+
+func (p *pool) failed(now time.Time, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(name)
+	s.health = s.health.WithFailure(now)
+}
+
+func (p *pool) reported(now time.Time, name string, load *model.Load) {
+	if load == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(name)
+	s.load = *load
+	s.loadAt = now
+}
+
+func (p *pool) request(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Request(now)
+}
+
+func (p *pool) takeRepeat(now time.Time, nodes int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.TakeRepeat(now, nodes)
+}
+
+func (p *pool) expectFirstEvent() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.firstEvent.Quantile(firstEventQuantile, fallbackFirstEvent)
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,248 @@
+// Package relay takes callers' requests through their stages to endpoints and passes the answers
+// back as they come. It does the I/O around the kernel's decisions; how requests, pieces and
+// replies look on the wire is left to the seams that it is given.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/metric"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
+)
+
+const (
+	// sweepEvery is how often idle connections and what waits too long are looked over.
+	sweepEvery = 200 * time.Millisecond
+)
+
+type (
+	// Options are what a relay is told at its start.
+	Options struct {
+		// Name and Domain are the node's.
+		Name   string
+		Domain string
+		// KeyTrust is the greatest age of the routing that API keys are trusted by; zero means
+		// that keys are trusted however old the routing is.
+		KeyTrust time.Duration
+		// Budget bounds the repeated sends of all nodes together to each pool.
+		Budget kernel.BudgetTerms
+	}
+
+	// Wire is how the relay reaches endpoints.
+	Wire struct {
+		// Forward sends a request to an endpoint, once.
+		Forward func(ctx context.Context, send Send) (*model.ForwardReply, error)
+		// RunPieces makes one call for pieces. The results are in the order of the pieces.
+		RunPieces func(ctx context.Context, e model.Endpoint, pieces []model.Piece) (PieceReply, error)
+		// Free gives up results that an endpoint holds.
+		Free func(ctx context.Context, e model.Endpoint, handles []string) error
+	}
+
+	// Send is one send of a request.
+	Send struct {
+		Endpoint model.Endpoint
+		Forward  model.Forward
+		Customer string
+		// Until is when the endpoint should stop.
+		Until time.Time
+		// Inputs are the results that the request needs.
+		Inputs []string
+		// After is the ID of the last event that the caller has of a resumed stream.
+		After string
+		// Fresh asks for a connection that has not been idle for long: the request must not be
+		// repeated.
+		Fresh bool
+		// BeforeSend decides, when a connection is open, whether the request is still to be sent.
+		BeforeSend func() error
+	}
+
+	// PieceReply is an endpoint's answer to a call for pieces.
+	PieceReply struct {
+		// NotRun is the endpoint's word that it did nothing; there are no results then.
+		NotRun  bool
+		Results []model.PieceResult
+	}
+
+	// Responder passes an answer back to a caller.
+	Responder struct {
+		// Begin sends status and header; it is called once.
+		Begin func(status int, header http.Header)
+		// Write sends a part of the body at once.
+		Write func(p []byte) error
+	}
+
+	// Outcome is how a request ended: with a refusal before Begin, else with an answer that is
+	// whole or was broken off.
+	Outcome struct {
+		Refusal *model.Refusal
+		Status  int
+		Whole   bool
+		// Endpoint and Attempts say who answered and how many endpoints were asked.
+		Endpoint string
+		Attempts int
+	}
+
+	// Relay serves callers' requests. It is safe for concurrent use.
+	Relay struct {
+		options Options
+		wire    Wire
+		now     func() time.Time
+		log     zerolog.Logger
+		answers zerolog.Logger
+		metrics *metric.Set
+		peers   *peer.Client
+
+		mu     sync.Mutex
+		view   atomic.Pointer[kernel.RoutingView]
+		roster atomic.Pointer[kernel.Roster]
+		nodes  atomic.Pointer[[]Node]
+		pools  map[string]*pool
+		hub    *hub
+		// suspects are nodes that did not answer; remote holds other nodes' groups here.
+		suspects suspects
+		remote   remoteGroups
+
+		leaving  atomic.Bool
+		inFlight atomic.Int64
+		groups   atomic.Uint64
+		ctx      context.Context
+		cancel   context.CancelFunc
+	}
+
+	// Node is another node, or this one, as a gatherer of pieces.
+	Node struct {
+		Name    string
+		Address string
+		Leaving bool
+	}
+)
+
+// NewRelay returns a relay that knows no routing and no endpoint yet. The clock must count the
+// time in which the process was suspended.
+func NewRelay(options Options, wire Wire, now func() time.Time, metrics *metric.Set, log zerolog.Logger) *Relay {
+	r := &Relay{
+		options: options,
+		wire:    wire,
+		now:     now,
+		log:     log,
+		answers: sampled(log),
+		metrics: metrics,
+		peers:   peer.NewClient(options.Name, ""),
+		pools:   map[string]*pool{},
+	}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.hub = newHub(r)
+	roster := kernel.NewRoster()
+	r.roster.Store(&roster)
+	r.view.Store(&kernel.RoutingView{})
+	r.nodes.Store(&[]Node{})
+	go func() {
+		ticker := time.NewTicker(sweepEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				r.hub.expire()
+			case <-r.ctx.Done():
+				return
+			}
+		}
+	}()
+	return r
+}
+
+// Close ends the relay's work at once.
+func (r *Relay) Close() {
+	r.cancel()
+	r.peers.Close()
+}
+
+// Leave makes the relay gather no more pieces for other nodes.
+func (r *Relay) Leave() {
+	r.leaving.Store(true)
+}
+
+// InFlight returns how many requests are being served.
+func (r *Relay) InFlight() int64 {
+	return r.inFlight.Load()
+}
+
+// View returns the routing in force.
+func (r *Relay) View() kernel.RoutingView {
+	return *r.view.Load()
+}
+
+// Roster returns what is known of endpoints.
+func (r *Relay) Roster() kernel.Roster {
+	return *r.roster.Load()
+}
+
+// SetRouting takes in what a store call that began at a time showed: a table, or, with nil, that
+// nothing newer exists.
+func (r *Relay) SetRouting(began time.Time, table *kernel.RouteTable) {
+	r.mu.Lock()
+	old := *r.view.Load()
+	view := old.With(began, table)
+	r.view.Store(&view)
+	r.mu.Unlock()
+	if view.Table == old.Table {
+		return
+	}
+	r.metrics.Event("RoutingChanged")
+	r.log.Info().Uint64("Version", view.Table.Version()).Uint64("Before", old.Table.Version()).Msg("routing in force")
+	r.hub.setTraits(view.Table)
+	r.hub.setEndpoints(r.Roster())
+}
+
+// SetRoster takes over what is known of endpoints.
+func (r *Relay) SetRoster(roster kernel.Roster) {
+	before := *r.roster.Load()
+	r.roster.Store(&roster)
+	r.logRoster(before, roster)
+	r.hub.setEndpoints(roster)
+}
+
+// SetNodes takes over which nodes there are, this one included.
+func (r *Relay) SetNodes(nodes []Node) {
+	r.nodes.Store(&nodes)
+}
+
+// Serve takes one request to its end. It returns once the answer was passed on, or with a
+// refusal where none was begun.
+func (r *Relay) Serve(ctx context.Context, f model.Forward, out Responder) Outcome {
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	view := r.View()
+	admission, refusal := kernel.Admit(r.now(), view, r.options.KeyTrust, f)
+	if refusal != nil {
+		r.logEnd(f, admission, view, Outcome{Refusal: refusal})
+		return Outcome{Refusal: refusal}
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, admission.Until.Sub(r.now()), context.DeadlineExceeded)
+	defer cancel()
+	job := &job{relay: r, forward: f, admission: admission, out: out, began: r.now()}
+	var outcome Outcome
+	if admission.Route.Kind == model.Stream {
+		outcome = job.stream(ctx)
+	} else {
+		outcome = job.unary(ctx)
+	}
+	if outcome.Refusal == nil {
+		r.metrics.Answered(admission.Route.Name, r.now().Sub(f.ReceivedAt))
+	}
+	r.logEnd(f, admission, view, outcome)
+	return outcome
+}
+
+// live returns how many nodes share the fleet's budgets.
+func (r *Relay) live() int {
+	return max(1, len(*r.nodes.Load()))
+}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,292 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/endpoint"
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// streamBuffer holds what arrives of a stream at once.
+	streamBuffer = 4 << 10
+	// mostSilence is how long a resumable stream may be silent before it goes on elsewhere: far
+	// above any pause of a healthy engine.
+	mostSilence = 1500 * time.Millisecond
+)
+
+type (
+	// streamState is what was passed on of a stream so far.
+	streamState struct {
+		events events
+		begun  bool
+		status int
+		// firstAt is when the first event came.
+		firstAt time.Time
+	}
+
+	// streamEnd is how one send of a stream ended.
+	streamEnd struct {
+		// whole is true where the stream came to its proper end.
+		whole bool
+		// callerGone is true where the caller takes nothing more.
+		callerGone bool
+		// passed is true where the endpoint's own failure was passed on.
+		passed bool
+		reply  *model.ForwardReply
+		err    error
+	}
+)
+
+// stream serves a request that is answered by a series of events: first its stages, then the
+// engine, whose events are passed on as they come.
+func (j *job) stream(ctx context.Context) Outcome {
+	p := j.relay.pool(j.admission.Pool)
+	p.request(j.relay.now())
+	stages, refusal := j.runStages(ctx, p)
+	defer stages.release()
+	if refusal != nil {
+		if ctx.Err() != nil {
+			return j.ended(ctx)
+		}
+		return Outcome{Refusal: refusal}
+	}
+	var state streamState
+	for {
+		e, end, ok := j.streamOnce(ctx, p, &state, stages)
+		if !ok {
+			return j.streamRefusal(&state, model.NotRun, model.NoEndpoint, "no engine is known")
+		}
+		outcome := Outcome{Status: state.status, Endpoint: e.Name, Attempts: j.asked}
+		switch {
+		case end.whole, end.passed:
+			outcome.Whole = true
+			return outcome
+		case end.callerGone:
+			return outcome
+		case ctx.Err() != nil:
+			if state.begun {
+				return outcome
+			}
+			return j.ended(ctx)
+		}
+		if j.streamAgain(p, &state, end) {
+			continue
+		}
+		if state.begun {
+			return outcome
+		}
+		return j.streamFailure(end)
+	}
+}
+
+// streamOnce makes one send; false means that there was no engine.
+func (j *job) streamOnce(ctx context.Context, p *pool, state *streamState, stages *stageRun) (model.Endpoint, streamEnd, bool) {
+	r := j.relay
+	tokens := j.forward.Prompt.TokensIn
+	e, ok := p.pickEngine(r.now(), r.Roster(), j.forward.Prompt, stages.domain, j.excluded)
+	if !ok {
+		return e, streamEnd{}, false
+	}
+	defer p.leave(e.Name)
+	j.excluded = append(j.excluded, e.Name)
+	j.asked++
+	began := r.now()
+	read := false
+	onFirst := func() {
+		if read {
+			return
+		}
+		read = true
+		p.readPrompt(e.Name, tokens, r.now().Sub(began))
+		if !j.admission.Route.Resumable {
+			stages.release()
+		}
+	}
+	send := j.send(e, j.asked > 1)
+	send.Inputs = stages.inputs
+	send.After = state.events.last
+	end := j.relayEvents(ctx, p, send, state, onFirst)
+	if !read {
+		p.dropPrompt(e.Name, tokens)
+	}
+	j.noteStreamEnd(p, e, end)
+	return e, end, true
+}
+
+// relayEvents passes the events of one send on to the caller.
+func (j *job) relayEvents(ctx context.Context, p *pool, send Send, state *streamState, onFirst func()) streamEnd {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := j.watchSilence(cancel)
+	defer silence.Stop()
+	reply, err := j.relay.wire.Forward(ctx, send)
+	if err != nil {
+		return streamEnd{err: err}
+	}
+	defer reply.Close()
+	p.reported(j.relay.now(), send.Endpoint.Name, reply.Load)
+	if reply.NotRun {
+		return streamEnd{reply: reply}
+	}
+	j.mayHaveRun = true
+	if reply.Status != http.StatusOK || !reply.Authentic {
+		return j.passFailure(reply, state)
+	}
+	state.events.rest = nil
+	buffer := make([]byte, streamBuffer)
+	for {
+		n, err := reply.Body.Read(buffer)
+		if n > 0 {
+			silence.Reset(mostSilence)
+			whole, cutErr := state.events.add(buffer[:n])
+			if cutErr != nil {
+				return streamEnd{err: cutErr}
+			}
+			if len(whole) > 0 {
+				onFirst()
+				if !j.passEvents(reply, state, whole) {
+					return streamEnd{callerGone: true}
+				}
+			}
+		}
+		if err == io.EOF {
+			return j.streamClosed(reply, state)
+		}
+		if err != nil {
+			return streamEnd{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}}
+		}
+	}
+}
+
+// watchSilence ends a send that makes no progress, where another can take its place.
+func (j *job) watchSilence(cancel context.CancelCauseFunc) *time.Timer {
+	if !j.admission.Route.Resumable || j.asked >= j.admission.Route.MaxAttempts {
+		timer := time.NewTimer(0)
+		timer.Stop()
+		return timer
+	}
+	return time.AfterFunc(mostSilence, func() { cancel(errSilent) })
+}
+
+var errSilent = errors.New("relay: the engine is silent")
+
+func (j *job) passEvents(reply *model.ForwardReply, state *streamState, whole []byte) bool {
+	j.begin(reply, state)
+	return j.out.Write(whole) == nil
+}
+
+func (j *job) begin(reply *model.ForwardReply, state *streamState) {
+	if state.begun {
+		return
+	}
+	state.begun = true
+	state.status = reply.Status
+	state.firstAt = j.relay.now()
+	reply.Header.Del("Content-Length")
+	j.out.Begin(reply.Status, reply.Header)
+}
+
+// streamClosed judges a stream that came to its end: it is whole unless it ends within an event.
+func (j *job) streamClosed(reply *model.ForwardReply, state *streamState) streamEnd {
+	if !state.events.clean() {
+		return streamEnd{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: io.ErrUnexpectedEOF}}
+	}
+	j.begin(reply, state)
+	return streamEnd{whole: true}
+}
+
+// passFailure passes an engine's own failure on, unless events of another were passed on or the
+// engine did not sign it.
+func (j *job) passFailure(reply *model.ForwardReply, state *streamState) streamEnd {
+	body, err := readWhole(reply)
+	if err != nil {
+		return streamEnd{err: err}
+	}
+	if state.begun || !reply.Authentic || reply.Status < http.StatusBadRequest {
+		return streamEnd{err: &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.Errorf("relay: status %d", reply.Status)}}
+	}
+	if j.admission.Route.Resumable && j.asked < j.admission.Route.MaxAttempts {
+		return streamEnd{err: &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.Errorf("relay: status %d", reply.Status)}}
+	}
+	state.begun = true
+	state.status = reply.Status
+	j.out.Begin(reply.Status, reply.Header)
+	if j.out.Write(body) != nil {
+		return streamEnd{callerGone: true}
+	}
+	return streamEnd{passed: true}
+}
+
+func (j *job) noteStreamEnd(p *pool, e model.Endpoint, end streamEnd) {
+	switch {
+	case end.err != nil:
+		j.noteFault(p, e, asFault(end.err))
+	case end.whole:
+		p.succeeded(e.Name)
+	case end.reply != nil && end.reply.NotRun:
+		j.relay.logAttempt(j.forward, e, j.asked, model.RetryNotRun, nil)
+	}
+}
+
+// streamAgain decides whether another engine is asked.
+func (j *job) streamAgain(p *pool, state *streamState, end streamEnd) bool {
+	var refusal *model.Refusal
+	if errors.As(end.err, &refusal) {
+		return false
+	}
+	reason := model.RetryNotRun
+	if end.err != nil {
+		fault := asFault(end.err)
+		reason = fault.RetryReason()
+		if fault.Verdict == model.NotRun {
+			j.asked--
+		}
+	} else if end.reply != nil && end.reply.Misdirected {
+		j.asked--
+	}
+	if end.reply != nil && end.reply.InputsGone {
+		return false
+	}
+	if j.mayHaveRun && !j.admission.Route.Resumable {
+		return false
+	}
+	if state.begun && state.events.last == "" {
+		return false
+	}
+	if j.asked >= j.admission.Route.MaxAttempts || !p.takeRepeat(j.relay.now(), j.relay.live()) {
+		return false
+	}
+	if state.begun {
+		reason = model.RetryResume
+	}
+	j.relay.metrics.Retried(reason, p.name)
+	return true
+}
+
+// streamFailure is the refusal of a stream of which nothing was passed on.
+func (j *job) streamFailure(end streamEnd) Outcome {
+	var refusal *model.Refusal
+	if errors.As(end.err, &refusal) {
+		return Outcome{Refusal: refusal, Attempts: j.asked}
+	}
+	if !j.mayHaveRun {
+		return j.refuse(model.NotRun, model.EndpointRefused, "no engine took the request")
+	}
+	return j.refuse(model.MayHaveRun, model.StageFailed, "the engine failed")
+}
+
+func (j *job) streamRefusal(state *streamState, verdict model.Verdict, reason model.Reason, detail string) Outcome {
+	if state.begun {
+		return Outcome{Status: state.status, Attempts: j.asked}
+	}
+	if j.mayHaveRun {
+		verdict = model.MayHaveRun
+	}
+	return j.refuse(verdict, reason, detail)
+}
--- /dev/null
+++ b/relay/unary.go
@@ -0,0 +1,289 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/endpoint"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// mostUnary bounds a unary answer, which is held until it is whole.
+	mostUnary = 8 << 20
+	// hedgeShare is the share of the objective after which a safe request without an answer is
+	// sent to a second endpoint.
+	hedgeShare = 0.6
+	// refusedRetry is when a caller may come back whose request found no free endpoint.
+	refusedRetry = 150 * time.Millisecond
+)
+
+var errTooLong = errors.New("relay: the answer is too long")
+
+type (
+	// job is one request on its way. It belongs to the goroutine that serves it.
+	job struct {
+		relay     *Relay
+		forward   model.Forward
+		admission kernel.Admission
+		out       Responder
+		began     time.Time
+		// asked counts the endpoints that the request was sent to.
+		asked    int
+		excluded []string
+		// mayHaveRun is true once the evidence no longer excludes that the request runs.
+		mayHaveRun bool
+	}
+
+	// unaryResult is how one send of a unary request ended.
+	unaryResult struct {
+		endpoint model.Endpoint
+		reply    *model.ForwardReply
+		body     []byte
+		err      error
+	}
+)
+
+// unary serves a request whose answer is passed on once it is whole.
+func (j *job) unary(ctx context.Context) Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p := j.relay.pool(j.admission.Pool)
+	p.request(j.relay.now())
+	results := make(chan unaryResult, j.admission.Route.MaxAttempts+1)
+	running := 0
+	if !j.launch(ctx, p, results) {
+		return j.refuse(model.NotRun, model.NoEndpoint, "no endpoint is known")
+	}
+	running++
+	hedge := time.NewTimer(time.Duration(hedgeShare * float64(j.admission.Route.Objective)))
+	defer hedge.Stop()
+	var answered *unaryResult
+	for {
+		select {
+		case res := <-results:
+			running--
+			if j.good(p, &res) {
+				return j.pass(res)
+			}
+			if res.reply != nil && res.err == nil && !res.reply.NotRun {
+				answered = &res
+			}
+			if j.again(ctx, p, res) && j.launch(ctx, p, results) {
+				running++
+			}
+			if running == 0 {
+				return j.giveUp(ctx, answered, res)
+			}
+		case <-hedge.C:
+			if j.mayRepeat() && running > 0 && p.takeRepeat(j.relay.now(), j.relay.live()) && j.launch(ctx, p, results) {
+				j.relay.metrics.Retried(model.RetryHedge, p.name)
+				running++
+			}
+		case <-ctx.Done():
+			return j.ended(ctx)
+		}
+	}
+}
+
+// launch sends the request to one more endpoint.
+func (j *job) launch(ctx context.Context, p *pool, results chan<- unaryResult) bool {
+	r := j.relay
+	e, ok := p.pick(r.now(), r.Roster(), r.options.Domain, j.excluded)
+	if !ok {
+		return false
+	}
+	j.excluded = append(j.excluded, e.Name)
+	j.asked++
+	send := j.send(e, j.asked > 1)
+	go func() {
+		defer p.leave(e.Name)
+		res := unaryResult{endpoint: e}
+		res.reply, res.err = r.wire.Forward(ctx, send)
+		if res.err == nil {
+			res.body, res.err = readWhole(res.reply)
+		}
+		results <- res
+	}()
+	return true
+}
+
+// send prepares one send. Before the first, the request's admission is looked at once more.
+func (j *job) send(e model.Endpoint, again bool) Send {
+	send := Send{
+		Endpoint: e,
+		Forward:  j.forward,
+		Customer: j.admission.Customer,
+		Until:    j.admission.Until,
+		Fresh:    j.admission.Route.Kind == model.Unsafe || (j.admission.Route.Kind == model.Stream && !j.admission.Route.Resumable),
+	}
+	send.BeforeSend = func() error {
+		refusal := kernel.StillAdmitted(j.relay.now(), j.relay.View(), j.relay.options.KeyTrust, j.forward, j.admission)
+		if refusal == nil {
+			return nil
+		}
+		if again {
+			return refusal.WithVerdict(model.MayHaveRun)
+		}
+		return refusal
+	}
+	return send
+}
+
+// readWhole reads an answer to its end. The reply is closed.
+func readWhole(reply *model.ForwardReply) ([]byte, error) {
+	defer reply.Close()
+	body, err := io.ReadAll(io.LimitReader(reply.Body, mostUnary+1))
+	if err != nil {
+		return nil, &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}
+	}
+	if len(body) > mostUnary {
+		return nil, &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errTooLong}
+	}
+	return body, nil
+}
+
+// good tells whether a result is the answer to pass on; it notes what the result shows of its
+// endpoint.
+func (j *job) good(p *pool, res *unaryResult) bool {
+	now := j.relay.now()
+	if res.err != nil {
+		j.noteFault(p, res.endpoint, asFault(res.err))
+		return false
+	}
+	p.reported(now, res.endpoint.Name, res.reply.Load)
+	if res.reply.NotRun {
+		return false
+	}
+	j.mayHaveRun = true
+	if !res.reply.Authentic && res.reply.Status < http.StatusMultipleChoices {
+		// A success that the endpoint did not sign is not its answer.
+		p.failed(now, res.endpoint.Name)
+		res.err = &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.New("relay: the answer is not signed")}
+		return false
+	}
+	if res.reply.Status >= http.StatusInternalServerError {
+		p.failed(now, res.endpoint.Name)
+		return false
+	}
+	p.succeeded(res.endpoint.Name)
+	return true
+}
+
+// noteFault notes what a failed send shows of the request and its endpoint.
+func (j *job) noteFault(p *pool, e model.Endpoint, fault *endpoint.Fault) {
+	if fault.Verdict != model.NotRun {
+		j.mayHaveRun = true
+	}
+	if fault.Kind == endpoint.Cancelled {
+		return
+	}
+	p.failed(j.relay.now(), e.Name)
+	j.relay.logAttempt(j.forward, e, j.asked, fault.RetryReason(), fault)
+}
+
+// again decides on one more send after a result that is not the answer, and counts it.
+func (j *job) again(ctx context.Context, p *pool, res unaryResult) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	reason := model.RetryStatus
+	var refusal *model.Refusal
+	if errors.As(res.err, &refusal) {
+		return false
+	}
+	if res.err != nil {
+		fault := asFault(res.err)
+		reason = fault.RetryReason()
+		if fault.Verdict == model.NotRun {
+			// Nothing was sent: it does not count as asked.
+			j.asked--
+		}
+	} else if res.reply.NotRun {
+		reason = model.RetryNotRun
+		if res.reply.Misdirected {
+			j.asked--
+		}
+	}
+	if j.mayHaveRun && j.admission.Route.Kind == model.Unsafe {
+		return false
+	}
+	if j.asked >= j.admission.Route.MaxAttempts || !p.takeRepeat(j.relay.now(), j.relay.live()) {
+		return false
+	}
+	j.relay.metrics.Retried(reason, p.name)
+	return true
+}
+
+// mayRepeat tells whether the request may be sent to one more endpoint beside one that may be
+// running it.
+func (j *job) mayRepeat() bool {
+	return j.admission.Route.Kind == model.Safe && j.asked < j.admission.Route.MaxAttempts
+}
+
+// pass hands a whole answer to the caller.
+func (j *job) pass(res unaryResult) Outcome {
+	header := res.reply.Header
+	header.Set("Content-Length", strconv.Itoa(len(res.body)))
+	j.out.Begin(res.reply.Status, header)
+	err := j.out.Write(res.body)
+	return Outcome{Status: res.reply.Status, Whole: err == nil, Endpoint: res.endpoint.Name, Attempts: j.asked}
+}
+
+// giveUp ends a request whose sends all failed: with the failure that an endpoint itself gave,
+// or with a refusal.
+func (j *job) giveUp(ctx context.Context, answered *unaryResult, last unaryResult) Outcome {
+	if ctx.Err() != nil {
+		return j.ended(ctx)
+	}
+	if answered != nil && answered.reply.Authentic {
+		return j.pass(*answered)
+	}
+	var refusal *model.Refusal
+	if errors.As(last.err, &refusal) {
+		return Outcome{Refusal: refusal, Attempts: j.asked}
+	}
+	if !j.mayHaveRun {
+		return j.refuse(model.NotRun, model.EndpointRefused, "no endpoint took the request")
+	}
+	return j.refuse(model.MayHaveRun, model.StageFailed, "the endpoint failed")
+}
+
+// ended ends a request whose time is up or whose caller left.
+func (j *job) ended(ctx context.Context) Outcome {
+	verdict := model.NotRun
+	if j.asked > 0 {
+		verdict = model.MayHaveRun
+	}
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return j.refuse(verdict, model.StageTimeout, "the time is up")
+	}
+	return j.refuse(verdict, model.CallerGone, "the caller went away")
+}
+
+func (j *job) refuse(verdict model.Verdict, reason model.Reason, detail string) Outcome {
+	retry := time.Duration(0)
+	if verdict == model.NotRun {
+		retry = kernel.RetryAfter(refusedRetry)
+	}
+	refusal := model.NewRefusal(verdict, reason, retry, detail)
+	return Outcome{Refusal: refusal, Attempts: j.asked}
+}
+
+func asFault(err error) *endpoint.Fault {
+	var fault *endpoint.Fault
+	if errors.As(err, &fault) {
+		return fault
+	}
+	var refusal *model.Refusal
+	if errors.As(err, &refusal) {
+		return &endpoint.Fault{Kind: endpoint.Cancelled, Verdict: refusal.Verdict, Err: err}
+	}
+	return &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}
+}
