Leaving: refuse at once what might be cut at the end of the grace time

Ruled out: the balancer sending new connections (readiness is down at once); the request came on a kept connection.

--- /dev/null
+++ b/kernel/leaving_test.go
@@ -0,0 +1,37 @@
+package kernel_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+func TestTakeWhileLeaving(t *testing.T) {
+	now := time.Unix(1000, 0)
+	stream := model.Route{Kind: model.Stream, Timeout: 20 * time.Second}
+	unary := model.Route{Kind: model.Unsafe, Timeout: 1500 * time.Millisecond}
+	for _, tc := range []struct {
+		name  string
+		route model.Route
+		left  time.Duration
+		taken bool
+	}{
+		{"a stream at the start", stream, 7 * time.Second, true},
+		{"a stream that might be cut", stream, 4 * time.Second, false},
+		{"a unary request late", unary, 2 * time.Second, true},
+		{"a unary request at the end", unary, time.Second, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			refusal := kernel.TakeWhileLeaving(now, now.Add(tc.left), tc.route)
+			must.Eq(t, tc.taken, refusal == nil)
+			if refusal != nil {
+				must.Eq(t, model.NotRun, refusal.Verdict)
+				must.Positive(t, refusal.RetryAfter)
+			}
+		})
+	}
+}
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -205,7 +205,7 @@
 		return nil, err
 	}
 	g := r.hub.find(m.Pool)
-	if g == nil || r.leaving.Load() {
+	if g == nil || r.goneAt.Load() != nil {
 		return peer.GatherReply{Leaving: true}, nil
 	}
 	now := r.now()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -110,7 +110,8 @@
 		suspects suspects
 		remote   remoteGroups
 
-		leaving  atomic.Bool
+		// goneAt is when a leaving node will be gone; nil while it is not leaving.
+		goneAt   atomic.Pointer[time.Time]
 		inFlight atomic.Int64
 		groups   atomic.Uint64
 		ctx      context.Context
@@ -165,9 +166,10 @@
 	r.peers.Close()
 }
 
-// Leave makes the relay gather no more pieces for other nodes.
-func (r *Relay) Leave() {
-	r.leaving.Store(true)
+// Leave makes the relay gather no more pieces for other nodes and take no more requests that
+// might not end before a time.
+func (r *Relay) Leave(gone time.Time) {
+	r.goneAt.Store(&gone)
 }
 
 // InFlight returns how many requests are being served.
@@ -222,6 +224,9 @@
 	defer r.inFlight.Add(-1)
 	view := r.View()
 	admission, refusal := kernel.Admit(r.now(), view, r.options.KeyTrust, f)
+	if gone := r.goneAt.Load(); refusal == nil && gone != nil {
+		refusal = kernel.TakeWhileLeaving(r.now(), *gone, admission.Route)
+	}
 	if refusal != nil {
 		r.logEnd(f, admission, view, Outcome{Refusal: refusal})
 		return Outcome{Refusal: refusal}
