--- /dev/null
+++ b/endpoint/exchange_test.go
@@ -0,0 +1,254 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/endpoint"
+	"basilstall.example/basilstall/model"
+)
+
+const plainReply = "HTTP/1.1 200 OK\r\nX-Id: %\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok"
+
+// scripted is an endpoint that answers each request on a connection by a script: the text to send
+// for the request of that number, with % for its ID. An empty text closes the connection.
+type scripted struct {
+	address  string
+	conns    atomic.Int64
+	requests atomic.Int64
+}
+
+func newScripted(t *testing.T, script func(conn, request int) string) *scripted {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &scripted{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, int(s.conns.Add(1)), script)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) serve(conn net.Conn, number int, script func(conn, request int) string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for request := 1; ; request++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.requests.Add(1)
+		text := script(number, request)
+		if text == "" {
+			return
+		}
+		if _, err := io.WriteString(conn, strings.ReplaceAll(text, "%", r.Header.Get("X-Id"))); err != nil {
+			return
+		}
+		if strings.HasSuffix(text, "!close") {
+			return
+		}
+	}
+}
+
+func send(t *testing.T, x *endpoint.Exchanger, address, id string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	reply, err := x.Send(ctx, endpoint.Exchange{
+		Address: address, Method: http.MethodPost, URI: "/run", Host: "h", Header: http.Header{"X-Id": {id}},
+		Body: []byte("body"), EchoField: "X-Id", EchoValue: id, FreshAfter: time.Hour,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer reply.Close()
+	body, err := io.ReadAll(reply.Body)
+	return string(body), err
+}
+
+func TestAConnectionIsUsedAgainAfterAWholeReply(t *testing.T) {
+	s := newScripted(t, func(int, int) string { return plainReply })
+	x := endpoint.NewExchanger(time.Now)
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := send(t, x, s.address, id)
+		must.NoError(t, err)
+		must.Eq(t, "ok", body)
+	}
+	must.Eq(t, 1, s.conns.Load())
+}
+
+func TestAReplyToAnotherRequestIsNeverTaken(t *testing.T) {
+	stray := strings.ReplaceAll(plainReply, "%", "old")
+	for _, tc := range []struct {
+		name   string
+		script func(conn, request int) string
+		ok     bool
+	}{
+		{"a late second reply comes before the own one", func(_, request int) string {
+			if request == 2 {
+				return stray + plainReply
+			}
+			return plainReply
+		}, true},
+		{"only another's reply", func(int, int) string { return stray + stray + stray }, false},
+		{"a second reply right after the first", func(conn, _ int) string {
+			if conn == 1 {
+				return plainReply + plainReply
+			}
+			return plainReply
+		}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newScripted(t, tc.script)
+			x := endpoint.NewExchanger(time.Now)
+			for _, id := range []string{"1", "2"} {
+				body, err := send(t, x, s.address, id)
+				must.Eq(t, tc.ok, err == nil)
+				if tc.ok {
+					must.Eq(t, "ok", body)
+					continue
+				}
+				var fault *endpoint.Fault
+				must.True(t, errors.As(err, &fault))
+				must.Eq(t, endpoint.Mismatch, fault.Kind)
+				must.Eq(t, model.MayHaveRun, fault.Verdict)
+			}
+		})
+	}
+}
+
+func TestABrokenReplyNeverLooksWhole(t *testing.T) {
+	for name, text := range map[string]string{
+		"shorter than it says":      "HTTP/1.1 200 OK\r\nX-Id: %\r\nContent-Length: 9\r\n\r\nok!close",
+		"no last chunk":             "HTTP/1.1 200 OK\r\nX-Id: %\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n!close",
+		"a chunk that is none":      "HTTP/1.1 200 OK\r\nX-Id: %\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n",
+		"bytes that are no reply":   "\x00\x01garbage\r\n\r\n",
+		"a head that never ends":    "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: b\r\n", 20000),
+		"a connection that is shut": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScripted(t, func(int, int) string { return text })
+			_, err := send(t, endpoint.NewExchanger(time.Now), s.address, "1")
+			must.Error(t, err)
+			must.Eq(t, 1, s.requests.Load(), must.Sprint("nothing is sent twice"))
+		})
+	}
+}
+
+func TestAReplyWithoutLengthEndsWithItsConnection(t *testing.T) {
+	s := newScripted(t, func(int, int) string { return "HTTP/1.1 200 OK\r\nX-Id: %\r\n\r\nok!close" })
+	x := endpoint.NewExchanger(time.Now)
+	for range 2 {
+		body, err := send(t, x, s.address, "1")
+		must.NoError(t, err)
+		must.Eq(t, "ok!close", body)
+	}
+	must.Eq(t, 2, s.conns.Load())
+}
+
+func TestAnEarlyReplyEndsTheConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	var conns atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			// It answers without reading the body.
+			go func() { _, _ = io.WriteString(conn, strings.ReplaceAll(plainReply, "%", "1")) }()
+		}
+	}()
+	x := endpoint.NewExchanger(time.Now)
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		reply, err := x.Send(ctx, endpoint.Exchange{
+			Address: listener.Addr().String(), Method: http.MethodPost, URI: "/run", Host: "h", Header: http.Header{},
+			Body: make([]byte, 8<<20), EchoField: "X-Id", EchoValue: "1", FreshAfter: time.Hour,
+		})
+		must.NoError(t, err)
+		_, err = io.ReadAll(reply.Body)
+		must.NoError(t, err)
+		reply.Close()
+		cancel()
+	}
+	must.Eq(t, 2, conns.Load(), must.Sprint("the rest of the body would be taken for the next request"))
+}
+
+func TestARefusedConnectionIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := listener.Addr().String()
+	must.NoError(t, listener.Close())
+	_, err = send(t, endpoint.NewExchanger(time.Now), address, "1")
+	var fault *endpoint.Fault
+	must.True(t, errors.As(err, &fault))
+	must.Eq(t, model.NotRun, fault.Verdict)
+	must.Eq(t, endpoint.Refused, fault.Kind)
+}
+
+func TestAConnectionThatWasClosedMeanwhileIsNotUsed(t *testing.T) {
+	closed := make(chan struct{})
+	s := newScripted(t, func(conn, _ int) string {
+		if conn == 1 {
+			defer close(closed)
+			return plainReply + "!close"
+		}
+		return plainReply
+	})
+	x := endpoint.NewExchanger(time.Now)
+	_, err := send(t, x, s.address, "1")
+	must.NoError(t, err)
+	<-closed
+	body, err := send(t, x, s.address, "2")
+	must.NoError(t, err)
+	must.Eq(t, "ok", body)
+	must.Eq(t, 2, s.requests.Load())
+}
+
+func TestBeforeSendKeepsARequestBack(t *testing.T) {
+	s := newScripted(t, func(int, int) string { return plainReply })
+	x := endpoint.NewExchanger(time.Now)
+	refusal := errors.New("no longer wanted")
+	_, err := x.Send(context.Background(), endpoint.Exchange{
+		Address: s.address, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{},
+		BeforeSend: func() error { return refusal },
+	})
+	must.ErrorIs(t, err, refusal)
+	must.Eq(t, 0, s.requests.Load())
+}
+
+func TestTheEndOfTheContextEndsTheExchange(t *testing.T) {
+	s := newScripted(t, func(int, int) string { time.Sleep(time.Hour); return "" })
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	_, err := endpoint.NewExchanger(time.Now).Send(ctx, endpoint.Exchange{
+		Address: s.address, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{},
+	})
+	var fault *endpoint.Fault
+	must.True(t, errors.As(err, &fault))
+	must.Eq(t, endpoint.Cancelled, fault.Kind)
+	must.Eq(t, model.MayHaveRun, fault.Verdict)
+}
--- /dev/null
+++ b/kernel/gather_test.go
@@ -0,0 +1,276 @@
+package kernel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+var gatherTraits = model.PieceTraits{
+	Slots: 1, Batch: 8, CallTime: 200 * time.Millisecond, PieceTime: 21 * time.Millisecond,
+	Room: 18_000_000, Keep: 4 * time.Second,
+}
+
+func makers(n int) []model.Endpoint {
+	var out []model.Endpoint
+	for i := range n {
+		out = append(out, model.Endpoint{Name: fmt.Sprint("maker-", i), Pool: "p", FailureDomain: fmt.Sprint("domain-", i%3), State: model.Live})
+	}
+	return out
+}
+
+func pieceGroup(id uint64, pieces int, bytes int64, due time.Time) kernel.PieceGroup {
+	g := kernel.PieceGroup{ID: id, ResultBytes: bytes, Due: due, Until: due.Add(5 * time.Second)}
+	for n := range pieces {
+		g.Pieces = append(g.Pieces, model.Piece{Request: fmt.Sprint("request-", id), Number: n})
+	}
+	return g
+}
+
+func madeAll(batch kernel.PieceBatch) []model.PieceResult {
+	var out []model.PieceResult
+	for i := range batch.Pieces {
+		out = append(out, model.PieceResult{Handle: fmt.Sprintf("%s/%d-%d", batch.Endpoint.Name, batch.ID, i)})
+	}
+	return out
+}
+
+func newGathering(n int) *kernel.Gathering {
+	g := kernel.NewGathering(gatherTraits)
+	g.SetEndpoints(makers(n))
+	return g
+}
+
+func TestPiecesOfManyRequestsShareCalls(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(1)
+	ok, _ := g.Add(now, pieceGroup(1, 1, 8000, now.Add(3*time.Second)))
+	must.True(t, ok)
+	first, ok := g.Next(now)
+	must.True(t, ok)
+	for id := uint64(2); id < 6; id++ {
+		ok, _ = g.Add(now, pieceGroup(id, 2, 8000, now.Add(3*time.Second)))
+		must.True(t, ok)
+	}
+	_, ok = g.Next(now)
+	must.False(t, ok, must.Sprint("a call that waits at an endpoint can't be joined"))
+	ended, unwanted := g.Done(now.Add(221*time.Millisecond), first, madeAll(first))
+	must.Len(t, 1, ended)
+	must.SliceEmpty(t, unwanted)
+	second, ok := g.Next(now.Add(221 * time.Millisecond))
+	must.True(t, ok)
+	must.Len(t, 8, second.Pieces)
+}
+
+func TestNoPieceIsStartedWithoutRoomForItsResult(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(1)
+	for id := uint64(1); id <= 4; id++ {
+		ok, _ := g.Add(now, pieceGroup(id, 5, 1_500_000, now.Add(5*time.Second)))
+		must.True(t, ok)
+	}
+	var handles []string
+	for {
+		batch, ok := g.Next(now)
+		if !ok {
+			break
+		}
+		results := madeAll(batch)
+		for _, r := range results {
+			handles = append(handles, r.Handle)
+		}
+		g.Done(now, batch, results)
+	}
+	must.Len(t, 11, handles, must.Sprint("11 results of 1.5 MB fill 97% of 18 MB"))
+	maker, ok := g.Release(handles[0])
+	must.True(t, ok)
+	must.Eq(t, "maker-0", maker.Name)
+	batch, ok := g.Next(now)
+	must.True(t, ok)
+	must.Len(t, 1, batch.Pieces)
+}
+
+func TestResultsThatNobodyFreedAreForgottenWhenTheirMakerDropsThem(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(1)
+	g.Add(now, pieceGroup(1, 8, 2_000_000, now.Add(5*time.Second)))
+	batch, _ := g.Next(now)
+	g.Done(now, batch, madeAll(batch))
+	g.Add(now, pieceGroup(2, 4, 2_000_000, now.Add(9*time.Second)))
+	_, ok := g.Next(now)
+	must.False(t, ok)
+	g.Expire(now.Add(gatherTraits.Keep + time.Second))
+	_, ok = g.Next(now.Add(gatherTraits.Keep + time.Second))
+	must.True(t, ok)
+}
+
+func TestLateWorkDoesNotGoBeforeWorkThatCanBeOnTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(1)
+	g.Add(now, pieceGroup(1, 8, 0, now.Add(100*time.Millisecond)))
+	g.Add(now, pieceGroup(2, 8, 0, now.Add(900*time.Millisecond)))
+	batch, ok := g.Next(now)
+	must.True(t, ok)
+	must.Eq(t, "request-2", batch.Pieces[0].Request)
+}
+
+func TestAGroupThatWouldBeLateIsRefusedAtOnceWhereOthersWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(1)
+	for id := uint64(1); id <= 3; id++ {
+		ok, _ := g.Add(now, pieceGroup(id, 8, 0, now.Add(2*time.Second)))
+		must.True(t, ok)
+	}
+	// Three full calls of 368 ms are due before it.
+	ok, retry := g.Add(now, pieceGroup(4, 8, 0, now.Add(2*time.Second)))
+	must.True(t, ok)
+	ok, retry = g.Add(now, pieceGroup(5, 8, 0, now.Add(2*time.Second)))
+	must.True(t, ok)
+	ok, retry = g.Add(now, pieceGroup(6, 8, 0, now.Add(2*time.Second)))
+	must.False(t, ok)
+	must.Positive(t, retry)
+}
+
+func TestPiecesStayWhereTheirInputsLieUnlessTheyWaitTooLong(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(3)
+	busy := pieceGroup(1, 1, 0, now.Add(5*time.Second))
+	busy.Domain = "domain-1"
+	g.Add(now, busy)
+	batch, ok := g.Next(now)
+	must.True(t, ok)
+	must.Eq(t, "domain-1", batch.Endpoint.FailureDomain)
+	waiting := pieceGroup(2, 1, 0, now.Add(5*time.Second))
+	waiting.Domain = "domain-1"
+	g.Add(now, waiting)
+	_, ok = g.Next(now.Add(50 * time.Millisecond))
+	must.False(t, ok)
+	batch, ok = g.Next(now.Add(200 * time.Millisecond))
+	must.True(t, ok)
+	must.NotEq(t, "domain-1", batch.Endpoint.FailureDomain)
+}
+
+func TestARefusedCallIsMadeElsewhere(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(2)
+	g.Add(now, pieceGroup(1, 3, 0, now.Add(5*time.Second)))
+	first, _ := g.Next(now)
+	must.SliceEmpty(t, g.Refused(now, first))
+	second, ok := g.Next(now)
+	must.True(t, ok)
+	must.NotEq(t, first.Endpoint.Name, second.Endpoint.Name)
+	must.Len(t, 3, second.Pieces)
+}
+
+func TestAGoneInputEndsTheGroup(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(1)
+	g.Add(now, pieceGroup(1, 2, 0, now.Add(5*time.Second)))
+	batch, _ := g.Next(now)
+	ended, _ := g.Done(now, batch, []model.PieceResult{{Handle: "h"}, {Fault: model.PieceInputGone}})
+	must.Len(t, 1, ended)
+	must.Eq(t, model.PieceInputGone, ended[0].Fault)
+	must.Len(t, 1, ended[0].Made, must.Sprint("what was made is told, to be freed"))
+}
+
+func TestResultsOfACancelledGroupAreUnwanted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(1)
+	g.Add(now, pieceGroup(1, 2, 0, now.Add(5*time.Second)))
+	batch, _ := g.Next(now)
+	must.SliceEmpty(t, g.Cancel(1))
+	ended, unwanted := g.Done(now, batch, madeAll(batch))
+	must.SliceEmpty(t, ended)
+	must.Len(t, 2, unwanted)
+}
+
+func TestALeavingMakerGetsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(1)
+	leaving := makers(1)
+	leaving[0].State = model.Leaving
+	g.SetEndpoints(leaving)
+	group := pieceGroup(1, 1, 0, now.Add(9*time.Second))
+	g.Add(now, group)
+	_, ok := g.Next(now)
+	must.False(t, ok)
+}
+
+// Whatever calls do, each group ends once, with each of its pieces or with a fault, room is never
+// given out twice, and no piece is asked for while it is being made.
+func TestGatheringKeepsItsAccounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		g := newGathering(rapid.IntRange(1, 4).Draw(t, "makers"))
+		open := map[uint64]int{}
+		var running []kernel.PieceBatch
+		held := map[string]int64{}
+		inCalls := map[string]int64{}
+		var next uint64
+		end := func(outcomes []kernel.GroupOutcome) {
+			for _, o := range outcomes {
+				pieces, known := open[o.Group]
+				if !known {
+					t.Fatalf("group %d ended twice", o.Group)
+				}
+				if o.Fault == "" && len(o.Made) != pieces {
+					t.Fatalf("group %d ended with %d of %d pieces", o.Group, len(o.Made), pieces)
+				}
+				delete(open, o.Group)
+			}
+		}
+		const bytes = 1_500_000
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1:
+				next++
+				pieces := rapid.IntRange(1, 12).Draw(t, "pieces")
+				if ok, _ := g.Add(now, pieceGroup(next, pieces, bytes, now.Add(2*time.Second))); ok {
+					open[next] = pieces
+				}
+			case 2:
+				if batch, ok := g.Next(now); ok {
+					inCalls[batch.Endpoint.Name] += bytes * int64(len(batch.Pieces))
+					if inCalls[batch.Endpoint.Name]+held[batch.Endpoint.Name] > gatherTraits.Room {
+						t.Fatalf("room of %s was given out twice", batch.Endpoint.Name)
+					}
+					running = append(running, batch)
+				}
+			case 3, 4:
+				if len(running) == 0 {
+					continue
+				}
+				batch := running[0]
+				running = running[1:]
+				inCalls[batch.Endpoint.Name] -= bytes * int64(len(batch.Pieces))
+				switch rapid.IntRange(0, 2).Draw(t, "how") {
+				case 0:
+					results := madeAll(batch)
+					ended, _ := g.Done(now, batch, results)
+					held[batch.Endpoint.Name] += bytes * int64(len(results))
+					end(ended)
+				case 1:
+					end(g.Failed(now, batch))
+				default:
+					end(g.Refused(now, batch))
+				}
+			default:
+				before := now
+				end(g.Expire(before))
+				// A result is forgotten only after its maker dropped it.
+				if len(held) > 0 && rapid.Bool().Draw(t, "all dropped") {
+					now = now.Add(2 * gatherTraits.Keep)
+					end(g.Expire(now))
+					held = map[string]int64{}
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/kernel/roster_test.go
@@ -0,0 +1,68 @@
+package kernel_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+func listed(name string, state model.HostState) model.Endpoint {
+	return model.Endpoint{Name: name, Pool: "p", Address: name + ":1", State: state}
+}
+
+func names(r kernel.Roster) []string {
+	var out []string
+	for _, e := range r.Endpoints("p") {
+		out = append(out, e.Name)
+	}
+	return out
+}
+
+func TestRosterDropsWhatIsRemoved(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := kernel.NewRoster().WithListing(now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)})
+	r = r.WithChanges(now.Add(600*time.Millisecond), []model.Endpoint{listed("a", model.Leaving)}, []string{"b"})
+	must.Eq(t, []string{"a"}, names(r))
+	e, _ := r.Find("a")
+	must.Eq(t, model.Leaving, e.State)
+}
+
+func TestRosterKeepsWhatLapsedWhileTheStoreWasAway(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := kernel.NewRoster().WithListing(now, []model.Endpoint{
+		listed("back", model.Live), listed("gone", model.Live), listed("leaving", model.Leaving),
+	})
+	returned := now.Add(5 * time.Second)
+	r = r.WithChanges(returned, nil, []string{"back", "gone", "leaving"})
+	must.Eq(t, []string{"back", "gone"}, names(r), must.Sprint("an endpoint that was leaving is gone"))
+	r = r.WithChanges(returned.Add(time.Second), []model.Endpoint{listed("back", model.Live)}, nil)
+	must.Eq(t, []string{"back", "gone"}, names(r))
+	r = r.WithChanges(returned.Add(1600*time.Millisecond), nil, nil)
+	r = r.WithChanges(returned.Add(2300*time.Millisecond), nil, nil)
+	must.Eq(t, []string{"back"}, names(r), must.Sprint("still missing after the grace: gone"))
+}
+
+func TestRosterListingAfterAnOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := kernel.NewRoster().WithListing(now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)})
+	r = r.WithListing(now.Add(4*time.Second), []model.Endpoint{listed("a", model.Live)})
+	must.Eq(t, []string{"a", "b"}, names(r))
+	r = r.WithListing(now.Add(7*time.Second), []model.Endpoint{listed("a", model.Live)})
+	must.Eq(t, []string{"a", "b"}, names(r), must.Sprint("each outage has its own grace"))
+	r = r.WithChanges(now.Add(7*time.Second+600*time.Millisecond), nil, nil)
+	r = r.WithChanges(now.Add(8*time.Second+200*time.Millisecond), nil, nil)
+	r = r.WithChanges(now.Add(9*time.Second+300*time.Millisecond), nil, nil)
+	must.Eq(t, []string{"a"}, names(r))
+}
+
+func TestRosterChanges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	before := kernel.NewRoster().WithListing(now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)})
+	after := before.WithChanges(now, []model.Endpoint{listed("a", model.Leaving), listed("c", model.Live)}, []string{"b"})
+	must.Len(t, 3, after.Changes(before))
+	must.SliceEmpty(t, after.Changes(after))
+}
--- /dev/null
+++ b/kernel/routes_test.go
@@ -0,0 +1,142 @@
+package kernel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+const trust = 4 * time.Second
+
+func routing(version uint64) model.Routing {
+	return model.Routing{
+		Version: version,
+		Routes: []model.Route{
+			{Name: "wide", Host: "a.example", Prefix: "/x/", Kind: model.Safe, Timeout: time.Second, Split: []model.WeightedPool{{Pool: "p", Weight: 1}}, MaxAttempts: 1},
+			{Name: "narrow", Host: "a.example", Prefix: "/x/y/", Kind: model.Unsafe, Timeout: time.Second, Split: []model.WeightedPool{{Pool: "p", Weight: 9}, {Pool: "q", Weight: 1}}, MaxAttempts: 1},
+			{Name: "open", Host: "b.example", Prefix: "/", Kind: model.Safe, Timeout: time.Second, Split: []model.WeightedPool{{Pool: "p", Weight: 1}}, MaxAttempts: 1, Public: true},
+		},
+		Customers: []model.KeyHolder{
+			{Name: "ann", Keys: []string{"key-a", "key-b"}, Priority: -1},
+			{Name: "bob", Keys: []string{"key-c"}, Priority: 0},
+		},
+	}
+}
+
+func forward(host, path, key string, at time.Time) model.Forward {
+	return model.Forward{ID: "id", Method: "GET", URI: path, Path: path, Host: host, Key: key, ReceivedAt: at}
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	table := kernel.NewRouteTable(routing(1))
+	for _, tc := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "wide"},
+		{"a.example", "/x/y/1", "narrow"},
+		{"a.example:8080", "/x/y/", "narrow"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"c.example", "/x/1", ""},
+		{"b.example", "/anything", "open"},
+	} {
+		route, ok := table.Match(tc.host, tc.path)
+		must.Eq(t, tc.want, route.Name, must.Sprint(tc.host+tc.path))
+		must.Eq(t, tc.want != "", ok)
+	}
+}
+
+func TestPoolForKeepsToWeights(t *testing.T) {
+	table := kernel.NewRouteTable(routing(1))
+	route, _ := table.Match("a.example", "/x/y/")
+	counts := map[string]int{}
+	for i := range 5000 {
+		id := fmt.Sprint("request-", i)
+		pool := kernel.PoolFor(route, id)
+		must.Eq(t, pool, kernel.PoolFor(route, id))
+		counts[pool]++
+	}
+	must.Between(t, 350, counts["q"], 650)
+}
+
+func TestRoutingOnlyMovesForward(t *testing.T) {
+	now := time.Unix(1000, 0)
+	newer := kernel.NewRouteTable(routing(7))
+	view := kernel.RoutingView{}.With(now, newer)
+	view = view.With(now.Add(time.Second), kernel.NewRouteTable(routing(5)))
+	must.Eq(t, uint64(7), view.Table.Version())
+	must.Eq(t, now.Add(time.Second), view.ProvenAt)
+	view = view.With(now, nil)
+	must.Eq(t, now.Add(time.Second), view.ProvenAt, must.Sprint("an older call's proof must not set the age back"))
+	must.False(t, kernel.RoutingView{}.With(now, nil).Proven(now, time.Hour), must.Sprint("no routing proves nothing"))
+}
+
+func TestAdmit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	view := kernel.RoutingView{}.With(now, kernel.NewRouteTable(routing(3)))
+	for _, tc := range []struct {
+		name   string
+		view   kernel.RoutingView
+		f      model.Forward
+		age    time.Duration
+		reason model.Reason
+	}{
+		{"known key", view, forward("a.example", "/x/1", "key-b", now), 0, ""},
+		{"unknown key", view, forward("a.example", "/x/1", "key-z", now), 0, model.Unauthorized},
+		{"no key", view, forward("a.example", "/x/1", "", now), 0, model.Unauthorized},
+		{"public route", view, forward("b.example", "/1", "", now), 0, ""},
+		{"public route, old routing", view, forward("b.example", "/1", "", now), trust + time.Second, ""},
+		{"no route", view, forward("a.example", "/z", "key-a", now), 0, model.UnknownPipeline},
+		{"no routing: never a false 404", kernel.RoutingView{}, forward("a.example", "/z", "key-a", now), 0, model.NotReady},
+		{"old routing", view, forward("a.example", "/x/1", "key-a", now.Add(trust)), trust + time.Millisecond, model.StaleRouting},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			at := now.Add(tc.age)
+			tc.f.ReceivedAt = at
+			a, refusal := kernel.Admit(at, tc.view, trust, tc.f)
+			if tc.reason == "" {
+				must.Nil(t, refusal)
+				must.Eq(t, uint64(3), a.Version)
+				return
+			}
+			must.NotNil(t, refusal)
+			must.Eq(t, tc.reason, refusal.Reason)
+			must.Eq(t, model.NotRun, refusal.Verdict)
+		})
+	}
+}
+
+func TestAdmitKeepsToTheShorterTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	view := kernel.RoutingView{}.With(now, kernel.NewRouteTable(routing(3)))
+	f := forward("a.example", "/x/1", "key-a", now)
+	a, _ := kernel.Admit(now, view, trust, f)
+	must.Eq(t, now.Add(time.Second), a.Until)
+	f.Deadline = now.Add(300 * time.Millisecond)
+	a, _ = kernel.Admit(now, view, trust, f)
+	must.Eq(t, f.Deadline, a.Until)
+	_, refusal := kernel.Admit(f.Deadline, view, trust, f)
+	must.Eq(t, model.DeadlinePassed, refusal.Reason)
+}
+
+func TestStillAdmittedSeesATakenKeyAndAFreeze(t *testing.T) {
+	now := time.Unix(1000, 0)
+	view := kernel.RoutingView{}.With(now, kernel.NewRouteTable(routing(3)))
+	f := forward("a.example", "/x/1", "key-b", now)
+	f.Deadline = time.Time{}
+	a, _ := kernel.Admit(now, view, trust, f)
+	must.Nil(t, kernel.StillAdmitted(now, view, trust, f, a))
+
+	revoked := routing(4)
+	revoked.Customers[0].Keys = []string{"key-a"}
+	later := view.With(now, kernel.NewRouteTable(revoked))
+	must.Eq(t, model.Unauthorized, kernel.StillAdmitted(now, later, trust, f, a).Reason)
+
+	a.Until = now.Add(time.Hour)
+	frozen := now.Add(trust + time.Second)
+	must.Eq(t, model.StaleRouting, kernel.StillAdmitted(frozen, view, trust, f, a).Reason)
+	must.Eq(t, model.DeadlinePassed, kernel.StillAdmitted(a.Until, view, trust, f, a).Reason)
+}
--- /dev/null
+++ b/kernel/stageplan_test.go
@@ -0,0 +1,88 @@
+package kernel_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+func stagedRequest(now time.Time, pieces ...int) (model.Forward, kernel.Admission) {
+	f := model.Forward{ID: "id", ReceivedAt: now, Pieces: pieces}
+	a := kernel.Admission{
+		Route: model.Route{
+			Objective: 1800 * time.Millisecond,
+			Stages: []model.StageNode{
+				{Pool: "encode", ResultBytes: 1_500_000},
+				{Pool: "encode", ResultBytes: 8000},
+				{Pool: "retrieve", After: []int{1}, ResultBytes: 60000},
+				{Pool: "rerank", After: []int{2}, ResultBytes: 6000},
+			},
+		},
+		Until: now.Add(6 * time.Second),
+	}
+	return f, a
+}
+
+func outlook(wait time.Duration) map[string]kernel.PoolOutlook {
+	out := map[string]kernel.PoolOutlook{}
+	for _, name := range []string{"encode", "retrieve", "rerank"} {
+		out[name] = kernel.PoolOutlook{Traits: gatherTraits, Wait: wait}
+	}
+	return out
+}
+
+func TestAStageIsDueBeforeAllThatFollowsIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f, a := stagedRequest(now, 2, 1, 6, 10)
+	plan := kernel.PlanStages(now, f, a, outlook(0), 200*time.Millisecond)
+	must.Eq(t, []int{0, 3}, plan.Last)
+	must.True(t, plan.Due[1].Before(plan.Due[2]))
+	must.True(t, plan.Due[2].Before(plan.Due[3]))
+	must.Eq(t, plan.Due[0], plan.Due[3])
+	must.True(t, plan.Until[1].Before(a.Until))
+}
+
+func TestAnOmittedStageTakesNoTimeAndGivesNoInput(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f, a := stagedRequest(now, 0, 1, 6, 10)
+	plan := kernel.PlanStages(now, f, a, outlook(0), 200*time.Millisecond)
+	must.Eq(t, []int{3}, plan.Last)
+	f, a = stagedRequest(now)
+	plan = kernel.PlanStages(now, f, a, outlook(0), 200*time.Millisecond)
+	must.SliceEmpty(t, plan.Last)
+	must.Eq(t, 200*time.Millisecond, plan.Expected)
+}
+
+func TestStagesThatWouldBeLateAreRefusedWhereQueuesAreLong(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f, a := stagedRequest(now, 1, 1, 6, 10)
+	for _, tc := range []struct {
+		name    string
+		wait    time.Duration
+		refused bool
+	}{
+		{"free endpoints", 0, false},
+		{"a short wait", 100 * time.Millisecond, false},
+		{"long queues", 600 * time.Millisecond, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			plan := kernel.PlanStages(now, f, a, outlook(tc.wait), 200*time.Millisecond)
+			refusal := kernel.AdmitStages(now, f, a, plan, outlook(tc.wait))
+			must.Eq(t, tc.refused, refusal != nil)
+			if refusal != nil {
+				must.Eq(t, model.StageLate, refusal.Reason)
+				must.GreaterEq(t, tc.wait, refusal.RetryAfter)
+			}
+		})
+	}
+}
+
+func TestDomainOfIsWhereMostResultsLie(t *testing.T) {
+	made := []kernel.MadePiece{{Domain: "a"}, {Domain: "b"}, {Domain: "b"}}
+	must.Eq(t, "b", kernel.DomainOf(made))
+	must.Eq(t, "", kernel.DomainOf(nil))
+}
