--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -72,6 +72,8 @@
 		Group uint64
 		Made  []MadePiece
 		Fault model.PieceFault
+		// Waited is how long the last of its pieces waited for a call.
+		Waited time.Duration
 	}
 
 	// Gathering collects the pieces of one pool from all nodes, and cuts them into calls as its
@@ -105,6 +107,7 @@
 		waiting []model.Piece
 		made    []MadePiece
 		tries   map[int]int
+		waited  time.Duration
 	}
 
 	heldResult struct {
@@ -380,6 +383,7 @@
 		m.used += batch.bytes[i]
 		w := g.groups[batch.groups[i]]
 		w.tries[p.Number]++
+		w.waited = now.Sub(w.arrived)
 		w.waiting = slices.DeleteFunc(w.waiting, func(q model.Piece) bool { return q.Number == p.Number })
 	}
 	g.running[batch.ID] = batch
@@ -444,7 +448,7 @@
 			continue
 		}
 		slices.SortFunc(w.made, func(a, b MadePiece) int { return a.Number - b.Number })
-		ended = append(ended, GroupOutcome{Group: id, Made: w.made})
+		ended = append(ended, GroupOutcome{Group: id, Made: w.made, Waited: w.waited})
 		delete(g.groups, id)
 	}
 	return ended, unwanted
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -45,10 +45,10 @@
 // gather has the pieces of a group made by the pool's gatherer: one node for each pool, the same
 // for all nodes, so that pieces of all requests share calls. A gatherer that doesn't answer is
 // passed over for the next one.
-func (r *Relay) gather(ctx context.Context, req gatherRequest) ([]kernel.MadePiece, *model.Refusal) {
+func (r *Relay) gather(ctx context.Context, req gatherRequest) stageDone {
 	g := r.hub.find(req.pool)
 	if g == nil {
-		return nil, model.NewRefusal(model.NotRun, model.NoEndpoint, kernel.RetryAfter(refusedRetry), "the pool "+req.pool+" is not known")
+		return stageDone{refusal: model.NewRefusal(model.NotRun, model.NoEndpoint, kernel.RetryAfter(refusedRetry), "the pool "+req.pool+" is not known")}
 	}
 	tried := 0
 	for _, node := range kernel.Gatherers(req.pool, r.gathererNodes()) {
@@ -65,16 +65,26 @@
 			continue
 		}
 		g.noteWait(result.wait)
-		if result.refused {
-			return nil, model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(result.retryAfter), "pool "+req.pool+" has no time for the pieces")
-		}
-		if result.outcome.Fault != "" {
-			return result.outcome.Made, model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(max(result.wait, refusedRetry)),
-				fmt.Sprintf("pool %s: pieces not made: %s", req.pool, result.outcome.Fault))
-		}
-		return result.outcome.Made, nil
+		done := result.done(req.pool)
+		done.time.Gatherer = node
+		return done
+	}
+	return stageDone{refusal: model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(refusedRetry), "no node gathered the pieces of pool "+req.pool)}
+}
+
+// done says what a gatherer's answer means for the stage.
+func (result gatherResult) done(pool string) stageDone {
+	if result.refused {
+		return stageDone{refusal: model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(result.retryAfter), "pool "+pool+" has no time for the pieces")}
+	}
+	done := stageDone{made: result.outcome.Made}
+	done.time.Waited = result.outcome.Waited
+	if fault := result.outcome.Fault; fault != "" {
+		done.time.Fault = fault
+		done.refusal = model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(max(result.wait, refusedRetry)),
+			fmt.Sprintf("pool %s: pieces not made: %s", pool, fault))
 	}
-	return nil, model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(refusedRetry), "no node gathered the pieces of pool "+req.pool)
+	return done
 }
 
 // gathererNodes returns the names of the nodes that may gather.
--- a/relay/log.go
+++ b/relay/log.go
@@ -27,12 +27,15 @@
 	if o.Refusal == nil && o.Whole {
 		log = &r.answers
 	}
-	line := log.Info().Str("Request", f.ID).Str("Route", a.Route.Name).Str("Customer", a.Customer).
+	line := log.Info().Str("Request", f.ID).Str("Route", a.Route.Name).Str("Customer", a.Customer).Int("Priority", a.Priority).
 		Uint64("Routing", view.Table.Version()).Dur("RoutingAge", now.Sub(view.ProvenAt)).
 		Dur("Elapsed", now.Sub(f.ReceivedAt)).Int("Attempts", o.Attempts)
 	if o.Endpoint != "" {
 		line = line.Str("Endpoint", o.Endpoint)
 	}
+	if len(o.Stages) > 0 {
+		line = line.Array("Stages", stageTimes(o.Stages))
+	}
 	switch {
 	case o.Refusal != nil:
 		line.Str("Outcome", "Refused").Str("Verdict", string(o.Refusal.Verdict)).
@@ -45,6 +48,17 @@
 	}
 }
 
+// stageTimes marshals what became of a request's stages.
+type stageTimes []StageTime
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (times stageTimes) MarshalZerologArray(a *zerolog.Array) {
+	for _, t := range times {
+		a.Dict(zerolog.Dict().Int("Stage", t.Stage).Str("Pool", t.Pool).Str("Gatherer", t.Gatherer).
+			Dur("Elapsed", t.Elapsed).Dur("Waited", t.Waited).Str("Fault", string(t.Fault)))
+	}
+}
+
 // logAttempt writes a line on a send that did not bring the answer.
 func (r *Relay) logAttempt(f model.Forward, e model.Endpoint, attempt int, reason model.Reason, err error) {
 	r.log.Info().Str("Request", f.ID).Str("Endpoint", e.Name).Str("Pool", e.Pool).Int("Attempt", attempt).
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -88,6 +88,18 @@
 		// Endpoint and Attempts say who answered and how many endpoints were asked.
 		Endpoint string
 		Attempts int
+		// Stages says what became of the stages that were begun.
+		Stages []StageTime
+	}
+
+	// StageTime says how long a stage took, and how much of that its pieces waited for a call.
+	StageTime struct {
+		Stage    int
+		Pool     string
+		Gatherer string
+		Elapsed  time.Duration
+		Waited   time.Duration
+		Fault    model.PieceFault
 	}
 
 	// Relay serves callers' requests. It is safe for concurrent use.
@@ -240,6 +252,7 @@
 	} else {
 		outcome = job.unary(ctx)
 	}
+	outcome.Stages = job.stages
 	if outcome.Refusal == nil {
 		r.metrics.Answered(admission.Route.Name, r.now().Sub(f.ReceivedAt))
 	}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -30,6 +30,7 @@
 		stage   int
 		made    []kernel.MadePiece
 		refusal *model.Refusal
+		time    StageTime
 	}
 )
 
@@ -76,6 +77,7 @@
 		}
 		d := <-done
 		running--
+		j.stages = append(j.stages, d.time)
 		run.hold(d.stage, d.made)
 		if d.refusal != nil {
 			cancel()
@@ -140,8 +142,13 @@
 }
 
 func (j *job) runStage(ctx context.Context, stage int, group gatherRequest) stageDone {
-	made, refusal := j.relay.gather(ctx, group)
-	return stageDone{stage: stage, made: made, refusal: refusal}
+	began := j.relay.now()
+	done := j.relay.gather(ctx, group)
+	done.stage = stage
+	done.time.Stage = stage
+	done.time.Pool = group.pool
+	done.time.Elapsed = j.relay.now().Sub(began)
+	return done
 }
 
 func (s *stageRun) hold(stage int, made []kernel.MadePiece) {
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -39,6 +39,7 @@
 		excluded []string
 		// mayHaveRun is true once the evidence no longer excludes that the request runs.
 		mayHaveRun bool
+		stages     []StageTime
 	}
 
 	// unaryResult is how one send of a unary request ended.
