--- a/kernel/admit.go
+++ b/kernel/admit.go
@@ -10,6 +10,10 @@
 // a node reads the store again.
 const unknownRetry = 500 * time.Millisecond
 
+// customerRanks is how many ranks one step of a customer's priority is worth: more than there are
+// priorities of routes.
+const customerRanks = 10
+
 // Admission is what a request is admitted under.
 type Admission struct {
 	Route model.Route
@@ -19,8 +23,8 @@
 	// Keyed is true where the request was admitted for its API key.
 	Keyed   bool
 	Version uint64
-	// Priority is the customer's if it has one, else the route's; 0 comes first.
-	Priority int
+	// Rank orders requests by priority, the customer's first, then the route's; 0 comes first.
+	Rank int
 	// Until is when the request must be answered: its route's timeout or the caller's deadline.
 	Until time.Time
 }
@@ -36,11 +40,11 @@
 		return Admission{}, model.NewRefusal(model.NotRun, model.UnknownPipeline, 0, "no route matches")
 	}
 	a := Admission{
-		Route:    route,
-		Pool:     PoolFor(route, f.ID),
-		Version:  view.Table.Version(),
-		Priority: route.Priority,
-		Until:    f.ReceivedAt.Add(route.Timeout),
+		Route:   route,
+		Pool:    PoolFor(route, f.ID),
+		Version: view.Table.Version(),
+		Rank:    route.Priority,
+		Until:   f.ReceivedAt.Add(route.Timeout),
 	}
 	if !f.Deadline.IsZero() && f.Deadline.Before(a.Until) {
 		a.Until = f.Deadline
@@ -56,7 +60,7 @@
 		a.Customer = holder.Name
 		a.Keyed = true
 		if holder.Priority >= 0 {
-			a.Priority = holder.Priority
+			a.Rank += holder.Priority * customerRanks
 		}
 	}
 	if !now.Before(a.Until) {
--- a/kernel/placement.go
+++ b/kernel/placement.go
@@ -15,6 +15,12 @@
 	// decodeTokens is what a request that generates counts for beside the tokens to be read: its
 	// share of the step time of the others, in tokens.
 	decodeTokens = 150
+	// patienceRate is how many bytes between failure domains are worth a second of waiting, and
+	// prefillRate how many tokens an engine reads in one: measured, 50 a millisecond.
+	patienceRate = 25e6
+	prefillRate  = 50e3
+	// mostPatience bounds the wait for a failure domain: about half a call.
+	mostPatience = 130 * time.Millisecond
 	// slotShare is the share of an engine's slots that may be taken before others are preferred.
 	slotShare = 0.9
 )
@@ -40,10 +46,11 @@
 }
 
 // HomeDomain returns the failure domain where all nodes place the prompts of a key, so that
-// stages can make their results there. Empty for no engines.
-func HomeDomain(key string, engines []model.Endpoint) string {
+// stages can make their results there: each of the endpoints draws the same share of keys. Empty
+// for no endpoints.
+func HomeDomain(key string, endpoints []model.Endpoint) string {
 	best, domain := uint64(0), ""
-	for _, e := range engines {
+	for _, e := range endpoints {
 		if e.State == model.Leaving {
 			continue
 		}
@@ -54,6 +61,14 @@
 	return domain
 }
 
+// DomainPatience returns how long pieces wait for an endpoint in the failure domain that they
+// prefer: for the time that moving their inputs and reading a cached prefix again are worth.
+func DomainPatience(inputBytes int64, prefixTokens int) time.Duration {
+	wait := time.Duration(float64(inputBytes) / patienceRate * float64(time.Second))
+	wait += time.Duration(float64(prefixTokens) / prefillRate * float64(time.Second))
+	return min(wait, mostPatience)
+}
+
 // PickEngine returns the index of the engine for a prompt, -1 for none: in the failure domain
 // where its inputs lie, by the affinity key, and the next one by hash where an engine has much
 // more to read than the least loaded.
@@ -105,3 +120,30 @@
 	}
 	return loadOf(now, e.Candidate, e.Endpoint.FailureDomain) >= slotShare*float64(e.Load.Slots)
 }
+
+// LargeResults is from which size on, in bytes, a request's results decide where its engine is:
+// moving them costs more than reading its prefix again.
+const LargeResults = 200_000
+
+// HomePool returns the pool by whose endpoints the home domain of a route's prompts is drawn: the
+// one that makes large results, since its endpoints are few and unevenly spread, else the engines'.
+func HomePool(a Admission) string {
+	pool, most := a.Pool, int64(LargeResults)
+	for _, s := range a.Route.Stages {
+		if s.ResultBytes >= most {
+			pool, most = s.Pool, s.ResultBytes
+		}
+	}
+	return pool
+}
+
+// SharedTokens returns how many tokens of a prompt other requests share.
+func SharedTokens(p model.Prompt) int {
+	tokens := 0
+	for i, part := range p.Parts {
+		if i < len(p.Parts)-1 {
+			tokens += part.Tokens
+		}
+	}
+	return tokens
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -25,6 +25,7 @@
 	KindGather
 	KindGatherCancel
 	KindRelease
+	KindProbe
 )
 
 type (
@@ -142,6 +143,8 @@
 		Inputs      []string
 		ResultBytes int64
 		Domain      string
+		Patience    time.Duration
+		Rank        int
 		DueIn       time.Duration
 		UntilIn     time.Duration
 	}
@@ -166,8 +169,13 @@
 
 	// Release frees results that are no longer needed.
 	Release struct {
-		Pool    string
-		Handles []string
+		Pool string
+		Made []kernel.MadePiece
+	}
+
+	// ProbeReply tells whether a node gathers pieces.
+	ProbeReply struct {
+		Leaving bool
 	}
 
 	// Empty is the body of calls that say nothing more.
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -28,8 +28,11 @@
 		pieces []model.Piece
 		bytes  int64
 		domain string
-		due    time.Time
-		until  time.Time
+		// patience is how long the pieces wait for the domain.
+		patience time.Duration
+		rank     int
+		due      time.Time
+		until    time.Time
 	}
 
 	// gatherResult is a gatherer's answer.
@@ -62,6 +65,7 @@
 			continue
 		}
 		if result.leaving {
+			r.suspects.suspect(node)
 			continue
 		}
 		g.noteWait(result.wait)
@@ -91,7 +95,7 @@
 func (r *Relay) gathererNodes() []string {
 	var names []string
 	for _, n := range *r.nodes.Load() {
-		if !n.Leaving && !r.suspects.suspected(r.now(), n.Name) {
+		if !n.Leaving && !r.suspects.suspected(n.Name) {
 			names = append(names, n.Name)
 		}
 	}
@@ -102,7 +106,7 @@
 }
 
 func (r *Relay) noteGatherer(node string, req gatherRequest, err error) {
-	r.suspects.suspect(r.now(), node)
+	r.suspects.suspect(node)
 	r.metrics.Event("GathererFailed")
 	r.log.Info().Str("Request", req.pieces[0].Request).Str("Pool", req.pool).Str("Gatherer", node).Err(err).Msg("gatherer did not answer")
 }
@@ -114,6 +118,8 @@
 			Pieces:      req.pieces,
 			ResultBytes: req.bytes,
 			Domain:      req.domain,
+			Patience:    req.patience,
+			Rank:        req.rank,
 			Due:         req.due,
 			Until:       req.until,
 		}
@@ -130,6 +136,8 @@
 		Inputs:      first.Inputs,
 		ResultBytes: req.bytes,
 		Domain:      req.domain,
+		Patience:    req.patience,
+		Rank:        req.rank,
 		DueIn:       req.due.Sub(now),
 		UntilIn:     req.until.Sub(now),
 		Group:       fmt.Sprintf("%s/%d", r.options.Name, r.groups.Add(1)),
@@ -179,14 +187,14 @@
 }
 
 // release frees results by way of the pool's gatherer, which keeps account of the room.
-func (r *Relay) release(pool string, handles []string) {
+func (r *Relay) release(pool string, made []kernel.MadePiece) {
 	g := r.hub.find(pool)
 	if g == nil {
 		return
 	}
 	nodes := kernel.Gatherers(pool, r.gathererNodes())
 	if len(nodes) == 0 || nodes[0] == r.options.Name {
-		g.free(handles)
+		g.free(made)
 		return
 	}
 	address := r.addressOf(nodes[0])
@@ -194,8 +202,10 @@
 		ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
 		defer cancel()
 		var empty peer.Empty
-		if r.peers.Call(ctx, address, peer.KindRelease, peer.Release{Pool: pool, Handles: handles}, &empty) != nil {
+		if r.peers.Call(ctx, address, peer.KindRelease, peer.Release{Pool: pool, Made: made}, &empty) != nil {
+			// Without a gatherer to keep account, the makers are told from here.
 			r.metrics.Event("ReleaseFailed")
+			g.free(made)
 		}
 	}()
 }
@@ -206,6 +216,7 @@
 		peer.KindGather:       r.answerGather,
 		peer.KindGatherCancel: r.answerGatherCancel,
 		peer.KindRelease:      r.answerRelease,
+		peer.KindProbe:        r.answerProbe,
 	}
 }
 
@@ -223,6 +234,8 @@
 		ID:          r.groups.Add(1),
 		ResultBytes: m.ResultBytes,
 		Domain:      m.Domain,
+		Patience:    m.Patience,
+		Rank:        m.Rank,
 		Due:         now.Add(m.DueIn),
 		Until:       now.Add(m.UntilIn),
 	}
@@ -244,6 +257,23 @@
 	}, nil
 }
 
+func (r *Relay) answerProbe(context.Context, []byte) (any, error) {
+	return peer.ProbeReply{Leaving: r.goneAt.Load() != nil}, nil
+}
+
+// probe asks a node whether it gathers pieces.
+func (r *Relay) probe(node string) bool {
+	address := r.addressOf(node)
+	if address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
+	defer cancel()
+	var reply peer.ProbeReply
+	err := r.peers.Call(ctx, address, peer.KindProbe, peer.Empty{}, &reply)
+	return err == nil && !reply.Leaving
+}
+
 func (r *Relay) answerGatherCancel(_ context.Context, body []byte) (any, error) {
 	var m peer.GatherCancel
 	if err := peer.DecodeBody(body, &m); err != nil {
@@ -259,7 +289,7 @@
 		return nil, err
 	}
 	if g := r.hub.find(m.Pool); g != nil {
-		g.free(m.Handles)
+		g.free(m.Made)
 	}
 	return peer.Empty{}, nil
 }
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -5,22 +5,26 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 )
 
 const (
-	// pumpAgain is when a gatherer looks again for a free endpoint while pieces wait and no call
-	// is about to end: a part of the time that a piece waits for its own failure domain.
-	pumpAgain = 40 * time.Millisecond
+	// pumpAgain is when a gatherer at most looks again while pieces wait: a part of the time that
+	// a piece waits for its own failure domain.
+	pumpAgain = 30 * time.Millisecond
 	// callPatience is how many times its expected time a call for pieces may take before it is
 	// given up and its pieces are asked for elsewhere, and callGrace what is added to that.
 	callPatience = 2.5
 	callGrace    = 300 * time.Millisecond
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
+	// takeOverAfter is how long a node has not gathered for a pool when another may have done it:
+	// a pool in use gets pieces far more often.
+	takeOverAfter = 1500 * time.Millisecond
+	// roomWorthAsking is from which room on, in bytes, endpoints are asked how much is free: they
+	// answer in whole megabytes.
+	roomWorthAsking = 8_000_000
 	// outlookMemory is how long a gatherer's word on its queue counts.
 	outlookMemory = 400 * time.Millisecond
 )
@@ -47,6 +51,8 @@
 		// wait is what the pool's gatherer last told of its queue, at waitAt.
 		wait   time.Duration
 		waitAt time.Time
+		// gatheredAt is when the last group came.
+		gatheredAt time.Time
 	}
 )
 
@@ -138,8 +144,9 @@
 func (g *gatherer) gather(ctx context.Context, group kernel.PieceGroup) gatherResult {
 	now := g.relay.now()
 	done := make(chan kernel.GroupOutcome, 1)
+	g.takeOver(now)
 	g.mu.Lock()
-	wait := g.g.Wait(group.Due, len(group.Pieces), group.ResultBytes)
+	wait := g.g.Wait(group)
 	accepted, retry := g.g.Add(now, group)
 	if accepted {
 		g.waiters[group.ID] = done
@@ -159,7 +166,7 @@
 	select {
 	case outcome := <-done:
 		// It ended at the same moment: what was made is of no use.
-		g.free(handlesOf(outcome.Made))
+		g.free(outcome.Made)
 	default:
 	}
 	return gatherResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}, wait: wait}
@@ -170,7 +177,7 @@
 	made := g.g.Cancel(id)
 	delete(g.waiters, id)
 	g.mu.Unlock()
-	g.free(handlesOf(made))
+	g.free(made)
 }
 
 // pump makes all calls that can be made now.
@@ -188,7 +195,7 @@
 		go g.call(batch, g.g.Expected(batch))
 	}
 	if pieces, _ := g.g.Waiting(); pieces > 0 {
-		g.timer.Reset(pumpAgain)
+		g.timer.Reset(min(pumpAgain, max(time.Millisecond, g.g.Spacing()/2)))
 	}
 }
 
@@ -200,11 +207,9 @@
 	reply, err := r.wire.RunPieces(ctx, batch.Endpoint, batch.Pieces)
 	now := r.now()
 	var ended []kernel.GroupOutcome
-	var unwanted []string
+	var unwanted []kernel.MadePiece
 	g.mu.Lock()
 	switch {
-	case err != nil && asFault(err).Verdict != model.NotRun:
-		ended = g.g.Failed(now, batch)
 	case err != nil:
 		ended = g.g.Failed(now, batch)
 	case reply.NotRun:
@@ -222,11 +227,21 @@
 func (g *gatherer) logCall(batch kernel.PieceBatch, reply PieceReply, err error) {
 	r := g.relay
 	r.metrics.Event("PieceCalls")
+	faults := map[model.PieceFault]int{}
 	for _, res := range reply.Results {
 		if res.Fault != "" {
+			faults[res.Fault]++
 			r.metrics.Event("PieceFault" + string(res.Fault))
 		}
 	}
+	if len(faults) > 0 {
+		g.mu.Lock()
+		used, calls := g.g.Used(batch.Endpoint.Name)
+		g.mu.Unlock()
+		r.log.Info().Str("Pool", g.name).Str("Endpoint", batch.Endpoint.Name).Int("Pieces", len(batch.Pieces)).
+			Str("Request", batch.Pieces[0].Request).Any("Faults", faults).Int64("RoomUsed", used).Int("Calls", calls).
+			Msg("pieces not made")
+	}
 	switch {
 	case err != nil:
 		r.metrics.Event("PieceCallFailed")
@@ -249,7 +264,7 @@
 		if waiting != nil {
 			waiting <- o
 		} else {
-			g.free(handlesOf(o.Made))
+			g.free(o.Made)
 		}
 	}
 }
@@ -262,40 +277,72 @@
 	g.finish(ended)
 }
 
-// free gives results up at their makers.
-func (g *gatherer) free(handles []string) {
-	if len(handles) == 0 {
+// free gives results up at their makers. Their room is given out again only once the maker has
+// confirmed: a call that overtakes the word would find no room.
+func (g *gatherer) free(made []kernel.MadePiece) {
+	byMaker := map[string][]kernel.MadePiece{}
+	for _, m := range made {
+		byMaker[m.Maker] = append(byMaker[m.Maker], m)
+	}
+	for name, made := range byMaker {
+		g.mu.Lock()
+		maker, ok := g.g.Maker(name)
+		g.mu.Unlock()
+		if ok {
+			go g.freeAt(maker, made)
+		}
+	}
+}
+
+func (g *gatherer) freeAt(maker model.Endpoint, made []kernel.MadePiece) {
+	ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
+	defer cancel()
+	handles := make([]string, 0, len(made))
+	for _, m := range made {
+		handles = append(handles, m.Handle)
+	}
+	if err := g.relay.wire.Free(ctx, maker, handles); err != nil {
+		// The maker drops them by itself after a while, and so does the account.
+		g.relay.metrics.Event("FreeFailed")
 		return
 	}
-	byMaker := map[string][]string{}
-	makers := map[string]model.Endpoint{}
 	g.mu.Lock()
-	for _, handle := range handles {
-		maker, ok := g.g.Release(handle)
-		if !ok {
-			continue
-		}
-		makers[maker.Name] = maker
-		byMaker[maker.Name] = append(byMaker[maker.Name], handle)
+	for _, m := range made {
+		g.g.Release(m)
 	}
 	g.mu.Unlock()
-	for name, handles := range byMaker {
-		go func() {
-			ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
-			defer cancel()
-			err := g.relay.wire.Free(ctx, makers[name], handles)
-			if err != nil && !errors.Is(err, context.Canceled) {
-				g.relay.metrics.Event("FreeFailed")
-			}
-			g.pump()
-		}()
+	g.pump()
+}
+
+// takeOver asks all makers for their room where this node has not gathered for a while: results
+// that another gatherer had made may lie there.
+func (g *gatherer) takeOver(now time.Time) {
+	g.mu.Lock()
+	idle := now.Sub(g.gatheredAt) > takeOverAfter
+	g.gatheredAt = now
+	g.mu.Unlock()
+	if !idle {
+		return
+	}
+	g.relay.metrics.Event("GathererTookOver")
+	g.relay.log.Info().Str("Pool", g.name).Msg("gathering begins here")
+	if g.traits.Room < roomWorthAsking {
+		return
+	}
+	for _, maker := range g.relay.Roster().Endpoints(g.name) {
+		go g.askRoom(maker)
 	}
 }
 
-func handlesOf(made []kernel.MadePiece) []string {
-	out := make([]string, 0, len(made))
-	for _, m := range made {
-		out = append(out, m.Handle)
+func (g *gatherer) askRoom(maker model.Endpoint) {
+	ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
+	defer cancel()
+	free, err := g.relay.wire.Room(ctx, maker)
+	if err != nil {
+		g.relay.metrics.Event("RoomUnknown")
+		return
 	}
-	return out
+	g.mu.Lock()
+	g.g.NoteRoom(g.relay.now(), maker.Name, free)
+	g.mu.Unlock()
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -27,7 +27,7 @@
 	if o.Refusal == nil && o.Whole {
 		log = &r.answers
 	}
-	line := log.Info().Str("Request", f.ID).Str("Route", a.Route.Name).Str("Customer", a.Customer).Int("Priority", a.Priority).
+	line := log.Info().Str("Request", f.ID).Str("Route", a.Route.Name).Str("Customer", a.Customer).Int("Rank", a.Rank).
 		Uint64("Routing", view.Table.Version()).Dur("RoutingAge", now.Sub(view.ProvenAt)).
 		Dur("Elapsed", now.Sub(f.ReceivedAt)).Int("Attempts", o.Attempts)
 	if o.Endpoint != "" {
--- a/relay/registry.go
+++ b/relay/registry.go
@@ -4,17 +4,29 @@
 	"context"
 	"sync"
 	"time"
+
+	"basilstall.example/basilstall/clock"
 )
 
-// suspicionLasts is how long a node that did not answer is not asked to gather: after that one
-// request tries it again.
-const suspicionLasts = 1500 * time.Millisecond
+const (
+	// probeFirst and probeMost bound the time between two probes of a node that did not answer;
+	// each is twice the one before. Probes keep the wait for a lost node away from requests.
+	probeFirst   = 250 * time.Millisecond
+	probeMost    = 4 * time.Second
+	probeTimeout = 600 * time.Millisecond
+)
 
 type (
-	// suspects holds which nodes did not answer lately.
+	// suspects holds the nodes that did not answer lately or are leaving. Each is probed until it
+	// answers again.
 	suspects struct {
+		ctx   context.Context
+		probe func(node string) bool
+		// back is called for a node that answers again.
+		back func(node string)
+
 		mu    sync.Mutex
-		until map[string]time.Time
+		nodes map[string]bool
 	}
 
 	// remoteGroups holds how to withdraw the groups of other nodes.
@@ -24,27 +36,51 @@
 	}
 )
 
-func (s *suspects) suspect(now time.Time, node string) {
+func newSuspects(ctx context.Context, probe func(string) bool, back func(string)) *suspects {
+	return &suspects{ctx: ctx, probe: probe, back: back, nodes: map[string]bool{}}
+}
+
+// suspect notes that a node did not answer; it reports whether that is news.
+func (s *suspects) suspect(node string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.until == nil {
-		s.until = map[string]time.Time{}
+	if s.nodes[node] {
+		return false
 	}
-	s.until[node] = now.Add(suspicionLasts)
+	s.nodes[node] = true
+	go func() {
+		pause := probeFirst
+		for clock.Sleep(s.ctx, pause) {
+			if s.probe(node) {
+				s.clear(node)
+				return
+			}
+			pause = min(2*pause, probeMost)
+		}
+	}()
+	return true
 }
 
-func (s *suspects) suspected(now time.Time, node string) bool {
+func (s *suspects) clear(node string) {
+	s.mu.Lock()
+	delete(s.nodes, node)
+	s.mu.Unlock()
+	s.back(node)
+}
+
+func (s *suspects) suspected(node string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Before(s.until[node])
+	return s.nodes[node]
+}
+
+func newRemoteGroups() *remoteGroups {
+	return &remoteGroups{cancels: map[string]context.CancelFunc{}}
 }
 
 func (g *remoteGroups) add(group string, cancel context.CancelFunc) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.cancels == nil {
-		g.cancels = map[string]context.CancelFunc{}
-	}
 	g.cancels[group] = cancel
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -44,6 +44,8 @@
 		RunPieces func(ctx context.Context, e model.Endpoint, pieces []model.Piece) (PieceReply, error)
 		// Free gives up results that an endpoint holds.
 		Free func(ctx context.Context, e model.Endpoint, handles []string) error
+		// Room returns how many bytes of results an endpoint has room for now.
+		Room func(ctx context.Context, e model.Endpoint) (int64, error)
 	}
 
 	// Send is one send of a request.
@@ -119,8 +121,8 @@
 		pools  map[string]*pool
 		hub    *hub
 		// suspects are nodes that did not answer; remote holds other nodes' groups here.
-		suspects suspects
-		remote   remoteGroups
+		suspects *suspects
+		remote   *remoteGroups
 
 		// goneAt is when a leaving node will be gone; nil while it is not leaving.
 		goneAt   atomic.Pointer[time.Time]
@@ -153,6 +155,10 @@
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.hub = newHub(r)
+	r.remote = newRemoteGroups()
+	r.suspects = newSuspects(r.ctx, r.probe, func(node string) {
+		r.log.Info().Str("Gatherer", node).Msg("node answers again")
+	})
 	roster := kernel.NewRoster()
 	r.roster.Store(&roster)
 	r.view.Store(&kernel.RoutingView{})
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -20,7 +20,7 @@
 
 		mu sync.Mutex
 		// held lists, by stage, the results that are still held.
-		held     map[int][]string
+		held     map[int][]kernel.MadePiece
 		pools    []string
 		released bool
 	}
@@ -38,9 +38,9 @@
 // done; the first failure ends them all. The results must be released.
 func (j *job) runStages(ctx context.Context, p *pool) (*stageRun, *model.Refusal) {
 	r := j.relay
-	home := kernel.HomeDomain(kernel.AffinityKey(j.forward.Prompt), r.Roster().Endpoints(p.name))
-	run := &stageRun{relay: r, domain: home, held: map[int][]string{}}
 	stages := j.admission.Route.Stages
+	home := kernel.HomeDomain(kernel.AffinityKey(j.forward.Prompt), r.Roster().Endpoints(kernel.HomePool(j.admission)))
+	run := &stageRun{relay: r, domain: home, held: map[int][]kernel.MadePiece{}}
 	for _, s := range stages {
 		run.pools = append(run.pools, s.Pool)
 	}
@@ -119,7 +119,9 @@
 		bytes:  node.ResultBytes,
 		due:    run.plan.Due[stage],
 		until:  run.plan.Until[stage],
+		rank:   j.admission.Rank,
 	}
+	var inputBytes int64
 	piece := model.Piece{Request: j.forward.ID, Stage: stage, Deadline: run.plan.Until[stage]}
 	if len(node.After) == 0 {
 		piece.Key = j.forward.PieceKey
@@ -127,6 +129,7 @@
 	var inputs []kernel.MadePiece
 	for _, before := range node.After {
 		inputs = append(inputs, results[before]...)
+		inputBytes += int64(len(results[before])) * j.admission.Route.Stages[before].ResultBytes
 	}
 	for _, m := range inputs {
 		piece.Inputs = append(piece.Inputs, m.Handle)
@@ -134,7 +137,14 @@
 	if domain := kernel.DomainOf(inputs); domain != "" {
 		g.domain = domain
 	}
-	for n := range kernel.PiecesOf(j.forward, stage) {
+	pieces := kernel.PiecesOf(j.forward, stage)
+	prefix := 0
+	if node.ResultBytes*int64(pieces) >= kernel.LargeResults {
+		prefix = kernel.SharedTokens(j.forward.Prompt)
+	}
+	// Each piece fetches all inputs.
+	g.patience = kernel.DomainPatience(inputBytes*int64(pieces), prefix)
+	for n := range pieces {
 		piece.Number = n
 		g.pieces = append(g.pieces, piece)
 	}
@@ -154,8 +164,8 @@
 func (s *stageRun) hold(stage int, made []kernel.MadePiece) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, m := range made {
-		s.held[stage] = append(s.held[stage], m.Handle)
+	if len(made) > 0 {
+		s.held[stage] = append(s.held[stage], made...)
 	}
 }
 
@@ -190,11 +200,11 @@
 
 func (s *stageRun) releaseStage(stage int) {
 	s.mu.Lock()
-	handles := s.held[stage]
+	made := s.held[stage]
 	delete(s.held, stage)
 	s.mu.Unlock()
-	if len(handles) > 0 {
-		s.relay.release(s.pools[stage], handles)
+	if len(made) > 0 {
+		s.relay.release(s.pools[stage], made)
 	}
 }
 
