--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -33,10 +33,7 @@
 	mostHead = 64 << 10
 )
 
-var (
-	errStray      = errors.New("endpoint: the reply belongs to another request")
-	errUnfinished = errors.New("endpoint: the reply is not finished")
-)
+var errStray = errors.New("endpoint: the reply belongs to another request")
 
 type (
 	// Exchange is one request, sent as it stands on a connection that carries nothing else
--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -39,9 +39,9 @@
 	}
 )
 
-// PlanStages plans the stages of a request that was received at a time. The outlook has an entry
+// PlanStages plans the stages of a request by when it was received. The outlook has an entry
 // for each stage's pool; firstEvent is how long the engine takes to the first event.
-func PlanStages(now time.Time, f model.Forward, a Admission, outlook map[string]PoolOutlook, firstEvent time.Duration) StagePlan {
+func PlanStages(f model.Forward, a Admission, outlook map[string]PoolOutlook, firstEvent time.Duration) StagePlan {
 	stages := a.Route.Stages
 	plan := StagePlan{Due: make([]time.Time, len(stages)), Until: make([]time.Time, len(stages))}
 	rest := make([]time.Duration, len(stages))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -246,6 +246,7 @@
 		refusal = kernel.TakeWhileLeaving(r.now(), *gone, admission.Route)
 	}
 	if refusal != nil {
+		r.metrics.Refused(refusal)
 		r.logEnd(f, admission, view, Outcome{Refusal: refusal})
 		return Outcome{Refusal: refusal}
 	}
@@ -259,7 +260,12 @@
 		outcome = job.unary(ctx)
 	}
 	outcome.Stages = job.stages
-	if outcome.Refusal == nil {
+	switch {
+	case outcome.Refusal != nil:
+		r.metrics.Refused(outcome.Refusal)
+	case !outcome.Whole:
+		r.metrics.Event("AnswerBrokenOff")
+	default:
 		r.metrics.Answered(admission.Route.Name, r.now().Sub(f.ReceivedAt))
 	}
 	r.logEnd(f, admission, view, outcome)
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"basilstall.example/basilstall/kernel"
@@ -18,11 +19,15 @@
 		inputs []string
 		domain string
 
+		stages []model.StageNode
+		// results has an entry for each stage that is done. It and started belong to the
+		// goroutine that serves the request.
+		results map[int][]kernel.MadePiece
+		started map[int]bool
+
 		mu sync.Mutex
 		// held lists, by stage, the results that are still held.
-		held     map[int][]kernel.MadePiece
-		pools    []string
-		released bool
+		held map[int][]kernel.MadePiece
 	}
 
 	// stageDone is how one stage ended.
@@ -37,44 +42,15 @@
 // runStages carries out all stages of a request. A stage starts when all that it follows are
 // done; the first failure ends them all. The results must be released.
 func (j *job) runStages(ctx context.Context, p *pool) (*stageRun, *model.Refusal) {
-	r := j.relay
-	stages := j.admission.Route.Stages
-	home := kernel.HomeDomain(kernel.AffinityKey(j.forward.Prompt), r.Roster().Endpoints(kernel.HomePool(j.admission)))
-	run := &stageRun{relay: r, domain: home, held: map[int][]kernel.MadePiece{}}
-	for _, s := range stages {
-		run.pools = append(run.pools, s.Pool)
-	}
-	outlook := r.hub.outlook(run.pools)
-	run.plan = kernel.PlanStages(r.now(), j.forward, j.admission, outlook, p.expectFirstEvent())
-	if len(run.plan.Last) == 0 {
-		return run, nil
-	}
-	if refusal := kernel.AdmitStages(r.now(), j.forward, j.admission, run.plan, outlook); refusal != nil {
+	run, refusal := j.planStages(p)
+	if refusal != nil || len(run.plan.Last) == 0 {
 		return run, refusal
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	done := make(chan stageDone, len(stages))
-	results := make(map[int][]kernel.MadePiece, len(stages))
-	started := make([]bool, len(stages))
-	running := 0
-	for {
-		for i := range stages {
-			if started[i] || !ready(stages[i], results) {
-				continue
-			}
-			started[i] = true
-			if kernel.PiecesOf(j.forward, i) == 0 {
-				results[i] = nil
-				continue
-			}
-			running++
-			group := j.group(run, i, results)
-			go func() { done <- j.runStage(ctx, i, group) }()
-		}
-		if running == 0 {
-			break
-		}
+	done := make(chan stageDone, len(run.stages))
+	running := j.startStages(ctx, run, done)
+	for running > 0 {
 		d := <-done
 		running--
 		j.stages = append(j.stages, d.time)
@@ -84,26 +60,74 @@
 			go run.drainAfter(done, running)
 			return run, d.refusal
 		}
-		results[d.stage] = d.made
-		run.releaseConsumed(stages, results)
+		run.results[d.stage] = d.made
+		run.releaseConsumed()
+		running += j.startStages(ctx, run, done)
 	}
+	run.collectInputs()
+	return run, nil
+}
+
+// planStages plans a request's stages, and refuses it where they can't be done in time.
+func (j *job) planStages(p *pool) (*stageRun, *model.Refusal) {
+	r := j.relay
+	run := &stageRun{
+		relay:   r,
+		stages:  j.admission.Route.Stages,
+		domain:  kernel.HomeDomain(kernel.AffinityKey(j.forward.Prompt), r.Roster().Endpoints(kernel.HomePool(j.admission))),
+		results: map[int][]kernel.MadePiece{},
+		started: map[int]bool{},
+		held:    map[int][]kernel.MadePiece{},
+	}
+	var pools []string
+	for _, s := range run.stages {
+		pools = append(pools, s.Pool)
+	}
+	outlook := r.hub.outlook(pools)
+	run.plan = kernel.PlanStages(j.forward, j.admission, outlook, p.expectFirstEvent())
+	if len(run.plan.Last) == 0 {
+		return run, nil
+	}
+	return run, kernel.AdmitStages(r.now(), j.forward, j.admission, run.plan, outlook)
+}
+
+// startStages starts the stages that are ready, and returns how many.
+func (j *job) startStages(ctx context.Context, run *stageRun, done chan<- stageDone) int {
+	running := 0
+	for i := range run.stages {
+		if run.started[i] || !run.ready(i) {
+			continue
+		}
+		run.started[i] = true
+		if kernel.PiecesOf(j.forward, i) == 0 {
+			run.results[i] = nil
+			continue
+		}
+		running++
+		group := j.group(run, i)
+		go func() { done <- j.runStage(ctx, i, group) }()
+	}
+	return running
+}
+
+// collectInputs gathers the results that the engine needs.
+func (s *stageRun) collectInputs() {
 	var last []kernel.MadePiece
-	for _, i := range run.plan.Last {
-		last = append(last, results[i]...)
+	for _, i := range s.plan.Last {
+		last = append(last, s.results[i]...)
 	}
 	for _, m := range last {
-		run.inputs = append(run.inputs, m.Handle)
+		s.inputs = append(s.inputs, m.Handle)
 	}
 	if domain := kernel.DomainOf(last); domain != "" {
-		run.domain = domain
+		s.domain = domain
 	}
-	return run, nil
 }
 
 // ready tells whether all stages that one follows are done.
-func ready(s model.StageNode, results map[int][]kernel.MadePiece) bool {
-	for _, before := range s.After {
-		if _, ok := results[before]; !ok {
+func (s *stageRun) ready(stage int) bool {
+	for _, before := range s.stages[stage].After {
+		if _, ok := s.results[before]; !ok {
 			return false
 		}
 	}
@@ -111,7 +135,7 @@
 }
 
 // group prepares the pieces of a stage.
-func (j *job) group(run *stageRun, stage int, results map[int][]kernel.MadePiece) gatherRequest {
+func (j *job) group(run *stageRun, stage int) gatherRequest {
 	node := j.admission.Route.Stages[stage]
 	g := gatherRequest{
 		pool:   node.Pool,
@@ -128,8 +152,8 @@
 	}
 	var inputs []kernel.MadePiece
 	for _, before := range node.After {
-		inputs = append(inputs, results[before]...)
-		inputBytes += int64(len(results[before])) * j.admission.Route.Stages[before].ResultBytes
+		inputs = append(inputs, run.results[before]...)
+		inputBytes += int64(len(run.results[before])) * j.admission.Route.Stages[before].ResultBytes
 	}
 	for _, m := range inputs {
 		piece.Inputs = append(piece.Inputs, m.Handle)
@@ -170,32 +194,22 @@
 }
 
 // releaseConsumed frees the results of stages whose followers are all done.
-func (s *stageRun) releaseConsumed(stages []model.StageNode, results map[int][]kernel.MadePiece) {
-	for i := range stages {
-		if _, done := results[i]; !done || s.isLast(i) {
-			continue
-		}
-		consumed := true
-		for k, follower := range stages {
-			for _, before := range follower.After {
-				if _, done := results[k]; before == i && !done {
-					consumed = false
-				}
-			}
-		}
-		if consumed {
+func (s *stageRun) releaseConsumed() {
+	for i := range s.stages {
+		if _, done := s.results[i]; done && !slices.Contains(s.plan.Last, i) && s.consumed(i) {
 			s.releaseStage(i)
 		}
 	}
 }
 
-func (s *stageRun) isLast(stage int) bool {
-	for _, i := range s.plan.Last {
-		if i == stage {
-			return true
+// consumed tells whether all stages that follow one are done.
+func (s *stageRun) consumed(stage int) bool {
+	for k, follower := range s.stages {
+		if _, done := s.results[k]; !done && slices.Contains(follower.After, stage) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 func (s *stageRun) releaseStage(stage int) {
@@ -204,7 +218,7 @@
 	delete(s.held, stage)
 	s.mu.Unlock()
 	if len(made) > 0 {
-		s.relay.release(s.pools[stage], made)
+		s.relay.release(s.stages[stage].Pool, made)
 	}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -144,15 +144,8 @@
 		n, err := reply.Body.Read(buffer)
 		if n > 0 {
 			silence.Reset(mostSilence)
-			whole, cutErr := state.events.add(buffer[:n])
-			if cutErr != nil {
-				return streamEnd{err: cutErr}
-			}
-			if len(whole) > 0 {
-				onFirst()
-				if !j.passEvents(reply, state, whole) {
-					return streamEnd{callerGone: true}
-				}
+			if end, failed := j.passBytes(reply, state, buffer[:n], onFirst); failed {
+				return end
 			}
 		}
 		if err == io.EOF {
@@ -164,6 +157,23 @@
 	}
 }
 
+// passBytes passes on the events that end with these bytes; failed tells that the send is over.
+func (j *job) passBytes(reply *model.ForwardReply, state *streamState, p []byte, onFirst func()) (end streamEnd, failed bool) {
+	whole, err := state.events.add(p)
+	if err != nil {
+		return streamEnd{err: err}, true
+	}
+	if len(whole) == 0 {
+		return streamEnd{}, false
+	}
+	onFirst()
+	j.begin(reply, state)
+	if j.out.Write(whole) != nil {
+		return streamEnd{callerGone: true}, true
+	}
+	return streamEnd{}, false
+}
+
 // watchSilence ends a send that makes no progress, where another can take its place.
 func (j *job) watchSilence(cancel context.CancelCauseFunc) *time.Timer {
 	if !j.admission.Route.Resumable || j.asked >= j.admission.Route.MaxAttempts {
@@ -176,11 +186,6 @@
 
 var errSilent = errors.New("relay: the engine is silent")
 
-func (j *job) passEvents(reply *model.ForwardReply, state *streamState, whole []byte) bool {
-	j.begin(reply, state)
-	return j.out.Write(whole) == nil
-}
-
 func (j *job) begin(reply *model.ForwardReply, state *streamState) {
 	if state.begun {
 		return
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -58,14 +58,13 @@
 	p := j.relay.pool(j.admission.Pool)
 	p.request(j.relay.now())
 	results := make(chan unaryResult, j.admission.Route.MaxAttempts+1)
-	running := 0
 	if !j.launch(ctx, p, results) {
 		return j.refuse(model.NotRun, model.NoEndpoint, "no endpoint is known")
 	}
-	running++
+	running := 1
 	hedge := time.NewTimer(time.Duration(hedgeShare * float64(j.admission.Route.Objective)))
 	defer hedge.Stop()
-	var answered *unaryResult
+	var failure *unaryResult
 	for {
 		select {
 		case res := <-results:
@@ -73,18 +72,15 @@
 			if j.good(p, &res) {
 				return j.pass(res)
 			}
-			if res.reply != nil && res.err == nil && !res.reply.NotRun {
-				answered = &res
-			}
+			failure = lastFailure(failure, res)
 			if j.again(ctx, p, res) && j.launch(ctx, p, results) {
 				running++
 			}
 			if running == 0 {
-				return j.giveUp(ctx, answered, res)
+				return j.giveUp(ctx, failure, res)
 			}
 		case <-hedge.C:
-			if j.mayRepeat() && running > 0 && p.takeRepeat(j.relay.now(), j.relay.live()) && j.launch(ctx, p, results) {
-				j.relay.metrics.Retried(model.RetryHedge, p.name)
+			if j.hedge(ctx, p, results) {
 				running++
 			}
 		case <-ctx.Done():
@@ -93,6 +89,14 @@
 	}
 }
 
+// lastFailure returns the newest failure that an endpoint itself answered with.
+func lastFailure(before *unaryResult, res unaryResult) *unaryResult {
+	if res.err == nil && !res.reply.NotRun {
+		return &res
+	}
+	return before
+}
+
 // launch sends the request to one more endpoint.
 func (j *job) launch(ctx context.Context, p *pool, results chan<- unaryResult) bool {
 	r := j.relay
@@ -222,10 +226,16 @@
 	return true
 }
 
-// mayRepeat tells whether the request may be sent to one more endpoint beside one that may be
-// running it.
-func (j *job) mayRepeat() bool {
-	return j.admission.Route.Kind == model.Safe && j.asked < j.admission.Route.MaxAttempts
+// hedge sends a safe request to one more endpoint beside one that may be running it.
+func (j *job) hedge(ctx context.Context, p *pool, results chan<- unaryResult) bool {
+	if j.admission.Route.Kind != model.Safe || j.asked >= j.admission.Route.MaxAttempts {
+		return false
+	}
+	if !p.takeRepeat(j.relay.now(), j.relay.live()) || !j.launch(ctx, p, results) {
+		return false
+	}
+	j.relay.metrics.Retried(model.RetryHedge, p.name)
+	return true
 }
 
 // pass hands a whole answer to the caller.
@@ -239,12 +249,12 @@
 
 // giveUp ends a request whose sends all failed: with the failure that an endpoint itself gave,
 // or with a refusal.
-func (j *job) giveUp(ctx context.Context, answered *unaryResult, last unaryResult) Outcome {
+func (j *job) giveUp(ctx context.Context, failure *unaryResult, last unaryResult) Outcome {
 	if ctx.Err() != nil {
 		return j.ended(ctx)
 	}
-	if answered != nil && answered.reply.Authentic {
-		return j.pass(*answered)
+	if failure != nil && failure.reply.Authentic {
+		return j.pass(*failure)
 	}
 	var refusal *model.Refusal
 	if errors.As(last.err, &refusal) {
