Place prompts by prefix over all failure domains

Change: kernel.PickEngine knows no domain; results are still made near the engine where that costs little waiting.

--- a/relay/pool.go
+++ b/relay/pool.go
@@ -90,7 +90,7 @@
 }
 
 // pickEngine chooses an engine for a prompt and counts it as in flight.
-func (p *pool) pickEngine(now time.Time, roster kernel.Roster, prompt model.Prompt, domain string, excluded []string) (model.Endpoint, bool) {
+func (p *pool) pickEngine(now time.Time, roster kernel.Roster, prompt model.Prompt, excluded []string) (model.Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usable := kernel.Usable(now, p.candidates(roster.Endpoints(p.name)), excluded)
@@ -98,7 +98,7 @@
 	for _, c := range usable {
 		choices = append(choices, kernel.EngineChoice{Candidate: c, Reading: p.state(c.Endpoint.Name).reading})
 	}
-	i := kernel.PickEngine(now, choices, kernel.AffinityKey(prompt), domain)
+	i := kernel.PickEngine(now, choices, kernel.AffinityKey(prompt))
 	if i < 0 {
 		return model.Endpoint{}, false
 	}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -14,8 +14,7 @@
 	stageRun struct {
 		relay *Relay
 		plan  kernel.StagePlan
-		// inputs are what the engine needs; domain is where most of them lie, or where the
-		// prompt's prefix is cached.
+		// inputs are what the engine needs; domain is where the prompt's prefix is cached.
 		inputs []string
 		domain string
 
@@ -74,7 +73,7 @@
 	run := &stageRun{
 		relay:   r,
 		stages:  j.admission.Route.Stages,
-		domain:  kernel.HomeDomain(kernel.AffinityKey(j.forward.Prompt), r.Roster().Endpoints(kernel.HomePool(j.admission))),
+		domain:  kernel.HomeDomain(kernel.AffinityKey(j.forward.Prompt), r.Roster().Endpoints(p.name)),
 		results: map[int][]kernel.MadePiece{},
 		started: map[int]bool{},
 		held:    map[int][]kernel.MadePiece{},
@@ -119,9 +118,6 @@
 	for _, m := range last {
 		s.inputs = append(s.inputs, m.Handle)
 	}
-	if domain := kernel.DomainOf(last); domain != "" {
-		s.domain = domain
-	}
 }
 
 // ready tells whether all stages that one follows are done.
@@ -162,12 +158,12 @@
 		g.domain = domain
 	}
 	pieces := kernel.PiecesOf(j.forward, stage)
-	prefix := 0
-	if node.ResultBytes*int64(pieces) >= kernel.LargeResults {
-		prefix = kernel.SharedTokens(j.forward.Prompt)
+	// Each piece fetches all inputs; without inputs, the results are what is moved later.
+	moved := inputBytes * int64(pieces)
+	if len(inputs) == 0 {
+		moved = node.ResultBytes * int64(pieces)
 	}
-	// Each piece fetches all inputs.
-	g.patience = kernel.DomainPatience(inputBytes*int64(pieces), prefix)
+	g.patience = kernel.DomainPatience(moved)
 	for n := range pieces {
 		piece.Number = n
 		g.pieces = append(g.pieces, piece)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -89,7 +89,7 @@
 func (j *job) streamOnce(ctx context.Context, p *pool, state *streamState, stages *stageRun) (model.Endpoint, streamEnd, bool) {
 	r := j.relay
 	tokens := j.forward.Prompt.TokensIn
-	e, ok := p.pickEngine(r.now(), r.Roster(), j.forward.Prompt, stages.domain, j.excluded)
+	e, ok := p.pickEngine(r.now(), r.Roster(), j.forward.Prompt, j.excluded)
 	if !ok {
 		return e, streamEnd{}, false
 	}
