Roster: an outage of the store is questions that failed, not a pause between two

Ruled out: the choice of the engine, which is made after the stages; lost answers. Change: two questions must have failed and 2 s have passed; TestRosterTakesASlowPaceForNoOutage fails without it.

--- a/kernel/roster.go
+++ b/kernel/roster.go
@@ -12,9 +12,11 @@
 	// lapsedGrace is how long after the store's return an entry that lapsed while it was away
 	// may take to come back: the platform promises about two seconds.
 	lapsedGrace = 2200 * time.Millisecond
-	// outageGap is how long the store must have been silent for entries to have lapsed: one
-	// heartbeat interval of the endpoints; shorter gaps lose no entry.
-	outageGap = 1200 * time.Millisecond
+	// outageGap and outageFailures are how long the store must have been silent, and how many
+	// questions must have failed, for entries to have lapsed: an entry outlives three heartbeat
+	// intervals of more than a second.
+	outageGap      = 2 * time.Second
+	outageFailures = 2
 )
 
 type (
@@ -26,6 +28,8 @@
 		// an outage.
 		answeredAt time.Time
 		returnedAt time.Time
+		// failures counts the questions that failed since then.
+		failures int
 	}
 
 	rosterEntry struct {
@@ -40,6 +44,12 @@
 	return Roster{entries: map[string]rosterEntry{}}
 }
 
+// WithFailure returns the roster after a question that the store did not answer.
+func (r Roster) WithFailure() Roster {
+	r.failures++
+	return r
+}
+
 // WithListing returns the roster after the store listed all endpoints.
 func (r Roster) WithListing(now time.Time, listed []model.Endpoint) Roster {
 	byName := make(map[string]bool, len(listed))
@@ -57,9 +67,10 @@
 
 // WithChanges returns the roster after the store told what changed.
 func (r Roster) WithChanges(now time.Time, listed []model.Endpoint, removed []string) Roster {
-	if !r.answeredAt.IsZero() && now.Sub(r.answeredAt) > outageGap {
+	if r.failures >= outageFailures && now.Sub(r.answeredAt) > outageGap {
 		r.returnedAt = now
 	}
+	r.failures = 0
 	r.answeredAt = now
 	grace := !r.returnedAt.IsZero() && now.Sub(r.returnedAt) < lapsedGrace
 	entries := maps.Clone(r.entries)
--- a/kernel/roster_test.go
+++ b/kernel/roster_test.go
@@ -36,6 +36,7 @@
 	r := kernel.NewRoster().WithListing(now, []model.Endpoint{
 		listed("back", model.Live), listed("gone", model.Live), listed("leaving", model.Leaving),
 	})
+	r = r.WithFailure().WithFailure().WithFailure()
 	returned := now.Add(5 * time.Second)
 	r = r.WithChanges(returned, nil, []string{"back", "gone", "leaving"})
 	must.Eq(t, []string{"back", "gone"}, names(r), must.Sprint("an endpoint that was leaving is gone"))
@@ -46,11 +47,25 @@
 	must.Eq(t, []string{"back"}, names(r), must.Sprint("still missing after the grace: gone"))
 }
 
+// A removed entry has no grace just because the store is asked seldom, or once did not answer.
+func TestRosterTakesASlowPaceForNoOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := kernel.NewRoster().WithListing(now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)})
+	now = now.Add(1350 * time.Millisecond)
+	r = r.WithChanges(now, nil, []string{"a"})
+	must.Eq(t, []string{"b"}, names(r))
+	now = now.Add(2200 * time.Millisecond)
+	r = r.WithFailure().WithChanges(now, nil, []string{"b"})
+	must.SliceEmpty(t, names(r))
+}
+
 func TestRosterListingAfterAnOutage(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := kernel.NewRoster().WithListing(now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)})
+	r = r.WithFailure().WithFailure()
 	r = r.WithListing(now.Add(4*time.Second), []model.Endpoint{listed("a", model.Live)})
 	must.Eq(t, []string{"a", "b"}, names(r))
+	r = r.WithFailure().WithFailure()
 	r = r.WithListing(now.Add(7*time.Second), []model.Endpoint{listed("a", model.Live)})
 	must.Eq(t, []string{"a", "b"}, names(r), must.Sprint("each outage has its own grace"))
 	r = r.WithChanges(now.Add(7*time.Second+600*time.Millisecond), nil, nil)
