Refuse at the door by what the gatherers say of their queues

Change: gatherers that have not told of their queue for 0.12 s are asked before a request's first stage; the wait for room follows from how long results were held lately.

--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -29,6 +29,8 @@
 	pieceTries = 3
 	// paceWeight is the weight of the newest call in an endpoint's pace.
 	paceWeight = 0.3
+	// holdWeight is the weight of the newest result in the time that results are held.
+	holdWeight = 0.05
 	// slowPace is how many times the stated time a call may take before an endpoint counts as
 	// slow and is asked only when no other is free.
 	slowPace = 1.8
@@ -103,6 +105,8 @@
 		// results holds what is known to occupy room, by handle.
 		results map[string]heldResult
 		batches uint64
+		// hold is how long results occupy room, from the start of their call.
+		hold time.Duration
 		// lastStart is when the last call was handed out.
 		lastStart time.Time
 	}
@@ -135,6 +139,8 @@
 	heldResult struct {
 		maker string
 		bytes int64
+		// since is when its call started, until when its maker drops it.
+		since time.Time
 		until time.Time
 	}
 )
@@ -147,6 +153,7 @@
 		groups:  map[uint64]*waitingGroup{},
 		running: map[uint64]PieceBatch{},
 		results: map[string]heldResult{},
+		hold:    2 * traits.CallTime,
 	}
 }
 
@@ -216,7 +223,7 @@
 		return lapsedGrace
 	}
 	ahead := 0
-	var aheadBytes int64
+	aheadBytes := int64(len(group.Pieces)) * group.ResultBytes
 	for _, w := range g.groups {
 		if w.rankedDue().After(group.rankedDue()) {
 			continue
@@ -225,18 +232,35 @@
 		aheadBytes += int64(len(w.waiting)) * w.ResultBytes
 	}
 	full := g.callTime(g.traits.Batch)
-	batches := float64(ahead) / float64(max(1, g.traits.Batch))
-	if g.traits.Room > 0 {
-		byRoom := float64(aheadBytes+int64(len(group.Pieces))*group.ResultBytes) / (float64(g.traits.Room) * roomMargin)
-		batches = max(batches, byRoom-1)
-	}
 	calls := float64(makers * max(1, g.traits.Slots))
 	// With all endpoints busy, one comes free after a call's share on average.
 	first := float64(full) / (2 * calls)
 	if g.free() > 0 {
 		first = 0
 	}
-	return time.Duration(first + batches/calls*float64(full))
+	bySlots := first + float64(ahead)/float64(max(1, g.traits.Batch))/calls*float64(full)
+	return max(time.Duration(bySlots), g.roomWait(aheadBytes))
+}
+
+// roomWait estimates how long it takes until so many bytes of results find room: what is not free
+// comes free as fast as results were held lately.
+func (g *Gathering) roomWait(bytes int64) time.Duration {
+	if g.traits.Room <= 0 || bytes == 0 {
+		return 0
+	}
+	total, free := 0.0, 0.0
+	for _, m := range g.makers {
+		if m.endpoint.State != model.Leaving {
+			room := float64(g.traits.Room) * roomMargin
+			total += room
+			free += max(0, room-float64(m.used))
+		}
+	}
+	missing := float64(bytes) - free
+	if missing <= 0 || total == 0 {
+		return 0
+	}
+	return time.Duration(missing / total * float64(g.hold))
 }
 
 // backlog is how many full batches wait for each endpoint.
@@ -489,7 +513,7 @@
 			g.noteFull(now, batch, r.Fault)
 			continue
 		}
-		g.results[r.Handle] = heldResult{maker: batch.Endpoint.Name, bytes: batch.bytes[i], until: now.Add(g.traits.Keep)}
+		g.results[r.Handle] = heldResult{maker: batch.Endpoint.Name, bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)}
 		made := MadePiece{Number: p.Number, Handle: r.Handle, Maker: batch.Endpoint.Name, Domain: batch.Endpoint.FailureDomain, Bytes: batch.bytes[i]}
 		w := g.groups[batch.groups[i]]
 		if w == nil {
@@ -578,7 +602,7 @@
 	}
 	for handle, r := range g.results {
 		if now.After(r.until) {
-			g.Release(MadePiece{Handle: handle, Maker: r.maker})
+			g.Release(now, MadePiece{Handle: handle, Maker: r.maker})
 		}
 	}
 	return ended
@@ -605,7 +629,7 @@
 }
 
 // Release takes in that a result is no longer held.
-func (g *Gathering) Release(made MadePiece) {
+func (g *Gathering) Release(now time.Time, made MadePiece) {
 	m := g.makers[made.Maker]
 	r, known := g.results[made.Handle]
 	delete(g.results, made.Handle)
@@ -613,6 +637,7 @@
 	case m == nil:
 	case known:
 		m.used -= r.bytes
+		g.hold += time.Duration(holdWeight * float64(now.Sub(r.since)-g.hold))
 	default:
 		m.foreign = max(0, m.foreign-made.Bytes)
 	}
--- a/kernel/gather_test.go
+++ b/kernel/gather_test.go
@@ -87,7 +87,7 @@
 		g.Done(now, batch, results)
 	}
 	must.Len(t, 11, handles, must.Sprint("11 results of 1.5 MB fill 97% of 18 MB"))
-	g.Release(kernel.MadePiece{Handle: handles[0], Maker: "maker-0"})
+	g.Release(now, kernel.MadePiece{Handle: handles[0], Maker: "maker-0"})
 	batch, ok := g.Next(now)
 	must.True(t, ok)
 	must.Len(t, 1, batch.Pieces)
@@ -156,12 +156,29 @@
 	must.True(t, ok)
 	must.Len(t, 2, batch.Pieces)
 	g.Done(now, batch, madeAll(batch))
-	g.Release(kernel.MadePiece{Handle: "unknown here", Maker: "maker-0", Bytes: 3_000_000})
+	g.Release(now, kernel.MadePiece{Handle: "unknown here", Maker: "maker-0", Bytes: 3_000_000})
 	batch, ok = g.Next(now.Add(g.Spacing()))
 	must.True(t, ok)
 	must.Len(t, 2, batch.Pieces)
 }
 
+func TestTheWaitForRoomIsTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(1)
+	group := pieceGroup(9, 4, 1_500_000, now.Add(9*time.Second))
+	must.Eq(t, 0, g.Wait(group))
+	g.Add(now, pieceGroup(1, 8, 1_500_000, now.Add(5*time.Second)))
+	batch, _ := g.Next(now)
+	results := madeAll(batch)
+	g.Done(now.Add(368*time.Millisecond), batch, results)
+	// 12 of 17.46 MB are taken; the slot is free.
+	must.Positive(t, g.Wait(group))
+	for _, r := range results {
+		g.Release(now.Add(900*time.Millisecond), kernel.MadePiece{Handle: r.Handle, Maker: "maker-0"})
+	}
+	must.Eq(t, 0, g.Wait(group))
+}
+
 func TestLateWorkDoesNotGoBeforeWorkThatCanBeOnTime(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := newGathering(1)
--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -39,6 +39,12 @@
 	}
 )
 
+// WithWait returns the outlook with another wait.
+func (o PoolOutlook) WithWait(wait time.Duration) PoolOutlook {
+	o.Wait = wait
+	return o
+}
+
 // PlanStages plans the stages of a request by when it was received. The outlook has an entry
 // for each stage's pool; firstEvent is how long the engine takes to the first event.
 func PlanStages(f model.Forward, a Admission, outlook map[string]PoolOutlook, firstEvent time.Duration) StagePlan {
--- a/peer/message.go
+++ b/peer/message.go
@@ -134,6 +134,8 @@
 	// given as what is left: clocks differ between hosts.
 	Gather struct {
 		Pool string
+		// OnlyAsk asks how long the pieces would wait, and for nothing else.
+		OnlyAsk bool
 		// Group is unique among the sender's groups.
 		Group       string
 		Request     string
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"basilstall.example/basilstall/kernel"
@@ -15,6 +16,9 @@
 	// gatherPatience is how long beyond the time by which a group is due its sender waits for the
 	// gatherer's answer before it turns to the next node.
 	gatherPatience = 200 * time.Millisecond
+	// outlookTimeout bounds the question for a gatherer's queue; without an answer in time the
+	// request is taken as if there were none.
+	outlookTimeout = 40 * time.Millisecond
 	// releaseTimeout bounds the word to a gatherer that results are no longer needed.
 	releaseTimeout = time.Second
 	// gathererTries is how many nodes are asked to gather a group.
@@ -91,6 +95,57 @@
 	return done
 }
 
+// outlook returns how long pieces would wait at several pools. Gatherers that have not told of
+// their queues lately are asked.
+func (r *Relay) outlook(ctx context.Context, groups []gatherRequest) map[string]kernel.PoolOutlook {
+	var pools []string
+	for _, req := range groups {
+		pools = append(pools, req.pool)
+	}
+	out := r.hub.traitsOf(pools)
+	ctx, cancel := context.WithTimeout(ctx, outlookTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	for _, req := range groups {
+		g := r.hub.find(req.pool)
+		if g == nil {
+			continue
+		}
+		if wait, fresh := g.lastWait(); fresh {
+			mu.Lock()
+			out[req.pool] = out[req.pool].WithWait(wait)
+			mu.Unlock()
+			continue
+		}
+		asked.Go(func() {
+			wait := r.askWait(ctx, g, req)
+			mu.Lock()
+			defer mu.Unlock()
+			out[req.pool] = out[req.pool].WithWait(wait)
+		})
+	}
+	asked.Wait()
+	return out
+}
+
+// askWait asks the pool's gatherer how long pieces wait.
+func (r *Relay) askWait(ctx context.Context, g *gatherer, req gatherRequest) time.Duration {
+	nodes := kernel.Gatherers(req.pool, r.gathererNodes())
+	if nodes[0] == r.options.Name {
+		return g.waitFor(req.group(0))
+	}
+	message := r.gatherMessage(req)
+	message.OnlyAsk = true
+	var reply peer.GatherReply
+	if r.peers.Call(ctx, r.addressOf(nodes[0]), peer.KindGather, message, &reply) != nil || reply.Leaving {
+		r.metrics.Event("OutlookUnknown")
+		return 0
+	}
+	g.noteWait(reply.Wait)
+	return reply.Wait
+}
+
 // gathererNodes returns the names of the nodes that may gather.
 func (r *Relay) gathererNodes() []string {
 	var names []string
@@ -113,23 +168,51 @@
 
 func (r *Relay) askGatherer(ctx context.Context, node string, g *gatherer, req gatherRequest) (gatherResult, error) {
 	if node == r.options.Name {
-		group := kernel.PieceGroup{
-			ID:          r.groups.Add(1),
-			Pieces:      req.pieces,
-			ResultBytes: req.bytes,
-			Domain:      req.domain,
-			Patience:    req.patience,
-			Rank:        req.rank,
-			Due:         req.due,
-			Until:       req.until,
-		}
-		return g.gather(ctx, group), nil
+		return g.gather(ctx, req.group(r.groups.Add(1))), nil
 	}
 	address := r.addressOf(node)
+	message := r.gatherMessage(req)
+	callCtx, cancel := context.WithTimeout(ctx, max(gatherPatience, message.UntilIn+gatherPatience))
+	defer cancel()
+	var reply peer.GatherReply
+	err := r.peers.Call(callCtx, address, peer.KindGather, message, &reply)
+	if ctx.Err() != nil {
+		r.cancelGroup(address, message)
+		return gatherResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}}, nil
+	}
+	if err != nil {
+		return gatherResult{}, err
+	}
+	return gatherResult{
+		outcome:    reply.Outcome,
+		refused:    reply.Refused,
+		leaving:    reply.Leaving,
+		retryAfter: reply.RetryAfter,
+		wait:       reply.Wait,
+	}, nil
+}
+
+// group returns the request as the kernel takes it.
+func (req gatherRequest) group(id uint64) kernel.PieceGroup {
+	return kernel.PieceGroup{
+		ID:          id,
+		Pieces:      req.pieces,
+		ResultBytes: req.bytes,
+		Domain:      req.domain,
+		Patience:    req.patience,
+		Rank:        req.rank,
+		Due:         req.due,
+		Until:       req.until,
+	}
+}
+
+// gatherMessage returns the request as another node takes it.
+func (r *Relay) gatherMessage(req gatherRequest) peer.Gather {
 	now := r.now()
 	first := req.pieces[0]
 	message := peer.Gather{
 		Pool:        req.pool,
+		Group:       fmt.Sprintf("%s/%d", r.options.Name, r.groups.Add(1)),
 		Request:     first.Request,
 		Stage:       first.Stage,
 		Key:         first.Key,
@@ -140,29 +223,11 @@
 		Rank:        req.rank,
 		DueIn:       req.due.Sub(now),
 		UntilIn:     req.until.Sub(now),
-		Group:       fmt.Sprintf("%s/%d", r.options.Name, r.groups.Add(1)),
 	}
 	for _, p := range req.pieces {
 		message.Numbers = append(message.Numbers, p.Number)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, max(gatherPatience, req.until.Sub(now)+gatherPatience))
-	defer cancel()
-	var reply peer.GatherReply
-	err := r.peers.Call(callCtx, address, peer.KindGather, message, &reply)
-	if ctx.Err() != nil {
-		r.cancelGroup(address, message)
-		return gatherResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}}, nil
-	}
-	if err != nil {
-		return gatherResult{}, err
-	}
-	return gatherResult{
-		outcome:    reply.Outcome,
-		refused:    reply.Refused,
-		leaving:    reply.Leaving,
-		retryAfter: reply.RetryAfter,
-		wait:       reply.Wait,
-	}, nil
+	return message
 }
 
 // cancelGroup withdraws a group whose request was given up.
@@ -244,6 +309,9 @@
 			Request: m.Request, Stage: m.Stage, Number: n, Key: m.Key, Inputs: m.Inputs, Deadline: group.Until,
 		})
 	}
+	if m.OnlyAsk {
+		return peer.GatherReply{Wait: g.waitFor(group)}, nil
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.remote.add(m.Group, cancel)
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -25,8 +25,9 @@
 	// roomWorthAsking is from which room on, in bytes, endpoints are asked how much is free: they
 	// answer in whole megabytes.
 	roomWorthAsking = 8_000_000
-	// outlookMemory is how long a gatherer's word on its queue counts.
-	outlookMemory = 400 * time.Millisecond
+	// outlookMemory is how long a gatherer's word on its queue counts; then it is asked again
+	// before a request's stages begin.
+	outlookMemory = 120 * time.Millisecond
 )
 
 type (
@@ -112,25 +113,24 @@
 	}
 }
 
-// outlook returns what is expected of several pools.
-func (h *hub) outlook(pools []string) map[string]kernel.PoolOutlook {
+// traitsOf returns what the routing says of several pools.
+func (h *hub) traitsOf(pools []string) map[string]kernel.PoolOutlook {
 	out := make(map[string]kernel.PoolOutlook, len(pools))
 	for _, name := range pools {
 		if g := h.find(name); g != nil {
-			out[name] = g.outlook()
+			g.mu.Lock()
+			out[name] = kernel.PoolOutlook{Traits: g.traits}
+			g.mu.Unlock()
 		}
 	}
 	return out
 }
 
-func (g *gatherer) outlook() kernel.PoolOutlook {
+// lastWait returns what the pool's gatherer last told of its queue, if that was lately.
+func (g *gatherer) lastWait() (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	o := kernel.PoolOutlook{Traits: g.traits}
-	if g.relay.now().Sub(g.waitAt) < outlookMemory {
-		o.Wait = g.wait
-	}
-	return o
+	return g.wait, g.relay.now().Sub(g.waitAt) < outlookMemory
 }
 
 func (g *gatherer) noteWait(wait time.Duration) {
@@ -140,6 +140,13 @@
 	g.waitAt = g.relay.now()
 }
 
+// waitFor returns how long the pieces of a group would wait here.
+func (g *gatherer) waitFor(group kernel.PieceGroup) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.g.Wait(group)
+}
+
 // gather takes a group of this or another node in and waits for its end.
 func (g *gatherer) gather(ctx context.Context, group kernel.PieceGroup) gatherResult {
 	now := g.relay.now()
@@ -308,7 +315,7 @@
 	}
 	g.mu.Lock()
 	for _, m := range made {
-		g.g.Release(m)
+		g.g.Release(g.relay.now(), m)
 	}
 	g.mu.Unlock()
 	g.pump()
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -41,7 +41,7 @@
 // runStages carries out all stages of a request. A stage starts when all that it follows are
 // done; the first failure ends them all. The results must be released.
 func (j *job) runStages(ctx context.Context, p *pool) (*stageRun, *model.Refusal) {
-	run, refusal := j.planStages(p)
+	run, refusal := j.planStages(ctx, p)
 	if refusal != nil || len(run.plan.Last) == 0 {
 		return run, refusal
 	}
@@ -68,7 +68,7 @@
 }
 
 // planStages plans a request's stages, and refuses it where they can't be done in time.
-func (j *job) planStages(p *pool) (*stageRun, *model.Refusal) {
+func (j *job) planStages(ctx context.Context, p *pool) (*stageRun, *model.Refusal) {
 	r := j.relay
 	run := &stageRun{
 		relay:   r,
@@ -82,11 +82,19 @@
 	for _, s := range run.stages {
 		pools = append(pools, s.Pool)
 	}
-	outlook := r.hub.outlook(pools)
-	run.plan = kernel.PlanStages(j.forward, j.admission, outlook, p.expectFirstEvent())
+	firstEvent := p.expectFirstEvent()
+	run.plan = kernel.PlanStages(j.forward, j.admission, r.hub.traitsOf(pools), firstEvent)
 	if len(run.plan.Last) == 0 {
 		return run, nil
 	}
+	var groups []gatherRequest
+	for i := range run.stages {
+		if kernel.PiecesOf(j.forward, i) > 0 {
+			groups = append(groups, j.group(run, i))
+		}
+	}
+	outlook := r.outlook(ctx, groups)
+	run.plan = kernel.PlanStages(j.forward, j.admission, outlook, firstEvent)
 	return run, kernel.AdmitStages(r.now(), j.forward, j.admission, run.plan, outlook)
 }
 
