--- a/cli/cli.go
+++ b/cli/cli.go
@@ -85,6 +85,7 @@
 		Subcommands: []*ff.Command{
 			sh.serveCommand(),
 			sh.edgeCommand(),
+			sh.checkCommand(),
 			sh.standinCommand(),
 			sh.demoCommand(),
 			sh.requestCommand(),
