Soak of separate node processes under random faults from outside

Nodes run the real binary; links to the store and to endpoints go through proxies that delay, cut one way, reset and silence; processes are killed, paused, terminated, reloaded and restarted; the store fails and compacts; endpoints fail, drain and are replaced; routings and keys change. What callers saw is checked against what endpoints did: own and whole answers, at most one run, true refusals, keys, leaving endpoints, recovery, no process ending by itself. First findings were the soak's own: a silent link kept its goroutines past the end (hung), and the two recovery phases shared request IDs (runs counted twice).

--- /dev/null
+++ b/soak/faults_test.go
@@ -0,0 +1,172 @@
+package soak_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"basilstall.example/basilstall/platform/standin"
+)
+
+// fault is something that is done to the cluster and undone after a while.
+type fault struct {
+	name string
+	run  func(c *cluster, random *rand.Rand, last time.Duration)
+}
+
+// faults are what a soak draws from. Each run gets a goroutine of its own, so they overlap.
+var faults = []fault{
+	{"kill", func(c *cluster, random *rand.Rand, last time.Duration) { c.restart(random, last, syscall.SIGKILL) }},
+	{"terminate", func(c *cluster, random *rand.Rand, last time.Duration) { c.restart(random, last/4, syscall.SIGTERM) }},
+	{"pause", pause},
+	{"reload", func(c *cluster, random *rand.Rand, _ time.Duration) { c.anyNode(random).signal(syscall.SIGHUP) }},
+	{"store fails", storeFails},
+	{"store compacts", func(c *cluster, _ *rand.Rand, _ time.Duration) { c.store.Compact() }},
+	{"store link", storeLink},
+	{"endpoint fails", endpointFails},
+	{"endpoint link", endpointLink},
+	{"endpoint leaves", endpointLeaves},
+	{"routing changes", routingChanges},
+	{"key taken away", keyTaken},
+}
+
+func (c *cluster) anyNode(random *rand.Rand) *node {
+	return c.nodes[random.IntN(len(c.nodes))]
+}
+
+func (c *cluster) anyServer(random *rand.Rand) *server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := make([]string, 0, len(c.endpoints))
+	for name := range c.endpoints {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return c.endpoints[names[random.IntN(len(names))]]
+}
+
+// restart ends a node's process and starts it again.
+func (c *cluster) restart(random *rand.Rand, down time.Duration, s syscall.Signal) {
+	n := c.anyNode(random)
+	n.mu.Lock()
+	busy := !n.wanted
+	n.wanted = false
+	n.mu.Unlock()
+	if busy {
+		return
+	}
+	n.signal(syscall.SIGCONT)
+	n.stop(s)
+	time.Sleep(down)
+	if err := n.start(); err != nil {
+		c.breach("%s can't be started: %v", n.name, err)
+	}
+}
+
+func pause(c *cluster, random *rand.Rand, last time.Duration) {
+	n := c.anyNode(random)
+	n.signal(syscall.SIGSTOP)
+	time.Sleep(last)
+	n.signal(syscall.SIGCONT)
+}
+
+func storeFails(c *cluster, random *rand.Rand, last time.Duration) {
+	c.store.SetFault([]standin.StoreFault{standin.StoreBusy, standin.StoreSilent, standin.StoreLost}[random.IntN(3)])
+	time.Sleep(last)
+	c.store.SetFault(standin.StoreFine)
+}
+
+func storeLink(c *cluster, random *rand.Rand, last time.Duration) {
+	n := c.anyNode(random)
+	n.trouble()
+	spoil(n.link, random, last)
+	n.trouble()
+}
+
+func endpointLink(c *cluster, random *rand.Rand, last time.Duration) {
+	spoil(c.anyServer(random).proxy, random, last)
+}
+
+// spoil resets or silences the open connections of a link, or cuts or slows the link for a while.
+func spoil(p *proxy, random *rand.Rand, last time.Duration) {
+	switch random.IntN(3) {
+	case 0:
+		p.resetAll()
+	case 1:
+		p.silenceAll()
+	default:
+		p.setFault(linkFine + 1 + proxyFault(random.IntN(int(linkFaults)-1)))
+		time.Sleep(last)
+		p.setFault(linkFine)
+	}
+}
+
+func endpointFails(c *cluster, random *rand.Rand, last time.Duration) {
+	s := c.anyServer(random)
+	s.SetFault(standin.EndpointFine + 1 + standin.EndpointFault(random.IntN(int(standin.EndpointUnsigned))))
+	time.Sleep(last)
+	s.SetFault(standin.EndpointFine)
+}
+
+// endpointLeaves replaces an endpoint: the new one is listed first, the old one drains.
+func endpointLeaves(c *cluster, random *rand.Rand, last time.Duration) {
+	old := c.anyServer(random)
+	c.mu.Lock()
+	left := !old.unlistedAt.IsZero()
+	c.extra++
+	name := fmt.Sprintf("%s-%d", old.pool, c.extra+100)
+	c.mu.Unlock()
+	if left {
+		return
+	}
+	if err := c.newServer(name, old.pool); err != nil {
+		c.breach("an endpoint can't be started: %v", err)
+		return
+	}
+	if random.IntN(2) == 0 {
+		c.list(old, "draining")
+		time.Sleep(last / 2)
+	}
+	c.mu.Lock()
+	old.unlistedAt = time.Now()
+	c.mu.Unlock()
+	c.store.Remove("servers", old.Name)
+}
+
+// routingChanges writes several versions in quick succession.
+func routingChanges(c *cluster, random *rand.Rand, _ time.Duration) {
+	for range 1 + random.IntN(4) {
+		c.mu.Lock()
+		c.extra++
+		c.mu.Unlock()
+		c.configure()
+		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+	}
+}
+
+// keyTaken gives a key and takes it away again.
+func keyTaken(c *cluster, _ *rand.Rand, last time.Duration) {
+	c.mu.Lock()
+	c.extra++
+	key := fmt.Sprint("key-", c.extra)
+	c.keys = append(c.keys, key)
+	c.mu.Unlock()
+	c.configure()
+	time.Sleep(last)
+	c.mu.Lock()
+	c.keys = slices.DeleteFunc(c.keys, func(k string) bool { return k == key })
+	c.mu.Unlock()
+	c.configure()
+	c.mu.Lock()
+	c.revoked[key] = time.Now()
+	c.mu.Unlock()
+}
+
+func (c *cluster) revokedAt(key string) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.revoked[key]
+	return at, ok
+}
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,173 @@
+package soak_test
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// proxyFault is what is wrong with a link.
+type proxyFault int
+
+const (
+	linkFine proxyFault = iota
+	// linkSlow holds every part back for a while.
+	linkSlow
+	// linkDeaf passes nothing on towards the server, linkMute nothing from it.
+	linkDeaf
+	linkMute
+	linkFaults
+)
+
+// linkDelay is how long a slow link holds a part back.
+const linkDelay = 80 * time.Millisecond
+
+// proxy passes connections on to a server and spoils them on demand.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	fault proxyFault
+	conns map[net.Conn]*link
+}
+
+// link is one connection through a proxy.
+type link struct {
+	server net.Conn
+	// silent is closed for a connection that is to pass nothing on for good, while new ones
+	// work; gone once either end is closed.
+	silent, gone         chan struct{}
+	silentOnce, goneOnce sync.Once
+}
+
+func (l *link) end() {
+	l.goneOnce.Do(func() { close(l.gone) })
+}
+
+func newProxy(target string) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, target: target, conns: map[net.Conn]*link{}}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(conn)
+		}
+	}()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) setFault(f proxyFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+}
+
+// resetAll resets all open connections.
+func (p *proxy) resetAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn, l := range p.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		l.end()
+		_ = conn.Close()
+		_ = l.server.Close()
+	}
+}
+
+// silenceAll makes all open connections silent for good.
+func (p *proxy) silenceAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.conns {
+		l.silentOnce.Do(func() { close(l.silent) })
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.resetAll()
+}
+
+func (p *proxy) serve(client net.Conn) {
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	l := &link{server: server, silent: make(chan struct{}), gone: make(chan struct{})}
+	p.mu.Lock()
+	p.conns[client] = l
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.pass(server, client, l, linkDeaf) })
+	both.Go(func() { p.pass(client, server, l, linkMute) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, client)
+	p.mu.Unlock()
+}
+
+// pass copies one direction. What a cut link held back is passed on when the cut heals.
+func (p *proxy) pass(to, from net.Conn, l *link, cut proxyFault) {
+	defer to.Close()
+	defer from.Close()
+	defer l.end()
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			if !p.hold(l, cut) {
+				return
+			}
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// hold waits while a link passes nothing on; false means that it has ended.
+func (p *proxy) hold(l *link, cut proxyFault) bool {
+	for {
+		p.mu.Lock()
+		fault := p.fault
+		p.mu.Unlock()
+		pause := 20 * time.Millisecond
+		if fault == linkSlow {
+			pause = linkDelay
+		}
+		select {
+		case <-l.gone:
+			return false
+		case <-l.silent:
+			<-l.gone
+			return false
+		default:
+		}
+		if fault == linkFine || (fault != cut && fault != linkSlow) {
+			return true
+		}
+		select {
+		case <-l.gone:
+			return false
+		case <-time.After(pause):
+		}
+		if fault == linkSlow {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,129 @@
+package soak_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/platform/standin"
+)
+
+var (
+	firstSeed = flag.Uint64("first", 1, "the first seed of a soak by hand")
+	seeds     = flag.Int("seeds", 0, "how many seeds a soak by hand runs; 0: only the kept ones")
+	length    = flag.Duration("for", 6*time.Second, "how long faults are injected for each seed")
+	nodes     = flag.Int("nodes", 4, "how many nodes run")
+	keepLogs  = flag.String("logs", "", "folder that gets the nodes' logs of seeds that fail")
+)
+
+// keptSeeds are run each time: the first for a start, the others because they once failed.
+var keptSeeds = []struct {
+	seed  uint64
+	cause string
+}{
+	{1, "none: a short run of all kinds"},
+}
+
+// faultsPerSecond is how many faults begin in a second; each lasts up to mostFault.
+const (
+	faultsPerSecond = 2.0
+	mostFault       = 2500 * time.Millisecond
+	callerCount     = 6
+	recovery        = 30 * time.Second
+)
+
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "basilstall")
+	out, err := exec.Command("go", "build", "-o", binary, "basilstall.example/basilstall").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	for _, kept := range keptSeeds {
+		t.Run(fmt.Sprint("seed-", kept.seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, binary, kept.seed)
+		})
+	}
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, binary, seed)
+		})
+	}
+}
+
+// soak runs one seed: the same faults at the same times, as far as processes allow.
+func soak(t *testing.T, binary string, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	c := &cluster{
+		dir: t.TempDir(), binary: binary, store: standin.NewStore(),
+		endpoints: map[string]*server{}, keys: []string{goodKey}, revoked: map[string]time.Time{},
+	}
+	defer c.close()
+	for pool, count := range map[string]int{"plain": 3, "engines": 3, "makers": 2} {
+		for i := range count {
+			must.NoError(t, c.newServer(fmt.Sprintf("%s-%d", pool, i), pool))
+		}
+	}
+	c.configure()
+	for i := range *nodes {
+		must.NoError(t, c.newNode(i))
+	}
+	cs := newCallers(c)
+	c.checkRecovery(cs, "before", startWait)
+	ctx, cancel := context.WithCancel(context.Background())
+	var calling sync.WaitGroup
+	for i := range callerCount {
+		own := rand.New(rand.NewPCG(seed, uint64(i+1)))
+		calling.Go(func() { cs.run(ctx, own, fmt.Sprintf("caller-%d", i)) })
+	}
+	injected := inject(c, random, *length)
+	cancel()
+	calling.Wait()
+	c.checkRecovery(cs, "after", recovery)
+	c.check(cs)
+	t.Logf("seed %d: %d requests, faults %v", seed, len(cs.all), injected)
+	if len(c.breaches) > 0 {
+		c.saveLogs(t, seed)
+	}
+	for _, b := range c.breaches[:min(len(c.breaches), 10)] {
+		t.Errorf("seed %d: %s", seed, b)
+	}
+}
+
+// inject starts faults at random times and returns how many of each kind once all have ended.
+func inject(c *cluster, random *rand.Rand, length time.Duration) map[string]int {
+	counts := map[string]int{}
+	var running sync.WaitGroup
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		f := faults[random.IntN(len(faults))]
+		last := time.Duration(random.Float64() * float64(mostFault))
+		own := rand.New(rand.NewPCG(random.Uint64(), 0))
+		pause := time.Duration(random.ExpFloat64() / faultsPerSecond * float64(time.Second))
+		counts[f.name]++
+		running.Go(func() { f.run(c, own, last) })
+		time.Sleep(pause)
+	}
+	running.Wait()
+	return counts
+}
+
+// saveLogs keeps the nodes' logs of a seed that failed.
+func (c *cluster) saveLogs(t *testing.T, seed uint64) {
+	if *keepLogs == "" {
+		return
+	}
+	for _, n := range c.nodes {
+		text, err := os.ReadFile(filepath.Join(c.dir, n.name+".log"))
+		must.NoError(t, err)
+		must.NoError(t, os.WriteFile(filepath.Join(*keepLogs, fmt.Sprintf("seed-%d-%s.log", seed, n.name)), text, 0o600))
+	}
+}
