--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -73,6 +75,10 @@
 	if random.IntN(20) == 0 {
 		return badKey
 	}
+	if gone := len(cs.c.revoked); gone > 0 && random.IntN(5) == 0 {
+		keys := slices.Sorted(maps.Keys(cs.c.revoked))
+		return keys[random.IntN(gone)]
+	}
 	return cs.c.keys[random.IntN(len(cs.c.keys))]
 }
 
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -90,25 +90,29 @@
 		c.breach("%s ran on %d endpoints, two are allowed", s.id, len(ran))
 	}
 	for _, r := range ran {
-		if r.run.URI != "/"+s.route+"/"+s.id || r.run.Body != "body of "+s.id {
-			c.breach("%s reached an endpoint changed: %s %q", s.id, r.run.URI, r.run.Body)
-		}
-		if r.run.Header.Get("X-Tenant") != "ann" || r.run.Header.Get("Authorization") != "" {
-			c.breach("%s reached an endpoint with customer %q", s.id, r.run.Header.Get("X-Tenant"))
-		}
-		if s.key == badKey {
-			c.breach("%s ran with a key that nobody ever held", s.id)
-		}
-		if s.route == "gen" && len(strings.Split(r.run.Header.Get("X-Inputs"), ",")) != 3 {
-			c.breach("%s ran with inputs %q", s.id, r.run.Header.Get("X-Inputs"))
-		}
-		unlisted := r.server.unlistedAt
-		if !unlisted.IsZero() && s.at.After(unlisted.Add(drain+slack)) {
-			c.breach("%s was sent to %s, which had left %v before", s.id, r.server.Name, s.at.Sub(unlisted))
-		}
-		if at, gone := c.revokedAt(s.key); gone && s.at.After(at.Add(revoke)) {
-			c.breach("%s ran although its key was taken away %v before it was sent", s.id, s.at.Sub(at))
-		}
+		c.checkRun(s, r)
+	}
+}
+
+func (c *cluster) checkRun(s *sent, r ranAt) {
+	if r.run.URI != "/"+s.route+"/"+s.id || r.run.Body != "body of "+s.id {
+		c.breach("%s reached an endpoint changed: %s %q", s.id, r.run.URI, r.run.Body)
+	}
+	if r.run.Header.Get("X-Tenant") != "ann" || r.run.Header.Get("Authorization") != "" {
+		c.breach("%s reached an endpoint with customer %q", s.id, r.run.Header.Get("X-Tenant"))
+	}
+	if s.key == badKey {
+		c.breach("%s ran with a key that nobody ever held", s.id)
+	}
+	if s.route == "gen" && len(strings.Split(r.run.Header.Get("X-Inputs"), ",")) != 3 {
+		c.breach("%s ran with inputs %q", s.id, r.run.Header.Get("X-Inputs"))
+	}
+	unlisted := r.server.unlistedAt
+	if !unlisted.IsZero() && s.at.After(unlisted.Add(drain+slack)) {
+		c.breach("%s was sent to %s, which had left %v before", s.id, r.server.Name, s.at.Sub(unlisted))
+	}
+	if at, gone := c.revokedAt(s.key); gone && s.at.After(at.Add(revoke)) {
+		c.breach("%s ran although its key was taken away %v before it was sent", s.id, s.at.Sub(at))
 	}
 }
 
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -18,7 +18,7 @@
 const (
 	grace     = 3 * time.Second
 	drain     = 2 * time.Second
-	revoke    = 4 * time.Second
+	revoke    = 2500 * time.Millisecond
 	startWait = 20 * time.Second
 )
 
@@ -103,9 +103,9 @@
 	c.version += 2
 	stages := []map[string]any{{"service": "makers", "after": []int{}, "bytes": 1000}, {"service": "makers", "after": []int{0}, "bytes": 1000}}
 	routes := []map[string]any{
-		c.route("post", "unsafe", "plain", 1, nil),
+		c.route("post", "unsafe", "plain", 2, nil),
 		c.route("get", "safe", "plain", 2, nil),
-		c.route("gen", "stream", "engines", 1, map[string]any{"stages": stages}),
+		c.route("gen", "stream", "engines", 2, map[string]any{"stages": stages}),
 		c.route("res", "stream", "engines", 2, map[string]any{"resumable": true}),
 	}
 	for i := range c.extra {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -30,6 +30,7 @@
 	{"endpoint leaves", endpointLeaves},
 	{"routing changes", routingChanges},
 	{"key taken away", keyTaken},
+	{"key taken away behind a cut", keyTakenBehindACut},
 }
 
 func (c *cluster) anyNode(random *rand.Rand) *node {
@@ -164,6 +165,25 @@
 	c.mu.Unlock()
 }
 
+// keyTakenBehindACut takes a key away while a node hears nothing from the store, or is paused, for
+// longer than the key may go on working.
+func keyTakenBehindACut(c *cluster, random *rand.Rand, last time.Duration) {
+	n := c.anyNode(random)
+	n.trouble()
+	cut := time.AfterFunc(last/2, func() {
+		if random.IntN(3) == 0 {
+			n.signal(syscall.SIGSTOP)
+			return
+		}
+		n.link.setFault([]proxyFault{linkDeaf, linkMute}[random.IntN(2)])
+	})
+	keyTaken(c, random, last)
+	time.Sleep(revoke + time.Second)
+	cut.Stop()
+	n.link.setFault(linkFine)
+	n.signal(syscall.SIGCONT)
+}
+
 func (c *cluster) revokedAt(key string) (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
