One node of each failure domain reads the store; the others ask it

Change: kernel.Mirror is a copy of a table that can be copied on, with the age of its proof counted from the question; package follow asks the reader, falls back to the store where the reader's word is missing or old, and a reader that gets no answer asks another. The roster takes a gap between proofs for an outage (before: failed questions); its tests hold as they were, with proofs given. A property test found that a source which read the whole table had not heard of removals before; such a source now hands out the whole table.

--- /dev/null
+++ b/follow/follower.go
@@ -0,0 +1,291 @@
+// Package follow keeps copies of tables of the platform's store. One node of each failure domain
+// reads the store; the others ask that node, and the store itself where it does not answer or its
+// word is old. So the store is asked by few, and a node that the store turns away goes on knowing
+// what others know, with the age of its proof.
+package follow
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"basilstall.example/basilstall/clock"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/metric"
+	"basilstall.example/basilstall/peer"
+	"basilstall.example/basilstall/relay"
+)
+
+const (
+	// peerEvery is how often another node is asked. It adds to the age of what is known.
+	peerEvery   = 500 * time.Millisecond
+	peerTimeout = 400 * time.Millisecond
+	// idlePause is how often a node that need not read the store looks whether it must.
+	idlePause = 250 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a question without an answer; each is twice
+	// the one before.
+	retryFirst = 150 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
+)
+
+// ErrHistoryGone is returned by a store that no longer knows what changed since a version.
+var ErrHistoryGone = errors.New("follow: the store's history is gone")
+
+type (
+	// Table is a table to follow. Its functions are called by one goroutine at a time.
+	Table struct {
+		Name string
+		// Hold is how long the store may hold a question for changes; Pause is the time between
+		// two questions.
+		Hold  time.Duration
+		Pause time.Duration
+		// Apply takes in what is news, and the time at which the table was last proven current.
+		Apply func(provenAt time.Time, news []kernel.Row)
+	}
+
+	// Store is how the platform's store is read.
+	Store struct {
+		// Whole returns all rows of a table and the version that they are of.
+		Whole func(ctx context.Context, table string) ([]kernel.Row, uint64, error)
+		// Changes returns what changed after a version, waiting for the first change.
+		Changes func(ctx context.Context, table string, after uint64, hold time.Duration) ([]kernel.Row, uint64, error)
+	}
+
+	// Options are what a follower is told at its start.
+	Options struct {
+		// Name is the node's.
+		Name   string
+		Domain string
+		// MostAge is how old another node's proof may be before the store is asked as well.
+		MostAge time.Duration
+	}
+
+	// Follower follows tables.
+	Follower struct {
+		options Options
+		store   Store
+		relay   *relay.Relay
+		log     zerolog.Logger
+		metrics *metric.Set
+		tables  []*followed
+		// reads is true while this node reads the store.
+		reads atomic.Bool
+	}
+
+	// followed is a table with what is known of it.
+	followed struct {
+		Table
+		mu     sync.Mutex
+		mirror *kernel.Mirror
+		// down is true while the store does not answer for the table.
+		down atomic.Bool
+	}
+)
+
+// NewFollower follows tables until ctx ends.
+func NewFollower(ctx context.Context, options Options, store Store, r *relay.Relay, tables []Table, metrics *metric.Set, log zerolog.Logger) *Follower {
+	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics}
+	f.reads.Store(true)
+	for _, t := range tables {
+		f.tables = append(f.tables, &followed{Table: t, mirror: kernel.NewMirror()})
+	}
+	for _, t := range f.tables {
+		go func() {
+			f.read(ctx, t)
+		}()
+	}
+	go func() {
+		for clock.Sleep(ctx, peerEvery) {
+			f.askPeer(ctx)
+		}
+	}()
+	return f
+}
+
+// read reads a table from the store for as long as this node is to.
+func (f *Follower) read(ctx context.Context, t *followed) {
+	retry := retryFirst
+	for ctx.Err() == nil {
+		if !f.reads.Load() {
+			clock.Sleep(ctx, idlePause)
+			continue
+		}
+		err := f.ask(ctx, t)
+		f.note(ctx, t, err)
+		pause := t.Pause
+		if err != nil {
+			pause = retry
+			retry = min(2*retry, retryMost)
+		} else {
+			retry = retryFirst
+		}
+		if pause > 0 {
+			clock.Sleep(ctx, pause)
+		}
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, t *followed) error {
+	began := clock.Now()
+	t.mu.Lock()
+	after, known := t.mirror.Known()
+	t.mu.Unlock()
+	if !known {
+		rows, version, err := f.store.Whole(ctx, t.Name)
+		if err != nil {
+			return err
+		}
+		t.take(began, rows, version, true)
+		return nil
+	}
+	hold := t.Hold
+	if t.down.Load() {
+		// What is known is already old: an answer is wanted at once.
+		hold = 0
+	}
+	rows, version, err := f.store.Changes(ctx, t.Name, after, hold)
+	if errors.Is(err, ErrHistoryGone) {
+		f.metrics.Event("StoreHistoryGone")
+		f.log.Info().Str("Table", t.Name).Uint64("After", after).Msg("the store's history is gone; reading the whole table")
+		if rows, version, err = f.store.Whole(ctx, t.Name); err == nil {
+			t.take(began, rows, version, true)
+		}
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	t.take(began, rows, version, false)
+	return nil
+}
+
+func (t *followed) take(began time.Time, rows []kernel.Row, version uint64, whole bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news := t.mirror.Take(began, rows, version, whole)
+	t.Apply(t.mirror.ProvenAt(), news)
+}
+
+// note logs when the store stops and begins to answer.
+func (f *Follower) note(ctx context.Context, t *followed, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		f.metrics.Event("StoreFailed")
+	}
+	if t.down.Swap(err != nil) == (err != nil) {
+		return
+	}
+	t.mu.Lock()
+	version, _ := t.mirror.Known()
+	t.mu.Unlock()
+	if err != nil {
+		f.log.Warn().Str("Table", t.Name).Uint64("Version", version).Err(err).Msg("store lost")
+		return
+	}
+	f.log.Info().Str("Table", t.Name).Uint64("Version", version).Msg("store back")
+}
+
+// askPeer asks the node that reads the store for this one. This node reads the store itself where
+// it is that node, or where the answer does not come or is old.
+func (f *Follower) askPeer(ctx context.Context) {
+	source, own := kernel.Reader(f.options.Name, f.options.Domain, f.relay.Reachable(), f.lost())
+	if source == "" {
+		f.setReads(true, "this node reads for its failure domain")
+		return
+	}
+	age, err := f.askNode(ctx, source)
+	if err != nil {
+		f.metrics.Event("ReaderFailed")
+		f.relay.Suspect(source, err)
+	}
+	switch {
+	case own:
+		f.setReads(true, "this node reads for its failure domain")
+	case err != nil:
+		f.setReads(true, "the reader does not answer")
+	case age > f.options.MostAge:
+		f.setReads(true, "the reader's word is old")
+	default:
+		f.setReads(false, source+" reads for this node")
+	}
+}
+
+// lost tells whether this node reads the store and gets no answer.
+func (f *Follower) lost() bool {
+	if !f.reads.Load() {
+		return false
+	}
+	for _, t := range f.tables {
+		if t.down.Load() {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Follower) setReads(reads bool, why string) {
+	if f.reads.Swap(reads) != reads {
+		f.log.Info().Bool("Reads", reads).Str("Why", why).Msg("reading of the store changed")
+	}
+}
+
+// askNode asks a node for what it knows of all tables; it returns the greatest age of its proofs.
+func (f *Follower) askNode(ctx context.Context, node string) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	question := peer.Feed{After: map[string]uint64{}}
+	for _, t := range f.tables {
+		t.mu.Lock()
+		question.After[t.Name], _ = t.mirror.Known()
+		t.mu.Unlock()
+	}
+	asked := clock.Now()
+	var reply peer.FeedReply
+	if err := f.relay.Ask(ctx, node, peer.KindFeed, question, &reply); err != nil {
+		return 0, err
+	}
+	oldest := time.Duration(0)
+	for _, t := range f.tables {
+		d, ok := reply.Tables[t.Name]
+		if !ok {
+			return f.options.MostAge + 1, nil
+		}
+		oldest = max(oldest, d.Age)
+		t.mu.Lock()
+		if version, _ := t.mirror.Known(); d.Version >= version {
+			news := t.mirror.TakeDelta(asked, d)
+			t.Apply(t.mirror.ProvenAt(), news)
+		}
+		t.mu.Unlock()
+	}
+	return oldest, nil
+}
+
+// Reads tells whether this node reads the store itself.
+func (f *Follower) Reads() bool {
+	return f.reads.Load()
+}
+
+// Answer answers another node's question for what is known here.
+func (f *Follower) Answer(_ context.Context, body []byte) (any, error) {
+	var question peer.Feed
+	if err := peer.DecodeBody(body, &question); err != nil {
+		return nil, err
+	}
+	reply := peer.FeedReply{Tables: map[string]kernel.Delta{}}
+	now := clock.Now()
+	for _, t := range f.tables {
+		t.mu.Lock()
+		if d, known := t.mirror.Since(now, question.After[t.Name]); known {
+			reply.Tables[t.Name] = d
+		}
+		t.mu.Unlock()
+	}
+	return reply, nil
+}
--- a/kernel/roster.go
+++ b/kernel/roster.go
@@ -12,11 +12,10 @@
 	// lapsedGrace is how long after the store's return an entry that lapsed while it was away
 	// may take to come back: the platform promises about two seconds.
 	lapsedGrace = 2200 * time.Millisecond
-	// outageGap and outageFailures are how long the store must have been silent, and how many
-	// questions must have failed, for entries to have lapsed: an entry outlives three heartbeat
-	// intervals of more than a second.
-	outageGap      = 2 * time.Second
-	outageFailures = 2
+	// outageGap is how long nothing may have been proven of the list for entries to have lapsed
+	// meanwhile: an entry outlives three heartbeat intervals of more than a second, and the list
+	// is proven anew each second, or each two where an answer is lost.
+	outageGap = 2400 * time.Millisecond
 )
 
 type (
@@ -24,12 +23,10 @@
 	// store is away. It is immutable.
 	Roster struct {
 		entries map[string]rosterEntry
-		// answeredAt is when the store last answered; returnedAt is when it first did so after
-		// an outage.
-		answeredAt time.Time
+		// provenAt is when the list was last proven current; returnedAt is when that was first so
+		// after an outage.
+		provenAt   time.Time
 		returnedAt time.Time
-		// failures counts the questions that failed since then.
-		failures int
 	}
 
 	rosterEntry struct {
@@ -44,34 +41,12 @@
 	return Roster{entries: map[string]rosterEntry{}}
 }
 
-// WithFailure returns the roster after a question that the store did not answer.
-func (r Roster) WithFailure() Roster {
-	r.failures++
-	return r
-}
-
-// WithListing returns the roster after the store listed all endpoints.
-func (r Roster) WithListing(now time.Time, listed []model.Endpoint) Roster {
-	byName := make(map[string]bool, len(listed))
-	for _, e := range listed {
-		byName[e.Name] = true
-	}
-	var removed []string
-	for name := range r.entries {
-		if !byName[name] {
-			removed = append(removed, name)
-		}
-	}
-	return r.WithChanges(now, listed, removed)
-}
-
-// WithChanges returns the roster after the store told what changed.
-func (r Roster) WithChanges(now time.Time, listed []model.Endpoint, removed []string) Roster {
-	if r.failures >= outageFailures && now.Sub(r.answeredAt) > outageGap {
+// WithChanges returns the roster after the list was proven current as of a time, and what changed.
+func (r Roster) WithChanges(now, provenAt time.Time, listed []model.Endpoint, removed []string) Roster {
+	if !r.provenAt.IsZero() && provenAt.Sub(r.provenAt) > outageGap {
 		r.returnedAt = now
 	}
-	r.failures = 0
-	r.answeredAt = now
+	r.provenAt = provenAt
 	grace := !r.returnedAt.IsZero() && now.Sub(r.returnedAt) < lapsedGrace
 	entries := maps.Clone(r.entries)
 	for _, name := range removed {
@@ -121,9 +96,9 @@
 	return len(r.entries)
 }
 
-// Age returns how long ago the store last answered.
+// Age returns how long ago the list was proven current.
 func (r Roster) Age(now time.Time) time.Duration {
-	return now.Sub(r.answeredAt)
+	return now.Sub(r.provenAt)
 }
 
 // RosterChange is one difference between two rosters.
--- a/peer/message.go
+++ b/peer/message.go
@@ -26,6 +26,7 @@
 	KindGatherCancel
 	KindRelease
 	KindProbe
+	KindFeed
 )
 
 type (
@@ -180,6 +181,16 @@
 		Leaving bool
 	}
 
+	// Feed asks for what changed in tables of the store after a version of each.
+	Feed struct {
+		After map[string]uint64
+	}
+
+	// FeedReply has an entry for each table that is known.
+	FeedReply struct {
+		Tables map[string]kernel.Delta
+	}
+
 	// Empty is the body of calls that say nothing more.
 	Empty struct{}
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -135,6 +135,7 @@
 	// Node is another node, or this one, as a gatherer of pieces.
 	Node struct {
 		Name    string
+		Domain  string
 		Address string
 		Leaving bool
 	}
@@ -235,6 +236,30 @@
 	r.nodes.Store(&nodes)
 }
 
+// Reachable returns the nodes that are not leaving and answer, as far as is known; this one is among
+// them.
+func (r *Relay) Reachable() []kernel.Peer {
+	out := []kernel.Peer{{Name: r.options.Name, Domain: r.options.Domain}}
+	for _, n := range *r.nodes.Load() {
+		if n.Name != r.options.Name && !n.Leaving && !r.suspects.suspected(n.Name) {
+			out = append(out, kernel.Peer{Name: n.Name, Domain: n.Domain})
+		}
+	}
+	return out
+}
+
+// Ask calls another node by its name.
+func (r *Relay) Ask(ctx context.Context, node string, kind peer.Kind, message, reply any) error {
+	return r.peers.Call(ctx, r.addressOf(node), kind, message, reply)
+}
+
+// Suspect notes that a node did not answer; it is probed until it does.
+func (r *Relay) Suspect(node string, err error) {
+	if r.suspects.suspect(node) {
+		r.log.Info().Str("Peer", node).Err(err).Msg("node does not answer")
+	}
+}
+
 // Serve takes one request to its end. It returns once the answer was passed on, or with a
 // refusal where none was begun.
 func (r *Relay) Serve(ctx context.Context, f model.Forward, out Responder) Outcome {
