--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -7,8 +7,12 @@
 )
 
 const (
-	// typicalBatch is the share of a full batch that a call is taken to hold.
+	// typicalBatch is the share of a full batch that a call is taken to hold while no piece has
+	// to wait; calls of a pool with a queue are full.
 	typicalBatch = 0.4
+	// queueWait is the wait from which on a pool counts as having a queue: more than the spacing
+	// of its calls.
+	queueWait = 60 * time.Millisecond
 	// crowdedWait is the wait at a pool above which late work is refused: with less, what comes
 	// late takes little from what does not.
 	crowdedWait = 200 * time.Millisecond
@@ -88,6 +92,9 @@
 
 func stageTime(o PoolOutlook) time.Duration {
 	pieces := time.Duration(max(1, int(typicalBatch*float64(o.Traits.Batch))))
+	if o.Wait > queueWait {
+		pieces = time.Duration(o.Traits.Batch)
+	}
 	return o.Wait + o.Traits.CallTime + pieces*o.Traits.PieceTime
 }
 
