--- a/kernel/placement.go
+++ b/kernel/placement.go
@@ -15,7 +15,7 @@
 	// share of the step time of the others, in tokens.
 	decodeTokens = 150
 	// patienceRate is how many bytes between failure domains are worth a second of waiting.
-	patienceRate = 40e6
+	patienceRate = 25e6
 	// mostPatience bounds the wait for a failure domain: about half a call.
 	mostPatience = 130 * time.Millisecond
 	// slotShare is the share of an engine's slots that may be taken before others are preferred.
