--- a/kernel/readers.go
+++ b/kernel/readers.go
@@ -1,23 +1,17 @@
 package kernel
 
-// Peer is another node as the choice of a reader sees it.
-type Peer struct {
-	Name   string
-	Domain string
-}
-
 // Reader returns the node that one is to ask for what the store holds: the one that reads for its
 // failure domain, the same for all nodes that know the same ones; empty for none. Own tells that
 // the node itself reads. Where it reads and the store does not answer (lost), or it is alone in its
 // domain, another domain's reader is named: the store may turn away single nodes.
 func Reader(self, domain string, nodes []Peer, lost bool) (source string, own bool) {
-	var near, far []string
+	var near, far []Peer
 	for _, n := range nodes {
 		switch {
 		case n.Domain == domain:
-			near = append(near, n.Name)
+			near = append(near, n)
 		case n.Name != self:
-			far = append(far, n.Name)
+			far = append(far, n)
 		}
 	}
 	order := Gatherers("reader of "+domain, near)
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -58,7 +57,7 @@
 		return stageDone{refusal: model.NewRefusal(model.NotRun, model.NoEndpoint, kernel.RetryAfter(refusedRetry), "the pool "+req.pool+" is not known")}
 	}
 	tried := 0
-	for _, node := range kernel.Gatherers(req.pool, r.gathererNodes()) {
+	for _, node := range kernel.Gatherers(req.pool, r.Reachable()) {
 		if tried >= gathererTries || ctx.Err() != nil {
 			break
 		}
@@ -131,7 +130,7 @@
 
 // askWait asks the pool's gatherer how long pieces wait.
 func (r *Relay) askWait(ctx context.Context, g *gatherer, req gatherRequest) time.Duration {
-	nodes := kernel.Gatherers(req.pool, r.gathererNodes())
+	nodes := kernel.Gatherers(req.pool, r.Reachable())
 	if nodes[0] == r.options.Name {
 		return g.waitFor(req.group(0))
 	}
@@ -146,20 +145,6 @@
 	return reply.Wait
 }
 
-// gathererNodes returns the names of the nodes that may gather.
-func (r *Relay) gathererNodes() []string {
-	var names []string
-	for _, n := range *r.nodes.Load() {
-		if !n.Leaving && !r.suspects.suspected(n.Name) {
-			names = append(names, n.Name)
-		}
-	}
-	if !slices.Contains(names, r.options.Name) {
-		names = append(names, r.options.Name)
-	}
-	return names
-}
-
 func (r *Relay) noteGatherer(node string, req gatherRequest, err error) {
 	r.suspects.suspect(node)
 	r.metrics.Event("GathererFailed")
@@ -257,7 +242,7 @@
 	if g == nil {
 		return
 	}
-	nodes := kernel.Gatherers(pool, r.gathererNodes())
+	nodes := kernel.Gatherers(pool, r.Reachable())
 	if len(nodes) == 0 || nodes[0] == r.options.Name {
 		g.free(made)
 		return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,8 @@
 		// Name and Domain are the node's.
 		Name   string
 		Domain string
+		// Capacity is what the host can carry relative to others.
+		Capacity float64
 		// KeyTrust is the greatest age of the routing that API keys are trusted by; zero means
 		// that keys are trusted however old the routing is.
 		KeyTrust time.Duration
@@ -137,7 +139,9 @@
 		Name    string
 		Domain  string
 		Address string
-		Leaving bool
+		// Capacity is what its host can carry relative to others.
+		Capacity float64
+		Leaving  bool
 	}
 )
 
@@ -239,10 +243,10 @@
 // Reachable returns the nodes that are not leaving and answer, as far as is known; this one is among
 // them.
 func (r *Relay) Reachable() []kernel.Peer {
-	out := []kernel.Peer{{Name: r.options.Name, Domain: r.options.Domain}}
+	out := []kernel.Peer{{Name: r.options.Name, Domain: r.options.Domain, Capacity: r.options.Capacity}}
 	for _, n := range *r.nodes.Load() {
 		if n.Name != r.options.Name && !n.Leaving && !r.suspects.suspected(n.Name) {
-			out = append(out, kernel.Peer{Name: n.Name, Domain: n.Domain})
+			out = append(out, kernel.Peer{Name: n.Name, Domain: n.Domain, Capacity: n.Capacity})
 		}
 	}
 	return out
