--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -16,6 +16,9 @@
 	// crowdedWait is the wait at a pool above which late work is refused: with less, what comes
 	// late takes little from what does not.
 	crowdedWait = 200 * time.Millisecond
+	// lateMargin is by how much a plan is stretched before it is held against the objective: it
+	// adds up usual times, and of what is planned for the last moment half comes late.
+	lateMargin = 1.15
 	// firstEventMargin is taken off an objective: the way back to the caller and the lag of
 	// timers.
 	firstEventMargin = 15 * time.Millisecond
@@ -113,15 +116,15 @@
 
 // AdmitStages refuses a request whose stages can't be done in time, before its first piece: what
 // would come late takes room and calls from what would not. The time to come back is when the
-// longest queue will have drained.
+// queues will have drained.
 func AdmitStages(now time.Time, f model.Forward, a Admission, plan StagePlan, outlook map[string]PoolOutlook) *model.Refusal {
 	var wait time.Duration
 	for i, s := range a.Route.Stages {
 		if PiecesOf(f, i) > 0 {
-			wait = max(wait, outlook[s.Pool].Wait)
+			wait += outlook[s.Pool].Wait
 		}
 	}
-	late := now.Add(plan.Expected).After(f.ReceivedAt.Add(a.Route.Objective))
+	late := now.Add(time.Duration(lateMargin * float64(plan.Expected))).After(f.ReceivedAt.Add(a.Route.Objective))
 	hopeless := now.Add(plan.Expected).After(a.Until)
 	if hopeless || (late && wait > crowdedWait) {
 		return model.NewRefusal(model.NotRun, model.StageLate, RetryAfter(wait), "the stages would be late")
