A panic costs one request; endpoints that can't be connected to are put aside at once

Causes: a panic in a goroutine of the relay would have ended the process; a dark endpoint took three connects of 0.7 s from each node before it was left alone. Change: relay.guard ends what the goroutine was to end; Health.WithUnreachable. The test of the panic first hung: pieces of a panicked call waited with nobody to start them again; mended.

--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -497,6 +497,15 @@
 	return g.retryPieces(now, batch, nil, model.PieceFailed, true)
 }
 
+// Unreachable takes in that a call's endpoint could not be connected to: its pieces wait again.
+func (g *Gathering) Unreachable(now time.Time, batch PieceBatch) []GroupOutcome {
+	if m := g.end(batch, nil); m != nil {
+		m.health = m.health.WithUnreachable(now)
+		g.lastStart = time.Time{}
+	}
+	return g.retryPieces(now, batch, nil, model.PieceFailed, false)
+}
+
 // Done takes the results of a call in. It returns the groups that ended, and the results that
 // nobody waits for any more.
 func (g *Gathering) Done(now time.Time, batch PieceBatch, results []model.PieceResult) (ended []GroupOutcome, unwanted []MadePiece) {
--- a/kernel/gather_test.go
+++ b/kernel/gather_test.go
@@ -239,6 +239,25 @@
 	must.Len(t, 3, second.Pieces)
 }
 
+func TestAnUnreachableMakerIsPutAsideAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(2)
+	for id := uint64(1); id <= 2; id++ {
+		g.Add(now, pieceGroup(id, 1, 0, now.Add(5*time.Second)))
+	}
+	first, _ := g.Next(now)
+	must.SliceEmpty(t, g.Unreachable(now, first))
+	second, ok := g.Next(now)
+	must.True(t, ok)
+	must.NotEq(t, first.Endpoint.Name, second.Endpoint.Name)
+	must.Len(t, 2, second.Pieces)
+	g.Add(now, pieceGroup(3, 1, 0, now.Add(5*time.Second)))
+	_, ok = g.Next(now.Add(500 * time.Millisecond))
+	must.False(t, ok)
+	_, ok = g.Next(now.Add(1100 * time.Millisecond))
+	must.True(t, ok, must.Sprint("after a while one call tries it again"))
+}
+
 func TestAGoneInputEndsTheGroup(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := newGathering(1)
--- a/kernel/health.go
+++ b/kernel/health.go
@@ -37,6 +37,13 @@
 	return h
 }
 
+// WithUnreachable returns the health after a connection could not be opened: whatever the reason,
+// the next call would only wait as long for its failure, so the endpoint is put aside at once.
+func (h Health) WithUnreachable(now time.Time) Health {
+	h.Failures = max(h.Failures, failuresToEject-1)
+	return h.WithFailure(now)
+}
+
 // WithSuccess returns the health after a good call.
 func (h Health) WithSuccess() Health {
 	return Health{}
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 )
@@ -208,6 +209,13 @@
 
 func (g *gatherer) call(batch kernel.PieceBatch, expected time.Duration) {
 	r := g.relay
+	defer r.guard(func() {
+		g.mu.Lock()
+		ended := g.g.Failed(r.now(), batch)
+		g.mu.Unlock()
+		g.finish(ended)
+		g.pump()
+	})
 	timeout := time.Duration(callPatience*float64(expected)) + callGrace
 	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
@@ -217,6 +225,8 @@
 	var unwanted []kernel.MadePiece
 	g.mu.Lock()
 	switch {
+	case err != nil && asFault(err).Kind == endpoint.Refused:
+		ended = g.g.Unreachable(now, batch)
 	case err != nil:
 		ended = g.g.Failed(now, batch)
 	case reply.NotRun:
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -151,6 +151,14 @@
 	s.health = s.health.WithFailure(now)
 }
 
+// unreachable notes that an endpoint could not be connected to.
+func (p *pool) unreachable(now time.Time, name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(name)
+	s.health = s.health.WithUnreachable(now)
+}
+
 func (p *pool) reported(now time.Time, name string, load *model.Load) {
 	if load == nil {
 		return
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,132 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/metric"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/relay"
+)
+
+// bed is a relay whose endpoints are functions.
+type bed struct {
+	relay *relay.Relay
+	wire  relay.Wire
+	body  strings.Builder
+	freed chan []string
+}
+
+func newBed(t *testing.T) *bed {
+	t.Helper()
+	b := &bed{freed: make(chan []string, 16)}
+	b.wire = relay.Wire{
+		Forward: func(context.Context, relay.Send) (*model.ForwardReply, error) {
+			return reply("id: 1\ndata: x\n\n"), nil
+		},
+		RunPieces: func(_ context.Context, e model.Endpoint, pieces []model.Piece) (relay.PieceReply, error) {
+			out := relay.PieceReply{}
+			for range pieces {
+				out.Results = append(out.Results, model.PieceResult{Handle: e.Name + "/h"})
+			}
+			return out, nil
+		},
+		Free: func(_ context.Context, _ model.Endpoint, handles []string) error {
+			b.freed <- handles
+			return nil
+		},
+		Room: func(context.Context, model.Endpoint) (int64, error) { return 18_000_000, nil },
+	}
+	wire := relay.Wire{
+		Forward: func(ctx context.Context, s relay.Send) (*model.ForwardReply, error) { return b.wire.Forward(ctx, s) },
+		RunPieces: func(ctx context.Context, e model.Endpoint, p []model.Piece) (relay.PieceReply, error) {
+			return b.wire.RunPieces(ctx, e, p)
+		},
+		Free: b.wire.Free,
+		Room: b.wire.Room,
+	}
+	options := relay.Options{Name: "node", Domain: "d", Budget: kernel.BudgetTerms{Ratio: 1, Slack: 100, Window: 10 * time.Second}}
+	b.relay = relay.NewRelay(options, wire, time.Now, metric.NewSet(), zerolog.Nop())
+	t.Cleanup(b.relay.Close)
+	now := time.Now()
+	stages := []model.StageNode{{Pool: "makers", ResultBytes: 1000}}
+	b.relay.SetRouting(now, kernel.NewRouteTable(model.Routing{
+		Version: 1,
+		Routes: []model.Route{
+			{Name: "get", Host: "h", Prefix: "/get/", Kind: model.Safe, Timeout: time.Minute, Objective: time.Minute, MaxAttempts: 2, Split: []model.WeightedPool{{Pool: "plain"}}},
+			{Name: "gen", Host: "h", Prefix: "/gen/", Kind: model.Stream, Timeout: time.Minute, Objective: time.Minute, MaxAttempts: 1, Split: []model.WeightedPool{{Pool: "engines"}}, Stages: stages},
+		},
+		Pools: map[string]model.Pool{"makers": {Name: "makers", Pieces: &model.PieceTraits{
+			Slots: 1, Batch: 4, CallTime: time.Millisecond, PieceTime: time.Millisecond, Room: 18_000_000, Keep: time.Minute,
+		}}},
+	}))
+	b.relay.SetRoster(kernel.NewRoster().WithChanges(now, now, []model.Endpoint{
+		{Name: "plain-0", Pool: "plain", State: model.Live}, {Name: "plain-1", Pool: "plain", State: model.Live},
+		{Name: "engine-0", Pool: "engines", State: model.Live}, {Name: "maker-0", Pool: "makers", State: model.Live},
+	}, nil))
+	return b
+}
+
+func reply(body string) *model.ForwardReply {
+	return &model.ForwardReply{Status: http.StatusOK, Header: http.Header{}, Body: strings.NewReader(body), Authentic: true, Close: func() {}}
+}
+
+func (b *bed) serve(path string, pieces ...int) relay.Outcome {
+	f := model.Forward{ID: "id", Method: "POST", URI: path, Path: path, Host: "h", ReceivedAt: time.Now(), Pieces: pieces}
+	return b.relay.Serve(context.Background(), f, relay.Responder{
+		Begin: func(int, http.Header) {},
+		Write: func(p []byte) error { b.body.Write(p); return nil },
+	})
+}
+
+func TestAPanicCostsOneRequest(t *testing.T) {
+	b := newBed(t)
+	forward := b.wire.Forward
+	b.wire.Forward = func(context.Context, relay.Send) (*model.ForwardReply, error) { panic("forward") }
+	outcome := b.serve("/get/1")
+	must.NotNil(t, outcome.Refusal)
+	must.Eq(t, model.MayHaveRun, outcome.Refusal.Verdict)
+	b.wire.Forward = forward
+
+	run := b.wire.RunPieces
+	b.wire.RunPieces = func(context.Context, model.Endpoint, []model.Piece) (relay.PieceReply, error) { panic("pieces") }
+	outcome = b.serve("/gen/1", 2)
+	must.NotNil(t, outcome.Refusal)
+	must.Eq(t, model.NotRun, outcome.Refusal.Verdict)
+	b.wire.RunPieces = run
+	must.True(t, b.serve("/get/2").Whole)
+}
+
+func TestResultsAreFreedWhateverBecomesOfTheRequest(t *testing.T) {
+	for name, forward := range map[string]func(context.Context, relay.Send) (*model.ForwardReply, error){
+		"answered":   func(context.Context, relay.Send) (*model.ForwardReply, error) { return reply("id: 1\n\n"), nil },
+		"failed":     func(context.Context, relay.Send) (*model.ForwardReply, error) { return nil, errors.New("broken") },
+		"broken off": func(context.Context, relay.Send) (*model.ForwardReply, error) { return reply("id: 1\n\nid"), nil },
+		"cut": func(context.Context, relay.Send) (*model.ForwardReply, error) {
+			r := reply("")
+			r.Body = io.MultiReader(strings.NewReader("id: 1\n\n"), &broken{})
+			return r, nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t)
+			b.wire.Forward = forward
+			outcome := b.serve("/gen/1", 1)
+			must.Eq(t, name == "answered", outcome.Whole)
+			must.Len(t, 1, <-b.freed)
+		})
+	}
+}
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -112,7 +112,12 @@
 		}
 		running++
 		group := j.group(run, i)
-		go func() { done <- j.runStage(ctx, i, group) }()
+		go func() {
+			defer j.relay.guard(func() {
+				done <- stageDone{stage: i, refusal: model.NewRefusal(model.NotRun, model.StageFailed, kernel.RetryAfter(0), "the stage failed")}
+			})
+			done <- j.runStage(ctx, i, group)
+		}()
 	}
 	return running
 }
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -24,7 +24,10 @@
 	refusedRetry = 150 * time.Millisecond
 )
 
-var errTooLong = errors.New("relay: the answer is too long")
+var (
+	errTooLong = errors.New("relay: the answer is too long")
+	errPanic   = errors.New("relay: panic")
+)
 
 type (
 	// job is one request on its way. It belongs to the goroutine that serves it.
@@ -110,6 +113,10 @@
 	go func() {
 		defer p.leave(e.Name)
 		res := unaryResult{endpoint: e}
+		defer r.guard(func() {
+			res.err = errPanic
+			results <- res
+		})
 		res.reply, res.err = r.wire.Forward(ctx, send)
 		if res.err == nil {
 			res.body, res.err = readWhole(res.reply)
@@ -189,7 +196,11 @@
 	if fault.Kind == endpoint.Cancelled {
 		return
 	}
-	p.failed(j.relay.now(), e.Name)
+	if fault.Kind == endpoint.Refused {
+		p.unreachable(j.relay.now(), e.Name)
+	} else {
+		p.failed(j.relay.now(), e.Name)
+	}
 	j.relay.logAttempt(j.forward, e, j.asked, fault.RetryReason(), fault)
 }
 
