Keep the platform's names in its folder; split the gathering by job

The soak builds its settings, routings and calls through platform/standin; the nodes' own rows move to package follow, readiness to the relay, the dialer that stood twice to endpoint; kernel/gather.go is split into calls, ends of calls, waits and room.

--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -62,22 +62,25 @@
 	x := &Exchanger{Now: now, OnConnect: func() {}, idle: map[string][]*exchangeConn{}}
 	x.dialer = net.Dialer{
 		Timeout:         exchangeDial,
-		Control:         boundSilence,
+		Control:         BoundSilence(userTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: 2},
 	}
 	return x
 }
 
-// boundSilence makes the kernel give a connection up whose peer acknowledges nothing.
-func boundSilence(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-	})
-	if err != nil {
-		return err
+// BoundSilence returns a control function for dialers that makes the system give a connection up
+// whose written bytes nobody acknowledges for a time.
+func BoundSilence(limit time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit/time.Millisecond))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
 	}
-	return failed
 }
 
 // connection returns an idle connection that shows no sign of its end, or a new one.
--- /dev/null
+++ b/kernel/gatherend.go
@@ -0,0 +1,129 @@
+package kernel
+
+import (
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+// Refused takes in that an endpoint did not run a call: its pieces wait again.
+func (g *Gathering) Refused(now time.Time, batch PieceBatch) []GroupOutcome {
+	m := g.end(batch, nil)
+	if m != nil {
+		m.pausedUntil = now.Add(makerPause)
+		g.lastStart = time.Time{}
+		m.health.Probing = false
+	}
+	return g.retryPieces(now, batch, nil, model.PieceNoRoom, false)
+}
+
+// Failed takes in that a call ended without an answer. What it made, if anything, is lost.
+func (g *Gathering) Failed(now time.Time, batch PieceBatch) []GroupOutcome {
+	if m := g.end(batch, nil); m != nil {
+		m.health = m.health.WithFailure(now)
+		g.lastStart = time.Time{}
+	}
+	return g.retryPieces(now, batch, nil, model.PieceFailed, true)
+}
+
+// Unreachable takes in that a call's endpoint could not be connected to: its pieces wait again.
+func (g *Gathering) Unreachable(now time.Time, batch PieceBatch) []GroupOutcome {
+	if m := g.end(batch, nil); m != nil {
+		m.health = m.health.WithUnreachable(now)
+		g.lastStart = time.Time{}
+	}
+	return g.retryPieces(now, batch, nil, model.PieceFailed, false)
+}
+
+// Done takes the results of a call in. It returns the groups that ended, and the results that
+// nobody waits for any more.
+func (g *Gathering) Done(now time.Time, batch PieceBatch, results []model.PieceResult) (ended []GroupOutcome, unwanted []MadePiece) {
+	if m := g.end(batch, results); m != nil {
+		m.health = m.health.WithSuccess()
+		took := float64(now.Sub(batch.startedAt)) / float64(max(1, batch.stated))
+		m.pace += paceWeight * (took - m.pace)
+	}
+	failed := map[int]model.PieceFault{}
+	for i, p := range batch.Pieces {
+		r := results[i]
+		if r.Handle == "" {
+			failed[i] = r.Fault
+			g.noteFull(now, batch, r.Fault)
+			continue
+		}
+		g.results[r.Handle] = heldResult{maker: batch.Endpoint.Name, bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)}
+		made := MadePiece{Number: p.Number, Handle: r.Handle, Maker: batch.Endpoint.Name, Domain: batch.Endpoint.FailureDomain, Bytes: batch.bytes[i]}
+		w := g.groups[batch.groups[i]]
+		if w == nil {
+			unwanted = append(unwanted, made)
+			continue
+		}
+		w.made = append(w.made, made)
+	}
+	ended = g.retryPieces(now, batch, failed, "", true)
+	for _, id := range slices.Compact(slices.Clone(batch.groups)) {
+		w := g.groups[id]
+		if w == nil || len(w.made) < len(w.Pieces) {
+			continue
+		}
+		slices.SortFunc(w.made, func(a, b MadePiece) int { return a.Number - b.Number })
+		ended = append(ended, GroupOutcome{Group: id, Made: w.made, Waited: w.waited})
+		delete(g.groups, id)
+	}
+	return ended, unwanted
+}
+
+// noteFull notes that a maker had no room although there should have been some.
+func (g *Gathering) noteFull(now time.Time, batch PieceBatch, fault model.PieceFault) {
+	if m := g.makers[batch.Endpoint.Name]; m != nil && fault == model.PieceNoRoom {
+		m.fullUntil = now.Add(foreignRoom)
+	}
+}
+
+// end frees the slot of a call, and the room of the pieces that were not made.
+func (g *Gathering) end(batch PieceBatch, results []model.PieceResult) *maker {
+	delete(g.running, batch.ID)
+	m := g.makers[batch.Endpoint.Name]
+	if m == nil {
+		return nil
+	}
+	m.calls--
+	for i, bytes := range batch.bytes {
+		if results == nil || results[i].Handle == "" {
+			m.used -= bytes
+		}
+	}
+	return m
+}
+
+// retryPieces puts pieces that were not made back among the waiting ones, or ends their groups.
+// With failed nil, all pieces of the call share one fault.
+func (g *Gathering) retryPieces(now time.Time, batch PieceBatch, failed map[int]model.PieceFault, all model.PieceFault, counts bool) []GroupOutcome {
+	var ended []GroupOutcome
+	for i, p := range batch.Pieces {
+		fault := all
+		if failed != nil {
+			var bad bool
+			if fault, bad = failed[i]; !bad {
+				continue
+			}
+		}
+		w := g.groups[batch.groups[i]]
+		if w == nil {
+			continue
+		}
+		if !counts {
+			w.tries[p.Number]--
+		}
+		hopeless := fault == model.PieceInputGone || fault == model.PieceLate
+		if hopeless || w.tries[p.Number] >= pieceTries || !now.Add(g.callTime(1)).Before(w.Until) {
+			ended = append(ended, GroupOutcome{Group: w.ID, Made: w.made, Fault: fault})
+			delete(g.groups, w.ID)
+			continue
+		}
+		w.waiting = append(w.waiting, p)
+	}
+	return ended
+}
+
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -276,7 +276,7 @@
 		return nil, err
 	}
 	g := r.hub.find(m.Pool)
-	if g == nil || r.goneAt.Load() != nil {
+	if g == nil || r.Leaving() {
 		return peer.GatherReply{Leaving: true}, nil
 	}
 	now := r.now()
@@ -311,7 +311,7 @@
 }
 
 func (r *Relay) answerProbe(context.Context, []byte) (any, error) {
-	return peer.ProbeReply{Leaving: r.goneAt.Load() != nil}, nil
+	return peer.ProbeReply{Leaving: r.Leaving()}, nil
 }
 
 // probe asks a node whether it gathers pieces.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -195,6 +195,28 @@
 	r.goneAt.Store(&gone)
 }
 
+// Leaving tells whether callers are to open their next connection elsewhere.
+func (r *Relay) Leaving() bool {
+	return r.goneAt.Load() != nil
+}
+
+// Ready tells whether callers should open new connections here, and why not.
+func (r *Relay) Ready() (bool, string) {
+	view := r.View()
+	switch {
+	case r.Leaving():
+		return false, "leaving"
+	case view.Table == nil:
+		return false, "no routing yet"
+	case r.Roster().Len() == 0:
+		return false, "no endpoints yet"
+	case r.options.KeyTrust > 0 && !view.Proven(r.now(), r.options.KeyTrust):
+		return false, "the routing is too old"
+	default:
+		return true, ""
+	}
+}
+
 // InFlight returns how many requests are being served.
 func (r *Relay) InFlight() int64 {
 	return r.inFlight.Load()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -70,8 +70,10 @@
 		}}},
 	}))
 	b.relay.SetRoster(kernel.NewRoster().WithChanges(now, now, []model.Endpoint{
-		{Name: "plain-0", Pool: "plain", State: model.Live}, {Name: "plain-1", Pool: "plain", State: model.Live},
-		{Name: "engine-0", Pool: "engines", State: model.Live}, {Name: "maker-0", Pool: "makers", State: model.Live},
+		{Name: "plain-0", Pool: "plain", State: model.Live},
+		{Name: "plain-1", Pool: "plain", State: model.Live},
+		{Name: "engine-0", Pool: "engines", State: model.Live},
+		{Name: "maker-0", Pool: "makers", State: model.Live},
 	}, nil))
 	return b
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -26,8 +26,8 @@
 	}
 	known := map[string]*sent{}
 	for _, s := range all {
-		known[s.id] = s
-		c.checkAnswer(s, runs[s.id])
+		known[s.ID] = s
+		c.checkAnswer(s, runs[s.ID])
 	}
 	for id, ran := range runs {
 		s := known[id]
@@ -47,32 +47,32 @@
 
 // checkAnswer checks what a caller was given.
 func (c *cluster) checkAnswer(s *sent, ran []ranAt) {
-	if s.status == http.StatusOK && s.whole {
+	if s.Status == http.StatusOK && s.Whole {
 		signed := false
 		for _, r := range ran {
-			signed = signed || s.stamp == r.run.Header.Get("X-Expect-Instance")+"."+s.id
+			signed = signed || s.Signature == r.run.Signature()
 		}
 		if !signed {
-			c.breach("%s got a success that no endpoint signed for it: %q", s.id, s.stamp)
+			c.breach("%s got a success that no endpoint signed for it: %q", s.ID, s.Signature)
 		}
-		if s.body != expected(s) {
-			c.breach("%s got a success with another body: %q", s.id, s.body)
+		if s.Answer.Body != expected(s) {
+			c.breach("%s got a success with another body: %q", s.ID, s.Answer.Body)
 		}
 	}
-	if s.status == http.StatusOK && !s.whole && !strings.HasPrefix(expected(s), s.body) {
-		c.breach("%s got a broken answer that isn't the beginning of its own: %q", s.id, s.body)
+	if s.Status == http.StatusOK && !s.Whole && !strings.HasPrefix(expected(s), s.Answer.Body) {
+		c.breach("%s got a broken answer that isn't the beginning of its own: %q", s.ID, s.Answer.Body)
 	}
-	if s.status == http.StatusServiceUnavailable && s.route != "get" && s.route != "res" && len(ran) > 0 {
-		c.breach("%s was told that it did not run, and ran", s.id)
+	if s.Status == http.StatusServiceUnavailable && s.Route != "get" && s.Route != "res" && len(ran) > 0 {
+		c.breach("%s was told that it did not run, and ran", s.ID)
 	}
-	if s.key == goodKey && (s.status == http.StatusUnauthorized || s.status == http.StatusNotFound) {
-		c.breach("%s got %d although its key and route always stood", s.id, s.status)
+	if s.Key == goodKey && (s.Status == http.StatusUnauthorized || s.Status == http.StatusNotFound) {
+		c.breach("%s got %d although its key and route always stood", s.ID, s.Status)
 	}
 }
 
 func expected(s *sent) string {
-	if s.route == "post" || s.route == "get" {
-		return "answer " + s.id
+	if s.Route == "post" || s.Route == "get" {
+		return "answer " + s.ID
 	}
 	var b strings.Builder
 	for n := 1; n <= streamEvents; n++ {
@@ -83,11 +83,11 @@
 
 // checkRuns checks what endpoints were asked for.
 func (c *cluster) checkRuns(s *sent, ran []ranAt) {
-	if len(ran) > 1 && (s.route == "post" || s.route == "gen") {
-		c.breach("%s ran %d times", s.id, len(ran))
+	if len(ran) > 1 && (s.Route == "post" || s.Route == "gen") {
+		c.breach("%s ran %d times", s.ID, len(ran))
 	}
 	if len(ran) > 2 {
-		c.breach("%s ran on %d endpoints, two are allowed", s.id, len(ran))
+		c.breach("%s ran on %d endpoints, two are allowed", s.ID, len(ran))
 	}
 	for _, r := range ran {
 		c.checkRun(s, r)
@@ -95,24 +95,24 @@
 }
 
 func (c *cluster) checkRun(s *sent, r ranAt) {
-	if r.run.URI != "/"+s.route+"/"+s.id || r.run.Body != "body of "+s.id {
-		c.breach("%s reached an endpoint changed: %s %q", s.id, r.run.URI, r.run.Body)
+	if r.run.URI != s.URI() || r.run.Body != s.Call.Body() {
+		c.breach("%s reached an endpoint changed: %s %q", s.ID, r.run.URI, r.run.Body)
 	}
-	if r.run.Header.Get("X-Tenant") != "ann" || r.run.Header.Get("Authorization") != "" {
-		c.breach("%s reached an endpoint with customer %q", s.id, r.run.Header.Get("X-Tenant"))
+	if r.run.Customer() != standin.Customer || r.run.Credentials() != "" {
+		c.breach("%s reached an endpoint with customer %q", s.ID, r.run.Customer())
 	}
-	if s.key == badKey {
-		c.breach("%s ran with a key that nobody ever held", s.id)
+	if s.Key == badKey {
+		c.breach("%s ran with a key that nobody ever held", s.ID)
 	}
-	if s.route == "gen" && len(strings.Split(r.run.Header.Get("X-Inputs"), ",")) != 3 {
-		c.breach("%s ran with inputs %q", s.id, r.run.Header.Get("X-Inputs"))
+	if s.Route == "gen" && len(r.run.Inputs()) != 3 {
+		c.breach("%s ran with inputs %q", s.ID, r.run.Inputs())
 	}
 	unlisted := r.server.unlistedAt
 	if !unlisted.IsZero() && s.at.After(unlisted.Add(drain+slack)) {
-		c.breach("%s was sent to %s, which had left %v before", s.id, r.server.Name, s.at.Sub(unlisted))
+		c.breach("%s was sent to %s, which had left %v before", s.ID, r.server.Name, s.at.Sub(unlisted))
 	}
-	if at, gone := c.revokedAt(s.key); gone && s.at.After(at.Add(revoke)) {
-		c.breach("%s ran although its key was taken away %v before it was sent", s.id, s.at.Sub(at))
+	if at, gone := c.revokedAt(s.Key); gone && s.at.After(at.Add(revoke)) {
+		c.breach("%s ran although its key was taken away %v before it was sent", s.ID, s.at.Sub(at))
 	}
 }
 
@@ -127,7 +127,7 @@
 				break
 			}
 			s := cs.send(n, fmt.Sprintf("%s-%s-%d", phase, n.name, i), []string{"get", "gen"}[i%2], goodKey)
-			if s.status == http.StatusOK && s.whole {
+			if s.Status == http.StatusOK && s.Whole {
 				served++
 				continue
 			}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -87,50 +88,29 @@
 	c.mu.Lock()
 	c.endpoints[name] = s
 	c.mu.Unlock()
-	c.list(s, "ready")
+	c.list(s, false)
 	return nil
 }
 
-func (c *cluster) list(s *server, state string) {
-	c.store.Put("servers", s.Name, map[string]any{
-		"service": s.pool, "address": s.proxy.address(), "zone": "domain-0", "state": state, "slots": 8,
-	})
+func (c *cluster) list(s *server, draining bool) {
+	c.store.List(s.Name, s.pool, s.proxy.address(), draining)
 }
 
 // configure writes the next version of the routing.
 func (c *cluster) configure() {
 	c.mu.Lock()
 	c.version += 2
-	stages := []map[string]any{{"service": "makers", "after": []int{}, "bytes": 1000}, {"service": "makers", "after": []int{0}, "bytes": 1000}}
-	routes := []map[string]any{
-		c.route("post", "unsafe", "plain", 2, nil),
-		c.route("get", "safe", "plain", 2, nil),
-		c.route("gen", "stream", "engines", 2, map[string]any{"stages": stages}),
-		c.route("res", "stream", "engines", 2, map[string]any{"resumable": true}),
-	}
+	routing := standin.Routing{Version: c.version, Keys: slices.Clone(c.keys), Routes: []standin.Route{
+		{Name: "post", Kind: "unsafe", Pool: "plain", Attempts: 2},
+		{Name: "get", Kind: "safe", Pool: "plain", Attempts: 2},
+		{Name: "gen", Kind: "stream", Pool: "engines", Attempts: 2, Stages: 2},
+		{Name: "res", Kind: "stream", Pool: "engines", Attempts: 2, Resumable: true},
+	}}
 	for i := range c.extra {
-		routes = append(routes, c.route(fmt.Sprint("extra", i), "safe", "plain", 2, nil))
-	}
-	pieces := map[string]any{"slots": 1, "queue": 2, "batch": 8, "call_ms": 2.0, "item_ms": 1.0, "headroom_mb": 18.0, "handle_s": 4.0}
-	routing := map[string]any{
-		"version": c.version, "routes": routes,
-		"services": []map[string]any{{"name": "plain"}, {"name": "engines"}, {"name": "makers", "pieces": pieces}},
-		"tenants":  []map[string]any{{"name": "ann", "api_keys": c.keys}},
-		"limits":   map[string]any{"max_body_bytes": 1 << 20},
+		routing.Routes = append(routing.Routes, standin.Route{Name: fmt.Sprint("extra", i), Kind: "safe", Pool: "plain", Attempts: 2})
 	}
 	c.mu.Unlock()
-	c.store.Put("op", "config", routing)
-}
-
-func (c *cluster) route(name, kind, pool string, attempts int, extra map[string]any) map[string]any {
-	r := map[string]any{
-		"name": name, "host": "a.example", "prefix": "/" + name + "/", "route_type": kind, "timeout_ms": 4000,
-		"slo_ms": 1000, "service": pool, "max_attempts": attempts,
-	}
-	for k, v := range extra {
-		r[k] = v
-	}
-	return r
+	c.store.Configure(routing)
 }
 
 // newNode prepares a host and starts its process.
@@ -143,29 +123,8 @@
 	if n.log, err = os.Create(filepath.Join(c.dir, n.name+".log")); err != nil {
 		return err
 	}
-	settings := fmt.Sprintf(`
-node_name = %q
-ip = "127.0.0.1"
-zone = %q
-internal_ports = [0, 0]
-[listen]
-frontend = "127.0.0.1:0"
-ready = "127.0.0.1:0"
-metrics = "127.0.0.1:0"
-[limits]
-memory_mb = 284
-[bounds]
-drain_ms = %d
-grace_s = %v
-fail_closed = true
-revoke_ms = %d
-budget_ratio = 0.5
-budget_window_s = 10
-budget_slack = 1000
-[platform]
-address = %q
-`, n.name, n.domain, drain.Milliseconds(), grace.Seconds(), revoke.Milliseconds(), n.link.address())
-	if err := os.WriteFile(n.settingsPath(), []byte(settings), 0o600); err != nil {
+	settings := standin.Node{Name: n.name, Domain: n.domain, Store: n.link.address(), Drain: drain, Grace: grace, Revoke: revoke}
+	if err := os.WriteFile(n.settingsPath(), []byte(settings.Settings()), 0o600); err != nil {
 		return err
 	}
 	c.nodes = append(c.nodes, n)
@@ -177,7 +136,7 @@
 // start starts the process and reads where it listens from its log.
 func (n *node) start() error {
 	process := exec.Command(n.c.binary, "edge")
-	process.Env = append(os.Environ(), "BASILSTALL_BOOT="+n.settingsPath())
+	process.Env = append(os.Environ(), standin.BootVariable+"="+n.settingsPath())
 	process.Stderr = n.log
 	out, err := process.StdoutPipe()
 	if err != nil {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -127,13 +127,13 @@
 		return
 	}
 	if random.IntN(2) == 0 {
-		c.list(old, "draining")
+		c.list(old, true)
 		time.Sleep(last / 2)
 	}
 	c.mu.Lock()
 	old.unlistedAt = time.Now()
 	c.mu.Unlock()
-	c.store.Remove("servers", old.Name)
+	c.store.Unlist(old.Name)
 }
 
 // routingChanges writes several versions in quick succession.
