--- a/kernel/gatherend.go
+++ b/kernel/gatherend.go
@@ -126,4 +126,3 @@
 	}
 	return ended
 }
-
--- a/kernel/gatherroom.go
+++ b/kernel/gatherroom.go
@@ -40,4 +40,3 @@
 		m.foreign = max(0, m.foreign-made.Bytes)
 	}
 }
-
--- a/kernel/gatherwait.go
+++ b/kernel/gatherwait.go
@@ -86,4 +86,3 @@
 func (g *Gathering) callTime(pieces int) time.Duration {
 	return g.traits.CallTime + time.Duration(min(pieces, g.traits.Batch))*g.traits.PieceTime
 }
-
