--- a/kernel/admit.go
+++ b/kernel/admit.go
@@ -6,13 +6,14 @@
 	"basilstall.example/basilstall/model"
 )
 
-// unknownRetry is when a caller may come back to a node that knows too little: the time in which
-// a node reads the store again.
-const unknownRetry = 500 * time.Millisecond
-
-// customerRanks is how many ranks one step of a customer's priority is worth: more than there are
-// priorities of routes.
-const customerRanks = 10
+const (
+	// unknownRetry is when a caller may come back to a node that knows too little: the time in
+	// which a node reads the store again.
+	unknownRetry = 500 * time.Millisecond
+	// customerRanks is how many ranks one step of a customer's priority is worth: more than there
+	// are priorities of routes.
+	customerRanks = 10
+)
 
 // Admission is what a request is admitted under.
 type Admission struct {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -20,6 +20,8 @@
 	mostSilence = 1500 * time.Millisecond
 )
 
+var errSilent = errors.New("relay: the engine is silent")
+
 type (
 	// streamState is what was passed on of a stream so far.
 	streamState struct {
@@ -184,8 +186,6 @@
 	return time.AfterFunc(mostSilence, func() { cancel(errSilent) })
 }
 
-var errSilent = errors.New("relay: the engine is silent")
-
 func (j *job) begin(reply *model.ForwardReply, state *streamState) {
 	if state.begun {
 		return
