--- a/follow/follower.go
+++ b/follow/follower.go
@@ -194,6 +194,11 @@
 // askPeer asks the node that reads the store for this one. This node reads the store itself where
 // it is that node, or where the answer does not come or is old.
 func (f *Follower) askPeer(ctx context.Context) {
+	if !f.knowsAll() && !f.lost() {
+		// The whole of each table comes from the store: after a common start, one node would have
+		// to answer all others with it.
+		return
+	}
 	source, own := kernel.Reader(f.options.Name, f.options.Domain, f.relay.Reachable(), f.lost())
 	if source == "" {
 		f.setReads(true, "this node reads for its failure domain")
@@ -216,6 +221,19 @@
 	}
 }
 
+// knowsAll tells whether all tables were read.
+func (f *Follower) knowsAll() bool {
+	for _, t := range f.tables {
+		t.mu.Lock()
+		_, known := t.mirror.Known()
+		t.mu.Unlock()
+		if !known {
+			return false
+		}
+	}
+	return true
+}
+
 // lost tells whether this node reads the store and gets no answer.
 func (f *Follower) lost() bool {
 	if !f.reads.Load() {
