--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -336,6 +336,7 @@
 func (g *gatherer) takeOver(now time.Time) {
 	g.mu.Lock()
 	idle := now.Sub(g.gatheredAt) > takeOverAfter
+	room := g.traits.Room
 	g.gatheredAt = now
 	g.mu.Unlock()
 	if !idle {
@@ -343,7 +344,7 @@
 	}
 	g.relay.metrics.Event("GathererTookOver")
 	g.relay.log.Info().Str("Pool", g.name).Msg("gathering begins here")
-	if g.traits.Room < roomWorthAsking {
+	if room < roomWorthAsking {
 		return
 	}
 	for _, maker := range g.relay.Roster().Endpoints(g.name) {
