Free a stage's inputs once they were fetched, where their pool is crowded

A result was held through its own call (370 ms), the consumer's wait and the consumer's whole call (370 ms); the last is needless, since the consumer fetches inputs when its turn comes. Ruled out: slots (calls were not full), spacing (Next ran as endpoints came free), endpoints missing. Change: the consumer's gatherer frees inputs some 70 ms after the last call for a group has started, by the endpoint's link; only results that nothing else needs, whose pool has a queue and that take over 1% of a maker's room. A piece that then fails ends its group.

The line that ends a request now has what the caller had left and the wait for the first event.

--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -47,6 +47,10 @@
 		Pieces []model.Piece
 		// ResultBytes is the approximate size of one result.
 		ResultBytes int64
+		// Inputs are the results that each of the pieces is made from. With FreeInputs nothing else
+		// needs them, and they may be freed once the calls have fetched them.
+		Inputs     []MadePiece
+		FreeInputs bool
 		// Domain is the failure domain where the inputs lie or the results are wanted; empty
 		// where it does not matter. After Patience other domains are as good.
 		Domain   string
@@ -67,17 +71,20 @@
 		// groups holds the group of each piece.
 		groups []uint64
 		bytes  []int64
-		// startedAt is when the call was handed out, stated what it should take.
+		// startedAt is when the call was handed out, stated what it should take, fetching until
+		// when its endpoint needs the inputs at most.
 		startedAt time.Time
 		stated    time.Duration
+		fetching  time.Duration
 	}
 
 	// MadePiece is a result with its place.
 	MadePiece struct {
 		Number int
 		Handle string
-		// Maker is the endpoint that holds the result, in a failure domain.
+		// Maker is the endpoint that holds the result, of a pool and in a failure domain.
 		Maker  string
+		Pool   string
 		Domain string
 		// Bytes is its approximate size.
 		Bytes int64
@@ -91,6 +98,8 @@
 		Fault model.PieceFault
 		// Waited is how long the last of its pieces waited for a call.
 		Waited time.Duration
+		// InputsFreed is true where its inputs were handed out to be freed.
+		InputsFreed bool
 	}
 
 	// Gathering collects the pieces of one pool from all nodes, and cuts them into calls as its
@@ -134,6 +143,9 @@
 		made    []MadePiece
 		tries   map[int]int
 		waited  time.Duration
+		// fetchedAt is when the calls under way have fetched the inputs.
+		fetchedAt   time.Time
+		inputsFreed bool
 	}
 
 	heldResult struct {
@@ -370,6 +382,7 @@
 	batch.Endpoint = m.endpoint
 	batch.startedAt = now
 	batch.stated = g.callTime(len(batch.Pieces))
+	batch.fetching = g.fetchTime(batch)
 	m.calls++
 	g.lastStart = now
 	if m.health.Ejected() {
@@ -380,6 +393,7 @@
 		w := g.groups[batch.groups[i]]
 		w.tries[p.Number]++
 		w.waited = now.Sub(w.arrived)
+		w.fetchedAt = now.Add(batch.fetching)
 		w.waiting = slices.DeleteFunc(w.waiting, func(q model.Piece) bool { return q.Number == p.Number })
 	}
 	g.running[batch.ID] = batch
@@ -405,7 +419,7 @@
 		if len(w.waiting) == 0 || latest.Before(w.Until) {
 			continue
 		}
-		ended = append(ended, GroupOutcome{Group: id, Made: w.made, Fault: model.PieceLate})
+		ended = append(ended, w.outcome(model.PieceLate))
 		delete(g.groups, id)
 	}
 	for handle, r := range g.results {
--- a/kernel/gatherend.go
+++ b/kernel/gatherend.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		g.results[r.Handle] = heldResult{maker: batch.Endpoint.Name, bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)}
-		made := MadePiece{Number: p.Number, Handle: r.Handle, Maker: batch.Endpoint.Name, Domain: batch.Endpoint.FailureDomain, Bytes: batch.bytes[i]}
+		made := MadePiece{Number: p.Number, Handle: r.Handle, Maker: batch.Endpoint.Name, Pool: batch.Endpoint.Pool, Domain: batch.Endpoint.FailureDomain, Bytes: batch.bytes[i]}
 		w := g.groups[batch.groups[i]]
 		if w == nil {
 			unwanted = append(unwanted, made)
@@ -68,7 +68,7 @@
 			continue
 		}
 		slices.SortFunc(w.made, func(a, b MadePiece) int { return a.Number - b.Number })
-		ended = append(ended, GroupOutcome{Group: id, Made: w.made, Waited: w.waited})
+		ended = append(ended, w.outcome(""))
 		delete(g.groups, id)
 	}
 	return ended, unwanted
@@ -116,9 +116,9 @@
 		if !counts {
 			w.tries[p.Number]--
 		}
-		hopeless := fault == model.PieceInputGone || fault == model.PieceLate
+		hopeless := fault == model.PieceInputGone || fault == model.PieceLate || w.inputsFreed
 		if hopeless || w.tries[p.Number] >= pieceTries || !now.Add(g.callTime(1)).Before(w.Until) {
-			ended = append(ended, GroupOutcome{Group: w.ID, Made: w.made, Fault: fault})
+			ended = append(ended, w.outcome(fault))
 			delete(g.groups, w.ID)
 			continue
 		}
@@ -126,3 +126,8 @@
 	}
 	return ended
 }
+
+// outcome returns how a group ended; the fault is empty where it is whole.
+func (w *waitingGroup) outcome(fault model.PieceFault) GroupOutcome {
+	return GroupOutcome{Group: w.ID, Made: w.made, Fault: fault, Waited: w.waited, InputsFreed: w.inputsFreed}
+}
--- /dev/null
+++ b/kernel/gatherfetch.go
@@ -0,0 +1,56 @@
+package kernel
+
+import "time"
+
+const (
+	// fetchGrace is how long after the start of a call its endpoint begins to fetch inputs at the
+	// latest: some round trips.
+	fetchGrace = 60 * time.Millisecond
+	// fetchMargin is how many times the time that the endpoint's link needs for the inputs they may
+	// take: their makers' links carry other calls' inputs too.
+	fetchMargin = 2
+	// crowdingShare is the share of an endpoint's room from which on a group's inputs crowd out
+	// other results.
+	crowdingShare = 0.01
+)
+
+// Crowds tells whether results of so many bytes are to be freed as soon as they were fetched: a
+// pool has a queue, and they take a good part of an endpoint's room.
+func (o PoolOutlook) Crowds(bytes int64) bool {
+	return o.Wait > queueWait && float64(bytes) >= crowdingShare*float64(o.Traits.Room)
+}
+
+// fetchTime returns how long after its start a call needs the inputs of its pieces at most. Each
+// piece fetches all inputs of its group.
+func (g *Gathering) fetchTime(batch PieceBatch) time.Duration {
+	if g.traits.Link <= 0 {
+		return batch.stated
+	}
+	var bytes int64
+	for _, id := range batch.groups {
+		for _, input := range g.groups[id].Inputs {
+			bytes += input.Bytes
+		}
+	}
+	return fetchGrace + time.Duration(fetchMargin*float64(bytes)/float64(g.traits.Link)*float64(time.Second))
+}
+
+// FetchTime returns how long after its start a call needs the inputs of its pieces at most.
+func (b PieceBatch) FetchTime() time.Duration {
+	return b.fetching
+}
+
+// Fetched returns the inputs that the calls under way have fetched and that nothing else needs;
+// each is returned once. Held until the calls end, they would take room from other results for
+// twice as long. The price: a piece whose call fails after that can't be made again.
+func (g *Gathering) Fetched(now time.Time) []MadePiece {
+	var out []MadePiece
+	for _, w := range g.groups {
+		if !w.FreeInputs || w.inputsFreed || len(w.waiting) > 0 || now.Before(w.fetchedAt) {
+			continue
+		}
+		w.inputsFreed = true
+		out = append(out, w.Inputs...)
+	}
+	return out
+}
--- a/model/routing.go
+++ b/model/routing.go
@@ -103,6 +103,8 @@
 		Room int64
 		// Keep is how long a result is held after its call unless it is freed.
 		Keep time.Duration
+		// Link is how many bytes a second an endpoint's link carries; zero where that is not known.
+		Link int64
 	}
 
 	// KeyHolder is a customer with its API keys.
--- a/peer/message.go
+++ b/peer/message.go
@@ -143,7 +143,8 @@
 		Stage       int
 		Numbers     []int
 		Key         string
-		Inputs      []string
+		Inputs      []kernel.MadePiece
+		FreeInputs  bool
 		ResultBytes int64
 		Domain      string
 		Patience    time.Duration
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -29,8 +29,11 @@
 	gatherRequest struct {
 		pool   string
 		pieces []model.Piece
-		bytes  int64
-		domain string
+		// inputs are what each piece is made from; with freeInputs nothing else needs them.
+		inputs     []kernel.MadePiece
+		freeInputs bool
+		bytes      int64
+		domain     string
 		// patience is how long the pieces wait for the domain.
 		patience time.Duration
 		rank     int
@@ -85,6 +88,7 @@
 		return stageDone{refusal: model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(result.retryAfter), "pool "+pool+" has no time for the pieces")}
 	}
 	done := stageDone{made: result.outcome.Made}
+	done.inputsFreed = result.outcome.InputsFreed
 	done.time.Waited = result.outcome.Waited
 	if fault := result.outcome.Fault; fault != "" {
 		done.time.Fault = fault
@@ -182,6 +186,8 @@
 	return kernel.PieceGroup{
 		ID:          id,
 		Pieces:      req.pieces,
+		Inputs:      req.inputs,
+		FreeInputs:  req.freeInputs,
 		ResultBytes: req.bytes,
 		Domain:      req.domain,
 		Patience:    req.patience,
@@ -201,7 +207,8 @@
 		Request:     first.Request,
 		Stage:       first.Stage,
 		Key:         first.Key,
-		Inputs:      first.Inputs,
+		Inputs:      req.inputs,
+		FreeInputs:  req.freeInputs,
 		ResultBytes: req.bytes,
 		Domain:      req.domain,
 		Patience:    req.patience,
@@ -282,6 +289,8 @@
 	now := r.now()
 	group := kernel.PieceGroup{
 		ID:          r.groups.Add(1),
+		Inputs:      m.Inputs,
+		FreeInputs:  m.FreeInputs,
 		ResultBytes: m.ResultBytes,
 		Domain:      m.Domain,
 		Patience:    m.Patience,
@@ -289,9 +298,10 @@
 		Due:         now.Add(m.DueIn),
 		Until:       now.Add(m.UntilIn),
 	}
+	handles := handlesOf(m.Inputs)
 	for _, n := range m.Numbers {
 		group.Pieces = append(group.Pieces, model.Piece{
-			Request: m.Request, Stage: m.Stage, Number: n, Key: m.Key, Inputs: m.Inputs, Deadline: group.Until,
+			Request: m.Request, Stage: m.Stage, Number: n, Key: m.Key, Inputs: handles, Deadline: group.Until,
 		})
 	}
 	if m.OnlyAsk {
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -127,6 +127,17 @@
 	return out
 }
 
+// lastOutlook returns what a pool's gatherer last told, however long ago.
+func (h *hub) lastOutlook(pool string) kernel.PoolOutlook {
+	g := h.find(pool)
+	if g == nil {
+		return kernel.PoolOutlook{}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return kernel.PoolOutlook{Traits: g.traits, Wait: g.wait}
+}
+
 // lastWait returns what the pool's gatherer last told of its queue, if that was lately.
 func (g *gatherer) lastWait() (time.Duration, bool) {
 	g.mu.Lock()
@@ -201,6 +212,7 @@
 			break
 		}
 		go g.call(batch, g.g.Expected(batch))
+		time.AfterFunc(batch.FetchTime(), g.freeFetched)
 	}
 	if pieces, _ := g.g.Waiting(); pieces > 0 {
 		g.timer.Reset(min(pumpAgain, max(time.Millisecond, g.g.Spacing()/2)))
@@ -311,14 +323,32 @@
 	}
 }
 
-func (g *gatherer) freeAt(maker model.Endpoint, made []kernel.MadePiece) {
-	ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
-	defer cancel()
+// freeFetched gives up the inputs that calls have fetched.
+func (g *gatherer) freeFetched() {
+	g.mu.Lock()
+	fetched := g.g.Fetched(g.relay.now())
+	g.mu.Unlock()
+	byPool := map[string][]kernel.MadePiece{}
+	for _, m := range fetched {
+		byPool[m.Pool] = append(byPool[m.Pool], m)
+	}
+	for pool, made := range byPool {
+		g.relay.release(pool, made)
+	}
+}
+
+func handlesOf(made []kernel.MadePiece) []string {
 	handles := make([]string, 0, len(made))
 	for _, m := range made {
 		handles = append(handles, m.Handle)
 	}
-	if err := g.relay.wire.Free(ctx, maker, handles); err != nil {
+	return handles
+}
+
+func (g *gatherer) freeAt(maker model.Endpoint, made []kernel.MadePiece) {
+	ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
+	defer cancel()
+	if err := g.relay.wire.Free(ctx, maker, handlesOf(made)); err != nil {
 		// The maker drops them by itself after a while, and so does the account.
 		g.relay.metrics.Event("FreeFailed")
 		return
--- a/relay/log.go
+++ b/relay/log.go
@@ -30,9 +30,15 @@
 	line := log.Info().Str("Request", f.ID).Str("Route", a.Route.Name).Str("Customer", a.Customer).Int("Rank", a.Rank).
 		Uint64("Routing", view.Table.Version()).Dur("RoutingAge", now.Sub(view.ProvenAt)).
 		Dur("Elapsed", now.Sub(f.ReceivedAt)).Int("Attempts", o.Attempts)
+	if !f.Deadline.IsZero() {
+		line = line.Dur("Left", f.Deadline.Sub(f.ReceivedAt))
+	}
 	if o.Endpoint != "" {
 		line = line.Str("Endpoint", o.Endpoint)
 	}
+	if o.First > 0 {
+		line = line.Dur("First", o.First)
+	}
 	if len(o.Stages) > 0 {
 		line = line.Array("Stages", stageTimes(o.Stages))
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -92,6 +92,8 @@
 		// Endpoint and Attempts say who answered and how many endpoints were asked.
 		Endpoint string
 		Attempts int
+		// First is how long the request waited for the first event of its stream; zero where none came.
+		First time.Duration
 		// Stages says what became of the stages that were begun.
 		Stages []StageTime
 	}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -31,10 +31,12 @@
 
 	// stageDone is how one stage ended.
 	stageDone struct {
-		stage   int
-		made    []kernel.MadePiece
-		refusal *model.Refusal
-		time    StageTime
+		stage int
+		made  []kernel.MadePiece
+		// inputsFreed is true where the gatherer freed what the stage was made from.
+		inputsFreed bool
+		refusal     *model.Refusal
+		time        StageTime
 	}
 )
 
@@ -54,6 +56,9 @@
 		running--
 		j.stages = append(j.stages, d.time)
 		run.hold(d.stage, d.made)
+		if d.inputsFreed {
+			run.forgetInputs(d.stage)
+		}
 		if d.refusal != nil {
 			cancel()
 			go run.drainAfter(done, running)
@@ -164,9 +169,9 @@
 		inputs = append(inputs, run.results[before]...)
 		inputBytes += int64(len(run.results[before])) * j.admission.Route.Stages[before].ResultBytes
 	}
-	for _, m := range inputs {
-		piece.Inputs = append(piece.Inputs, m.Handle)
-	}
+	piece.Inputs = handlesOf(inputs)
+	g.inputs = inputs
+	g.freeInputs = run.soleConsumer(stage) && j.crowding(run, stage)
 	if domain := kernel.DomainOf(inputs); domain != "" {
 		g.domain = domain
 	}
@@ -202,6 +207,38 @@
 	}
 }
 
+// crowding tells whether what a stage is made from takes room that other requests wait for.
+func (j *job) crowding(run *stageRun, stage int) bool {
+	for _, before := range run.stages[stage].After {
+		bytes := int64(len(run.results[before])) * run.stages[before].ResultBytes
+		if j.relay.hub.lastOutlook(run.stages[before].Pool).Crowds(bytes) {
+			return true
+		}
+	}
+	return false
+}
+
+// soleConsumer tells whether no other stage needs what a stage is made from.
+func (s *stageRun) soleConsumer(stage int) bool {
+	for _, before := range s.stages[stage].After {
+		for k, other := range s.stages {
+			if k != stage && slices.Contains(other.After, before) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// forgetInputs notes that what a stage was made from was freed by its gatherer.
+func (s *stageRun) forgetInputs(stage int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, before := range s.stages[stage].After {
+		delete(s.held, before)
+	}
+}
+
 // releaseConsumed frees the results of stages whose followers are all done.
 func (s *stageRun) releaseConsumed() {
 	for i := range s.stages {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -65,6 +65,9 @@
 			return j.streamRefusal(&state, model.NotRun, model.NoEndpoint, "no engine is known")
 		}
 		outcome := Outcome{Status: state.status, Endpoint: e.Name, Attempts: j.asked}
+		if state.begun {
+			outcome.First = state.firstAt.Sub(j.forward.ReceivedAt)
+		}
 		switch {
 		case end.whole, end.passed:
 			outcome.Whole = true
