Tell callers that come back from new ones: their objective counts from the first attempt

While a pool has a queue, the door asks it how long the caller has waited, and plans from the first attempt.

--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -400,6 +400,11 @@
 	return batch
 }
 
+// StartedAt is when the call was handed out.
+func (b PieceBatch) StartedAt() time.Time {
+	return b.startedAt
+}
+
 // Expected returns how long a call may take before its endpoint is given up: what is stated,
 // times the pace that the endpoint showed.
 func (g *Gathering) Expected(batch PieceBatch) time.Duration {
--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -52,6 +52,11 @@
 	return o
 }
 
+// Queued tells whether the pieces of a pool wait.
+func (o PoolOutlook) Queued() bool {
+	return o.Wait > queueWait
+}
+
 // PlanStages plans the stages of a request by when it was received. The outlook has an entry
 // for each stage's pool; firstEvent is how long the engine takes to the first event.
 func PlanStages(f model.Forward, a Admission, outlook map[string]PoolOutlook, firstEvent time.Duration) StagePlan {
@@ -74,7 +79,7 @@
 		plan.Expected = max(plan.Expected, rest[i]+own)
 	}
 	plan.Expected = max(plan.Expected, firstEvent)
-	due := f.ReceivedAt.Add(a.Route.Objective - firstEventMargin)
+	due := f.AskedAt().Add(a.Route.Objective - firstEventMargin)
 	for i := range stages {
 		plan.Due[i] = due.Add(-rest[i])
 		plan.Until[i] = a.Until.Add(-rest[i])
@@ -124,7 +129,7 @@
 			wait += outlook[s.Pool].Wait
 		}
 	}
-	late := now.Add(time.Duration(lateMargin * float64(plan.Expected))).After(f.ReceivedAt.Add(a.Route.Objective))
+	late := now.Add(time.Duration(lateMargin * float64(plan.Expected))).After(f.AskedAt().Add(a.Route.Objective))
 	hopeless := now.Add(plan.Expected).After(a.Until)
 	if hopeless || (late && wait > crowdedWait) {
 		return model.NewRefusal(model.NotRun, model.StageLate, RetryAfter(wait), "the stages would be late")
--- a/model/forward.go
+++ b/model/forward.go
@@ -24,6 +24,9 @@
 		Key string
 		// ReceivedAt and Deadline are on the clock that counts suspension.
 		ReceivedAt time.Time
+		// Waited is how long the caller had waited since its first attempt when this one was
+		// received; zero where that is not known.
+		Waited time.Duration
 		// Deadline is when the caller stops waiting; zero where it did not say.
 		Deadline time.Time
 		Prompt   Prompt
@@ -90,6 +93,17 @@
 	PieceFault string
 )
 
+// AskedAt returns when the caller first asked: objectives count from there.
+func (f Forward) AskedAt() time.Time {
+	return f.ReceivedAt.Add(-f.Waited)
+}
+
+// WithWaited returns the request with another time that its caller had waited.
+func (f Forward) WithWaited(waited time.Duration) Forward {
+	f.Waited = waited
+	return f
+}
+
 // The faults of pieces.
 const (
 	// PieceLate: its deadline had passed when its turn came.
--- a/peer/message.go
+++ b/peer/message.go
@@ -27,6 +27,7 @@
 	KindRelease
 	KindProbe
 	KindFeed
+	KindReturn
 )
 
 type (
@@ -182,6 +183,19 @@
 		Leaving bool
 	}
 
+	// Return asks how long the caller of a request has waited since its first attempt, or, with
+	// Refused, tells that an attempt was refused after the caller had waited for a time.
+	Return struct {
+		Identity string
+		Refused  bool
+		Waited   time.Duration
+	}
+
+	// ReturnReply answers Return; Waited is zero for a request that is not known.
+	ReturnReply struct {
+		Waited time.Duration
+	}
+
 	// Feed asks for what changed in tables of the store after a version of each.
 	Feed struct {
 		After map[string]uint64
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -274,6 +274,7 @@
 		peer.KindGatherCancel: r.answerGatherCancel,
 		peer.KindRelease:      r.answerRelease,
 		peer.KindProbe:        r.answerProbe,
+		peer.KindReturn:       r.answerReturn,
 	}
 }
 
--- a/relay/log.go
+++ b/relay/log.go
@@ -30,6 +30,9 @@
 	line := log.Info().Str("Request", f.ID).Str("Route", a.Route.Name).Str("Customer", a.Customer).Int("Rank", a.Rank).
 		Uint64("Routing", view.Table.Version()).Dur("RoutingAge", now.Sub(view.ProvenAt)).
 		Dur("Elapsed", now.Sub(f.ReceivedAt)).Int("Attempts", o.Attempts)
+	if f.Waited > 0 {
+		line = line.Dur("Waited", f.Waited)
+	}
 	if !f.Deadline.IsZero() {
 		line = line.Dur("Left", f.Deadline.Sub(f.ReceivedAt))
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -127,6 +127,8 @@
 		// suspects are nodes that did not answer; remote holds other nodes' groups here.
 		suspects *suspects
 		remote   *remoteGroups
+		// returning holds the refused requests of the pools that this node gathers for.
+		returning *returning
 
 		// goneAt is when a leaving node will be gone; nil while it is not leaving.
 		goneAt   atomic.Pointer[time.Time]
@@ -163,6 +165,7 @@
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.hub = newHub(r)
 	r.remote = newRemoteGroups()
+	r.returning = newReturning()
 	r.suspects = newSuspects(r.ctx, r.probe, func(node string) {
 		r.log.Info().Str("Gatherer", node).Msg("node answers again")
 	})
@@ -313,9 +316,13 @@
 		outcome = job.unary(ctx)
 	}
 	outcome.Stages = job.stages
+	f = job.forward
 	switch {
 	case outcome.Refusal != nil:
 		r.metrics.Refused(outcome.Refusal)
+		if outcome.Refusal.Verdict == model.NotRun && outcome.Refusal.RetryAfter > 0 {
+			r.noteRefused(job.forward, admission.Route.Stages)
+		}
 	case !outcome.Whole:
 		r.metrics.Event("AnswerBrokenOff")
 	default:
--- /dev/null
+++ b/relay/returning.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
+)
+
+// returning guards a kernel.Returning, which one node holds for each pool of stages: its gatherer,
+// whom all nodes talk to anyway. It is soft state: with the gatherer lost, callers that come back
+// count as new ones.
+type returning struct {
+	mu     sync.Mutex
+	memory *kernel.Returning
+}
+
+func newReturning() *returning {
+	return &returning{memory: kernel.NewReturning()}
+}
+
+func (m *returning) refused(now time.Time, identity string, waited time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.memory.Refused(now, identity, waited)
+}
+
+func (m *returning) waited(now time.Time, identity string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.memory.Waited(now, identity)
+}
+
+// waitedBefore returns how long the caller of a request has waited since its first attempt.
+func (r *Relay) waitedBefore(ctx context.Context, f model.Forward, stages []model.StageNode) time.Duration {
+	identity := kernel.Identity(f.Prompt)
+	if identity == "" {
+		return 0
+	}
+	keeper := r.returnKeeper(stages)
+	if keeper == r.options.Name {
+		return r.returning.waited(r.now(), identity)
+	}
+	ctx, cancel := context.WithTimeout(ctx, outlookTimeout)
+	defer cancel()
+	var reply peer.ReturnReply
+	if r.peers.Call(ctx, r.addressOf(keeper), peer.KindReturn, peer.Return{Identity: identity}, &reply) != nil {
+		r.metrics.Event("ReturnUnknown")
+		return 0
+	}
+	if reply.Waited > 0 {
+		r.metrics.Event("CallerReturned")
+	}
+	return reply.Waited
+}
+
+// noteRefused tells the keeper that a request with stages was refused and may come back.
+func (r *Relay) noteRefused(f model.Forward, stages []model.StageNode) {
+	identity := kernel.Identity(f.Prompt)
+	if identity == "" || len(stages) == 0 {
+		return
+	}
+	waited := f.Waited + r.now().Sub(f.ReceivedAt)
+	keeper := r.returnKeeper(stages)
+	if keeper == r.options.Name {
+		r.returning.refused(r.now(), identity, waited)
+		return
+	}
+	address := r.addressOf(keeper)
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
+		defer cancel()
+		var reply peer.ReturnReply
+		if r.peers.Call(ctx, address, peer.KindReturn, peer.Return{Identity: identity, Refused: true, Waited: waited}, &reply) != nil {
+			r.metrics.Event("ReturnNotNoted")
+		}
+	}()
+}
+
+// returnKeeper returns the node that remembers the refused requests of a route.
+func (r *Relay) returnKeeper(stages []model.StageNode) string {
+	return kernel.Gatherers(stages[0].Pool, r.Reachable())[0]
+}
+
+func (r *Relay) answerReturn(_ context.Context, body []byte) (any, error) {
+	var m peer.Return
+	if err := peer.DecodeBody(body, &m); err != nil {
+		return nil, err
+	}
+	if m.Refused {
+		r.returning.refused(r.now(), m.Identity, m.Waited)
+		return peer.ReturnReply{}, nil
+	}
+	return peer.ReturnReply{Waited: r.returning.waited(r.now(), m.Identity)}, nil
+}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -99,10 +99,23 @@
 		}
 	}
 	outlook := r.outlook(ctx, groups)
+	if queued(outlook) {
+		j.forward = j.forward.WithWaited(r.waitedBefore(ctx, j.forward, run.stages))
+	}
 	run.plan = kernel.PlanStages(j.forward, j.admission, outlook, firstEvent)
 	return run, kernel.AdmitStages(r.now(), j.forward, j.admission, run.plan, outlook)
 }
 
+// queued tells whether any of several pools has a queue: only then does it matter who is late.
+func queued(outlook map[string]kernel.PoolOutlook) bool {
+	for _, o := range outlook {
+		if o.Queued() {
+			return true
+		}
+	}
+	return false
+}
+
 // startStages starts the stages that are ready, and returns how many.
 func (j *job) startStages(ctx context.Context, run *stageRun, done chan<- stageDone) int {
 	running := 0
