Pass over a reader that the store does not answer

The node that read for their failure domain was cut off from the store for 8 s, but answered the others. It asked the second node of its domain, which stopped reading as soon as the first one's word was young again: the two leaned on each other until their word was over 2.25 s old, read once, and began anew. Proofs then lay 2.4 s or more apart, which the roster takes for an outage of the store, and removed endpoints got the grace of 2.2 s that is for outages. Ruled out: rows lost between mirrors (versions and removals agree in the trace), the store's feed, the removal applied late by the kernel. Change: a node that the store does not answer says so instead of what it knows, and is passed over for 1 s; the next in order reads, and is whom the first one asks.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -30,8 +30,14 @@
 	// the one before.
 	retryFirst = 150 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
+	// awayMemory is how long a node that the store does not answer is passed over before it is
+	// asked again, and sourceTries how many nodes are asked in a row.
+	awayMemory  = time.Second
+	sourceTries = 3
 )
 
+var errSourceLost = errors.New("follow: the store does not answer the reader")
+
 // ErrHistoryGone is returned by a store that no longer knows what changed since a version.
 var ErrHistoryGone = errors.New("follow: the store's history is gone")
 
@@ -74,6 +80,8 @@
 		tables  []*followed
 		// reads is true while this node reads the store.
 		reads atomic.Bool
+		// away holds until when nodes are passed over. It belongs to the goroutine that asks them.
+		away map[string]time.Time
 	}
 
 	// followed is a table with what is known of it.
@@ -88,7 +96,7 @@
 
 // NewFollower follows tables until ctx ends.
 func NewFollower(ctx context.Context, options Options, store Store, r *relay.Relay, tables []Table, metrics *metric.Set, log zerolog.Logger) *Follower {
-	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics}
+	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, away: map[string]time.Time{}}
 	f.reads.Store(true)
 	for _, t := range tables {
 		f.tables = append(f.tables, &followed{Table: t, mirror: kernel.NewMirror()})
@@ -199,12 +207,25 @@
 		// to answer all others with it.
 		return
 	}
-	source, own := kernel.Reader(f.options.Name, f.options.Domain, f.relay.Reachable(), f.lost())
-	if source == "" {
-		f.setReads(true, "this node reads for its failure domain")
+	for range sourceTries {
+		source, own := kernel.Reader(f.options.Name, f.options.Domain, f.relay.Reachable(), f.lost(), f.awayNow())
+		if source == "" {
+			f.setReads(true, "this node reads for its failure domain")
+			return
+		}
+		age, err := f.askNode(ctx, source)
+		if errors.Is(err, errSourceLost) {
+			f.away[source] = clock.Now().Add(awayMemory)
+			continue
+		}
+		f.decide(source, own, age, err)
 		return
 	}
-	age, err := f.askNode(ctx, source)
+	f.setReads(true, "the store does not answer the readers")
+}
+
+// decide takes in what the reader said, or that it did not.
+func (f *Follower) decide(source string, own bool, age time.Duration, err error) {
 	if err != nil {
 		f.metrics.Event("ReaderFailed")
 		f.relay.Suspect(source, err)
@@ -221,6 +242,19 @@
 	}
 }
 
+// awayNow returns the nodes that are passed over, and forgets the others.
+func (f *Follower) awayNow() map[string]bool {
+	out := map[string]bool{}
+	for name, until := range f.away {
+		if clock.Now().After(until) {
+			delete(f.away, name)
+			continue
+		}
+		out[name] = true
+	}
+	return out
+}
+
 // knowsAll tells whether all tables were read.
 func (f *Follower) knowsAll() bool {
 	for _, t := range f.tables {
@@ -268,6 +302,9 @@
 	if err := f.relay.Ask(ctx, node, peer.KindFeed, question, &reply); err != nil {
 		return 0, err
 	}
+	if reply.Lost {
+		return 0, errSourceLost
+	}
 	oldest := time.Duration(0)
 	for _, t := range f.tables {
 		d, ok := reply.Tables[t.Name]
@@ -296,6 +333,9 @@
 	if err := peer.DecodeBody(body, &question); err != nil {
 		return nil, err
 	}
+	if f.lost() {
+		return peer.FeedReply{Lost: true}, nil
+	}
 	reply := peer.FeedReply{Tables: map[string]kernel.Delta{}}
 	now := clock.Now()
 	for _, t := range f.tables {
--- a/kernel/readers.go
+++ b/kernel/readers.go
@@ -2,12 +2,15 @@
 
 // Reader returns the node that one is to ask for what the store holds: the one that reads for its
 // failure domain, the same for all nodes that know the same ones; empty for none. Own tells that
-// the node itself reads. Where it reads and the store does not answer (lost), or it is alone in its
-// domain, another domain's reader is named: the store may turn away single nodes.
-func Reader(self, domain string, nodes []Peer, lost bool) (source string, own bool) {
+// the node itself reads. Nodes that are away, because the store does not answer them, are passed
+// over: two nodes that lean on each other's word would both grow old with it. Where the node itself
+// reads and the store does not answer (lost), another one is named, of its domain or beyond: the
+// store may turn away single nodes.
+func Reader(self, domain string, nodes []Peer, lost bool, away map[string]bool) (source string, own bool) {
 	var near, far []Peer
 	for _, n := range nodes {
 		switch {
+		case away[n.Name] && n.Name != self:
 		case n.Domain == domain:
 			near = append(near, n)
 		case n.Name != self:
--- a/peer/message.go
+++ b/peer/message.go
@@ -204,6 +204,9 @@
 	// FeedReply has an entry for each table that is known.
 	FeedReply struct {
 		Tables map[string]kernel.Delta
+		// Lost is true where the store does not answer the node: what it knows grows old, and
+		// others ask another one. There are no tables then.
+		Lost bool
 	}
 
 	// Empty is the body of calls that say nothing more.
