--- a/follow/follower.go
+++ b/follow/follower.go
@@ -21,23 +21,14 @@
 )
 
 const (
-	// peerEvery is how often another node is asked. It adds to the age of what is known.
-	peerEvery   = 500 * time.Millisecond
-	peerTimeout = 400 * time.Millisecond
 	// idlePause is how often a node that need not read the store looks whether it must.
 	idlePause = 250 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a question without an answer; each is twice
 	// the one before.
 	retryFirst = 150 * time.Millisecond
 	retryMost  = 600 * time.Millisecond
-	// awayMemory is how long a node that the store does not answer is passed over before it is
-	// asked again, and sourceTries how many nodes are asked in a row.
-	awayMemory  = time.Second
-	sourceTries = 3
 )
 
-var errSourceLost = errors.New("follow: the store does not answer the reader")
-
 // ErrHistoryGone is returned by a store that no longer knows what changed since a version.
 var ErrHistoryGone = errors.New("follow: the store's history is gone")
 
@@ -199,62 +190,6 @@
 	f.log.Info().Str("Table", t.Name).Uint64("Version", version).Msg("store back")
 }
 
-// askPeer asks the node that reads the store for this one. This node reads the store itself where
-// it is that node, or where the answer does not come or is old.
-func (f *Follower) askPeer(ctx context.Context) {
-	if !f.knowsAll() && !f.lost() {
-		// The whole of each table comes from the store: after a common start, one node would have
-		// to answer all others with it.
-		return
-	}
-	for range sourceTries {
-		source, own := kernel.Reader(f.options.Name, f.options.Domain, f.relay.Reachable(), f.lost(), f.awayNow())
-		if source == "" {
-			f.setReads(true, "this node reads for its failure domain")
-			return
-		}
-		age, err := f.askNode(ctx, source)
-		if errors.Is(err, errSourceLost) {
-			f.away[source] = clock.Now().Add(awayMemory)
-			continue
-		}
-		f.decide(source, own, age, err)
-		return
-	}
-	f.setReads(true, "the store does not answer the readers")
-}
-
-// decide takes in what the reader said, or that it did not.
-func (f *Follower) decide(source string, own bool, age time.Duration, err error) {
-	if err != nil {
-		f.metrics.Event("ReaderFailed")
-		f.relay.Suspect(source, err)
-	}
-	switch {
-	case own:
-		f.setReads(true, "this node reads for its failure domain")
-	case err != nil:
-		f.setReads(true, "the reader does not answer")
-	case age > f.options.MostAge:
-		f.setReads(true, "the reader's word is old")
-	default:
-		f.setReads(false, source+" reads for this node")
-	}
-}
-
-// awayNow returns the nodes that are passed over, and forgets the others.
-func (f *Follower) awayNow() map[string]bool {
-	out := map[string]bool{}
-	for name, until := range f.away {
-		if clock.Now().After(until) {
-			delete(f.away, name)
-			continue
-		}
-		out[name] = true
-	}
-	return out
-}
-
 // knowsAll tells whether all tables were read.
 func (f *Follower) knowsAll() bool {
 	for _, t := range f.tables {
@@ -287,41 +222,6 @@
 	}
 }
 
-// askNode asks a node for what it knows of all tables; it returns the greatest age of its proofs.
-func (f *Follower) askNode(ctx context.Context, node string) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	question := peer.Feed{After: map[string]uint64{}}
-	for _, t := range f.tables {
-		t.mu.Lock()
-		question.After[t.Name], _ = t.mirror.Known()
-		t.mu.Unlock()
-	}
-	asked := clock.Now()
-	var reply peer.FeedReply
-	if err := f.relay.Ask(ctx, node, peer.KindFeed, question, &reply); err != nil {
-		return 0, err
-	}
-	if reply.Lost {
-		return 0, errSourceLost
-	}
-	oldest := time.Duration(0)
-	for _, t := range f.tables {
-		d, ok := reply.Tables[t.Name]
-		if !ok {
-			return f.options.MostAge + 1, nil
-		}
-		oldest = max(oldest, d.Age)
-		t.mu.Lock()
-		if version, _ := t.mirror.Known(); d.Version >= version {
-			news := t.mirror.TakeDelta(asked, d)
-			t.Apply(t.mirror.ProvenAt(), news)
-		}
-		t.mu.Unlock()
-	}
-	return oldest, nil
-}
-
 // Reads tells whether this node reads the store itself.
 func (f *Follower) Reads() bool {
 	return f.reads.Load()
--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -16,12 +16,6 @@
 	// together stay together, and pieces that just missed them wait for a whole call; spaced
 	// evenly, a piece waits for a part of the spacing.
 	spacing = 0.8
-	// foreignDelay is how many times its patience later a group counts as due at a maker in
-	// another failure domain than its inputs.
-	foreignDelay = 2
-	// urgencyStep is how much later a group counts as due for each rank of its priority: about
-	// what a group waits under load.
-	urgencyStep = 200 * time.Millisecond
 	// foreignRoom is how long an endpoint that had no room for a result, although there should
 	// have been some, counts as full: results of another gatherer lie there.
 	foreignRoom = 700 * time.Millisecond
@@ -263,87 +257,6 @@
 	return n
 }
 
-// order returns the groups with waiting pieces: those that can still be on time by when they
-// are due, then the late ones.
-func (g *Gathering) order(now time.Time) []*waitingGroup {
-	var out []*waitingGroup
-	for _, w := range g.groups {
-		if len(w.waiting) > 0 {
-			out = append(out, w)
-		}
-	}
-	shortest := now.Add(g.callTime(1))
-	slices.SortFunc(out, func(a, b *waitingGroup) int { return compareGroups(shortest, a, b, 0, 0) })
-	return out
-}
-
-// orderFor returns the groups in the order in which a maker is to take them: those whose inputs lie
-// in another failure domain count as due later, by what moving the inputs is worth.
-func (g *Gathering) orderFor(now time.Time, m *maker, order []*waitingGroup) []*waitingGroup {
-	shortest := now.Add(g.callTime(1))
-	later := func(w *waitingGroup) time.Duration {
-		if w.Domain == "" || w.Domain == m.endpoint.FailureDomain {
-			return 0
-		}
-		return foreignDelay * w.Patience
-	}
-	out := slices.Clone(order)
-	slices.SortStableFunc(out, func(a, b *waitingGroup) int {
-		return compareGroups(shortest, a, b, later(a), later(b))
-	})
-	return out
-}
-
-// compareGroups puts groups that can still be on time first, then goes by when they count as due.
-func compareGroups(shortest time.Time, a, b *waitingGroup, laterA, laterB time.Duration) int {
-	if la, lb := shortest.After(a.Due), shortest.After(b.Due); la != lb {
-		if la {
-			return 1
-		}
-		return -1
-	}
-	if c := a.rankedDue().Add(laterA).Compare(b.rankedDue().Add(laterB)); c != 0 {
-		return c
-	}
-	return int(int64(a.ID) - int64(b.ID))
-}
-
-// rankedDue is when a group counts as due beside others.
-func (p PieceGroup) rankedDue() time.Time {
-	return p.Due.Add(time.Duration(p.Rank) * urgencyStep)
-}
-
-// idle returns the makers that may get a call, those that keep their pace and have most room
-// first.
-func (g *Gathering) idle(now time.Time) []*maker {
-	var out, slow []*maker
-	for _, m := range g.makers {
-		if m.calls >= max(1, g.traits.Slots) || m.endpoint.State == model.Leaving {
-			continue
-		}
-		if now.Before(m.pausedUntil) || !m.health.Usable(now) {
-			continue
-		}
-		if m.pace > slowPace {
-			slow = append(slow, m)
-		} else {
-			out = append(out, m)
-		}
-	}
-	byRoom := func(a, b *maker) int {
-		if a.used != b.used {
-			return int(a.used - b.used)
-		}
-		if a.endpoint.Name < b.endpoint.Name {
-			return -1
-		}
-		return 1
-	}
-	slices.SortFunc(out, byRoom)
-	slices.SortFunc(slow, byRoom)
-	return append(out, slow...)
-}
-
 // fill collects the pieces that a maker is to make next. A group's pieces stay together where
 // they fit.
 func (g *Gathering) fill(now time.Time, m *maker, order []*waitingGroup) PieceBatch {
@@ -382,23 +295,6 @@
 	return batch
 }
 
-// suits tells whether a maker may make a group: in the domain where the inputs lie, or
-// anywhere once the group has waited.
-func (g *Gathering) suits(now time.Time, m *maker, w *waitingGroup) bool {
-	if w.Domain == "" || m.endpoint.FailureDomain == w.Domain {
-		return true
-	}
-	if now.Sub(w.arrived) >= w.Patience {
-		return true
-	}
-	for _, other := range g.makers {
-		if other.endpoint.FailureDomain == w.Domain && other.endpoint.State != model.Leaving {
-			return false
-		}
-	}
-	return true
-}
-
 func (g *Gathering) start(now time.Time, m *maker, batch PieceBatch) PieceBatch {
 	g.batches++
 	batch.ID = g.batches
--- a/kernel/returning.go
+++ b/kernel/returning.go
@@ -31,13 +31,15 @@
 }
 
 // Identity returns what attempts of the same request share although each has an ID of its own: the
-// last part of the prompt, which belongs to the request or its session, and its size. Empty where
-// the request has none.
-func Identity(p model.Prompt) string {
+// customer, the last part of the prompt, which belongs to the request or its session, and its size.
+// Empty where the request has no prompt.
+func Identity(customer string, p model.Prompt) string {
 	if len(p.Parts) == 0 {
 		return ""
 	}
 	var b strings.Builder
+	b.WriteString(customer)
+	b.WriteByte('/')
 	b.WriteString(p.Parts[len(p.Parts)-1].ID)
 	for _, n := range [...]int{len(p.Parts), p.TokensIn, p.TokensOut} {
 		b.WriteByte('/')
--- a/kernel/returning_test.go
+++ b/kernel/returning_test.go
@@ -18,12 +18,13 @@
 func TestACallerThatComesBackIsToldFromANewOne(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := kernel.NewReturning()
-	first := kernel.Identity(promptOf("a", 900))
+	first := kernel.Identity("ann", promptOf("a", 900))
 	r.Refused(now, first, 20*time.Millisecond)
 	must.EqOp(t, 320*time.Millisecond, r.Waited(now.Add(300*time.Millisecond), first))
 	must.EqOp(t, 0, r.Waited(now.Add(400*time.Millisecond), first), must.Sprint("a third request is a new one"))
-	must.EqOp(t, 0, r.Waited(now, kernel.Identity(promptOf("a", 901))), must.Sprint("another request of the session"))
-	must.EqOp(t, "", kernel.Identity(model.Prompt{}))
+	must.EqOp(t, 0, r.Waited(now, kernel.Identity("ann", promptOf("a", 901))), must.Sprint("another request of the session"))
+	must.NotEq(t, first, kernel.Identity("ben", promptOf("a", 900)), must.Sprint("nobody ages another customer's request"))
+	must.EqOp(t, "", kernel.Identity("ann", model.Prompt{}))
 }
 
 func TestWhatWasRefusedTwiceCountsFromItsFirstAttempt(t *testing.T) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -321,7 +321,7 @@
 	case outcome.Refusal != nil:
 		r.metrics.Refused(outcome.Refusal)
 		if outcome.Refusal.Verdict == model.NotRun && outcome.Refusal.RetryAfter > 0 {
-			r.noteRefused(job.forward, admission.Route.Stages)
+			r.noteRefused(job.forward, admission)
 		}
 	case !outcome.Whole:
 		r.metrics.Event("AnswerBrokenOff")
--- a/relay/returning.go
+++ b/relay/returning.go
@@ -35,12 +35,12 @@
 }
 
 // waitedBefore returns how long the caller of a request has waited since its first attempt.
-func (r *Relay) waitedBefore(ctx context.Context, f model.Forward, stages []model.StageNode) time.Duration {
-	identity := kernel.Identity(f.Prompt)
+func (r *Relay) waitedBefore(ctx context.Context, f model.Forward, a kernel.Admission) time.Duration {
+	identity := kernel.Identity(a.Customer, f.Prompt)
 	if identity == "" {
 		return 0
 	}
-	keeper := r.returnKeeper(stages)
+	keeper := r.returnKeeper(a.Route.Stages)
 	if keeper == r.options.Name {
 		return r.returning.waited(r.now(), identity)
 	}
@@ -58,13 +58,13 @@
 }
 
 // noteRefused tells the keeper that a request with stages was refused and may come back.
-func (r *Relay) noteRefused(f model.Forward, stages []model.StageNode) {
-	identity := kernel.Identity(f.Prompt)
-	if identity == "" || len(stages) == 0 {
+func (r *Relay) noteRefused(f model.Forward, a kernel.Admission) {
+	identity := kernel.Identity(a.Customer, f.Prompt)
+	if identity == "" || len(a.Route.Stages) == 0 {
 		return
 	}
 	waited := f.Waited + r.now().Sub(f.ReceivedAt)
-	keeper := r.returnKeeper(stages)
+	keeper := r.returnKeeper(a.Route.Stages)
 	if keeper == r.options.Name {
 		r.returning.refused(r.now(), identity, waited)
 		return
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -100,7 +100,7 @@
 	}
 	outlook := r.outlook(ctx, groups)
 	if queued(outlook) {
-		j.forward = j.forward.WithWaited(r.waitedBefore(ctx, j.forward, run.stages))
+		j.forward = j.forward.WithWaited(r.waitedBefore(ctx, j.forward, j.admission))
 	}
 	run.plan = kernel.PlanStages(j.forward, j.admission, outlook, firstEvent)
 	return run, kernel.AdmitStages(r.now(), j.forward, j.admission, run.plan, outlook)
