Tell the lives of an endpoint apart; entries that name no endpoint cost the others nothing

Ruled out: putting the start into the endpoint's name. Names decide where prompts go and what is sent as the expected instance, and both stay the same.

Change: model.Endpoint bears its start and has a Life; what is believed of a process (health, load, room, results, idle connections, calls under way) hangs on its life. A younger entry never gives way to an older report. Calls to a former life end at once, pieces and requests whose inputs lay there are not sent: the new process may give the same handles to others' results. The stand-in restarts endpoints and keeps account of whose result a handle names; the soak restarts them, behind a cut too, and writes foreign entries.

--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -79,7 +79,7 @@
 	MadePiece struct {
 		Number int
 		Handle string
-		// Maker is the endpoint that holds the result, of a pool and in a failure domain.
+		// Maker is the life of the endpoint that holds the result, of a pool and in a failure domain.
 		Maker  string
 		Pool   string
 		Domain string
@@ -104,7 +104,8 @@
 	// a call whatever it holds, so pieces wait here, where others can join them, and never at
 	// an endpoint. No piece is started whose result would find no room. It changes in place.
 	Gathering struct {
-		traits  model.PieceTraits
+		traits model.PieceTraits
+		// makers holds the pool's endpoints by their lives.
 		makers  map[string]*maker
 		groups  map[uint64]*waitingGroup
 		running map[uint64]PieceBatch
@@ -175,21 +176,21 @@
 func (g *Gathering) SetEndpoints(endpoints []model.Endpoint) {
 	listed := make(map[string]bool, len(endpoints))
 	for _, e := range endpoints {
-		listed[e.Name] = true
-		m := g.makers[e.Name]
+		listed[e.Life()] = true
+		m := g.makers[e.Life()]
 		if m == nil {
 			m = &maker{pace: 1}
-			g.makers[e.Name] = m
+			g.makers[e.Life()] = m
 		}
 		m.endpoint = e
 	}
-	for name := range g.makers {
-		if listed[name] {
+	for life := range g.makers {
+		if listed[life] {
 			continue
 		}
-		delete(g.makers, name)
+		delete(g.makers, life)
 		for handle, r := range g.results {
-			if r.maker == name {
+			if r.maker == life {
 				delete(g.results, handle)
 			}
 		}
@@ -328,7 +329,7 @@
 // times the pace that the endpoint showed.
 func (g *Gathering) Expected(batch PieceBatch) time.Duration {
 	pace := 1.0
-	if m := g.makers[batch.Endpoint.Name]; m != nil {
+	if m := g.makers[batch.Endpoint.Life()]; m != nil {
 		pace = max(1, m.pace)
 	}
 	return time.Duration(float64(batch.stated) * pace)
@@ -364,8 +365,8 @@
 
 // Used returns how much room of an endpoint is taken, as far as is known here, and how many calls
 // it works on.
-func (g *Gathering) Used(endpoint string) (bytes int64, calls int) {
-	m := g.makers[endpoint]
+func (g *Gathering) Used(life string) (bytes int64, calls int) {
+	m := g.makers[life]
 	if m == nil {
 		return 0, 0
 	}
--- a/kernel/gather_test.go
+++ b/kernel/gather_test.go
@@ -319,3 +319,52 @@
 	must.Eq(t, []string{"request-5"}, took["domain-0"], must.Sprint("what is due a second before goes first"))
 	must.Eq(t, []string{"request-1"}, took["domain-1"])
 }
+
+// A maker that starts again under its name holds nothing: its room is free, results of its former life
+// are not counted against it, and pieces made from them end at once, as the new process may give their
+// handles to other requests.
+func TestAMakerThatStartsAgainHoldsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first := model.Endpoint{Name: "m", Pool: "p", State: model.Live, Started: time.Unix(900, 0)}
+	again := first
+	again.Started = time.Unix(999, 0)
+	g := kernel.NewGathering(model.PieceTraits{Slots: 1, Batch: 4, CallTime: 200 * time.Millisecond, PieceTime: time.Millisecond, Room: 1000, Keep: 4 * time.Second})
+	g.SetEndpoints([]model.Endpoint{first})
+	must.True(t, addPieces(g, now, 1, 2, 400))
+	batch, ok := g.Next(now)
+	must.True(t, ok)
+	ended, _ := g.Done(now.Add(200*time.Millisecond), batch, []model.PieceResult{{Handle: "h1"}, {Handle: "h2"}})
+	must.SliceLen(t, 1, ended)
+	made := ended[0].Made
+	must.EqOp(t, first.Life(), made[0].Maker)
+	now = now.Add(time.Second)
+	must.True(t, addPieces(g, now, 2, 2, 400))
+	_, ok = g.Next(now)
+	must.False(t, ok, must.Sprint("the room is taken"))
+	g.SetEndpoints([]model.Endpoint{again})
+	batch, ok = g.Next(now)
+	must.True(t, ok, must.Sprint("the room went with the former life"))
+	must.EqOp(t, again.Life(), batch.Endpoint.Life())
+	g.Release(now, made[0])
+	used, _ := g.Used(again.Life())
+	must.EqOp(t, 800, used, must.Sprint("a result of the former life frees nothing of the new one"))
+
+	accepted, _ := g.Add(now, kernel.PieceGroup{
+		ID: 3, Pieces: []model.Piece{{Request: "r", Number: 0}}, ResultBytes: 400, Inputs: made,
+		Due: now.Add(5 * time.Second), Until: now.Add(5 * time.Second),
+	})
+	must.True(t, accepted)
+	stale := g.EndStale(func(life string) bool { return life == first.Life() })
+	must.SliceLen(t, 1, stale)
+	must.EqOp(t, model.PieceInputGone, stale[0].Fault)
+}
+
+// addPieces adds a group of pieces that may wait for long.
+func addPieces(g *kernel.Gathering, now time.Time, id uint64, count int, bytes int64) bool {
+	group := kernel.PieceGroup{ID: id, ResultBytes: bytes, Due: now.Add(5 * time.Second), Until: now.Add(5 * time.Second)}
+	for n := range count {
+		group.Pieces = append(group.Pieces, model.Piece{Request: "r", Number: n})
+	}
+	accepted, _ := g.Add(now, group)
+	return accepted
+}
--- a/kernel/gatherend.go
+++ b/kernel/gatherend.go
@@ -52,8 +52,8 @@
 			g.noteFull(now, batch, r.Fault)
 			continue
 		}
-		g.results[r.Handle] = heldResult{maker: batch.Endpoint.Name, bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)}
-		made := MadePiece{Number: p.Number, Handle: r.Handle, Maker: batch.Endpoint.Name, Pool: batch.Endpoint.Pool, Domain: batch.Endpoint.FailureDomain, Bytes: batch.bytes[i]}
+		g.results[r.Handle] = heldResult{maker: batch.Endpoint.Life(), bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)}
+		made := MadePiece{Number: p.Number, Handle: r.Handle, Maker: batch.Endpoint.Life(), Pool: batch.Endpoint.Pool, Domain: batch.Endpoint.FailureDomain, Bytes: batch.bytes[i]}
 		w := g.groups[batch.groups[i]]
 		if w == nil {
 			unwanted = append(unwanted, made)
@@ -76,7 +76,7 @@
 
 // noteFull notes that a maker had no room although there should have been some.
 func (g *Gathering) noteFull(now time.Time, batch PieceBatch, fault model.PieceFault) {
-	if m := g.makers[batch.Endpoint.Name]; m != nil && fault == model.PieceNoRoom {
+	if m := g.makers[batch.Endpoint.Life()]; m != nil && fault == model.PieceNoRoom {
 		m.fullUntil = now.Add(foreignRoom)
 	}
 }
@@ -84,7 +84,7 @@
 // end frees the slot of a call, and the room of the pieces that were not made.
 func (g *Gathering) end(batch PieceBatch, results []model.PieceResult) *maker {
 	delete(g.running, batch.ID)
-	m := g.makers[batch.Endpoint.Name]
+	m := g.makers[batch.Endpoint.Life()]
 	if m == nil {
 		return nil
 	}
@@ -131,3 +131,22 @@
 func (w *waitingGroup) outcome(fault model.PieceFault) GroupOutcome {
 	return GroupOutcome{Group: w.ID, Made: w.made, Fault: fault, Waited: w.waited, InputsFreed: w.inputsFreed}
 }
+
+// EndStale ends the waiting groups whose inputs went with a life of their maker: a process that
+// started again may give the same handle to another request's result.
+func (g *Gathering) EndStale(superseded func(life string) bool) []GroupOutcome {
+	var ended []GroupOutcome
+	for id, w := range g.groups {
+		if len(w.waiting) == 0 || !AnyStale(w.Inputs, superseded) {
+			continue
+		}
+		ended = append(ended, w.outcome(model.PieceInputGone))
+		delete(g.groups, id)
+	}
+	return ended
+}
+
+// AnyStale tells whether any of several results went with a life of its maker.
+func AnyStale(made []MadePiece, superseded func(life string) bool) bool {
+	return slices.ContainsFunc(made, func(m MadePiece) bool { return superseded(m.Maker) })
+}
--- a/kernel/gatherroom.go
+++ b/kernel/gatherroom.go
@@ -8,8 +8,8 @@
 
 // NoteRoom takes in how much room an endpoint reports to have free: what is missing beyond the
 // results known here belongs to another gatherer, whose place this one took.
-func (g *Gathering) NoteRoom(now time.Time, endpoint string, free int64) {
-	m := g.makers[endpoint]
+func (g *Gathering) NoteRoom(now time.Time, life string, free int64) {
+	m := g.makers[life]
 	if m == nil {
 		return
 	}
@@ -17,9 +17,9 @@
 	m.foreignUntil = now.Add(g.traits.Keep)
 }
 
-// Maker returns an endpoint by its name.
-func (g *Gathering) Maker(name string) (model.Endpoint, bool) {
-	m := g.makers[name]
+// Maker returns an endpoint by its life.
+func (g *Gathering) Maker(life string) (model.Endpoint, bool) {
+	m := g.makers[life]
 	if m == nil {
 		return model.Endpoint{}, false
 	}
--- a/kernel/roster.go
+++ b/kernel/roster.go
@@ -41,8 +41,10 @@
 	return Roster{entries: map[string]rosterEntry{}}
 }
 
-// WithChanges returns the roster after the list was proven current as of a time, and what changed.
-func (r Roster) WithChanges(now, provenAt time.Time, listed []model.Endpoint, removed []string) Roster {
+// WithChanges returns the roster after the list was proven current as of a time: with the entries that
+// were written, those that were removed, and those that were overwritten by what names no endpoint.
+// An older report of a process that has started again since changes nothing.
+func (r Roster) WithChanges(now, provenAt time.Time, listed []model.Endpoint, removed, unreadable []string) Roster {
 	if !r.provenAt.IsZero() && provenAt.Sub(r.provenAt) > outageGap {
 		r.returnedAt = now
 	}
@@ -58,7 +60,13 @@
 			delete(entries, name)
 		}
 	}
+	for _, name := range unreadable {
+		delete(entries, name)
+	}
 	for _, e := range listed {
+		if known, ok := entries[e.Name]; ok && known.endpoint.Started.After(e.Started) {
+			continue
+		}
 		entries[e.Name] = rosterEntry{endpoint: e}
 	}
 	if !grace {
@@ -91,6 +99,13 @@
 	return e.endpoint, ok
 }
 
+// Superseded tells whether the process that had a life has started again since: then nothing of that
+// life is left, neither results nor calls under way.
+func (r Roster) Superseded(life string) bool {
+	e, known := r.entries[model.NameOfLife(life)]
+	return known && e.endpoint.Life() != life
+}
+
 // Len returns how many endpoints are known.
 func (r Roster) Len() int {
 	return len(r.entries)
@@ -104,7 +119,9 @@
 // RosterChange is one difference between two rosters.
 type RosterChange struct {
 	Endpoint model.Endpoint
-	What     string
+	// Before is the former life of a process that started again; empty for other changes.
+	Before model.Endpoint
+	What   string
 }
 
 // Changes returns what changed since an earlier roster.
@@ -115,6 +132,8 @@
 		switch {
 		case !known:
 			out = append(out, RosterChange{Endpoint: e.endpoint, What: "endpoint listed"})
+		case old.endpoint.Life() != e.endpoint.Life():
+			out = append(out, RosterChange{Endpoint: e.endpoint, Before: old.endpoint, What: "endpoint started again"})
 		case old.endpoint.State != e.endpoint.State:
 			out = append(out, RosterChange{Endpoint: e.endpoint, What: "endpoint changed its state"})
 		case e.missing && !old.missing:
--- a/kernel/roster_test.go
+++ b/kernel/roster_test.go
@@ -24,8 +24,8 @@
 
 func TestRosterDropsWhatIsRemoved(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)}, nil)
-	r = r.WithChanges(now.Add(600*time.Millisecond), now.Add(600*time.Millisecond), []model.Endpoint{listed("a", model.Leaving)}, []string{"b"})
+	r := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)}, nil, nil)
+	r = r.WithChanges(now.Add(600*time.Millisecond), now.Add(600*time.Millisecond), []model.Endpoint{listed("a", model.Leaving)}, []string{"b"}, nil)
 	must.Eq(t, []string{"a"}, names(r))
 	e, _ := r.Find("a")
 	must.Eq(t, model.Leaving, e.State)
@@ -35,58 +35,92 @@
 	now := time.Unix(1000, 0)
 	r := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{
 		listed("back", model.Live), listed("gone", model.Live), listed("leaving", model.Leaving),
-	}, nil)
+	}, nil, nil)
 	returned := now.Add(5 * time.Second)
-	r = r.WithChanges(returned, returned, nil, []string{"back", "gone", "leaving"})
+	r = r.WithChanges(returned, returned, nil, []string{"back", "gone", "leaving"}, nil)
 	must.Eq(t, []string{"back", "gone"}, names(r), must.Sprint("an endpoint that was leaving is gone"))
-	r = r.WithChanges(returned.Add(time.Second), returned.Add(time.Second), []model.Endpoint{listed("back", model.Live)}, nil)
+	r = r.WithChanges(returned.Add(time.Second), returned.Add(time.Second), []model.Endpoint{listed("back", model.Live)}, nil, nil)
 	must.Eq(t, []string{"back", "gone"}, names(r))
-	r = r.WithChanges(returned.Add(1600*time.Millisecond), returned.Add(1600*time.Millisecond), nil, nil)
-	r = r.WithChanges(returned.Add(2300*time.Millisecond), returned.Add(2300*time.Millisecond), nil, nil)
+	r = r.WithChanges(returned.Add(1600*time.Millisecond), returned.Add(1600*time.Millisecond), nil, nil, nil)
+	r = r.WithChanges(returned.Add(2300*time.Millisecond), returned.Add(2300*time.Millisecond), nil, nil, nil)
 	must.Eq(t, []string{"back"}, names(r), must.Sprint("still missing after the grace: gone"))
 }
 
 // A removed entry has no grace just because the store is asked seldom, or once did not answer.
 func TestRosterTakesASlowPaceForNoOutage(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)}, nil)
+	r := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)}, nil, nil)
 	now = now.Add(1350 * time.Millisecond)
-	r = r.WithChanges(now, now, nil, []string{"a"})
+	r = r.WithChanges(now, now, nil, []string{"a"}, nil)
 	must.Eq(t, []string{"b"}, names(r))
 	now = now.Add(2200 * time.Millisecond)
-	r = r.WithChanges(now, now, nil, []string{"b"})
+	r = r.WithChanges(now, now, nil, []string{"b"}, nil)
 	must.SliceEmpty(t, names(r))
 }
 
 // What another node tells late proves no more than it did: the gap counts from proof to proof.
 func TestRosterSeesAnOutageByItsProofs(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{listed("a", model.Live)}, nil)
+	r := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{listed("a", model.Live)}, nil, nil)
 	for i := range 4 {
-		r = r.WithChanges(now.Add(time.Duration(i)*time.Second), now, nil, nil)
+		r = r.WithChanges(now.Add(time.Duration(i)*time.Second), now, nil, nil, nil)
 	}
 	must.Eq(t, 3*time.Second, r.Age(now.Add(3*time.Second)))
-	r = r.WithChanges(now.Add(4*time.Second), now.Add(3500*time.Millisecond), nil, []string{"a"})
+	r = r.WithChanges(now.Add(4*time.Second), now.Add(3500*time.Millisecond), nil, []string{"a"}, nil)
 	must.Eq(t, []string{"a"}, names(r))
 }
 
 func TestRosterListingAfterAnOutage(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)}, nil)
-	r = r.WithChanges(now.Add(4*time.Second), now.Add(4*time.Second), []model.Endpoint{listed("a", model.Live)}, []string{"b"})
+	r := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)}, nil, nil)
+	r = r.WithChanges(now.Add(4*time.Second), now.Add(4*time.Second), []model.Endpoint{listed("a", model.Live)}, []string{"b"}, nil)
 	must.Eq(t, []string{"a", "b"}, names(r))
-	r = r.WithChanges(now.Add(7*time.Second), now.Add(7*time.Second), []model.Endpoint{listed("a", model.Live)}, nil)
+	r = r.WithChanges(now.Add(7*time.Second), now.Add(7*time.Second), []model.Endpoint{listed("a", model.Live)}, nil, nil)
 	must.Eq(t, []string{"a", "b"}, names(r), must.Sprint("each outage has its own grace"))
-	r = r.WithChanges(now.Add(7*time.Second+600*time.Millisecond), now.Add(7*time.Second+600*time.Millisecond), nil, nil)
-	r = r.WithChanges(now.Add(8*time.Second+200*time.Millisecond), now.Add(8*time.Second+200*time.Millisecond), nil, nil)
-	r = r.WithChanges(now.Add(9*time.Second+300*time.Millisecond), now.Add(9*time.Second+300*time.Millisecond), nil, nil)
+	r = r.WithChanges(now.Add(7*time.Second+600*time.Millisecond), now.Add(7*time.Second+600*time.Millisecond), nil, nil, nil)
+	r = r.WithChanges(now.Add(8*time.Second+200*time.Millisecond), now.Add(8*time.Second+200*time.Millisecond), nil, nil, nil)
+	r = r.WithChanges(now.Add(9*time.Second+300*time.Millisecond), now.Add(9*time.Second+300*time.Millisecond), nil, nil, nil)
 	must.Eq(t, []string{"a"}, names(r))
 }
 
 func TestRosterChanges(t *testing.T) {
 	now := time.Unix(1000, 0)
-	before := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)}, nil)
-	after := before.WithChanges(now, now, []model.Endpoint{listed("a", model.Leaving), listed("c", model.Live)}, []string{"b"})
+	before := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)}, nil, nil)
+	after := before.WithChanges(now, now, []model.Endpoint{listed("a", model.Leaving), listed("c", model.Live)}, []string{"b"}, nil)
 	must.Len(t, 3, after.Changes(before))
 	must.SliceEmpty(t, after.Changes(after))
 }
+
+// born returns an entry of a process that started at a second.
+func born(name string, second int64) model.Endpoint {
+	e := listed(name, model.Live)
+	e.Started = time.Unix(second, 0)
+	return e
+}
+
+func TestRosterTellsLivesApart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{born("a", 900)}, nil, nil)
+	must.False(t, first.Superseded(born("a", 900).Life()))
+	again := first.WithChanges(now, now, []model.Endpoint{born("a", 990)}, nil, nil)
+	must.True(t, again.Superseded(born("a", 900).Life()))
+	must.False(t, again.Superseded(born("a", 990).Life()))
+	must.False(t, again.Superseded(born("b", 900).Life()), must.Sprint("not listed is not superseded: it may serve on"))
+	changes := again.Changes(first)
+	must.SliceLen(t, 1, changes)
+	must.EqOp(t, born("a", 900).Life(), changes[0].Before.Life())
+	must.EqOp(t, born("a", 990).Life(), changes[0].Endpoint.Life())
+	late := again.WithChanges(now, now, []model.Endpoint{born("a", 900)}, nil, nil)
+	e, _ := late.Find("a")
+	must.EqOp(t, born("a", 990).Life(), e.Life(), must.Sprint("an older report came late"))
+}
+
+// An entry that was overwritten by what names no endpoint is gone at once, also in the grace after an
+// outage of the store; the others hold.
+func TestRosterDropsWhatCannotBeRead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{listed("a", model.Live), listed("b", model.Live)}, nil, nil)
+	now = now.Add(5 * time.Second)
+	r = r.WithChanges(now, now, nil, nil, []string{"a"})
+	must.Eq(t, []string{"b"}, names(r))
+}
--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -1,5 +1,11 @@
 package model
 
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
 // HostState is what the platform's list says of a host.
 type HostState string
 
@@ -12,7 +18,10 @@
 type (
 	// Endpoint is a process of a pool that carries out stage calls.
 	Endpoint struct {
-		Name          string
+		// Name stays the same when the process starts again.
+		Name string
+		// Started is when the process started, by its own clock; zero where it does not say.
+		Started       time.Time
 		Pool          string
 		Address       string
 		FailureDomain string
@@ -45,3 +54,23 @@
 		Leaving bool
 	}
 )
+
+// lifeMark stands between the name and the start in the identity of one life of a process.
+const lifeMark = "@"
+
+// Life returns what tells one start of the process from any other. Everything that is believed of a
+// process belongs to one life: what it holds, its load, its health, its connections.
+func (e Endpoint) Life() string {
+	if e.Started.IsZero() {
+		return e.Name
+	}
+	return e.Name + lifeMark + strconv.FormatInt(e.Started.UnixMilli(), 10)
+}
+
+// NameOfLife returns the name of the process that had a life.
+func NameOfLife(life string) string {
+	if i := strings.LastIndex(life, lifeMark); i >= 0 {
+		return life[:i]
+	}
+	return life
+}
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -92,6 +92,16 @@
 	}
 }
 
+// endStale ends the groups whose inputs went with a life of their maker.
+func (h *hub) endStale() {
+	for _, g := range h.all() {
+		g.mu.Lock()
+		ended := g.g.EndStale(h.relay.Roster().Superseded)
+		g.mu.Unlock()
+		g.finish(ended)
+	}
+}
+
 func (h *hub) all() []*gatherer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -162,6 +172,9 @@
 // gather takes a group of this or another node in and waits for its end.
 func (g *gatherer) gather(ctx context.Context, group kernel.PieceGroup) gatherResult {
 	now := g.relay.now()
+	if kernel.AnyStale(group.Inputs, g.relay.Roster().Superseded) {
+		return gatherResult{outcome: kernel.GroupOutcome{Group: group.ID, Fault: model.PieceInputGone}}
+	}
 	done := make(chan kernel.GroupOutcome, 1)
 	g.takeOver(now)
 	g.mu.Lock()
@@ -231,6 +244,8 @@
 	timeout := time.Duration(callPatience*float64(expected)) + callGrace
 	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
+	ctx, over := r.begin(ctx, batch.Endpoint)
+	defer over()
 	reply, err := r.wire.RunPieces(ctx, batch.Endpoint, batch.Pieces)
 	now := r.now()
 	var ended []kernel.GroupOutcome
@@ -265,7 +280,7 @@
 	}
 	if len(faults) > 0 {
 		g.mu.Lock()
-		used, calls := g.g.Used(batch.Endpoint.Name)
+		used, calls := g.g.Used(batch.Endpoint.Life())
 		g.mu.Unlock()
 		r.log.Info().Str("Pool", g.name).Str("Endpoint", batch.Endpoint.Name).Int("Pieces", len(batch.Pieces)).
 			Str("Request", batch.Pieces[0].Request).Any("Faults", faults).Int64("RoomUsed", used).Int("Calls", calls).
@@ -391,6 +406,6 @@
 		return
 	}
 	g.mu.Lock()
-	g.g.NoteRoom(g.relay.now(), maker.Name, free)
+	g.g.NoteRoom(g.relay.now(), maker.Life(), free)
 	g.mu.Unlock()
 }
--- /dev/null
+++ b/relay/lives.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+// errStartedAgain ends calls to a process that has started again: nothing of them is left there, and
+// waiting for their time-outs would cost streams that can go on elsewhere seconds.
+var errStartedAgain = errors.New("relay: the endpoint has started again")
+
+// lives holds the calls under way by the life of the endpoint that they were made to.
+type lives struct {
+	mu    sync.Mutex
+	calls map[string]map[*context.CancelCauseFunc]bool
+}
+
+func newLives() *lives {
+	return &lives{calls: map[string]map[*context.CancelCauseFunc]bool{}}
+}
+
+// begin returns a context for a call to an endpoint; it ends with the endpoint's life. The function
+// that it returns is to be called when the call is over.
+func (r *Relay) begin(ctx context.Context, e model.Endpoint) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	l := r.lives
+	life := e.Life()
+	l.mu.Lock()
+	if l.calls[life] == nil {
+		l.calls[life] = map[*context.CancelCauseFunc]bool{}
+	}
+	l.calls[life][&cancel] = true
+	l.mu.Unlock()
+	if r.Roster().Superseded(life) {
+		cancel(errStartedAgain)
+	}
+	return ctx, func() {
+		l.mu.Lock()
+		delete(l.calls[life], &cancel)
+		if len(l.calls[life]) == 0 {
+			delete(l.calls, life)
+		}
+		l.mu.Unlock()
+		cancel(nil)
+	}
+}
+
+// end ends the calls to a life and returns how many there were.
+func (l *lives) end(life string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for cancel := range l.calls[life] {
+		(*cancel)(errStartedAgain)
+	}
+	return len(l.calls[life])
+}
+
+// endFormerLives ends what hangs on endpoints that have started again: calls under way, idle
+// connections, and pieces whose inputs lay there.
+func (r *Relay) endFormerLives(changes []kernel.RosterChange) {
+	again := false
+	for _, c := range changes {
+		if c.Before.Name == "" {
+			continue
+		}
+		again = true
+		r.metrics.Event("EndpointStartedAgain")
+		ended := r.lives.end(c.Before.Life())
+		r.wire.Retire(c.Before.Address)
+		r.log.Info().Str("Endpoint", c.Before.Life()).Int("Calls", ended).Msg("calls to a former life ended")
+	}
+	if again {
+		r.hub.endStale()
+	}
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -76,9 +76,9 @@
 }
 
 // logRoster writes a line for each endpoint that came, went or began to leave.
-func (r *Relay) logRoster(before, after kernel.Roster) {
-	for _, change := range after.Changes(before) {
-		r.log.Info().Str("Endpoint", change.Endpoint.Name).Str("Pool", change.Endpoint.Pool).
+func (r *Relay) logRoster(changes []kernel.RosterChange) {
+	for _, change := range changes {
+		r.log.Info().Str("Endpoint", change.Endpoint.Life()).Str("Pool", change.Endpoint.Pool).
 			Str("Address", change.Endpoint.Address).Str("State", string(change.Endpoint.State)).
 			Msg(change.What)
 	}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -23,6 +23,7 @@
 		name   string
 		mu     sync.Mutex
 		budget *kernel.SharedBudget
+		// states is by the lives of endpoints.
 		states map[string]*endpointState
 		// firstEvent is the time until a stream's first event.
 		firstEvent kernel.Quantiles
@@ -49,11 +50,11 @@
 	return p
 }
 
-func (p *pool) state(name string) *endpointState {
-	s := p.states[name]
+func (p *pool) state(life string) *endpointState {
+	s := p.states[life]
 	if s == nil {
 		s = &endpointState{}
-		p.states[name] = s
+		p.states[life] = s
 	}
 	return s
 }
@@ -63,13 +64,13 @@
 func (p *pool) candidates(listed []model.Endpoint) []kernel.Candidate {
 	out := make([]kernel.Candidate, 0, len(listed))
 	for _, e := range listed {
-		s := p.state(e.Name)
+		s := p.state(e.Life())
 		out = append(out, kernel.Candidate{Endpoint: e, InFlight: s.inFlight, Load: s.load, LoadAt: s.loadAt, Health: s.health})
 	}
 	if len(p.states) > 2*len(listed)+8 {
-		for name, s := range p.states {
-			if s.inFlight == 0 && !slices.ContainsFunc(listed, func(e model.Endpoint) bool { return e.Name == name }) {
-				delete(p.states, name)
+		for life, s := range p.states {
+			if s.inFlight == 0 && !slices.ContainsFunc(listed, func(e model.Endpoint) bool { return e.Life() == life }) {
+				delete(p.states, life)
 			}
 		}
 	}
@@ -96,7 +97,7 @@
 	usable := kernel.Usable(now, p.candidates(roster.Endpoints(p.name)), excluded)
 	choices := make([]kernel.EngineChoice, 0, len(usable))
 	for _, c := range usable {
-		choices = append(choices, kernel.EngineChoice{Candidate: c, Reading: p.state(c.Endpoint.Name).reading})
+		choices = append(choices, kernel.EngineChoice{Candidate: c, Reading: p.state(c.Endpoint.Life()).reading})
 	}
 	i := kernel.PickEngine(now, choices, kernel.AffinityKey(prompt))
 	if i < 0 {
@@ -107,7 +108,7 @@
 }
 
 func (p *pool) take(c kernel.Candidate, reading int) {
-	s := p.state(c.Endpoint.Name)
+	s := p.state(c.Endpoint.Life())
 	s.inFlight++
 	s.reading += reading
 	if c.Health.Ejected() {
@@ -116,56 +117,56 @@
 }
 
 // readPrompt notes that an engine has read a prompt.
-func (p *pool) readPrompt(name string, tokens int, took time.Duration) {
+func (p *pool) readPrompt(life string, tokens int, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(name).reading -= tokens
+	p.state(life).reading -= tokens
 	p.firstEvent.Observe(took)
 }
 
 // dropPrompt notes that a prompt will not be read.
-func (p *pool) dropPrompt(name string, tokens int) {
+func (p *pool) dropPrompt(life string, tokens int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(name).reading -= tokens
+	p.state(life).reading -= tokens
 }
 
 // leave counts a request as no longer in flight.
-func (p *pool) leave(name string) {
+func (p *pool) leave(life string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(name).inFlight--
+	p.state(life).inFlight--
 }
 
-func (p *pool) succeeded(name string) {
+func (p *pool) succeeded(life string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(name)
+	s := p.state(life)
 	s.health = s.health.WithSuccess()
 }
 
-func (p *pool) failed(now time.Time, name string) {
+func (p *pool) failed(now time.Time, life string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(name)
+	s := p.state(life)
 	s.health = s.health.WithFailure(now)
 }
 
 // unreachable notes that an endpoint could not be connected to.
-func (p *pool) unreachable(now time.Time, name string) {
+func (p *pool) unreachable(now time.Time, life string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(name)
+	s := p.state(life)
 	s.health = s.health.WithUnreachable(now)
 }
 
-func (p *pool) reported(now time.Time, name string, load *model.Load) {
+func (p *pool) reported(now time.Time, life string, load *model.Load) {
 	if load == nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(name)
+	s := p.state(life)
 	s.load = *load
 	s.loadAt = now
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -48,6 +48,8 @@
 		Free func(ctx context.Context, e model.Endpoint, handles []string) error
 		// Room returns how many bytes of results an endpoint has room for now.
 		Room func(ctx context.Context, e model.Endpoint) (int64, error)
+		// Retire closes the idle connections to an address.
+		Retire func(address string)
 	}
 
 	// Send is one send of a request.
@@ -127,6 +129,8 @@
 		// suspects are nodes that did not answer; remote holds other nodes' groups here.
 		suspects *suspects
 		remote   *remoteGroups
+		// lives ends the calls to endpoints that have started again.
+		lives *lives
 		// returning holds the refused requests of the pools that this node gathers for.
 		returning *returning
 
@@ -165,6 +169,7 @@
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.hub = newHub(r)
 	r.remote = newRemoteGroups()
+	r.lives = newLives()
 	r.returning = newReturning()
 	r.suspects = newSuspects(r.ctx, r.probe, func(node string) {
 		r.log.Info().Str("Gatherer", node).Msg("node answers again")
@@ -258,8 +263,10 @@
 func (r *Relay) SetRoster(roster kernel.Roster) {
 	before := *r.roster.Load()
 	r.roster.Store(&roster)
-	r.logRoster(before, roster)
+	changes := roster.Changes(before)
+	r.logRoster(changes)
 	r.hub.setEndpoints(roster)
+	r.endFormerLives(changes)
 }
 
 // SetNodes takes over which nodes there are, this one included.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -74,7 +74,7 @@
 		{Name: "plain-1", Pool: "plain", State: model.Live},
 		{Name: "engine-0", Pool: "engines", State: model.Live},
 		{Name: "maker-0", Pool: "makers", State: model.Live},
-	}, nil))
+	}, nil, nil))
 	return b
 }
 
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -151,6 +151,16 @@
 	}
 }
 
+// stale tells whether one of the engine's inputs went with a life of its maker.
+func (s *stageRun) stale() bool {
+	for _, i := range s.plan.Last {
+		if kernel.AnyStale(s.results[i], s.relay.Roster().Superseded) {
+			return true
+		}
+	}
+	return false
+}
+
 // ready tells whether all stages that one follows are done.
 func (s *stageRun) ready(stage int) bool {
 	for _, before := range s.stages[stage].After {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"basilstall.example/basilstall/endpoint"
+	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 )
 
@@ -98,8 +99,8 @@
 	if !ok {
 		return e, streamEnd{}, false
 	}
-	defer p.leave(e.Name)
-	j.excluded = append(j.excluded, e.Name)
+	defer p.leave(e.Life())
+	j.excluded = append(j.excluded, e.Life())
 	j.asked++
 	began := r.now()
 	read := false
@@ -108,17 +109,24 @@
 			return
 		}
 		read = true
-		p.readPrompt(e.Name, tokens, r.now().Sub(began))
+		p.readPrompt(e.Life(), tokens, r.now().Sub(began))
 		if !j.admission.Route.Resumable {
 			stages.release()
 		}
 	}
 	send := j.send(e, j.asked > 1)
 	send.Inputs = stages.inputs
+	admitted := send.BeforeSend
+	send.BeforeSend = func() error {
+		if stages.stale() {
+			return model.NewRefusal(j.verdict(), model.StageFailed, kernel.RetryAfter(refusedRetry), "an input went with its maker")
+		}
+		return admitted()
+	}
 	send.After = state.events.last
 	end := j.relayEvents(ctx, p, send, state, onFirst)
 	if !read {
-		p.dropPrompt(e.Name, tokens)
+		p.dropPrompt(e.Life(), tokens)
 	}
 	j.noteStreamEnd(p, e, end)
 	return e, end, true
@@ -130,12 +138,14 @@
 	defer cancel(nil)
 	silence := j.watchSilence(cancel)
 	defer silence.Stop()
+	ctx, over := j.relay.begin(ctx, send.Endpoint)
+	defer over()
 	reply, err := j.relay.wire.Forward(ctx, send)
 	if err != nil {
 		return streamEnd{err: err}
 	}
 	defer reply.Close()
-	p.reported(j.relay.now(), send.Endpoint.Name, reply.Load)
+	p.reported(j.relay.now(), send.Endpoint.Life(), reply.Load)
 	if reply.NotRun {
 		return streamEnd{reply: reply}
 	}
@@ -236,7 +246,7 @@
 	case end.err != nil:
 		j.noteFault(p, e, asFault(end.err))
 	case end.whole:
-		p.succeeded(e.Name)
+		p.succeeded(e.Life())
 	case end.reply != nil && end.reply.NotRun:
 		j.relay.logAttempt(j.forward, e, j.asked, model.RetryNotRun, nil)
 	}
@@ -277,6 +287,14 @@
 	return true
 }
 
+// verdict says what may be told of the request so far.
+func (j *job) verdict() model.Verdict {
+	if j.mayHaveRun {
+		return model.MayHaveRun
+	}
+	return model.NotRun
+}
+
 // streamFailure is the refusal of a stream of which nothing was passed on.
 func (j *job) streamFailure(end streamEnd) Outcome {
 	var refusal *model.Refusal
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -107,16 +107,18 @@
 	if !ok {
 		return false
 	}
-	j.excluded = append(j.excluded, e.Name)
+	j.excluded = append(j.excluded, e.Life())
 	j.asked++
 	send := j.send(e, j.asked > 1)
 	go func() {
-		defer p.leave(e.Name)
+		defer p.leave(e.Life())
 		res := unaryResult{endpoint: e}
 		defer r.guard(func() {
 			res.err = errPanic
 			results <- res
 		})
+		ctx, over := r.begin(ctx, e)
+		defer over()
 		res.reply, res.err = r.wire.Forward(ctx, send)
 		if res.err == nil {
 			res.body, res.err = readWhole(res.reply)
@@ -169,22 +171,22 @@
 		j.noteFault(p, res.endpoint, asFault(res.err))
 		return false
 	}
-	p.reported(now, res.endpoint.Name, res.reply.Load)
+	p.reported(now, res.endpoint.Life(), res.reply.Load)
 	if res.reply.NotRun {
 		return false
 	}
 	j.mayHaveRun = true
 	if !res.reply.Authentic && res.reply.Status < http.StatusMultipleChoices {
 		// A success that the endpoint did not sign is not its answer.
-		p.failed(now, res.endpoint.Name)
+		p.failed(now, res.endpoint.Life())
 		res.err = &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.New("relay: the answer is not signed")}
 		return false
 	}
 	if res.reply.Status >= http.StatusInternalServerError {
-		p.failed(now, res.endpoint.Name)
+		p.failed(now, res.endpoint.Life())
 		return false
 	}
-	p.succeeded(res.endpoint.Name)
+	p.succeeded(res.endpoint.Life())
 	return true
 }
 
@@ -197,9 +199,9 @@
 		return
 	}
 	if fault.Kind == endpoint.Refused {
-		p.unreachable(j.relay.now(), e.Name)
+		p.unreachable(j.relay.now(), e.Life())
 	} else {
-		p.failed(j.relay.now(), e.Name)
+		p.failed(j.relay.now(), e.Life())
 	}
 	j.relay.logAttempt(j.forward, e, j.asked, fault.RetryReason(), fault)
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -20,6 +20,9 @@
 	cs.mu.Unlock()
 	runs := map[string][]ranAt{}
 	for _, s := range c.endpoints {
+		for _, id := range s.Mixed() {
+			c.breach("%s was given results of another request at %s", id, s.Name)
+		}
 		for _, run := range s.Runs() {
 			runs[run.ID] = append(runs[run.ID], ranAt{server: s, run: run})
 		}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -96,7 +96,7 @@
 }
 
 func (c *cluster) list(s *server, draining bool) {
-	c.store.List(s.Name, s.pool, s.proxy.address(), draining)
+	c.store.List(standin.Entry{Name: s.Name, Pool: s.pool, Address: s.proxy.address(), Draining: draining, Started: s.Started()})
 }
 
 // configure writes the next version of the routing.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -30,6 +30,8 @@
 	{"endpoint fails", endpointFails},
 	{"endpoint link", endpointLink},
 	{"endpoint leaves", endpointLeaves},
+	{"endpoint starts again", endpointStartsAgain},
+	{"foreign entries", foreignEntries},
 	{"routing changes", routingChanges},
 	{"key taken away", keyTaken},
 	{"key taken away behind a cut", keyTakenBehindACut},
@@ -159,6 +161,44 @@
 	c.store.Unlist(old.Name)
 }
 
+// endpointStartsAgain restarts an endpoint under its name, at times behind a cut.
+func endpointStartsAgain(c *cluster, random *rand.Rand, last time.Duration) {
+	s := c.anyServer(random)
+	cut := random.IntN(2) == 0
+	if cut {
+		s.proxy.setFault([]proxyFault{linkDeaf, linkMute}[random.IntN(2)])
+		time.Sleep(last / 2)
+	}
+	s.Restart()
+	if !cut {
+		s.proxy.resetAll()
+	}
+	time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+	c.mu.Lock()
+	if s.unlistedAt.IsZero() {
+		c.list(s, false)
+	}
+	c.mu.Unlock()
+	time.Sleep(last / 2)
+	s.proxy.setFault(linkFine)
+}
+
+// foreignEntries puts entries that name no endpoint among the others, and over one for a moment.
+func foreignEntries(c *cluster, random *rand.Rand, last time.Duration) {
+	bad := standin.BadEntries()
+	for range 3 {
+		c.store.Put("servers", fmt.Sprint("foreign-", random.IntN(5)), bad[random.IntN(len(bad))])
+	}
+	time.Sleep(last)
+	s := c.anyServer(random)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.unlistedAt.IsZero() {
+		c.store.Put("servers", s.Name, bad[random.IntN(len(bad))])
+		c.list(s, false)
+	}
+}
+
 // routingChanges writes several versions in quick succession.
 func routingChanges(c *cluster, random *rand.Rand, _ time.Duration) {
 	for range 1 + random.IntN(4) {
