Give results up when nothing is likely to need them; make them again where something does

Cause: room for results bound bursts and the seconds after a loss. Inputs of a stage were held to the end of its call unless its pool had a queue. After a gatherer was lost its successor believed each maker's room taken for the whole lifetime of results, or put makers aside whole. Waits were told for the pool as one: late and heavy work counted as ahead of all.

Change: where more than half of a pool's room is taken, a stream's inputs are given up at its first event and a stage's once its call has fetched them, never while another gatherer's calls may be under way. What then lacks its inputs (a stream that goes on elsewhere, a piece whose call failed) has them made again, once a request. Rooms are asked for every 400 ms after a take-over; refusals for lack of room measure what others left there and cost a piece no try. Each request is told the wait of its own pieces, by size and due time. Each mechanism can be left out by a kernel.Policy.

--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -16,9 +16,6 @@
 	// together stay together, and pieces that just missed them wait for a whole call; spaced
 	// evenly, a piece waits for a part of the spacing.
 	spacing = 0.8
-	// foreignRoom is how long an endpoint that had no room for a result, although there should
-	// have been some, counts as full: results of another gatherer lie there.
-	foreignRoom = 700 * time.Millisecond
 	// makerPause is how long an endpoint that refused a call as full gets no other: a part of
 	// the shortest call.
 	makerPause = 60 * time.Millisecond
@@ -116,6 +113,11 @@
 		hold time.Duration
 		// lastStart is when the last call was handed out.
 		lastStart time.Time
+		// sharedUntil is until when calls of another gatherer may be under way at the makers,
+		// foreignUntil until when results may lie there that it had made.
+		sharedUntil  time.Time
+		foreignUntil time.Time
+		policy       Policy
 	}
 
 	maker struct {
@@ -124,10 +126,10 @@
 		// used is the room taken by results and by calls under way.
 		used        int64
 		pausedUntil time.Time
-		// fullUntil is until when it counts as having no room.
-		fullUntil time.Time
-		// foreign is the room taken by results that another gatherer had made, until foreignUntil.
+		// foreign is the room that was taken at foreignAt by results that are not known here; they
+		// are gone at foreignUntil.
 		foreign      int64
+		foreignAt    time.Time
 		foreignUntil time.Time
 		health       Health
 		// pace is how long calls take, relative to what is stated.
@@ -167,6 +169,11 @@
 	}
 }
 
+// SetPolicy says which mechanisms decide.
+func (g *Gathering) SetPolicy(p Policy) {
+	g.policy = p
+}
+
 // SetTraits takes over what the newest routing says of the pool.
 func (g *Gathering) SetTraits(traits model.PieceTraits) {
 	g.traits = traits
@@ -199,7 +206,7 @@
 
 // Add takes a group in, or tells that it cannot be made in time and when to come back.
 func (g *Gathering) Add(now time.Time, group PieceGroup) (accepted bool, retryAfter time.Duration) {
-	wait := g.Wait(group)
+	wait := g.Wait(now, group)
 	finish := now.Add(wait + g.callTime(len(group.Pieces)))
 	overdue := finish.After(group.Due) && g.backlog() > lateBacklog
 	if overdue || finish.After(group.Until) {
@@ -241,7 +248,7 @@
 
 // tooSoon tells whether the next call is better made a little later, with more pieces.
 func (g *Gathering) tooSoon(now time.Time, order []*waitingGroup) bool {
-	return now.Sub(g.lastStart) < g.Spacing() && g.pieces(order) < g.traits.Batch
+	return g.policy.Uses(SpacedCalls) && now.Sub(g.lastStart) < g.Spacing() && g.pieces(order) < g.traits.Batch
 }
 
 // Spacing is the least time between the starts of two calls that are not full.
@@ -264,13 +271,7 @@
 	var batch PieceBatch
 	room := math.Inf(1)
 	if g.traits.Room > 0 {
-		room = float64(g.traits.Room)*roomMargin - float64(m.used)
-		if now.Before(m.fullUntil) {
-			room = 0
-		}
-		if now.Before(m.foreignUntil) {
-			room -= float64(m.foreign)
-		}
+		room = g.freeRoom(now, m)
 	}
 	for _, w := range order {
 		if !g.suits(now, m, w) {
--- a/kernel/gatherend.go
+++ b/kernel/gatherend.go
@@ -39,7 +39,8 @@
 // Done takes the results of a call in. It returns the groups that ended, and the results that
 // nobody waits for any more.
 func (g *Gathering) Done(now time.Time, batch PieceBatch, results []model.PieceResult) (ended []GroupOutcome, unwanted []MadePiece) {
-	if m := g.end(batch, results); m != nil {
+	m := g.end(batch, results)
+	if m != nil {
 		m.health = m.health.WithSuccess()
 		took := float64(now.Sub(batch.startedAt)) / float64(max(1, batch.stated))
 		m.pace += paceWeight * (took - m.pace)
@@ -49,7 +50,9 @@
 		r := results[i]
 		if r.Handle == "" {
 			failed[i] = r.Fault
-			g.noteFull(now, batch, r.Fault)
+			if m != nil && r.Fault == model.PieceNoRoom {
+				g.noteFull(now, m)
+			}
 			continue
 		}
 		g.results[r.Handle] = heldResult{maker: batch.Endpoint.Life(), bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)}
@@ -74,13 +77,6 @@
 	return ended, unwanted
 }
 
-// noteFull notes that a maker had no room although there should have been some.
-func (g *Gathering) noteFull(now time.Time, batch PieceBatch, fault model.PieceFault) {
-	if m := g.makers[batch.Endpoint.Life()]; m != nil && fault == model.PieceNoRoom {
-		m.fullUntil = now.Add(foreignRoom)
-	}
-}
-
 // end frees the slot of a call, and the room of the pieces that were not made.
 func (g *Gathering) end(batch PieceBatch, results []model.PieceResult) *maker {
 	delete(g.running, batch.ID)
@@ -113,7 +109,7 @@
 		if w == nil {
 			continue
 		}
-		if !counts {
+		if !counts || (fault == model.PieceNoRoom && g.policy.Uses(RoomLearnt)) {
 			w.tries[p.Number]--
 		}
 		hopeless := fault == model.PieceInputGone || fault == model.PieceLate || w.inputsFreed
--- a/kernel/gatherfetch.go
+++ b/kernel/gatherfetch.go
@@ -9,15 +9,15 @@
 	// fetchMargin is how many times the time that the endpoint's link needs for the inputs they may
 	// take: their makers' links carry other calls' inputs too.
 	fetchMargin = 2
-	// crowdingShare is the share of an endpoint's room from which on a group's inputs crowd out
-	// other results.
-	crowdingShare = 0.01
+	// scarceRoom is the share of a pool's room from which on it counts as scarce: with more left,
+	// twice the results that are usually held find room.
+	scarceRoom = 0.5
 )
 
-// Crowds tells whether results of so many bytes are to be freed as soon as they were fetched: a
-// pool has a queue, and they take a good part of an endpoint's room.
-func (o PoolOutlook) Crowds(bytes int64) bool {
-	return o.Wait > queueWait && float64(bytes) >= crowdingShare*float64(o.Traits.Room)
+// Scarce tells whether so much of a pool's room is taken that results are to be given up as soon as
+// nothing is likely to need them again.
+func (o PoolOutlook) Scarce() bool {
+	return o.RoomTaken > scarceRoom
 }
 
 // fetchTime returns how long after its start a call needs the inputs of its pieces at most. Each
@@ -42,8 +42,12 @@
 
 // Fetched returns the inputs that the calls under way have fetched and that nothing else needs;
 // each is returned once. Held until the calls end, they would take room from other results for
-// twice as long. The price: a piece whose call fails after that can't be made again.
+// twice as long. The price: after a call that fails, the stages before it are carried out again.
 func (g *Gathering) Fetched(now time.Time) []MadePiece {
+	if now.Before(g.sharedUntil) {
+		// Another gatherer's call may come first at a maker; then the inputs are fetched later.
+		return nil
+	}
 	var out []MadePiece
 	for _, w := range g.groups {
 		if !w.FreeInputs || w.inputsFreed || len(w.waiting) > 0 || now.Before(w.fetchedAt) {
--- a/kernel/gatherorder.go
+++ b/kernel/gatherorder.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -26,7 +27,7 @@
 		}
 	}
 	shortest := now.Add(g.callTime(1))
-	slices.SortFunc(out, func(a, b *waitingGroup) int { return compareGroups(shortest, a, b, 0, 0) })
+	slices.SortFunc(out, func(a, b *waitingGroup) int { return g.compareGroups(shortest, a, b, 0, 0) })
 	return out
 }
 
@@ -42,14 +43,14 @@
 	}
 	out := slices.Clone(order)
 	slices.SortStableFunc(out, func(a, b *waitingGroup) int {
-		return compareGroups(shortest, a, b, later(a), later(b))
+		return g.compareGroups(shortest, a, b, later(a), later(b))
 	})
 	return out
 }
 
 // compareGroups puts groups that can still be on time first, then goes by when they count as due.
-func compareGroups(shortest time.Time, a, b *waitingGroup, laterA, laterB time.Duration) int {
-	if la, lb := shortest.After(a.Due), shortest.After(b.Due); la != lb {
+func (g *Gathering) compareGroups(shortest time.Time, a, b *waitingGroup, laterA, laterB time.Duration) int {
+	if la, lb := shortest.After(a.Due), shortest.After(b.Due); la != lb && g.policy.Uses(LateLast) {
 		if la {
 			return 1
 		}
@@ -77,15 +78,15 @@
 		if now.Before(m.pausedUntil) || !m.health.Usable(now) {
 			continue
 		}
-		if m.pace > slowPace {
+		if m.pace > slowPace && g.policy.Uses(SlowMakersLast) {
 			slow = append(slow, m)
 		} else {
 			out = append(out, m)
 		}
 	}
 	byRoom := func(a, b *maker) int {
-		if a.used != b.used {
-			return int(a.used - b.used)
+		if c := cmp.Compare(g.freeRoom(now, b), g.freeRoom(now, a)); c != 0 {
+			return c
 		}
 		if a.endpoint.Name < b.endpoint.Name {
 			return -1
@@ -103,7 +104,7 @@
 	if w.Domain == "" || m.endpoint.FailureDomain == w.Domain {
 		return true
 	}
-	if now.Sub(w.arrived) >= w.Patience {
+	if now.Sub(w.arrived) >= w.Patience || !g.policy.Uses(NearInputs) {
 		return true
 	}
 	for _, other := range g.makers {
--- a/kernel/gatherroom.go
+++ b/kernel/gatherroom.go
@@ -6,15 +6,86 @@
 	"basilstall.example/basilstall/model"
 )
 
+const (
+	// refusedRoom is how long room counts as taken that a maker refused a result for: about as long
+	// as results are held. It shrinks meanwhile, so that pieces try the maker again as results
+	// lapse; a third or twice as long serves some per cent less after a gatherer was lost.
+	refusedRoom = 700 * time.Millisecond
+	// handoverCalls is for how many full calls after a take-over another gatherer's calls may be
+	// under way: the one that it had made, and those for groups that waited there.
+	handoverCalls = 3
+)
+
+// TakeOver takes in that another node may have gathered for the pool until now. Its calls may be under
+// way, and what it had made takes room until it lapses.
+func (g *Gathering) TakeOver(now time.Time) {
+	full := g.callTime(g.traits.Batch)
+	g.sharedUntil = now.Add(handoverCalls * full)
+	g.foreignUntil = now.Add(g.traits.Keep + full)
+}
+
+// Inherits tells whether results of another gatherer may still take room.
+func (g *Gathering) Inherits(now time.Time) bool {
+	return now.Before(g.foreignUntil)
+}
+
 // NoteRoom takes in how much room an endpoint reports to have free: what is missing beyond the
 // results known here belongs to another gatherer, whose place this one took.
 func (g *Gathering) NoteRoom(now time.Time, life string, free int64) {
-	m := g.makers[life]
-	if m == nil {
-		return
+	if m := g.makers[life]; m != nil {
+		m.setForeign(now, g.foreignUntil, g.traits.Room-free-m.used)
+	}
+}
+
+// noteFull takes in that a call found no room for a result although there should have been some: all
+// that is not used by results known here is taken by others.
+func (g *Gathering) noteFull(now time.Time, m *maker) {
+	taken := g.traits.Room - m.used
+	if !g.policy.Uses(RoomLearnt) {
+		taken = g.traits.Room
+	}
+	m.setForeign(now, now.Add(refusedRoom), taken)
+}
+
+func (m *maker) setForeign(now, until time.Time, bytes int64) {
+	m.foreign = max(0, bytes)
+	m.foreignAt = now
+	m.foreignUntil = until
+}
+
+// foreignRoom is how much room others' results are taken to fill. They lapse one after the other, so
+// what was noted shrinks evenly until the last is gone.
+func (m *maker) foreignRoom(now time.Time) float64 {
+	if m.foreign == 0 || !now.Before(m.foreignUntil) {
+		return 0
+	}
+	left := float64(m.foreignUntil.Sub(now)) / float64(m.foreignUntil.Sub(m.foreignAt))
+	return float64(m.foreign) * left
+}
+
+// freeRoom is how much room a maker is taken to have, in bytes; it may be negative.
+func (g *Gathering) freeRoom(now time.Time, m *maker) float64 {
+	return float64(g.traits.Room)*roomMargin - float64(m.used) - m.foreignRoom(now)
+}
+
+// RoomTaken returns which share of the makers' room is taken, between 0 and 1.
+func (g *Gathering) RoomTaken(now time.Time) float64 {
+	total, free := g.room(now)
+	if total <= 0 {
+		return 0
+	}
+	return 1 - free/total
+}
+
+// room returns how much room the makers have in all, and how much of it is free.
+func (g *Gathering) room(now time.Time) (total, free float64) {
+	for _, m := range g.makers {
+		if m.endpoint.State != model.Leaving {
+			total += float64(g.traits.Room) * roomMargin
+			free += max(0, g.freeRoom(now, m))
+		}
 	}
-	m.foreign = max(0, g.traits.Room-free-m.used)
-	m.foreignUntil = now.Add(g.traits.Keep)
+	return total, free
 }
 
 // Maker returns an endpoint by its life.
--- /dev/null
+++ b/kernel/gatherroom_test.go
@@ -0,0 +1,138 @@
+package kernel_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+// roomTraits are those of a pool whose results are many and small beside its room of 3 MB, which its
+// makers do not tell: 28 pieces of 60 kB a call, five makers, calls of 444 ms.
+var roomTraits = model.PieceTraits{
+	Slots: 1, Batch: 28, CallTime: 240 * time.Millisecond, PieceTime: 7300 * time.Microsecond,
+	Room: 3_000_000, Keep: 4 * time.Second, Link: 1_250_000_000,
+}
+
+const roomResult = 60_000
+
+// lostGatherer plays the pattern "the gatherer is lost with all that it knew": the makers are full of
+// results that nobody frees. They lapse one after the other, as they were made over the last second,
+// Keep after each was made. Requests of four pieces come at three quarters of what the calls can carry.
+type lostGatherer struct {
+	g       *kernel.Gathering
+	lapses  map[string][]time.Time
+	running []kernel.PieceBatch
+	held    map[string][]kernel.MadePiece
+	endings []time.Time
+	made    int
+	wasted  int
+}
+
+func newLostGatherer(start time.Time, policy kernel.Policy) *lostGatherer {
+	l := &lostGatherer{g: kernel.NewGathering(roomTraits), lapses: map[string][]time.Time{}, held: map[string][]kernel.MadePiece{}}
+	l.g.SetPolicy(policy)
+	l.g.SetEndpoints(makers(5))
+	l.g.TakeOver(start)
+	// The loss was 1.5 s ago: nodes need that to come back.
+	lost := start.Add(-1500 * time.Millisecond)
+	for _, m := range makers(5) {
+		for i := range 50 {
+			l.lapses[m.Name] = append(l.lapses[m.Name], lost.Add(roomTraits.Keep-time.Duration(i)*20*time.Millisecond))
+		}
+	}
+	return l
+}
+
+// foreign is how many results of the lost gatherer a maker holds.
+func (l *lostGatherer) foreign(now time.Time, maker string) int {
+	n := 0
+	for _, at := range l.lapses[maker] {
+		if now.Before(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// end ends a call as its maker does: pieces find room or are not made. Results are given up at once, as
+// if their consumers had fetched them.
+func (l *lostGatherer) end(now time.Time, batch kernel.PieceBatch) {
+	room := int(roomTraits.Room/roomResult) - l.foreign(batch.StartedAt(), batch.Endpoint.Name)
+	results := madeAll(batch)
+	for i := range results {
+		if i >= room {
+			results[i] = model.PieceResult{Fault: model.PieceNoRoom}
+			l.wasted++
+		}
+	}
+	ended, _ := l.g.Done(now, batch, results)
+	for _, o := range ended {
+		if o.Fault == "" {
+			l.made++
+		}
+		for _, m := range o.Made {
+			l.g.Release(now, m)
+		}
+	}
+}
+
+// play returns how many requests were made by the end of each second.
+func (l *lostGatherer) play(start time.Time, seconds int) []int {
+	var done []int
+	id := uint64(0)
+	for step := range seconds * 200 {
+		now := start.Add(time.Duration(step) * 5 * time.Millisecond)
+		for len(l.running) > 0 && !now.Before(l.running[0].StartedAt().Add(444*time.Millisecond)) {
+			batch := l.running[0]
+			l.running = l.running[1:]
+			l.end(now, batch)
+		}
+		l.g.Expire(now)
+		// 60 requests a second; the calls carry 79.
+		if step%10 < 3 {
+			id++
+			l.g.Add(now, pieceGroup(id, 4, roomResult, now.Add(2500*time.Millisecond)))
+		}
+		for {
+			batch, ok := l.g.Next(now)
+			if !ok {
+				break
+			}
+			l.running = append(l.running, batch)
+		}
+		if step%200 == 199 {
+			done = append(done, l.made)
+		}
+	}
+	return done
+}
+
+// What makers refuse tells how much room the lost gatherer's results take, and pieces that found none
+// are asked for again for as long as they can be on time. With makers put aside whole after a refusal, and
+// three tries a piece, less was served in the seconds in which those results lapse.
+func TestRoomLeftByALostGathererIsLearnt(t *testing.T) {
+	start := time.Unix(1000, 0)
+	learnt := newLostGatherer(start, kernel.Policy{})
+	with := learnt.play(start, 6)
+	aside := newLostGatherer(start, kernel.Policy{}.Without(kernel.RoomLearnt))
+	without := aside.play(start, 6)
+	t.Logf("requests made by second: learnt %v (%d pieces without room), put aside %v (%d)", with, learnt.wasted, without, aside.wasted)
+	must.GreaterEq(t, without[2], with[2])
+	must.GreaterEq(t, 60*3*9/10, with[5]-with[2], must.Sprint("what comes is served once the results have lapsed"))
+}
+
+func TestAMakerThatReportsItsRoomIsTakenAtItsWord(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGathering(1)
+	g.TakeOver(now)
+	must.True(t, g.Inherits(now))
+	g.NoteRoom(now, "maker-0", 0)
+	must.EqOp(t, 1, g.RoomTaken(now))
+	g.NoteRoom(now.Add(time.Second), "maker-0", gatherTraits.Room)
+	must.EqOp(t, 0, g.RoomTaken(now.Add(time.Second)))
+	must.False(t, g.Inherits(now.Add(2*gatherTraits.Keep)))
+}
--- a/kernel/gatherwait.go
+++ b/kernel/gatherwait.go
@@ -8,20 +8,13 @@
 
 // Wait estimates how long the pieces of a group that comes now wait until their call starts: the
 // work that goes before them, by the time of full batches and by room.
-func (g *Gathering) Wait(group PieceGroup) time.Duration {
+func (g *Gathering) Wait(now time.Time, group PieceGroup) time.Duration {
 	makers := g.staying()
 	if makers == 0 {
 		return lapsedGrace
 	}
-	ahead := 0
-	aheadBytes := int64(len(group.Pieces)) * group.ResultBytes
-	for _, w := range g.groups {
-		if w.rankedDue().After(group.rankedDue()) {
-			continue
-		}
-		ahead += len(w.waiting)
-		aheadBytes += int64(len(w.waiting)) * w.ResultBytes
-	}
+	total, free := g.room(now)
+	ahead, aheadBytes := g.ahead(now, group, free)
 	full := g.callTime(g.traits.Batch)
 	calls := float64(makers * max(1, g.traits.Slots))
 	// With all endpoints busy, one comes free after a call's share on average.
@@ -30,28 +23,44 @@
 		first = 0
 	}
 	bySlots := first + float64(ahead)/float64(max(1, g.traits.Batch))/calls*float64(full)
-	return max(time.Duration(bySlots), g.roomWait(aheadBytes))
+	missing := float64(aheadBytes) - free
+	if g.traits.Room <= 0 || missing <= 0 || group.ResultBytes == 0 {
+		return time.Duration(bySlots)
+	}
+	// What is not free comes free as fast as results were held lately.
+	byRoom := time.Duration(missing / total * float64(g.hold))
+	return max(time.Duration(bySlots), byRoom)
 }
 
-// roomWait estimates how long it takes until so many bytes of results find room: what is not free
-// comes free as fast as results were held lately.
-func (g *Gathering) roomWait(bytes int64) time.Duration {
-	if g.traits.Room <= 0 || bytes == 0 {
-		return 0
-	}
-	total, free := 0.0, 0.0
-	for _, m := range g.makers {
-		if m.endpoint.State != model.Leaving {
-			room := float64(g.traits.Room) * roomMargin
-			total += room
-			free += max(0, room-float64(m.used))
+// ahead returns how many pieces are made before those of a group, and how many bytes of results find
+// room before its last one has. Work that is late goes after all that is not. Results that are larger
+// wait for room while smaller ones pass them by, so they count as far as there is room for them.
+func (g *Gathering) ahead(now time.Time, group PieceGroup, free float64) (pieces int, bytes int64) {
+	bytes = int64(len(group.Pieces)) * group.ResultBytes
+	shortest := now.Add(g.callTime(1))
+	own := &waitingGroup{PieceGroup: group}
+	heavyRoom := free
+	for _, w := range g.groups {
+		if !g.policy.Uses(OwnWait) {
+			if !w.rankedDue().After(group.rankedDue()) {
+				pieces += len(w.waiting)
+				bytes += int64(len(w.waiting)) * w.ResultBytes
+			}
+			continue
 		}
+		if g.compareGroups(shortest, w, own, 0, 0) > 0 {
+			continue
+		}
+		waiting := len(w.waiting)
+		if w.ResultBytes > group.ResultBytes {
+			waiting = min(waiting, int(max(0, heavyRoom)/float64(w.ResultBytes)))
+			heavyRoom -= float64(waiting) * float64(w.ResultBytes)
+		} else {
+			bytes += int64(waiting) * w.ResultBytes
+		}
+		pieces += waiting
 	}
-	missing := float64(bytes) - free
-	if missing <= 0 || total == 0 {
-		return 0
-	}
-	return time.Duration(missing / total * float64(g.hold))
+	return pieces, bytes
 }
 
 // backlog is how many full batches wait for each endpoint.
--- /dev/null
+++ b/kernel/policy.go
@@ -0,0 +1,57 @@
+package kernel
+
+// The mechanisms of decision that a policy can do without, each by itself. What each is worth is
+// listed in docs/design/decisions.md.
+const (
+	// SpacedCalls lets calls for pieces that are not full wait for an even share of the makers' time,
+	// so that more pieces join them.
+	SpacedCalls Mechanism = iota
+	// LateLast orders work that can no longer be on time after all that can.
+	LateLast
+	// SlowMakersLast asks makers that take much longer than stated only when no other is free.
+	SlowMakersLast
+	// NearInputs lets pieces wait for a maker in the failure domain where their inputs lie.
+	NearInputs
+	// FreedOnceFetched frees the inputs of a call once it has fetched them.
+	FreedOnceFetched
+	// ReleasedAtFirstEvent frees the inputs of a stream that may be resumed at its first event, where
+	// their pool's room is scarce.
+	ReleasedAtFirstEvent
+	// InputsRemade carries stages out once more whose results are gone.
+	InputsRemade
+	// RoomLearnt takes what makers refuse for lack of room as a measure of what others left there.
+	RoomLearnt
+	// OwnWait tells each request the wait of its own pieces: by their size and by when they are due.
+	OwnWait
+	// KnownReturns counts the objective of callers that come back from their first attempt.
+	KnownReturns
+	// PrefixAffinity sends prompts that share their beginning to the same engine.
+	PrefixAffinity
+	// HedgedReads sends a repeatable request without an answer to a second endpoint.
+	HedgedReads
+
+	mechanisms
+)
+
+type (
+	// Mechanism is one mechanism of decision.
+	Mechanism uint
+
+	// Policy says which mechanisms decide. The zero value uses all of them, as nodes do; tests and
+	// trials leave some out to see what they are worth. It is immutable.
+	Policy struct {
+		// without has a bit set for each mechanism that is left out.
+		without uint64
+	}
+)
+
+// Uses tells whether a mechanism decides.
+func (p Policy) Uses(m Mechanism) bool {
+	return p.without&(1<<m) == 0
+}
+
+// Without returns the policy less one mechanism.
+func (p Policy) Without(m Mechanism) Policy {
+	p.without |= 1 << m
+	return p
+}
--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -38,28 +38,23 @@
 		Expected time.Duration
 	}
 
-	// PoolOutlook is what a node expects of a pool: how long pieces wait, as far as its gatherer
-	// last told.
+	// PoolOutlook is what a node expects of a pool: how long pieces wait and which share of the
+	// room is taken, as far as its gatherer last told.
 	PoolOutlook struct {
-		Traits model.PieceTraits
-		Wait   time.Duration
+		Traits    model.PieceTraits
+		Wait      time.Duration
+		RoomTaken float64
 	}
 )
 
-// WithWait returns the outlook with another wait.
-func (o PoolOutlook) WithWait(wait time.Duration) PoolOutlook {
-	o.Wait = wait
-	return o
-}
-
 // Queued tells whether the pieces of a pool wait.
 func (o PoolOutlook) Queued() bool {
 	return o.Wait > queueWait
 }
 
 // PlanStages plans the stages of a request by when it was received. The outlook has an entry
-// for each stage's pool; firstEvent is how long the engine takes to the first event.
-func PlanStages(f model.Forward, a Admission, outlook map[string]PoolOutlook, firstEvent time.Duration) StagePlan {
+// for each stage; firstEvent is how long the engine takes to the first event.
+func PlanStages(f model.Forward, a Admission, outlook []PoolOutlook, firstEvent time.Duration) StagePlan {
 	stages := a.Route.Stages
 	plan := StagePlan{Due: make([]time.Time, len(stages)), Until: make([]time.Time, len(stages))}
 	rest := make([]time.Duration, len(stages))
@@ -70,7 +65,7 @@
 	for i := len(stages) - 1; i >= 0; i-- {
 		own := time.Duration(0)
 		if PiecesOf(f, i) > 0 {
-			own = stageTime(outlook[stages[i].Pool])
+			own = stageTime(outlook[i])
 		}
 		for _, before := range stages[i].After {
 			rest[before] = max(rest[before], rest[i]+own)
@@ -122,11 +117,11 @@
 // AdmitStages refuses a request whose stages can't be done in time, before its first piece: what
 // would come late takes room and calls from what would not. The time to come back is when the
 // queues will have drained.
-func AdmitStages(now time.Time, f model.Forward, a Admission, plan StagePlan, outlook map[string]PoolOutlook) *model.Refusal {
+func AdmitStages(now time.Time, f model.Forward, a Admission, plan StagePlan, outlook []PoolOutlook) *model.Refusal {
 	var wait time.Duration
-	for i, s := range a.Route.Stages {
+	for i, o := range outlook {
 		if PiecesOf(f, i) > 0 {
-			wait += outlook[s.Pool].Wait
+			wait += o.Wait
 		}
 	}
 	late := now.Add(time.Duration(lateMargin * float64(plan.Expected))).After(f.AskedAt().Add(a.Route.Objective))
--- a/peer/message.go
+++ b/peer/message.go
@@ -162,6 +162,8 @@
 		RetryAfter time.Duration
 		// Wait is how long pieces that come now wait.
 		Wait time.Duration
+		// RoomTaken is the share of the pool's room that is taken.
+		RoomTaken float64
 		// Leaving is true where the node gathers no more: the sender asks another one.
 		Leaving bool
 	}
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -47,7 +47,7 @@
 		refused    bool
 		leaving    bool
 		retryAfter time.Duration
-		wait       time.Duration
+		told       told
 	}
 )
 
@@ -74,7 +74,7 @@
 			r.suspects.suspect(node)
 			continue
 		}
-		g.noteWait(result.wait)
+		g.note(result.told)
 		done := result.done(req.pool)
 		done.time.Gatherer = node
 		return done
@@ -92,41 +92,30 @@
 	done.time.Waited = result.outcome.Waited
 	if fault := result.outcome.Fault; fault != "" {
 		done.time.Fault = fault
-		done.refusal = model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(max(result.wait, refusedRetry)),
+		done.refusal = model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(max(result.told.wait, refusedRetry)),
 			fmt.Sprintf("pool %s: pieces not made: %s", pool, fault))
 	}
 	return done
 }
 
-// outlook returns how long pieces would wait at several pools. Gatherers that have not told of
-// their queues lately are asked.
-func (r *Relay) outlook(ctx context.Context, groups []gatherRequest) map[string]kernel.PoolOutlook {
-	var pools []string
-	for _, req := range groups {
-		pools = append(pools, req.pool)
-	}
-	out := r.hub.traitsOf(pools)
+// outlook returns how long the pieces of several stages would wait, by stage. Gatherers that have not
+// told of their queues lately are asked, and those that have a queue: who waits how long in it depends
+// on the size of the results and on when they are due.
+func (r *Relay) outlook(ctx context.Context, stages []model.StageNode, groups map[int]gatherRequest) []kernel.PoolOutlook {
+	out := r.hub.traitsOf(stages)
 	ctx, cancel := context.WithTimeout(ctx, outlookTimeout)
 	defer cancel()
-	var mu sync.Mutex
 	var asked sync.WaitGroup
-	for _, req := range groups {
+	for i, req := range groups {
 		g := r.hub.find(req.pool)
 		if g == nil {
 			continue
 		}
-		if wait, fresh := g.lastWait(); fresh {
-			mu.Lock()
-			out[req.pool] = out[req.pool].WithWait(wait)
-			mu.Unlock()
+		if last, fresh := g.lastTold(); fresh && (!last.queued() || !r.options.Policy.Uses(kernel.OwnWait)) {
+			out[i].Wait = last.wait
 			continue
 		}
-		asked.Go(func() {
-			wait := r.askWait(ctx, g, req)
-			mu.Lock()
-			defer mu.Unlock()
-			out[req.pool] = out[req.pool].WithWait(wait)
-		})
+		asked.Go(func() { out[i].Wait = r.askWait(ctx, g, req) })
 	}
 	asked.Wait()
 	return out
@@ -136,7 +125,7 @@
 func (r *Relay) askWait(ctx context.Context, g *gatherer, req gatherRequest) time.Duration {
 	nodes := kernel.Gatherers(req.pool, r.Reachable())
 	if nodes[0] == r.options.Name {
-		return g.waitFor(req.group(0))
+		return g.tell(req.group(0)).wait
 	}
 	message := r.gatherMessage(req)
 	message.OnlyAsk = true
@@ -145,7 +134,7 @@
 		r.metrics.Event("OutlookUnknown")
 		return 0
 	}
-	g.noteWait(reply.Wait)
+	g.note(told{wait: reply.Wait, roomTaken: reply.RoomTaken})
 	return reply.Wait
 }
 
@@ -177,7 +166,7 @@
 		refused:    reply.Refused,
 		leaving:    reply.Leaving,
 		retryAfter: reply.RetryAfter,
-		wait:       reply.Wait,
+		told:       told{wait: reply.Wait, roomTaken: reply.RoomTaken},
 	}, nil
 }
 
@@ -306,7 +295,8 @@
 		})
 	}
 	if m.OnlyAsk {
-		return peer.GatherReply{Wait: g.waitFor(group)}, nil
+		tell := g.tell(group)
+		return peer.GatherReply{Wait: tell.wait, RoomTaken: tell.roomTaken}, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -317,7 +307,8 @@
 		Outcome:    result.outcome,
 		Refused:    result.refused,
 		RetryAfter: result.retryAfter,
-		Wait:       result.wait,
+		Wait:       result.told.wait,
+		RoomTaken:  result.told.roomTaken,
 	}, nil
 }
 
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
@@ -24,8 +25,10 @@
 	// a pool in use gets pieces far more often.
 	takeOverAfter = 1500 * time.Millisecond
 	// roomWorthAsking is from which room on, in bytes, endpoints are asked how much is free: they
-	// answer in whole megabytes.
+	// answer in whole megabytes. The room of others is learnt from what they refuse.
 	roomWorthAsking = 8_000_000
+	// askRoomEvery is how often they are asked: their answers are some 200 ms old.
+	askRoomEvery = 400 * time.Millisecond
 	// outlookMemory is how long a gatherer's word on its queue counts; then it is asked again
 	// before a request's stages begin.
 	outlookMemory = 120 * time.Millisecond
@@ -40,6 +43,13 @@
 		pools map[string]*gatherer
 	}
 
+	// told is what a gatherer tells of its queue: how long the pieces that it was asked for wait,
+	// and which share of the pool's room is taken.
+	told struct {
+		wait      time.Duration
+		roomTaken float64
+	}
+
 	// gatherer drives a kernel.Gathering.
 	gatherer struct {
 		relay *Relay
@@ -50,9 +60,9 @@
 		g       *kernel.Gathering
 		waiters map[uint64]chan kernel.GroupOutcome
 		timer   *time.Timer
-		// wait is what the pool's gatherer last told of its queue, at waitAt.
-		wait   time.Duration
-		waitAt time.Time
+		// told is what the pool's gatherer last told of its queue, at toldAt.
+		told   told
+		toldAt time.Time
 		// gatheredAt is when the last group came.
 		gatheredAt time.Time
 	}
@@ -73,6 +83,7 @@
 		g := h.pools[name]
 		if g == nil {
 			g = &gatherer{relay: h.relay, name: name, g: kernel.NewGathering(*pool.Pieces), waiters: map[uint64]chan kernel.GroupOutcome{}}
+			g.g.SetPolicy(h.relay.options.Policy)
 			g.timer = time.AfterFunc(time.Hour, g.pump)
 			h.pools[name] = g
 		}
@@ -124,13 +135,13 @@
 	}
 }
 
-// traitsOf returns what the routing says of several pools.
-func (h *hub) traitsOf(pools []string) map[string]kernel.PoolOutlook {
-	out := make(map[string]kernel.PoolOutlook, len(pools))
-	for _, name := range pools {
-		if g := h.find(name); g != nil {
+// traitsOf returns what the routing says of the pools of several stages.
+func (h *hub) traitsOf(stages []model.StageNode) []kernel.PoolOutlook {
+	out := make([]kernel.PoolOutlook, len(stages))
+	for i, s := range stages {
+		if g := h.find(s.Pool); g != nil {
 			g.mu.Lock()
-			out[name] = kernel.PoolOutlook{Traits: g.traits}
+			out[i].Traits = g.traits
 			g.mu.Unlock()
 		}
 	}
@@ -145,28 +156,38 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return kernel.PoolOutlook{Traits: g.traits, Wait: g.wait}
+	return kernel.PoolOutlook{Traits: g.traits, Wait: g.told.wait, RoomTaken: g.told.roomTaken}
+}
+
+// queued tells whether pieces wait there.
+func (t told) queued() bool {
+	return kernel.PoolOutlook{Wait: t.wait}.Queued()
 }
 
-// lastWait returns what the pool's gatherer last told of its queue, if that was lately.
-func (g *gatherer) lastWait() (time.Duration, bool) {
+// lastTold returns what the pool's gatherer last told of its queue, if that was lately.
+func (g *gatherer) lastTold() (told, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.wait, g.relay.now().Sub(g.waitAt) < outlookMemory
+	return g.told, g.relay.now().Sub(g.toldAt) < outlookMemory
 }
 
-func (g *gatherer) noteWait(wait time.Duration) {
+func (g *gatherer) note(t told) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.wait = wait
-	g.waitAt = g.relay.now()
+	g.told = t
+	g.toldAt = g.relay.now()
 }
 
-// waitFor returns how long the pieces of a group would wait here.
-func (g *gatherer) waitFor(group kernel.PieceGroup) time.Duration {
+// tell returns what is to be told to who asks for a group.
+func (g *gatherer) tell(group kernel.PieceGroup) told {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.g.Wait(group)
+	return g.tellLocked(group)
+}
+
+func (g *gatherer) tellLocked(group kernel.PieceGroup) told {
+	now := g.relay.now()
+	return told{wait: g.g.Wait(now, group), roomTaken: g.g.RoomTaken(now)}
 }
 
 // gather takes a group of this or another node in and waits for its end.
@@ -178,7 +199,7 @@
 	done := make(chan kernel.GroupOutcome, 1)
 	g.takeOver(now)
 	g.mu.Lock()
-	wait := g.g.Wait(group)
+	tell := g.tellLocked(group)
 	accepted, retry := g.g.Add(now, group)
 	if accepted {
 		g.waiters[group.ID] = done
@@ -186,12 +207,12 @@
 	g.mu.Unlock()
 	if !accepted {
 		g.relay.metrics.Event("PiecesRefused")
-		return gatherResult{refused: true, retryAfter: retry, wait: wait}
+		return gatherResult{refused: true, retryAfter: retry, told: tell}
 	}
 	g.pump()
 	select {
 	case outcome := <-done:
-		return gatherResult{outcome: outcome, wait: wait}
+		return gatherResult{outcome: outcome, told: tell}
 	case <-ctx.Done():
 	}
 	g.cancel(group.ID)
@@ -201,7 +222,7 @@
 		g.free(outcome.Made)
 	default:
 	}
-	return gatherResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}, wait: wait}
+	return gatherResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}, told: tell}
 }
 
 func (g *gatherer) cancel(id uint64) {
@@ -338,8 +359,12 @@
 	}
 }
 
-// freeFetched gives up the inputs that calls have fetched.
+// freeFetched gives up the inputs that calls have fetched. Beside another gatherer it does not: where
+// two of them call the same maker, one call waits there for the other, and fetches later than reckoned.
 func (g *gatherer) freeFetched() {
+	if !g.relay.gathersFor(g.name) {
+		return
+	}
 	g.mu.Lock()
 	fetched := g.g.Fetched(g.relay.now())
 	g.mu.Unlock()
@@ -352,6 +377,11 @@
 	}
 }
 
+// gathersFor tells whether this node is the one that is to gather for a pool.
+func (r *Relay) gathersFor(pool string) bool {
+	return !r.Leaving() && kernel.Gatherers(pool, r.Reachable())[0] == r.options.Name
+}
+
 func handlesOf(made []kernel.MadePiece) []string {
 	handles := make([]string, 0, len(made))
 	for _, m := range made {
@@ -376,27 +406,46 @@
 	g.pump()
 }
 
-// takeOver asks all makers for their room where this node has not gathered for a while: results
-// that another gatherer had made may lie there.
+// takeOver begins to gather for a pool where this node has not done so for a while: results that
+// another gatherer had made may lie at the makers.
 func (g *gatherer) takeOver(now time.Time) {
 	g.mu.Lock()
 	idle := now.Sub(g.gatheredAt) > takeOverAfter
-	room := g.traits.Room
 	g.gatheredAt = now
+	if idle {
+		g.g.TakeOver(now)
+	}
+	worthAsking := idle && g.traits.Room >= roomWorthAsking
 	g.mu.Unlock()
 	if !idle {
 		return
 	}
 	g.relay.metrics.Event("GathererTookOver")
 	g.relay.log.Info().Str("Pool", g.name).Msg("gathering begins here")
-	if room < roomWorthAsking {
-		return
+	if worthAsking {
+		go g.askRooms()
 	}
-	for _, maker := range g.relay.Roster().Endpoints(g.name) {
-		go g.askRoom(maker)
+}
+
+// askRooms asks the makers for their room until no result of another gatherer can be left: those
+// lapse one after the other, and room that is not known to be free is lost to requests.
+func (g *gatherer) askRooms() {
+	for {
+		for _, maker := range g.relay.Roster().Endpoints(g.name) {
+			go g.askRoom(maker)
+		}
+		if !clock.Sleep(g.relay.ctx, askRoomEvery) || !g.inherits() {
+			return
+		}
 	}
 }
 
+func (g *gatherer) inherits() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.g.Inherits(g.relay.now())
+}
+
 func (g *gatherer) askRoom(maker model.Endpoint) {
 	ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
 	defer cancel()
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -91,7 +91,7 @@
 }
 
 // pickEngine chooses an engine for a prompt and counts it as in flight.
-func (p *pool) pickEngine(now time.Time, roster kernel.Roster, prompt model.Prompt, excluded []string) (model.Endpoint, bool) {
+func (p *pool) pickEngine(now time.Time, roster kernel.Roster, prompt model.Prompt, key string, excluded []string) (model.Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usable := kernel.Usable(now, p.candidates(roster.Endpoints(p.name)), excluded)
@@ -99,7 +99,7 @@
 	for _, c := range usable {
 		choices = append(choices, kernel.EngineChoice{Candidate: c, Reading: p.state(c.Endpoint.Life()).reading})
 	}
-	i := kernel.PickEngine(now, choices, kernel.AffinityKey(prompt))
+	i := kernel.PickEngine(now, choices, key)
 	if i < 0 {
 		return model.Endpoint{}, false
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -36,6 +36,8 @@
 		KeyTrust time.Duration
 		// Budget bounds the repeated sends of all nodes together to each pool.
 		Budget kernel.BudgetTerms
+		// Policy says which mechanisms decide.
+		Policy kernel.Policy
 	}
 
 	// Wire is how the relay reaches endpoints.
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -19,10 +19,14 @@
 		domain string
 
 		stages []model.StageNode
-		// results has an entry for each stage that is done. It and started belong to the
-		// goroutine that serves the request.
+		// results has an entry for each stage that is done. It, started, remade and released belong
+		// to the goroutine that serves the request.
 		results map[int][]kernel.MadePiece
 		started map[int]bool
+		// remade is true once stages were carried out again, released once the engine's inputs were
+		// given up.
+		remade   bool
+		released bool
 
 		mu sync.Mutex
 		// held lists, by stage, the results that are still held.
@@ -40,13 +44,18 @@
 	}
 )
 
-// runStages carries out all stages of a request. A stage starts when all that it follows are
-// done; the first failure ends them all. The results must be released.
+// runStages carries out all stages of a request; the first failure ends them all. The results must
+// be released.
 func (j *job) runStages(ctx context.Context, p *pool) (*stageRun, *model.Refusal) {
 	run, refusal := j.planStages(ctx, p)
 	if refusal != nil || len(run.plan.Last) == 0 {
 		return run, refusal
 	}
+	return run, j.carryOut(ctx, run)
+}
+
+// carryOut carries out the stages that are not done. A stage starts when all that it follows are done.
+func (j *job) carryOut(ctx context.Context, run *stageRun) *model.Refusal {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan stageDone, len(run.stages))
@@ -59,17 +68,20 @@
 		if d.inputsFreed {
 			run.forgetInputs(d.stage)
 		}
-		if d.refusal != nil {
+		switch {
+		case d.refusal == nil:
+			run.results[d.stage] = d.made
+			run.releaseConsumed()
+		case d.lacksInputs() && j.remake(run, d.stage):
+		default:
 			cancel()
 			go run.drainAfter(done, running)
-			return run, d.refusal
+			return d.refusal
 		}
-		run.results[d.stage] = d.made
-		run.releaseConsumed()
 		running += j.startStages(ctx, run, done)
 	}
 	run.collectInputs()
-	return run, nil
+	return nil
 }
 
 // planStages plans a request's stages, and refuses it where they can't be done in time.
@@ -83,23 +95,19 @@
 		started: map[int]bool{},
 		held:    map[int][]kernel.MadePiece{},
 	}
-	var pools []string
-	for _, s := range run.stages {
-		pools = append(pools, s.Pool)
-	}
 	firstEvent := p.expectFirstEvent()
-	run.plan = kernel.PlanStages(j.forward, j.admission, r.hub.traitsOf(pools), firstEvent)
+	run.plan = kernel.PlanStages(j.forward, j.admission, r.hub.traitsOf(run.stages), firstEvent)
 	if len(run.plan.Last) == 0 {
 		return run, nil
 	}
-	var groups []gatherRequest
+	groups := map[int]gatherRequest{}
 	for i := range run.stages {
 		if kernel.PiecesOf(j.forward, i) > 0 {
-			groups = append(groups, j.group(run, i))
+			groups[i] = j.group(run, i)
 		}
 	}
-	outlook := r.outlook(ctx, groups)
-	if queued(outlook) {
+	outlook := r.outlook(ctx, run.stages, groups)
+	if queued(outlook) && r.options.Policy.Uses(kernel.KnownReturns) {
 		j.forward = j.forward.WithWaited(r.waitedBefore(ctx, j.forward, j.admission))
 	}
 	run.plan = kernel.PlanStages(j.forward, j.admission, outlook, firstEvent)
@@ -107,7 +115,7 @@
 }
 
 // queued tells whether any of several pools has a queue: only then does it matter who is late.
-func queued(outlook map[string]kernel.PoolOutlook) bool {
+func queued(outlook []kernel.PoolOutlook) bool {
 	for _, o := range outlook {
 		if o.Queued() {
 			return true
@@ -146,6 +154,7 @@
 	for _, i := range s.plan.Last {
 		last = append(last, s.results[i]...)
 	}
+	s.inputs = nil
 	for _, m := range last {
 		s.inputs = append(s.inputs, m.Handle)
 	}
@@ -230,15 +239,17 @@
 	}
 }
 
-// crowding tells whether what a stage is made from takes room that other requests wait for.
+// crowding tells whether what a stage is made from lies where room is scarce.
 func (j *job) crowding(run *stageRun, stage int) bool {
-	for _, before := range run.stages[stage].After {
-		bytes := int64(len(run.results[before])) * run.stages[before].ResultBytes
-		if j.relay.hub.lastOutlook(run.stages[before].Pool).Crowds(bytes) {
-			return true
-		}
+	if !j.relay.options.Policy.Uses(kernel.FreedOnceFetched) {
+		return false
 	}
-	return false
+	return slices.ContainsFunc(run.stages[stage].After, func(before int) bool { return run.scarce(before) })
+}
+
+// scarce tells whether the room where a stage's results lie is scarce.
+func (s *stageRun) scarce(stage int) bool {
+	return s.relay.hub.lastOutlook(s.stages[stage].Pool).Scarce()
 }
 
 // soleConsumer tells whether no other stage needs what a stage is made from.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -82,7 +82,12 @@
 			return j.ended(ctx)
 		}
 		if j.streamAgain(p, &state, end) {
-			continue
+			if refusal = j.restoreInputs(ctx, stages, end); refusal == nil {
+				continue
+			}
+			if !state.begun {
+				return Outcome{Refusal: refusal, Attempts: j.asked}
+			}
 		}
 		if state.begun {
 			return outcome
@@ -95,7 +100,7 @@
 func (j *job) streamOnce(ctx context.Context, p *pool, state *streamState, stages *stageRun) (model.Endpoint, streamEnd, bool) {
 	r := j.relay
 	tokens := j.forward.Prompt.TokensIn
-	e, ok := p.pickEngine(r.now(), r.Roster(), j.forward.Prompt, j.excluded)
+	e, ok := p.pickEngine(r.now(), r.Roster(), j.forward.Prompt, j.affinity(), j.excluded)
 	if !ok {
 		return e, streamEnd{}, false
 	}
@@ -110,9 +115,7 @@
 		}
 		read = true
 		p.readPrompt(e.Life(), tokens, r.now().Sub(began))
-		if !j.admission.Route.Resumable {
-			stages.release()
-		}
+		j.firstEvent(stages)
 	}
 	send := j.send(e, j.asked > 1)
 	send.Inputs = stages.inputs
@@ -132,6 +135,14 @@
 	return e, end, true
 }
 
+// affinity returns the key of the prompts that are to share an engine; empty for none.
+func (j *job) affinity() string {
+	if !j.relay.options.Policy.Uses(kernel.PrefixAffinity) {
+		return ""
+	}
+	return kernel.AffinityKey(j.forward.Prompt)
+}
+
 // relayEvents passes the events of one send on to the caller.
 func (j *job) relayEvents(ctx context.Context, p *pool, send Send, state *streamState, onFirst func()) streamEnd {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -268,9 +279,6 @@
 	} else if end.reply != nil && end.reply.Misdirected {
 		j.asked--
 	}
-	if end.reply != nil && end.reply.InputsGone {
-		return false
-	}
 	if j.mayHaveRun && !j.admission.Route.Resumable {
 		return false
 	}
@@ -295,6 +303,15 @@
 	return model.NotRun
 }
 
+// restoreInputs makes the engine's inputs again where they were given up or an engine found them gone.
+func (j *job) restoreInputs(ctx context.Context, stages *stageRun, end streamEnd) *model.Refusal {
+	gone := end.reply != nil && end.reply.InputsGone
+	if len(stages.plan.Last) == 0 || (!stages.released && !gone && !stages.stale()) {
+		return nil
+	}
+	return j.remakeInputs(ctx, stages)
+}
+
 // streamFailure is the refusal of a stream of which nothing was passed on.
 func (j *job) streamFailure(end streamEnd) Outcome {
 	var refusal *model.Refusal
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -241,7 +241,7 @@
 
 // hedge sends a safe request to one more endpoint beside one that may be running it.
 func (j *job) hedge(ctx context.Context, p *pool, results chan<- unaryResult) bool {
-	if j.admission.Route.Kind != model.Safe || j.asked >= j.admission.Route.MaxAttempts {
+	if j.admission.Route.Kind != model.Safe || !j.relay.options.Policy.Uses(kernel.HedgedReads) || j.asked >= j.admission.Route.MaxAttempts {
 		return false
 	}
 	if !p.takeRepeat(j.relay.now(), j.relay.live()) || !j.launch(ctx, p, results) {
