Hand a pool over with its account; one gatherer at a time; silence of a node costs 0.6 s

Cause: while nodes leave, return or freeze, two of them gathered for one pool for seconds: each sender knows by itself who answers, and a node that was suspected was probed again after up to 4 s. Both called the same makers, gave the same room out and freed inputs that the other's call had yet to fetch; releases went to the one that did not keep the account (traced at restarts in turn: 42 calls refused and 20 pieces without inputs in half a second; a node thought away 12 s after its return). A frozen gatherer was waited for 1.5 to 2 s, and one that woke up took everyone else for lost.

Change: who gathers goes on until it leaves, falls silent, or a larger host asks. Others send groups on to it. A node that begins asks those that may gather; they yield with their account (room taken, calls under way) or name the one that stays. Two that gather find each other within 0.5 s. Releases go to who gathers, sent on once. A node that announces itself is probed at once. Calls to other nodes are given up after 0.6 s of silence, and not where the process itself stood still.

--- a/follow/nodes.go
+++ b/follow/nodes.go
@@ -50,6 +50,7 @@
 	if len(news) == 0 {
 		return
 	}
+	var announced []string
 	for _, r := range news {
 		if r.Removed {
 			delete(n.others, r.Key)
@@ -61,12 +62,15 @@
 			continue
 		}
 		n.others[r.Key] = node
+		if !node.Leaving {
+			announced = append(announced, node.Name)
+		}
 	}
 	nodes := make([]relay.Node, 0, len(n.others))
 	for _, node := range n.others {
 		nodes = append(nodes, node)
 	}
-	n.relay.SetNodes(nodes)
+	n.relay.SetNodes(nodes, announced)
 }
 
 // Announce writes the node's own row at its start, and once more when it leaves.
--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -117,7 +117,9 @@
 		// foreignUntil until when results may lie there that it had made.
 		sharedUntil  time.Time
 		foreignUntil time.Time
-		policy       Policy
+		// handedOver is true while another gatherer keeps the account of what is made here.
+		handedOver bool
+		policy     Policy
 	}
 
 	maker struct {
--- a/kernel/gatherroom_test.go
+++ b/kernel/gatherroom_test.go
@@ -27,7 +27,6 @@
 	lapses  map[string][]time.Time
 	running []kernel.PieceBatch
 	held    map[string][]kernel.MadePiece
-	endings []time.Time
 	made    int
 	wasted  int
 }
--- a/kernel/policy.go
+++ b/kernel/policy.go
@@ -29,8 +29,6 @@
 	PrefixAffinity
 	// HedgedReads sends a repeatable request without an answer to a second endpoint.
 	HedgedReads
-
-	mechanisms
 )
 
 type (
--- a/model/forward.go
+++ b/model/forward.go
@@ -112,6 +112,8 @@
 	PieceInputGone PieceFault = "InputGone"
 	// PieceNoRoom: the endpoint had no room for its result.
 	PieceNoRoom PieceFault = "NoRoom"
+	// PieceMoved: another node gathers for the pool now, and is to be asked.
+	PieceMoved PieceFault = "Moved"
 	// PieceFailed: the endpoint failed to make it, or the call failed.
 	PieceFailed PieceFault = "Failed"
 )
--- a/peer/client.go
+++ b/peer/client.go
@@ -16,11 +16,12 @@
 const (
 	dialTimeout  = time.Second
 	helloTimeout = 2 * time.Second
-	// pingEvery is how often a connection with calls in flight is tried; after silentAfter
-	// without a frame it is held silent and closed, with all its calls.
-	pingEvery   = 500 * time.Millisecond
-	silentAfter = 1500 * time.Millisecond
-	writeWait   = 2 * time.Second
+	// pingShare is how often a connection with calls in flight is tried, as a share of the time
+	// after which one without a frame is held silent and closed, with all its calls.
+	pingShare = 1.0 / 3
+	// usualSilence is that time where the client is not told another.
+	usualSilence = 1500 * time.Millisecond
+	writeWait    = 2 * time.Second
 )
 
 // ErrRefused is returned where the peer refused the token.
@@ -36,6 +37,9 @@
 		// dialing keeps concurrent calls from opening several connections to one peer.
 		dialing map[string]*sync.Mutex
 		closed  bool
+		// silentAfter is after which time without a frame a connection with calls in flight is
+		// held silent.
+		silentAfter time.Duration
 	}
 
 	// CallError is the error of a call that got no reply.
@@ -46,14 +50,16 @@
 	}
 
 	clientConn struct {
-		conn      net.Conn
-		mu        sync.Mutex
-		calls     map[uint64]chan Frame
-		number    uint64
-		writing   sync.Mutex
-		lastFrame atomic.Int64
-		done      chan struct{}
-		once      sync.Once
+		conn net.Conn
+		// silentAfter is as for the client.
+		silentAfter time.Duration
+		mu          sync.Mutex
+		calls       map[uint64]chan Frame
+		number      uint64
+		writing     sync.Mutex
+		lastFrame   atomic.Int64
+		done        chan struct{}
+		once        sync.Once
 	}
 )
 
@@ -73,9 +79,17 @@
 		hello:   Hello{Token: token, Node: node},
 		conns:   map[string]*clientConn{},
 		dialing: map[string]*sync.Mutex{},
+
+		silentAfter: usualSilence,
 	}
 }
 
+// SetSilence sets after which time without a frame a connection with calls in flight is held silent. It
+// is to be called before the first call.
+func (c *Client) SetSilence(after time.Duration) {
+	c.silentAfter = after
+}
+
 // Call sends a message to the peer at an address and decodes its reply. The error is a
 // *CallError.
 func (c *Client) Call(ctx context.Context, address string, kind Kind, message, reply any) error {
@@ -163,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := newClientConn(raw)
+	conn := newClientConn(raw, c.silentAfter)
 	helloCtx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	body, err := encodeBody(c.hello)
@@ -188,8 +202,8 @@
 	return conn, nil
 }
 
-func newClientConn(raw net.Conn) *clientConn {
-	c := &clientConn{conn: raw, calls: map[uint64]chan Frame{}, done: make(chan struct{})}
+func newClientConn(raw net.Conn, silentAfter time.Duration) *clientConn {
+	c := &clientConn{conn: raw, silentAfter: silentAfter, calls: map[uint64]chan Frame{}, done: make(chan struct{})}
 	c.lastFrame.Store(time.Now().UnixNano())
 	go func() {
 		defer c.close()
@@ -222,21 +236,28 @@
 
 // watchSilence pings while calls are in flight and returns once the peer went silent.
 func (c *clientConn) watchSilence() {
+	pingEvery := time.Duration(pingShare * float64(c.silentAfter))
 	ticker := time.NewTicker(pingEvery)
 	defer ticker.Stop()
 	body, _ := encodeBody(Empty{})
 	idleUntil := time.Now()
+	lastTick := idleUntil
 	for {
 		select {
 		case <-c.done:
 			return
 		case now := <-ticker.C:
-			if !c.busy() {
+			// A tick that comes late tells that this process stood still: the peer may have answered.
+			stoodStill := now.Sub(lastTick) > 2*pingEvery
+			lastTick = now
+			if !c.busy() || stoodStill {
 				idleUntil = now
+			}
+			if !c.busy() {
 				continue
 			}
 			heard := time.Unix(0, c.lastFrame.Load())
-			if now.Sub(heard) > silentAfter && now.Sub(idleUntil) > silentAfter {
+			if now.Sub(heard) > c.silentAfter && now.Sub(idleUntil) > c.silentAfter {
 				return
 			}
 			if c.write(Frame{Kind: KindPing, Body: body}) != nil {
--- a/peer/message.go
+++ b/peer/message.go
@@ -28,6 +28,7 @@
 	KindProbe
 	KindFeed
 	KindReturn
+	KindTakeOver
 )
 
 type (
@@ -152,6 +153,9 @@
 		Rank        int
 		DueIn       time.Duration
 		UntilIn     time.Duration
+		// PassedOver names nodes that did not answer the sender or gather no more: it can't be sent on
+		// to them.
+		PassedOver []string
 	}
 
 	// GatherReply ends a group.
@@ -166,6 +170,29 @@
 		RoomTaken float64
 		// Leaving is true where the node gathers no more: the sender asks another one.
 		Leaving bool
+		// MovedTo names the node that gathers for the pool now; the sender asks it instead.
+		MovedTo string
+	}
+
+	// TakeOver asks a node that may gather for a pool to leave that to the sender.
+	TakeOver struct {
+		Pool string
+		Node string
+		// Capacity is what the sender's host can carry relative to others; Gathers tells that it
+		// gathers already.
+		Capacity float64
+		Gathers  bool
+	}
+
+	// TakeOverReply is from a node that gathered until now, with what it knew of the pool's makers,
+	// or names the node that goes on to gather.
+	TakeOverReply struct {
+		Gathered bool
+		Accounts []kernel.MakerAccount
+		// MovedTo names the node that gathers as far as is known; Stays is true where that is the
+		// answering node itself, which goes on.
+		MovedTo string
+		Stays   bool
 	}
 
 	// GatherCancel withdraws a group that nobody waits for any more.
@@ -178,6 +205,8 @@
 	Release struct {
 		Pool string
 		Made []kernel.MadePiece
+		// SentOn is true where a node passed it on to the one that gathers.
+		SentOn bool
 	}
 
 	// ProbeReply tells whether a node gathers pieces.
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,8 @@
 		rank     int
 		due      time.Time
 		until    time.Time
+		// passedOver names the nodes that did not answer or gather no more.
+		passedOver []string
 	}
 
 	// gatherResult is a gatherer's answer.
@@ -46,6 +49,7 @@
 		outcome    kernel.GroupOutcome
 		refused    bool
 		leaving    bool
+		movedTo    string
 		retryAfter time.Duration
 		told       told
 	}
@@ -59,29 +63,49 @@
 	if g == nil {
 		return stageDone{refusal: model.NewRefusal(model.NotRun, model.NoEndpoint, kernel.RetryAfter(refusedRetry), "the pool "+req.pool+" is not known")}
 	}
-	tried := 0
-	for _, node := range kernel.Gatherers(req.pool, r.Reachable()) {
-		if tried >= gathererTries || ctx.Err() != nil {
+	node := r.gathererOf(g, nil)
+	for range gathererTries {
+		if node == "" || ctx.Err() != nil {
 			break
 		}
-		tried++
 		result, err := r.askGatherer(ctx, node, g, req)
-		if err != nil {
-			r.noteGatherer(node, req, err)
-			continue
+		if err == nil && !result.leaving && result.movedTo == "" {
+			g.noteGatherer(node)
+			g.note(result.told)
+			done := result.done(req.pool)
+			done.time.Gatherer = node
+			return done
 		}
-		if result.leaving {
+		req.passedOver = append(req.passedOver, node)
+		switch {
+		case err != nil:
+			r.noteGatherer(node, req, err)
+		case result.leaving:
 			r.suspects.suspect(node)
-			continue
+		default:
+			r.metrics.Event("GathererMoved")
+		}
+		if node = result.movedTo; node == "" {
+			node = r.gathererOf(g, req.passedOver)
 		}
-		g.note(result.told)
-		done := result.done(req.pool)
-		done.time.Gatherer = node
-		return done
 	}
 	return stageDone{refusal: model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(refusedRetry), "no node gathered the pieces of pool "+req.pool)}
 }
 
+// gathererOf returns the node to ask for a pool's pieces: the one that gathered last, else the first by
+// hash; empty where all were passed over.
+func (r *Relay) gathererOf(g *gatherer, passedOver []string) string {
+	if known := g.knownGatherer(passedOver); known != "" {
+		return known
+	}
+	for _, node := range kernel.Gatherers(g.name, r.Reachable()) {
+		if !slices.Contains(passedOver, node) {
+			return node
+		}
+	}
+	return ""
+}
+
 // done says what a gatherer's answer means for the stage.
 func (result gatherResult) done(pool string) stageDone {
 	if result.refused {
@@ -123,14 +147,14 @@
 
 // askWait asks the pool's gatherer how long pieces wait.
 func (r *Relay) askWait(ctx context.Context, g *gatherer, req gatherRequest) time.Duration {
-	nodes := kernel.Gatherers(req.pool, r.Reachable())
-	if nodes[0] == r.options.Name {
+	node := r.gathererOf(g, nil)
+	if node == r.options.Name {
 		return g.tell(req.group(0)).wait
 	}
 	message := r.gatherMessage(req)
 	message.OnlyAsk = true
 	var reply peer.GatherReply
-	if r.peers.Call(ctx, r.addressOf(nodes[0]), peer.KindGather, message, &reply) != nil || reply.Leaving {
+	if r.peers.Call(ctx, r.addressOf(node), peer.KindGather, message, &reply) != nil || reply.Leaving {
 		r.metrics.Event("OutlookUnknown")
 		return 0
 	}
@@ -146,7 +170,7 @@
 
 func (r *Relay) askGatherer(ctx context.Context, node string, g *gatherer, req gatherRequest) (gatherResult, error) {
 	if node == r.options.Name {
-		return g.gather(ctx, req.group(r.groups.Add(1))), nil
+		return g.gather(ctx, req.group(r.groups.Add(1)), req.passedOver), nil
 	}
 	address := r.addressOf(node)
 	message := r.gatherMessage(req)
@@ -165,6 +189,7 @@
 		outcome:    reply.Outcome,
 		refused:    reply.Refused,
 		leaving:    reply.Leaving,
+		movedTo:    reply.MovedTo,
 		retryAfter: reply.RetryAfter,
 		told:       told{wait: reply.Wait, roomTaken: reply.RoomTaken},
 	}, nil
@@ -204,6 +229,7 @@
 		Rank:        req.rank,
 		DueIn:       req.due.Sub(now),
 		UntilIn:     req.until.Sub(now),
+		PassedOver:  req.passedOver,
 	}
 	for _, p := range req.pieces {
 		message.Numbers = append(message.Numbers, p.Number)
@@ -238,12 +264,12 @@
 	if g == nil {
 		return
 	}
-	nodes := kernel.Gatherers(pool, r.Reachable())
-	if len(nodes) == 0 || nodes[0] == r.options.Name {
+	node := r.gathererOf(g, nil)
+	if node == r.options.Name {
 		g.free(made)
 		return
 	}
-	address := r.addressOf(nodes[0])
+	address := r.addressOf(node)
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
 		defer cancel()
@@ -264,6 +290,7 @@
 		peer.KindRelease:      r.answerRelease,
 		peer.KindProbe:        r.answerProbe,
 		peer.KindReturn:       r.answerReturn,
+		peer.KindTakeOver:     r.answerTakeOver,
 	}
 }
 
@@ -302,8 +329,9 @@
 	defer cancel()
 	r.remote.add(m.Group, cancel)
 	defer r.remote.remove(m.Group)
-	result := g.gather(ctx, group)
+	result := g.gather(ctx, group, m.PassedOver)
 	return peer.GatherReply{
+		MovedTo:    result.movedTo,
 		Outcome:    result.outcome,
 		Refused:    result.refused,
 		RetryAfter: result.retryAfter,
@@ -338,13 +366,22 @@
 	return peer.Empty{}, nil
 }
 
-func (r *Relay) answerRelease(_ context.Context, body []byte) (any, error) {
+func (r *Relay) answerRelease(ctx context.Context, body []byte) (any, error) {
 	var m peer.Release
 	if err := peer.DecodeBody(body, &m); err != nil {
 		return nil, err
 	}
-	if g := r.hub.find(m.Pool); g != nil {
-		g.free(m.Made)
+	g := r.hub.find(m.Pool)
+	if g == nil {
+		return peer.Empty{}, nil
+	}
+	if next := g.knownGatherer(nil); next != "" && !m.SentOn {
+		m.SentOn = true
+		var empty peer.Empty
+		if r.peers.Call(ctx, r.addressOf(next), peer.KindRelease, m, &empty) == nil {
+			return peer.Empty{}, nil
+		}
 	}
+	g.free(m.Made)
 	return peer.Empty{}, nil
 }
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -21,9 +21,6 @@
 	callGrace    = 300 * time.Millisecond
 	// freeTimeout bounds a call that frees results.
 	freeTimeout = time.Second
-	// takeOverAfter is how long a node has not gathered for a pool when another may have done it:
-	// a pool in use gets pieces far more often.
-	takeOverAfter = 1500 * time.Millisecond
 	// roomWorthAsking is from which room on, in bytes, endpoints are asked how much is free: they
 	// answer in whole megabytes. The room of others is learnt from what they refuse.
 	roomWorthAsking = 8_000_000
@@ -65,6 +62,11 @@
 		toldAt time.Time
 		// gatheredAt is when the last group came.
 		gatheredAt time.Time
+		// active is true while this node gathers; current is the node that did so last, as far as
+		// is known here. begins is held while it is found out who is to.
+		active  bool
+		current string
+		begins  sync.Mutex
 	}
 )
 
@@ -191,13 +193,15 @@
 }
 
 // gather takes a group of this or another node in and waits for its end.
-func (g *gatherer) gather(ctx context.Context, group kernel.PieceGroup) gatherResult {
+func (g *gatherer) gather(ctx context.Context, group kernel.PieceGroup, passedOver []string) gatherResult {
+	if elsewhere := g.place(ctx, passedOver); elsewhere != "" {
+		return gatherResult{movedTo: elsewhere}
+	}
 	now := g.relay.now()
 	if kernel.AnyStale(group.Inputs, g.relay.Roster().Superseded) {
 		return gatherResult{outcome: kernel.GroupOutcome{Group: group.ID, Fault: model.PieceInputGone}}
 	}
 	done := make(chan kernel.GroupOutcome, 1)
-	g.takeOver(now)
 	g.mu.Lock()
 	tell := g.tellLocked(group)
 	accepted, retry := g.g.Add(now, group)
@@ -212,6 +216,9 @@
 	g.pump()
 	select {
 	case outcome := <-done:
+		if outcome.Fault == model.PieceMoved {
+			return gatherResult{movedTo: g.knownGatherer(nil)}
+		}
 		return gatherResult{outcome: outcome, told: tell}
 	case <-ctx.Done():
 	}
@@ -362,7 +369,10 @@
 // freeFetched gives up the inputs that calls have fetched. Beside another gatherer it does not: where
 // two of them call the same maker, one call waits there for the other, and fetches later than reckoned.
 func (g *gatherer) freeFetched() {
-	if !g.relay.gathersFor(g.name) {
+	g.mu.Lock()
+	alone := g.active && !g.relay.Leaving()
+	g.mu.Unlock()
+	if !alone {
 		return
 	}
 	g.mu.Lock()
@@ -377,11 +387,6 @@
 	}
 }
 
-// gathersFor tells whether this node is the one that is to gather for a pool.
-func (r *Relay) gathersFor(pool string) bool {
-	return !r.Leaving() && kernel.Gatherers(pool, r.Reachable())[0] == r.options.Name
-}
-
 func handlesOf(made []kernel.MadePiece) []string {
 	handles := make([]string, 0, len(made))
 	for _, m := range made {
@@ -406,27 +411,6 @@
 	g.pump()
 }
 
-// takeOver begins to gather for a pool where this node has not done so for a while: results that
-// another gatherer had made may lie at the makers.
-func (g *gatherer) takeOver(now time.Time) {
-	g.mu.Lock()
-	idle := now.Sub(g.gatheredAt) > takeOverAfter
-	g.gatheredAt = now
-	if idle {
-		g.g.TakeOver(now)
-	}
-	worthAsking := idle && g.traits.Room >= roomWorthAsking
-	g.mu.Unlock()
-	if !idle {
-		return
-	}
-	g.relay.metrics.Event("GathererTookOver")
-	g.relay.log.Info().Str("Pool", g.name).Msg("gathering begins here")
-	if worthAsking {
-		go g.askRooms()
-	}
-}
-
 // askRooms asks the makers for their room until no result of another gatherer can be left: those
 // lapse one after the other, and room that is not known to be free is lost to requests.
 func (g *gatherer) askRooms() {
--- a/relay/registry.go
+++ b/relay/registry.go
@@ -51,6 +51,9 @@
 	go func() {
 		pause := probeFirst
 		for clock.Sleep(s.ctx, pause) {
+			if !s.suspected(node) {
+				return
+			}
 			if s.probe(node) {
 				s.clear(node)
 				return
@@ -61,11 +64,27 @@
 	return true
 }
 
+// announced probes a node at once that has said that it started, where it is suspected: its next probe
+// may be seconds away, and until then it and others would work for the same pools.
+func (s *suspects) announced(node string) {
+	if !s.suspected(node) {
+		return
+	}
+	go func() {
+		if s.probe(node) {
+			s.clear(node)
+		}
+	}()
+}
+
 func (s *suspects) clear(node string) {
 	s.mu.Lock()
+	known := s.nodes[node]
 	delete(s.nodes, node)
 	s.mu.Unlock()
-	s.back(node)
+	if known {
+		s.back(node)
+	}
 }
 
 func (s *suspects) suspected(node string) bool {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,6 +21,10 @@
 const (
 	// sweepEvery is how often idle connections and what waits too long are looked over.
 	sweepEvery = 200 * time.Millisecond
+	// peerSilence is after which time a node that does not answer is held lost, with the pieces that
+	// wait for it: several times what a collection of garbage or a used-up processor quota takes, and
+	// a third of the slack of a usual objective.
+	peerSilence = 600 * time.Millisecond
 )
 
 type (
@@ -168,6 +172,7 @@
 		peers:   peer.NewClient(options.Name, ""),
 		pools:   map[string]*pool{},
 	}
+	r.peers.SetSilence(peerSilence)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.hub = newHub(r)
 	r.remote = newRemoteGroups()
@@ -271,23 +276,40 @@
 	r.endFormerLives(changes)
 }
 
-// SetNodes takes over which nodes there are, this one included.
-func (r *Relay) SetNodes(nodes []Node) {
+// SetNodes takes over which nodes there are, this one included, and which of them have just announced
+// themselves.
+func (r *Relay) SetNodes(nodes []Node, announced []string) {
 	r.nodes.Store(&nodes)
+	for _, name := range announced {
+		r.suspects.announced(name)
+	}
 }
 
-// Reachable returns the nodes that are not leaving and answer, as far as is known; this one is among
-// them.
+// Reachable returns the nodes that are not leaving and answer, as far as is known. This one is among them,
+// unless it is leaving and there are others.
 func (r *Relay) Reachable() []kernel.Peer {
-	out := []kernel.Peer{{Name: r.options.Name, Domain: r.options.Domain, Capacity: r.options.Capacity}}
+	var out []kernel.Peer
 	for _, n := range *r.nodes.Load() {
 		if n.Name != r.options.Name && !n.Leaving && !r.suspects.suspected(n.Name) {
 			out = append(out, kernel.Peer{Name: n.Name, Domain: n.Domain, Capacity: n.Capacity})
 		}
 	}
+	if len(out) == 0 || !r.Leaving() {
+		out = append(out, kernel.Peer{Name: r.options.Name, Domain: r.options.Domain, Capacity: r.options.Capacity})
+	}
 	return out
 }
 
+// reachable tells whether another node is not leaving and answers, as far as is known.
+func (r *Relay) reachable(node string) bool {
+	for _, n := range *r.nodes.Load() {
+		if n.Name == node {
+			return !n.Leaving && !r.suspects.suspected(node)
+		}
+	}
+	return false
+}
+
 // Ask calls another node by its name.
 func (r *Relay) Ask(ctx context.Context, node string, kind peer.Kind, message, reply any) error {
 	return r.peers.Call(ctx, r.addressOf(node), kind, message, reply)
--- /dev/null
+++ b/relay/takeover.go
@@ -0,0 +1,237 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"basilstall.example/basilstall/clock"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/peer"
+)
+
+const (
+	// takeOverAfter is how long a node has not gathered for a pool when another may have done it:
+	// a pool in use gets pieces far more often.
+	takeOverAfter = 1500 * time.Millisecond
+	// takeOverTimeout bounds the question to those that may gather; the first pieces wait for it,
+	// and a node that was lost does not answer.
+	takeOverTimeout = 60 * time.Millisecond
+	// confirmEvery is how often a node that gathers asks whether another does too: after a cut or a
+	// freeze both may, until they hear of each other.
+	confirmEvery = 500 * time.Millisecond
+	// takeOverAsks is how many nodes are asked beside the one that gathered last: those that come
+	// first for the pool. Any node that sent pieces lately knows who gathers.
+	takeOverAsks = 2
+)
+
+// place decides where a group is to be gathered: here, where the name is empty, or at another node. Two
+// nodes that gather for one pool would give the same room out twice and call makers that are busy, so a
+// node that does not gather yet sends groups on to the one that does, and begins only where there is none.
+func (g *gatherer) place(ctx context.Context, passedOver []string) (elsewhere string) {
+	g.begins.Lock()
+	defer g.begins.Unlock()
+	if g.gathers() {
+		return ""
+	}
+	if other := g.follows(passedOver); other != "" {
+		return other
+	}
+	return g.begin(ctx, passedOver)
+}
+
+// gathers tells whether this node gathers for the pool, and notes that a group came.
+func (g *gatherer) gathers() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.relay.now()
+	g.active = g.active && now.Sub(g.gatheredAt) < takeOverAfter
+	g.gatheredAt = now
+	return g.active
+}
+
+// follows returns the other node that gathers, as far as is known here, or that is to; empty where it
+// is this one.
+func (g *gatherer) follows(passedOver []string) string {
+	if other := g.knownGatherer(passedOver); other != "" {
+		return other
+	}
+	for _, node := range kernel.Gatherers(g.name, g.relay.Reachable()) {
+		if node == g.relay.options.Name {
+			return ""
+		}
+		if !slices.Contains(passedOver, node) {
+			return node
+		}
+	}
+	return ""
+}
+
+// knownGatherer returns the other node that was last seen to gather, while it is reachable.
+func (g *gatherer) knownGatherer(passedOver []string) string {
+	g.mu.Lock()
+	known := g.current
+	g.mu.Unlock()
+	if known == g.relay.options.Name || slices.Contains(passedOver, known) || !g.relay.reachable(known) {
+		return ""
+	}
+	return known
+}
+
+func (g *gatherer) noteGatherer(node string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.current = node
+}
+
+// begin asks those that may gather for the pool to hand it over. It returns the node that goes on to
+// gather instead; empty where this one does from now on.
+func (g *gatherer) begin(ctx context.Context, passedOver []string) (elsewhere string) {
+	r := g.relay
+	g.mu.Lock()
+	g.g.TakeOver(r.now())
+	g.mu.Unlock()
+	inherited, other := g.askOthers(ctx, peer.TakeOver{Pool: g.name, Node: r.options.Name, Capacity: r.options.Capacity})
+	if other != "" && !slices.Contains(passedOver, other) {
+		g.noteGatherer(other)
+		return other
+	}
+	g.mu.Lock()
+	g.active = true
+	g.current = r.options.Name
+	worthAsking := !inherited && g.traits.Room >= roomWorthAsking
+	g.mu.Unlock()
+	r.metrics.Event("GathererTookOver")
+	r.log.Info().Str("Pool", g.name).Bool("Inherited", inherited).Msg("gathering begins here")
+	if worthAsking {
+		go g.askRooms()
+	}
+	go g.confirm()
+	return ""
+}
+
+// confirm asks from time to time whether another node gathers too, until this one gathers no more.
+func (g *gatherer) confirm() {
+	r := g.relay
+	for clock.Sleep(r.ctx, confirmEvery) {
+		g.mu.Lock()
+		active := g.active && r.now().Sub(g.gatheredAt) < takeOverAfter
+		g.mu.Unlock()
+		if !active {
+			return
+		}
+		question := peer.TakeOver{Pool: g.name, Node: r.options.Name, Capacity: r.options.Capacity, Gathers: true}
+		if _, other := g.askOthers(r.ctx, question); other != "" {
+			g.stepDown(other)
+			return
+		}
+	}
+}
+
+// askOthers asks those that may gather for the pool. It takes over the accounts of those that yield, and
+// returns the node that does not.
+func (g *gatherer) askOthers(ctx context.Context, question peer.TakeOver) (inherited bool, other string) {
+	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
+	defer cancel()
+	asked := g.formerGatherers()
+	for _, reply := range g.ask(ctx, asked, question) {
+		if named := reply.MovedTo; named != "" && named != g.relay.options.Name && !slices.Contains(asked, named) {
+			// Only the node itself knows whether it gathers still.
+			reply = g.ask(ctx, []string{named}, question)[0]
+		}
+		switch {
+		case reply.Gathered:
+			inherited = true
+			g.mu.Lock()
+			g.g.Inherit(g.relay.now(), reply.Accounts)
+			g.mu.Unlock()
+		case reply.Stays:
+			other = reply.MovedTo
+		}
+	}
+	return inherited, other
+}
+
+// ask asks several nodes at once; nodes that do not answer leave empty replies.
+func (g *gatherer) ask(ctx context.Context, nodes []string, question peer.TakeOver) []peer.TakeOverReply {
+	r := g.relay
+	var asked sync.WaitGroup
+	replies := make([]peer.TakeOverReply, len(nodes))
+	for i, node := range nodes {
+		asked.Go(func() {
+			if r.peers.Call(ctx, r.addressOf(node), peer.KindTakeOver, question, &replies[i]) != nil {
+				r.metrics.Event("TakeOverUnanswered")
+			}
+		})
+	}
+	asked.Wait()
+	return replies
+}
+
+// formerGatherers returns the other nodes that may gather for the pool, whether they are reachable or not:
+// a node that is leaving gathers no more and still has its account.
+func (g *gatherer) formerGatherers() []string {
+	var peers []kernel.Peer
+	for _, n := range *g.relay.nodes.Load() {
+		if n.Name != g.relay.options.Name {
+			peers = append(peers, kernel.Peer{Name: n.Name, Domain: n.Domain, Capacity: n.Capacity})
+		}
+	}
+	order := kernel.Gatherers(g.name, peers)
+	nodes := order[:min(takeOverAsks, len(order))]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if slices.Contains(order, g.current) && !slices.Contains(nodes, g.current) {
+		nodes = append(slices.Clone(nodes), g.current)
+	}
+	return nodes
+}
+
+// yield answers a node that gathers or is about to: with the account where this one gathers and is to
+// leave that to the other, else with who gathers. Where the other does not gather yet, this one goes on
+// unless it is leaving or the other can carry more: a change costs calls that are not full. Where both
+// gather, the one that comes first for the pool does so alone.
+func (g *gatherer) yield(m peer.TakeOver) peer.TakeOverReply {
+	r := g.relay
+	g.mu.Lock()
+	active := g.active && r.now().Sub(g.gatheredAt) < takeOverAfter
+	g.mu.Unlock()
+	if !active {
+		return peer.TakeOverReply{MovedTo: g.knownGatherer([]string{m.Node})}
+	}
+	stays := m.Capacity <= r.options.Capacity
+	if m.Gathers {
+		both := []kernel.Peer{{Name: m.Node, Capacity: m.Capacity}, {Name: r.options.Name, Capacity: r.options.Capacity}}
+		stays = kernel.Gatherers(g.name, both)[0] == r.options.Name
+	}
+	if stays && !r.Leaving() {
+		return peer.TakeOverReply{MovedTo: r.options.Name, Stays: true}
+	}
+	return peer.TakeOverReply{Gathered: true, Accounts: g.stepDown(m.Node)}
+}
+
+// stepDown leaves the pool to another node and returns the account for it.
+func (g *gatherer) stepDown(to string) []kernel.MakerAccount {
+	r := g.relay
+	g.mu.Lock()
+	g.active, g.current = false, to
+	accounts, moved := g.g.HandOver(r.now())
+	g.mu.Unlock()
+	g.finish(moved)
+	r.metrics.Event("GathererYielded")
+	r.log.Info().Str("Pool", g.name).Str("To", to).Int("Groups", len(moved)).Msg("gathering handed over")
+	return accounts
+}
+
+func (r *Relay) answerTakeOver(_ context.Context, body []byte) (any, error) {
+	var m peer.TakeOver
+	if err := peer.DecodeBody(body, &m); err != nil {
+		return nil, err
+	}
+	g := r.hub.find(m.Pool)
+	if g == nil {
+		return peer.TakeOverReply{}, nil
+	}
+	return g.yield(m), nil
+}
