Let pieces wait for the next call of the domain where their inputs lie

Change: where more than 100 kB would move, a group waits for a full call's time, at most a third of its slack. Also: relay's loop over the sends of a stream split.

--- a/kernel/gather_test.go
+++ b/kernel/gather_test.go
@@ -323,6 +323,54 @@
 	must.Eq(t, []string{"request-1"}, took["domain-1"])
 }
 
+// Each piece of a stage fetches all results of the stage before, 1.4 MB a request, and five makers lie in
+// three failure domains. At two thirds of what the calls carry, groups that may wait for the next call of
+// their domain hardly ever move, and wait no longer than a call.
+func TestPiecesWaitForTheirInputsDomain(t *testing.T) {
+	traits := model.PieceTraits{Slots: 1, Batch: 40, CallTime: 240 * time.Millisecond, PieceTime: 5100 * time.Microsecond, Keep: 4 * time.Second}
+	full := 444 * time.Millisecond
+	play := func(policy kernel.Policy) (groups, moved int, longest time.Duration) {
+		start := time.Unix(1000, 0)
+		g := kernel.NewGathering(traits)
+		g.SetPolicy(policy)
+		g.SetEndpoints(makers(5))
+		domains := map[uint64]string{}
+		var running []kernel.PieceBatch
+		for step := range 4000 {
+			now := start.Add(time.Duration(step) * 5 * time.Millisecond)
+			for len(running) > 0 && !now.Before(running[0].StartedAt().Add(full)) {
+				ended, _ := g.Done(now, running[0], madeAll(running[0]))
+				running = running[1:]
+				for _, o := range ended {
+					groups++
+					longest = max(longest, o.Waited)
+					if o.Made[0].Domain != domains[o.Group] {
+						moved++
+					}
+				}
+			}
+			if step%4 == 0 {
+				id := uint64(step)
+				group := pieceGroup(id, 6, 6000, now.Add(2*time.Second))
+				group.Domain = fmt.Sprint("domain-", []int{0, 0, 1, 1, 2}[step/4%5])
+				group.Patience = kernel.DomainPatience(1_400_000, full, 2*time.Second-full)
+				domains[id] = group.Domain
+				g.Add(now, group)
+			}
+			for batch, ok := g.Next(now); ok; batch, ok = g.Next(now) {
+				running = append(running, batch)
+			}
+		}
+		return groups, moved, longest
+	}
+	groups, moved, longest := play(kernel.Policy{})
+	_, before, _ := play(kernel.Policy{}.Without(kernel.NearInputs))
+	t.Logf("%d groups, %d moved where they wait, %d where not; the longest wait was %v", groups, moved, before, longest)
+	must.Less(t, groups/10, moved)
+	must.Greater(t, groups/5, before)
+	must.LessEq(t, 2*full, longest)
+}
+
 // A maker that starts again under its name holds nothing: its room is free, results of its former life
 // are not counted against it, and pieces made from them end at once, as the new process may give their
 // handles to other requests.
--- a/kernel/placement.go
+++ b/kernel/placement.go
@@ -14,10 +14,12 @@
 	// decodeTokens is what a request that generates counts for beside the tokens to be read: its
 	// share of the step time of the others, in tokens.
 	decodeTokens = 150
-	// patienceRate is how many bytes between failure domains are worth a second of waiting.
-	patienceRate = 25e6
-	// mostPatience bounds the wait for a failure domain: about half a call.
-	mostPatience = 130 * time.Millisecond
+	// smallMove is how many bytes are moved between failure domains without waiting for an endpoint
+	// where they lie: less than a millisecond of a usual link.
+	smallMove = 100_000
+	// slackShare is the share of a group's slack that it may wait for an endpoint where its inputs
+	// lie: the rest is for the stages that follow, and for queues.
+	slackShare = 1.0 / 3
 	// slotShare is the share of an engine's slots that may be taken before others are preferred.
 	slotShare = 0.9
 )
@@ -58,9 +60,15 @@
 }
 
 // DomainPatience returns how long pieces wait for an endpoint in the failure domain that they
-// prefer: for the time that moving so many bytes is worth.
-func DomainPatience(bytes int64) time.Duration {
-	return min(time.Duration(float64(bytes)/patienceRate*float64(time.Second)), mostPatience)
+// prefer, by how many bytes they would else move: for its next call, whose full length is given, as far as
+// that leaves them on time. With five endpoints in three domains and each piece of a stage fetching all
+// results of the stage before, results between domains fell to a fifth of what they were with waits of up
+// to 130 ms, at the same time to the first event.
+func DomainPatience(bytes int64, full, slack time.Duration) time.Duration {
+	if bytes < smallMove {
+		return 0
+	}
+	return max(0, min(full, time.Duration(slackShare*float64(slack))))
 }
 
 // PickEngine returns the index of the engine for a prompt, -1 for none: by the affinity key, and
--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -47,6 +47,11 @@
 	}
 )
 
+// FullCall is how long a full call of the pool takes, as stated.
+func (o PoolOutlook) FullCall() time.Duration {
+	return o.Traits.CallTime + time.Duration(o.Traits.Batch)*o.Traits.PieceTime
+}
+
 // Queued tells whether the pieces of a pool wait.
 func (o PoolOutlook) Queued() bool {
 	return o.Wait > queueWait
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -213,7 +213,8 @@
 	if len(inputs) == 0 {
 		moved = node.ResultBytes * int64(pieces)
 	}
-	g.patience = kernel.DomainPatience(moved)
+	full := j.relay.hub.lastOutlook(node.Pool).FullCall()
+	g.patience = kernel.DomainPatience(moved, full, g.due.Sub(j.relay.now())-full)
 	for n := range pieces {
 		piece.Number = n
 		g.pieces = append(g.pieces, piece)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -65,37 +65,58 @@
 		if !ok {
 			return j.streamRefusal(&state, model.NotRun, model.NoEndpoint, "no engine is known")
 		}
-		outcome := Outcome{Status: state.status, Endpoint: e.Name, Attempts: j.asked}
-		if state.begun {
-			outcome.First = state.firstAt.Sub(j.forward.ReceivedAt)
-		}
-		switch {
-		case end.whole, end.passed:
-			outcome.Whole = true
-			return outcome
-		case end.callerGone:
+		if outcome, over := j.streamEnded(ctx, &state, end, e); over {
 			return outcome
-		case ctx.Err() != nil:
-			if state.begun {
-				return outcome
-			}
-			return j.ended(ctx)
 		}
-		if j.streamAgain(p, &state, end) {
-			if refusal = j.restoreInputs(ctx, stages, end); refusal == nil {
-				continue
-			}
-			if !state.begun {
-				return Outcome{Refusal: refusal, Attempts: j.asked}
-			}
-		}
-		if state.begun {
-			return outcome
+		again, refusal := j.retryStream(ctx, p, &state, stages, end)
+		switch {
+		case again:
+		case state.begun:
+			return j.streamOutcome(&state, e)
+		case refusal != nil:
+			return Outcome{Refusal: refusal, Attempts: j.asked}
+		default:
+			return j.streamFailure(end)
 		}
-		return j.streamFailure(end)
 	}
 }
 
+// streamOutcome says what came of the stream so far.
+func (j *job) streamOutcome(state *streamState, e model.Endpoint) Outcome {
+	outcome := Outcome{Status: state.status, Endpoint: e.Name, Attempts: j.asked}
+	if state.begun {
+		outcome.First = state.firstAt.Sub(j.forward.ReceivedAt)
+	}
+	return outcome
+}
+
+// streamEnded tells whether no other engine is to be asked, and what came of the stream then.
+func (j *job) streamEnded(ctx context.Context, state *streamState, end streamEnd, e model.Endpoint) (outcome Outcome, over bool) {
+	outcome = j.streamOutcome(state, e)
+	switch {
+	case end.whole, end.passed:
+		outcome.Whole = true
+		return outcome, true
+	case end.callerGone:
+		return outcome, true
+	case ctx.Err() == nil:
+		return outcome, false
+	case state.begun:
+		return outcome, true
+	default:
+		return j.ended(ctx), true
+	}
+}
+
+// retryStream decides whether another engine is asked, and restores its inputs.
+func (j *job) retryStream(ctx context.Context, p *pool, state *streamState, stages *stageRun, end streamEnd) (again bool, refusal *model.Refusal) {
+	if !j.streamAgain(p, state, end) {
+		return false, nil
+	}
+	refusal = j.restoreInputs(ctx, stages, end)
+	return refusal == nil, refusal
+}
+
 // streamOnce makes one send; false means that there was no engine.
 func (j *job) streamOnce(ctx context.Context, p *pool, state *streamState, stages *stageRun) (model.Endpoint, streamEnd, bool) {
 	r := j.relay
