--- a/kernel/gather_test.go
+++ b/kernel/gather_test.go
@@ -336,18 +336,21 @@
 		g.SetEndpoints(makers(5))
 		domains := map[uint64]string{}
 		var running []kernel.PieceBatch
+		end := func(now time.Time, batch kernel.PieceBatch) {
+			ended, _ := g.Done(now, batch, madeAll(batch))
+			for _, o := range ended {
+				groups++
+				longest = max(longest, o.Waited)
+				if o.Made[0].Domain != domains[o.Group] {
+					moved++
+				}
+			}
+		}
 		for step := range 4000 {
 			now := start.Add(time.Duration(step) * 5 * time.Millisecond)
 			for len(running) > 0 && !now.Before(running[0].StartedAt().Add(full)) {
-				ended, _ := g.Done(now, running[0], madeAll(running[0]))
+				end(now, running[0])
 				running = running[1:]
-				for _, o := range ended {
-					groups++
-					longest = max(longest, o.Waited)
-					if o.Made[0].Domain != domains[o.Group] {
-						moved++
-					}
-				}
 			}
 			if step%4 == 0 {
 				id := uint64(step)
--- a/peer/message.go
+++ b/peer/message.go
@@ -170,7 +170,9 @@
 		RoomTaken float64
 		// Leaving is true where the node gathers no more: the sender asks another one.
 		Leaving bool
-		// MovedTo names the node that gathers for the pool now; the sender asks it instead.
+		// Moved is true where another node gathers for the pool now. MovedTo names it where it is
+		// known; the sender asks it instead.
+		Moved   bool
 		MovedTo string
 	}
 
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -48,7 +48,10 @@
 	gatherResult struct {
 		outcome    kernel.GroupOutcome
 		refused    bool
+		// leaving tells that the node gathers no more because it leaves, moved that another one
+		// gathers, which movedTo names where it is known.
 		leaving    bool
+		moved      bool
 		movedTo    string
 		retryAfter time.Duration
 		told       told
@@ -69,10 +72,10 @@
 			break
 		}
 		result, err := r.askGatherer(ctx, node, g, req)
-		if err == nil && !result.leaving && result.movedTo == "" {
+		if err == nil && !result.leaving && !result.moved {
 			g.noteGatherer(node)
 			g.note(result.told)
-			done := result.done(req.pool)
+			done := result.done(req)
 			done.time.Gatherer = node
 			return done
 		}
@@ -107,14 +110,20 @@
 }
 
 // done says what a gatherer's answer means for the stage.
-func (result gatherResult) done(pool string) stageDone {
+func (result gatherResult) done(req gatherRequest) stageDone {
+	pool := req.pool
 	if result.refused {
 		return stageDone{refusal: model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(result.retryAfter), "pool "+pool+" has no time for the pieces")}
 	}
 	done := stageDone{made: result.outcome.Made}
 	done.inputsFreed = result.outcome.InputsFreed
 	done.time.Waited = result.outcome.Waited
-	if fault := result.outcome.Fault; fault != "" {
+	fault := result.outcome.Fault
+	if fault == "" && len(done.made) != len(req.pieces) {
+		// Only a whole set of results may become an input.
+		fault = model.PieceFailed
+	}
+	if fault != "" {
 		done.time.Fault = fault
 		done.refusal = model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(max(result.told.wait, refusedRetry)),
 			fmt.Sprintf("pool %s: pieces not made: %s", pool, fault))
@@ -189,6 +198,7 @@
 		outcome:    reply.Outcome,
 		refused:    reply.Refused,
 		leaving:    reply.Leaving,
+		moved:      reply.Moved,
 		movedTo:    reply.MovedTo,
 		retryAfter: reply.RetryAfter,
 		told:       told{wait: reply.Wait, roomTaken: reply.RoomTaken},
@@ -332,6 +342,7 @@
 	result := g.gather(ctx, group, m.PassedOver)
 	return peer.GatherReply{
 		MovedTo:    result.movedTo,
+		Moved:      result.moved,
 		Outcome:    result.outcome,
 		Refused:    result.refused,
 		RetryAfter: result.retryAfter,
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -195,7 +195,7 @@
 // gather takes a group of this or another node in and waits for its end.
 func (g *gatherer) gather(ctx context.Context, group kernel.PieceGroup, passedOver []string) gatherResult {
 	if elsewhere := g.place(ctx, passedOver); elsewhere != "" {
-		return gatherResult{movedTo: elsewhere}
+		return gatherResult{moved: true, movedTo: elsewhere}
 	}
 	now := g.relay.now()
 	if kernel.AnyStale(group.Inputs, g.relay.Roster().Superseded) {
@@ -217,7 +217,7 @@
 	select {
 	case outcome := <-done:
 		if outcome.Fault == model.PieceMoved {
-			return gatherResult{movedTo: g.knownGatherer(nil)}
+			return gatherResult{moved: true, movedTo: g.knownGatherer(nil)}
 		}
 		return gatherResult{outcome: outcome, told: tell}
 	case <-ctx.Done():
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -11,10 +11,12 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/metric"
 	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
 	"basilstall.example/basilstall/relay"
 )
 
@@ -51,8 +53,9 @@
 		RunPieces: func(ctx context.Context, e model.Endpoint, p []model.Piece) (relay.PieceReply, error) {
 			return b.wire.RunPieces(ctx, e, p)
 		},
-		Free: b.wire.Free,
-		Room: b.wire.Room,
+		Free:   b.wire.Free,
+		Room:   b.wire.Room,
+		Retire: func(string) {},
 	}
 	options := relay.Options{Name: "node", Domain: "d", Budget: kernel.BudgetTerms{Ratio: 1, Slack: 100, Window: 10 * time.Second}}
 	b.relay = relay.NewRelay(options, wire, time.Now, metric.NewSet(), zerolog.Nop())
@@ -129,6 +132,46 @@
 	}
 }
 
+// A pool may be handed over to a node that can't be reached from here. Groups that were to move there are
+// refused, and no engine gets a request without its inputs.
+func TestAGroupThatCannotMoveIsRefused(t *testing.T) {
+	b := newBed(t)
+	started, proceed := make(chan struct{}, 8), make(chan struct{})
+	run := b.wire.RunPieces
+	b.wire.RunPieces = func(ctx context.Context, e model.Endpoint, pieces []model.Piece) (relay.PieceReply, error) {
+		started <- struct{}{}
+		<-proceed
+		return run(ctx, e, pieces)
+	}
+	inputs := make(chan int, 8)
+	b.wire.Forward = func(_ context.Context, s relay.Send) (*model.ForwardReply, error) {
+		inputs <- len(s.Inputs)
+		return reply("id: 1\n\n"), nil
+	}
+	first, second := make(chan relay.Outcome, 1), make(chan relay.Outcome, 1)
+	go func() { first <- b.serve("/gen/1", 1) }()
+	<-started
+	go func() { second <- b.serve("/gen/2", 1) }()
+	body, err := msgpack.Marshal(peer.TakeOver{Pool: "makers", Node: "unknown", Capacity: 1})
+	must.NoError(t, err)
+	var refused relay.Outcome
+	for moved := false; !moved; {
+		_, err = b.relay.Handlers()[peer.KindTakeOver](t.Context(), body)
+		must.NoError(t, err)
+		select {
+		case refused = <-second:
+			moved = true
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	must.NotNil(t, refused.Refusal)
+	must.EqOp(t, model.NotRun, refused.Refusal.Verdict)
+	close(proceed)
+	must.True(t, (<-first).Whole, must.Sprint("what was under way is brought to its end"))
+	must.EqOp(t, 1, <-inputs)
+	must.EqOp(t, 0, len(inputs))
+}
+
 type broken struct{}
 
 func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
