Gather for oneself where all others leave; never hand over to a leaving node

Change: two leaving nodes each gather for their own requests; a node that is leaving gets no pool from one that stays; a reply that names nobody passes nobody over; those that say that they do not gather cost no try.

--- a/peer/message.go
+++ b/peer/message.go
@@ -184,6 +184,8 @@
 		// gathers already.
 		Capacity float64
 		Gathers  bool
+		// Leaving tells that the sender is leaving itself: it gathers only where all others leave.
+		Leaving bool
 	}
 
 	// TakeOverReply is from a node that gathered until now, with what it knew of the pool's makers,
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -21,8 +21,11 @@
 	outlookTimeout = 40 * time.Millisecond
 	// releaseTimeout bounds the word to a gatherer that results are no longer needed.
 	releaseTimeout = time.Second
-	// gathererTries is how many nodes are asked to gather a group.
+	// gathererTries is how many nodes that do not answer a group is sent to: each costs the time after
+	// which silence counts. mostAsked bounds all that are asked: those that do not gather say so
+	// within a round trip, and name who does.
 	gathererTries = 3
+	mostAsked     = 12
 )
 
 type (
@@ -46,8 +49,8 @@
 
 	// gatherResult is a gatherer's answer.
 	gatherResult struct {
-		outcome    kernel.GroupOutcome
-		refused    bool
+		outcome kernel.GroupOutcome
+		refused bool
 		// leaving tells that the node gathers no more because it leaves, moved that another one
 		// gathers, which movedTo names where it is known.
 		leaving    bool
@@ -67,8 +70,9 @@
 		return stageDone{refusal: model.NewRefusal(model.NotRun, model.NoEndpoint, kernel.RetryAfter(refusedRetry), "the pool "+req.pool+" is not known")}
 	}
 	node := r.gathererOf(g, nil)
-	for range gathererTries {
-		if node == "" || ctx.Err() != nil {
+	failed := 0
+	for range mostAsked {
+		if node == "" || ctx.Err() != nil || failed >= gathererTries {
 			break
 		}
 		result, err := r.askGatherer(ctx, node, g, req)
@@ -79,9 +83,12 @@
 			done.time.Gatherer = node
 			return done
 		}
-		req.passedOver = append(req.passedOver, node)
+		if err != nil || result.leaving || result.movedTo != "" {
+			req.passedOver = append(req.passedOver, node)
+		}
 		switch {
 		case err != nil:
+			failed++
 			r.noteGatherer(node, req, err)
 		case result.leaving:
 			r.suspects.suspect(node)
@@ -106,6 +113,10 @@
 			return node
 		}
 	}
+	// Where all others leave too, a node that is leaving gathers for its own requests.
+	if !slices.Contains(passedOver, r.options.Name) {
+		return r.options.Name
+	}
 	return ""
 }
 
--- a/relay/takeover.go
+++ b/relay/takeover.go
@@ -92,7 +92,7 @@
 	g.mu.Lock()
 	g.g.TakeOver(r.now())
 	g.mu.Unlock()
-	inherited, other := g.askOthers(ctx, peer.TakeOver{Pool: g.name, Node: r.options.Name, Capacity: r.options.Capacity})
+	inherited, other := g.askOthers(ctx, g.question(false))
 	if other != "" && !slices.Contains(passedOver, other) {
 		g.noteGatherer(other)
 		return other
@@ -111,6 +111,12 @@
 	return ""
 }
 
+// question is what other nodes are asked that may gather for the pool.
+func (g *gatherer) question(gathers bool) peer.TakeOver {
+	r := g.relay
+	return peer.TakeOver{Pool: g.name, Node: r.options.Name, Capacity: r.options.Capacity, Gathers: gathers, Leaving: r.Leaving()}
+}
+
 // confirm asks from time to time whether another node gathers too, until this one gathers no more.
 func (g *gatherer) confirm() {
 	r := g.relay
@@ -121,8 +127,7 @@
 		if !active {
 			return
 		}
-		question := peer.TakeOver{Pool: g.name, Node: r.options.Name, Capacity: r.options.Capacity, Gathers: true}
-		if _, other := g.askOthers(r.ctx, question); other != "" {
+		if _, other := g.askOthers(r.ctx, g.question(true)); other != "" {
 			g.stepDown(other)
 			return
 		}
@@ -205,9 +210,14 @@
 		both := []kernel.Peer{{Name: m.Node, Capacity: m.Capacity}, {Name: r.options.Name, Capacity: r.options.Capacity}}
 		stays = kernel.Gatherers(g.name, both)[0] == r.options.Name
 	}
-	if stays && !r.Leaving() {
+	switch {
+	case r.Leaving() && m.Leaving:
+		// Each gathers for its own requests.
+		return peer.TakeOverReply{}
+	case !r.Leaving() && (stays || m.Leaving):
 		return peer.TakeOverReply{MovedTo: r.options.Name, Stays: true}
 	}
+	r.suspects.clear(m.Node)
 	return peer.TakeOverReply{Gathered: true, Accounts: g.stepDown(m.Node)}
 }
 
