Probe the next gatherers together when one is lost

Change: after one that does not answer, the next five in order are probed at once for 100 ms; the first that answers is asked, else this node gathers. Opening a connection to a node is bounded by the same silence.

--- a/peer/client.go
+++ b/peer/client.go
@@ -172,13 +172,13 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*clientConn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: min(dialTimeout, c.silentAfter)}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	conn := newClientConn(raw, c.silentAfter)
-	helloCtx, cancel := context.WithTimeout(ctx, helloTimeout)
+	helloCtx, cancel := context.WithTimeout(ctx, min(helloTimeout, c.silentAfter))
 	defer cancel()
 	body, err := encodeBody(c.hello)
 	if err != nil {
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -95,7 +95,12 @@
 		default:
 			r.metrics.Event("GathererMoved")
 		}
-		if node = result.movedTo; node == "" {
+		switch {
+		case err != nil:
+			node = r.answeringGatherer(ctx, g, req.passedOver)
+		case result.movedTo != "":
+			node = result.movedTo
+		default:
 			node = r.gathererOf(g, req.passedOver)
 		}
 	}
--- /dev/null
+++ b/relay/probe.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/peer"
+)
+
+const (
+	// quickProbe is how long a node may take to say that it is there when a gatherer was lost: many
+	// round trips between hosts.
+	quickProbe = 100 * time.Millisecond
+	// probedAtOnce is how many nodes are asked at once. With three of five nodes lost at one moment,
+	// one of these answers nine times in ten; asked one after the other, a request would wait for the
+	// silence of each.
+	probedAtOnce = 5
+)
+
+var errNoProbe = errors.New("relay: no answer to a probe")
+
+// answeringGatherer returns the first node for a pool that answers at once, of those that were not passed
+// over; this node where none does.
+func (r *Relay) answeringGatherer(ctx context.Context, g *gatherer, passedOver []string) string {
+	if known := g.knownGatherer(passedOver); known != "" {
+		return known
+	}
+	candidates := slices.DeleteFunc(kernel.Gatherers(g.name, r.Reachable()), func(node string) bool { return slices.Contains(passedOver, node) })
+	candidates = candidates[:min(probedAtOnce, len(candidates))]
+	there := r.probeAll(ctx, candidates)
+	for i, node := range candidates {
+		if there[i] {
+			return node
+		}
+	}
+	return r.options.Name
+}
+
+// probeAll tells which of several nodes answer at once and are not leaving. Those that do not answer are
+// suspected.
+func (r *Relay) probeAll(ctx context.Context, nodes []string) []bool {
+	ctx, cancel := context.WithTimeout(ctx, quickProbe)
+	defer cancel()
+	there := make([]bool, len(nodes))
+	var asked sync.WaitGroup
+	for i, node := range nodes {
+		if node == r.options.Name {
+			there[i] = true
+			continue
+		}
+		asked.Go(func() {
+			var reply peer.ProbeReply
+			err := r.peers.Call(ctx, r.addressOf(node), peer.KindProbe, peer.Empty{}, &reply)
+			there[i] = err == nil && !reply.Leaving
+			if err != nil {
+				r.Suspect(node, errNoProbe)
+			}
+		})
+	}
+	asked.Wait()
+	return there
+}
