Say from the logs what was refused, late or broken off, and what decided it

Cause: which pool's wait or room refused a request, and what was told against what it was, could not be read from a node's lines; scripts were written for it each time.

Change: basilstall blame reads the JSON lines of all nodes and prints causes by window and route, and waits told and waited by pool. Lines that end a request bear what their pools had told, stages bear the wait told, late answers are marked and logged apart (50 a second at most).

--- /dev/null
+++ b/blame/blame.go
@@ -0,0 +1,222 @@
+// Package blame reads the JSON lines that nodes wrote and says, by time and route, which requests were
+// refused, late or broken off, and which pool's wait or room decided it.
+package blame
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// longestLine bounds a line that is read, in bytes; longer ones end the reading with an error.
+const longestLine = 1 << 20
+
+type (
+	// Line is what is read of a line that ends a request. Durations are in milliseconds, as written.
+	Line struct {
+		Time       time.Time
+		Route      string
+		Outcome    string
+		Reason     string
+		Message    string
+		Late       bool
+		RetryAfter float64
+		Stages     []Stage
+		Outlook    []Wait
+	}
+
+	// Stage is what became of one stage: the wait that was told for its pieces, and what it was.
+	Stage struct {
+		Pool   string
+		Told   float64
+		Waited float64
+		Fault  string
+	}
+
+	// Wait is what a request was refused for: the wait that a pool told, and the share of its room
+	// that was taken.
+	Wait struct {
+		Pool      string
+		Wait      float64
+		RoomTaken float64
+	}
+
+	// Report collects lines. It changes in place.
+	Report struct {
+		window time.Duration
+		causes map[cause]int
+		pools  map[string]*waits
+		// lines counts the lines that ended a request, skipped those that are no JSON.
+		lines   int
+		skipped int
+	}
+
+	cause struct {
+		from  time.Time
+		route string
+		what  string
+	}
+
+	// waits are a pool's waits as told and as they were, of the same groups.
+	waits struct {
+		told   []float64
+		waited []float64
+	}
+)
+
+// NewReport returns a report that counts by windows of a length.
+func NewReport(window time.Duration) *Report {
+	return &Report{window: window, causes: map[cause]int{}, pools: map[string]*waits{}}
+}
+
+// Read takes lines in. What stands before the first brace of a line is passed over, so that lines that
+// were collected from several nodes with a prefix can be read as they are.
+func (r *Report) Read(lines io.Reader) error {
+	scanner := bufio.NewScanner(lines)
+	scanner.Buffer(nil, longestLine)
+	for scanner.Scan() {
+		text := scanner.Bytes()
+		if i := bytes.IndexByte(text, '{'); i >= 0 {
+			r.take(text[i:])
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return errors.Wrap(err, "unable to read the log")
+	}
+	return nil
+}
+
+func (r *Report) take(text []byte) {
+	var line Line
+	if err := json.Unmarshal(text, &line); err != nil {
+		r.skipped++
+		return
+	}
+	if line.Outcome == "" {
+		return
+	}
+	r.lines++
+	for _, s := range line.Stages {
+		if s.Fault == "" {
+			r.pool(s.Pool).add(s)
+		}
+	}
+	if what := line.cause(); what != "" {
+		r.causes[cause{from: line.Time.Truncate(r.window), route: line.Route, what: what}]++
+	}
+}
+
+func (r *Report) pool(name string) *waits {
+	if r.pools[name] == nil {
+		r.pools[name] = &waits{}
+	}
+	return r.pools[name]
+}
+
+func (w *waits) add(s Stage) {
+	w.told = append(w.told, s.Told)
+	w.waited = append(w.waited, s.Waited)
+}
+
+// cause says what went wrong with a request and what decided it; empty where nothing did.
+func (l Line) cause() string {
+	switch {
+	case l.Outcome == "Refused" && len(l.Outlook) > 0:
+		return l.Reason + ", " + l.longest()
+	case l.Outcome == "Refused":
+		return l.Reason + ", " + l.Message
+	case l.Outcome == "BrokenOff":
+		return "broken off"
+	case l.Late:
+		return "late, " + l.slowest()
+	default:
+		return ""
+	}
+}
+
+// longest names the pool that told the longest wait, and whether its room was full.
+func (l Line) longest() string {
+	w := slices.MaxFunc(l.Outlook, func(a, b Wait) int { return int(a.Wait - b.Wait) })
+	if w.RoomTaken > 0.9 {
+		return "room of " + w.Pool
+	}
+	return "wait of " + w.Pool
+}
+
+// slowest names the pool whose pieces waited longest.
+func (l Line) slowest() string {
+	if len(l.Stages) == 0 {
+		return "no stages"
+	}
+	s := slices.MaxFunc(l.Stages, func(a, b Stage) int { return int(a.Waited - b.Waited) })
+	return "pieces in " + s.Pool
+}
+
+// Write prints what went wrong by window and route, the most frequent cause first, and for each pool how
+// long pieces were told to wait and how long they did.
+func (r *Report) Write(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "from\troute\trequests\tcause")
+	for _, c := range r.sorted() {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%s\n", c.from.Format("15:04:05"), orDash(c.route), r.causes[c], c.what)
+	}
+	fmt.Fprintln(table, "\t\t\t")
+	fmt.Fprintln(table, "pool\tgroups\ttold ms (half, nine in ten)\twaited ms (half, nine in ten)")
+	names := make([]string, 0, len(r.pools))
+	for name := range r.pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		w := r.pools[name]
+		fmt.Fprintf(table, "%s\t%d\t%.0f, %.0f\t%.0f, %.0f\n", name, len(w.told),
+			quantile(w.told, 0.5), quantile(w.told, 0.9), quantile(w.waited, 0.5), quantile(w.waited, 0.9))
+	}
+	if err := table.Flush(); err != nil {
+		return errors.Wrap(err, "unable to print")
+	}
+	if _, err := fmt.Fprintf(out, "\n%d lines that end a request; %d lines were no JSON\n", r.lines, r.skipped); err != nil {
+		return errors.Wrap(err, "unable to print")
+	}
+	return nil
+}
+
+func (r *Report) sorted() []cause {
+	out := make([]cause, 0, len(r.causes))
+	for c := range r.causes {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b cause) int {
+		if c := a.from.Compare(b.from); c != 0 {
+			return c
+		}
+		if r.causes[a] != r.causes[b] {
+			return r.causes[b] - r.causes[a]
+		}
+		return strings.Compare(a.route+a.what, b.route+b.what)
+	})
+	return out
+}
+
+func quantile(values []float64, share float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[int(share*float64(len(sorted)-1))]
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -93,6 +93,7 @@
 			sh.statusCommand(),
 			sh.endpointsCommand(),
 			sh.explainCommand(),
+			sh.blameCommand(),
 			sh.replayCommand(),
 			sh.measureCommand(),
 			sh.versionCommand(),
--- a/kernel/policy.go
+++ b/kernel/policy.go
@@ -21,6 +21,13 @@
 	InputsRemade
 	// RoomLearnt takes what makers refuse for lack of room as a measure of what others left there.
 	RoomLearnt
+	// OneGatherer keeps a pool with the node that gathers for it until that one leaves or is lost, and
+	// sends groups on to it that come elsewhere.
+	OneGatherer
+	// AccountHandedOver tells the next gatherer what the one before knew of the makers.
+	AccountHandedOver
+	// NextProbed asks several nodes at once which of them is there when a gatherer was lost.
+	NextProbed
 	// OwnWait tells each request the wait of its own pieces: by their size and by when they are due.
 	OwnWait
 	// KnownReturns counts the objective of callers that come back from their first attempt.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -38,6 +38,16 @@
 	s.set.GetOrCreateHistogram(fmt.Sprintf(`basilstall_answer_seconds{pipeline=%q}`, pipeline)).Update(elapsed.Seconds())
 }
 
+// WaitTold notes which wait a pool's gatherer told for pieces and how long they waited: by how much they
+// waited longer, or less long.
+func (s *Set) WaitTold(pool string, told, waited time.Duration) {
+	side, off := "longer", waited-told
+	if off < 0 {
+		side, off = "shorter", -off
+	}
+	s.set.GetOrCreateHistogram(fmt.Sprintf(`basilstall_wait_error_seconds{pool=%q,side=%q}`, pool, side)).Update(off.Seconds())
+}
+
 // Spent adds to a stage's cost.
 func (s *Set) Spent(customer string, timing model.StageTiming, pool string) {
 	s.set.GetOrCreateFloatCounter(fmt.Sprintf(`basilstall_endpoint_seconds_total{pool=%q,customer=%q}`, pool, customer)).Add(timing.Busy.Seconds())
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -81,6 +81,9 @@
 			g.note(result.told)
 			done := result.done(req)
 			done.time.Gatherer = node
+			if done.refusal == nil {
+				r.metrics.WaitTold(req.pool, done.time.Told, done.time.Waited)
+			}
 			return done
 		}
 		if err != nil || result.leaving || result.movedTo != "" {
@@ -134,6 +137,7 @@
 	done := stageDone{made: result.outcome.Made}
 	done.inputsFreed = result.outcome.InputsFreed
 	done.time.Waited = result.outcome.Waited
+	done.time.Told = result.told.wait
 	fault := result.outcome.Fault
 	if fault == "" && len(done.made) != len(req.pieces) {
 		// Only a whole set of results may become an input.
@@ -161,30 +165,34 @@
 			continue
 		}
 		if last, fresh := g.lastTold(); fresh && (!last.queued() || !r.options.Policy.Uses(kernel.OwnWait)) {
-			out[i].Wait = last.wait
+			out[i].Wait, out[i].RoomTaken = last.wait, last.roomTaken
 			continue
 		}
-		asked.Go(func() { out[i].Wait = r.askWait(ctx, g, req) })
+		asked.Go(func() {
+			last := r.askTold(ctx, g, req)
+			out[i].Wait, out[i].RoomTaken = last.wait, last.roomTaken
+		})
 	}
 	asked.Wait()
 	return out
 }
 
-// askWait asks the pool's gatherer how long pieces wait.
-func (r *Relay) askWait(ctx context.Context, g *gatherer, req gatherRequest) time.Duration {
+// askTold asks the pool's gatherer how long pieces wait.
+func (r *Relay) askTold(ctx context.Context, g *gatherer, req gatherRequest) told {
 	node := r.gathererOf(g, nil)
 	if node == r.options.Name {
-		return g.tell(req.group(0)).wait
+		return g.tell(req.group(0))
 	}
 	message := r.gatherMessage(req)
 	message.OnlyAsk = true
 	var reply peer.GatherReply
 	if r.peers.Call(ctx, r.addressOf(node), peer.KindGather, message, &reply) != nil || reply.Leaving {
 		r.metrics.Event("OutlookUnknown")
-		return 0
+		return told{}
 	}
-	g.note(told{wait: reply.Wait, roomTaken: reply.RoomTaken})
-	return reply.Wait
+	last := told{wait: reply.Wait, roomTaken: reply.RoomTaken}
+	g.note(last)
+	return last
 }
 
 func (r *Relay) noteGatherer(node string, req gatherRequest, err error) {
@@ -193,34 +201,6 @@
 	r.log.Info().Str("Request", req.pieces[0].Request).Str("Pool", req.pool).Str("Gatherer", node).Err(err).Msg("gatherer did not answer")
 }
 
-func (r *Relay) askGatherer(ctx context.Context, node string, g *gatherer, req gatherRequest) (gatherResult, error) {
-	if node == r.options.Name {
-		return g.gather(ctx, req.group(r.groups.Add(1)), req.passedOver), nil
-	}
-	address := r.addressOf(node)
-	message := r.gatherMessage(req)
-	callCtx, cancel := context.WithTimeout(ctx, max(gatherPatience, message.UntilIn+gatherPatience))
-	defer cancel()
-	var reply peer.GatherReply
-	err := r.peers.Call(callCtx, address, peer.KindGather, message, &reply)
-	if ctx.Err() != nil {
-		r.cancelGroup(address, message)
-		return gatherResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}}, nil
-	}
-	if err != nil {
-		return gatherResult{}, err
-	}
-	return gatherResult{
-		outcome:    reply.Outcome,
-		refused:    reply.Refused,
-		leaving:    reply.Leaving,
-		moved:      reply.Moved,
-		movedTo:    reply.MovedTo,
-		retryAfter: reply.RetryAfter,
-		told:       told{wait: reply.Wait, roomTaken: reply.RoomTaken},
-	}, nil
-}
-
 // group returns the request as the kernel takes it.
 func (req gatherRequest) group(id uint64) kernel.PieceGroup {
 	return kernel.PieceGroup{
@@ -237,44 +217,6 @@
 	}
 }
 
-// gatherMessage returns the request as another node takes it.
-func (r *Relay) gatherMessage(req gatherRequest) peer.Gather {
-	now := r.now()
-	first := req.pieces[0]
-	message := peer.Gather{
-		Pool:        req.pool,
-		Group:       fmt.Sprintf("%s/%d", r.options.Name, r.groups.Add(1)),
-		Request:     first.Request,
-		Stage:       first.Stage,
-		Key:         first.Key,
-		Inputs:      req.inputs,
-		FreeInputs:  req.freeInputs,
-		ResultBytes: req.bytes,
-		Domain:      req.domain,
-		Patience:    req.patience,
-		Rank:        req.rank,
-		DueIn:       req.due.Sub(now),
-		UntilIn:     req.until.Sub(now),
-		PassedOver:  req.passedOver,
-	}
-	for _, p := range req.pieces {
-		message.Numbers = append(message.Numbers, p.Number)
-	}
-	return message
-}
-
-// cancelGroup withdraws a group whose request was given up.
-func (r *Relay) cancelGroup(address string, m peer.Gather) {
-	go func() {
-		ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
-		defer cancel()
-		var empty peer.Empty
-		if r.peers.Call(ctx, address, peer.KindGatherCancel, peer.GatherCancel{Pool: m.Pool, Group: m.Group}, &empty) != nil {
-			r.metrics.Event("GatherCancelFailed")
-		}
-	}()
-}
-
 func (r *Relay) addressOf(node string) string {
 	for _, n := range *r.nodes.Load() {
 		if n.Name == node {
@@ -307,108 +249,3 @@
 		}
 	}()
 }
-
-// Handlers answer other nodes' calls to this one's gatherers.
-func (r *Relay) Handlers() map[peer.Kind]peer.Handler {
-	return map[peer.Kind]peer.Handler{
-		peer.KindGather:       r.answerGather,
-		peer.KindGatherCancel: r.answerGatherCancel,
-		peer.KindRelease:      r.answerRelease,
-		peer.KindProbe:        r.answerProbe,
-		peer.KindReturn:       r.answerReturn,
-		peer.KindTakeOver:     r.answerTakeOver,
-	}
-}
-
-func (r *Relay) answerGather(ctx context.Context, body []byte) (any, error) {
-	var m peer.Gather
-	if err := peer.DecodeBody(body, &m); err != nil {
-		return nil, err
-	}
-	g := r.hub.find(m.Pool)
-	if g == nil || r.Leaving() {
-		return peer.GatherReply{Leaving: true}, nil
-	}
-	now := r.now()
-	group := kernel.PieceGroup{
-		ID:          r.groups.Add(1),
-		Inputs:      m.Inputs,
-		FreeInputs:  m.FreeInputs,
-		ResultBytes: m.ResultBytes,
-		Domain:      m.Domain,
-		Patience:    m.Patience,
-		Rank:        m.Rank,
-		Due:         now.Add(m.DueIn),
-		Until:       now.Add(m.UntilIn),
-	}
-	handles := handlesOf(m.Inputs)
-	for _, n := range m.Numbers {
-		group.Pieces = append(group.Pieces, model.Piece{
-			Request: m.Request, Stage: m.Stage, Number: n, Key: m.Key, Inputs: handles, Deadline: group.Until,
-		})
-	}
-	if m.OnlyAsk {
-		tell := g.tell(group)
-		return peer.GatherReply{Wait: tell.wait, RoomTaken: tell.roomTaken}, nil
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	r.remote.add(m.Group, cancel)
-	defer r.remote.remove(m.Group)
-	result := g.gather(ctx, group, m.PassedOver)
-	return peer.GatherReply{
-		MovedTo:    result.movedTo,
-		Moved:      result.moved,
-		Outcome:    result.outcome,
-		Refused:    result.refused,
-		RetryAfter: result.retryAfter,
-		Wait:       result.told.wait,
-		RoomTaken:  result.told.roomTaken,
-	}, nil
-}
-
-func (r *Relay) answerProbe(context.Context, []byte) (any, error) {
-	return peer.ProbeReply{Leaving: r.Leaving()}, nil
-}
-
-// probe asks a node whether it gathers pieces.
-func (r *Relay) probe(node string) bool {
-	address := r.addressOf(node)
-	if address == "" {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
-	defer cancel()
-	var reply peer.ProbeReply
-	err := r.peers.Call(ctx, address, peer.KindProbe, peer.Empty{}, &reply)
-	return err == nil && !reply.Leaving
-}
-
-func (r *Relay) answerGatherCancel(_ context.Context, body []byte) (any, error) {
-	var m peer.GatherCancel
-	if err := peer.DecodeBody(body, &m); err != nil {
-		return nil, err
-	}
-	r.remote.cancel(m.Group)
-	return peer.Empty{}, nil
-}
-
-func (r *Relay) answerRelease(ctx context.Context, body []byte) (any, error) {
-	var m peer.Release
-	if err := peer.DecodeBody(body, &m); err != nil {
-		return nil, err
-	}
-	g := r.hub.find(m.Pool)
-	if g == nil {
-		return peer.Empty{}, nil
-	}
-	if next := g.knownGatherer(nil); next != "" && !m.SentOn {
-		m.SentOn = true
-		var empty peer.Empty
-		if r.peers.Call(ctx, r.addressOf(next), peer.KindRelease, m, &empty) == nil {
-			return peer.Empty{}, nil
-		}
-	}
-	g.free(m.Made)
-	return peer.Empty{}, nil
-}
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
@@ -19,27 +18,12 @@
 	// given up and its pieces are asked for elsewhere, and callGrace what is added to that.
 	callPatience = 2.5
 	callGrace    = 300 * time.Millisecond
-	// freeTimeout bounds a call that frees results.
-	freeTimeout = time.Second
-	// roomWorthAsking is from which room on, in bytes, endpoints are asked how much is free: they
-	// answer in whole megabytes. The room of others is learnt from what they refuse.
-	roomWorthAsking = 8_000_000
-	// askRoomEvery is how often they are asked: their answers are some 200 ms old.
-	askRoomEvery = 400 * time.Millisecond
 	// outlookMemory is how long a gatherer's word on its queue counts; then it is asked again
 	// before a request's stages begin.
 	outlookMemory = 120 * time.Millisecond
 )
 
 type (
-	// hub holds this node's gatherers, one for each pool that carries out pieces, and what other
-	// nodes' gatherers told of their queues.
-	hub struct {
-		relay *Relay
-		mu    sync.Mutex
-		pools map[string]*gatherer
-	}
-
 	// told is what a gatherer tells of its queue: how long the pieces that it was asked for wait,
 	// and which share of the pool's room is taken.
 	told struct {
@@ -70,97 +54,6 @@
 	}
 )
 
-func newHub(r *Relay) *hub {
-	return &hub{relay: r, pools: map[string]*gatherer{}}
-}
-
-// setTraits brings the gatherers in line with the routing.
-func (h *hub) setTraits(table *kernel.RouteTable) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for name, pool := range table.Pools() {
-		if pool.Pieces == nil {
-			continue
-		}
-		g := h.pools[name]
-		if g == nil {
-			g = &gatherer{relay: h.relay, name: name, g: kernel.NewGathering(*pool.Pieces), waiters: map[uint64]chan kernel.GroupOutcome{}}
-			g.g.SetPolicy(h.relay.options.Policy)
-			g.timer = time.AfterFunc(time.Hour, g.pump)
-			h.pools[name] = g
-		}
-		g.mu.Lock()
-		g.traits = *pool.Pieces
-		g.g.SetTraits(*pool.Pieces)
-		g.mu.Unlock()
-	}
-}
-
-func (h *hub) setEndpoints(roster kernel.Roster) {
-	for _, g := range h.all() {
-		g.mu.Lock()
-		g.g.SetEndpoints(roster.Endpoints(g.name))
-		g.mu.Unlock()
-		g.pump()
-	}
-}
-
-// endStale ends the groups whose inputs went with a life of their maker.
-func (h *hub) endStale() {
-	for _, g := range h.all() {
-		g.mu.Lock()
-		ended := g.g.EndStale(h.relay.Roster().Superseded)
-		g.mu.Unlock()
-		g.finish(ended)
-	}
-}
-
-func (h *hub) all() []*gatherer {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	out := make([]*gatherer, 0, len(h.pools))
-	for _, g := range h.pools {
-		out = append(out, g)
-	}
-	return out
-}
-
-func (h *hub) find(pool string) *gatherer {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.pools[pool]
-}
-
-func (h *hub) expire() {
-	for _, g := range h.all() {
-		g.expire()
-	}
-}
-
-// traitsOf returns what the routing says of the pools of several stages.
-func (h *hub) traitsOf(stages []model.StageNode) []kernel.PoolOutlook {
-	out := make([]kernel.PoolOutlook, len(stages))
-	for i, s := range stages {
-		if g := h.find(s.Pool); g != nil {
-			g.mu.Lock()
-			out[i].Traits = g.traits
-			g.mu.Unlock()
-		}
-	}
-	return out
-}
-
-// lastOutlook returns what a pool's gatherer last told, however long ago.
-func (h *hub) lastOutlook(pool string) kernel.PoolOutlook {
-	g := h.find(pool)
-	if g == nil {
-		return kernel.PoolOutlook{}
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return kernel.PoolOutlook{Traits: g.traits, Wait: g.told.wait, RoomTaken: g.told.roomTaken}
-}
-
 // queued tells whether pieces wait there.
 func (t told) queued() bool {
 	return kernel.PoolOutlook{Wait: t.wait}.Queued()
@@ -348,97 +241,3 @@
 	g.mu.Unlock()
 	g.finish(ended)
 }
-
-// free gives results up at their makers. Their room is given out again only once the maker has
-// confirmed: a call that overtakes the word would find no room.
-func (g *gatherer) free(made []kernel.MadePiece) {
-	byMaker := map[string][]kernel.MadePiece{}
-	for _, m := range made {
-		byMaker[m.Maker] = append(byMaker[m.Maker], m)
-	}
-	for name, made := range byMaker {
-		g.mu.Lock()
-		maker, ok := g.g.Maker(name)
-		g.mu.Unlock()
-		if ok {
-			go g.freeAt(maker, made)
-		}
-	}
-}
-
-// freeFetched gives up the inputs that calls have fetched. Beside another gatherer it does not: where
-// two of them call the same maker, one call waits there for the other, and fetches later than reckoned.
-func (g *gatherer) freeFetched() {
-	g.mu.Lock()
-	alone := g.active && !g.relay.Leaving()
-	g.mu.Unlock()
-	if !alone {
-		return
-	}
-	g.mu.Lock()
-	fetched := g.g.Fetched(g.relay.now())
-	g.mu.Unlock()
-	byPool := map[string][]kernel.MadePiece{}
-	for _, m := range fetched {
-		byPool[m.Pool] = append(byPool[m.Pool], m)
-	}
-	for pool, made := range byPool {
-		g.relay.release(pool, made)
-	}
-}
-
-func handlesOf(made []kernel.MadePiece) []string {
-	handles := make([]string, 0, len(made))
-	for _, m := range made {
-		handles = append(handles, m.Handle)
-	}
-	return handles
-}
-
-func (g *gatherer) freeAt(maker model.Endpoint, made []kernel.MadePiece) {
-	ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
-	defer cancel()
-	if err := g.relay.wire.Free(ctx, maker, handlesOf(made)); err != nil {
-		// The maker drops them by itself after a while, and so does the account.
-		g.relay.metrics.Event("FreeFailed")
-		return
-	}
-	g.mu.Lock()
-	for _, m := range made {
-		g.g.Release(g.relay.now(), m)
-	}
-	g.mu.Unlock()
-	g.pump()
-}
-
-// askRooms asks the makers for their room until no result of another gatherer can be left: those
-// lapse one after the other, and room that is not known to be free is lost to requests.
-func (g *gatherer) askRooms() {
-	for {
-		for _, maker := range g.relay.Roster().Endpoints(g.name) {
-			go g.askRoom(maker)
-		}
-		if !clock.Sleep(g.relay.ctx, askRoomEvery) || !g.inherits() {
-			return
-		}
-	}
-}
-
-func (g *gatherer) inherits() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.g.Inherits(g.relay.now())
-}
-
-func (g *gatherer) askRoom(maker model.Endpoint) {
-	ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
-	defer cancel()
-	free, err := g.relay.wire.Room(ctx, maker)
-	if err != nil {
-		g.relay.metrics.Event("RoomUnknown")
-		return
-	}
-	g.mu.Lock()
-	g.g.NoteRoom(g.relay.now(), maker.Life(), free)
-	g.mu.Unlock()
-}
--- /dev/null
+++ b/relay/gatherpeer.go
@@ -0,0 +1,181 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
+)
+
+func (r *Relay) askGatherer(ctx context.Context, node string, g *gatherer, req gatherRequest) (gatherResult, error) {
+	if node == r.options.Name {
+		return g.gather(ctx, req.group(r.groups.Add(1)), req.passedOver), nil
+	}
+	address := r.addressOf(node)
+	message := r.gatherMessage(req)
+	callCtx, cancel := context.WithTimeout(ctx, max(gatherPatience, message.UntilIn+gatherPatience))
+	defer cancel()
+	var reply peer.GatherReply
+	err := r.peers.Call(callCtx, address, peer.KindGather, message, &reply)
+	if ctx.Err() != nil {
+		r.cancelGroup(address, message)
+		return gatherResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}}, nil
+	}
+	if err != nil {
+		return gatherResult{}, err
+	}
+	return gatherResult{
+		outcome:    reply.Outcome,
+		refused:    reply.Refused,
+		leaving:    reply.Leaving,
+		moved:      reply.Moved,
+		movedTo:    reply.MovedTo,
+		retryAfter: reply.RetryAfter,
+		told:       told{wait: reply.Wait, roomTaken: reply.RoomTaken},
+	}, nil
+}
+
+// gatherMessage returns the request as another node takes it.
+func (r *Relay) gatherMessage(req gatherRequest) peer.Gather {
+	now := r.now()
+	first := req.pieces[0]
+	message := peer.Gather{
+		Pool:        req.pool,
+		Group:       fmt.Sprintf("%s/%d", r.options.Name, r.groups.Add(1)),
+		Request:     first.Request,
+		Stage:       first.Stage,
+		Key:         first.Key,
+		Inputs:      req.inputs,
+		FreeInputs:  req.freeInputs,
+		ResultBytes: req.bytes,
+		Domain:      req.domain,
+		Patience:    req.patience,
+		Rank:        req.rank,
+		DueIn:       req.due.Sub(now),
+		UntilIn:     req.until.Sub(now),
+		PassedOver:  req.passedOver,
+	}
+	for _, p := range req.pieces {
+		message.Numbers = append(message.Numbers, p.Number)
+	}
+	return message
+}
+
+// cancelGroup withdraws a group whose request was given up.
+func (r *Relay) cancelGroup(address string, m peer.Gather) {
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
+		defer cancel()
+		var empty peer.Empty
+		if r.peers.Call(ctx, address, peer.KindGatherCancel, peer.GatherCancel{Pool: m.Pool, Group: m.Group}, &empty) != nil {
+			r.metrics.Event("GatherCancelFailed")
+		}
+	}()
+}
+
+// Handlers answer other nodes' calls to this one's gatherers.
+func (r *Relay) Handlers() map[peer.Kind]peer.Handler {
+	return map[peer.Kind]peer.Handler{
+		peer.KindGather:       r.answerGather,
+		peer.KindGatherCancel: r.answerGatherCancel,
+		peer.KindRelease:      r.answerRelease,
+		peer.KindProbe:        r.answerProbe,
+		peer.KindReturn:       r.answerReturn,
+		peer.KindTakeOver:     r.answerTakeOver,
+	}
+}
+
+func (r *Relay) answerGather(ctx context.Context, body []byte) (any, error) {
+	var m peer.Gather
+	if err := peer.DecodeBody(body, &m); err != nil {
+		return nil, err
+	}
+	g := r.hub.find(m.Pool)
+	if g == nil || r.Leaving() {
+		return peer.GatherReply{Leaving: true}, nil
+	}
+	now := r.now()
+	group := kernel.PieceGroup{
+		ID:          r.groups.Add(1),
+		Inputs:      m.Inputs,
+		FreeInputs:  m.FreeInputs,
+		ResultBytes: m.ResultBytes,
+		Domain:      m.Domain,
+		Patience:    m.Patience,
+		Rank:        m.Rank,
+		Due:         now.Add(m.DueIn),
+		Until:       now.Add(m.UntilIn),
+	}
+	handles := handlesOf(m.Inputs)
+	for _, n := range m.Numbers {
+		group.Pieces = append(group.Pieces, model.Piece{
+			Request: m.Request, Stage: m.Stage, Number: n, Key: m.Key, Inputs: handles, Deadline: group.Until,
+		})
+	}
+	if m.OnlyAsk {
+		tell := g.tell(group)
+		return peer.GatherReply{Wait: tell.wait, RoomTaken: tell.roomTaken}, nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.remote.add(m.Group, cancel)
+	defer r.remote.remove(m.Group)
+	result := g.gather(ctx, group, m.PassedOver)
+	return peer.GatherReply{
+		MovedTo:    result.movedTo,
+		Moved:      result.moved,
+		Outcome:    result.outcome,
+		Refused:    result.refused,
+		RetryAfter: result.retryAfter,
+		Wait:       result.told.wait,
+		RoomTaken:  result.told.roomTaken,
+	}, nil
+}
+
+func (r *Relay) answerGatherCancel(_ context.Context, body []byte) (any, error) {
+	var m peer.GatherCancel
+	if err := peer.DecodeBody(body, &m); err != nil {
+		return nil, err
+	}
+	r.remote.cancel(m.Group)
+	return peer.Empty{}, nil
+}
+
+func (r *Relay) answerRelease(ctx context.Context, body []byte) (any, error) {
+	var m peer.Release
+	if err := peer.DecodeBody(body, &m); err != nil {
+		return nil, err
+	}
+	g := r.hub.find(m.Pool)
+	if g == nil {
+		return peer.Empty{}, nil
+	}
+	if next := g.knownGatherer(nil); next != "" && !m.SentOn {
+		m.SentOn = true
+		var empty peer.Empty
+		if r.peers.Call(ctx, r.addressOf(next), peer.KindRelease, m, &empty) == nil {
+			return peer.Empty{}, nil
+		}
+	}
+	g.free(m.Made)
+	return peer.Empty{}, nil
+}
+
+func (r *Relay) answerProbe(context.Context, []byte) (any, error) {
+	return peer.ProbeReply{Leaving: r.Leaving()}, nil
+}
+
+// probe asks a node whether it gathers pieces.
+func (r *Relay) probe(node string) bool {
+	address := r.addressOf(node)
+	if address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, probeTimeout)
+	defer cancel()
+	var reply peer.ProbeReply
+	err := r.peers.Call(ctx, address, peer.KindProbe, peer.Empty{}, &reply)
+	return err == nil && !reply.Leaving
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -14,17 +14,23 @@
 	// failures are all logged, successes are a sample under load.
 	answersBurst  = 10
 	answersPeriod = time.Second
+	// lateBurst bounds the lines on answers that came late, in the same period.
+	lateBurst = 50
 )
 
-func sampled(log zerolog.Logger) zerolog.Logger {
-	return log.Sample(&zerolog.BurstSampler{Burst: answersBurst, Period: answersPeriod})
+func sampled(log zerolog.Logger, burst uint32) zerolog.Logger {
+	return log.Sample(&zerolog.BurstSampler{Burst: burst, Period: answersPeriod})
 }
 
 // logEnd writes the line that ends a request: what it was admitted under and how it ended.
 func (r *Relay) logEnd(f model.Forward, a kernel.Admission, view kernel.RoutingView, o Outcome) {
 	now := r.now()
 	log := &r.log
-	if o.Refusal == nil && o.Whole {
+	switch {
+	case o.Refusal != nil || !o.Whole:
+	case o.Late:
+		log = &r.lateAnswers
+	default:
 		log = &r.answers
 	}
 	line := log.Info().Str("Request", f.ID).Str("Route", a.Route.Name).Str("Customer", a.Customer).Int("Rank", a.Rank).
@@ -42,6 +48,12 @@
 	if o.First > 0 {
 		line = line.Dur("First", o.First)
 	}
+	if o.Late {
+		line = line.Bool("Late", true)
+	}
+	if len(o.Outlook) > 0 {
+		line = line.Array("Outlook", outlooks(o.Outlook))
+	}
 	if len(o.Stages) > 0 {
 		line = line.Array("Stages", stageTimes(o.Stages))
 	}
@@ -64,7 +76,17 @@
 func (times stageTimes) MarshalZerologArray(a *zerolog.Array) {
 	for _, t := range times {
 		a.Dict(zerolog.Dict().Int("Stage", t.Stage).Str("Pool", t.Pool).Str("Gatherer", t.Gatherer).
-			Dur("Elapsed", t.Elapsed).Dur("Waited", t.Waited).Str("Fault", string(t.Fault)))
+			Dur("Elapsed", t.Elapsed).Dur("Waited", t.Waited).Dur("Told", t.Told).Str("Fault", string(t.Fault)))
+	}
+}
+
+// outlooks marshals what pools had told.
+type outlooks []StageOutlook
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (all outlooks) MarshalZerologArray(a *zerolog.Array) {
+	for _, o := range all {
+		a.Dict(zerolog.Dict().Str("Pool", o.Pool).Dur("Wait", o.Wait).Float64("RoomTaken", o.RoomTaken))
 	}
 }
 
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -27,8 +27,8 @@
 // answeringGatherer returns the first node for a pool that answers at once, of those that were not passed
 // over; this node where none does.
 func (r *Relay) answeringGatherer(ctx context.Context, g *gatherer, passedOver []string) string {
-	if known := g.knownGatherer(passedOver); known != "" {
-		return known
+	if known := g.knownGatherer(passedOver); known != "" || !r.options.Policy.Uses(kernel.NextProbed) {
+		return r.gathererOf(g, passedOver)
 	}
 	candidates := slices.DeleteFunc(kernel.Gatherers(g.name, r.Reachable()), func(node string) bool { return slices.Contains(passedOver, node) })
 	candidates = candidates[:min(probedAtOnce, len(candidates))]
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -104,15 +104,29 @@
 		First time.Duration
 		// Stages says what became of the stages that were begun.
 		Stages []StageTime
+		// Outlook is what the stages' pools had told where the request was refused for it.
+		Outlook []StageOutlook
+		// Late tells that the answer began after its objective.
+		Late bool
 	}
 
-	// StageTime says how long a stage took, and how much of that its pieces waited for a call.
+	// StageOutlook is what a pool had told before a stage: how long its pieces wait, and which share
+	// of its room is taken.
+	StageOutlook struct {
+		Pool      string
+		Wait      time.Duration
+		RoomTaken float64
+	}
+
+	// StageTime says how long a stage took, how much of that its pieces waited for a call, and which
+	// wait the gatherer told when they came.
 	StageTime struct {
 		Stage    int
 		Pool     string
 		Gatherer string
 		Elapsed  time.Duration
 		Waited   time.Duration
+		Told     time.Duration
 		Fault    model.PieceFault
 	}
 
@@ -122,9 +136,11 @@
 		wire    Wire
 		now     func() time.Time
 		log     zerolog.Logger
-		answers zerolog.Logger
-		metrics *metric.Set
-		peers   *peer.Client
+		// answers and lateAnswers are samples of log.
+		answers     zerolog.Logger
+		lateAnswers zerolog.Logger
+		metrics     *metric.Set
+		peers       *peer.Client
 
 		mu     sync.Mutex
 		view   atomic.Pointer[kernel.RoutingView]
@@ -163,14 +179,15 @@
 // time in which the process was suspended.
 func NewRelay(options Options, wire Wire, now func() time.Time, metrics *metric.Set, log zerolog.Logger) *Relay {
 	r := &Relay{
-		options: options,
-		wire:    wire,
-		now:     now,
-		log:     log,
-		answers: sampled(log),
-		metrics: metrics,
-		peers:   peer.NewClient(options.Name, ""),
-		pools:   map[string]*pool{},
+		options:     options,
+		wire:        wire,
+		now:         now,
+		log:         log,
+		answers:     sampled(log, answersBurst),
+		lateAnswers: sampled(log, lateBurst),
+		metrics:     metrics,
+		peers:       peer.NewClient(options.Name, ""),
+		pools:       map[string]*pool{},
 	}
 	r.peers.SetSilence(peerSilence)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
@@ -348,6 +365,10 @@
 	}
 	outcome.Stages = job.stages
 	f = job.forward
+	outcome.Late = f.Waited+outcome.First > admission.Route.Objective
+	if outcome.Refusal != nil && outcome.Refusal.Reason == model.StageLate && len(job.stages) == 0 {
+		outcome.Outlook = job.outlook
+	}
 	switch {
 	case outcome.Refusal != nil:
 		r.metrics.Refused(outcome.Refusal)
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -107,6 +107,11 @@
 		}
 	}
 	outlook := r.outlook(ctx, run.stages, groups)
+	for i, o := range outlook {
+		if kernel.PiecesOf(j.forward, i) > 0 {
+			j.outlook = append(j.outlook, StageOutlook{Pool: run.stages[i].Pool, Wait: o.Wait, RoomTaken: o.RoomTaken})
+		}
+	}
 	if queued(outlook) && r.options.Policy.Uses(kernel.KnownReturns) {
 		j.forward = j.forward.WithWaited(r.waitedBefore(ctx, j.forward, j.admission))
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -108,15 +108,6 @@
 	}
 }
 
-// retryStream decides whether another engine is asked, and restores its inputs.
-func (j *job) retryStream(ctx context.Context, p *pool, state *streamState, stages *stageRun, end streamEnd) (again bool, refusal *model.Refusal) {
-	if !j.streamAgain(p, state, end) {
-		return false, nil
-	}
-	refusal = j.restoreInputs(ctx, stages, end)
-	return refusal == nil, refusal
-}
-
 // streamOnce makes one send; false means that there was no engine.
 func (j *job) streamOnce(ctx context.Context, p *pool, state *streamState, stages *stageRun) (model.Endpoint, streamEnd, bool) {
 	r := j.relay
@@ -284,38 +275,6 @@
 	}
 }
 
-// streamAgain decides whether another engine is asked.
-func (j *job) streamAgain(p *pool, state *streamState, end streamEnd) bool {
-	var refusal *model.Refusal
-	if errors.As(end.err, &refusal) {
-		return false
-	}
-	reason := model.RetryNotRun
-	if end.err != nil {
-		fault := asFault(end.err)
-		reason = fault.RetryReason()
-		if fault.Verdict == model.NotRun {
-			j.asked--
-		}
-	} else if end.reply != nil && end.reply.Misdirected {
-		j.asked--
-	}
-	if j.mayHaveRun && !j.admission.Route.Resumable {
-		return false
-	}
-	if state.begun && state.events.last == "" {
-		return false
-	}
-	if j.asked >= j.admission.Route.MaxAttempts || !p.takeRepeat(j.relay.now(), j.relay.live()) {
-		return false
-	}
-	if state.begun {
-		reason = model.RetryResume
-	}
-	j.relay.metrics.Retried(reason, p.name)
-	return true
-}
-
 // verdict says what may be told of the request so far.
 func (j *job) verdict() model.Verdict {
 	if j.mayHaveRun {
@@ -324,15 +283,6 @@
 	return model.NotRun
 }
 
-// restoreInputs makes the engine's inputs again where they were given up or an engine found them gone.
-func (j *job) restoreInputs(ctx context.Context, stages *stageRun, end streamEnd) *model.Refusal {
-	gone := end.reply != nil && end.reply.InputsGone
-	if len(stages.plan.Last) == 0 || (!stages.released && !gone && !stages.stale()) {
-		return nil
-	}
-	return j.remakeInputs(ctx, stages)
-}
-
 // streamFailure is the refusal of a stream of which nothing was passed on.
 func (j *job) streamFailure(end streamEnd) Outcome {
 	var refusal *model.Refusal
--- a/relay/takeover.go
+++ b/relay/takeover.go
@@ -35,7 +35,7 @@
 	if g.gathers() {
 		return ""
 	}
-	if other := g.follows(passedOver); other != "" {
+	if other := g.follows(passedOver); other != "" && g.relay.options.Policy.Uses(kernel.OneGatherer) {
 		return other
 	}
 	return g.begin(ctx, passedOver)
@@ -93,7 +93,7 @@
 	g.g.TakeOver(r.now())
 	g.mu.Unlock()
 	inherited, other := g.askOthers(ctx, g.question(false))
-	if other != "" && !slices.Contains(passedOver, other) {
+	if other != "" && !slices.Contains(passedOver, other) && r.options.Policy.Uses(kernel.OneGatherer) {
 		g.noteGatherer(other)
 		return other
 	}
@@ -107,7 +107,9 @@
 	if worthAsking {
 		go g.askRooms()
 	}
-	go g.confirm()
+	if r.options.Policy.Uses(kernel.OneGatherer) {
+		go g.confirm()
+	}
 	return ""
 }
 
@@ -147,10 +149,7 @@
 		}
 		switch {
 		case reply.Gathered:
-			inherited = true
-			g.mu.Lock()
-			g.g.Inherit(g.relay.now(), reply.Accounts)
-			g.mu.Unlock()
+			inherited = g.inherit(reply.Accounts)
 		case reply.Stays:
 			other = reply.MovedTo
 		}
@@ -158,6 +157,17 @@
 	return inherited, other
 }
 
+// inherit takes the account of another gatherer over.
+func (g *gatherer) inherit(accounts []kernel.MakerAccount) bool {
+	if !g.relay.options.Policy.Uses(kernel.AccountHandedOver) {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.g.Inherit(g.relay.now(), accounts)
+	return true
+}
+
 // ask asks several nodes at once; nodes that do not answer leave empty replies.
 func (g *gatherer) ask(ctx context.Context, nodes []string, question peer.TakeOver) []peer.TakeOverReply {
 	r := g.relay
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -43,6 +43,8 @@
 		// mayHaveRun is true once the evidence no longer excludes that the request runs.
 		mayHaveRun bool
 		stages     []StageTime
+		// outlook is what the stages' pools told before the request was admitted.
+		outlook []StageOutlook
 	}
 
 	// unaryResult is how one send of a unary request ended.
