--- a/peer/client.go
+++ b/peer/client.go
@@ -93,7 +93,7 @@
 // Call sends a message to the peer at an address and decodes its reply. The error is a
 // *CallError.
 func (c *Client) Call(ctx context.Context, address string, kind Kind, message, reply any) error {
-	body, err := encodeBody(message)
+	body, err := EncodeBody(message)
 	if err != nil {
 		return &CallError{Verdict: model.NotRun, Err: err}
 	}
@@ -180,7 +180,7 @@
 	conn := newClientConn(raw, c.silentAfter)
 	helloCtx, cancel := context.WithTimeout(ctx, min(helloTimeout, c.silentAfter))
 	defer cancel()
-	body, err := encodeBody(c.hello)
+	body, err := EncodeBody(c.hello)
 	if err != nil {
 		conn.close()
 		return nil, err
@@ -239,7 +239,7 @@
 	pingEvery := time.Duration(pingShare * float64(c.silentAfter))
 	ticker := time.NewTicker(pingEvery)
 	defer ticker.Stop()
-	body, _ := encodeBody(Empty{})
+	body, _ := EncodeBody(Empty{})
 	idleUntil := time.Now()
 	lastTick := idleUntil
 	for {
--- a/peer/server.go
+++ b/peer/server.go
@@ -160,7 +160,7 @@
 }
 
 func (w *replyWriter) reply(call Frame, message any) {
-	body, err := encodeBody(message)
+	body, err := EncodeBody(message)
 	if err != nil {
 		_ = w.conn.Close()
 		return
