--- a/kernel/gatherorder.go
+++ b/kernel/gatherorder.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// foreignDelay is how many times its patience later a group counts as due at a maker in
-	// another failure domain than its inputs.
-	foreignDelay = 2
 	// urgencyStep is how much later a group counts as due for each rank of its priority: about
 	// what a group waits under load.
 	urgencyStep = 200 * time.Millisecond
@@ -32,14 +29,14 @@
 }
 
 // orderFor returns the groups in the order in which a maker is to take them: those whose inputs lie
-// in another failure domain count as due later, by what moving the inputs is worth.
+// in another failure domain count as due later, by how long they would wait for their own.
 func (g *Gathering) orderFor(now time.Time, m *maker, order []*waitingGroup) []*waitingGroup {
 	shortest := now.Add(g.callTime(1))
 	later := func(w *waitingGroup) time.Duration {
 		if w.Domain == "" || w.Domain == m.endpoint.FailureDomain {
 			return 0
 		}
-		return foreignDelay * w.Patience
+		return w.Patience
 	}
 	out := slices.Clone(order)
 	slices.SortStableFunc(out, func(a, b *waitingGroup) int {
