--- a/relay/gatherpeer.go
+++ b/relay/gatherpeer.go
@@ -19,7 +19,8 @@
 	defer cancel()
 	var reply peer.GatherReply
 	err := r.peers.Call(callCtx, address, peer.KindGather, message, &reply)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || callCtx.Err() != nil {
+		// The time is up. That says nothing of the gatherer: its silence would have ended the call.
 		r.cancelGroup(address, message)
 		return gatherResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}}, nil
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -11,7 +11,6 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"github.com/shoenig/test/must"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/metric"
@@ -152,7 +151,7 @@
 	go func() { first <- b.serve("/gen/1", 1) }()
 	<-started
 	go func() { second <- b.serve("/gen/2", 1) }()
-	body, err := msgpack.Marshal(peer.TakeOver{Pool: "makers", Node: "unknown", Capacity: 1})
+	body, err := peer.EncodeBody(peer.TakeOver{Pool: "makers", Node: "unknown", Capacity: 1})
 	must.NoError(t, err)
 	var refused relay.Outcome
 	for moved := false; !moved; {
@@ -172,6 +171,28 @@
 	must.EqOp(t, 0, len(inputs))
 }
 
+// A gatherer may answer late because a call takes long. Only silence says that it is lost: taken for lost,
+// another node would gather beside it.
+func TestAGroupThatIsLateAccusesNobody(t *testing.T) {
+	b := newBed(t)
+	gatherer, err := peer.NewServer("127.0.0.1:0", "")
+	must.NoError(t, err)
+	defer gatherer.Close()
+	gatherer.Serve(kernel.Member{Node: "other"}, map[peer.Kind]peer.Handler{
+		peer.KindGather: func(ctx context.Context, _ []byte) (any, error) {
+			<-ctx.Done()
+			return peer.GatherReply{}, nil
+		},
+		peer.KindGatherCancel: func(context.Context, []byte) (any, error) { return peer.Empty{}, nil },
+	})
+	b.relay.SetNodes([]relay.Node{{Name: "other", Address: gatherer.Address(), Capacity: 1000}}, nil)
+	now := time.Now()
+	f := model.Forward{ID: "id", Method: "POST", URI: "/gen/1", Path: "/gen/1", Host: "h", ReceivedAt: now, Deadline: now.Add(600 * time.Millisecond), Pieces: []int{1}}
+	outcome := b.relay.Serve(context.Background(), f, relay.Responder{Begin: func(int, http.Header) {}, Write: func([]byte) error { return nil }})
+	must.NotNil(t, outcome.Refusal)
+	must.SliceLen(t, 2, b.relay.Reachable(), must.Sprint("this node and the other one"))
+}
+
 type broken struct{}
 
 func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
