Take out what the ablation showed to be worth nothing

Cause: each mechanism of decision was left out by itself (docs/design/decisions.md).

A stream whose inputs were given up is not sent to another engine.

Conclusion: taken out.

--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -25,9 +25,6 @@
 	paceWeight = 0.3
 	// holdWeight is the weight of the newest result in the time that results are held.
 	holdWeight = 0.05
-	// slowPace is how many times the stated time a call may take before an endpoint counts as
-	// slow and is asked only when no other is free.
-	slowPace = 1.8
 	// lateBacklog is how many full batches an endpoint may have waiting for work that comes
 	// late to be taken all the same.
 	lateBacklog = 0.5
@@ -117,9 +114,7 @@
 		// foreignUntil until when results may lie there that it had made.
 		sharedUntil  time.Time
 		foreignUntil time.Time
-		// handedOver is true while another gatherer keeps the account of what is made here.
-		handedOver bool
-		policy     Policy
+		policy       Policy
 	}
 
 	maker struct {
--- a/kernel/gatherend.go
+++ b/kernel/gatherend.go
@@ -55,7 +55,7 @@
 			}
 			continue
 		}
-		g.keepAccount(r.Handle, heldResult{maker: batch.Endpoint.Life(), bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)})
+		g.results[r.Handle] = heldResult{maker: batch.Endpoint.Life(), bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)}
 		made := MadePiece{Number: p.Number, Handle: r.Handle, Maker: batch.Endpoint.Life(), Pool: batch.Endpoint.Pool, Domain: batch.Endpoint.FailureDomain, Bytes: batch.bytes[i]}
 		w := g.groups[batch.groups[i]]
 		if w == nil {
@@ -77,17 +77,6 @@
 	return ended, unwanted
 }
 
-// keepAccount notes a result that takes room, unless another gatherer has taken the account over.
-func (g *Gathering) keepAccount(handle string, r heldResult) {
-	if !g.handedOver {
-		g.results[handle] = r
-		return
-	}
-	if m := g.makers[r.maker]; m != nil {
-		m.used -= r.bytes
-	}
-}
-
 // end frees the slot of a call, and the room of the pieces that were not made.
 func (g *Gathering) end(batch PieceBatch, results []model.PieceResult) *maker {
 	delete(g.running, batch.ID)
--- a/kernel/gatherfetch.go
+++ b/kernel/gatherfetch.go
@@ -42,7 +42,7 @@
 
 // Fetched returns the inputs that the calls under way have fetched and that nothing else needs;
 // each is returned once. Held until the calls end, they would take room from other results for
-// twice as long. The price: after a call that fails, the stages before it are carried out again.
+// twice as long. The price: a piece whose call fails after that can't be made again.
 func (g *Gathering) Fetched(now time.Time) []MadePiece {
 	if now.Before(g.sharedUntil) {
 		// Another gatherer's call may come first at a maker; then the inputs are fetched later.
--- a/kernel/gatherorder.go
+++ b/kernel/gatherorder.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"basilstall.example/basilstall/model"
@@ -64,35 +65,24 @@
 	return p.Due.Add(time.Duration(p.Rank) * urgencyStep)
 }
 
-// idle returns the makers that may get a call, those that keep their pace and have most room
-// first.
+// idle returns the makers that may get a call, those that have most room first.
 func (g *Gathering) idle(now time.Time) []*maker {
-	var out, slow []*maker
+	var out []*maker
 	for _, m := range g.makers {
 		if m.calls >= max(1, g.traits.Slots) || m.endpoint.State == model.Leaving {
 			continue
 		}
-		if now.Before(m.pausedUntil) || !m.health.Usable(now) {
-			continue
-		}
-		if m.pace > slowPace && g.policy.Uses(SlowMakersLast) {
-			slow = append(slow, m)
-		} else {
+		if !now.Before(m.pausedUntil) && m.health.Usable(now) {
 			out = append(out, m)
 		}
 	}
-	byRoom := func(a, b *maker) int {
+	slices.SortFunc(out, func(a, b *maker) int {
 		if c := cmp.Compare(g.freeRoom(now, b), g.freeRoom(now, a)); c != 0 {
 			return c
 		}
-		if a.endpoint.Name < b.endpoint.Name {
-			return -1
-		}
-		return 1
-	}
-	slices.SortFunc(out, byRoom)
-	slices.SortFunc(slow, byRoom)
-	return append(out, slow...)
+		return strings.Compare(a.endpoint.Name, b.endpoint.Name)
+	})
+	return out
 }
 
 // suits tells whether a maker may make a group: in the domain where the inputs lie, or
--- a/kernel/gatherroom.go
+++ b/kernel/gatherroom.go
@@ -20,7 +20,6 @@
 // way, and what it had made takes room until it lapses.
 func (g *Gathering) TakeOver(now time.Time) {
 	full := g.callTime(g.traits.Batch)
-	g.handedOver = false
 	g.sharedUntil = now.Add(handoverCalls * full)
 	g.foreignUntil = now.Add(g.traits.Keep + full)
 }
--- a/kernel/policy.go
+++ b/kernel/policy.go
@@ -8,8 +8,6 @@
 	SpacedCalls Mechanism = iota
 	// LateLast orders work that can no longer be on time after all that can.
 	LateLast
-	// SlowMakersLast asks makers that take much longer than stated only when no other is free.
-	SlowMakersLast
 	// NearInputs lets pieces wait for a maker in the failure domain where their inputs lie.
 	NearInputs
 	// FreedOnceFetched frees the inputs of a call once it has fetched them.
@@ -17,15 +15,11 @@
 	// ReleasedAtFirstEvent frees the inputs of a stream that may be resumed at its first event, where
 	// their pool's room is scarce.
 	ReleasedAtFirstEvent
-	// InputsRemade carries stages out once more whose results are gone.
-	InputsRemade
 	// RoomLearnt takes what makers refuse for lack of room as a measure of what others left there.
 	RoomLearnt
 	// OneGatherer keeps a pool with the node that gathers for it until that one leaves or is lost, and
 	// sends groups on to it that come elsewhere.
 	OneGatherer
-	// AccountHandedOver tells the next gatherer what the one before knew of the makers.
-	AccountHandedOver
 	// NextProbed asks several nodes at once which of them is there when a gatherer was lost.
 	NextProbed
 	// OwnWait tells each request the wait of its own pieces: by their size and by when they are due.
--- a/peer/message.go
+++ b/peer/message.go
@@ -188,11 +188,9 @@
 		Leaving bool
 	}
 
-	// TakeOverReply is from a node that gathered until now, with what it knew of the pool's makers,
-	// or names the node that goes on to gather.
+	// TakeOverReply is from a node that gathered until now, or names the node that goes on to gather.
 	TakeOverReply struct {
 		Gathered bool
-		Accounts []kernel.MakerAccount
 		// MovedTo names the node that gathers as far as is known; Stays is true where that is the
 		// answering node itself, which goes on.
 		MovedTo string
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -19,13 +19,11 @@
 		domain string
 
 		stages []model.StageNode
-		// results has an entry for each stage that is done. It, started, remade and released belong
-		// to the goroutine that serves the request.
+		// results has an entry for each stage that is done. It, started and released belong to the
+		// goroutine that serves the request.
 		results map[int][]kernel.MadePiece
 		started map[int]bool
-		// remade is true once stages were carried out again, released once the engine's inputs were
-		// given up.
-		remade   bool
+		// released is true once the engine's inputs were given up.
 		released bool
 
 		mu sync.Mutex
@@ -44,18 +42,13 @@
 	}
 )
 
-// runStages carries out all stages of a request; the first failure ends them all. The results must
-// be released.
+// runStages carries out all stages of a request. A stage starts when all that it follows are
+// done; the first failure ends them all. The results must be released.
 func (j *job) runStages(ctx context.Context, p *pool) (*stageRun, *model.Refusal) {
 	run, refusal := j.planStages(ctx, p)
 	if refusal != nil || len(run.plan.Last) == 0 {
 		return run, refusal
 	}
-	return run, j.carryOut(ctx, run)
-}
-
-// carryOut carries out the stages that are not done. A stage starts when all that it follows are done.
-func (j *job) carryOut(ctx context.Context, run *stageRun) *model.Refusal {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan stageDone, len(run.stages))
@@ -68,20 +61,17 @@
 		if d.inputsFreed {
 			run.forgetInputs(d.stage)
 		}
-		switch {
-		case d.refusal == nil:
-			run.results[d.stage] = d.made
-			run.releaseConsumed()
-		case d.lacksInputs() && j.remake(run, d.stage):
-		default:
+		if d.refusal != nil {
 			cancel()
 			go run.drainAfter(done, running)
-			return d.refusal
+			return run, d.refusal
 		}
+		run.results[d.stage] = d.made
+		run.releaseConsumed()
 		running += j.startStages(ctx, run, done)
 	}
 	run.collectInputs()
-	return nil
+	return run, nil
 }
 
 // planStages plans a request's stages, and refuses it where they can't be done in time.
@@ -159,7 +149,6 @@
 	for _, i := range s.plan.Last {
 		last = append(last, s.results[i]...)
 	}
-	s.inputs = nil
 	for _, m := range last {
 		s.inputs = append(s.inputs, m.Handle)
 	}
@@ -258,6 +247,19 @@
 	return s.relay.hub.lastOutlook(s.stages[stage].Pool).Scarce()
 }
 
+// firstEvent gives the engine's inputs up where nothing is likely to need them again: no other engine
+// may be asked, or their room is scarce. Held for the length of a stream they would take several times
+// the room; the price is that a stream that breaks off can't go on at another engine. Its caller is served
+// as soon by asking again.
+func (j *job) firstEvent(run *stageRun) {
+	early := j.relay.options.Policy.Uses(kernel.ReleasedAtFirstEvent) && slices.ContainsFunc(run.plan.Last, run.scarce)
+	if j.admission.Route.Resumable && !early {
+		return
+	}
+	run.released = len(run.plan.Last) > 0
+	run.release()
+}
+
 // soleConsumer tells whether no other stage needs what a stage is made from.
 func (s *stageRun) soleConsumer(stage int) bool {
 	for _, before := range s.stages[stage].After {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -68,13 +68,10 @@
 		if outcome, over := j.streamEnded(ctx, &state, end, e); over {
 			return outcome
 		}
-		again, refusal := j.retryStream(ctx, p, &state, stages, end)
 		switch {
-		case again:
+		case j.streamAgain(p, &state, stages, end):
 		case state.begun:
 			return j.streamOutcome(&state, e)
-		case refusal != nil:
-			return Outcome{Refusal: refusal, Attempts: j.asked}
 		default:
 			return j.streamFailure(end)
 		}
--- a/relay/takeover.go
+++ b/relay/takeover.go
@@ -92,7 +92,7 @@
 	g.mu.Lock()
 	g.g.TakeOver(r.now())
 	g.mu.Unlock()
-	inherited, other := g.askOthers(ctx, g.question(false))
+	yielded, other := g.askOthers(ctx, g.question(false))
 	if other != "" && !slices.Contains(passedOver, other) && r.options.Policy.Uses(kernel.OneGatherer) {
 		g.noteGatherer(other)
 		return other
@@ -100,10 +100,10 @@
 	g.mu.Lock()
 	g.active = true
 	g.current = r.options.Name
-	worthAsking := !inherited && g.traits.Room >= roomWorthAsking
+	worthAsking := g.traits.Room >= roomWorthAsking
 	g.mu.Unlock()
 	r.metrics.Event("GathererTookOver")
-	r.log.Info().Str("Pool", g.name).Bool("Inherited", inherited).Msg("gathering begins here")
+	r.log.Info().Str("Pool", g.name).Bool("Yielded", yielded).Msg("gathering begins here")
 	if worthAsking {
 		go g.askRooms()
 	}
@@ -136,9 +136,9 @@
 	}
 }
 
-// askOthers asks those that may gather for the pool. It takes over the accounts of those that yield, and
-// returns the node that does not.
-func (g *gatherer) askOthers(ctx context.Context, question peer.TakeOver) (inherited bool, other string) {
+// askOthers asks those that may gather for the pool. It tells whether one yielded, and returns the node that
+// does not.
+func (g *gatherer) askOthers(ctx context.Context, question peer.TakeOver) (yielded bool, other string) {
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
 	asked := g.formerGatherers()
@@ -149,23 +149,12 @@
 		}
 		switch {
 		case reply.Gathered:
-			inherited = g.inherit(reply.Accounts)
+			yielded = true
 		case reply.Stays:
 			other = reply.MovedTo
 		}
 	}
-	return inherited, other
-}
-
-// inherit takes the account of another gatherer over.
-func (g *gatherer) inherit(accounts []kernel.MakerAccount) bool {
-	if !g.relay.options.Policy.Uses(kernel.AccountHandedOver) {
-		return false
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.g.Inherit(g.relay.now(), accounts)
-	return true
+	return yielded, other
 }
 
 // ask asks several nodes at once; nodes that do not answer leave empty replies.
@@ -185,7 +174,7 @@
 }
 
 // formerGatherers returns the other nodes that may gather for the pool, whether they are reachable or not:
-// a node that is leaving gathers no more and still has its account.
+// a node that is leaving may still hold groups that wait.
 func (g *gatherer) formerGatherers() []string {
 	var peers []kernel.Peer
 	for _, n := range *g.relay.nodes.Load() {
@@ -203,8 +192,7 @@
 	return nodes
 }
 
-// yield answers a node that gathers or is about to: with the account where this one gathers and is to
-// leave that to the other, else with who gathers. Where the other does not gather yet, this one goes on
+// yield answers a node that gathers or is about to: this one leaves the pool to it, or says who gathers. Where the other does not gather yet, this one goes on
 // unless it is leaving or the other can carry more: a change costs calls that are not full. Where both
 // gather, the one that comes first for the pool does so alone.
 func (g *gatherer) yield(m peer.TakeOver) peer.TakeOverReply {
@@ -228,20 +216,20 @@
 		return peer.TakeOverReply{MovedTo: r.options.Name, Stays: true}
 	}
 	r.suspects.clear(m.Node)
-	return peer.TakeOverReply{Gathered: true, Accounts: g.stepDown(m.Node)}
+	g.stepDown(m.Node)
+	return peer.TakeOverReply{Gathered: true}
 }
 
-// stepDown leaves the pool to another node and returns the account for it.
-func (g *gatherer) stepDown(to string) []kernel.MakerAccount {
+// stepDown leaves the pool to another node.
+func (g *gatherer) stepDown(to string) {
 	r := g.relay
 	g.mu.Lock()
 	g.active, g.current = false, to
-	accounts, moved := g.g.HandOver(r.now())
+	moved := g.g.HandOver()
 	g.mu.Unlock()
 	g.finish(moved)
 	r.metrics.Event("GathererYielded")
 	r.log.Info().Str("Pool", g.name).Str("To", to).Int("Groups", len(moved)).Msg("gathering handed over")
-	return accounts
 }
 
 func (r *Relay) answerTakeOver(_ context.Context, body []byte) (any, error) {
