Decide in the kernel who of two gathers

Cause: the rule by which a node keeps, yields or shares a pool stood in relay, untested by itself; and a node that began anew within half a second went on asking others twice as often.

Change: kernel.AnswerClaim with a table of cases; each beginning has one loop that asks. No decision changed.

--- a/kernel/gatherers.go
+++ b/kernel/gatherers.go
@@ -52,3 +52,44 @@
 	}
 	return -math.Pow(capacity, capacityPower) / math.Log(u)
 }
+
+// The answers to a node that gathers for a pool or is about to.
+const (
+	// KeepPool: this node goes on to gather, and the other one leaves the pool to it.
+	KeepPool PoolAnswer = iota
+	// YieldPool: the other node gathers from now on.
+	YieldPool
+	// SharePool: each gathers for its own requests.
+	SharePool
+)
+
+type (
+	// PoolAnswer is what a node that gathers answers to another one.
+	PoolAnswer int
+
+	// PoolClaim is a node's claim to gather for a pool.
+	PoolClaim struct {
+		Peer
+		// Gathers is true for a node that does so already, Leaving for one that will soon be gone.
+		Gathers bool
+		Leaving bool
+	}
+)
+
+// AnswerClaim decides which of two nodes gathers for a pool, where the first does. It goes on unless it is
+// leaving or the other can carry more: a change costs calls that are not full. Where both gather, the one that
+// comes first for the pool does so alone. A leaving node gets no pool from one that stays.
+func AnswerClaim(pool string, own, other PoolClaim) PoolAnswer {
+	stays := other.Capacity <= own.Capacity
+	if other.Gathers {
+		stays = Gatherers(pool, []Peer{own.Peer, other.Peer})[0] == own.Name
+	}
+	switch {
+	case own.Leaving && other.Leaving:
+		return SharePool
+	case !own.Leaving && (stays || other.Leaving):
+		return KeepPool
+	default:
+		return YieldPool
+	}
+}
--- a/kernel/gatherers_test.go
+++ b/kernel/gatherers_test.go
@@ -48,3 +48,30 @@
 		must.Less(t, 100, math.Abs(n-500))
 	}
 }
+
+func TestAnswerClaim(t *testing.T) {
+	claim := func(name string, capacity float64, gathers, leaving bool) kernel.PoolClaim {
+		return kernel.PoolClaim{Peer: kernel.Peer{Name: name, Capacity: capacity}, Gathers: gathers, Leaving: leaving}
+	}
+	both := []kernel.Peer{{Name: "a", Capacity: 1}, {Name: "b", Capacity: 1}}
+	first := kernel.Gatherers("pool", both)[0]
+	second := kernel.Gatherers("pool", both)[1]
+	for _, tc := range []struct {
+		name       string
+		own, other kernel.PoolClaim
+		want       kernel.PoolAnswer
+	}{
+		{"an equal that is back does not take the pool", claim("a", 1, true, false), claim("b", 1, false, false), kernel.KeepPool},
+		{"a smaller one neither", claim("a", 1, true, false), claim("b", 0.5, false, false), kernel.KeepPool},
+		{"a larger one does", claim("a", 1, true, false), claim("b", 2, false, false), kernel.YieldPool},
+		{"of two that gather the first goes on", claim(first, 1, true, false), claim(second, 1, true, false), kernel.KeepPool},
+		{"and the second leaves it", claim(second, 1, true, false), claim(first, 1, true, false), kernel.YieldPool},
+		{"a leaving one hands over", claim("a", 2, true, true), claim("b", 1, false, false), kernel.YieldPool},
+		{"but not to one that leaves too", claim("a", 1, true, true), claim("b", 1, false, true), kernel.SharePool},
+		{"a leaving one gets none", claim("a", 1, true, false), claim("b", 2, true, true), kernel.KeepPool},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			must.EqOp(t, tc.want, kernel.AnswerClaim("pool", tc.own, tc.other))
+		})
+	}
+}
--- a/kernel/gatherhandover.go
+++ b/kernel/gatherhandover.go
@@ -6,8 +6,7 @@
 
 // HandOver ends the groups of which no piece was started yet: they are to be asked of the node that gathers
 // for the pool from now on. What is under way is brought to its end here. The next gatherer learns what room
-// is taken as after any loss: an account that was handed over with the pool bought nothing that could be
-// measured.
+// is taken as after any loss.
 func (g *Gathering) HandOver() []GroupOutcome {
 	var moved []GroupOutcome
 	for id, w := range g.groups {
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -50,7 +50,9 @@
 		// is known here. begins is held while it is found out who is to.
 		active  bool
 		current string
-		begins  sync.Mutex
+		// begun counts how often this node began to gather.
+		begun  int
+		begins sync.Mutex
 	}
 )
 
--- a/relay/takeover.go
+++ b/relay/takeover.go
@@ -100,6 +100,8 @@
 	g.mu.Lock()
 	g.active = true
 	g.current = r.options.Name
+	g.begun++
+	begun := g.begun
 	worthAsking := g.traits.Room >= roomWorthAsking
 	g.mu.Unlock()
 	r.metrics.Event("GathererTookOver")
@@ -108,7 +110,7 @@
 		go g.askRooms()
 	}
 	if r.options.Policy.Uses(kernel.OneGatherer) {
-		go g.confirm()
+		go g.confirm(begun)
 	}
 	return ""
 }
@@ -119,12 +121,13 @@
 	return peer.TakeOver{Pool: g.name, Node: r.options.Name, Capacity: r.options.Capacity, Gathers: gathers, Leaving: r.Leaving()}
 }
 
-// confirm asks from time to time whether another node gathers too, until this one gathers no more.
-func (g *gatherer) confirm() {
+// confirm asks from time to time whether another node gathers too, until this one gathers no more or has
+// begun anew.
+func (g *gatherer) confirm(begun int) {
 	r := g.relay
 	for clock.Sleep(r.ctx, confirmEvery) {
 		g.mu.Lock()
-		active := g.active && r.now().Sub(g.gatheredAt) < takeOverAfter
+		active := g.active && g.begun == begun && r.now().Sub(g.gatheredAt) < takeOverAfter
 		g.mu.Unlock()
 		if !active {
 			return
@@ -192,9 +195,7 @@
 	return nodes
 }
 
-// yield answers a node that gathers or is about to: this one leaves the pool to it, or says who gathers. Where the other does not gather yet, this one goes on
-// unless it is leaving or the other can carry more: a change costs calls that are not full. Where both
-// gather, the one that comes first for the pool does so alone.
+// yield answers a node that gathers or is about to: this one leaves the pool to it, or says who gathers.
 func (g *gatherer) yield(m peer.TakeOver) peer.TakeOverReply {
 	r := g.relay
 	g.mu.Lock()
@@ -203,21 +204,18 @@
 	if !active {
 		return peer.TakeOverReply{MovedTo: g.knownGatherer([]string{m.Node})}
 	}
-	stays := m.Capacity <= r.options.Capacity
-	if m.Gathers {
-		both := []kernel.Peer{{Name: m.Node, Capacity: m.Capacity}, {Name: r.options.Name, Capacity: r.options.Capacity}}
-		stays = kernel.Gatherers(g.name, both)[0] == r.options.Name
-	}
-	switch {
-	case r.Leaving() && m.Leaving:
-		// Each gathers for its own requests.
-		return peer.TakeOverReply{}
-	case !r.Leaving() && (stays || m.Leaving):
+	own := kernel.PoolClaim{Peer: kernel.Peer{Name: r.options.Name, Capacity: r.options.Capacity}, Gathers: true, Leaving: r.Leaving()}
+	other := kernel.PoolClaim{Peer: kernel.Peer{Name: m.Node, Capacity: m.Capacity}, Gathers: m.Gathers, Leaving: m.Leaving}
+	switch kernel.AnswerClaim(g.name, own, other) {
+	case kernel.KeepPool:
 		return peer.TakeOverReply{MovedTo: r.options.Name, Stays: true}
+	case kernel.SharePool:
+		return peer.TakeOverReply{}
+	default:
+		r.suspects.clear(m.Node)
+		g.stepDown(m.Node)
+		return peer.TakeOverReply{Gathered: true}
 	}
-	r.suspects.clear(m.Node)
-	g.stepDown(m.Node)
-	return peer.TakeOverReply{Gathered: true}
 }
 
 // stepDown leaves the pool to another node.
