--- a/peer/client.go
+++ b/peer/client.go
@@ -38,8 +38,9 @@
 		dialing map[string]*sync.Mutex
 		closed  bool
 		// silentAfter is after which time without a frame a connection with calls in flight is
-		// held silent.
+		// held silent; helloAfter bounds the first exchange on a new one.
 		silentAfter time.Duration
+		helloAfter  time.Duration
 	}
 
 	// CallError is the error of a call that got no reply.
@@ -81,6 +82,7 @@
 		dialing: map[string]*sync.Mutex{},
 
 		silentAfter: usualSilence,
+		helloAfter:  helloTimeout,
 	}
 }
 
@@ -88,6 +90,7 @@
 // is to be called before the first call.
 func (c *Client) SetSilence(after time.Duration) {
 	c.silentAfter = after
+	c.helloAfter = after
 }
 
 // Call sends a message to the peer at an address and decodes its reply. The error is a
@@ -178,7 +181,7 @@
 		return nil, err
 	}
 	conn := newClientConn(raw, c.silentAfter)
-	helloCtx, cancel := context.WithTimeout(ctx, min(helloTimeout, c.silentAfter))
+	helloCtx, cancel := context.WithTimeout(ctx, c.helloAfter)
 	defer cancel()
 	body, err := EncodeBody(c.hello)
 	if err != nil {
@@ -248,7 +251,8 @@
 			return
 		case now := <-ticker.C:
 			// A tick that comes late tells that this process stood still: the peer may have answered.
-			stoodStill := now.Sub(lastTick) > 2*pingEvery
+			// Where silence counts soon, that would else be taken for it.
+			stoodStill := c.silentAfter < usualSilence && now.Sub(lastTick) > 2*pingEvery
 			lastTick = now
 			if !c.busy() || stoodStill {
 				idleUntil = now
