Log and count what comes of answers about the store's tables

Cause looked for: no line told how much of an answer had come when it was given up, whose it was, or how long it took to come and to be applied, so three hypotheses of the incident looked alike. Change: two lines and two metrics; no logic.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,9 +48,27 @@
 	// Store is how the platform's store is read.
 	Store struct {
 		// Whole returns all rows of a table and the version that they are of.
-		Whole func(ctx context.Context, table string) ([]kernel.Row, uint64, error)
+		Whole func(ctx context.Context, table string) (Answer, error)
 		// Changes returns what changed after a version, waiting for the first change.
-		Changes func(ctx context.Context, table string, after uint64, hold time.Duration) ([]kernel.Row, uint64, error)
+		Changes func(ctx context.Context, table string, after uint64, hold time.Duration) (Answer, error)
+	}
+
+	// Answer is what the store answered about a table.
+	Answer struct {
+		Rows []kernel.Row
+		// Version is what the table is known at.
+		Version uint64
+		// Bytes is the answer's size, and Transfer how long it took from its first byte on.
+		Bytes    int64
+		Transfer time.Duration
+	}
+
+	// CutError is the error of an answer that did not come whole.
+	CutError struct {
+		// Received is how many bytes had come, and Transfer in which time.
+		Received int64
+		Transfer time.Duration
+		Err      error
 	}
 
 	// Options are what a follower is told at its start.
@@ -73,6 +92,8 @@
 		reads atomic.Bool
 		// away holds until when nodes are passed over. It belongs to the goroutine that asks them.
 		away map[string]time.Time
+		// givenUpAt is when an answer that was given up was last logged, on the clock of Now in nanoseconds.
+		givenUpAt atomic.Int64
 	}
 
 	// followed is a table with what is known of it.
@@ -85,6 +106,16 @@
 	}
 )
 
+// Error implements error.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("follow: the answer broke off after %d bytes: %v", e.Received, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *CutError) Unwrap() error {
+	return e.Err
+}
+
 // NewFollower follows tables until ctx ends.
 func NewFollower(ctx context.Context, options Options, store Store, r *relay.Relay, tables []Table, metrics *metric.Set, log zerolog.Logger) *Follower {
 	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, away: map[string]time.Time{}}
@@ -134,11 +165,11 @@
 	after, known := t.mirror.Known()
 	t.mu.Unlock()
 	if !known {
-		rows, version, err := f.store.Whole(ctx, t.Name)
+		answer, err := f.store.Whole(ctx, t.Name)
 		if err != nil {
 			return err
 		}
-		t.take(began, rows, version, true)
+		f.take(t, began, answer, true)
 		return nil
 	}
 	hold := t.Hold
@@ -146,27 +177,33 @@
 		// What is known is already old: an answer is wanted at once.
 		hold = 0
 	}
-	rows, version, err := f.store.Changes(ctx, t.Name, after, hold)
+	answer, err := f.store.Changes(ctx, t.Name, after, hold)
 	if errors.Is(err, ErrHistoryGone) {
 		f.metrics.Event("StoreHistoryGone")
 		f.log.Info().Str("Table", t.Name).Uint64("After", after).Msg("the store's history is gone; reading the whole table")
-		if rows, version, err = f.store.Whole(ctx, t.Name); err == nil {
-			t.take(began, rows, version, true)
+		if answer, err = f.store.Whole(ctx, t.Name); err == nil {
+			f.take(t, began, answer, true)
 		}
 		return err
 	}
 	if err != nil {
 		return err
 	}
-	t.take(began, rows, version, false)
+	f.take(t, began, answer, false)
 	return nil
 }
 
-func (t *followed) take(began time.Time, rows []kernel.Row, version uint64, whole bool) {
+// take takes in what the store answered to a question that began at a time.
+func (f *Follower) take(t *followed, began time.Time, answer Answer, whole bool) {
+	came := clock.Now()
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	news := t.mirror.Take(began, rows, version, whole)
+	news := t.mirror.Take(began, answer.Rows, answer.Version, whole)
 	t.Apply(t.mirror.ProvenAt(), news)
+	t.mu.Unlock()
+	f.noteTaken(taken{
+		table: t.Name, from: fromStore, version: answer.Version, size: answer.Bytes,
+		elapsed: came.Sub(began), transfer: answer.Transfer, applied: clock.Now().Sub(came),
+	})
 }
 
 // note logs when the store stops and begins to answer.
@@ -176,6 +213,7 @@
 	}
 	if err != nil {
 		f.metrics.Event("StoreFailed")
+		f.noteGivenUp(fromStore, t.Name, err)
 	}
 	if t.down.Swap(err != nil) == (err != nil) {
 		return
--- a/follow/source.go
+++ b/follow/source.go
@@ -92,8 +92,10 @@
 	asked := clock.Now()
 	var reply peer.FeedReply
 	if err := f.relay.Ask(ctx, node, peer.KindFeed, question, &reply); err != nil {
+		f.noteGivenUp(node, "", err)
 		return 0, err
 	}
+	came := clock.Now()
 	if reply.Lost {
 		return 0, errSourceLost
 	}
@@ -104,12 +106,26 @@
 			return f.options.MostAge + 1, nil
 		}
 		oldest = max(oldest, d.Age)
+		began := clock.Now()
 		t.mu.Lock()
 		if version, _ := t.mirror.Known(); d.Version >= version {
 			news := t.mirror.TakeDelta(asked, d)
 			t.Apply(t.mirror.ProvenAt(), news)
 		}
 		t.mu.Unlock()
+		f.noteTaken(taken{
+			table: t.Name, from: node, version: d.Version, size: sizeOf(d),
+			elapsed: came.Sub(asked), applied: clock.Now().Sub(began),
+		})
 	}
 	return oldest, nil
 }
+
+// sizeOf returns how many bytes of values a change holds.
+func sizeOf(d kernel.Delta) int64 {
+	size := int64(0)
+	for _, r := range d.Rows {
+		size += int64(len(r.Value))
+	}
+	return size
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -48,6 +48,18 @@
 	s.set.GetOrCreateHistogram(fmt.Sprintf(`basilstall_wait_error_seconds{pool=%q,side=%q}`, pool, side)).Update(off.Seconds())
 }
 
+// FeedTaken notes an answer about the store's tables, from the store or another node, with its size in bytes
+// and the time since the question.
+func (s *Set) FeedTaken(from string, size int64, elapsed time.Duration) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`basilstall_feed_bytes_total{from=%q,outcome="taken"}`, from)).AddInt64(size)
+	s.set.GetOrCreateHistogram(fmt.Sprintf(`basilstall_feed_seconds{from=%q}`, from)).Update(elapsed.Seconds())
+}
+
+// FeedGivenUp notes how many bytes of such an answer had come when it was given up.
+func (s *Set) FeedGivenUp(from string, received int64) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`basilstall_feed_bytes_total{from=%q,outcome="given up"}`, from)).AddInt64(received)
+}
+
 // Spent adds to a stage's cost.
 func (s *Set) Spent(customer string, timing model.StageTiming, pool string) {
 	s.set.GetOrCreateFloatCounter(fmt.Sprintf(`basilstall_endpoint_seconds_total{pool=%q,customer=%q}`, pool, customer)).Add(timing.Busy.Seconds())
--- a/peer/client.go
+++ b/peer/client.go
@@ -48,6 +48,8 @@
 		// Verdict is NotRun only if nothing of the call was written.
 		Verdict model.Verdict
 		Err     error
+		// Received is how many bytes came from the peer while the call waited, other calls' among them.
+		Received int64
 	}
 
 	clientConn struct {
@@ -59,11 +61,21 @@
 		number      uint64
 		writing     sync.Mutex
 		lastFrame   atomic.Int64
-		done        chan struct{}
-		once        sync.Once
+		// received is how many bytes came.
+		received atomic.Int64
+		done     chan struct{}
+		once     sync.Once
 	}
 )
 
+// readerFunc is a function as an io.Reader.
+type readerFunc func(p []byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(p []byte) (int, error) {
+	return f(p)
+}
+
 // Error implements error.
 func (e *CallError) Error() string {
 	return "peer: " + string(e.Verdict) + ": " + e.Err.Error()
@@ -220,7 +232,7 @@
 }
 
 func (c *clientConn) readFrames() {
-	reader := bufio.NewReader(c.conn)
+	reader := bufio.NewReader(readerFunc(c.read))
 	for {
 		frame, err := ReadFrame(reader)
 		if err != nil {
@@ -237,6 +249,13 @@
 	}
 }
 
+// read reads from the connection and counts what came.
+func (c *clientConn) read(p []byte) (int, error) {
+	n, err := c.conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // watchSilence pings while calls are in flight and returns once the peer went silent.
 func (c *clientConn) watchSilence() {
 	pingEvery := time.Duration(pingShare * float64(c.silentAfter))
@@ -279,6 +298,7 @@
 
 func (c *clientConn) call(ctx context.Context, kind Kind, body []byte) (Frame, error) {
 	reply := make(chan Frame, 1)
+	before := c.received.Load()
 	c.mu.Lock()
 	c.number++
 	number := c.number
@@ -307,10 +327,10 @@
 		case frame := <-reply:
 			return frame, nil
 		default:
-			return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: net.ErrClosed}
+			return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: net.ErrClosed, Received: c.received.Load() - before}
 		}
 	case <-ctx.Done():
-		return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: context.Cause(ctx)}
+		return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: context.Cause(ctx), Received: c.received.Load() - before}
 	}
 }
 
