Limit calls about the store by silence, not by the time of the whole answer

An answer that outgrows its link within the limit is given up, asked for again from its first byte, and never comes; the link stays full. Change: a call ends where nothing comes (clock.Silence); a large frame is written in pieces, and its bytes count as heard. A node whose reader is slow to answer reads the store as well and accuses nobody.

--- /dev/null
+++ b/clock/silence_test.go
@@ -0,0 +1,51 @@
+package clock_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/clock"
+)
+
+const (
+	first = 2 * time.Second
+	after = time.Second
+)
+
+func TestACallGoesOnForAsLongAsSomethingComes(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		pauses []time.Duration
+		want   error
+	}{
+		{"nothing in the first time", []time.Duration{first + 1}, clock.ErrSilent},
+		{"long, but never silent", []time.Duration{first - 1, after - 1, after - 1, after - 1, after - 1, after - 1}, nil},
+		{"silent in the middle", []time.Duration{0, after - 1, after + 1, 0}, clock.ErrSilent},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, silence := clock.WithSilence(context.Background(), first, after)
+				defer silence.Stop()
+				in, out := io.Pipe()
+				defer in.Close()
+				go func() {
+					defer out.Close()
+					for _, pause := range tc.pauses {
+						time.Sleep(pause)
+						if _, err := out.Write([]byte("part")); err != nil {
+							return
+						}
+					}
+				}()
+				_, err := io.Copy(io.Discard, silence.Reader(in))
+				must.NoError(t, err)
+				must.ErrorIs(t, context.Cause(ctx), tc.want)
+			})
+		})
+	}
+}
--- a/follow/source.go
+++ b/follow/source.go
@@ -13,8 +13,12 @@
 
 const (
 	// peerEvery is how often another node is asked. It adds to the age of what is known.
-	peerEvery   = 500 * time.Millisecond
-	peerTimeout = 400 * time.Millisecond
+	peerEvery = 500 * time.Millisecond
+	// peerSilence is how long nothing may come from a node that was asked. An answer that takes longer
+	// while it comes is waited for, up to peerMost: what 10 Mbit/s, the slowest links of hosts, take for
+	// the largest message.
+	peerSilence = 400 * time.Millisecond
+	peerMost    = 7 * time.Second
 	// awayMemory is how long a node that the store does not answer is passed over before it is
 	// asked again, and sourceTries how many nodes are asked in a row.
 	awayMemory  = time.Second
@@ -81,8 +85,12 @@
 
 // askNode asks a node for what it knows of all tables; it returns the greatest age of its proofs.
 func (f *Follower) askNode(ctx context.Context, node string) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, peerMost)
 	defer cancel()
+	// Others wait for the same answer, or a large one comes over a slow link: endpoints that leave are to be
+	// known all the same.
+	slow := time.AfterFunc(peerSilence, func() { f.setReads(true, "the reader's answer is slow") })
+	defer slow.Stop()
 	question := peer.Feed{After: map[string]uint64{}}
 	for _, t := range f.tables {
 		t.mu.Lock()
@@ -91,7 +99,7 @@
 	}
 	asked := clock.Now()
 	var reply peer.FeedReply
-	if err := f.relay.Ask(ctx, node, peer.KindFeed, question, &reply); err != nil {
+	if err := f.relay.Ask(ctx, peerSilence, node, peer.KindFeed, question, &reply); err != nil {
 		f.noteGivenUp(node, "", err)
 		return 0, err
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/model"
 )
 
@@ -17,11 +18,10 @@
 	dialTimeout  = time.Second
 	helloTimeout = 2 * time.Second
 	// pingShare is how often a connection with calls in flight is tried, as a share of the time
-	// after which one without a frame is held silent and closed, with all its calls.
+	// after which one without a byte is held silent and closed, with all its calls.
 	pingShare = 1.0 / 3
 	// usualSilence is that time where the client is not told another.
 	usualSilence = 1500 * time.Millisecond
-	writeWait    = 2 * time.Second
 )
 
 // ErrRefused is returned where the peer refused the token.
@@ -37,7 +37,7 @@
 		// dialing keeps concurrent calls from opening several connections to one peer.
 		dialing map[string]*sync.Mutex
 		closed  bool
-		// silentAfter is after which time without a frame a connection with calls in flight is
+		// silentAfter is after which time without a byte a connection with calls in flight is
 		// held silent; helloAfter bounds the first exchange on a new one.
 		silentAfter time.Duration
 		helloAfter  time.Duration
@@ -58,9 +58,13 @@
 		silentAfter time.Duration
 		mu          sync.Mutex
 		calls       map[uint64]chan Frame
-		number      uint64
+		// listening holds the calls that end with silence; each is among calls, too.
+		listening map[uint64]*clock.Silence
+		number    uint64
 		writing     sync.Mutex
-		lastFrame   atomic.Int64
+		// heard is when a byte last came, in Unix nanoseconds. A frame that is long under way over a slow
+		// link is no silence: closing for it would end all other calls, and begin it anew.
+		heard atomic.Int64
 		// received is how many bytes came.
 		received atomic.Int64
 		done     chan struct{}
@@ -98,7 +102,7 @@
 	}
 }
 
-// SetSilence sets after which time without a frame a connection with calls in flight is held silent. It
+// SetSilence sets after which time without a byte a connection with calls in flight is held silent. It
 // is to be called before the first call.
 func (c *Client) SetSilence(after time.Duration) {
 	c.silentAfter = after
@@ -108,6 +112,19 @@
 // Call sends a message to the peer at an address and decodes its reply. The error is a
 // *CallError.
 func (c *Client) Call(ctx context.Context, address string, kind Kind, message, reply any) error {
+	return c.callHearing(ctx, nil, address, kind, message, reply)
+}
+
+// CallUnlessSilent is Call for a reply that may be large: it ends where nothing comes from the peer for a
+// time, and with ctx.
+func (c *Client) CallUnlessSilent(ctx context.Context, after time.Duration, address string, kind Kind, message, reply any) error {
+	ctx, silence := clock.WithSilence(ctx, after, after)
+	defer silence.Stop()
+	return c.callHearing(ctx, silence, address, kind, message, reply)
+}
+
+// callHearing carries a call out; silence, where there is one, hears what comes from the peer meanwhile.
+func (c *Client) callHearing(ctx context.Context, silence *clock.Silence, address string, kind Kind, message, reply any) error {
 	body, err := EncodeBody(message)
 	if err != nil {
 		return &CallError{Verdict: model.NotRun, Err: err}
@@ -116,7 +133,7 @@
 	if err != nil {
 		return &CallError{Verdict: model.NotRun, Err: err}
 	}
-	frame, err := conn.call(ctx, kind, body)
+	frame, err := conn.call(ctx, silence, kind, body)
 	if err != nil {
 		return err
 	}
@@ -200,7 +217,7 @@
 		conn.close()
 		return nil, err
 	}
-	frame, err := conn.call(helloCtx, KindHello, body)
+	frame, err := conn.call(helloCtx, nil, KindHello, body)
 	if err != nil {
 		conn.close()
 		return nil, err
@@ -218,8 +235,8 @@
 }
 
 func newClientConn(raw net.Conn, silentAfter time.Duration) *clientConn {
-	c := &clientConn{conn: raw, silentAfter: silentAfter, calls: map[uint64]chan Frame{}, done: make(chan struct{})}
-	c.lastFrame.Store(time.Now().UnixNano())
+	c := &clientConn{conn: raw, silentAfter: silentAfter, calls: map[uint64]chan Frame{}, listening: map[uint64]*clock.Silence{}, done: make(chan struct{})}
+	c.heard.Store(time.Now().UnixNano())
 	go func() {
 		defer c.close()
 		c.readFrames()
@@ -238,7 +255,6 @@
 		if err != nil {
 			return
 		}
-		c.lastFrame.Store(time.Now().UnixNano())
 		c.mu.Lock()
 		waiting := c.calls[frame.Number]
 		delete(c.calls, frame.Number)
@@ -252,10 +268,22 @@
 // read reads from the connection and counts what came.
 func (c *clientConn) read(p []byte) (int, error) {
 	n, err := c.conn.Read(p)
-	c.received.Add(int64(n))
+	if n > 0 {
+		c.heard.Store(time.Now().UnixNano())
+		c.received.Add(int64(n))
+		c.tellListening()
+	}
 	return n, err
 }
 
+func (c *clientConn) tellListening() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, silence := range c.listening {
+		silence.Heard()
+	}
+}
+
 // watchSilence pings while calls are in flight and returns once the peer went silent.
 func (c *clientConn) watchSilence() {
 	pingEvery := time.Duration(pingShare * float64(c.silentAfter))
@@ -279,7 +307,7 @@
 			if !c.busy() {
 				continue
 			}
-			heard := time.Unix(0, c.lastFrame.Load())
+			heard := time.Unix(0, c.heard.Load())
 			if now.Sub(heard) > c.silentAfter && now.Sub(idleUntil) > c.silentAfter {
 				return
 			}
@@ -296,17 +324,21 @@
 	return len(c.calls) > 0
 }
 
-func (c *clientConn) call(ctx context.Context, kind Kind, body []byte) (Frame, error) {
+func (c *clientConn) call(ctx context.Context, silence *clock.Silence, kind Kind, body []byte) (Frame, error) {
 	reply := make(chan Frame, 1)
 	before := c.received.Load()
 	c.mu.Lock()
 	c.number++
 	number := c.number
 	c.calls[number] = reply
+	if silence != nil {
+		c.listening[number] = silence
+	}
 	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
 		delete(c.calls, number)
+		delete(c.listening, number)
 		c.mu.Unlock()
 	}()
 	select {
@@ -341,11 +373,7 @@
 	}
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeWait)); err != nil {
-		return err
-	}
-	_, err = c.conn.Write(data)
-	return err
+	return writePieces(c.conn, data)
 }
 
 func (c *clientConn) close() {
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"io"
+	"net"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -13,6 +15,10 @@
 	// allocate without end.
 	MaxFrame    = 8 << 20
 	frameHeader = 4
+	// writePiece is how many bytes of a frame are written at once, and writeWait how long that may take: a
+	// large frame goes on for as long as the other side takes it, at 32 kB a second or more.
+	writePiece = 64 << 10
+	writeWait  = 2 * time.Second
 )
 
 // ErrFrameTooLong is returned for a frame above MaxFrame.
@@ -41,6 +47,21 @@
 	return append(out, body...), nil
 }
 
+// writePieces writes a frame's bytes to a connection for as long as the other side takes them.
+func writePieces(conn net.Conn, data []byte) error {
+	for len(data) > 0 {
+		if err := conn.SetWriteDeadline(time.Now().Add(writeWait)); err != nil {
+			return err
+		}
+		n, err := conn.Write(data[:min(writePiece, len(data))])
+		if err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
+}
+
 // ReadFrame reads one frame.
 func ReadFrame(r io.Reader) (Frame, error) {
 	var header [frameHeader]byte
--- a/peer/server.go
+++ b/peer/server.go
@@ -176,8 +176,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	_ = w.conn.SetWriteDeadline(time.Now().Add(writeWait))
-	if _, err := w.conn.Write(data); err != nil {
+	if err := writePieces(w.conn, data); err != nil {
 		_ = w.conn.Close()
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -327,9 +327,10 @@
 	return false
 }
 
-// Ask calls another node by its name.
-func (r *Relay) Ask(ctx context.Context, node string, kind peer.Kind, message, reply any) error {
-	return r.peers.Call(ctx, r.addressOf(node), kind, message, reply)
+// Ask calls another node by its name, for a reply that may be large: it ends where nothing comes from the
+// node for a time.
+func (r *Relay) Ask(ctx context.Context, silence time.Duration, node string, kind peer.Kind, message, reply any) error {
+	return r.peers.CallUnlessSilent(ctx, silence, r.addressOf(node), kind, message, reply)
 }
 
 // Suspect notes that a node did not answer; it is probed until it does.
