Read settings and the list for as long as they come

The own interface's table and list had 2 s for whole answers: all settings documents, or a list of 1,200 entries, over a slow link would be given up and read again for good. Change: reads end with silence (2 s without a byte); transactions and announcements keep their limit.

--- a/list/list.go
+++ b/list/list.go
@@ -6,11 +6,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/model"
 )
 
@@ -18,8 +20,12 @@
 	// Path is the list's.
 	Path = "/list"
 	// HostsPath takes a host's own entry.
-	HostsPath   = "/list/hosts"
+	HostsPath = "/list/hosts"
+	// callTimeout bounds an announcement, and the time in which nothing comes of the list.
 	callTimeout = 2 * time.Second
+	// mostList bounds the list's bytes, some 100 an entry, and readMost its time: what 10 Mbit/s take for that.
+	mostList = 16 << 20
+	readMost = 13 * time.Second
 )
 
 // Client reads the list and announces the node's own host.
@@ -32,13 +38,17 @@
 func NewClient(address string) *Client {
 	return &Client{
 		base:   "http://" + address,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}, Timeout: callTimeout},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
 	}
 }
 
 // Get returns the list as the platform gives it now.
 func (c *Client) Get(ctx context.Context) (model.HostList, error) {
 	var hosts model.HostList
+	ctx, cancel := context.WithTimeout(ctx, readMost)
+	defer cancel()
+	ctx, silence := clock.WithSilence(ctx, callTimeout, callTimeout)
+	defer silence.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+Path, nil)
 	if err != nil {
 		return hosts, errors.Wrap(err, "list: unable to make a request")
@@ -52,7 +62,7 @@
 	if res.StatusCode != http.StatusOK {
 		return hosts, errors.Errorf("list: unable to read: %s", res.Status)
 	}
-	if err := json.NewDecoder(res.Body).Decode(&hosts); err != nil {
+	if err := json.NewDecoder(io.LimitReader(silence.Reader(res.Body), mostList)).Decode(&hosts); err != nil {
 		return hosts, errors.Wrap(err, "list: unable to decode")
 	}
 	return hosts, nil
@@ -60,6 +70,8 @@
 
 // Announce tells the platform of the node's own host.
 func (c *Client) Announce(ctx context.Context, host model.Host) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	body, err := json.Marshal(host)
 	if err != nil {
 		return errors.Wrap(err, "list: unable to encode")
--- a/table/store.go
+++ b/table/store.go
@@ -12,12 +12,17 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/clock"
 )
 
 const (
-	// callTimeout bounds a call: a silent connection must not hold up what needs the table.
-	callTimeout  = 2 * time.Second
+	// callTimeout bounds a transaction, and the time in which nothing comes of a read: a silent connection
+	// must not hold up what needs the table, but all settings may take long over a slow link.
+	callTimeout = 2 * time.Second
+	// maxRowsBytes bounds a read's bytes, and readMost its time: what 10 Mbit/s take for that.
 	maxRowsBytes = 64 << 20
+	readMost     = 54 * time.Second
 )
 
 // Store reads and writes the project's rows. It is safe for concurrent use.
@@ -33,7 +38,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
 	return &Store{
 		base:   "http://" + address,
-		client: &http.Client{Transport: transport, Timeout: callTimeout},
+		client: &http.Client{Transport: transport},
 	}
 }
 
@@ -72,7 +77,8 @@
 	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
+	ctx, cancel := context.WithTimeout(httptrace.WithClientTrace(ctx, trace), callTimeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.base+TransactionsPath, bytes.NewReader(body))
 	if err != nil {
 		return 0, errors.Wrap(err, "table: unable to make a request")
@@ -114,6 +120,10 @@
 }
 
 func (s *Store) read(ctx context.Context, name, value string) ([]Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, readMost)
+	defer cancel()
+	ctx, silence := clock.WithSilence(ctx, callTimeout, callTimeout)
+	defer silence.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.base+RowsPath+"?"+url.Values{name: {value}}.Encode(), nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "table: unable to make a request")
@@ -129,7 +139,7 @@
 		return nil, errors.Wrap(ErrUnavailable, res.Status)
 	}
 	var rows []Row
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxRowsBytes)).Decode(&rows); err != nil {
+	if err := json.NewDecoder(io.LimitReader(silence.Reader(res.Body), maxRowsBytes)).Decode(&rows); err != nil {
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
 	return rows, nil
--- a/table/store_test.go
+++ b/table/store_test.go
@@ -1,6 +1,7 @@
 package table_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +107,21 @@
 	must.EqOp(t, table.Applied, outcome, must.Sprint("applied once, and overwritten since"))
 	must.EqOp(t, 2, doc.Revision)
 }
+
+// Seen with the routing of another interface: a limit on the whole answer has one that outgrows its link
+// given up and read again for good. All documents of the settings are one answer, too.
+func TestAllSettingsComeOverASlowLink(t *testing.T) {
+	direct, s := newStore(t)
+	document := model.Document{Path: "teams/a", Operation: "1", YAML: strings.Repeat("# a long comment\n", 60_000)}
+	outcome, _, err := direct.SetDocument(t.Context(), document, 0)
+	must.NoError(t, err)
+	must.EqOp(t, table.Applied, outcome)
+	// 1 MB takes 3 s.
+	link := standin.NewLink(s.Address(), 32<<10, 100*time.Millisecond)
+	t.Cleanup(link.Close)
+	store := table.NewStore(link.Address())
+	t.Cleanup(store.Close)
+	snapshot, err := store.Snapshot(t.Context())
+	must.NoError(t, err)
+	must.SliceLen(t, 1, snapshot.Documents)
+}
