Count calls under way before the verdict on a stage is reached

Cause, by reading: a stage's call with another one beside it. At the deadline the second one's own time-out ends it as NotRun (no connection yet), and where its end was looked at before the deadline, the verdict was reached before the call still under way was counted: NotRun of a request that an endpoint had got. Change: calls that still run are abandoned, and so counted, before the verdict. Dispatcher.Unary is a seam for the test.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -104,9 +104,8 @@
 		select {
 		case o := <-outcomes:
 			delete(running, o.attempt)
-			done, err := a.settle(ctx, o, len(running))
+			done, err := a.settle(ctx, o, running)
 			if done {
-				a.abandon(running)
 				return err
 			}
 			if len(running) == 0 && !a.launch(ctx, running, outcomes) {
@@ -142,7 +141,7 @@
 	running[attempt] = startedCall{target: e, at: now}
 	a.excluded = append(a.excluded, e.name)
 	go func() {
-		reply, err := a.d.client.Unary(ctx, target, call)
+		reply, err := a.d.Unary(ctx, target, call)
 		outcomes <- outcome{attempt: attempt, target: e, elapsed: time.Since(now), reply: reply, err: err}
 	}()
 	return true
@@ -158,8 +157,9 @@
 	return a.launch(ctx, running, outcomes)
 }
 
-// settle takes one outcome in. It reports whether the stage is over.
-func (a *attempts) settle(ctx context.Context, o outcome, stillRunning int) (bool, error) {
+// settle takes one outcome in. It reports whether the stage is over. Calls that still run are abandoned before
+// the verdict is reached: an endpoint may have got them, whatever became of this one.
+func (a *attempts) settle(ctx context.Context, o outcome, running map[int]startedCall) (bool, error) {
 	now := time.Now()
 	a.busy += o.elapsed
 	if o.err == nil {
@@ -170,6 +170,7 @@
 			a.pool.succeeded(now, o.target, o.elapsed, &o.reply.Load)
 			a.carry = carry
 			a.endpoint = o.target.name
+			a.abandon(running)
 			return true, nil
 		}
 		o.err = &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: err}
@@ -177,9 +178,10 @@
 	fault := asFault(o.err)
 	a.noteFault(now, o.target, fault)
 	if ctx.Err() != nil {
+		a.abandon(running)
 		return true, a.refuse(model.StageTimeout, fault)
 	}
-	if stillRunning > 0 {
+	if len(running) > 0 {
 		return false, nil
 	}
 	if !a.mayRepeat(fault) {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -20,6 +20,8 @@
 		// OnAdapter is called when a request uses an adapter of engines that load adapters on
 		// demand; waiting tells that no engine known has it.
 		OnAdapter func(pool, adapter string, deadline time.Time, waiting bool)
+		// Unary makes one call that is answered at once; the error is an *endpoint.Fault.
+		Unary func(ctx context.Context, target endpoint.Target, call model.StageCall) (model.StageReply, error)
 
 		client  *endpoint.Client
 		metrics *metric.Set
@@ -62,10 +64,12 @@
 
 // NewDispatcher returns a dispatcher for a node in a failure domain.
 func NewDispatcher(domain string, plain bool, metrics *metric.Set) *Dispatcher {
+	client := endpoint.NewClient()
 	return &Dispatcher{
 		OnLeaving: func(string, string) {},
 		OnAdapter: func(string, string, time.Time, bool) {},
-		client:    endpoint.NewClient(),
+		Unary:     client.Unary,
+		client:    client,
 		metrics:   metrics,
 		domain:    domain,
 		plain:     plain,
