Do not say NotRun of an attempt that an endpoint had got before

Change: the ledger remembers the highest attempt that had reached an endpoint, and says MayHaveRun of attempts up to it; who joins a running one shares its verdict. An entry of an older node counts attempt 0 as reached, which is careful.

--- a/kernel/explorer_actions_test.go
+++ b/kernel/explorer_actions_test.go
@@ -245,8 +245,9 @@
 		case "unsent":
 			ledger.Refuse(exploreKey, &model.Refusal{Verdict: model.MayHaveRun}, false)
 		case "refused":
-			ledger.Refuse(exploreKey, &model.Refusal{Verdict: model.NotRun}, false)
-			next.told = max(next.told, entry.Attempt)
+			if ledger.Refuse(exploreKey, &model.Refusal{Verdict: model.NotRun}, false).Verdict == model.NotRun {
+				next.told = max(next.told, entry.Attempt)
+			}
 		}
 		next.store(p, ledger)
 		if e.fault == refusalForgotten && how == "refused" {
--- a/kernel/explorer_test.go
+++ b/kernel/explorer_test.go
@@ -190,6 +190,10 @@
 			number(int(entry.State))
 			number(entry.Attempt)
 			number(entry.RefusedAttempt)
+			number(entry.ReachedAttempt)
+			if entry.State == kernel.KeyRunning {
+				number(entry.LowestRunning)
+			}
 			flag(entry.Pending != "")
 		}
 	}
--- a/kernel/ledger.go
+++ b/kernel/ledger.go
@@ -46,6 +46,12 @@
 		// RefusedAttempt is the highest attempt that was told NotRun, or -1. It never falls:
 		// a held-up attempt up to it may still arrive and must not run.
 		RefusedAttempt int
+		// ReachedAttempt is the highest attempt of a request that ended without an answer after an endpoint had
+		// got it, or -1. NotRun is not said of attempts up to it: a node that did not hear how one
+		// ended asks again, and what then refuses it at the door knows nothing of the stages made before.
+		ReachedAttempt int
+		// LowestRunning is the lowest attempt that waits for the running request.
+		LowestRunning int
 		Issued         time.Time
 		Answer         model.Answer
 		// Refusal is set in the states KeyOpen and KeyUnknown.
@@ -88,7 +94,7 @@
 	if !known {
 		l.entries[key.ID] = LedgerEntry{
 			State: KeyRunning, Fingerprint: fingerprint, Attempt: attempt,
-			RefusedAttempt: noAttempt, Issued: key.Issued,
+			RefusedAttempt: noAttempt, ReachedAttempt: noAttempt, LowestRunning: attempt, Issued: key.Issued,
 		}
 		return LedgerDecision{Action: LedgerRun}
 	}
@@ -99,6 +105,7 @@
 	switch entry.State {
 	case KeyRunning:
 		entry.Attempt = max(entry.Attempt, attempt)
+		entry.LowestRunning = min(entry.LowestRunning, attempt)
 		l.entries[key.ID] = entry
 		return LedgerDecision{Action: LedgerJoin}
 	case KeyDone:
@@ -107,11 +114,12 @@
 		return LedgerDecision{Action: LedgerAnswer, Answer: answer}
 	case KeyOpen:
 		if attempt <= entry.RefusedAttempt {
-			return refuseKey(model.NewRefusal(model.NotRun, model.KeyClosed, entry.Refusal.RetryAfter,
+			return refuseKey(model.NewRefusal(entry.verdictOf(attempt), model.KeyClosed, entry.Refusal.RetryAfter,
 				"the key was refused before ("+string(entry.Refusal.Reason)+"); send a new key or a higher Basilstall-Attempt"))
 		}
 		entry.State = KeyRunning
 		entry.Attempt = max(entry.Attempt, attempt)
+		entry.LowestRunning = attempt
 		entry.Refusal = nil
 		l.entries[key.ID] = entry
 		return LedgerDecision{Action: LedgerRun}
@@ -130,9 +138,13 @@
 
 // Refuse records how a running key ended without an answer. Sent tells whether its
 // non-idempotent call may have reached the service: then the key is closed for good. A NotRun
-// closes it for all attempts seen so far, since one that was held up may still arrive.
-func (l *Ledger) Refuse(key Key, refusal *model.Refusal, sent bool) {
+// closes it for all attempts seen so far, since one that was held up may still arrive. It returns what those
+// who wait are to be told: not NotRun where an endpoint had got one of their attempts before.
+func (l *Ledger) Refuse(key Key, refusal *model.Refusal, sent bool) *model.Refusal {
 	entry := l.entries[key.ID]
+	if refusal.Verdict == model.NotRun {
+		refusal = refusal.WithVerdict(entry.verdictOf(entry.LowestRunning))
+	}
 	entry.Refusal = refusal
 	entry.State = KeyOpen
 	if sent {
@@ -140,8 +152,19 @@
 	}
 	if refusal.Verdict == model.NotRun {
 		entry.RefusedAttempt = max(entry.RefusedAttempt, entry.Attempt)
+	} else {
+		entry.ReachedAttempt = max(entry.ReachedAttempt, entry.Attempt)
 	}
 	l.entries[key.ID] = entry
+	return refusal
+}
+
+// verdictOf returns what may be said of an attempt that is refused before anything runs.
+func (e LedgerEntry) verdictOf(attempt int) model.Verdict {
+	if attempt <= e.ReachedAttempt {
+		return model.MayHaveRun
+	}
+	return model.NotRun
 }
 
 // Expire forgets keys issued before now less the retention, and refuses them from then on.
--- a/kernel/ledger_test.go
+++ b/kernel/ledger_test.go
@@ -76,6 +76,38 @@
 	must.EqOp(t, model.MayHaveRun, d.Refusal.Verdict)
 }
 
+// What was seen: a caller was told NotRun of a request that an endpoint had got, in some of many runs under more load
+// than places. How it comes about: the node that a caller asked does not hear from the key's owner how a request ended, and
+// asks again; the first one had ended after its first stage, so the owner runs it again, and now refuses it at the
+// door. Proved by these three steps.
+func TestNotRunIsNotSaidOfAnAttemptThatReachedAnEndpoint(t *testing.T) {
+	l := kernel.NewLedger(time.Time{})
+	key := timedKey("c/k", ledgerStart)
+	must.EqOp(t, kernel.LedgerRun, l.Admit(key, 1, 1).Action)
+	must.EqOp(t, model.MayHaveRun, l.Refuse(key, refusal(model.MayHaveRun), false).Verdict)
+
+	must.EqOp(t, kernel.LedgerRun, l.Admit(key, 1, 1).Action, must.Sprint("asked again"))
+	must.EqOp(t, model.MayHaveRun, l.Refuse(key, refusal(model.NotRun), false).Verdict)
+
+	must.EqOp(t, kernel.LedgerRun, l.Admit(key, 1, 2).Action, must.Sprint("a new attempt"))
+	must.EqOp(t, model.NotRun, l.Refuse(key, refusal(model.NotRun), false).Verdict)
+
+	late := l.Admit(key, 1, 1)
+	must.EqOp(t, kernel.LedgerRefuse, late.Action, must.Sprint("the first attempt, held up"))
+	must.EqOp(t, model.MayHaveRun, late.Refusal.Verdict)
+}
+
+// A new attempt that joins the request of one that had reached an endpoint shares its outcome.
+func TestWhoJoinsIsToldTheSame(t *testing.T) {
+	l := kernel.NewLedger(time.Time{})
+	key := timedKey("c/k", ledgerStart)
+	l.Admit(key, 1, 1)
+	l.Refuse(key, refusal(model.MayHaveRun), false)
+	must.EqOp(t, kernel.LedgerRun, l.Admit(key, 1, 2).Action)
+	must.EqOp(t, kernel.LedgerJoin, l.Admit(key, 1, 1).Action)
+	must.EqOp(t, model.MayHaveRun, l.Refuse(key, refusal(model.NotRun), false).Verdict)
+}
+
 // ledgerModel is what a ledger must do, kept beside it by the state machine.
 type ledgerModel struct {
 	ledger  *kernel.Ledger
@@ -83,15 +115,20 @@
 	sent    map[string]bool
 	told    map[string]int
 	highest map[string]int
+	// lowest and reached are the lowest attempt that waits, and the highest that an endpoint had got.
+	lowest  map[string]int
+	reached map[string]int
 }
 
 // TestLedgerHoldsInRandomInterleavings: a key whose call was sent never runs again, one that
-// runs is never started beside itself, and an attempt that was told NotRun never runs.
+// runs is never started beside itself, an attempt that was told NotRun never runs, and NotRun is not said of one that
+// reached an endpoint.
 func TestLedgerHoldsInRandomInterleavings(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &ledgerModel{
 			ledger: kernel.NewLedger(time.Time{}), running: map[string]bool{}, sent: map[string]bool{},
 			told: map[string]int{}, highest: map[string]int{},
+			lowest: map[string]int{}, reached: map[string]int{},
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"admit":  m.admit,
@@ -120,11 +157,18 @@
 		must.False(t, m.running[id])
 		if d.Refusal.Verdict == model.NotRun {
 			must.False(t, m.sent[id])
+			if reached, ok := m.reached[id]; ok {
+				must.Greater(t, reached, attempt)
+			}
 		}
 	default:
 		must.True(t, m.sent[id])
 	}
+	if d.Action == kernel.LedgerRun {
+		m.lowest[id] = attempt
+	}
 	if d.Action == kernel.LedgerRun || d.Action == kernel.LedgerJoin {
+		m.lowest[id] = min(m.lowest[id], attempt)
 		m.highest[id] = max(m.highest[id], attempt)
 	}
 }
@@ -138,7 +182,13 @@
 	if verdict == "" {
 		m.ledger.Finish(key, model.Answer{})
 	} else {
-		m.ledger.Refuse(key, refusal(verdict), sent)
+		verdict = m.ledger.Refuse(key, refusal(verdict), sent).Verdict
+	}
+	if reached, ok := m.reached[id]; ok && verdict == model.NotRun {
+		must.Greater(t, reached, m.lowest[id])
+	}
+	if verdict == model.MayHaveRun {
+		m.reached[id] = max(m.reached[id], m.highest[id])
 	}
 	if verdict == model.NotRun {
 		m.told[id] = max(m.told[id], m.highest[id])
--- a/node/keys.go
+++ b/node/keys.go
@@ -290,7 +290,7 @@
 	if refusal == nil {
 		k.ledger.Finish(key, answer)
 	} else {
-		k.ledger.Refuse(key, refusal, sent)
+		refusal = k.ledger.Refuse(key, refusal, sent)
 	}
 	delete(k.flights, key.ID)
 	k.mu.Unlock()
