--- a/kernel/ledger.go
+++ b/kernel/ledger.go
@@ -52,8 +52,8 @@
 		ReachedAttempt int
 		// LowestRunning is the lowest attempt that waits for the running request.
 		LowestRunning int
-		Issued         time.Time
-		Answer         model.Answer
+		Issued        time.Time
+		Answer        model.Answer
 		// Refusal is set in the states KeyOpen and KeyUnknown.
 		Refusal *model.Refusal
 		// Pending names the member that left and still runs the key; it alone may tell how
