Wait for a slow reader as long as its word is of use, and longer each time

Change: kernel.Patience: the greatest age of a useful proof (2.5 s), twice that after each answer that did not come whole in time, up to 7 s; the slow node is passed over for a second and not accused.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -93,6 +93,8 @@
 		reads atomic.Bool
 		// away holds until when nodes are passed over. It belongs to the goroutine that asks them.
 		away map[string]time.Time
+		// patience is how long another node's answer is waited for. It belongs to that goroutine, too.
+		patience time.Duration
 		// givenUpAt is when an answer that was given up was last logged, on the clock of Now in nanoseconds.
 		givenUpAt atomic.Int64
 	}
@@ -119,7 +121,7 @@
 
 // NewFollower follows tables until ctx ends.
 func NewFollower(ctx context.Context, options Options, store Store, r *relay.Relay, tables []Table, metrics *metric.Set, log zerolog.Logger) *Follower {
-	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), away: map[string]time.Time{}}
+	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), away: map[string]time.Time{}, patience: options.MostAge}
 	f.reads.Store(true)
 	for _, t := range tables {
 		f.tables = append(f.tables, &followed{Table: t, mirror: kernel.NewMirror()})
--- a/follow/source.go
+++ b/follow/source.go
@@ -15,8 +15,8 @@
 	// peerEvery is how often another node is asked. It adds to the age of what is known.
 	peerEvery = 500 * time.Millisecond
 	// peerSilence is how long nothing may come from a node that was asked. An answer that takes longer
-	// while it comes is waited for, up to peerMost: what 10 Mbit/s, the slowest links of hosts, take for
-	// the largest message.
+	// while it comes is waited for, in the end up to peerMost: what 10 Mbit/s, the slowest links of hosts,
+	// take for the largest message.
 	peerSilence = 400 * time.Millisecond
 	peerMost    = 7 * time.Second
 	// awayMemory is how long a node that the store does not answer is passed over before it is
@@ -42,7 +42,10 @@
 			return
 		}
 		age, err := f.askNode(ctx, source)
-		if errors.Is(err, errSourceLost) {
+		// A node whose answer still comes is not silent, but another one may tell the news sooner.
+		slow := errors.Is(err, context.DeadlineExceeded)
+		f.patience = kernel.Patience(f.patience, f.options.MostAge, peerMost, !slow)
+		if slow || errors.Is(err, errSourceLost) {
 			f.away[source] = clock.Now().Add(awayMemory)
 			continue
 		}
@@ -85,7 +88,7 @@
 
 // askNode asks a node for what it knows of all tables; it returns the greatest age of its proofs.
 func (f *Follower) askNode(ctx context.Context, node string) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerMost)
+	ctx, cancel := context.WithTimeout(ctx, f.patience)
 	defer cancel()
 	// Others wait for the same answer, or a large one comes over a slow link: endpoints that leave are to be
 	// known all the same.
--- a/kernel/readers.go
+++ b/kernel/readers.go
@@ -1,5 +1,7 @@
 package kernel
 
+import "time"
+
 // Reader returns the node that one is to ask for what the store holds: the one that reads for its
 // failure domain, the same for all nodes that know the same ones; empty for none. Own tells that
 // the node itself reads. Nodes that are away, because the store does not answer them, are passed
@@ -32,3 +34,14 @@
 	}
 	return "", true
 }
+
+// Patience returns how long the next answer of a reader is waited for while it comes, after one that did or did not
+// come whole in time. The usual time is the greatest age of a useful proof: then another node is asked, since this one
+// may be cut off from all else. It doubles up to a most, so that an answer that outgrows its link comes whole
+// in the end.
+func Patience(before, usual, most time.Duration, inTime bool) time.Duration {
+	if inTime || before <= 0 {
+		return usual
+	}
+	return min(2*before, most)
+}
