A soak's nodes end with it; say what was run that no caller sent

Change: the processes get SIGKILL when the soak dies; the line tells method, path and header of what was run.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -38,7 +38,8 @@
 	for id, ran := range runs {
 		s := known[id]
 		if s == nil {
-			c.breach("%s was run, and no caller sent it", id)
+			run := ran[0].run
+			c.breach("%q was run, and no caller sent it: %s %s at %s, header %v", id, run.Method, run.URI, ran[0].server.Name, run.Header)
 			continue
 		}
 		c.checkRuns(s, ran)
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -170,6 +170,9 @@
 	process := exec.Command(n.c.binary, "edge")
 	process.Env = append(os.Environ(), standin.BootVariable+"="+n.settingsPath())
 	process.Stderr = n.log
+	// A node that outlives a soak that was killed asks its store's port for good, which another soak's endpoint may
+	// have by then: that endpoint was run, and no caller sent it.
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := process.StdoutPipe()
 	if err != nil {
 		return err
