End pieces that others pass by, and tell their callers

Cause: work that can no longer be on time goes after all that can, and in a queue there is always some that can. Nothing but the request's deadline ended it, so callers waited until they left (4.4 s for an objective of 1.1 s) and were told nothing.

Ruled out: a gatherer that does not answer (its word came), calls at slow makers (tries were 0), and, for the requests that are left, ours: they were at nodes that lost power with all others.

Change: a group that can no longer be on time, since a full call of its pool, ends as PassedBy; its request is refused as not run, with how long such pieces would wait as the time to come back. The time of the first question goes with the group when another node gathers. New: counter PiecesPassedBy, histogram basilstall_refused_after_seconds.

--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -48,6 +48,8 @@
 		Patience time.Duration
 		// Rank is the request's priority; 0 comes first.
 		Rank int
+		// AskedAt is when its sender first asked for it, of whatever gatherer; zero means when it was added.
+		AskedAt time.Time
 		// Due is when the results must be there for the request to be on time; Until is when
 		// they become useless.
 		Due   time.Time
@@ -91,6 +93,8 @@
 		Waited time.Duration
 		// InputsFreed is true where its inputs were handed out to be freed.
 		InputsFreed bool
+		// Wait is how long its pieces would have waited on, where it was given up for others.
+		Wait time.Duration
 	}
 
 	// Gathering collects the pieces of one pool from all nodes, and cuts them into calls as its
@@ -209,6 +213,9 @@
 	if overdue || finish.After(group.Until) {
 		return false, RetryAfter(max(wait, g.callTime(g.traits.Batch)))
 	}
+	if group.AskedAt.IsZero() {
+		group.AskedAt = now
+	}
 	g.groups[group.ID] = &waitingGroup{
 		PieceGroup: group,
 		arrived:    now,
@@ -345,6 +352,7 @@
 		ended = append(ended, w.outcome(model.PieceLate))
 		delete(g.groups, id)
 	}
+	ended = append(ended, g.endPassedBy(now)...)
 	for handle, r := range g.results {
 		if now.After(r.until) {
 			g.Release(now, MadePiece{Handle: handle, Maker: r.maker})
--- /dev/null
+++ b/kernel/gatherpassed.go
@@ -0,0 +1,42 @@
+package kernel
+
+import (
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+// mostPassedBy is for how many full calls a group may wait on that can no longer be on time. Each maker has turned
+// to the queue as often meanwhile, and found work that could still be on time, or no room.
+const mostPassedBy = 1
+
+// endPassedBy ends the groups that were passed by for too long. They would wait on until they are useless, and
+// their callers with them, who are better told at once and come back when the queue has drained.
+func (g *Gathering) endPassedBy(now time.Time) []GroupOutcome {
+	if !g.policy.Uses(LateEnded) {
+		return nil
+	}
+	var ended []GroupOutcome
+	for _, w := range g.groups {
+		if len(w.waiting) == 0 || now.Before(g.lateSince(w).Add(mostPassedBy*g.callTime(g.traits.Batch))) {
+			continue
+		}
+		outcome := w.outcome(model.PiecePassedBy)
+		outcome.Wait = g.Wait(now, w.PieceGroup)
+		ended = append(ended, outcome)
+	}
+	for _, o := range ended {
+		delete(g.groups, o.Group)
+	}
+	return ended
+}
+
+// lateSince is from when on a group waits that can no longer be on time: from its start where its request was late
+// before.
+func (g *Gathering) lateSince(w *waitingGroup) time.Time {
+	late := w.Due.Add(-g.callTime(1))
+	if w.AskedAt.After(late) {
+		return w.AskedAt
+	}
+	return late
+}
--- a/kernel/policy.go
+++ b/kernel/policy.go
@@ -30,6 +30,8 @@
 	PrefixAffinity
 	// HedgedReads sends a repeatable request without an answer to a second endpoint.
 	HedgedReads
+	// LateEnded ends work that can no longer be on time once others have passed it by for too long.
+	LateEnded
 )
 
 type (
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -27,6 +27,11 @@
 	s.count(`basilstall_refusals_total{reason=%q,verdict=%q}`, string(r.Reason), string(r.Verdict))
 }
 
+// RefusedAfter notes how long a request had been here when it was refused.
+func (s *Set) RefusedAfter(r *model.Refusal, held time.Duration) {
+	s.set.GetOrCreateHistogram(fmt.Sprintf(`basilstall_refused_after_seconds{reason=%q}`, string(r.Reason))).Update(held.Seconds())
+}
+
 // Retried counts a repeated stage call.
 func (s *Set) Retried(reason model.Reason, pool string) {
 	s.count(`basilstall_retries_total{reason=%q,pool=%q}`, string(reason), pool)
--- a/peer/message.go
+++ b/peer/message.go
@@ -153,8 +153,10 @@
 		Domain      string
 		Patience    time.Duration
 		Rank        int
-		DueIn       time.Duration
-		UntilIn     time.Duration
+		// AskedAgo is how long ago the sender first asked for the pieces, of any node.
+		AskedAgo time.Duration
+		DueIn    time.Duration
+		UntilIn  time.Duration
 		// PassedOver names nodes that did not answer the sender or gather no more: it can't be sent on
 		// to them.
 		PassedOver []string
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -41,6 +41,7 @@
 		// patience is how long the pieces wait for the domain.
 		patience time.Duration
 		rank     int
+		askedAt  time.Time
 		due      time.Time
 		until    time.Time
 		// passedOver names the nodes that did not answer or gather no more.
@@ -145,7 +146,7 @@
 	}
 	if fault != "" {
 		done.time.Fault = fault
-		done.refusal = model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(max(result.told.wait, refusedRetry)),
+		done.refusal = model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(max(result.told.wait, result.outcome.Wait, refusedRetry)),
 			fmt.Sprintf("pool %s: pieces not made: %s", pool, fault))
 	}
 	return done
@@ -212,6 +213,7 @@
 		Domain:      req.domain,
 		Patience:    req.patience,
 		Rank:        req.rank,
+		AskedAt:     req.askedAt,
 		Due:         req.due,
 		Until:       req.until,
 	}
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -241,5 +241,10 @@
 	g.mu.Lock()
 	ended := g.g.Expire(now)
 	g.mu.Unlock()
+	for _, o := range ended {
+		if o.Fault == model.PiecePassedBy {
+			g.relay.metrics.Event("PiecesPassedBy")
+		}
+	}
 	g.finish(ended)
 }
--- a/relay/gatherpeer.go
+++ b/relay/gatherpeer.go
@@ -54,6 +54,7 @@
 		Domain:      req.domain,
 		Patience:    req.patience,
 		Rank:        req.rank,
+		AskedAgo:    now.Sub(req.askedAt),
 		DueIn:       req.due.Sub(now),
 		UntilIn:     req.until.Sub(now),
 		PassedOver:  req.passedOver,
@@ -106,6 +107,7 @@
 		Domain:      m.Domain,
 		Patience:    m.Patience,
 		Rank:        m.Rank,
+		AskedAt:     now.Add(-m.AskedAgo),
 		Due:         now.Add(m.DueIn),
 		Until:       now.Add(m.UntilIn),
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -352,6 +352,7 @@
 	}
 	if refusal != nil {
 		r.metrics.Refused(refusal)
+		r.metrics.RefusedAfter(refusal, r.now().Sub(f.ReceivedAt))
 		r.logEnd(f, admission, view, Outcome{Refusal: refusal})
 		return Outcome{Refusal: refusal}
 	}
@@ -373,6 +374,7 @@
 	switch {
 	case outcome.Refusal != nil:
 		r.metrics.Refused(outcome.Refusal)
+		r.metrics.RefusedAfter(outcome.Refusal, r.now().Sub(f.ReceivedAt))
 		if outcome.Refusal.Verdict == model.NotRun && outcome.Refusal.RetryAfter > 0 {
 			r.noteRefused(job.forward, admission)
 		}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -25,6 +25,8 @@
 	wire  relay.Wire
 	body  strings.Builder
 	freed chan []string
+	// version is the routing's.
+	version uint64
 }
 
 func newBed(t *testing.T) *bed {
@@ -59,25 +61,32 @@
 	options := relay.Options{Name: "node", Domain: "d", Budget: kernel.BudgetTerms{Ratio: 1, Slack: 100, Window: 10 * time.Second}}
 	b.relay = relay.NewRelay(options, wire, time.Now, metric.NewSet(), zerolog.Nop())
 	t.Cleanup(b.relay.Close)
+	b.setObjective(time.Minute)
+	now := time.Now()
+	b.relay.SetRoster(kernel.NewRoster().WithChanges(now, now, []model.Endpoint{
+		{Name: "plain-0", Pool: "plain", State: model.Live},
+		{Name: "plain-1", Pool: "plain", State: model.Live},
+		{Name: "engine-0", Pool: "engines", State: model.Live},
+		{Name: "maker-0", Pool: "makers", State: model.Live},
+	}, nil, nil))
+	return b
+}
+
+// setObjective puts a routing in force whose routes have an objective; each call is the next version.
+func (b *bed) setObjective(objective time.Duration) {
+	b.version++
 	now := time.Now()
 	stages := []model.StageNode{{Pool: "makers", ResultBytes: 1000}}
 	b.relay.SetRouting(now, kernel.NewRouteTable(model.Routing{
-		Version: 1,
+		Version: b.version,
 		Routes: []model.Route{
-			{Name: "get", Host: "h", Prefix: "/get/", Kind: model.Safe, Timeout: time.Minute, Objective: time.Minute, MaxAttempts: 2, Split: []model.WeightedPool{{Pool: "plain"}}},
-			{Name: "gen", Host: "h", Prefix: "/gen/", Kind: model.Stream, Timeout: time.Minute, Objective: time.Minute, MaxAttempts: 1, Split: []model.WeightedPool{{Pool: "engines"}}, Stages: stages},
+			{Name: "get", Host: "h", Prefix: "/get/", Kind: model.Safe, Timeout: time.Minute, Objective: objective, MaxAttempts: 2, Split: []model.WeightedPool{{Pool: "plain"}}},
+			{Name: "gen", Host: "h", Prefix: "/gen/", Kind: model.Stream, Timeout: time.Minute, Objective: objective, MaxAttempts: 1, Split: []model.WeightedPool{{Pool: "engines"}}, Stages: stages},
 		},
 		Pools: map[string]model.Pool{"makers": {Name: "makers", Pieces: &model.PieceTraits{
 			Slots: 1, Batch: 4, CallTime: time.Millisecond, PieceTime: time.Millisecond, Room: 18_000_000, Keep: time.Minute,
 		}}},
 	}))
-	b.relay.SetRoster(kernel.NewRoster().WithChanges(now, now, []model.Endpoint{
-		{Name: "plain-0", Pool: "plain", State: model.Live},
-		{Name: "plain-1", Pool: "plain", State: model.Live},
-		{Name: "engine-0", Pool: "engines", State: model.Live},
-		{Name: "maker-0", Pool: "makers", State: model.Live},
-	}, nil, nil))
-	return b
 }
 
 func reply(body string) *model.ForwardReply {
@@ -193,6 +202,31 @@
 	must.SliceLen(t, 2, b.relay.Reachable(), must.Sprint("this node and the other one"))
 }
 
+// Seen: a request waited for its pieces until its caller left, though they could long no longer be on time and
+// nothing told the caller. How: the gatherer ended such pieces by the request's deadline alone. Proved by the
+// gatherer's queue as the caller left. The endpoint here never comes free, and the request has a minute.
+func TestARequestWhosePiecesArePassedByIsRefused(t *testing.T) {
+	b := newBed(t)
+	over := make(chan struct{})
+	defer close(over)
+	b.wire.RunPieces = func(context.Context, model.Endpoint, []model.Piece) (relay.PieceReply, error) {
+		<-over
+		return relay.PieceReply{NotRun: true}, nil
+	}
+	b.setObjective(50 * time.Millisecond)
+	outcomes := make(chan relay.Outcome, 2)
+	for range 2 {
+		go func() { outcomes <- b.serve("/gen/1", 1) }()
+	}
+	outcome := <-outcomes
+	must.NotNil(t, outcome.Refusal)
+	must.EqOp(t, model.StageLate, outcome.Refusal.Reason)
+	must.EqOp(t, model.NotRun, outcome.Refusal.Verdict)
+	must.Positive(t, outcome.Refusal.RetryAfter)
+	must.SliceLen(t, 1, outcome.Stages)
+	must.EqOp(t, model.PiecePassedBy, outcome.Stages[0].Fault)
+}
+
 type broken struct{}
 
 func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -178,12 +178,13 @@
 func (j *job) group(run *stageRun, stage int) gatherRequest {
 	node := j.admission.Route.Stages[stage]
 	g := gatherRequest{
-		pool:   node.Pool,
-		domain: run.domain,
-		bytes:  node.ResultBytes,
-		due:    run.plan.Due[stage],
-		until:  run.plan.Until[stage],
-		rank:   j.admission.Rank,
+		pool:    node.Pool,
+		domain:  run.domain,
+		bytes:   node.ResultBytes,
+		askedAt: j.relay.now(),
+		due:     run.plan.Due[stage],
+		until:   run.plan.Until[stage],
+		rank:    j.admission.Rank,
 	}
 	var inputBytes int64
 	piece := model.Piece{Request: j.forward.ID, Stage: stage, Deadline: run.plan.Until[stage]}
