Have few nodes ask a store that is away, however many there are

Cause: a node whose reader's word was old read the store itself, and so did each node in turn that took a reader's place. It grows with the fleet, and falls on a store that is in trouble.

Change: kernel.Reading decides, in place of kernel.Reader. The first two nodes of a failure domain are bound to ask, the second only while the store does not answer the first; the others ask them, and where these know nothing those of other failure domains. A node that is asked and knows little holds its answer up to 0.4 s for news, so the store's return is known at once. One node of a domain that is not bound tries the store in each round in vain; where it is answered it stands in and the bound ones hear of it by its questions. While the store answers nothing, one table's question is asked, not three. After the start each table is read once. Pauses are jittered; nodes that know no others wait up to 1.2 s.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -1,12 +1,13 @@
 // Package follow keeps copies of tables of the platform's store. One node of each failure domain
-// reads the store; the others ask that node, and the store itself where it does not answer or its
-// word is old. So the store is asked by few, and a node that the store turns away goes on knowing
-// what others know, with the age of its proof.
+// reads the store; the others ask that node, or where it knows no more than they do the next ones,
+// as kernel.Reading decides. So the store is asked by few, also while it does not answer, and a node that
+// it turns away goes on knowing what others know, with the age of its proof.
 package follow
 
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,9 +26,14 @@
 	// idlePause is how often a node that need not read the store looks whether it must.
 	idlePause = 250 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a question without an answer; each is twice
-	// the one before.
-	retryFirst = 150 * time.Millisecond
-	retryMost  = 600 * time.Millisecond
+	// the one before, and shorter or longer by up to retryJitter of it. Few nodes ask a store that is away, so
+	// they may ask often, and all others learn of its return from them.
+	retryFirst  = 150 * time.Millisecond
+	retryMost   = 300 * time.Millisecond
+	retryJitter = 0.25
+	// retryAlone is the greatest such pause of a node that does not know any other yet: after a common start
+	// without the store, all nodes are such.
+	retryAlone = 1200 * time.Millisecond
 )
 
 var (
@@ -95,9 +101,14 @@
 		packer  *packer
 		// reads is true while this node reads the store.
 		reads atomic.Bool
-		// away holds until when nodes are passed over. It belongs to the goroutine that asks them.
-		away map[string]time.Time
-		// patience is how long another node's answer is waited for. It belongs to that goroutine, too.
+		// deciding guards reading.
+		deciding sync.Mutex
+		reading  *kernel.Reading
+		// settled decides once, as soon as all tables are known, whether this node goes on to read.
+		settled sync.Once
+		// news tells of each answer about the tables.
+		news *news
+		// patience is how long another node's answer is waited for. It belongs to the goroutine that asks them.
 		patience time.Duration
 		// givenUpAt is when an answer that was given up was last logged, on the clock of Now in nanoseconds.
 		givenUpAt atomic.Int64
@@ -125,7 +136,8 @@
 
 // NewFollower follows tables until ctx ends.
 func NewFollower(ctx context.Context, options Options, store Store, r *relay.Relay, tables []Table, metrics *metric.Set, log zerolog.Logger) *Follower {
-	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), away: map[string]time.Time{}, patience: options.MostAge}
+	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), news: newNews(), patience: options.MostAge}
+	f.reading = kernel.NewReading(options.Name, options.Domain, options.MostAge)
 	f.reads.Store(true)
 	for _, t := range tables {
 		f.tables = append(f.tables, &followed{Table: t, mirror: kernel.NewMirror()})
@@ -136,8 +148,8 @@
 		}()
 	}
 	go func() {
-		for clock.Sleep(ctx, peerEvery) {
-			f.askPeer(ctx)
+		for pause := peerEvery; clock.Sleep(ctx, pause); {
+			pause = f.askPeer(ctx)
 		}
 	}()
 	return f
@@ -151,12 +163,18 @@
 			clock.Sleep(ctx, idlePause)
 			continue
 		}
+		if f.waitsForLead(ctx, t) {
+			continue
+		}
 		err := f.ask(ctx, t)
 		f.note(ctx, t, err)
 		pause := t.Pause
+		if err == nil && f.settles(ctx) {
+			continue
+		}
 		if err != nil {
-			pause = retry
-			retry = min(2*retry, retryMost)
+			pause = jittered(retry)
+			retry = min(2*retry, f.longestRetry())
 		} else {
 			retry = retryFirst
 		}
@@ -166,6 +184,43 @@
 	}
 }
 
+// settles waits until all tables are known, and then decides whether this node goes on to read. It tells whether
+// it did so just now. After a common start each node reads each table once, and few ask again.
+func (f *Follower) settles(ctx context.Context) bool {
+	settled := false
+	f.news.Await(ctx, idlePause, f.knowsAll)
+	if f.knowsAll() {
+		f.settled.Do(func() {
+			plan := f.plan()
+			f.setReads(plan.Reads, plan.Why)
+			settled = true
+		})
+	}
+	return settled
+}
+
+// waitsForLead waits while the store answers neither for a table nor for the first one, and tells whether it did:
+// one question at a time finds out whether the store is back.
+func (f *Follower) waitsForLead(ctx context.Context, t *followed) bool {
+	lead := f.tables[0]
+	if t == lead || !t.down.Load() || !lead.down.Load() {
+		return false
+	}
+	f.news.Await(ctx, idlePause, func() bool { return !lead.down.Load() })
+	return true
+}
+
+func (f *Follower) longestRetry() time.Duration {
+	if f.knowsAll() {
+		return retryMost
+	}
+	return retryAlone
+}
+
+func jittered(pause time.Duration) time.Duration {
+	return time.Duration(float64(pause) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
+}
+
 func (f *Follower) ask(ctx context.Context, t *followed) error {
 	began := clock.Now()
 	t.mu.Lock()
@@ -231,7 +286,11 @@
 		f.metrics.Event("StoreFailed")
 		f.noteGivenUp(fromStore, t.Name, err)
 	}
-	if t.down.Swap(err != nil) == (err != nil) {
+	was := t.down.Swap(err != nil)
+	if err == nil {
+		f.news.Tell()
+	}
+	if was == (err != nil) {
 		return
 	}
 	t.mu.Lock()
@@ -257,6 +316,18 @@
 	return true
 }
 
+// provenAgo returns the greatest age of the proofs of all tables.
+func (f *Follower) provenAgo() time.Duration {
+	now := clock.Now()
+	oldest := time.Duration(0)
+	for _, t := range f.tables {
+		t.mu.Lock()
+		oldest = max(oldest, now.Sub(t.mirror.ProvenAt()))
+		t.mu.Unlock()
+	}
+	return oldest
+}
+
 // lost tells whether this node reads the store and gets no answer.
 func (f *Follower) lost() bool {
 	if !f.reads.Load() {
@@ -270,7 +341,17 @@
 	return false
 }
 
+func (f *Follower) forgetDown() {
+	for _, t := range f.tables {
+		t.down.Store(false)
+	}
+}
+
 func (f *Follower) setReads(reads bool, why string) {
+	if !reads {
+		// What the store did not answer then says nothing of the next time that it is asked.
+		f.forgetDown()
+	}
 	if f.reads.Swap(reads) != reads {
 		f.log.Info().Bool("Reads", reads).Str("Why", why).Msg("reading of the store changed")
 	}
@@ -281,16 +362,27 @@
 	return f.reads.Load()
 }
 
-// Answer answers another node's question for what is known here.
-func (f *Follower) Answer(_ context.Context, body []byte) (any, error) {
+// knowsLittle tells whether the store does not answer this node and what it knows is too old for others.
+func (f *Follower) knowsLittle() bool {
+	return f.lost() && (!f.knowsAll() || f.provenAgo() > f.options.MostAge)
+}
+
+// Answer answers another node's question for what is known here. Where that is little, the answer waits for
+// news as long as the question allows.
+func (f *Follower) Answer(ctx context.Context, body []byte) (any, error) {
 	var question peer.Feed
 	if err := peer.DecodeBody(body, &question); err != nil {
 		return nil, err
 	}
-	if f.lost() {
-		return peer.FeedReply{Lost: true}, nil
+	if question.Node != "" && question.ProvenAgo > 0 && f.lost() && f.provenAgo() > question.ProvenAgo {
+		f.deciding.Lock()
+		f.reading.Heard(clock.Now(), question.Node)
+		f.deciding.Unlock()
+	}
+	if question.Hold > 0 && f.knowsLittle() {
+		f.news.Await(ctx, min(question.Hold, sourceHold), func() bool { return !f.knowsLittle() })
 	}
-	reply := peer.FeedReply{Tables: map[string]kernel.Delta{}}
+	reply := peer.FeedReply{Tables: map[string]kernel.Delta{}, Lost: f.lost()}
 	now := clock.Now()
 	for _, t := range f.tables {
 		t.mu.Lock()
--- a/follow/nodes.go
+++ b/follow/nodes.go
@@ -93,8 +93,8 @@
 			return
 		}
 		n.metrics.Event("AnnounceFailed")
-		clock.Sleep(ctx, pause)
-		pause = min(2*pause, retryMost)
+		clock.Sleep(ctx, jittered(pause))
+		pause = min(2*pause, retryAlone)
 	}
 }
 
--- a/follow/source.go
+++ b/follow/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,108 +20,125 @@
 	// take for the largest message.
 	peerSilence = 400 * time.Millisecond
 	peerMost    = 7 * time.Second
-	// awayMemory is how long a node that the store does not answer is passed over before it is
-	// asked again, and sourceTries how many nodes are asked in a row.
-	awayMemory  = time.Second
-	sourceTries = 3
+	// sourceTries is how many nodes are asked in a row. The last one may hold its answer for sourceHold while
+	// it waits for news itself, and the next is asked after a short pause: so the store's return is known at
+	// once to all who wait for it.
+	sourceTries  = 3
+	sourceHold   = 400 * time.Millisecond
+	troubleEvery = 100 * time.Millisecond
 )
 
-var errSourceLost = errors.New("follow: the store does not answer the reader")
-
-// askPeer asks the node that reads the store for this one. This node reads the store itself where
-// it is that node, or where the answer does not come or is old.
-func (f *Follower) askPeer(ctx context.Context) {
+// askPeer asks another node for what it knows of the store, where this node does not read the store itself or
+// is not answered by it.
+//
+// It returns the pause until the next time.
+func (f *Follower) askPeer(ctx context.Context) time.Duration {
 	if !f.knowsAll() && !f.lost() {
 		// The whole of each table comes from the store: after a common start, one node would have
 		// to answer all others with it.
-		return
+		return peerEvery
 	}
-	for range sourceTries {
-		source, own := kernel.Reader(f.options.Name, f.options.Domain, f.relay.Reachable(), f.lost(), f.awayNow())
-		if source == "" {
-			f.setReads(true, "this node reads for its failure domain")
-			return
+	plan := f.plan()
+	for try := 0; try < sourceTries && plan.Source != ""; try++ {
+		hold := time.Duration(0)
+		if plan.Waits || try == sourceTries-1 {
+			hold, try = sourceHold, sourceTries
 		}
-		age, err := f.askNode(ctx, source)
-		// A node whose answer still comes is not silent, but another one may tell the news sooner.
-		slow := errors.Is(err, context.DeadlineExceeded)
-		f.patience = kernel.Patience(f.patience, f.options.MostAge, peerMost, !slow)
-		if slow || errors.Is(err, errSourceLost) {
-			f.away[source] = clock.Now().Add(awayMemory)
-			continue
+		enough := f.askSource(ctx, plan.Source, hold)
+		plan = f.plan()
+		if enough {
+			f.setReads(plan.Reads, plan.Why)
+			return peerEvery
 		}
-		f.decide(source, own, age, err)
-		return
 	}
-	f.setReads(true, "the store does not answer the readers")
+	f.setReads(plan.Reads, plan.Why)
+	if !plan.Reads {
+		f.tryStore(ctx)
+	}
+	if plan.Source == "" {
+		return peerEvery
+	}
+	return jittered(troubleEvery)
+}
+
+// plan asks the kernel what to do next.
+func (f *Follower) plan() kernel.ReadingPlan {
+	f.deciding.Lock()
+	defer f.deciding.Unlock()
+	return f.reading.Plan(clock.Now(), f.relay.Reachable(), f.lost())
 }
 
-// decide takes in what the reader said, or that it did not.
-func (f *Follower) decide(source string, own bool, age time.Duration, err error) {
-	if err != nil {
+// askSource asks a node and tells whether its word is enough.
+func (f *Follower) askSource(ctx context.Context, source string, hold time.Duration) bool {
+	answer, err := f.askNode(ctx, source, hold)
+	// A node whose answer still comes is not silent, but another one may tell the news sooner.
+	answer.Slow = errors.Is(err, context.DeadlineExceeded)
+	answer.Failed = err != nil && !answer.Slow
+	f.patience = kernel.Patience(f.patience, f.options.MostAge, peerMost, !answer.Slow)
+	if answer.Failed {
 		f.metrics.Event("ReaderFailed")
 		f.relay.Suspect(source, err)
 	}
-	switch {
-	case own:
-		f.setReads(true, "this node reads for its failure domain")
-	case err != nil:
-		f.setReads(true, "the reader does not answer")
-	case age > f.options.MostAge:
-		f.setReads(true, "the reader's word is old")
-	default:
-		f.setReads(false, source+" reads for this node")
-	}
+	f.deciding.Lock()
+	defer f.deciding.Unlock()
+	return f.reading.Took(clock.Now(), source, answer)
 }
 
-// awayNow returns the nodes that are passed over, and forgets the others.
-func (f *Follower) awayNow() map[string]bool {
-	out := map[string]bool{}
-	for name, until := range f.away {
-		if clock.Now().After(until) {
-			delete(f.away, name)
-			continue
-		}
-		out[name] = true
+// tryStore asks the store once where no other node could tell anything and it is this node's turn.
+func (f *Follower) tryStore(ctx context.Context) {
+	f.deciding.Lock()
+	tries := f.reading.TriesStore(f.relay.Reachable(), rand.Float64())
+	f.deciding.Unlock()
+	if !tries {
+		return
+	}
+	f.metrics.Event("StoreTried")
+	err := f.ask(ctx, f.tables[0])
+	f.deciding.Lock()
+	f.reading.Tried(err == nil)
+	f.deciding.Unlock()
+	if err == nil {
+		plan := f.plan()
+		f.setReads(plan.Reads, plan.Why)
 	}
-	return out
 }
 
-// askNode asks a node for what it knows of all tables; it returns the greatest age of its proofs.
-func (f *Follower) askNode(ctx context.Context, node string) (time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.patience)
+// askNode asks a node for what it knows of all tables, and returns what it said of its own proofs.
+func (f *Follower) askNode(ctx context.Context, node string, hold time.Duration) (kernel.SourceAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.patience+hold)
 	defer cancel()
 	// Others wait for the same answer, or a large one comes over a slow link: endpoints that leave are to be
 	// known all the same.
-	slow := time.AfterFunc(peerSilence, func() { f.setReads(true, "the reader's answer is slow") })
+	slow := time.AfterFunc(peerSilence+hold, func() { f.setReads(true, "the reader's answer is slow") })
 	defer slow.Stop()
-	question := peer.Feed{After: map[string]uint64{}, Unpacks: true}
+	question := peer.Feed{After: map[string]uint64{}, Unpacks: true, Node: f.options.Name, Hold: hold}
 	for _, t := range f.tables {
 		t.mu.Lock()
 		question.After[t.Name], _ = t.mirror.Known()
 		t.mu.Unlock()
 	}
+	if f.knowsAll() {
+		question.ProvenAgo = f.provenAgo()
+	}
 	asked := clock.Now()
 	var reply peer.FeedReply
-	if err := f.relay.Ask(ctx, peerSilence, node, peer.KindFeed, question, &reply); err != nil {
+	if err := f.relay.Ask(ctx, peerSilence+hold, node, peer.KindFeed, question, &reply); err != nil {
 		f.noteGivenUp(node, "", err)
-		return 0, err
+		return kernel.SourceAnswer{}, err
 	}
 	came := clock.Now()
-	if reply.Lost {
-		return 0, errSourceLost
-	}
-	oldest := time.Duration(0)
+	answer := kernel.SourceAnswer{Lost: reply.Lost}
 	for _, t := range f.tables {
 		d, ok := reply.Tables[t.Name]
 		if !ok {
-			return f.options.MostAge + 1, nil
+			answer.Age = f.options.MostAge + 1
+			continue
 		}
-		oldest = max(oldest, d.Age)
+		answer.Age = max(answer.Age, d.Age)
 		began := clock.Now()
 		size, err := unpack(reply, t.Name)
 		if err != nil {
-			return 0, err
+			return kernel.SourceAnswer{}, err
 		}
 		t.mu.Lock()
 		if version, _ := t.mirror.Known(); d.Version >= version {
@@ -133,5 +151,6 @@
 			elapsed: came.Sub(asked), applied: clock.Now().Sub(began),
 		})
 	}
-	return oldest, nil
+	f.news.Tell()
+	return answer, nil
 }
--- /dev/null
+++ b/kernel/reading.go
@@ -0,0 +1,203 @@
+package kernel
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// mostAskers is how many nodes of a failure domain may be bound to ask a store that does not answer: one
+	// reads, and one more takes its place where the store turns away the first alone.
+	mostAskers = 2
+	// awayMemory is how long a node that knows no more than this one is passed over.
+	awayMemory = time.Second
+	// helperMemory is how long a node counts that was heard to know more: some of its questions.
+	helperMemory = 1500 * time.Millisecond
+)
+
+type (
+	// Reading decides for one node how it comes to know what the store holds: by asking the store itself, or
+	// another node. In each failure domain the first nodes by hash are bound to ask the store, the first one
+	// always and the next ones while the store does not answer those before; the others ask them, and where
+	// these know nothing those of other failure domains. So a store that is away is asked by few, however
+	// many nodes there are. A store that answers some nodes and not those that are to ask is found by tries
+	// of the others, one in each round of a failure domain. It changes in place.
+	Reading struct {
+		self, domain string
+		// mostAge is how old another node's proof may be to be worth having.
+		mostAge time.Duration
+		// away holds until when nodes are passed over.
+		away map[string]time.Time
+		// helper was heard to know more than this node, which the store does not answer; it counts until
+		// helperUntil.
+		helper      string
+		helperUntil time.Time
+		// bound holds the nodes of the failure domain that are to ask the store, the first one first.
+		bound []string
+		// standsIn is true for a node that found by a try that the store answers it, and not those that are to
+		// ask.
+		standsIn bool
+	}
+
+	// ReadingPlan is what a node is to do.
+	ReadingPlan struct {
+		// Reads is true where it asks the store itself; Why says why or why not.
+		Reads bool
+		Why   string
+		// Source is the node to ask; empty for none. Waits tells that all were asked lately, so that its answer
+		// may wait for news.
+		Source string
+		Waits  bool
+	}
+
+	// SourceAnswer is what came of a question to another node.
+	SourceAnswer struct {
+		// Failed is true where no answer came, Slow where it did not come whole in time.
+		Failed bool
+		Slow   bool
+		// Lost is true where the store does not answer the other node. Age is the greatest of its proofs.
+		Lost bool
+		Age  time.Duration
+	}
+)
+
+// NewReading returns the decisions of a node in a failure domain.
+func NewReading(self, domain string, mostAge time.Duration) *Reading {
+	return &Reading{self: self, domain: domain, mostAge: mostAge, away: map[string]time.Time{}}
+}
+
+// Plan returns what to do next, by the nodes that are reachable, this one among them, and whether this node asks
+// the store in vain (lost).
+func (r *Reading) Plan(now time.Time, nodes []Peer, lost bool) ReadingPlan {
+	r.bound = askersOf(r.domain, nodes)
+	place := slices.Index(r.bound, r.self)
+	if lost {
+		r.standsIn = false
+	}
+	others := slices.DeleteFunc(slices.Clone(r.bound), func(name string) bool { return name == r.self })
+	present := slices.DeleteFunc(slices.Clone(others), func(name string) bool { return r.isAway(now, name) })
+	switch {
+	case place >= 0 && !slices.ContainsFunc(r.bound[:place], func(name string) bool { return !r.isAway(now, name) }):
+		plan := ReadingPlan{Reads: true, Why: "this node reads for its failure domain"}
+		if lost {
+			plan.Source = first(r.helping(now), present)
+			return r.elsewhere(now, plan, nodes, others)
+		}
+		return plan
+	case r.standsIn:
+		return ReadingPlan{Reads: true, Why: "the store does not answer the readers", Source: first(present)}
+	default:
+		plan := r.elsewhere(now, ReadingPlan{Source: first(present)}, nodes, others)
+		plan.Why = plan.Source + " reads for this node"
+		return plan
+	}
+}
+
+// elsewhere gives a plan without a source one of another failure domain, or has it wait for the first of several
+// nodes.
+func (r *Reading) elsewhere(now time.Time, p ReadingPlan, nodes []Peer, others []string) ReadingPlan {
+	if p.Source == "" {
+		p.Source = first(r.beyond(now, nodes))
+	}
+	if p.Source == "" && len(others) > 0 {
+		p.Source, p.Waits = others[0], true
+	}
+	return p
+}
+
+// Took takes in what came of a question, and tells whether that node's word is enough. The word of a node that the
+// store does not answer is, while it is young, but for one that is to ask the store in its place.
+func (r *Reading) Took(now time.Time, source string, a SourceAnswer) bool {
+	if a.Failed {
+		return false
+	}
+	relieved := a.Lost && slices.Contains(r.bound, r.self) && slices.Contains(r.bound, source)
+	if a.Slow || a.Age > r.mostAge || relieved {
+		r.away[source] = now.Add(awayMemory)
+		return false
+	}
+	if !a.Lost {
+		r.standsIn = false
+	}
+	return true
+}
+
+// Heard takes in that a node that asks this one has a younger proof, which tells where to ask while the store
+// does not answer this node.
+func (r *Reading) Heard(now time.Time, node string) {
+	r.helper, r.helperUntil = node, now.Add(helperMemory)
+}
+
+// TriesStore decides whether a node that none of its sources could tell anything asks the store once by itself. The
+// draw is between 0 and 1: of those of a failure domain that are not bound to ask, one does in each round.
+func (r *Reading) TriesStore(nodes []Peer, draw float64) bool {
+	near := 0
+	for _, n := range nodes {
+		if n.Domain == r.domain {
+			near++
+		}
+	}
+	return draw*float64(max(1, near-mostAskers)) < 1
+}
+
+// Tried takes in whether the store answered the try.
+func (r *Reading) Tried(answered bool) {
+	r.standsIn = answered
+}
+
+func (r *Reading) isAway(now time.Time, name string) bool {
+	until, known := r.away[name]
+	if known && !now.Before(until) {
+		delete(r.away, name)
+		return false
+	}
+	return known
+}
+
+func (r *Reading) helping(now time.Time) []string {
+	if r.helper == "" || now.After(r.helperUntil) || r.isAway(now, r.helper) {
+		return nil
+	}
+	return []string{r.helper}
+}
+
+// beyond returns the nodes of other failure domains that are to ask the store and are not away.
+func (r *Reading) beyond(now time.Time, nodes []Peer) []string {
+	byDomain := map[string][]Peer{}
+	for _, n := range nodes {
+		if n.Domain != r.domain {
+			byDomain[n.Domain] = append(byDomain[n.Domain], n)
+		}
+	}
+	var far []Peer
+	for domain, peers := range byDomain {
+		for _, name := range askersOf(domain, peers) {
+			if !r.isAway(now, name) {
+				far = append(far, Peer{Name: name})
+			}
+		}
+	}
+	return Gatherers("reader beyond "+r.domain, far)
+}
+
+// askersOf returns the nodes of a failure domain that are bound to ask the store, the first one first.
+func askersOf(domain string, nodes []Peer) []string {
+	var near []Peer
+	for _, n := range nodes {
+		if n.Domain == domain {
+			near = append(near, n)
+		}
+	}
+	order := Gatherers("reader of "+domain, near)
+	return order[:min(mostAskers, len(order))]
+}
+
+// first returns the first name of several lists; empty for none.
+func first(lists ...[]string) string {
+	for _, list := range lists {
+		if len(list) > 0 {
+			return list[0]
+		}
+	}
+	return ""
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -238,6 +238,11 @@
 		After map[string]uint64
 		// Unpacks tells that the asking node understands packed values.
 		Unpacks bool
+		// Node is the asking node, ProvenAgo the greatest age of its proofs; zero where it knows too little.
+		Node      string
+		ProvenAgo time.Duration
+		// Hold is how long a node that the store does not answer may wait for news before it answers.
+		Hold time.Duration
 	}
 
 	// FeedReply has an entry for each table that is known.
@@ -245,8 +250,8 @@
 		Tables map[string]kernel.Delta
 		// Packed holds large values by table and key, compressed (DEFLATE); their rows in Tables have none.
 		Packed map[string]map[string][]byte
-		// Lost is true where the store does not answer the node: what it knows grows old, and
-		// others ask another one. There are no tables then.
+		// Lost is true where the store does not answer the node: what it knows is another node's word, or
+		// grows old.
 		Lost bool
 	}
 
