Split files that had grown large

follow: tables and their store, reading the store, and the follower apart; kernel: pieces, the calls of a gathering, and the gathering apart; relay: what it is told and tells, and what stages hold, apart. Declarations moved, none changed.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -6,8 +6,6 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,43 +42,6 @@
 )
 
 type (
-	// Table is a table to follow. Its functions are called by one goroutine at a time.
-	Table struct {
-		Name string
-		// Hold is how long the store may hold a question for changes; Pause is the time between
-		// two questions.
-		Hold  time.Duration
-		Pause time.Duration
-		// Apply takes in what is news, and the time at which the table was last proven current.
-		Apply func(provenAt time.Time, news []kernel.Row)
-	}
-
-	// Store is how the platform's store is read.
-	Store struct {
-		// Whole returns all rows of a table and the version that they are of.
-		Whole func(ctx context.Context, table string) (Answer, error)
-		// Changes returns what changed after a version, waiting for the first change.
-		Changes func(ctx context.Context, table string, after uint64, hold time.Duration) (Answer, error)
-	}
-
-	// Answer is what the store answered about a table.
-	Answer struct {
-		Rows []kernel.Row
-		// Version is what the table is known at.
-		Version uint64
-		// Bytes is the answer's size, and Transfer how long it took from its first byte on.
-		Bytes    int64
-		Transfer time.Duration
-	}
-
-	// CutError is the error of an answer that did not come whole.
-	CutError struct {
-		// Received is how many bytes had come, and Transfer in which time.
-		Received int64
-		Transfer time.Duration
-		Err      error
-	}
-
 	// Options are what a follower is told at its start.
 	Options struct {
 		// Name is the node's.
@@ -124,16 +85,6 @@
 	}
 )
 
-// Error implements error.
-func (e *CutError) Error() string {
-	return fmt.Sprintf("follow: the answer broke off after %d bytes: %v", e.Received, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *CutError) Unwrap() error {
-	return e.Err
-}
-
 // NewFollower follows tables until ctx ends.
 func NewFollower(ctx context.Context, options Options, store Store, r *relay.Relay, tables []Table, metrics *metric.Set, log zerolog.Logger) *Follower {
 	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), news: newNews(), patience: options.MostAge}
@@ -155,154 +106,6 @@
 	return f
 }
 
-// read reads a table from the store for as long as this node is to.
-func (f *Follower) read(ctx context.Context, t *followed) {
-	retry := retryFirst
-	for ctx.Err() == nil {
-		if !f.reads.Load() {
-			clock.Sleep(ctx, idlePause)
-			continue
-		}
-		if f.waitsForLead(ctx, t) {
-			continue
-		}
-		err := f.ask(ctx, t)
-		f.note(ctx, t, err)
-		pause := t.Pause
-		if err == nil && f.settles(ctx) {
-			continue
-		}
-		if err != nil {
-			pause = jittered(retry)
-			retry = min(2*retry, f.longestRetry())
-		} else {
-			retry = retryFirst
-		}
-		if pause > 0 {
-			clock.Sleep(ctx, pause)
-		}
-	}
-}
-
-// settles waits until all tables are known, and then decides whether this node goes on to read. It tells whether
-// it did so just now. After a common start each node reads each table once, and few ask again.
-func (f *Follower) settles(ctx context.Context) bool {
-	settled := false
-	f.news.Await(ctx, idlePause, f.knowsAll)
-	if f.knowsAll() {
-		f.settled.Do(func() {
-			plan := f.plan()
-			f.setReads(plan.Reads, plan.Why)
-			settled = true
-		})
-	}
-	return settled
-}
-
-// waitsForLead waits while the store answers neither for a table nor for the first one, and tells whether it did:
-// one question at a time finds out whether the store is back.
-func (f *Follower) waitsForLead(ctx context.Context, t *followed) bool {
-	lead := f.tables[0]
-	if t == lead || !t.down.Load() || !lead.down.Load() {
-		return false
-	}
-	f.news.Await(ctx, idlePause, func() bool { return !lead.down.Load() })
-	return true
-}
-
-func (f *Follower) longestRetry() time.Duration {
-	if f.knowsAll() {
-		return retryMost
-	}
-	return retryAlone
-}
-
-func jittered(pause time.Duration) time.Duration {
-	return time.Duration(float64(pause) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
-}
-
-func (f *Follower) ask(ctx context.Context, t *followed) error {
-	began := clock.Now()
-	t.mu.Lock()
-	after, known := t.mirror.Known()
-	t.mu.Unlock()
-	if !known {
-		answer, err := f.store.Whole(ctx, t.Name)
-		if err != nil {
-			return err
-		}
-		f.take(t, began, answer, true)
-		return nil
-	}
-	hold := t.Hold
-	if t.down.Load() {
-		// What is known is already old: an answer is wanted at once.
-		hold = 0
-	}
-	answer, err := f.store.Changes(ctx, t.Name, after, hold)
-	// Changes may name a row many times, the table names it once: what has grown too long to tell is read whole.
-	if errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrTooLong) {
-		f.metrics.Event(wholeReason(err))
-		f.log.Info().Str("Table", t.Name).Uint64("After", after).Err(err).Msg("reading the whole table")
-		if answer, err = f.store.Whole(ctx, t.Name); err == nil {
-			f.take(t, began, answer, true)
-		}
-		return err
-	}
-	if err != nil {
-		return err
-	}
-	f.take(t, began, answer, false)
-	return nil
-}
-
-// wholeReason names in metrics why a table is read whole.
-func wholeReason(err error) string {
-	if errors.Is(err, ErrTooLong) {
-		return "StoreAnswerTooLong"
-	}
-	return "StoreHistoryGone"
-}
-
-// take takes in what the store answered to a question that began at a time.
-func (f *Follower) take(t *followed, began time.Time, answer Answer, whole bool) {
-	came := clock.Now()
-	t.mu.Lock()
-	news := t.mirror.Take(began, answer.Rows, answer.Version, whole)
-	t.Apply(t.mirror.ProvenAt(), news)
-	t.mu.Unlock()
-	f.noteTaken(taken{
-		table: t.Name, from: fromStore, version: answer.Version, size: answer.Bytes,
-		elapsed: came.Sub(began), transfer: answer.Transfer, applied: clock.Now().Sub(came),
-	})
-}
-
-// note logs when the store stops and begins to answer.
-func (f *Follower) note(ctx context.Context, t *followed, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	if err != nil {
-		f.metrics.Event("StoreFailed")
-		f.noteGivenUp(fromStore, t.Name, err)
-	}
-	was := t.down.Swap(err != nil)
-	if err == nil {
-		f.news.Tell()
-	}
-	if was == (err != nil) {
-		return
-	}
-	t.mu.Lock()
-	version, _ := t.mirror.Known()
-	t.mu.Unlock()
-	if err != nil {
-		f.log.Warn().Str("Table", t.Name).Uint64("Version", version).Err(err).Msg("store lost")
-		return
-	}
-	f.log.Info().Str("Table", t.Name).Uint64("Version", version).Msg("store back")
-}
-
 // knowsAll tells whether all tables were read.
 func (f *Follower) knowsAll() bool {
 	for _, t := range f.tables {
--- /dev/null
+++ b/follow/read.go
@@ -0,0 +1,159 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/clock"
+)
+
+// read reads a table from the store for as long as this node is to.
+func (f *Follower) read(ctx context.Context, t *followed) {
+	retry := retryFirst
+	for ctx.Err() == nil {
+		if !f.reads.Load() {
+			clock.Sleep(ctx, idlePause)
+			continue
+		}
+		if f.waitsForLead(ctx, t) {
+			continue
+		}
+		err := f.ask(ctx, t)
+		f.note(ctx, t, err)
+		pause := t.Pause
+		if err == nil && f.settles(ctx) {
+			continue
+		}
+		if err != nil {
+			pause = jittered(retry)
+			retry = min(2*retry, f.longestRetry())
+		} else {
+			retry = retryFirst
+		}
+		if pause > 0 {
+			clock.Sleep(ctx, pause)
+		}
+	}
+}
+
+// settles waits until all tables are known, and then decides whether this node goes on to read. It tells whether
+// it did so just now. After a common start each node reads each table once, and few ask again.
+func (f *Follower) settles(ctx context.Context) bool {
+	settled := false
+	f.news.Await(ctx, idlePause, f.knowsAll)
+	if f.knowsAll() {
+		f.settled.Do(func() {
+			plan := f.plan()
+			f.setReads(plan.Reads, plan.Why)
+			settled = true
+		})
+	}
+	return settled
+}
+
+// waitsForLead waits while the store answers neither for a table nor for the first one, and tells whether it did:
+// one question at a time finds out whether the store is back.
+func (f *Follower) waitsForLead(ctx context.Context, t *followed) bool {
+	lead := f.tables[0]
+	if t == lead || !t.down.Load() || !lead.down.Load() {
+		return false
+	}
+	f.news.Await(ctx, idlePause, func() bool { return !lead.down.Load() })
+	return true
+}
+
+func (f *Follower) longestRetry() time.Duration {
+	if f.knowsAll() {
+		return retryMost
+	}
+	return retryAlone
+}
+
+func jittered(pause time.Duration) time.Duration {
+	return time.Duration(float64(pause) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
+}
+
+func (f *Follower) ask(ctx context.Context, t *followed) error {
+	began := clock.Now()
+	t.mu.Lock()
+	after, known := t.mirror.Known()
+	t.mu.Unlock()
+	if !known {
+		answer, err := f.store.Whole(ctx, t.Name)
+		if err != nil {
+			return err
+		}
+		f.take(t, began, answer, true)
+		return nil
+	}
+	hold := t.Hold
+	if t.down.Load() {
+		// What is known is already old: an answer is wanted at once.
+		hold = 0
+	}
+	answer, err := f.store.Changes(ctx, t.Name, after, hold)
+	// Changes may name a row many times, the table names it once: what has grown too long to tell is read whole.
+	if errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrTooLong) {
+		f.metrics.Event(wholeReason(err))
+		f.log.Info().Str("Table", t.Name).Uint64("After", after).Err(err).Msg("reading the whole table")
+		if answer, err = f.store.Whole(ctx, t.Name); err == nil {
+			f.take(t, began, answer, true)
+		}
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	f.take(t, began, answer, false)
+	return nil
+}
+
+// wholeReason names in metrics why a table is read whole.
+func wholeReason(err error) string {
+	if errors.Is(err, ErrTooLong) {
+		return "StoreAnswerTooLong"
+	}
+	return "StoreHistoryGone"
+}
+
+// take takes in what the store answered to a question that began at a time.
+func (f *Follower) take(t *followed, began time.Time, answer Answer, whole bool) {
+	came := clock.Now()
+	t.mu.Lock()
+	news := t.mirror.Take(began, answer.Rows, answer.Version, whole)
+	t.Apply(t.mirror.ProvenAt(), news)
+	t.mu.Unlock()
+	f.noteTaken(taken{
+		table: t.Name, from: fromStore, version: answer.Version, size: answer.Bytes,
+		elapsed: came.Sub(began), transfer: answer.Transfer, applied: clock.Now().Sub(came),
+	})
+}
+
+// note logs when the store stops and begins to answer.
+func (f *Follower) note(ctx context.Context, t *followed, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		f.metrics.Event("StoreFailed")
+		f.noteGivenUp(fromStore, t.Name, err)
+	}
+	was := t.down.Swap(err != nil)
+	if err == nil {
+		f.news.Tell()
+	}
+	if was == (err != nil) {
+		return
+	}
+	t.mu.Lock()
+	version, _ := t.mirror.Known()
+	t.mu.Unlock()
+	if err != nil {
+		f.log.Warn().Str("Table", t.Name).Uint64("Version", version).Err(err).Msg("store lost")
+		return
+	}
+	f.log.Info().Str("Table", t.Name).Uint64("Version", version).Msg("store back")
+}
--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -1,7 +1,6 @@
 package kernel
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -31,74 +30,6 @@
 )
 
 type (
-	// PieceGroup is the pieces of one stage of one request. They are wanted together.
-	PieceGroup struct {
-		// ID is unique among the groups of one gathering.
-		ID     uint64
-		Pieces []model.Piece
-		// ResultBytes is the approximate size of one result.
-		ResultBytes int64
-		// Inputs are the results that each of the pieces is made from. With FreeInputs nothing else
-		// needs them, and they may be freed once the calls have fetched them.
-		Inputs     []MadePiece
-		FreeInputs bool
-		// Domain is the failure domain where the inputs lie or the results are wanted; empty
-		// where it does not matter. After Patience other domains are as good.
-		Domain   string
-		Patience time.Duration
-		// Rank is the request's priority; 0 comes first.
-		Rank int
-		// AskedAt is when its sender first asked for it, of whatever gatherer; zero means when it was added.
-		AskedAt time.Time
-		// Due is when the results must be there for the request to be on time; Until is when
-		// they become useless.
-		Due   time.Time
-		Until time.Time
-	}
-
-	// PieceBatch is a call to be made.
-	PieceBatch struct {
-		ID       uint64
-		Endpoint model.Endpoint
-		Pieces   []model.Piece
-		// groups holds the group of each piece.
-		groups []uint64
-		bytes  []int64
-		// startedAt is when the call was handed out, stated what it should take, fetching until
-		// when its endpoint needs the inputs at most.
-		startedAt time.Time
-		stated    time.Duration
-		fetching  time.Duration
-		// probe is true for a call that finds out whether a slow endpoint still is.
-		probe bool
-	}
-
-	// MadePiece is a result with its place.
-	MadePiece struct {
-		Number int
-		Handle string
-		// Maker is the life of the endpoint that holds the result, of a pool and in a failure domain.
-		Maker  string
-		Pool   string
-		Domain string
-		// Bytes is its approximate size.
-		Bytes int64
-	}
-
-	// GroupOutcome says how a group ended: whole, with one result for each piece, or with a
-	// fault.
-	GroupOutcome struct {
-		Group uint64
-		Made  []MadePiece
-		Fault model.PieceFault
-		// Waited is how long the last of its pieces waited for a call.
-		Waited time.Duration
-		// InputsFreed is true where its inputs were handed out to be freed.
-		InputsFreed bool
-		// Wait is how long its pieces would have waited on, where it was given up for others.
-		Wait time.Duration
-	}
-
 	// Gathering collects the pieces of one pool from all nodes, and cuts them into calls as its
 	// endpoints come free. An endpoint works on one call at a time and takes the same time for
 	// a call whatever it holds, so pieces wait here, where others can join them, and never at
@@ -243,122 +174,6 @@
 	return w.made
 }
 
-// Next hands out a call that is to be made now; false means that none is.
-func (g *Gathering) Next(now time.Time) (PieceBatch, bool) {
-	order := g.order(now)
-	if len(order) == 0 || g.tooSoon(now, order) {
-		return PieceBatch{}, false
-	}
-	usual := g.usualPace()
-	var slow []*maker
-	for _, m := range g.idle(now) {
-		if g.slow(m, usual) {
-			slow = append(slow, m)
-			continue
-		}
-		if batch := g.fill(now, m, g.orderFor(now, m, order)); len(batch.Pieces) > 0 {
-			return g.start(now, m, batch), true
-		}
-	}
-	for _, m := range slow {
-		if batch := g.fillSlow(now, m, g.orderFor(now, m, order)); len(batch.Pieces) > 0 {
-			return g.start(now, m, batch), true
-		}
-	}
-	return PieceBatch{}, false
-}
-
-// tooSoon tells whether the next call is better made a little later, with more pieces.
-func (g *Gathering) tooSoon(now time.Time, order []*waitingGroup) bool {
-	return g.policy.Uses(SpacedCalls) && now.Sub(g.lastStart) < g.Spacing() && g.pieces(order) < g.traits.Batch
-}
-
-// Spacing is the least time between the starts of two calls that are not full.
-func (g *Gathering) Spacing() time.Duration {
-	calls := max(1, g.staying()*max(1, g.traits.Slots))
-	return time.Duration(spacing * float64(g.callTime(g.traits.Batch/2)) / float64(calls))
-}
-
-func (g *Gathering) pieces(order []*waitingGroup) int {
-	n := 0
-	for _, w := range order {
-		n += len(w.waiting)
-	}
-	return n
-}
-
-// fill collects the pieces that a maker is to make next. A group's pieces stay together where
-// they fit.
-func (g *Gathering) fill(now time.Time, m *maker, order []*waitingGroup) PieceBatch {
-	var batch PieceBatch
-	room := math.Inf(1)
-	if g.traits.Room > 0 {
-		room = g.freeRoom(now, m)
-	}
-	for _, w := range order {
-		if !g.suits(now, m, w) {
-			continue
-		}
-		fits := min(len(w.waiting), g.traits.Batch-len(batch.Pieces))
-		if w.ResultBytes > 0 && !math.IsInf(room, 1) {
-			fits = min(fits, int(room/float64(w.ResultBytes)))
-		}
-		if fits <= 0 || (fits < len(w.waiting) && len(batch.Pieces) > 0 && len(w.waiting) <= g.traits.Batch/2) {
-			continue
-		}
-		for _, p := range w.waiting[:fits] {
-			batch.Pieces = append(batch.Pieces, p)
-			batch.groups = append(batch.groups, w.ID)
-			batch.bytes = append(batch.bytes, w.ResultBytes)
-			room -= float64(w.ResultBytes)
-		}
-		if len(batch.Pieces) >= g.traits.Batch {
-			break
-		}
-	}
-	return batch
-}
-
-func (g *Gathering) start(now time.Time, m *maker, batch PieceBatch) PieceBatch {
-	g.batches++
-	batch.ID = g.batches
-	batch.Endpoint = m.endpoint
-	batch.startedAt = now
-	batch.stated = g.callTime(len(batch.Pieces))
-	batch.fetching = g.fetchTime(batch)
-	m.calls++
-	g.lastStart = now
-	if m.health.Ejected() {
-		m.health = m.health.WithProbe()
-	}
-	for i, p := range batch.Pieces {
-		m.used += batch.bytes[i]
-		w := g.groups[batch.groups[i]]
-		w.tries[p.Number]++
-		w.running[p.Number]++
-		w.waited = now.Sub(w.arrived)
-		w.fetchedAt = now.Add(batch.fetching)
-		w.waiting = slices.DeleteFunc(w.waiting, func(q model.Piece) bool { return q.Number == p.Number })
-	}
-	g.running[batch.ID] = batch
-	return batch
-}
-
-// StartedAt is when the call was handed out.
-func (b PieceBatch) StartedAt() time.Time {
-	return b.startedAt
-}
-
-// Expected returns how long a call may take before its endpoint is given up: what is stated,
-// times the pace that the endpoint showed.
-func (g *Gathering) Expected(batch PieceBatch) time.Duration {
-	pace := 1.0
-	if m := g.makers[batch.Endpoint.Life()]; m != nil {
-		pace = max(1, m.pace)
-	}
-	return time.Duration(float64(batch.stated) * pace)
-}
-
 // Expire ends the groups that can no longer be made in time and forgets results that their
 // makers no longer hold.
 func (g *Gathering) Expire(now time.Time) []GroupOutcome {
--- /dev/null
+++ b/kernel/gathercall.go
@@ -0,0 +1,120 @@
+package kernel
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+// Next hands out a call that is to be made now; false means that none is.
+func (g *Gathering) Next(now time.Time) (PieceBatch, bool) {
+	order := g.order(now)
+	if len(order) == 0 || g.tooSoon(now, order) {
+		return PieceBatch{}, false
+	}
+	usual := g.usualPace()
+	var slow []*maker
+	for _, m := range g.idle(now) {
+		if g.slow(m, usual) {
+			slow = append(slow, m)
+			continue
+		}
+		if batch := g.fill(now, m, g.orderFor(now, m, order)); len(batch.Pieces) > 0 {
+			return g.start(now, m, batch), true
+		}
+	}
+	for _, m := range slow {
+		if batch := g.fillSlow(now, m, g.orderFor(now, m, order)); len(batch.Pieces) > 0 {
+			return g.start(now, m, batch), true
+		}
+	}
+	return PieceBatch{}, false
+}
+
+// tooSoon tells whether the next call is better made a little later, with more pieces.
+func (g *Gathering) tooSoon(now time.Time, order []*waitingGroup) bool {
+	return g.policy.Uses(SpacedCalls) && now.Sub(g.lastStart) < g.Spacing() && g.pieces(order) < g.traits.Batch
+}
+
+// Spacing is the least time between the starts of two calls that are not full.
+func (g *Gathering) Spacing() time.Duration {
+	calls := max(1, g.staying()*max(1, g.traits.Slots))
+	return time.Duration(spacing * float64(g.callTime(g.traits.Batch/2)) / float64(calls))
+}
+
+func (g *Gathering) pieces(order []*waitingGroup) int {
+	n := 0
+	for _, w := range order {
+		n += len(w.waiting)
+	}
+	return n
+}
+
+// fill collects the pieces that a maker is to make next. A group's pieces stay together where
+// they fit.
+func (g *Gathering) fill(now time.Time, m *maker, order []*waitingGroup) PieceBatch {
+	var batch PieceBatch
+	room := math.Inf(1)
+	if g.traits.Room > 0 {
+		room = g.freeRoom(now, m)
+	}
+	for _, w := range order {
+		if !g.suits(now, m, w) {
+			continue
+		}
+		fits := min(len(w.waiting), g.traits.Batch-len(batch.Pieces))
+		if w.ResultBytes > 0 && !math.IsInf(room, 1) {
+			fits = min(fits, int(room/float64(w.ResultBytes)))
+		}
+		if fits <= 0 || (fits < len(w.waiting) && len(batch.Pieces) > 0 && len(w.waiting) <= g.traits.Batch/2) {
+			continue
+		}
+		for _, p := range w.waiting[:fits] {
+			batch.Pieces = append(batch.Pieces, p)
+			batch.groups = append(batch.groups, w.ID)
+			batch.bytes = append(batch.bytes, w.ResultBytes)
+			room -= float64(w.ResultBytes)
+		}
+		if len(batch.Pieces) >= g.traits.Batch {
+			break
+		}
+	}
+	return batch
+}
+
+func (g *Gathering) start(now time.Time, m *maker, batch PieceBatch) PieceBatch {
+	g.batches++
+	batch.ID = g.batches
+	batch.Endpoint = m.endpoint
+	batch.startedAt = now
+	batch.stated = g.callTime(len(batch.Pieces))
+	batch.fetching = g.fetchTime(batch)
+	m.calls++
+	g.lastStart = now
+	if m.health.Ejected() {
+		m.health = m.health.WithProbe()
+	}
+	for i, p := range batch.Pieces {
+		m.used += batch.bytes[i]
+		w := g.groups[batch.groups[i]]
+		w.tries[p.Number]++
+		w.running[p.Number]++
+		w.waited = now.Sub(w.arrived)
+		w.fetchedAt = now.Add(batch.fetching)
+		w.waiting = slices.DeleteFunc(w.waiting, func(q model.Piece) bool { return q.Number == p.Number })
+	}
+	g.running[batch.ID] = batch
+	return batch
+}
+
+// Expected returns how long a call may take before its endpoint is given up: what is stated,
+// times the pace that the endpoint showed.
+func (g *Gathering) Expected(batch PieceBatch) time.Duration {
+	pace := 1.0
+	if m := g.makers[batch.Endpoint.Life()]; m != nil {
+		pace = max(1, m.pace)
+	}
+	return time.Duration(float64(batch.stated) * pace)
+}
--- a/kernel/gatherpassed.go
+++ b/kernel/gatherpassed.go
@@ -40,3 +40,8 @@
 	}
 	return late
 }
+
+// isLate tells whether a group can no longer be on time, whoever makes it.
+func (g *Gathering) isLate(now time.Time, w *waitingGroup) bool {
+	return now.Add(g.callTime(1)).After(w.Due)
+}
--- a/kernel/gatherslow.go
+++ b/kernel/gatherslow.go
@@ -112,11 +112,6 @@
 	return batch
 }
 
-// isLate tells whether a group can no longer be on time, whoever makes it.
-func (g *Gathering) isLate(now time.Time, w *waitingGroup) bool {
-	return now.Add(g.callTime(1)).After(w.Due)
-}
-
 // dropCopies takes back the pieces of a late group that wait for a second endpoint beside a call under way.
 func (w *waitingGroup) dropCopies() {
 	w.waiting = slices.DeleteFunc(w.waiting, func(p model.Piece) bool { return w.running[p.Number] > 0 })
--- /dev/null
+++ b/relay/held.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"slices"
+
+	"basilstall.example/basilstall/kernel"
+)
+
+func (s *stageRun) hold(stage int, made []kernel.MadePiece) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(made) > 0 {
+		s.held[stage] = append(s.held[stage], made...)
+	}
+}
+
+// crowding tells whether what a stage is made from lies where room is scarce.
+func (j *job) crowding(run *stageRun, stage int) bool {
+	if !j.relay.options.Policy.Uses(kernel.FreedOnceFetched) {
+		return false
+	}
+	return slices.ContainsFunc(run.stages[stage].After, func(before int) bool { return run.scarce(before) })
+}
+
+// scarce tells whether the room where a stage's results lie is scarce.
+func (s *stageRun) scarce(stage int) bool {
+	return s.relay.hub.lastOutlook(s.stages[stage].Pool).Scarce()
+}
+
+// firstEvent gives the engine's inputs up where nothing is likely to need them again: no other engine
+// may be asked, or their room is scarce. Held for the length of a stream they would take several times
+// the room; the price is that a stream that breaks off can't go on at another engine. Its caller is served
+// as soon by asking again.
+func (j *job) firstEvent(run *stageRun) {
+	early := j.relay.options.Policy.Uses(kernel.ReleasedAtFirstEvent) && slices.ContainsFunc(run.plan.Last, run.scarce)
+	if j.admission.Route.Resumable && !early {
+		return
+	}
+	run.released = len(run.plan.Last) > 0
+	run.release()
+}
+
+// soleConsumer tells whether no other stage needs what a stage is made from.
+func (s *stageRun) soleConsumer(stage int) bool {
+	for _, before := range s.stages[stage].After {
+		for k, other := range s.stages {
+			if k != stage && slices.Contains(other.After, before) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// forgetInputs notes that what a stage was made from was freed by its gatherer.
+func (s *stageRun) forgetInputs(stage int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, before := range s.stages[stage].After {
+		delete(s.held, before)
+	}
+}
+
+// releaseConsumed frees the results of stages whose followers are all done.
+func (s *stageRun) releaseConsumed() {
+	for i := range s.stages {
+		if _, done := s.results[i]; done && !slices.Contains(s.plan.Last, i) && s.consumed(i) {
+			s.releaseStage(i)
+		}
+	}
+}
+
+// consumed tells whether all stages that follow one are done.
+func (s *stageRun) consumed(stage int) bool {
+	for k, follower := range s.stages {
+		if _, done := s.results[k]; !done && slices.Contains(follower.After, stage) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *stageRun) releaseStage(stage int) {
+	s.mu.Lock()
+	made := s.held[stage]
+	delete(s.held, stage)
+	s.mu.Unlock()
+	if len(made) > 0 {
+		s.relay.release(s.stages[stage].Pool, made)
+	}
+}
+
+// release frees all results that are still held; it may be called again.
+func (s *stageRun) release() {
+	s.mu.Lock()
+	var stages []int
+	for stage := range s.held {
+		stages = append(stages, stage)
+	}
+	s.mu.Unlock()
+	for _, stage := range stages {
+		s.releaseStage(stage)
+	}
+}
+
+// drainAfter frees what stages still make for a request that was given up.
+func (s *stageRun) drainAfter(done <-chan stageDone, running int) {
+	for range running {
+		d := <-done
+		s.hold(d.stage, d.made)
+	}
+	s.release()
+}
--- /dev/null
+++ b/relay/wire.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+type (
+	// Options are what a relay is told at its start.
+	Options struct {
+		// Name and Domain are the node's.
+		Name   string
+		Domain string
+		// Capacity is what the host can carry relative to others.
+		Capacity float64
+		// KeyTrust is the greatest age of the routing that API keys are trusted by; zero means
+		// that keys are trusted however old the routing is.
+		KeyTrust time.Duration
+		// Budget bounds the repeated sends of all nodes together to each pool.
+		Budget kernel.BudgetTerms
+		// Policy says which mechanisms decide.
+		Policy kernel.Policy
+	}
+
+	// Wire is how the relay reaches endpoints.
+	Wire struct {
+		// Forward sends a request to an endpoint, once.
+		Forward func(ctx context.Context, send Send) (*model.ForwardReply, error)
+		// RunPieces makes one call for pieces. The results are in the order of the pieces.
+		RunPieces func(ctx context.Context, e model.Endpoint, pieces []model.Piece) (PieceReply, error)
+		// Free gives up results that an endpoint holds.
+		Free func(ctx context.Context, e model.Endpoint, handles []string) error
+		// Room returns how many bytes of results an endpoint has room for now.
+		Room func(ctx context.Context, e model.Endpoint) (int64, error)
+		// Retire closes the idle connections to an address.
+		Retire func(address string)
+	}
+
+	// Send is one send of a request.
+	Send struct {
+		Endpoint model.Endpoint
+		Forward  model.Forward
+		Customer string
+		// Until is when the endpoint should stop.
+		Until time.Time
+		// Inputs are the results that the request needs.
+		Inputs []string
+		// After is the ID of the last event that the caller has of a resumed stream.
+		After string
+		// Fresh asks for a connection that has not been idle for long: the request must not be
+		// repeated.
+		Fresh bool
+		// BeforeSend decides, when a connection is open, whether the request is still to be sent.
+		BeforeSend func() error
+	}
+
+	// PieceReply is an endpoint's answer to a call for pieces.
+	PieceReply struct {
+		// NotRun is the endpoint's word that it did nothing; there are no results then.
+		NotRun  bool
+		Results []model.PieceResult
+	}
+
+	// Responder passes an answer back to a caller.
+	Responder struct {
+		// Begin sends status and header; it is called once.
+		Begin func(status int, header http.Header)
+		// Write sends a part of the body at once.
+		Write func(p []byte) error
+	}
+
+	// Outcome is how a request ended: with a refusal before Begin, else with an answer that is
+	// whole or was broken off.
+	Outcome struct {
+		Refusal *model.Refusal
+		Status  int
+		Whole   bool
+		// Endpoint and Attempts say who answered and how many endpoints were asked.
+		Endpoint string
+		Attempts int
+		// First is how long the request waited for the first event of its stream; zero where none came.
+		First time.Duration
+		// Stages says what became of the stages that were begun.
+		Stages []StageTime
+		// Outlook is what the stages' pools had told where the request was refused for it.
+		Outlook []StageOutlook
+		// Late tells that the answer began after its objective.
+		Late bool
+	}
+
+	// StageOutlook is what a pool had told before a stage: how long its pieces wait, and which share
+	// of its room is taken.
+	StageOutlook struct {
+		Pool      string
+		Wait      time.Duration
+		RoomTaken float64
+	}
+
+	// StageTime says how long a stage took, how much of that its pieces waited for a call, and which
+	// wait the gatherer told when they came.
+	StageTime struct {
+		Stage    int
+		Pool     string
+		Gatherer string
+		Elapsed  time.Duration
+		Waited   time.Duration
+		Told     time.Duration
+		Fault    model.PieceFault
+	}
+)
