--- a/kernel/bench_test.go
+++ b/kernel/bench_test.go
@@ -195,3 +195,18 @@
 	}
 	return s
 }
+
+// Whoever looks for a pool's gatherer, or for who reads the store, orders the nodes by hash.
+func BenchmarkGatherers(b *testing.B) {
+	for _, n := range []int{9, 400, 4000} {
+		nodes := make([]kernel.Peer, n)
+		for i := range nodes {
+			nodes[i] = kernel.Peer{Name: fmt.Sprint("node-", i), Capacity: 1}
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				benchSink = len(kernel.Gatherers("pool", nodes))
+			}
+		})
+	}
+}
