--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -22,6 +22,8 @@
 	drain     = 2 * time.Second
 	revoke    = 2500 * time.Millisecond
 	startWait = 20 * time.Second
+	// domains is how many failure domains the nodes lie in.
+	domains = 2
 )
 
 type (
@@ -34,6 +36,9 @@
 		endpoints map[string]*server
 		nodes     []*node
 
+		// away is held while the store is taken away as a whole.
+		away sync.Mutex
+
 		mu      sync.Mutex
 		version int
 		keys    []string
@@ -121,7 +126,7 @@
 
 // newNode prepares a host and starts its process.
 func (c *cluster) newNode(i int) error {
-	n := &node{c: c, name: fmt.Sprint("node-", i), domain: fmt.Sprint("domain-", i%2)}
+	n := &node{c: c, name: fmt.Sprint("node-", i), domain: fmt.Sprint("domain-", i%domains)}
 	var err error
 	if n.link, err = newNarrowProxy(c.store.Address()); err != nil {
 		return err
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -16,6 +16,19 @@
 	run  func(c *cluster, random *rand.Rand, last time.Duration)
 }
 
+const (
+	// noticedAfter is how long the store is away until all nodes have noticed, and countedFor how long its calls
+	// are counted then.
+	noticedAfter = 4 * time.Second
+	countedFor   = 2 * time.Second
+	// callsOfDomain is how many calls a second the nodes of a failure domain may make: two that ask four times,
+	// and one try in each round; and as many once more for what overlaps. callsOfUnsettled is that of a node
+	// that knows no others: three tables at first and its own row.
+	callsOfDomain    = 20
+	callsOfUnsettled = 6
+	settledAfter     = 10 * time.Second
+)
+
 // faults are what a soak draws from. Each run gets a goroutine of its own, so they overlap.
 var faults = []fault{
 	{"kill", func(c *cluster, random *rand.Rand, last time.Duration) { c.restart(random, last, syscall.SIGKILL) }},
@@ -36,6 +49,7 @@
 	{"routes added", routesAdded},
 	{"key taken away", keyTaken},
 	{"key taken away behind a cut", keyTakenBehindACut},
+	{"store away", storeAway},
 }
 
 func (c *cluster) anyNode(random *rand.Rand) *node {
@@ -84,6 +98,40 @@
 	c.store.SetFault(standin.StoreFine)
 }
 
+// storeAway takes the store away for longer than nodes trust what they know, and counts the calls that it gets
+// from nodes that have noticed: they must not grow with the nodes.
+func storeAway(c *cluster, random *rand.Rand, _ time.Duration) {
+	if !c.away.TryLock() {
+		return
+	}
+	defer c.away.Unlock()
+	c.store.SetFault([]standin.StoreFault{standin.StoreBusy, standin.StoreSilent}[random.IntN(2)])
+	defer c.store.SetFault(standin.StoreFine)
+	time.Sleep(noticedAfter)
+	before, began := c.store.Calls(), time.Now()
+	time.Sleep(countedFor)
+	calls, took := c.store.Calls()-before, time.Since(began).Seconds()
+	most := took*float64(callsOfDomain*domains+callsOfUnsettled*c.unsettled()) + 20
+	if float64(calls) > most {
+		c.breach("the store got %d calls in %.1f s while it was away, with %d nodes, %d of them unsettled", calls, took, len(c.nodes), c.unsettled())
+	}
+}
+
+// unsettled counts the nodes that may not know the others, or not reach them.
+func (c *cluster) unsettled() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unsettled := 0
+	for _, n := range c.nodes {
+		n.mu.Lock()
+		if !n.wanted || time.Since(n.troubledAt) < settledAfter {
+			unsettled++
+		}
+		n.mu.Unlock()
+	}
+	return unsettled
+}
+
 func storeLink(c *cluster, random *rand.Rand, last time.Duration) {
 	n := c.anyNode(random)
 	n.trouble()
