Tell repeats of a request by a digest in logs and records

Each attempt of a caller has an ID of its own and may reach another node, so no line said whether the requests that were under way at endpoints that ended were one request again and again. Lines that end a request or an attempt and the records of the project's own interface now bear a digest of customer, host, path and body.

--- a/model/forward.go
+++ b/model/forward.go
@@ -20,6 +20,8 @@
 		// fields that only this system may set.
 		Header http.Header
 		Body   []byte
+		// Digest is what the repeats of a request share although each has an ID of its own.
+		Digest Digest
 		// Key is the caller's API key; empty where none was given.
 		Key string
 		// ReceivedAt and Deadline are on the clock that counts suspension.
@@ -93,6 +95,12 @@
 	PieceFault string
 )
 
+// WithDigest returns the request with what its repeats share.
+func (f Forward) WithDigest(d Digest) Forward {
+	f.Digest = d
+	return f
+}
+
 // AskedAt returns when the caller first asked: objectives count from there.
 func (f Forward) AskedAt() time.Time {
 	return f.ReceivedAt.Add(-f.Waited)
--- a/model/record.go
+++ b/model/record.go
@@ -7,6 +7,7 @@
 	Request  string
 	Node     string
 	Customer string
+	Digest   Digest
 	Team     string
 	Pipeline string
 	Key      string
--- a/model/request.go
+++ b/model/request.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Request is one caller's request to a pipeline.
 type Request struct {
@@ -61,6 +64,11 @@
 	Text  string
 }
 
+// Digest returns what the repeats of the request share: who asks, and for what. Keys and deadlines are of one try.
+func (r Request) Digest() Digest {
+	return NewDigest(r.Account(), r.Pipeline, r.Input.Text, r.Input.Prefix, strconv.Itoa(r.Input.MaxTokens))
+}
+
 // Account names the customer over all teams.
 func (r Request) Account() string {
 	return r.Team + "/" + r.Customer
--- a/relay/log.go
+++ b/relay/log.go
@@ -33,7 +33,7 @@
 	default:
 		log = &r.answers
 	}
-	line := log.Info().Str("Request", f.ID).Str("Route", a.Route.Name).Str("Customer", a.Customer).Int("Rank", a.Rank).
+	line := log.Info().Str("Request", f.ID).Str("Digest", string(f.Digest)).Str("Route", a.Route.Name).Str("Customer", a.Customer).Int("Rank", a.Rank).
 		Uint64("Routing", view.Table.Version()).Dur("RoutingAge", now.Sub(view.ProvenAt)).
 		Dur("Elapsed", now.Sub(f.ReceivedAt)).Int("Attempts", o.Attempts)
 	if f.Waited > 0 {
@@ -92,7 +92,7 @@
 
 // logAttempt writes a line on a send that did not bring the answer.
 func (r *Relay) logAttempt(f model.Forward, e model.Endpoint, attempt int, reason model.Reason, err error) {
-	r.log.Info().Str("Request", f.ID).Str("Endpoint", e.Name).Str("Pool", e.Pool).Int("Attempt", attempt).
+	r.log.Info().Str("Request", f.ID).Str("Digest", string(f.Digest)).Str("Endpoint", e.Life()).Str("Pool", e.Pool).Int("Attempt", attempt).
 		Dur("RosterAge", r.Roster().Age(r.now())).Str("Reason", string(reason)).AnErr("Error", err).
 		Msg("attempt failed")
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -253,6 +253,7 @@
 		r.logEnd(f, admission, view, Outcome{Refusal: refusal})
 		return Outcome{Refusal: refusal}
 	}
+	f = f.WithDigest(model.NewDigest(admission.Customer, f.Host, f.URI, string(f.Body)))
 	ctx, cancel := context.WithTimeoutCause(ctx, admission.Until.Sub(r.now()), context.DeadlineExceeded)
 	defer cancel()
 	job := &job{relay: r, forward: f, admission: admission, out: out, began: r.now()}
