Hold back requests that end the endpoints that run them

Cause: nothing was remembered of a request beyond its own attempt, and nothing passed on between nodes; a broken connection was the endpoint's fault alone.

Change: a node whose request breaks off finds out whether the endpoint's process has ended (nothing listens, another process has the address, or it is silent and no longer listed) and tells the pool's keeper, one node for all by rendezvous hash, and the next one. The keeper counts ends by digest and judges 300 ms after the last report: the requests with most ends first, each of which takes its ends off what merely ran beside. Three ends hold a request back. Where several were under way at all the same ends, one trial at a time tells them apart; an answer from anywhere clears. What is found is a row in the store, which nodes follow: a node that starts, and a fleet that lost all its memory, knows it. Pieces under which a maker broke off share no call any more.

Why it holds: evidence is the end of a process, proven, not a broken connection; it is counted in one place for all nodes, and its outcome is kept where all nodes look anyway. Nothing is sent while no endpoint ends.

--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -97,7 +97,7 @@
 		}
 		c.close()
 	}
-	conn, err := x.dialer.DialContext(ctx, "tcp", e.Address)
+	conn, err := x.dial(ctx, e.Address)
 	if err != nil {
 		kind := Refused
 		if ctx.Err() != nil {
@@ -105,8 +105,17 @@
 		}
 		return nil, &Fault{Kind: kind, Verdict: model.NotRun, Err: err}
 	}
+	return conn, nil
+}
+
+// dial opens a connection.
+func (x *Exchanger) dial(ctx context.Context, address string) (*exchangeConn, error) {
+	conn, err := x.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
 	x.OnConnect()
-	c := &exchangeConn{conn: conn, head: &limitedHead{conn: conn}, address: e.Address}
+	c := &exchangeConn{conn: conn, head: &limitedHead{conn: conn}, address: address}
 	c.reader = bufio.NewReaderSize(c.head, exchangeBuffer)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		c.raw, _ = tcp.SyscallConn()
@@ -114,6 +123,17 @@
 	return c, nil
 }
 
+// Connect opens a connection to an address, which the next exchange with it uses: its error tells whether anything
+// listens there.
+func (x *Exchanger) Connect(ctx context.Context, address string) error {
+	c, err := x.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	x.keep(c, unstatedIdle)
+	return nil
+}
+
 // takeIdle returns the connection that was idle for the shortest time.
 func (x *Exchanger) takeIdle(address string) *exchangeConn {
 	x.mu.Lock()
--- a/kernel/gathercall.go
+++ b/kernel/gathercall.go
@@ -61,7 +61,7 @@
 		room = g.freeRoom(now, m)
 	}
 	for _, w := range order {
-		if !g.suits(now, m, w) {
+		if !g.suits(now, m, w) || w.alone && len(batch.Pieces) > 0 {
 			continue
 		}
 		fits := min(len(w.waiting), g.traits.Batch-len(batch.Pieces))
@@ -77,7 +77,7 @@
 			batch.bytes = append(batch.bytes, w.ResultBytes)
 			room -= float64(w.ResultBytes)
 		}
-		if len(batch.Pieces) >= g.traits.Batch {
+		if w.alone || len(batch.Pieces) >= g.traits.Batch {
 			break
 		}
 	}
--- a/kernel/gatherend.go
+++ b/kernel/gatherend.go
@@ -27,6 +27,16 @@
 	return g.retryPieces(now, batch, nil, model.PieceFailed, true)
 }
 
+// BrokeOff takes in that a maker broke off in the middle of a call: it may have been ended by one of the pieces.
+func (g *Gathering) BrokeOff(now time.Time, batch PieceBatch) []GroupOutcome {
+	for _, id := range batch.groups {
+		if w := g.groups[id]; w != nil {
+			w.alone = true
+		}
+	}
+	return g.Failed(now, batch)
+}
+
 // Unreachable takes in that a call's endpoint could not be connected to: its pieces wait again.
 func (g *Gathering) Unreachable(now time.Time, batch PieceBatch) []GroupOutcome {
 	if m := g.end(batch, nil); m != nil {
--- a/kernel/pieces.go
+++ b/kernel/pieces.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"slices"
 	"time"
 
 	"basilstall.example/basilstall/model"
@@ -80,3 +81,14 @@
 func (b PieceBatch) StartedAt() time.Time {
 	return b.startedAt
 }
+
+// Digests returns the digests of the requests whose pieces a call is for, each once.
+func (b PieceBatch) Digests() []model.Digest {
+	var out []model.Digest
+	for _, p := range b.Pieces {
+		if p.Digest != "" && !slices.Contains(out, p.Digest) {
+			out = append(out, p.Digest)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/kernel/quarantine.go
@@ -0,0 +1,303 @@
+package kernel
+
+import (
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// CrashesToHold is how many processes of endpoints must have ended under a request before it is held back. One
+	// or two happen to what merely ran beside another request, or was caught by crashes of other causes.
+	CrashesToHold = 3
+	// HoldTime is how long a request is held back before one more run may show whether it still ends endpoints: a
+	// release of the endpoints may have mended them.
+	HoldTime = 10 * time.Minute
+	// trialRetry is when a caller may come back whose request is one of several that may have ended endpoints: a
+	// trial of another one takes about as long.
+	trialRetry = time.Second
+	// trialLasts is how long a trial may take until the next one may begin.
+	trialLasts = 10 * time.Second
+	// mostTrials bounds the trials of one request in HoldTime. The first may tell nothing: its caller left.
+	mostTrials = 2
+	// sameCrash is how far apart two reports on one process may be that are of the same end: a process that does
+	// not say when it started takes longer to be back.
+	sameCrash = 1500 * time.Millisecond
+	// crashMemory is how long the ends of endpoints are counted against a request.
+	crashMemory = HoldTime
+	// explainedFor is how long reports on an end whose cause is known still come in.
+	explainedFor = 10 * time.Second
+	// mostCases bounds the requests that endpoints ended under, some 250 bytes each; mostHeld those held back, of
+	// which all nodes are told, some 400 bytes each; mostCrashes the ends that are kept of each.
+	mostCases   = 4096
+	mostHeld    = 256
+	mostCrashes = 8
+)
+
+// The passages of a request.
+const (
+	// Free: nothing is held against it.
+	Free Passage = iota
+	// OnTrial: it may run if the keeper of its pool permits a trial.
+	OnTrial
+	// Held: it must not be sent.
+	Held
+)
+
+type (
+	// Passage says whether a request may be sent to endpoints.
+	Passage int
+
+	// Crash is the end of an endpoint's process while it worked on a request.
+	Crash struct {
+		Life string
+		At   time.Time
+	}
+
+	// HeldRequest is what nodes tell each other of a request that is held back.
+	HeldRequest struct {
+		Digest model.Digest
+		// Pool is whose endpoints ended.
+		Pool string
+		// Firm is false where other requests were under way at all the same ends: trials tell which one it is.
+		Firm bool
+		// Lives are the processes that ended, at most mostCrashes.
+		Lives []string
+		// Since is how long before this was written the first of them ended.
+		Since time.Duration
+	}
+
+	// Quarantine is what a node knows of requests under which endpoints ended. A pool's keeper, one node for all,
+	// is told of all ends in its pool and decides; all nodes hold back what it found. It changes in place.
+	Quarantine struct {
+		cases map[model.Digest]*crashCase
+		held  map[model.Digest]*heldRequest
+		// explained holds the processes whose end is known to be another request's doing.
+		explained map[string]explanation
+		// trials has the trial under way in each pool that is kept here.
+		trials   map[string]trial
+		answered answeredRequests
+	}
+
+	crashCase struct {
+		pool    string
+		crashes []Crash
+		// changedAt is when the newest crash became known.
+		changedAt time.Time
+	}
+
+	heldRequest struct {
+		HeldRequest
+		learnedAt time.Time
+		// trials counts those that were permitted since.
+		trials int
+	}
+
+	explanation struct {
+		digest model.Digest
+		until  time.Time
+	}
+
+	trial struct {
+		digest model.Digest
+		until  time.Time
+	}
+)
+
+// NewQuarantine returns a quarantine that knows nothing.
+func NewQuarantine() *Quarantine {
+	return &Quarantine{
+		cases:     map[model.Digest]*crashCase{},
+		held:      map[model.Digest]*heldRequest{},
+		explained: map[string]explanation{},
+		trials:    map[string]trial{},
+	}
+}
+
+// Look tells whether a request may be sent, and where it may not, or only on trial, when its caller may come back.
+func (q *Quarantine) Look(now time.Time, digest model.Digest) (Passage, HeldRequest, time.Duration) {
+	h := q.held[digest]
+	if h == nil {
+		return Free, HeldRequest{}, 0
+	}
+	if left := h.learnedAt.Add(HoldTime).Sub(now); h.Firm && left > 0 {
+		return Held, h.HeldRequest, left
+	}
+	return OnTrial, h.HeldRequest, trialRetry
+}
+
+// Len returns how many requests are held back.
+func (q *Quarantine) Len() int {
+	return len(q.held)
+}
+
+// Cases returns how many requests are known under which endpoints ended.
+func (q *Quarantine) Cases() int {
+	return len(q.cases)
+}
+
+// Crashed notes that an endpoint's process ended while it worked on a request.
+func (q *Quarantine) Crashed(now time.Time, digest model.Digest, pool string, crash Crash) {
+	if why, known := q.explained[crash.Life]; known && why.digest != digest && now.Before(why.until) {
+		return
+	}
+	if q.endTrial(digest) {
+		// It has shown what it does; the verdict follows.
+		q.held[digest].trials = mostTrials
+	}
+	c := q.cases[digest]
+	if c == nil {
+		q.makeRoom()
+		c = &crashCase{}
+		q.cases[digest] = c
+	}
+	c.pool = pool
+	if c.has(crash) {
+		return
+	}
+	if len(c.crashes) == mostCrashes {
+		c.crashes = c.crashes[1:]
+	}
+	c.crashes = append(c.crashes, crash)
+	c.changedAt = now
+}
+
+// makeRoom forgets the case that did not change for longest where there are too many.
+func (q *Quarantine) makeRoom() {
+	if len(q.cases) < mostCases {
+		return
+	}
+	var oldest model.Digest
+	for digest, c := range q.cases {
+		if oldest == "" || c.changedAt.Before(q.cases[oldest].changedAt) {
+			oldest = digest
+		}
+	}
+	delete(q.cases, oldest)
+}
+
+// Answered notes that an endpoint answered a request whole: it does not end each endpoint that runs it. True means
+// that something is held against the request, and the keepers of the pool are to be told.
+func (q *Quarantine) Answered(now time.Time, digest model.Digest) (suspected bool, pool string) {
+	q.answered.add(now, digest)
+	if c := q.cases[digest]; c != nil {
+		return true, c.pool
+	}
+	if h := q.held[digest]; h != nil {
+		return true, h.Pool
+	}
+	return false, ""
+}
+
+// Clear forgets what is held against a request.
+func (q *Quarantine) Clear(digest model.Digest) {
+	q.endTrial(digest)
+	delete(q.cases, digest)
+	delete(q.held, digest)
+}
+
+// Learn takes in that a request is held back. False means that it was answered whole here after endpoints had ended
+// under it, so that it is not at fault: its keepers are to be told.
+func (q *Quarantine) Learn(now time.Time, h HeldRequest) bool {
+	if q.answered.since(now.Add(-h.Since), h.Digest) {
+		q.Clear(h.Digest)
+		return false
+	}
+	before := q.held[h.Digest]
+	q.held[h.Digest] = &heldRequest{HeldRequest: h, learnedAt: now}
+	if before != nil && before.Firm == h.Firm {
+		q.held[h.Digest].trials = before.trials
+	}
+	for _, life := range h.Lives {
+		if h.Firm {
+			q.explain(now, h.Digest, life)
+		}
+	}
+	q.seed(now, h)
+	for len(q.held) > mostHeld {
+		q.Clear(q.oldestHeld())
+	}
+	return true
+}
+
+// seed takes over the ends that another keeper found: one that has just started goes on from there.
+func (q *Quarantine) seed(now time.Time, h HeldRequest) {
+	c := q.cases[h.Digest]
+	if c == nil {
+		q.makeRoom()
+		c = &crashCase{pool: h.Pool, changedAt: now}
+		q.cases[h.Digest] = c
+	}
+	for _, life := range h.Lives {
+		known := slices.ContainsFunc(c.crashes, func(crash Crash) bool { return crash.Life == life })
+		if !known && len(c.crashes) < mostCrashes {
+			c.crashes = append(c.crashes, Crash{Life: life, At: now.Add(-h.Since)})
+		}
+	}
+}
+
+func (q *Quarantine) oldestHeld() model.Digest {
+	var oldest model.Digest
+	for digest, h := range q.held {
+		if oldest == "" || h.learnedAt.Before(q.held[oldest].learnedAt) {
+			oldest = digest
+		}
+	}
+	return oldest
+}
+
+// explain takes an end off the other requests that were under way there: its cause is known.
+func (q *Quarantine) explain(now time.Time, digest model.Digest, life string) {
+	q.explained[life] = explanation{digest: digest, until: now.Add(explainedFor)}
+	for other, c := range q.cases {
+		if other == digest {
+			continue
+		}
+		c.crashes = slices.DeleteFunc(c.crashes, func(known Crash) bool { return known.Life == life })
+	}
+}
+
+// TakeTrial permits a request that may only run on trial to be sent once: one in each pool at a time, so that what
+// it shows is its own doing.
+func (q *Quarantine) TakeTrial(now time.Time, digest model.Digest) bool {
+	passage, _, _ := q.Look(now, digest)
+	if passage != OnTrial {
+		return passage == Free
+	}
+	h := q.held[digest]
+	if now.Sub(h.learnedAt) > HoldTime {
+		h.learnedAt, h.trials, h.Firm = now, 0, false
+	}
+	running, busy := q.trials[h.Pool]
+	if h.trials >= mostTrials || busy && now.Before(running.until) {
+		return false
+	}
+	h.trials++
+	q.trials[h.Pool] = trial{digest: digest, until: now.Add(trialLasts)}
+	return true
+}
+
+// ReturnTrial takes back the trial of a request that was not sent after all.
+func (q *Quarantine) ReturnTrial(digest model.Digest) {
+	if h := q.held[digest]; h != nil && q.endTrial(digest) {
+		h.trials--
+	}
+}
+
+func (q *Quarantine) endTrial(digest model.Digest) bool {
+	for pool, t := range q.trials {
+		if t.digest == digest {
+			delete(q.trials, pool)
+			return true
+		}
+	}
+	return false
+}
+
+// has tells whether an end is counted already: reports on one come from several nodes.
+func (c *crashCase) has(crash Crash) bool {
+	return slices.ContainsFunc(c.crashes, func(known Crash) bool {
+		return known.Life == crash.Life && crash.At.Sub(known.At).Abs() < sameCrash
+	})
+}
--- /dev/null
+++ b/kernel/quarantine_test.go
@@ -0,0 +1,254 @@
+package kernel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+// ward is a quarantine whose node keeps all pools, and its clock.
+type ward struct {
+	*kernel.Quarantine
+	now time.Time
+}
+
+func newWard() *ward {
+	return &ward{Quarantine: kernel.NewQuarantine(), now: time.Unix(1000, 0)}
+}
+
+func keepsAll(string) bool { return true }
+
+// end lets an endpoint end under requests, each reported a little later than the one before.
+func (w *ward) end(life string, digests ...model.Digest) {
+	at := w.now
+	for _, d := range digests {
+		w.now = w.now.Add(10 * time.Millisecond)
+		w.Crashed(w.now, d, "pool", kernel.Crash{Life: life, At: at})
+	}
+	w.now = w.now.Add(time.Second)
+}
+
+// judge judges the cases and learns what comes of it, as the keeper does.
+func (w *ward) judge() kernel.QuarantineChange {
+	change := w.Judge(w.now, keepsAll)
+	for _, h := range change.Hold {
+		w.Learn(w.now, h)
+	}
+	for _, d := range change.Lift {
+		w.Clear(d)
+	}
+	return change
+}
+
+func (w *ward) passage(d model.Digest) kernel.Passage {
+	passage, _, _ := w.Look(w.now, d)
+	return passage
+}
+
+func TestWhichRequestIsHeldBack(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		ends [][]model.Digest
+		want map[model.Digest]kernel.Passage
+	}{
+		{"two ends are too few", [][]model.Digest{{"a"}, {"a"}}, map[model.Digest]kernel.Passage{"a": kernel.Free}},
+		{"three are enough", [][]model.Digest{{"a"}, {"a"}, {"a"}}, map[model.Digest]kernel.Passage{"a": kernel.Held}},
+		{
+			"what ran beside is free",
+			[][]model.Digest{{"b", "a"}, {"b", "a"}, {"c", "a"}},
+			map[model.Digest]kernel.Passage{"a": kernel.Held, "b": kernel.Free, "c": kernel.Free},
+		},
+		{
+			"what ran beside at three of four is free",
+			[][]model.Digest{{"a"}, {"b", "a"}, {"b", "a"}, {"b", "a"}},
+			map[model.Digest]kernel.Passage{"a": kernel.Held, "b": kernel.Free},
+		},
+		{
+			"two at all the same ends are to be told apart",
+			[][]model.Digest{{"a", "b"}, {"b", "a"}, {"a", "b"}},
+			map[model.Digest]kernel.Passage{"a": kernel.OnTrial, "b": kernel.OnTrial},
+		},
+		{
+			"two causes at other ends are both found",
+			[][]model.Digest{{"a", "c"}, {"b", "c"}, {"a"}, {"b"}, {"a", "c"}, {"b"}},
+			map[model.Digest]kernel.Passage{"a": kernel.Held, "b": kernel.Held, "c": kernel.Free},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWard()
+			for i, digests := range tc.ends {
+				w.end(fmt.Sprint("life-", i), digests...)
+			}
+			w.judge()
+			for d, want := range tc.want {
+				must.EqOp(t, want, w.passage(d), must.Sprint(d))
+			}
+			// A second look finds nothing new, and nobody is told again.
+			again := w.judge()
+			must.SliceEmpty(t, again.Hold)
+			must.SliceEmpty(t, again.Lift)
+		})
+	}
+}
+
+func TestReportsOnOneEndCountOnce(t *testing.T) {
+	w := newWard()
+	for range 5 {
+		w.Crashed(w.now, "a", "pool", kernel.Crash{Life: "l", At: w.now})
+		w.now = w.now.Add(50 * time.Millisecond)
+	}
+	w.now = w.now.Add(time.Second)
+	w.judge()
+	must.EqOp(t, kernel.Free, w.passage("a"))
+	// A process that does not say when it started bears the same name after each start.
+	for range 2 {
+		w.now = w.now.Add(5 * time.Second)
+		w.Crashed(w.now, "a", "pool", kernel.Crash{Life: "l", At: w.now})
+	}
+	w.now = w.now.Add(time.Second)
+	w.judge()
+	must.EqOp(t, kernel.Held, w.passage("a"))
+}
+
+func TestACaseWaitsForTheReportsOnTheSameEnd(t *testing.T) {
+	w := newWard()
+	w.end("1", "a", "b")
+	w.end("2", "a", "b")
+	w.Crashed(w.now, "b", "pool", kernel.Crash{Life: "3", At: w.now})
+	w.now = w.now.Add(kernel.JudgeAfter / 2)
+	must.SliceEmpty(t, w.judge().Hold)
+	w.Crashed(w.now, "a", "pool", kernel.Crash{Life: "3", At: w.now})
+	w.now = w.now.Add(kernel.JudgeAfter * 2 / 3)
+	must.SliceEmpty(t, w.judge().Hold, must.Sprint("the last report is too young"))
+	w.now = w.now.Add(kernel.JudgeAfter)
+	must.SliceLen(t, 2, w.judge().Hold)
+}
+
+// tied is a quarantine in which two requests were under way at all the same ends.
+func tied() *ward {
+	w := newWard()
+	for i := range kernel.CrashesToHold {
+		w.end(fmt.Sprint(i), "bad", "good")
+	}
+	w.judge()
+	return w
+}
+
+func TestATrialTellsTheCauseFromWhatRanBeside(t *testing.T) {
+	w := tied()
+	must.True(t, w.TakeTrial(w.now, "bad"))
+	must.False(t, w.TakeTrial(w.now, "good"), must.Sprint("one at a time"))
+	w.end("last", "bad")
+	must.False(t, w.TakeTrial(w.now, "bad"), must.Sprint("it has shown what it does"))
+	change := w.judge()
+	must.SliceLen(t, 1, change.Hold)
+	must.True(t, change.Hold[0].Firm)
+	must.Eq(t, []model.Digest{"good"}, change.Lift)
+	must.EqOp(t, kernel.Held, w.passage("bad"))
+	must.EqOp(t, kernel.Free, w.passage("good"))
+}
+
+func TestATrialThatIsAnsweredClears(t *testing.T) {
+	w := tied()
+	must.True(t, w.TakeTrial(w.now, "good"))
+	suspected, pool := w.Answered(w.now, "good")
+	must.True(t, suspected)
+	must.EqOp(t, "pool", pool)
+	w.Clear("good")
+	must.EqOp(t, kernel.Free, w.passage("good"))
+	// With the other one cleared, it must be this one.
+	w.judge()
+	must.EqOp(t, kernel.Held, w.passage("bad"))
+}
+
+func TestTrialsAreFew(t *testing.T) {
+	w := tied()
+	permitted := 0
+	for range 100 {
+		w.now = w.now.Add(5 * time.Second)
+		if w.TakeTrial(w.now, "bad") {
+			permitted++
+		}
+	}
+	must.EqOp(t, 2, permitted)
+	w = tied()
+	for range 10 {
+		must.True(t, w.TakeTrial(w.now, "good"), must.Sprint("what was not sent does not count"))
+		w.ReturnTrial("good")
+	}
+}
+
+func TestAHeldRequestIsTriedAgainAfterLong(t *testing.T) {
+	w := newWard()
+	for i := range kernel.CrashesToHold {
+		w.end(fmt.Sprint(i), "a")
+	}
+	w.judge()
+	must.False(t, w.TakeTrial(w.now, "a"))
+	w.now = w.now.Add(kernel.HoldTime)
+	must.EqOp(t, kernel.OnTrial, w.passage("a"))
+	must.True(t, w.TakeTrial(w.now, "a"))
+	w.end("later", "a")
+	w.judge()
+	must.EqOp(t, kernel.Held, w.passage("a"), must.Sprint("one more end is enough then"))
+}
+
+func TestWhatWasAnsweredSinceIsNotAtFault(t *testing.T) {
+	held := kernel.HeldRequest{Digest: "a", Pool: "pool", Firm: true, Lives: []string{"1", "2", "3"}, Since: time.Minute}
+	w := newWard()
+	w.Answered(w.now.Add(-30*time.Second), "a")
+	must.False(t, w.Learn(w.now, held))
+	must.EqOp(t, kernel.Free, w.passage("a"))
+	w = newWard()
+	w.Answered(w.now.Add(-2*time.Minute), "a")
+	must.True(t, w.Learn(w.now, held), must.Sprint("an answer before the first end says nothing"))
+	must.EqOp(t, kernel.Held, w.passage("a"))
+}
+
+func TestAnotherKeeperGoesOn(t *testing.T) {
+	first := tied()
+	_, held, _ := first.Look(first.now, "bad")
+	w := newWard()
+	must.True(t, w.Learn(w.now, held))
+	must.True(t, w.TakeTrial(w.now, "bad"))
+	w.end("last", "bad")
+	w.judge()
+	must.EqOp(t, kernel.Held, w.passage("bad"))
+}
+
+func TestLateReportsOnAnExplainedEndSayNothing(t *testing.T) {
+	w := newWard()
+	for i := range kernel.CrashesToHold {
+		w.end(fmt.Sprint(i), "bad")
+	}
+	w.judge()
+	for i := range kernel.CrashesToHold {
+		w.end(fmt.Sprint(i), "good")
+	}
+	w.judge()
+	must.EqOp(t, kernel.Free, w.passage("good"))
+}
+
+func TestTheQuarantineIsBounded(t *testing.T) {
+	w := newWard()
+	for n := range 1000 {
+		w.Learn(w.now, kernel.HeldRequest{Digest: model.Digest(fmt.Sprint(n)), Pool: "pool", Firm: true, Lives: []string{fmt.Sprint(n)}})
+		w.now = w.now.Add(time.Millisecond)
+	}
+	must.EqOp(t, 256, w.Len())
+	must.EqOp(t, kernel.Held, w.passage("999"), must.Sprint("the oldest yield"))
+	w = newWard()
+	for n := range 6000 {
+		w.Crashed(w.now, model.Digest(fmt.Sprint(n)), "pool", kernel.Crash{Life: "l", At: w.now})
+		w.now = w.now.Add(time.Millisecond)
+	}
+	must.EqOp(t, 4096, w.Cases())
+	w.now = w.now.Add(time.Hour)
+	w.judge()
+	must.EqOp(t, 0, w.Cases())
+}
--- /dev/null
+++ b/kernel/quarantinejudge.go
@@ -0,0 +1,124 @@
+package kernel
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+// JudgeAfter is how long after the newest report on a request its case is judged: the others that were under way at
+// the same end are reported by then, so that what merely ran beside is told from the cause.
+const JudgeAfter = 300 * time.Millisecond
+
+// judgeLatest is after which time a case is judged although reports on others of its pool still come.
+const judgeLatest = 3 * JudgeAfter
+
+// QuarantineChange is what all nodes are to be told.
+type QuarantineChange struct {
+	Hold []HeldRequest
+	Lift []model.Digest
+}
+
+// Judge decides on the cases of the pools that are kept here. The requests under which most endpoints ended come
+// first, and each one that is found takes its ends off the others: what merely ran beside it is left with none.
+// Where several were under way at all the same ends, each of them is held, and trials tell them apart.
+func (q *Quarantine) Judge(now time.Time, keeps func(pool string) bool) QuarantineChange {
+	q.expire(now)
+	var change QuarantineChange
+	for _, digest := range q.ripe(now, keeps) {
+		c := q.cases[digest]
+		if len(c.crashes) < CrashesToHold {
+			continue
+		}
+		h := q.holdOf(now, digest, c)
+		if before := q.held[digest]; before != nil && before.Firm == h.Firm && len(before.Lives) >= len(h.Lives) {
+			continue
+		}
+		change.Hold = append(change.Hold, h)
+		if h.Firm {
+			for _, life := range h.Lives {
+				q.explain(now, digest, life)
+			}
+		}
+	}
+	for digest, h := range q.held {
+		if keeps(h.Pool) && q.unfounded(now, digest, h) {
+			change.Lift = append(change.Lift, digest)
+		}
+	}
+	slices.Sort(change.Lift)
+	return change
+}
+
+// ripe returns the requests whose cases are ready to be judged, in the order in which they are.
+func (q *Quarantine) ripe(now time.Time, keeps func(pool string) bool) []model.Digest {
+	var out []model.Digest
+	newest := map[string]time.Time{}
+	for digest, c := range q.cases {
+		if len(c.crashes) < CrashesToHold || !keeps(c.pool) {
+			continue
+		}
+		out = append(out, digest)
+		if c.changedAt.After(newest[c.pool]) {
+			newest[c.pool] = c.changedAt
+		}
+	}
+	out = slices.DeleteFunc(out, func(digest model.Digest) bool {
+		c := q.cases[digest]
+		return now.Sub(newest[c.pool]) < JudgeAfter && now.Sub(c.changedAt) < judgeLatest
+	})
+	slices.SortFunc(out, func(a, b model.Digest) int {
+		return cmp.Or(cmp.Compare(len(q.cases[b].crashes), len(q.cases[a].crashes)), cmp.Compare(a, b))
+	})
+	return out
+}
+
+func (q *Quarantine) holdOf(now time.Time, digest model.Digest, c *crashCase) HeldRequest {
+	h := HeldRequest{Digest: digest, Pool: c.pool, Firm: !q.rivalled(digest, c)}
+	first := now
+	for _, crash := range c.crashes {
+		if !slices.Contains(h.Lives, crash.Life) {
+			h.Lives = append(h.Lives, crash.Life)
+		}
+		if crash.At.Before(first) {
+			first = crash.At
+		}
+	}
+	h.Since = now.Sub(first)
+	return h
+}
+
+// rivalled tells whether another request was under way at all the same ends.
+func (q *Quarantine) rivalled(digest model.Digest, c *crashCase) bool {
+	for other, rival := range q.cases {
+		if other != digest && !slices.ContainsFunc(c.crashes, func(crash Crash) bool { return !rival.has(crash) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// unfounded tells whether nothing is left to hold a request back for: its ends were another's doing, or it has
+// not been seen for long.
+func (q *Quarantine) unfounded(now time.Time, digest model.Digest, h *heldRequest) bool {
+	if now.Sub(h.learnedAt) > 2*HoldTime {
+		return true
+	}
+	c := q.cases[digest]
+	return !h.Firm && c != nil && len(c.crashes) < CrashesToHold
+}
+
+func (q *Quarantine) expire(now time.Time) {
+	for digest, c := range q.cases {
+		if now.Sub(c.changedAt) > crashMemory && q.held[digest] == nil {
+			delete(q.cases, digest)
+		}
+	}
+	for life, why := range q.explained {
+		if now.After(why.until) {
+			delete(q.explained, life)
+		}
+	}
+}
--- a/model/forward.go
+++ b/model/forward.go
@@ -76,8 +76,10 @@
 	// Piece is one unit of a stage's work.
 	Piece struct {
 		Request string
-		Stage   int
-		Number  int
+		// Digest is the request's.
+		Digest Digest
+		Stage  int
+		Number int
 		// Key is set for stages that follow no other, Inputs for the others.
 		Key    string
 		Inputs []string
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -53,6 +53,8 @@
 	TooLarge Reason = "TooLarge"
 	// StageLate: a stage's results could not be made in time.
 	StageLate Reason = "StageLate"
+	// Quarantined: endpoints ended that ran the request, and it is held back.
+	Quarantined Reason = "Quarantined"
 	// EndpointRefused: the endpoint did not run the request, and no other could be asked.
 	EndpointRefused Reason = "EndpointRefused"
 )
--- a/peer/message.go
+++ b/peer/message.go
@@ -29,6 +29,10 @@
 	KindFeed
 	KindReturn
 	KindTakeOver
+	KindCrash
+	KindTrial
+	KindClear
+	KindHold
 )
 
 type (
@@ -144,6 +148,7 @@
 		// Group is unique among the sender's groups.
 		Group       string
 		Request     string
+		Digest      model.Digest
 		Stage       int
 		Numbers     []int
 		Key         string
@@ -255,6 +260,39 @@
 		Lost bool
 	}
 
+	// Crash tells a pool's keeper that the process of an endpoint ended while it worked on requests.
+	Crash struct {
+		Pool string
+		Life string
+		// EndedAgo is how long ago that was: clocks differ between hosts.
+		EndedAgo time.Duration
+		Digests  []model.Digest
+	}
+
+	// Trial asks a pool's keeper whether a request that is held back may be sent once, or, with Unused, tells that
+	// it was not sent after all.
+	Trial struct {
+		Digest model.Digest
+		Unused bool
+	}
+
+	// TrialReply answers Trial.
+	TrialReply struct {
+		Permitted bool
+	}
+
+	// Clear tells a pool's keeper that a request was answered whole: it does not end each endpoint that runs it.
+	Clear struct {
+		Digest model.Digest
+		Pool   string
+	}
+
+	// Hold has another node write into the store which requests are held back, and which no longer: the sender
+	// can't reach it.
+	Hold struct {
+		Change kernel.QuarantineChange
+	}
+
 	// Empty is the body of calls that say nothing more.
 	Empty struct{}
 )
--- /dev/null
+++ b/quarantine/ends.go
@@ -0,0 +1,163 @@
+package quarantine
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/clock"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
+)
+
+const (
+	// connectTimeout bounds the attempt to connect to an endpoint that broke off.
+	connectTimeout = 700 * time.Millisecond
+	// gatherTime is how long what else breaks off at the same end is waited for, to be told at once.
+	gatherTime = 20 * time.Millisecond
+	// listTime is how long the list of endpoints may take to say that a process has ended that could not be
+	// connected to: heartbeats have to fail to come, and then the entry lapses.
+	listTime = 8 * time.Second
+	// mostEnds bounds the endpoints that are looked into, mostDigests the requests that are reported of one.
+	mostEnds    = 1024
+	mostDigests = 512
+)
+
+// The proofs that an endpoint's process ended.
+const (
+	proofRefused  = "nothing listens at its address"
+	proofReplaced = "another process has its address"
+	proofGone     = "it does not answer, and is no longer listed"
+)
+
+// end is what is known of whether an endpoint's process ended.
+type end struct {
+	endpoint model.Endpoint
+	// at is when the first request broke off there.
+	at time.Time
+	// digests are the requests that have not been reported yet.
+	digests []model.Digest
+	// proof is empty until the end is proven; answers tells that something listens at the address.
+	proof   string
+	answers bool
+	// flushing is true while what has gathered is about to be reported.
+	flushing bool
+}
+
+// BrokeOff notes that an endpoint broke off while it worked on requests. Whether its process ended is found out: an
+// endpoint that lives on, and resets a connection, says nothing of the requests.
+func (k *Keeper) BrokeOff(e model.Endpoint, digests ...model.Digest) {
+	now := k.now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	d := k.ends[e.Life()]
+	if d == nil {
+		if len(k.ends) >= mostEnds {
+			k.metrics.Event("EndpointEndUnknown")
+			return
+		}
+		d = &end{endpoint: e, at: now}
+		k.ends[e.Life()] = d
+		go k.lookInto(d)
+	}
+	if len(d.digests)+len(digests) > mostDigests {
+		k.metrics.Event("CrashReportDropped")
+		return
+	}
+	d.digests = append(d.digests, digests...)
+	if d.proof != "" {
+		k.flush(d)
+	}
+}
+
+// lookInto finds out whether an endpoint's process has ended, and forgets it after a while.
+func (k *Keeper) lookInto(d *end) {
+	ctx, cancel := context.WithTimeout(k.ctx, connectTimeout)
+	err := k.seams.Connect(ctx, d.endpoint.Address)
+	cancel()
+	k.mu.Lock()
+	d.answers = err == nil
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		k.proven(d, proofRefused)
+	}
+	k.mu.Unlock()
+	clock.Sleep(k.ctx, listTime)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.ends, d.endpoint.Life())
+}
+
+// Listed takes in which endpoints are listed. It proves the end of those that do not answer and are gone, and of those
+// whose address another process has.
+func (k *Keeper) Listed(endpoints func(pool string) []model.Endpoint) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for life, d := range k.ends {
+		if d.proof != "" {
+			continue
+		}
+		listed, replaced := false, false
+		for _, e := range endpoints(d.endpoint.Pool) {
+			listed = listed || e.Life() == life
+			replaced = replaced || e.Life() != life && e.Address == d.endpoint.Address
+		}
+		switch {
+		case replaced:
+			k.proven(d, proofReplaced)
+		case !listed && !d.answers:
+			k.proven(d, proofGone)
+		}
+	}
+}
+
+// proven notes that an endpoint's process has ended and has its requests reported. The lock is held.
+func (k *Keeper) proven(d *end, proof string) {
+	d.proof = proof
+	k.metrics.Event("EndpointEnded")
+	k.flush(d)
+}
+
+// flush reports the requests that were under way at an end, all that break off at the same moment at once. The lock
+// is held.
+func (k *Keeper) flush(d *end) {
+	if d.flushing {
+		return
+	}
+	d.flushing = true
+	time.AfterFunc(gatherTime, func() {
+		k.mu.Lock()
+		digests := d.digests
+		d.digests, d.flushing = nil, false
+		k.mu.Unlock()
+		if len(digests) > 0 {
+			k.report(d, digests)
+		}
+	})
+}
+
+// report tells the pool's keepers, and counts here as well: where no other node can be reached this one decides.
+func (k *Keeper) report(d *end, digests []model.Digest) {
+	life, pool := d.endpoint.Life(), d.endpoint.Pool
+	var names []string
+	for _, digest := range digests[:min(len(digests), mostLogged)] {
+		names = append(names, string(digest))
+	}
+	k.log.Info().Str("Endpoint", life).Str("Pool", pool).Str("Proof", d.proof).Int("Requests", len(digests)).
+		Strs("Digests", names).Msg("endpoint ended under requests")
+	k.takeCrash(pool, kernel.Crash{Life: life, At: d.at}, digests)
+	k.tell(pool, peer.KindCrash, func() any {
+		return peer.Crash{Pool: pool, Life: life, EndedAgo: k.now().Sub(d.at), Digests: digests}
+	})
+}
+
+func (k *Keeper) takeCrash(pool string, crash kernel.Crash, digests []model.Digest) {
+	k.mu.Lock()
+	for _, digest := range digests {
+		k.q.Crashed(k.now(), digest, pool, crash)
+	}
+	k.mu.Unlock()
+	k.judgeSoon()
+}
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -179,6 +179,8 @@
 	switch {
 	case err != nil && asFault(err).Kind == endpoint.Refused:
 		ended = g.g.Unreachable(now, batch)
+	case err != nil && asFault(err).Kind == endpoint.Cut:
+		ended = g.g.BrokeOff(now, batch)
 	case err != nil:
 		ended = g.g.Failed(now, batch)
 	case reply.NotRun:
@@ -187,6 +189,9 @@
 		ended, unwanted = g.g.Done(now, batch, reply.Results)
 	}
 	g.mu.Unlock()
+	if err != nil && asFault(err).Kind == endpoint.Cut {
+		r.quarantine.BrokeOff(batch.Endpoint, batch.Digests()...)
+	}
 	g.logCall(batch, reply, err)
 	g.finish(ended)
 	g.free(unwanted)
--- a/relay/gatherpeer.go
+++ b/relay/gatherpeer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
@@ -46,6 +47,7 @@
 		Pool:        req.pool,
 		Group:       fmt.Sprintf("%s/%d", r.options.Name, r.groups.Add(1)),
 		Request:     first.Request,
+		Digest:      first.Digest,
 		Stage:       first.Stage,
 		Key:         first.Key,
 		Inputs:      req.inputs,
@@ -79,7 +81,7 @@
 
 // Handlers answer other nodes' calls to this one's gatherers.
 func (r *Relay) Handlers() map[peer.Kind]peer.Handler {
-	return map[peer.Kind]peer.Handler{
+	handlers := map[peer.Kind]peer.Handler{
 		peer.KindGather:       r.answerGather,
 		peer.KindGatherCancel: r.answerGatherCancel,
 		peer.KindRelease:      r.answerRelease,
@@ -87,6 +89,8 @@
 		peer.KindReturn:       r.answerReturn,
 		peer.KindTakeOver:     r.answerTakeOver,
 	}
+	maps.Copy(handlers, r.quarantine.Handlers())
+	return handlers
 }
 
 func (r *Relay) answerGather(ctx context.Context, body []byte) (any, error) {
@@ -114,7 +118,7 @@
 	handles := handlesOf(m.Inputs)
 	for _, n := range m.Numbers {
 		group.Pieces = append(group.Pieces, model.Piece{
-			Request: m.Request, Stage: m.Stage, Number: n, Key: m.Key, Inputs: handles, Deadline: group.Until,
+			Request: m.Request, Digest: m.Digest, Stage: m.Stage, Number: n, Key: m.Key, Inputs: handles, Deadline: group.Until,
 		})
 	}
 	if m.OnlyAsk {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 	"basilstall.example/basilstall/metric"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/peer"
+	"basilstall.example/basilstall/quarantine"
 )
 
 const (
@@ -52,6 +53,8 @@
 		lives *lives
 		// returning holds the refused requests of the pools that this node gathers for.
 		returning *returning
+		// quarantine holds back the requests that end the endpoints that run them.
+		quarantine *quarantine.Keeper
 
 		// goneAt is when a leaving node will be gone; nil while it is not leaving.
 		goneAt   atomic.Pointer[time.Time]
@@ -92,6 +95,10 @@
 	r.remote = newRemoteGroups()
 	r.lives = newLives()
 	r.returning = newReturning()
+	r.quarantine = quarantine.NewKeeper(r.ctx, options.Name, quarantine.Seams{
+		Peers: r.Reachable, Call: r.callNode, Connect: wire.Connect, Store: wire.HoldBack,
+	}, now, metrics, log)
+	metrics.Gauge("requests_held_back", func() float64 { return float64(r.quarantine.Len()) })
 	r.suspects = newSuspects(r.ctx, r.probe, func(node string) {
 		r.log.Info().Str("Gatherer", node).Msg("node answers again")
 	})
@@ -188,6 +195,7 @@
 	r.logRoster(changes)
 	r.hub.setEndpoints(roster)
 	r.endFormerLives(changes)
+	r.quarantine.Listed(roster.Endpoints)
 }
 
 // SetNodes takes over which nodes there are, this one included, and which of them have just announced
@@ -230,6 +238,16 @@
 	return r.peers.CallUnlessSilent(ctx, silence, r.addressOf(node), kind, message, reply)
 }
 
+// callNode calls another node by its name.
+func (r *Relay) callNode(ctx context.Context, node string, kind peer.Kind, message, reply any) error {
+	return r.peers.Call(ctx, r.addressOf(node), kind, message, reply)
+}
+
+// SetHeldBack takes over which requests the store says are held back, and which no longer.
+func (r *Relay) SetHeldBack(change kernel.QuarantineChange) {
+	r.quarantine.Learn(change)
+}
+
 // Suspect notes that a node did not answer; it is probed until it does.
 func (r *Relay) Suspect(node string, err error) {
 	if r.suspects.suspect(node) {
@@ -248,15 +266,16 @@
 		refusal = kernel.TakeWhileLeaving(r.now(), *gone, admission.Route)
 	}
 	if refusal != nil {
-		r.metrics.Refused(refusal)
-		r.metrics.RefusedAfter(refusal, r.now().Sub(f.ReceivedAt))
-		r.logEnd(f, admission, view, Outcome{Refusal: refusal})
-		return Outcome{Refusal: refusal}
+		return r.refuseAtTheDoor(f, admission, view, refusal)
 	}
 	f = f.WithDigest(model.NewDigest(admission.Customer, f.Host, f.URI, string(f.Body)))
+	trial, refusal := r.quarantine.Admit(ctx, f.Digest)
+	if refusal != nil {
+		return r.refuseAtTheDoor(f, admission, view, refusal)
+	}
 	ctx, cancel := context.WithTimeoutCause(ctx, admission.Until.Sub(r.now()), context.DeadlineExceeded)
 	defer cancel()
-	job := &job{relay: r, forward: f, admission: admission, out: out, began: r.now()}
+	job := &job{relay: r, forward: f, admission: admission, out: out, began: r.now(), trial: trial}
 	var outcome Outcome
 	if admission.Route.Kind == model.Stream {
 		outcome = job.stream(ctx)
@@ -279,12 +298,24 @@
 	case !outcome.Whole:
 		r.metrics.Event("AnswerBrokenOff")
 	default:
+		r.quarantine.Answered(f.Digest)
 		r.metrics.Answered(admission.Route.Name, r.now().Sub(f.ReceivedAt))
 	}
+	if trial && outcome.Refusal != nil && outcome.Refusal.Verdict == model.NotRun {
+		r.quarantine.TrialUnused(f.Digest)
+	}
 	r.logEnd(f, admission, view, outcome)
 	return outcome
 }
 
+// refuseAtTheDoor ends a request for which nothing was begun.
+func (r *Relay) refuseAtTheDoor(f model.Forward, a kernel.Admission, view kernel.RoutingView, refusal *model.Refusal) Outcome {
+	r.metrics.Refused(refusal)
+	r.metrics.RefusedAfter(refusal, r.now().Sub(f.ReceivedAt))
+	r.logEnd(f, a, view, Outcome{Refusal: refusal})
+	return Outcome{Refusal: refusal}
+}
+
 // live returns how many nodes share the fleet's budgets.
 func (r *Relay) live() int {
 	return max(1, len(*r.nodes.Load()))
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -54,9 +54,11 @@
 		RunPieces: func(ctx context.Context, e model.Endpoint, p []model.Piece) (relay.PieceReply, error) {
 			return b.wire.RunPieces(ctx, e, p)
 		},
-		Free:   b.wire.Free,
-		Room:   b.wire.Room,
-		Retire: func(string) {},
+		Free:     b.wire.Free,
+		Room:     b.wire.Room,
+		Retire:   func(string) {},
+		Connect:  func(context.Context, string) error { return nil },
+		HoldBack: func(context.Context, kernel.QuarantineChange) error { return nil },
 	}
 	options := relay.Options{Name: "node", Domain: "d", Budget: kernel.BudgetTerms{Ratio: 1, Slack: 100, Window: 10 * time.Second}}
 	b.relay = relay.NewRelay(options, wire, time.Now, metric.NewSet(), zerolog.Nop())
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -186,7 +186,7 @@
 		rank:    j.admission.Rank,
 	}
 	var inputBytes int64
-	piece := model.Piece{Request: j.forward.ID, Stage: stage, Deadline: run.plan.Until[stage]}
+	piece := model.Piece{Request: j.forward.ID, Digest: j.forward.Digest, Stage: stage, Deadline: run.plan.Until[stage]}
 	if len(node.After) == 0 {
 		piece.Key = j.forward.PieceKey
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -146,7 +146,8 @@
 
 // affinity returns the key of the prompts that are to share an engine; empty for none.
 func (j *job) affinity() string {
-	if !j.relay.options.Policy.Uses(kernel.PrefixAffinity) {
+	// A trial goes where least is under way: it may end the engine.
+	if j.trial || !j.relay.options.Policy.Uses(kernel.PrefixAffinity) {
 		return ""
 	}
 	return kernel.AffinityKey(j.forward.Prompt)
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -42,7 +42,9 @@
 		excluded []string
 		// mayHaveRun is true once the evidence no longer excludes that the request runs.
 		mayHaveRun bool
-		stages     []StageTime
+		// trial is true for a request that is held back and was permitted to run once.
+		trial  bool
+		stages []StageTime
 		// outlook is what the stages' pools told before the request was admitted.
 		outlook []StageOutlook
 	}
@@ -141,6 +143,9 @@
 	}
 	send.BeforeSend = func() error {
 		refusal := kernel.StillAdmitted(j.relay.now(), j.relay.View(), j.relay.options.KeyTrust, j.forward, j.admission)
+		if refusal == nil && !j.trial {
+			refusal = j.relay.quarantine.Refuses(j.forward.Digest)
+		}
 		if refusal == nil {
 			return nil
 		}
@@ -206,6 +211,9 @@
 		p.failed(j.relay.now(), e.Life())
 	}
 	j.relay.logAttempt(j.forward, e, j.asked, fault.RetryReason(), fault)
+	if fault.Verdict != model.NotRun && fault.Kind == endpoint.Cut {
+		j.relay.quarantine.BrokeOff(e, j.forward.Digest)
+	}
 }
 
 // again decides on one more send after a result that is not the answer, and counts it.
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -36,6 +36,10 @@
 		Free func(ctx context.Context, e model.Endpoint, handles []string) error
 		// Room returns how many bytes of results an endpoint has room for now.
 		Room func(ctx context.Context, e model.Endpoint) (int64, error)
+		// Connect opens a connection to an address and keeps it for a later call.
+		Connect func(ctx context.Context, address string) error
+		// HoldBack writes into the store which requests are held back, and which no longer.
+		HoldBack func(ctx context.Context, change kernel.QuarantineChange) error
 		// Retire closes the idle connections to an address.
 		Retire func(address string)
 	}
