Hold back on the project's own interface what ends endpoints

Change: the dispatcher tells of connections that break off in the middle of a call, and asks before each call whether the request may be sent; the same keeper decides. The held requests are one row of the table, written under a condition and bounded; heartbeats say which version a node has read, so all read it once when it changes, and at their start. A node that broke off twice at an endpoint that does not say when it started counts two ends.

Why it holds: the verdict rests on a refused connection after the break, the row outlives all nodes, and the version only moves forward.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -95,6 +95,9 @@
 	defer cancel()
 	outcomes := make(chan outcome, kernel.MaxAttempts)
 	running := map[int]startedCall{}
+	if err := a.heldBack(); err != nil {
+		return err
+	}
 	if !a.launch(ctx, running, outcomes) {
 		return a.refuse(model.NoEndpoint, errors.New("no endpoint"))
 	}
@@ -108,8 +111,8 @@
 			if done {
 				return err
 			}
-			if len(running) == 0 && !a.launch(ctx, running, outcomes) {
-				return a.refuse(model.NoEndpoint, o.err)
+			if err := a.relaunch(ctx, o, running, outcomes); err != nil {
+				return err
 			}
 		case <-hedge.C:
 			if !a.hedge(ctx, running, outcomes) {
@@ -123,6 +126,36 @@
 	}
 }
 
+// relaunch makes another call where none is under way any more.
+func (a *attempts) relaunch(ctx context.Context, o outcome, running map[int]startedCall, outcomes chan<- outcome) error {
+	if len(running) > 0 {
+		return nil
+	}
+	if err := a.heldBack(); err != nil {
+		return err
+	}
+	if !a.launch(ctx, running, outcomes) {
+		return a.refuse(model.NoEndpoint, o.err)
+	}
+	return nil
+}
+
+// heldBack returns the refusal of a request that must not be sent to an endpoint.
+func (a *attempts) heldBack() error {
+	if a.job.Trial {
+		return nil
+	}
+	refusal := a.d.MayCall(a.job.Work.Request)
+	switch {
+	case refusal == nil:
+		return nil
+	case a.reached:
+		return refusal.WithVerdict(model.MayHaveRun)
+	default:
+		return refusal
+	}
+}
+
 type startedCall struct {
 	target *endpointState
 	at     time.Time
@@ -207,6 +240,9 @@
 		a.reached = true
 	}
 	a.pool.failed(now, e, fault.Kind != endpoint.Cancelled)
+	if fault.Kind == endpoint.Cut && fault.Verdict != model.NotRun {
+		a.d.OnBrokeOff(a.pool.endpointOf(e), a.job.Work.Request)
+	}
 }
 
 func (a *attempts) noteLoad(e *endpointState, load *model.Load) {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -20,6 +20,10 @@
 		// OnAdapter is called when a request uses an adapter of engines that load adapters on
 		// demand; waiting tells that no engine known has it.
 		OnAdapter func(pool, adapter string, deadline time.Time, waiting bool)
+		// OnBrokeOff is called when a connection to an endpoint broke while it may have worked on a request.
+		OnBrokeOff func(e model.Endpoint, req model.Request)
+		// MayCall decides right before each call whether the request may be sent; nil means yes.
+		MayCall func(req model.Request) *model.Refusal
 		// Unary makes one call that is answered at once; the error is an *endpoint.Fault.
 		Unary func(ctx context.Context, target endpoint.Target, call model.StageCall) (model.StageReply, error)
 
@@ -41,6 +45,8 @@
 		Later []kernel.StageEstimate
 		// Weight is the customer's share.
 		Weight int
+		// Trial tells that the request is held back and was permitted to run once.
+		Trial bool
 		// Emit gets the tokens of a stream; nil where nobody listens.
 		Emit func(model.Token)
 	}
@@ -69,11 +75,14 @@
 		OnLeaving: func(string, string) {},
 		OnAdapter: func(string, string, time.Time, bool) {},
 		Unary:     client.Unary,
-		client:    client,
-		metrics:   metrics,
-		domain:    domain,
-		plain:     plain,
-		pools:     map[string]*pool{},
+
+		OnBrokeOff: func(model.Endpoint, model.Request) {},
+		MayCall:    func(model.Request) *model.Refusal { return nil },
+		client:     client,
+		metrics:    metrics,
+		domain:     domain,
+		plain:      plain,
+		pools:      map[string]*pool{},
 	}
 }
 
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -114,6 +114,13 @@
 	return true
 }
 
+// endpointOf returns what the list says of an endpoint.
+func (p *pool) endpointOf(e *endpointState) model.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return e.candidate.Endpoint
+}
+
 func (p *pool) find(name string) *endpointState {
 	for _, e := range p.endpoints {
 		if e.candidate.Endpoint.Name == name {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -31,6 +31,9 @@
 	defer cancel()
 	var output strings.Builder
 	for {
+		if err := a.heldBack(); err != nil {
+			return err
+		}
 		lacking, ok := a.awaitAdapter(ctx)
 		if !ok {
 			return a.refuse(model.AdapterNotLoaded, errors.New("the adapter is not loaded in time"))
--- a/kernel/quarantine.go
+++ b/kernel/quarantine.go
@@ -21,9 +21,9 @@
 	trialLasts = 10 * time.Second
 	// mostTrials bounds the trials of one request in HoldTime. The first may tell nothing: its caller left.
 	mostTrials = 2
-	// sameCrash is how far apart two reports on one process may be that are of the same end: a process that does
+	// SameCrash is how far apart two reports on one process may be that are of the same end: a process that does
 	// not say when it started takes longer to be back.
-	sameCrash = 1500 * time.Millisecond
+	SameCrash = 1500 * time.Millisecond
 	// crashMemory is how long the ends of endpoints are counted against a request.
 	crashMemory = HoldTime
 	// explainedFor is how long reports on an end whose cause is known still come in.
@@ -298,6 +298,6 @@
 // has tells whether an end is counted already: reports on one come from several nodes.
 func (c *crashCase) has(crash Crash) bool {
 	return slices.ContainsFunc(c.crashes, func(known Crash) bool {
-		return known.Life == crash.Life && crash.At.Sub(known.At).Abs() < sameCrash
+		return known.Life == crash.Life && crash.At.Sub(known.At).Abs() < SameCrash
 	})
 }
--- a/kernel/quarantinejudge.go
+++ b/kernel/quarantinejudge.go
@@ -21,6 +21,20 @@
 	Lift []model.Digest
 }
 
+// Apply returns a list of held requests with the change made: the newest last, and no more than are remembered.
+func (c QuarantineChange) Apply(held []HeldRequest) []HeldRequest {
+	out := slices.DeleteFunc(slices.Clone(held), func(h HeldRequest) bool {
+		return slices.Contains(c.Lift, h.Digest) || slices.ContainsFunc(c.Hold, func(by HeldRequest) bool { return by.Digest == h.Digest })
+	})
+	out = append(out, c.Hold...)
+	return out[max(0, len(out)-mostHeld):]
+}
+
+// Same tells whether two words on a request say the same.
+func (h HeldRequest) Same(other HeldRequest) bool {
+	return h.Digest == other.Digest && h.Pool == other.Pool && h.Firm == other.Firm && h.Since == other.Since && slices.Equal(h.Lives, other.Lives)
+}
+
 // Judge decides on the cases of the pools that are kept here. The requests under which most endpoints ended come
 // first, and each one that is found takes its ends off the others: what merely ran beside it is left with none.
 // Where several were under way at all the same ends, each of them is held, and trials tell them apart.
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -87,6 +87,7 @@
 		News:         n.fleet.m.Outgoing(),
 		Revision:     n.Settings().Revision,
 		ClaimsNumber: n.claims.number(),
+		HeldVersion:  n.held.number(),
 	}
 }
 
@@ -122,6 +123,7 @@
 	if h.Revision > n.Settings().Revision {
 		go n.pullSettings(n.ctx, h.News[0].Member.Address)
 	}
+	n.held.want(h.HeldVersion)
 	if h.ClaimsNumber > n.claims.number() {
 		n.claims.wake()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/operator"
 	"basilstall.example/basilstall/peer"
+	"basilstall.example/basilstall/quarantine"
 	"basilstall.example/basilstall/table"
 )
 
@@ -51,6 +53,9 @@
 	durable   *keyOwner
 	committer *committer
 	orderer   *orderer
+	// quarantine holds back the requests that end the endpoints that work on them; held is what the table says of it.
+	quarantine *quarantine.Keeper
+	held       *heldRequests
 	// pending holds the keys that ran when the keys were handed over.
 	pending []string
 
@@ -99,14 +104,18 @@
 		durable:    newKeyOwner(),
 		committer:  newCommitter(store),
 		orderer:    newOrderer(),
+		held:       newHeldRequests(),
 	}
 	n.claims = newClaimsKeeper(n.member)
 	n.fleet = &fleet{m: kernel.NewMembership(now, n.member, options.FailureDomain)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.quarantine = n.newQuarantine()
 	settings := kernel.NewSettings()
 	n.settings.Store(&settings)
 	n.dispatcher.OnLeaving = n.noteLeaving
 	n.dispatcher.OnAdapter = n.noteAdapter
+	n.dispatcher.OnBrokeOff = n.brokeOff
+	n.dispatcher.MayCall = n.mayCall
 	if err := n.listen(); err != nil {
 		n.Close()
 		return nil, err
@@ -129,7 +138,8 @@
 		n.metrics.Event("PeerTokenRefused")
 		n.log.Warn().Str("Remote", remote).Msg("peer token refused")
 	}
-	n.peerServer.Serve(n.member, map[peer.Kind]peer.Handler{
+	handlers := n.quarantine.Handlers()
+	maps.Copy(handlers, map[peer.Kind]peer.Handler{
 		peer.KindHeartbeat: n.answerHeartbeat,
 		peer.KindForward:   n.answerForward,
 		peer.KindSettings:  n.answerSettings,
@@ -139,11 +149,12 @@
 		peer.KindGrant:     n.answerGrant,
 		peer.KindSeal:      n.answerSeal,
 	})
+	n.peerServer.Serve(n.member, handlers)
 	return nil
 }
 
 func (n *Node) startLoops() {
-	for _, loop := range []func(){n.followSettings, n.followFleet, n.followList, n.announceHost, n.keepClaims, n.keepGrants, n.giveOrders} {
+	for _, loop := range []func(){n.followSettings, n.followFleet, n.followList, n.announceHost, n.keepClaims, n.keepGrants, n.giveOrders, n.followHeld} {
 		n.loops.Add(1)
 		go func() {
 			defer n.loops.Done()
@@ -240,6 +251,7 @@
 	n.metrics.Gauge("settings_revision", func() float64 { return float64(n.Settings().Revision) })
 	n.metrics.Gauge("claims_number", func() float64 { return float64(n.claims.number()) })
 	n.metrics.Gauge("keys_remembered", func() float64 { return float64(n.keys.len()) })
+	n.metrics.Gauge("requests_held_back", func() float64 { return float64(n.quarantine.Len()) })
 	n.metrics.Gauge("members_alive", func() float64 { return float64(n.fleet.size()) })
 	n.metrics.Gauge("table_reads", func() float64 { return float64(n.store.Reads()) })
 	n.metrics.Gauge("table_writes", func() float64 { return float64(n.store.Writes()) })
--- a/node/runner.go
+++ b/node/runner.go
@@ -30,6 +30,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
+	trial, refusal := n.quarantine.Admit(ctx, req.Digest())
+	if refusal != nil {
+		return model.Answer{}, p, refusal
+	}
 	customer, _ := n.Settings().Customer(req.Team, req.Customer)
 	var carry model.Carry
 	for i, stage := range pipeline.Stages {
@@ -37,6 +41,7 @@
 			Work:   kernel.Work{Request: req, Stage: stage, Carry: carry},
 			Later:  n.dispatcher.Estimates(req, customer.Weight, pipeline.Stages[i+1:]),
 			Weight: customer.Weight,
+			Trial:  trial,
 		}
 		job.Plugin, _ = kernel.PluginFor(stage.Kind)
 		if i == len(pipeline.Stages)-1 {
@@ -47,12 +52,17 @@
 		p.stages = append(p.stages, result.Timing)
 		n.metrics.Spent(req.Account(), result.Timing, stage.Pool)
 		if err != nil {
-			return model.Answer{}, p.after(stage, err), p.refusal(err)
+			p = p.after(stage, err)
+			if trial && !p.reached {
+				n.quarantine.TrialUnused(req.Digest())
+			}
+			return model.Answer{}, p, p.refusal(err)
 		}
 		p.reached = true
 		p.sent = p.sent || stage.NonIdempotent
 		carry = result.Carry
 	}
+	n.quarantine.Answered(req.Digest())
 	return n.answer(req, carry, p), p, nil
 }
 
--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -54,6 +54,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	d := k.ends[e.Life()]
+	if d != nil && d.proof != "" && now.Sub(d.at) > kernel.SameCrash {
+		// It had ended, was connected to all the same, and broke off again: it does not say when it started.
+		d = nil
+	}
 	if d == nil {
 		if len(k.ends) >= mostEnds {
 			k.metrics.Event("EndpointEndUnknown")
@@ -87,7 +91,9 @@
 	clock.Sleep(k.ctx, listTime)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	delete(k.ends, d.endpoint.Life())
+	if k.ends[d.endpoint.Life()] == d {
+		delete(k.ends, d.endpoint.Life())
+	}
 }
 
 // Listed takes in which endpoints are listed. It proves the end of those that do not answer and are gone, and of those
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -218,8 +218,8 @@
 	if e.listener.end() {
 		e.crashes.Add(1)
 		time.AfterFunc(fault.Delay, func() {
-			if e.listener.again() == nil {
-				_ = e.server.Serve(e.listener)
+			if listener, err := e.listener.again(); err == nil {
+				_ = e.server.Serve(listener)
 			}
 		})
 	}
--- a/standin/listener.go
+++ b/standin/listener.go
@@ -13,9 +13,9 @@
 	// written to them arrives and nothing comes back, while new connections work.
 	silencer struct {
 		net.Listener
-		// address is where it listens, also while it does not.
-		address net.Addr
-		mu      sync.Mutex
+		mu sync.Mutex
+		// current is what listens now, after each end another one.
+		current net.Listener
 		ended   bool
 		conns   map[*silentConn]struct{}
 	}
@@ -32,15 +32,16 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "standin: unable to listen")
 	}
-	return &silencer{Listener: l, address: l.Addr(), conns: map[*silentConn]struct{}{}}, nil
+	return &silencer{Listener: l, current: l, conns: map[*silentConn]struct{}{}}, nil
 }
 
 // Accept implements net.Listener.
 func (s *silencer) Accept() (net.Conn, error) {
-	s.mu.Lock()
-	listener := s.Listener
-	s.mu.Unlock()
-	conn, err := listener.Accept()
+	return s.accept(s.Listener)
+}
+
+func (s *silencer) accept(from net.Listener) (net.Conn, error) {
+	conn, err := from.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -61,13 +62,10 @@
 	return len(s.conns)
 }
 
-// Addr implements net.Listener.
-func (s *silencer) Addr() net.Addr { return s.address }
-
 // end stops listening and cuts all open connections; it tells whether it listened.
 func (s *silencer) end() bool {
 	s.mu.Lock()
-	ended, listener := s.ended, s.Listener
+	ended, listener := s.ended, s.current
 	s.ended = true
 	s.mu.Unlock()
 	if !ended {
@@ -78,17 +76,26 @@
 }
 
 // again listens once more at the same address.
-func (s *silencer) again() error {
-	listener, err := net.Listen("tcp", s.address.String())
+func (s *silencer) again() (net.Listener, error) {
+	listener, err := net.Listen("tcp", s.Addr().String())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Listener, s.ended = listener, false
-	return nil
+	s.current, s.ended = listener, false
+	return restarted{Listener: listener, of: s}, nil
+}
+
+// restarted is what listens after an end.
+type restarted struct {
+	net.Listener
+	of *silencer
 }
 
+// Accept implements net.Listener.
+func (r restarted) Accept() (net.Conn, error) { return r.of.accept(r.Listener) }
+
 // cut closes all open connections.
 func (s *silencer) cut() {
 	s.mu.Lock()
