Soak: requests that end the endpoints that run them, beside all other faults

An endpoint of the soak ends as it begins to run a request with a certain body, or a piece with a certain key, and another takes its place half a second later. Such requests come again at any node while faults are injected; after that each of them, and one of each kind that was new, may reach an endpoint in at most three more tries, and all nodes still serve. Its first run failed: the soak's own proxying of rows spoilt those of held requests (nodes said so: "entry of a held request not understood").

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -78,8 +78,13 @@
 
 // send sends one request and notes what came back.
 func (cs *callers) send(n *node, id, route, key string) *sent {
-	call := standin.Call{ID: id, Route: route, Key: key, Within: callerDeadline, Prompt: route == "gen" || route == "res"}
-	if route == "gen" {
+	return cs.sendCall(n, standin.Call{ID: id, Route: route, Key: key})
+}
+
+func (cs *callers) sendCall(n *node, call standin.Call) *sent {
+	call.Within = callerDeadline
+	call.Prompt = call.Route == "gen" || call.Route == "res"
+	if call.Route == "gen" {
 		call.Pieces = "2,3"
 	}
 	s := &sent{Call: call, at: time.Now(), node: n.name}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -22,6 +22,10 @@
 	drain     = 2 * time.Second
 	revoke    = 2500 * time.Millisecond
 	startWait = 20 * time.Second
+	// replacedAfter is how long after the end of an endpoint's process another one takes its place, lapsesAfter how
+	// long its entry stays.
+	replacedAfter = 500 * time.Millisecond
+	lapsesAfter   = 2 * time.Second
 	// domains is how many failure domains the nodes lie in.
 	domains = 2
 )
@@ -36,12 +40,18 @@
 		endpoints map[string]*server
 		nodes     []*node
 
+		// supervised counts the endpoints that are about to be replaced.
+		supervised sync.WaitGroup
 		// away is held while the store is taken away as a whole.
 		away sync.Mutex
 
+		callers *callers
+
 		mu      sync.Mutex
 		version int
-		keys    []string
+		// subjects are those of the requests that end endpoints.
+		subjects []string
+		keys     []string
 		// revoked holds when each key was taken away.
 		revoked map[string]time.Time
 		extra   int
@@ -55,7 +65,7 @@
 		*standin.Endpoint
 		pool  string
 		proxy *proxy
-		// unlistedAt is when its entry was removed; zero while it is listed.
+		// unlistedAt is when its entry was removed, or its process ended; zero before.
 		unlistedAt time.Time
 	}
 
@@ -95,6 +105,7 @@
 	if s.proxy, err = newProxy(s.Address()); err != nil {
 		return err
 	}
+	s.SetDeadly(deadly, func() { c.ended(s) })
 	c.mu.Lock()
 	c.endpoints[name] = s
 	c.mu.Unlock()
@@ -102,6 +113,25 @@
 	return nil
 }
 
+// ended has an endpoint replaced whose process was ended by a request: another one starts after a while, and the
+// entry lapses.
+func (c *cluster) ended(s *server) {
+	s.proxy.close()
+	c.mu.Lock()
+	s.unlistedAt = time.Now()
+	c.extra++
+	name := fmt.Sprintf("%s-%d", s.pool, c.extra+100)
+	c.mu.Unlock()
+	c.supervised.Go(func() {
+		time.Sleep(replacedAfter)
+		if err := c.newServer(name, s.pool); err != nil {
+			c.breach("an endpoint can't be started: %v", err)
+		}
+		time.Sleep(lapsesAfter - replacedAfter)
+		c.store.Unlist(s.Name)
+	})
+}
+
 func (c *cluster) list(s *server, draining bool) {
 	c.store.List(standin.Entry{Name: s.Name, Pool: s.pool, Address: s.proxy.address(), Draining: draining, Started: s.Started()})
 }
@@ -150,7 +180,7 @@
 // announced puts a node's proxy in the place of the address that its process announces.
 func (c *cluster) announced(value string) string {
 	var row relay.Node
-	if json.Unmarshal([]byte(value), &row) != nil {
+	if json.Unmarshal([]byte(value), &row) != nil || row.Name == "" {
 		return value
 	}
 	c.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -87,6 +87,7 @@
 		must.NoError(t, c.newNode(i))
 	}
 	cs := newCallers(c)
+	c.callers = cs
 	c.checkRecovery(cs, "before", startWait)
 	ctx, cancel := context.WithCancel(context.Background())
 	var calling sync.WaitGroup
@@ -98,6 +99,8 @@
 	cancel()
 	calling.Wait()
 	c.checkRecovery(cs, "after", recovery)
+	c.checkDeadly(cs)
+	c.checkRecovery(cs, "beside", recovery)
 	c.check(cs)
 	t.Logf("seed %d: %d requests, faults %v", seed, len(cs.all), injected)
 	if len(c.breaches) > 0 {
