Let the store hold the question for held requests longer

The table of held requests is acted on however old its proof is, so its age no longer decides who reads the store, and a question for it may be held for 2 s in place of 0.9.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -124,6 +124,9 @@
 	now := clock.Now()
 	oldest := time.Duration(0)
 	for _, t := range f.tables {
+		if t.Undated {
+			continue
+		}
 		t.mu.Lock()
 		oldest = max(oldest, now.Sub(t.mirror.ProvenAt()))
 		t.mu.Unlock()
--- a/follow/quarantine.go
+++ b/follow/quarantine.go
@@ -11,8 +11,13 @@
 	"basilstall.example/basilstall/relay"
 )
 
-// QuarantineTable is the table in which each request that is held back has a row, by its digest.
-const QuarantineTable = "basilstall_quarantine"
+const (
+	// QuarantineTable is the table in which each request that is held back has a row, by its digest.
+	QuarantineTable = "basilstall_quarantine"
+	// quarantineHold is how long the store may hold a question for changes of it. News come at once; a connection
+	// that has gone silent is given up soon after, within the time in which news have to be known.
+	quarantineHold = 2 * time.Second
+)
 
 // Quarantine tells the relay which requests are held back, as the store says.
 type Quarantine struct {
@@ -25,9 +30,9 @@
 	return &Quarantine{relay: r, log: log}
 }
 
-// Table returns the table, to be followed. Hold is how long the store may at most hold a question for changes.
-func (q *Quarantine) Table(hold time.Duration) Table {
-	return Table{Name: QuarantineTable, Hold: hold, Apply: q.apply}
+// Table returns the table, to be followed.
+func (q *Quarantine) Table() Table {
+	return Table{Name: QuarantineTable, Hold: quarantineHold, Undated: true, Apply: q.apply}
 }
 
 func (q *Quarantine) apply(_ time.Time, news []kernel.Row) {
--- a/follow/source.go
+++ b/follow/source.go
@@ -134,7 +134,9 @@
 			answer.Age = f.options.MostAge + 1
 			continue
 		}
-		answer.Age = max(answer.Age, d.Age)
+		if !t.Undated {
+			answer.Age = max(answer.Age, d.Age)
+		}
 		began := clock.Now()
 		size, err := unpack(reply, t.Name)
 		if err != nil {
--- a/follow/table.go
+++ b/follow/table.go
@@ -16,6 +16,9 @@
 		// two questions.
 		Hold  time.Duration
 		Pause time.Duration
+		// Undated tells that what the table says is acted on however long ago it was proven: its age does not count
+		// where it is decided who reads the store.
+		Undated bool
 		// Apply takes in what is news, and the time at which the table was last proven current.
 		Apply func(provenAt time.Time, news []kernel.Row)
 	}
