Judge cases in time while ends go on; trust what was answered since

Found by a test of 400 keepers that call each other on a clock of their own. A request that ends five endpoints a second was never held back: each new end put the judgement off by another 300 ms.

--- a/kernel/quarantine.go
+++ b/kernel/quarantine.go
@@ -28,7 +28,10 @@
 	crashMemory = HoldTime
 	// explainedFor is how long reports on an end whose cause is known still come in.
 	explainedFor = 10 * time.Second
-	// mostCases bounds the requests that endpoints ended under, some 250 bytes each; mostHeld those held back, of
+	// answeredTrust is how long nothing counts against a request that was answered after endpoints had ended under
+	// it: one of which many are under way at any time is at each end, whatever its cause.
+	answeredTrust = time.Minute
+	// mostCases bounds the requests that endpoints ended under, some 250 bytes each, and those that were answered since; mostHeld those held back, of
 	// which all nodes are told, some 400 bytes each; mostCrashes the ends that are kept of each.
 	mostCases   = 4096
 	mostHeld    = 256
@@ -76,15 +79,19 @@
 		// explained holds the processes whose end is known to be another request's doing.
 		explained map[string]explanation
 		// trials has the trial under way in each pool that is kept here.
-		trials   map[string]trial
+		trials map[string]trial
+		// trusted holds until when nothing counts against requests that were answered.
+		trusted  map[model.Digest]time.Time
 		answered answeredRequests
 	}
 
 	crashCase struct {
 		pool    string
 		crashes []Crash
-		// changedAt is when the newest crash became known.
+		// changedAt is when the newest crash became known, ripensAt when the case is to be judged at the latest; zero
+		// before there is anything to judge.
 		changedAt time.Time
+		ripensAt  time.Time
 	}
 
 	heldRequest struct {
@@ -112,6 +119,7 @@
 		held:      map[model.Digest]*heldRequest{},
 		explained: map[string]explanation{},
 		trials:    map[string]trial{},
+		trusted:   map[model.Digest]time.Time{},
 	}
 }
 
@@ -139,6 +147,9 @@
 
 // Crashed notes that an endpoint's process ended while it worked on a request.
 func (q *Quarantine) Crashed(now time.Time, digest model.Digest, pool string, crash Crash) {
+	if now.Before(q.trusted[digest]) {
+		return
+	}
 	if why, known := q.explained[crash.Life]; known && why.digest != digest && now.Before(why.until) {
 		return
 	}
@@ -161,6 +172,9 @@
 	}
 	c.crashes = append(c.crashes, crash)
 	c.changedAt = now
+	if len(c.crashes) >= CrashesToHold && c.ripensAt.IsZero() {
+		c.ripensAt = now.Add(judgeLatest)
+	}
 }
 
 // makeRoom forgets the case that did not change for longest where there are too many.
@@ -197,11 +211,20 @@
 	delete(q.held, digest)
 }
 
+// Trust forgets what is held against a request because it was answered whole.
+func (q *Quarantine) Trust(now time.Time, digest model.Digest) {
+	q.Clear(digest)
+	if len(q.trusted) >= mostCases {
+		clear(q.trusted)
+	}
+	q.trusted[digest] = now.Add(answeredTrust)
+}
+
 // Learn takes in that a request is held back. False means that it was answered whole here after endpoints had ended
 // under it, so that it is not at fault: its keepers are to be told.
 func (q *Quarantine) Learn(now time.Time, h HeldRequest) bool {
-	if q.answered.since(now.Add(-h.Since), h.Digest) {
-		q.Clear(h.Digest)
+	if q.answered.since(now.Add(-h.Since), h.Digest) || now.Before(q.trusted[h.Digest]) {
+		q.Trust(now, h.Digest)
 		return false
 	}
 	before := q.held[h.Digest]
--- a/kernel/quarantinejudge.go
+++ b/kernel/quarantinejudge.go
@@ -43,6 +43,7 @@
 	var change QuarantineChange
 	for _, digest := range q.ripe(now, keeps) {
 		c := q.cases[digest]
+		c.ripensAt = time.Time{}
 		if len(c.crashes) < CrashesToHold {
 			continue
 		}
@@ -81,7 +82,7 @@
 	}
 	out = slices.DeleteFunc(out, func(digest model.Digest) bool {
 		c := q.cases[digest]
-		return now.Sub(newest[c.pool]) < JudgeAfter && now.Sub(c.changedAt) < judgeLatest
+		return now.Sub(newest[c.pool]) < JudgeAfter && now.Before(c.ripensAt)
 	})
 	slices.SortFunc(out, func(a, b model.Digest) int {
 		return cmp.Or(cmp.Compare(len(q.cases[b].crashes), len(q.cases[a].crashes)), cmp.Compare(a, b))
@@ -130,6 +131,11 @@
 			delete(q.cases, digest)
 		}
 	}
+	for digest, until := range q.trusted {
+		if now.After(until) {
+			delete(q.trusted, digest)
+		}
+	}
 	for life, why := range q.explained {
 		if now.After(why.until) {
 			delete(q.explained, life)
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -67,6 +67,9 @@
 	passage, _, _ := k.look(digest)
 	change := kernel.QuarantineChange{Lift: []model.Digest{digest}}
 	k.Learn(change)
+	k.mu.Lock()
+	k.q.Trust(k.now(), digest)
+	k.mu.Unlock()
 	if passage != kernel.Free && k.keeps(pool) {
 		k.store(change)
 	}
