Count the end of a process that is back without a word on its connections

What callers saw: nothing yet; found by looking for the same cause elsewhere. Where only the list tells that an endpoint has started again, the calls to its former life were ended as silent, and nothing counted against their requests: one that ends its endpoints so was sent on for good (1,000 starts in the test, which failed first). What was under way is now counted, with the list as proof.

--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -167,7 +167,7 @@
 	timeout := time.Duration(callPatience*float64(expected)) + callGrace
 	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
-	ctx, over := r.begin(ctx, batch.Endpoint)
+	ctx, over := r.begin(ctx, batch.Endpoint, batch.Digests()...)
 	defer over()
 	overdue := time.AfterFunc(overdueAfter, func() { g.overdue(batch) })
 	defer overdue.Stop()
--- a/relay/lives.go
+++ b/relay/lives.go
@@ -16,25 +16,26 @@
 
 // lives holds the calls under way by the life of the endpoint that they were made to.
 type lives struct {
-	mu    sync.Mutex
-	calls map[string]map[*context.CancelCauseFunc]bool
+	mu sync.Mutex
+	// calls has, for each call, the requests that it is for.
+	calls map[string]map[*context.CancelCauseFunc][]model.Digest
 }
 
 func newLives() *lives {
-	return &lives{calls: map[string]map[*context.CancelCauseFunc]bool{}}
+	return &lives{calls: map[string]map[*context.CancelCauseFunc][]model.Digest{}}
 }
 
-// begin returns a context for a call to an endpoint; it ends with the endpoint's life. The function
-// that it returns is to be called when the call is over.
-func (r *Relay) begin(ctx context.Context, e model.Endpoint) (context.Context, func()) {
+// begin returns a context for a call to an endpoint for some requests; it ends with the endpoint's life. The
+// function that it returns is to be called when the call is over.
+func (r *Relay) begin(ctx context.Context, e model.Endpoint, digests ...model.Digest) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	l := r.lives
 	life := e.Life()
 	l.mu.Lock()
 	if l.calls[life] == nil {
-		l.calls[life] = map[*context.CancelCauseFunc]bool{}
+		l.calls[life] = map[*context.CancelCauseFunc][]model.Digest{}
 	}
-	l.calls[life][&cancel] = true
+	l.calls[life][&cancel] = digests
 	l.mu.Unlock()
 	if r.Roster().Superseded(life) {
 		cancel(errStartedAgain)
@@ -50,14 +51,15 @@
 	}
 }
 
-// end ends the calls to a life and returns how many there were.
-func (l *lives) end(life string) int {
+// end ends the calls to a life and returns how many there were, and for which requests.
+func (l *lives) end(life string) (calls int, digests []model.Digest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for cancel := range l.calls[life] {
+	for cancel, of := range l.calls[life] {
 		(*cancel)(errStartedAgain)
+		digests = append(digests, of...)
 	}
-	return len(l.calls[life])
+	return len(l.calls[life]), digests
 }
 
 // endFormerLives ends what hangs on endpoints that have started again: calls under way, idle
@@ -70,7 +72,10 @@
 		}
 		again = true
 		r.metrics.Event("EndpointStartedAgain")
-		ended := r.lives.end(c.Before.Life())
+		ended, digests := r.lives.end(c.Before.Life())
+		if len(digests) > 0 {
+			r.quarantine.BrokeOff(c.Before, digests...)
+		}
 		r.wire.Retire(c.Before.Address)
 		r.log.Info().Str("Endpoint", c.Before.Life()).Int("Calls", ended).Msg("calls to a former life ended")
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -159,7 +159,7 @@
 	defer cancel(nil)
 	silence := j.watchSilence(cancel)
 	defer silence.Stop()
-	ctx, over := j.relay.begin(ctx, send.Endpoint)
+	ctx, over := j.relay.begin(ctx, send.Endpoint, j.forward.Digest)
 	defer over()
 	reply, err := j.relay.wire.Forward(ctx, send)
 	if err != nil {
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -121,7 +121,7 @@
 			res.err = errPanic
 			results <- res
 		})
-		ctx, over := r.begin(ctx, e)
+		ctx, over := r.begin(ctx, e, j.forward.Digest)
 		defer over()
 		res.reply, res.err = r.wire.Forward(ctx, send)
 		if res.err == nil {
