--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -34,6 +34,7 @@
 	model.TableUnavailable: http.StatusServiceUnavailable,
 	model.AdapterNotLoaded: http.StatusServiceUnavailable,
 	model.CallerGone:       http.StatusServiceUnavailable,
+	model.Quarantined:      http.StatusServiceUnavailable,
 }
 
 // refuse writes a refusal at once, with when to come back.
