Have other nodes each time hold back what the store does not take

While the store answers nobody, a keeper asked the same three nodes each second to write for it, and nobody else learned what it had found. It now draws them: of 20 nodes more than half hold within 30 s (a test).

--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -232,9 +233,13 @@
 	return out
 }
 
+// storeElsewhere has other nodes write, other ones each time: each of them holds back at once what it is told, also
+// where the store answers none.
 func (k *Keeper) storeElsewhere(change kernel.QuarantineChange) bool {
 	helpers := storeHelpers
-	for _, p := range k.seams.Peers() {
+	peers := k.seams.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers {
 		if p.Name == k.name || helpers == 0 {
 			continue
 		}
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -383,3 +383,27 @@
 		must.NotNil(t, refusal)
 	})
 }
+
+// Where the store answers nobody, what was found still spreads from node to node.
+func TestWhatIsFoundSpreadsWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 20
+		f := newFleet(t, size)
+		for _, name := range f.names {
+			f.deaf[name] = true
+		}
+		digest := model.NewDigest("deadly")
+		for range kernel.CrashesToHold {
+			f.end(digest)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(30 * time.Second)
+		held := 0
+		for _, k := range f.keepers {
+			if k.Len() > 0 {
+				held++
+			}
+		}
+		must.Greater(t, size/2, held)
+	})
+}
