Tell callers when a trial is of use, and part pieces only where a maker ended

A caller whose request had used up its trials was told to come back each second for ten minutes; the keeper now says when. They are parted where the process has ended, which the connection that is opened at once tells.

--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -86,7 +86,7 @@
 		// fetchedAt is when the calls under way have fetched the inputs.
 		fetchedAt   time.Time
 		inputsFreed bool
-		// alone is true once a maker broke off while it made this group's pieces: they share no call any more with
+		// alone is true once a maker ended while it made this group's pieces: they share no call any more with
 		// others, so that what ends a maker does not take others' pieces with it again and again.
 		alone bool
 	}
--- a/kernel/gatheralone_test.go
+++ b/kernel/gatheralone_test.go
@@ -11,7 +11,7 @@
 
 // A piece may end the maker that begins to make it. What shared its call would go with it to the next maker, and be
 // under way at each end as it is: nothing could tell them apart, and all would fail.
-func TestPiecesUnderWhichAMakerBrokeOffShareNoCall(t *testing.T) {
+func TestPiecesUnderWhichAMakerEndedShareNoCall(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := newGathering(3)
 	for id := uint64(1); id <= 3; id++ {
@@ -26,7 +26,7 @@
 	must.True(t, ok)
 	must.Len(t, 6, batch.Pieces)
 	must.Eq(t, []model.Digest{"request-1", "request-2", "request-3"}, batch.Digests())
-	must.SliceEmpty(t, g.BrokeOff(now, batch))
+	must.SliceEmpty(t, g.Crashed(now, batch))
 	for range 2 {
 		now = now.Add(time.Second)
 		batch, ok = g.Next(now)
--- a/kernel/gatherend.go
+++ b/kernel/gatherend.go
@@ -27,8 +27,8 @@
 	return g.retryPieces(now, batch, nil, model.PieceFailed, true)
 }
 
-// BrokeOff takes in that a maker broke off in the middle of a call: it may have been ended by one of the pieces.
-func (g *Gathering) BrokeOff(now time.Time, batch PieceBatch) []GroupOutcome {
+// Crashed takes in that a maker's process ended in the middle of a call: one of the pieces may have ended it.
+func (g *Gathering) Crashed(now time.Time, batch PieceBatch) []GroupOutcome {
 	for _, id := range batch.groups {
 		if w := g.groups[id]; w != nil {
 			w.alone = true
--- a/kernel/quarantine.go
+++ b/kernel/quarantine.go
@@ -282,23 +282,25 @@
 }
 
 // TakeTrial permits a request that may only run on trial to be sent once: one in each pool at a time, so that what
-// it shows is its own doing.
-func (q *Quarantine) TakeTrial(now time.Time, digest model.Digest) bool {
-	passage, _, _ := q.Look(now, digest)
+// it shows is its own doing. Where it does not, it tells when the caller may come back.
+func (q *Quarantine) TakeTrial(now time.Time, digest model.Digest) (permitted bool, retryAfter time.Duration) {
+	passage, _, retry := q.Look(now, digest)
 	if passage != OnTrial {
-		return passage == Free
+		return passage == Free, retry
 	}
 	h := q.held[digest]
 	if now.Sub(h.learnedAt) > HoldTime {
 		h.learnedAt, h.trials, h.Firm = now, 0, false
 	}
-	running, busy := q.trials[h.Pool]
-	if h.trials >= mostTrials || busy && now.Before(running.until) {
-		return false
+	if h.trials >= mostTrials {
+		return false, h.learnedAt.Add(HoldTime).Sub(now)
+	}
+	if running, busy := q.trials[h.Pool]; busy && now.Before(running.until) {
+		return false, trialRetry
 	}
 	h.trials++
 	q.trials[h.Pool] = trial{digest: digest, until: now.Add(trialLasts)}
-	return true
+	return true, 0
 }
 
 // ReturnTrial takes back the trial of a request that was not sent after all.
--- a/kernel/quarantine_test.go
+++ b/kernel/quarantine_test.go
@@ -50,6 +50,11 @@
 	return passage
 }
 
+func (w *ward) trial(d model.Digest) bool {
+	permitted, _ := w.TakeTrial(w.now, d)
+	return permitted
+}
+
 func TestWhichRequestIsHeldBack(t *testing.T) {
 	for _, tc := range []struct {
 		name string
@@ -141,10 +146,10 @@
 
 func TestATrialTellsTheCauseFromWhatRanBeside(t *testing.T) {
 	w := tied()
-	must.True(t, w.TakeTrial(w.now, "bad"))
-	must.False(t, w.TakeTrial(w.now, "good"), must.Sprint("one at a time"))
+	must.True(t, w.trial("bad"))
+	must.False(t, w.trial("good"), must.Sprint("one at a time"))
 	w.end("last", "bad")
-	must.False(t, w.TakeTrial(w.now, "bad"), must.Sprint("it has shown what it does"))
+	must.False(t, w.trial("bad"), must.Sprint("it has shown what it does"))
 	change := w.judge()
 	must.SliceLen(t, 1, change.Hold)
 	must.True(t, change.Hold[0].Firm)
@@ -155,7 +160,7 @@
 
 func TestATrialThatIsAnsweredClears(t *testing.T) {
 	w := tied()
-	must.True(t, w.TakeTrial(w.now, "good"))
+	must.True(t, w.trial("good"))
 	suspected, pool := w.Answered(w.now, "good")
 	must.True(t, suspected)
 	must.EqOp(t, "pool", pool)
@@ -171,14 +176,24 @@
 	permitted := 0
 	for range 100 {
 		w.now = w.now.Add(5 * time.Second)
-		if w.TakeTrial(w.now, "bad") {
+		if w.trial("bad") {
 			permitted++
 		}
 	}
 	must.EqOp(t, 2, permitted)
 	w = tied()
+	w.trial("bad")
+	_, retry := w.TakeTrial(w.now, "good")
+	must.EqOp(t, time.Second, retry, must.Sprint("another trial is under way"))
+	for range 2 {
+		w.now = w.now.Add(time.Minute)
+		w.trial("bad")
+	}
+	_, retry = w.TakeTrial(w.now, "bad")
+	must.EqOp(t, kernel.HoldTime-2*time.Minute, retry, must.Sprint("a time to come back that is of use"))
+	w = tied()
 	for range 10 {
-		must.True(t, w.TakeTrial(w.now, "good"), must.Sprint("what was not sent does not count"))
+		must.True(t, w.trial("good"), must.Sprint("what was not sent does not count"))
 		w.ReturnTrial("good")
 	}
 }
@@ -189,10 +204,10 @@
 		w.end(fmt.Sprint(i), "a")
 	}
 	w.judge()
-	must.False(t, w.TakeTrial(w.now, "a"))
+	must.False(t, w.trial("a"))
 	w.now = w.now.Add(kernel.HoldTime)
 	must.EqOp(t, kernel.OnTrial, w.passage("a"))
-	must.True(t, w.TakeTrial(w.now, "a"))
+	must.True(t, w.trial("a"))
 	w.end("later", "a")
 	w.judge()
 	must.EqOp(t, kernel.Held, w.passage("a"), must.Sprint("one more end is enough then"))
@@ -215,7 +230,7 @@
 	_, held, _ := first.Look(first.now, "bad")
 	w := newWard()
 	must.True(t, w.Learn(w.now, held))
-	must.True(t, w.TakeTrial(w.now, "bad"))
+	must.True(t, w.trial("bad"))
 	w.end("last", "bad")
 	w.judge()
 	must.EqOp(t, kernel.Held, w.passage("bad"))
--- a/peer/message.go
+++ b/peer/message.go
@@ -281,6 +281,8 @@
 	// TrialReply answers Trial.
 	TrialReply struct {
 		Permitted bool
+		// RetryAfter is when the caller may come back where it is not.
+		RetryAfter time.Duration
 	}
 
 	// Clear tells a pool's keeper that a request was answered whole: it does not end each endpoint that runs it.
--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -43,6 +43,8 @@
 	// proof is empty until the end is proven; answers tells that something listens at the address.
 	proof   string
 	answers bool
+	// looked is closed once the address was tried.
+	looked chan struct{}
 	// flushing is true while what has gathered is about to be reported.
 	flushing bool
 }
@@ -63,7 +65,7 @@
 			k.metrics.Event("EndpointEndUnknown")
 			return
 		}
-		d = &end{endpoint: e, at: now}
+		d = &end{endpoint: e, at: now, looked: make(chan struct{})}
 		k.ends[e.Life()] = d
 		go k.lookInto(d)
 	}
@@ -77,12 +79,31 @@
 	}
 }
 
+// HasEnded tells whether an endpoint that broke off has ended, as soon as that is known from its address.
+func (k *Keeper) HasEnded(e model.Endpoint) bool {
+	k.mu.Lock()
+	d := k.ends[e.Life()]
+	k.mu.Unlock()
+	if d == nil {
+		return false
+	}
+	select {
+	case <-d.looked:
+	case <-k.ctx.Done():
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return d.proof != ""
+}
+
 // lookInto finds out whether an endpoint's process has ended, and forgets it after a while.
 func (k *Keeper) lookInto(d *end) {
 	ctx, cancel := context.WithTimeout(k.ctx, connectTimeout)
 	err := k.seams.Connect(ctx, d.endpoint.Address)
 	cancel()
 	k.mu.Lock()
+	close(d.looked)
 	d.answers = err == nil
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		k.proven(d, proofRefused)
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -80,13 +80,17 @@
 // where the request is not sent.
 func (k *Keeper) Admit(ctx context.Context, digest model.Digest) (trial bool, refusal *model.Refusal) {
 	passage, held, retry := k.look(digest)
-	switch {
-	case passage == kernel.Free:
+	switch passage {
+	case kernel.Free:
 		return false, nil
-	case passage == kernel.OnTrial && k.askTrial(ctx, held, false):
-		k.metrics.Event("QuarantineTrial")
-		k.log.Info().Str("Digest", string(digest)).Str("Pool", held.Pool).Msg("request that is held back runs on trial")
-		return true, nil
+	case kernel.OnTrial:
+		permitted, again := k.askTrial(ctx, held)
+		if permitted {
+			k.metrics.Event("QuarantineTrial")
+			k.log.Info().Str("Digest", string(digest)).Str("Pool", held.Pool).Msg("request that is held back runs on trial")
+			return true, nil
+		}
+		return false, refuse(max(retry, again))
 	default:
 		return false, refuse(retry)
 	}
@@ -123,7 +127,11 @@
 	if held.Digest == "" {
 		return
 	}
-	go k.askTrial(k.ctx, held, true)
+	go func() {
+		ctx, cancel := context.WithTimeout(k.ctx, tellTimeout)
+		defer cancel()
+		k.trial(ctx, held.Pool, peer.Trial{Digest: digest, Unused: true})
+	}()
 }
 
 // Answered notes that an endpoint answered a request whole, and tells the keepers where that clears it.
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/kernel"
@@ -75,27 +76,38 @@
 	}
 }
 
-// askTrial asks the keeper of a request's pool for a trial, or gives one back.
-func (k *Keeper) askTrial(ctx context.Context, held kernel.HeldRequest, unused bool) bool {
-	keeper := k.keepers(held.Pool)[0]
-	if keeper == k.name {
-		return k.takeTrial(held.Digest, unused)
-	}
+// askTrial asks the keeper of a request's pool for a trial. Where it is not permitted, it returns when the caller may
+// come back, or zero where the keeper did not answer.
+func (k *Keeper) askTrial(ctx context.Context, held kernel.HeldRequest) (permitted bool, retryAfter time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
+	reply := k.trial(ctx, held.Pool, peer.Trial{Digest: held.Digest})
+	return reply.Permitted, reply.RetryAfter
+}
+
+// trial takes a word on a trial to the keeper of a pool.
+func (k *Keeper) trial(ctx context.Context, pool string, word peer.Trial) peer.TrialReply {
+	keeper := k.keepers(pool)[0]
+	if keeper == k.name {
+		return k.takeTrial(word)
+	}
 	var reply peer.TrialReply
-	err := k.seams.Call(ctx, keeper, peer.KindTrial, peer.Trial{Digest: held.Digest, Unused: unused}, &reply)
-	return err == nil && reply.Permitted
+	if k.seams.Call(ctx, keeper, peer.KindTrial, word, &reply) != nil {
+		k.metrics.Event("KeeperNotTold")
+		return peer.TrialReply{}
+	}
+	return reply
 }
 
-func (k *Keeper) takeTrial(digest model.Digest, unused bool) bool {
+func (k *Keeper) takeTrial(word peer.Trial) peer.TrialReply {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if unused {
-		k.q.ReturnTrial(digest)
-		return false
+	if word.Unused {
+		k.q.ReturnTrial(word.Digest)
+		return peer.TrialReply{}
 	}
-	return k.q.TakeTrial(k.now(), digest)
+	permitted, retryAfter := k.q.TakeTrial(k.now(), word.Digest)
+	return peer.TrialReply{Permitted: permitted, RetryAfter: retryAfter}
 }
 
 // Handlers answer other nodes.
@@ -122,7 +134,7 @@
 	if err := peer.DecodeBody(body, &m); err != nil {
 		return nil, err
 	}
-	return peer.TrialReply{Permitted: k.takeTrial(m.Digest, m.Unused)}, nil
+	return k.takeTrial(m), nil
 }
 
 func (k *Keeper) answerClear(_ context.Context, body []byte) (any, error) {
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
@@ -172,6 +174,7 @@
 	overdue := time.AfterFunc(overdueAfter, func() { g.overdue(batch) })
 	defer overdue.Stop()
 	reply, err := r.wire.RunPieces(ctx, batch.Endpoint, batch.Pieces)
+	crashed := g.crashed(batch, err)
 	now := r.now()
 	var ended []kernel.GroupOutcome
 	var unwanted []kernel.MadePiece
@@ -179,8 +182,8 @@
 	switch {
 	case err != nil && asFault(err).Kind == endpoint.Refused:
 		ended = g.g.Unreachable(now, batch)
-	case err != nil && asFault(err).Kind == endpoint.Cut:
-		ended = g.g.BrokeOff(now, batch)
+	case crashed:
+		ended = g.g.Crashed(now, batch)
 	case err != nil:
 		ended = g.g.Failed(now, batch)
 	case reply.NotRun:
@@ -189,15 +192,23 @@
 		ended, unwanted = g.g.Done(now, batch, reply.Results)
 	}
 	g.mu.Unlock()
-	if err != nil && asFault(err).Kind == endpoint.Cut {
-		r.quarantine.BrokeOff(batch.Endpoint, batch.Digests()...)
-	}
 	g.logCall(batch, reply, err)
 	g.finish(ended)
 	g.free(unwanted)
 	g.pump()
 }
 
+// crashed tells whether the maker's process ended in the middle of a call, and has that looked into where the
+// connection broke.
+func (g *gatherer) crashed(batch kernel.PieceBatch, err error) bool {
+	var fault *endpoint.Fault
+	if !errors.As(err, &fault) || fault.Kind != endpoint.Cut || fault.Verdict == model.NotRun {
+		return false
+	}
+	g.relay.quarantine.BrokeOff(batch.Endpoint, batch.Digests()...)
+	return g.relay.quarantine.HasEnded(batch.Endpoint)
+}
+
 // overdue has the pieces of a call that takes too long made elsewhere, too.
 func (g *gatherer) overdue(batch kernel.PieceBatch) {
 	r := g.relay
