Split files that had grown large

Moved unchanged: membership's ring and news, picks and places of the dispatcher's pools, the stand-in's pieces and ends, the relay's retries and nodes, and the quarantine's trials and learning.

--- /dev/null
+++ b/dispatch/poolpick.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+// pick chooses an endpoint and counts a call to it as in flight.
+func (p *pool) pick(now time.Time, prefix string, excluded []string) *endpointState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.plain {
+		return p.pickPlain()
+	}
+	candidates := p.candidates()
+	usable := kernel.Usable(now, candidates, excluded)
+	if len(usable) == 0 {
+		usable = kernel.Usable(now, candidates, nil)
+	}
+	var i int
+	if prefix != "" {
+		i = kernel.PickPrefix(now, usable, prefix)
+	} else {
+		i = kernel.PickTwoChoices(now, usable, p.domain, rand.Float64(), rand.Float64())
+	}
+	if i < 0 {
+		return nil
+	}
+	e := p.find(usable[i].Endpoint.Name)
+	e.candidate.InFlight++
+	e.calls++
+	if e.candidate.Health.Ejected() {
+		e.candidate.Health = e.candidate.Health.WithProbe()
+	}
+	return e
+}
+
+// noteLack notes that an engine lacks an adapter.
+func (p *pool) noteLack(now time.Time, e *endpointState, adapter string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.candidate.InFlight--
+	e.candidate.Health.Probing = false
+	p.onDemand = true
+	if e.lacks == nil {
+		e.lacks = map[string]time.Time{}
+	}
+	e.lacks[adapter] = now
+}
+
+// lacking returns the engines that said a moment ago that they lack an adapter, and whether
+// these are all that could get the call.
+func (p *pool) lacking(now time.Time, adapter string) (names []string, all bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	staying := 0
+	for _, e := range p.endpoints {
+		if e.candidate.Endpoint.State == model.Leaving {
+			continue
+		}
+		staying++
+		at, lacks := e.lacks[adapter]
+		if lacks && now.Sub(at) < lackMemory {
+			names = append(names, e.candidate.Endpoint.Name)
+		} else if lacks {
+			delete(e.lacks, adapter)
+		}
+	}
+	return names, len(names) > 0 && len(names) == staying
+}
+
+// loadsOnDemand tells whether the pool's engines load adapters on demand.
+func (p *pool) loadsOnDemand() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.onDemand
+}
+
+// pickPlain is the baseline: round robin over all that the list names.
+func (p *pool) pickPlain() *endpointState {
+	if len(p.endpoints) == 0 {
+		return nil
+	}
+	e := p.endpoints[p.turn%len(p.endpoints)]
+	p.turn++
+	e.candidate.InFlight++
+	e.calls++
+	return e
+}
+
+func (p *pool) candidates() []kernel.Candidate {
+	out := make([]kernel.Candidate, 0, len(p.endpoints))
+	for _, e := range p.endpoints {
+		out = append(out, e.candidate)
+	}
+	return out
+}
+
+// slots sums up the slots of the endpoints that have ever reported any; those that have not
+// are taken to have as many as the others.
+func (p *pool) slots() int {
+	known, sum := 0, 0
+	for _, e := range p.endpoints {
+		if e.candidate.Load.Slots > 0 {
+			known++
+			sum += e.candidate.Load.Slots
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return sum * len(p.endpoints) / known
+}
--- /dev/null
+++ b/kernel/membershipring.go
@@ -0,0 +1,97 @@
+package kernel
+
+import (
+	"math/bits"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Neighbours returns the members that the node heartbeats: those one, two and four places
+// further on the ring of names. Their answers and the heartbeats of those before it make six
+// members watched. In a large fleet one member further off, in turn, makes news spread in a
+// number of rounds that grows with the logarithm of the fleet. One dead member in turn is tried too: two sides of a cut that hold each
+// other dead would else never speak again.
+func (m *Membership) Neighbours() []MemberInfo {
+	ring := m.ring()
+	at := slices.Index(ring, m.self.Member.Node)
+	var out []MemberInfo
+	for _, step := range append([]int{1, 2, 4}, m.longStep(len(ring))...) {
+		if step < len(ring) {
+			out = append(out, *m.members[ring[(at+step)%len(ring)]])
+		}
+	}
+	if dead, ok := m.nextDead(); ok {
+		m.tell(dead.news())
+		out = append(out, dead)
+	}
+	return out
+}
+
+func (m *Membership) longStep(ringSize int) []int {
+	const shortest = 8
+	if ringSize <= shortest {
+		return nil
+	}
+	m.longTurn++
+	steps := bits.Len(uint(ringSize-1)) - bits.Len(shortest) + 1
+	return []int{shortest << (m.longTurn % steps)}
+}
+
+func (m *Membership) nextDead() (MemberInfo, bool) {
+	var dead []MemberInfo
+	for _, info := range m.members {
+		if info.State == MemberDead {
+			dead = append(dead, *info)
+		}
+	}
+	if len(dead) == 0 {
+		return MemberInfo{}, false
+	}
+	slices.SortFunc(dead, func(a, b MemberInfo) int { return strings.Compare(a.Member.Node, b.Member.Node) })
+	m.turn++
+	return dead[m.turn%len(dead)], true
+}
+
+// watch returns whom the node should hear of, and notes since when: a member that was not a
+// neighbour before had no reason to speak.
+func (m *Membership) watch(now time.Time) []string {
+	names := m.watched()
+	since := make(map[string]time.Time, len(names))
+	for _, name := range names {
+		since[name] = now
+		if before, was := m.watchedSince[name]; was {
+			since[name] = before
+		}
+	}
+	m.watchedSince = since
+	return names
+}
+
+// watched returns whom the node should hear of: its neighbours and those it is one to.
+func (m *Membership) watched() []string {
+	ring := m.ring()
+	at := slices.Index(ring, m.self.Member.Node)
+	var out []string
+	for _, step := range []int{1, 2, 4, -1, -2, -4} {
+		if step < len(ring) && -step < len(ring) {
+			out = append(out, ring[(at+step+len(ring))%len(ring)])
+		}
+	}
+	return out
+}
+
+// ring returns the names of all members that are not dead, in order.
+func (m *Membership) ring() []string {
+	if m.order != nil {
+		return m.order
+	}
+	m.order = []string{m.self.Member.Node}
+	for name, info := range m.members {
+		if info.State != MemberDead {
+			m.order = append(m.order, name)
+		}
+	}
+	slices.Sort(m.order)
+	return m.order
+}
--- /dev/null
+++ b/kernel/quarantinelearn.go
@@ -0,0 +1,69 @@
+package kernel
+
+import (
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+// Learn takes in that a request is held back. False means that it was answered whole here after endpoints had ended
+// under it, so that it is not at fault: its keepers are to be told.
+func (q *Quarantine) Learn(now time.Time, h HeldRequest) bool {
+	if q.answered.since(now.Add(-h.Since), h.Digest) || now.Before(q.trusted[h.Digest]) {
+		q.Trust(now, h.Digest)
+		return false
+	}
+	before := q.held[h.Digest]
+	q.held[h.Digest] = &heldRequest{HeldRequest: h, learnedAt: now}
+	if before != nil && before.Firm == h.Firm {
+		q.held[h.Digest].trials = before.trials
+	}
+	for _, life := range h.Lives {
+		if h.Firm {
+			q.explain(now, h.Digest, life)
+		}
+	}
+	q.seed(now, h)
+	for len(q.held) > mostHeld {
+		q.Clear(q.oldestHeld())
+	}
+	return true
+}
+
+// seed takes over the ends that another keeper found: one that has just started goes on from there.
+func (q *Quarantine) seed(now time.Time, h HeldRequest) {
+	c := q.cases[h.Digest]
+	if c == nil {
+		q.makeRoom()
+		c = &crashCase{pool: h.Pool, changedAt: now}
+		q.cases[h.Digest] = c
+	}
+	for _, life := range h.Lives {
+		known := slices.ContainsFunc(c.crashes, func(crash Crash) bool { return crash.Life == life })
+		if !known && len(c.crashes) < mostCrashes {
+			c.crashes = append(c.crashes, Crash{Life: life, At: now.Add(-h.Since)})
+		}
+	}
+}
+
+func (q *Quarantine) oldestHeld() model.Digest {
+	var oldest model.Digest
+	for digest, h := range q.held {
+		if oldest == "" || h.learnedAt.Before(q.held[oldest].learnedAt) {
+			oldest = digest
+		}
+	}
+	return oldest
+}
+
+// explain takes an end off the other requests that were under way there: its cause is known.
+func (q *Quarantine) explain(now time.Time, digest model.Digest, life string) {
+	q.explained[life] = explanation{digest: digest, until: now.Add(explainedFor)}
+	for other, c := range q.cases {
+		if other == digest {
+			continue
+		}
+		c.crashes = slices.DeleteFunc(c.crashes, func(known Crash) bool { return known.Life == life })
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -198,63 +198,11 @@
 	r.quarantine.Listed(roster.Endpoints)
 }
 
-// SetNodes takes over which nodes there are, this one included, and which of them have just announced
-// themselves.
-func (r *Relay) SetNodes(nodes []Node, announced []string) {
-	r.nodes.Store(&nodes)
-	for _, name := range announced {
-		r.suspects.announced(name)
-	}
-}
-
-// Reachable returns the nodes that are not leaving and answer, as far as is known. This one is among them,
-// unless it is leaving and there are others.
-func (r *Relay) Reachable() []kernel.Peer {
-	var out []kernel.Peer
-	for _, n := range *r.nodes.Load() {
-		if n.Name != r.options.Name && !n.Leaving && !r.suspects.suspected(n.Name) {
-			out = append(out, kernel.Peer{Name: n.Name, Domain: n.Domain, Capacity: n.Capacity})
-		}
-	}
-	if len(out) == 0 || !r.Leaving() {
-		out = append(out, kernel.Peer{Name: r.options.Name, Domain: r.options.Domain, Capacity: r.options.Capacity})
-	}
-	return out
-}
-
-// reachable tells whether another node is not leaving and answers, as far as is known.
-func (r *Relay) reachable(node string) bool {
-	for _, n := range *r.nodes.Load() {
-		if n.Name == node {
-			return !n.Leaving && !r.suspects.suspected(node)
-		}
-	}
-	return false
-}
-
-// Ask calls another node by its name, for a reply that may be large: it ends where nothing comes from the
-// node for a time.
-func (r *Relay) Ask(ctx context.Context, silence time.Duration, node string, kind peer.Kind, message, reply any) error {
-	return r.peers.CallUnlessSilent(ctx, silence, r.addressOf(node), kind, message, reply)
-}
-
-// callNode calls another node by its name.
-func (r *Relay) callNode(ctx context.Context, node string, kind peer.Kind, message, reply any) error {
-	return r.peers.Call(ctx, r.addressOf(node), kind, message, reply)
-}
-
 // SetHeldBack takes over which requests the store says are held back, and which no longer.
 func (r *Relay) SetHeldBack(change kernel.QuarantineChange) {
 	r.quarantine.Learn(change)
 }
 
-// Suspect notes that a node did not answer; it is probed until it does.
-func (r *Relay) Suspect(node string, err error) {
-	if r.suspects.suspect(node) {
-		r.log.Info().Str("Peer", node).Err(err).Msg("node does not answer")
-	}
-}
-
 // Serve takes one request to its end. It returns once the answer was passed on, or with a
 // refusal where none was begun.
 func (r *Relay) Serve(ctx context.Context, f model.Forward, out Responder) Outcome {
@@ -315,8 +263,3 @@
 	r.logEnd(f, a, view, Outcome{Refusal: refusal})
 	return Outcome{Refusal: refusal}
 }
-
-// live returns how many nodes share the fleet's budgets.
-func (r *Relay) live() int {
-	return max(1, len(*r.nodes.Load()))
-}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -132,31 +132,6 @@
 	return true
 }
 
-// send prepares one send. Before the first, the request's admission is looked at once more.
-func (j *job) send(e model.Endpoint, again bool) Send {
-	send := Send{
-		Endpoint: e,
-		Forward:  j.forward,
-		Customer: j.admission.Customer,
-		Until:    j.admission.Until,
-		Fresh:    j.admission.Route.Kind == model.Unsafe || (j.admission.Route.Kind == model.Stream && !j.admission.Route.Resumable),
-	}
-	send.BeforeSend = func() error {
-		refusal := kernel.StillAdmitted(j.relay.now(), j.relay.View(), j.relay.options.KeyTrust, j.forward, j.admission)
-		if refusal == nil && !j.trial {
-			refusal = j.relay.quarantine.Refuses(j.forward.Digest)
-		}
-		if refusal == nil {
-			return nil
-		}
-		if again {
-			return refusal.WithVerdict(model.MayHaveRun)
-		}
-		return refusal
-	}
-	return send
-}
-
 // readWhole reads an answer to its end. The reply is closed.
 func readWhole(reply *model.ForwardReply) ([]byte, error) {
 	defer reply.Close()
@@ -197,70 +172,6 @@
 	return true
 }
 
-// noteFault notes what a failed send shows of the request and its endpoint.
-func (j *job) noteFault(p *pool, e model.Endpoint, fault *endpoint.Fault) {
-	if fault.Verdict != model.NotRun {
-		j.mayHaveRun = true
-	}
-	if fault.Kind == endpoint.Cancelled {
-		return
-	}
-	if fault.Kind == endpoint.Refused {
-		p.unreachable(j.relay.now(), e.Life())
-	} else {
-		p.failed(j.relay.now(), e.Life())
-	}
-	j.relay.logAttempt(j.forward, e, j.asked, fault.RetryReason(), fault)
-	if fault.Verdict != model.NotRun && fault.Kind == endpoint.Cut {
-		j.relay.quarantine.BrokeOff(e, j.forward.Digest)
-	}
-}
-
-// again decides on one more send after a result that is not the answer, and counts it.
-func (j *job) again(ctx context.Context, p *pool, res unaryResult) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	reason := model.RetryStatus
-	var refusal *model.Refusal
-	if errors.As(res.err, &refusal) {
-		return false
-	}
-	if res.err != nil {
-		fault := asFault(res.err)
-		reason = fault.RetryReason()
-		if fault.Verdict == model.NotRun {
-			// Nothing was sent: it does not count as asked.
-			j.asked--
-		}
-	} else if res.reply.NotRun {
-		reason = model.RetryNotRun
-		if res.reply.Misdirected {
-			j.asked--
-		}
-	}
-	if j.mayHaveRun && j.admission.Route.Kind == model.Unsafe {
-		return false
-	}
-	if j.asked >= j.admission.Route.MaxAttempts || !p.takeRepeat(j.relay.now(), j.relay.live()) {
-		return false
-	}
-	j.relay.metrics.Retried(reason, p.name)
-	return true
-}
-
-// hedge sends a safe request to one more endpoint beside one that may be running it.
-func (j *job) hedge(ctx context.Context, p *pool, results chan<- unaryResult) bool {
-	if j.admission.Route.Kind != model.Safe || !j.relay.options.Policy.Uses(kernel.HedgedReads) || j.asked >= j.admission.Route.MaxAttempts {
-		return false
-	}
-	if !p.takeRepeat(j.relay.now(), j.relay.live()) || !j.launch(ctx, p, results) {
-		return false
-	}
-	j.relay.metrics.Retried(model.RetryHedge, p.name)
-	return true
-}
-
 // pass hands a whole answer to the caller.
 func (j *job) pass(res unaryResult) Outcome {
 	header := res.reply.Header
