--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -240,8 +240,12 @@
 		a.reached = true
 	}
 	a.pool.failed(now, e, fault.Kind != endpoint.Cancelled)
-	if fault.Kind == endpoint.Cut && fault.Verdict != model.NotRun {
-		a.d.OnBrokeOff(a.pool.endpointOf(e), a.job.Work.Request)
+	if fault.Kind != endpoint.Cut || fault.Verdict == model.NotRun {
+		return
+	}
+	// What an endpoint cuts that is leaving was announced.
+	if broken := a.pool.endpointOf(e); broken.State != model.Leaving {
+		a.d.OnBrokeOff(broken, a.job.Work.Request)
 	}
 }
 
--- a/kernel/quarantine.go
+++ b/kernel/quarantine.go
@@ -31,8 +31,9 @@
 	// answeredTrust is how long nothing counts against a request that was answered after endpoints had ended under
 	// it: one of which many are under way at any time is at each end, whatever its cause.
 	answeredTrust = time.Minute
-	// mostCases bounds the requests that endpoints ended under, some 250 bytes each, and those that were answered since; mostHeld those held back, of
-	// which all nodes are told, some 400 bytes each; mostCrashes the ends that are kept of each.
+	// mostCases bounds the requests that endpoints ended under, some 250 bytes each, and those that were answered
+	// since; mostHeld those held back, of which all nodes are told, some 400 bytes each; mostCrashes the ends that
+	// are kept of each.
 	mostCases   = 4096
 	mostHeld    = 256
 	mostCrashes = 8
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -193,8 +193,16 @@
 		if k.ctx.Err() != nil {
 			return
 		}
+		// The order of hundreds of nodes is worked out once for each pool.
+		kept := map[string]bool{}
+		keeps := func(pool string) bool {
+			if _, known := kept[pool]; !known {
+				kept[pool] = k.keeps(pool)
+			}
+			return kept[pool]
+		}
 		k.mu.Lock()
-		change := k.q.Judge(k.now(), k.keeps)
+		change := k.q.Judge(k.now(), keeps)
 		k.mu.Unlock()
 		if len(change.Hold)+len(change.Lift) == 0 {
 			return
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -205,7 +205,7 @@
 	if !errors.As(err, &fault) || fault.Kind != endpoint.Cut || fault.Verdict == model.NotRun {
 		return false
 	}
-	g.relay.quarantine.BrokeOff(batch.Endpoint, batch.Digests()...)
+	g.relay.brokeOff(batch.Endpoint, batch.Digests()...)
 	return g.relay.quarantine.HasEnded(batch.Endpoint)
 }
 
--- a/relay/lives.go
+++ b/relay/lives.go
@@ -74,7 +74,7 @@
 		r.metrics.Event("EndpointStartedAgain")
 		ended, digests := r.lives.end(c.Before.Life())
 		if len(digests) > 0 {
-			r.quarantine.BrokeOff(c.Before, digests...)
+			r.brokeOff(c.Before, digests...)
 		}
 		r.wire.Retire(c.Before.Address)
 		r.log.Info().Str("Endpoint", c.Before.Life()).Int("Calls", ended).Msg("calls to a former life ended")
@@ -83,3 +83,13 @@
 		r.hub.endStale()
 	}
 }
+
+// brokeOff has it looked into whether an endpoint that broke off was ended by what it worked on. What one that is
+// leaving cuts was announced.
+func (r *Relay) brokeOff(e model.Endpoint, digests ...model.Digest) {
+	now, listed := r.Roster().Find(e.Name)
+	if !listed || now.State == model.Leaving {
+		return
+	}
+	r.quarantine.BrokeOff(e, digests...)
+}
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"syscall"
 	"testing"
 	"time"
 
@@ -40,3 +43,35 @@
 		}
 	}
 }
+
+// What an endpoint cuts as it leaves was announced, and says nothing of the requests.
+func TestAnEndpointThatLeavesIsNotEndedByItsRequests(t *testing.T) {
+	b := newBed(t)
+	var leave func()
+	b.wire.Forward = func(context.Context, relay.Send) (*model.ForwardReply, error) {
+		leave()
+		return nil, &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: io.ErrUnexpectedEOF}
+	}
+	b.wire.Connect = func(context.Context, string) error { return syscall.ECONNREFUSED }
+	roster := kernel.NewRoster()
+	for i := range 2 * kernel.CrashesToHold {
+		now := time.Now()
+		e := model.Endpoint{Name: fmt.Sprint("plain-", i), Address: "a", Pool: "plain", State: model.Live}
+		roster = roster.WithChanges(now, now, []model.Endpoint{e}, nil, nil)
+		b.relay.SetRoster(roster)
+		leave = func() {
+			e.State = model.Leaving
+			removed := []string{e.Name}
+			if i%2 == 0 {
+				removed = nil
+			}
+			roster = roster.WithChanges(now, now, []model.Endpoint{e}, nil, nil).WithChanges(now, now, nil, removed, nil)
+			b.relay.SetRoster(roster)
+		}
+		outcome := b.serve("/get/same")
+		must.EqOp(t, model.StageFailed, outcome.Refusal.Reason)
+		time.Sleep(2 * kernel.JudgeAfter / 3)
+	}
+	time.Sleep(2 * kernel.JudgeAfter)
+	must.EqOp(t, model.NoEndpoint, b.serve("/get/same").Refusal.Reason, must.Sprint("all have left, and nothing is held back"))
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -47,7 +47,8 @@
 			b.freed <- handles
 			return nil
 		},
-		Room: func(context.Context, model.Endpoint) (int64, error) { return 18_000_000, nil },
+		Room:    func(context.Context, model.Endpoint) (int64, error) { return 18_000_000, nil },
+		Connect: func(context.Context, string) error { return nil },
 	}
 	wire := relay.Wire{
 		Forward: func(ctx context.Context, s relay.Send) (*model.ForwardReply, error) { return b.wire.Forward(ctx, s) },
@@ -57,7 +58,7 @@
 		Free:     b.wire.Free,
 		Room:     b.wire.Room,
 		Retire:   func(string) {},
-		Connect:  func(context.Context, string) error { return nil },
+		Connect:  func(ctx context.Context, address string) error { return b.wire.Connect(ctx, address) },
 		HoldBack: func(context.Context, kernel.QuarantineChange) error { return nil },
 	}
 	options := relay.Options{Name: "node", Domain: "d", Budget: kernel.BudgetTerms{Ratio: 1, Slack: 100, Window: 10 * time.Second}}
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -24,7 +24,7 @@
 	}
 	j.relay.logAttempt(j.forward, e, j.asked, fault.RetryReason(), fault)
 	if fault.Verdict != model.NotRun && fault.Kind == endpoint.Cut {
-		j.relay.quarantine.BrokeOff(e, j.forward.Digest)
+		j.relay.brokeOff(e, j.forward.Digest)
 	}
 }
 
