--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -21,8 +21,8 @@
 
 const (
 	patience = 20 * time.Second
-	// deadly is in the text of requests that end the endpoints that begin to work on them.
-	deadly = "deadly"
+	// poison is in the text of requests that end the endpoints that begin to work on them.
+	poison = "poison"
 	// endsUntilKnown is how many endpoints may end under a request before it is held back, endsInOneAttempt how
 	// many more may end under an attempt that is under way meanwhile.
 	endsUntilKnown   = 3
@@ -139,19 +139,19 @@
 	} {
 		t.Run(kind.name, func(t *testing.T) {
 			f := newFleet(t, 3)
-			f.platform.Fault(standin.Fault{Target: kind.pool, Kind: standin.FaultCrash, Text: deadly, Delay: restart})
+			f.platform.Fault(standin.Fault{Target: kind.pool, Kind: standin.FaultCrash, Text: poison, Delay: restart})
 			must.EqOp(t, "", f.send(f.nodes[0], kind.pipeline, "usual"), must.Sprint("others of the caller are served before"))
 			for i := 0; f.crashes(kind.pool) < endsUntilKnown; i++ {
 				must.Less(t, 20, i)
-				f.send(f.nodes[i%len(f.nodes)], kind.pipeline, deadly)
+				f.send(f.nodes[i%len(f.nodes)], kind.pipeline, poison)
 			}
 			within(patience/2, f.allLearned)
 			for i := range 4 * len(f.nodes) {
-				f.send(f.nodes[i%len(f.nodes)], kind.pipeline, deadly)
+				f.send(f.nodes[i%len(f.nodes)], kind.pipeline, poison)
 			}
 			must.LessEq(t, endsUntilKnown+endsInOneAttempt, f.crashes(kind.pool))
 			for _, n := range f.nodes {
-				must.EqOp(t, model.Quarantined, f.send(n, kind.pipeline, deadly))
+				must.EqOp(t, model.Quarantined, f.send(n, kind.pipeline, poison))
 				f.await("others of the caller are served after", func() bool { return f.send(n, kind.pipeline, "usual") == "" })
 			}
 		})
@@ -161,10 +161,10 @@
 // A fleet that started as a whole knows what was held back: it is in the table.
 func TestANodeThatStartsKnowsWhichCallsAreHeldBack(t *testing.T) {
 	f := newFleet(t, 2)
-	f.platform.Fault(standin.Fault{Target: "runners", Kind: standin.FaultCrash, Text: deadly, Delay: restart})
+	f.platform.Fault(standin.Fault{Target: "runners", Kind: standin.FaultCrash, Text: poison, Delay: restart})
 	for i := 0; f.crashes("runners") < endsUntilKnown; i++ {
 		must.Less(t, 20, i)
-		f.send(f.nodes[0], "route-note", deadly)
+		f.send(f.nodes[0], "route-note", poison)
 	}
 	within(patience/2, f.allLearned)
 	for i, n := range f.nodes {
@@ -173,5 +173,5 @@
 	}
 	f.await("the fleet", func() bool { ready, _ := f.nodes[0].Ready(); return ready })
 	within(patience/2, f.allLearned)
-	must.EqOp(t, model.Quarantined, f.send(f.nodes[0], "route-note", deadly))
+	must.EqOp(t, model.Quarantined, f.send(f.nodes[0], "route-note", poison))
 }
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -208,13 +208,13 @@
 	}
 }
 
-// send sends a request to any node. What is deadly ends an endpoint, with others beside it.
-func (f *fleet) send(digest model.Digest, deadly bool, beside ...model.Digest) try {
+// send sends a request to any node. A poison request ends an endpoint, with others beside it.
+func (f *fleet) send(digest model.Digest, poison bool, beside ...model.Digest) try {
 	k := f.any()
 	if _, refusal := k.Admit(f.t.Context(), digest); refusal != nil {
 		return try{refused: true}
 	}
-	if deadly {
+	if poison {
 		f.end(append(beside, digest)...)
 	} else {
 		k.Answered(digest)
@@ -231,9 +231,9 @@
 	return out
 }
 
-// outbreak sends a deadly request again and again and returns how many tries reached an endpoint, and how many of
+// repeat sends a poison request again and again and returns how many tries reached an endpoint, and how many of
 // them later than nodes are bound after the third. Others run beside it; they come once more when they were cut.
-func (f *fleet) outbreak(digest model.Digest, tries int, pause time.Duration) (reached, later int) {
+func (f *fleet) repeat(digest model.Digest, tries int, pause time.Duration) (reached, later int) {
 	var thirdAt time.Time
 	for range tries {
 		beside := f.others(besides)
@@ -282,7 +282,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, fleetSize)
 				tc.before(f)
-				reached, later := f.outbreak(model.NewDigest("deadly"), 40, tc.pause)
+				reached, later := f.repeat(model.NewDigest("poison"), 40, tc.pause)
 				t.Logf("%d of 40 tries reached an endpoint; %d calls, %d bytes, %d writes", reached, f.calls, f.bytes, f.writes)
 				must.LessEq(t, mostLater, later)
 				// Each node with a request at an end tells two keepers once, or where one does not answer two more
@@ -372,12 +372,12 @@
 func TestNodesThatStartKnowWhatIsHeldBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, fleetSize)
-		digest := model.NewDigest("deadly")
-		f.outbreak(digest, 5, time.Second)
+		digest := model.NewDigest("poison")
+		f.repeat(digest, 5, time.Second)
 		for _, name := range append([]string(nil), f.names...) {
 			f.start(name)
 		}
-		reached, _ := f.outbreak(digest, 20, time.Second)
+		reached, _ := f.repeat(digest, 20, time.Second)
 		must.EqOp(t, 0, reached)
 	})
 }
@@ -386,7 +386,7 @@
 func TestANodeThatIsCutOffDecidesByItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 5)
-		digest := model.NewDigest("deadly")
+		digest := model.NewDigest("poison")
 		alone := f.keepers["node-0"]
 		f.mu.Lock()
 		f.cut["node-0"] = true
@@ -420,7 +420,7 @@
 		for _, name := range f.names {
 			f.deaf[name] = true
 		}
-		digest := model.NewDigest("deadly")
+		digest := model.NewDigest("poison")
 		for range kernel.CrashesToHold {
 			f.end(digest)
 			time.Sleep(time.Second)
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -107,7 +107,7 @@
 	if s.proxy, err = newProxy(s.Address()); err != nil {
 		return err
 	}
-	s.SetDeadly(deadly, func() { c.ended(s) })
+	s.SetPoison(poison, func() { c.ended(s) })
 	c.mu.Lock()
 	c.endpoints[name] = s
 	c.mu.Unlock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -50,7 +50,7 @@
 	{"key taken away", keyTaken},
 	{"key taken away behind a cut", keyTakenBehindACut},
 	{"store away", storeAway},
-	{"deadly requests", deadlyRequests},
+	{"poison requests", poisonRequests},
 }
 
 func (c *cluster) anyNode(random *rand.Rand) *node {
--- a/soak/deadly_test.go
+++ b/soak/poison_test.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// deadly is in the subjects of requests that end the endpoints that begin to run them.
-	deadly = "deadly"
+	// poison is in the subjects of requests that end the endpoints that begin to run them.
+	poison = "poison"
 	// mark stands between a subject and the number of a repeat in its ID.
 	mark = "#"
 	// contact is after which time nodes that are left alone are bound by what was found of a request, and
@@ -24,11 +24,11 @@
 	calmRepeats = 3
 )
 
-var deadlyRoutes = []string{"post", "get", "gen", "res"}
+var poisonRoutes = []string{"post", "get", "gen", "res"}
 
-// deadlyRequests sends a request that ends endpoints again and again, to any node.
-func deadlyRequests(c *cluster, random *rand.Rand, last time.Duration) {
-	route := deadlyRoutes[random.IntN(len(deadlyRoutes))]
+// poisonRequests sends a request that ends endpoints again and again, to any node.
+func poisonRequests(c *cluster, random *rand.Rand, last time.Duration) {
+	route := poisonRoutes[random.IntN(len(poisonRoutes))]
 	subject := c.newSubject(route)
 	cs := c.callers
 	for end := time.Now().Add(2 * last); time.Now().Before(end); {
@@ -43,7 +43,7 @@
 func (c *cluster) newSubject(route string) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	subject := fmt.Sprintf("%s-%s-%d", deadly, route, len(c.subjects))
+	subject := fmt.Sprintf("%s-%s-%d", poison, route, len(c.subjects))
 	c.subjects = append(c.subjects, subject)
 	return subject
 }
@@ -69,10 +69,10 @@
 	return len(ids)
 }
 
-// checkDeadly sends the requests that end endpoints again after all faults have ended, and one of each kind that was
+// checkPoison sends the requests that end endpoints again after all faults have ended, and one of each kind that was
 // not sent before. Few of them may still reach an endpoint.
-func (c *cluster) checkDeadly(cs *callers) {
-	for _, route := range deadlyRoutes {
+func (c *cluster) checkPoison(cs *callers) {
+	for _, route := range poisonRoutes {
 		c.newSubject(route)
 	}
 	var checked sync.WaitGroup
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -105,7 +105,7 @@
 	cancel()
 	calling.Wait()
 	c.checkRecovery(cs, "after", recovery)
-	c.checkDeadly(cs)
+	c.checkPoison(cs)
 	c.checkRecovery(cs, "beside", recovery)
 	c.check(cs)
 	t.Logf("seed %d: %d requests, faults %v", seed, len(cs.all), injected)
