--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -86,9 +86,9 @@
 		// fetchedAt is when the calls under way have fetched the inputs.
 		fetchedAt   time.Time
 		inputsFreed bool
-		// alone is true once a maker ended while it made this group's pieces: they share no call any more with
-		// others, so that what ends a maker does not take others' pieces with it again and again.
-		alone bool
+		// suspect is true once a maker ended while it made this group's pieces: no two such groups share a call, so
+		// that what ends a maker does not take the same others' pieces with it again and again.
+		suspect bool
 	}
 
 	heldResult struct {
--- a/kernel/gathercall.go
+++ b/kernel/gathercall.go
@@ -60,8 +60,9 @@
 	if g.traits.Room > 0 {
 		room = g.freeRoom(now, m)
 	}
+	suspect := false
 	for _, w := range order {
-		if !g.suits(now, m, w) || w.alone && len(batch.Pieces) > 0 {
+		if !g.suits(now, m, w) || w.suspect && suspect {
 			continue
 		}
 		fits := min(len(w.waiting), g.traits.Batch-len(batch.Pieces))
@@ -77,7 +78,8 @@
 			batch.bytes = append(batch.bytes, w.ResultBytes)
 			room -= float64(w.ResultBytes)
 		}
-		if w.alone || len(batch.Pieces) >= g.traits.Batch {
+		suspect = suspect || w.suspect
+		if len(batch.Pieces) >= g.traits.Batch {
 			break
 		}
 	}
--- a/kernel/gatherend.go
+++ b/kernel/gatherend.go
@@ -31,7 +31,7 @@
 func (g *Gathering) Crashed(now time.Time, batch PieceBatch) []GroupOutcome {
 	for _, id := range batch.groups {
 		if w := g.groups[id]; w != nil {
-			w.alone = true
+			w.suspect = true
 		}
 	}
 	return g.Failed(now, batch)
