--- a/follow/follower.go
+++ b/follow/follower.go
@@ -67,6 +67,8 @@
 		reading  *kernel.Reading
 		// settled decides once, as soon as all tables are known, whether this node goes on to read.
 		settled sync.Once
+		// decided is true from then on: undated tables are read by those that go on to read only.
+		decided atomic.Bool
 		// news tells of each answer about the tables.
 		news *news
 		// patience is how long another node's answer is waited for. It belongs to the goroutine that asks them.
@@ -106,9 +108,12 @@
 	return f
 }
 
-// knowsAll tells whether all tables were read.
+// knowsAll tells whether all tables were read, but for undated ones.
 func (f *Follower) knowsAll() bool {
 	for _, t := range f.tables {
+		if t.Undated {
+			continue
+		}
 		t.mu.Lock()
 		_, known := t.mirror.Known()
 		t.mu.Unlock()
--- a/follow/read.go
+++ b/follow/read.go
@@ -14,7 +14,7 @@
 func (f *Follower) read(ctx context.Context, t *followed) {
 	retry := retryFirst
 	for ctx.Err() == nil {
-		if !f.reads.Load() {
+		if !f.reads.Load() || t.Undated && !f.decided.Load() {
 			clock.Sleep(ctx, idlePause)
 			continue
 		}
@@ -48,6 +48,7 @@
 		f.settled.Do(func() {
 			plan := f.plan()
 			f.setReads(plan.Reads, plan.Why)
+			f.decided.Store(true)
 			settled = true
 		})
 	}
--- a/follow/source.go
+++ b/follow/source.go
@@ -130,8 +130,10 @@
 	answer := kernel.SourceAnswer{Lost: reply.Lost}
 	for _, t := range f.tables {
 		d, ok := reply.Tables[t.Name]
-		if !ok {
+		if !ok && !t.Undated {
 			answer.Age = f.options.MostAge + 1
+		}
+		if !ok {
 			continue
 		}
 		if !t.Undated {
--- a/follow/table.go
+++ b/follow/table.go
@@ -16,8 +16,8 @@
 		// two questions.
 		Hold  time.Duration
 		Pause time.Duration
-		// Undated tells that what the table says is acted on however long ago it was proven: its age does not count
-		// where it is decided who reads the store.
+		// Undated tells that what the table says is acted on however long ago it was proven: it does not count where it
+		// is decided who reads the store, and at their start nodes have it from those that do.
 		Undated bool
 		// Apply takes in what is news, and the time at which the table was last proven current.
 		Apply func(provenAt time.Time, news []kernel.Row)
