--- a/kernel/quarantine_test.go
+++ b/kernel/quarantine_test.go
@@ -11,20 +11,20 @@
 	"basilstall.example/basilstall/model"
 )
 
-// ward is a quarantine whose node keeps all pools, and its clock.
-type ward struct {
+// keeperBed is a quarantine whose node keeps all pools, and its clock.
+type keeperBed struct {
 	*kernel.Quarantine
 	now time.Time
 }
 
-func newWard() *ward {
-	return &ward{Quarantine: kernel.NewQuarantine(), now: time.Unix(1000, 0)}
+func newKeeperBed() *keeperBed {
+	return &keeperBed{Quarantine: kernel.NewQuarantine(), now: time.Unix(1000, 0)}
 }
 
 func keepsAll(string) bool { return true }
 
 // end lets an endpoint end under requests, each reported a little later than the one before.
-func (w *ward) end(life string, digests ...model.Digest) {
+func (w *keeperBed) end(life string, digests ...model.Digest) {
 	at := w.now
 	for _, d := range digests {
 		w.now = w.now.Add(10 * time.Millisecond)
@@ -34,7 +34,7 @@
 }
 
 // judge judges the cases and learns what comes of it, as the keeper does.
-func (w *ward) judge() kernel.QuarantineChange {
+func (w *keeperBed) judge() kernel.QuarantineChange {
 	change := w.Judge(w.now, keepsAll)
 	for _, h := range change.Hold {
 		w.Learn(w.now, h)
@@ -45,12 +45,12 @@
 	return change
 }
 
-func (w *ward) passage(d model.Digest) kernel.Passage {
+func (w *keeperBed) passage(d model.Digest) kernel.Passage {
 	passage, _, _ := w.Look(w.now, d)
 	return passage
 }
 
-func (w *ward) trial(d model.Digest) bool {
+func (w *keeperBed) trial(d model.Digest) bool {
 	permitted, _ := w.TakeTrial(w.now, d)
 	return permitted
 }
@@ -85,7 +85,7 @@
 		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			w := newWard()
+			w := newKeeperBed()
 			for i, digests := range tc.ends {
 				w.end(fmt.Sprint("life-", i), digests...)
 			}
@@ -102,7 +102,7 @@
 }
 
 func TestReportsOnOneEndCountOnce(t *testing.T) {
-	w := newWard()
+	w := newKeeperBed()
 	for range 5 {
 		w.Crashed(w.now, "a", "pool", kernel.Crash{Life: "l", At: w.now})
 		w.now = w.now.Add(50 * time.Millisecond)
@@ -121,7 +121,7 @@
 }
 
 func TestACaseWaitsForTheReportsOnTheSameEnd(t *testing.T) {
-	w := newWard()
+	w := newKeeperBed()
 	w.end("1", "a", "b")
 	w.end("2", "a", "b")
 	w.Crashed(w.now, "b", "pool", kernel.Crash{Life: "3", At: w.now})
@@ -135,8 +135,8 @@
 }
 
 // tied is a quarantine in which two requests were under way at all the same ends.
-func tied() *ward {
-	w := newWard()
+func tied() *keeperBed {
+	w := newKeeperBed()
 	for i := range kernel.CrashesToHold {
 		w.end(fmt.Sprint(i), "bad", "good")
 	}
@@ -199,7 +199,7 @@
 }
 
 func TestAHeldRequestIsTriedAgainAfterLong(t *testing.T) {
-	w := newWard()
+	w := newKeeperBed()
 	for i := range kernel.CrashesToHold {
 		w.end(fmt.Sprint(i), "a")
 	}
@@ -215,11 +215,11 @@
 
 func TestWhatWasAnsweredSinceIsNotAtFault(t *testing.T) {
 	held := kernel.HeldRequest{Digest: "a", Pool: "pool", Firm: true, Lives: []string{"1", "2", "3"}, Since: time.Minute}
-	w := newWard()
+	w := newKeeperBed()
 	w.Answered(w.now.Add(-30*time.Second), "a")
 	must.False(t, w.Learn(w.now, held))
 	must.EqOp(t, kernel.Free, w.passage("a"))
-	w = newWard()
+	w = newKeeperBed()
 	w.Answered(w.now.Add(-2*time.Minute), "a")
 	must.True(t, w.Learn(w.now, held), must.Sprint("an answer before the first end says nothing"))
 	must.EqOp(t, kernel.Held, w.passage("a"))
@@ -228,7 +228,7 @@
 func TestAnotherKeeperGoesOn(t *testing.T) {
 	first := tied()
 	_, held, _ := first.Look(first.now, "bad")
-	w := newWard()
+	w := newKeeperBed()
 	must.True(t, w.Learn(w.now, held))
 	must.True(t, w.trial("bad"))
 	w.end("last", "bad")
@@ -237,7 +237,7 @@
 }
 
 func TestLateReportsOnAnExplainedEndSayNothing(t *testing.T) {
-	w := newWard()
+	w := newKeeperBed()
 	for i := range kernel.CrashesToHold {
 		w.end(fmt.Sprint(i), "bad")
 	}
@@ -250,14 +250,14 @@
 }
 
 func TestTheQuarantineIsBounded(t *testing.T) {
-	w := newWard()
+	w := newKeeperBed()
 	for n := range 1000 {
 		w.Learn(w.now, kernel.HeldRequest{Digest: model.Digest(fmt.Sprint(n)), Pool: "pool", Firm: true, Lives: []string{fmt.Sprint(n)}})
 		w.now = w.now.Add(time.Millisecond)
 	}
 	must.EqOp(t, 256, w.Len())
 	must.EqOp(t, kernel.Held, w.passage("999"), must.Sprint("the oldest yield"))
-	w = newWard()
+	w = newKeeperBed()
 	for n := range 6000 {
 		w.Crashed(w.now, model.Digest(fmt.Sprint(n)), "pool", kernel.Crash{Life: "l", At: w.now})
 		w.now = w.now.Add(time.Millisecond)
--- a/kernel/quarantinejudge.go
+++ b/kernel/quarantinejudge.go
@@ -8,12 +8,13 @@
 	"basilstall.example/basilstall/model"
 )
 
-// JudgeAfter is how long after the newest report on a request its case is judged: the others that were under way at
-// the same end are reported by then, so that what merely ran beside is told from the cause.
-const JudgeAfter = 300 * time.Millisecond
-
-// judgeLatest is after which time a case is judged although reports on others of its pool still come.
-const judgeLatest = 3 * JudgeAfter
+const (
+	// JudgeAfter is how long after the newest report on a request its case is judged: the others that were under
+	// way at the same end are reported by then, so that what merely ran beside is told from the cause.
+	JudgeAfter = 300 * time.Millisecond
+	// judgeLatest is after which time a case is judged although reports on others of its pool still come.
+	judgeLatest = 3 * JudgeAfter
+)
 
 // QuarantineChange is what all nodes are to be told.
 type QuarantineChange struct {
