Give a write the time that its bytes take over the slowest link

What callers saw: an operator's change of a large document was never applied over a link of 10 Mbit/s (1 MB and its copy in the history take over 2 s), as "the service is not available". Cause: a limit of 2 s on the whole of a write, whatever it carries, as there was on reads before. Change: 2 s, and what 10 Mbit/s take for its bytes.

--- a/table/store.go
+++ b/table/store.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	// callTimeout bounds a transaction, and the time in which nothing comes of a read: a silent connection
-	// must not hold up what needs the table, but all settings may take long over a slow link.
+	// callTimeout bounds a transaction, beside the time that its bytes take, and the time in which nothing comes of a
+	// read: a silent connection must not hold up what needs the table, but large documents may take long over a slow
+	// link.
 	callTimeout = 2 * time.Second
+	// slowestLink is what the slowest links of hosts carry, 10 Mbit/s, in bytes a second.
+	slowestLink = 1_250_000
 	// maxRowsBytes bounds a read's bytes, and readMost its time: what 10 Mbit/s take for that.
 	maxRowsBytes = 64 << 20
 	readMost     = 54 * time.Second
@@ -77,7 +80,7 @@
 	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	ctx, cancel := context.WithTimeout(httptrace.WithClientTrace(ctx, trace), callTimeout)
+	ctx, cancel := context.WithTimeout(httptrace.WithClientTrace(ctx, trace), commitTimeout(len(body)))
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.base+TransactionsPath, bytes.NewReader(body))
 	if err != nil {
@@ -98,6 +101,12 @@
 	return readCommit(res)
 }
 
+// commitTimeout returns how long a transaction of so many bytes may take. Unlike a read's bytes, those that are sent
+// can't be heard arriving: the system takes them at once.
+func commitTimeout(size int) time.Duration {
+	return callTimeout + time.Duration(size)*time.Second/slowestLink
+}
+
 func readCommit(res *http.Response) (uint64, error) {
 	switch res.StatusCode {
 	case http.StatusOK:
