--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -435,3 +435,47 @@
 		must.Greater(t, size/2, held)
 	})
 }
+
+// What was seen: with two poison requests that run at the same endpoints, both were under way at each end, and what was
+// found of the first one took all ends off the second, which was sent on as a new one.
+// The cause: what runs beside a cause at all its ends may be a cause as well; the ends tell nothing of it.
+func TestTwoPoisonRequestsAtOnceAreBothHeldBack(t *testing.T) {
+	for name, together := range map[string]bool{"at endpoints of their own": false, "at the same endpoints": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, fleetSize)
+				pair := []model.Digest{model.NewDigest("one"), model.NewDigest("two")}
+				reached, later := map[model.Digest]int{}, map[model.Digest]int{}
+				thirdAt := map[model.Digest]time.Time{}
+				for range 40 {
+					var sent []model.Digest
+					for _, d := range pair {
+						if _, refusal := f.any().Admit(t.Context(), d); refusal == nil {
+							sent = append(sent, d)
+						}
+					}
+					for _, d := range sent {
+						reached[d]++
+						if at, known := thirdAt[d]; known && time.Since(at) > contact {
+							later[d]++
+						}
+						if reached[d] == kernel.CrashesToHold {
+							thirdAt[d] = time.Now()
+						}
+						if !together {
+							f.end(d)
+						}
+					}
+					if together && len(sent) > 0 {
+						f.end(sent...)
+					}
+					time.Sleep(1500 * time.Millisecond)
+				}
+				for _, d := range pair {
+					must.LessEq(t, kernel.CrashesToHold+1, reached[d])
+					must.LessEq(t, mostLater, later[d])
+				}
+			})
+		})
+	}
+}
