Hold two poison requests that run at the same endpoints

What callers saw in the test: of two such requests at once the second reached six endpoints. Cause: what was found of the first took its ends off everything that had been under way there, and the second counted from nothing. Change: a request with three ends keeps them. It is the cause where at one of its ends at least no other such request was under way, else a trial tells: an end more, or an answer. What merely ran beside at three ends is no longer freed by the finding of another, but by its next run, which is permitted at once; with fewer ends it loses them as before.

--- a/kernel/quarantinelearn.go
+++ b/kernel/quarantinelearn.go
@@ -57,11 +57,12 @@
 	return oldest
 }
 
-// explain takes an end off the other requests that were under way there: its cause is known.
+// explain takes an end off the other requests that were under way there: its cause is known. Those that have as many
+// ends as it takes keep them: they may be a cause as well, which a trial tells.
 func (q *Quarantine) explain(now time.Time, digest model.Digest, life string) {
 	q.explained[life] = explanation{digest: digest, until: now.Add(explainedFor)}
 	for other, c := range q.cases {
-		if other == digest {
+		if other == digest || len(c.crashes) >= CrashesToHold {
 			continue
 		}
 		c.crashes = slices.DeleteFunc(c.crashes, func(known Crash) bool { return known.Life == life })
