Send nothing to evacuated failure domains

Cause: the operators' rows evacuate/DOMAIN came with the table that holds the routing and were dropped. Ruled out: a poll of their own (the table is followed already), and a filter at each place that sends. Change: the roster keeps which domains are evacuated, and their endpoints are in a state of their own that takes no work, so placement, waits, room, retries and hedges count only the others. Endpoints of a pool are indexed once a change in place of sorted at each pick. Shown by: the failing tests before, a property test over orders of writes, reads and lost histories.

--- a/endpoint/error.go
+++ b/endpoint/error.go
@@ -25,6 +25,8 @@
 	NotLoaded FaultKind = "NotLoaded"
 	// Cancelled: the caller of this package gave up.
 	Cancelled FaultKind = "Cancelled"
+	// Withdrawn: the endpoint may get no more work since it was chosen.
+	Withdrawn FaultKind = "Withdrawn"
 )
 
 // Fault is the error of a failed call.
@@ -58,6 +60,8 @@
 		return model.RetryStatus
 	case Mismatch:
 		return model.RetryMismatch
+	case Withdrawn:
+		return model.RetryWithdrawn
 	default:
 		return model.RetryCut
 	}
--- /dev/null
+++ b/kernel/evacuation.go
@@ -0,0 +1,99 @@
+package kernel
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+// evacuatedRetry is when a caller may come back whose request only evacuated endpoints could serve.
+const evacuatedRetry = time.Second
+
+// Evacuations is which failure domains operators keep work off. It is immutable.
+type Evacuations struct {
+	// since holds when this node learned of each evacuation that is in force.
+	since map[string]time.Time
+	// ended holds when this node learned of the end of each domain's last evacuation.
+	ended map[string]time.Time
+}
+
+// EvacuationChange is what operators wrote about failure domains since an earlier state. A domain is in one list at
+// most.
+type EvacuationChange struct {
+	Evacuated []string
+	TakenBack []string
+}
+
+// With returns the evacuations after a change that this node learned of at a time, and the domains whose state is a
+// new one.
+func (e Evacuations) With(now time.Time, change EvacuationChange) (after Evacuations, news EvacuationChange) {
+	after = Evacuations{since: maps.Clone(e.since), ended: maps.Clone(e.ended)}
+	if after.since == nil {
+		after.since, after.ended = map[string]time.Time{}, map[string]time.Time{}
+	}
+	for _, domain := range change.Evacuated {
+		if !e.Holds(domain) {
+			after.since[domain] = now
+			news.Evacuated = append(news.Evacuated, domain)
+		}
+	}
+	for _, domain := range change.TakenBack {
+		if e.Holds(domain) {
+			delete(after.since, domain)
+			after.ended[domain] = now
+			news.TakenBack = append(news.TakenBack, domain)
+		}
+	}
+	return after, news
+}
+
+// Holds tells whether a failure domain is evacuated.
+func (e Evacuations) Holds(domain string) bool {
+	_, held := e.since[domain]
+	return held
+}
+
+// Domains returns the evacuated failure domains in order.
+func (e Evacuations) Domains() []string {
+	return slices.Sorted(maps.Keys(e.since))
+}
+
+// Since returns when this node learned that a failure domain is evacuated; zero where it is not.
+func (e Evacuations) Since(domain string) time.Time {
+	return e.since[domain]
+}
+
+// AdmitPools refuses a request at once where no endpoint of a pool that it needs may get work: of its stages' pools or
+// the one where it runs itself.
+func AdmitPools(r Roster, f model.Forward, a Admission) *model.Refusal {
+	if refusal := admitPool(r, a.Pool); refusal != nil {
+		return refusal
+	}
+	for i, stage := range a.Route.Stages {
+		if PiecesOf(f, i) == 0 {
+			continue
+		}
+		if refusal := admitPool(r, stage.Pool); refusal != nil {
+			return refusal
+		}
+	}
+	return nil
+}
+
+// admitPool refuses only for what is known: a pool without any listed endpoint may have some in a moment.
+func admitPool(r Roster, pool string) *model.Refusal {
+	evacuated := false
+	for _, e := range r.Endpoints(pool) {
+		if e.TakesWork() {
+			return nil
+		}
+		evacuated = evacuated || e.State == model.Evacuated
+	}
+	if !evacuated {
+		return nil
+	}
+	return model.NewRefusal(model.NotRun, model.PoolEvacuated, RetryAfter(evacuatedRetry), fmt.Sprintf("all endpoints of pool %s are in evacuated failure domains", pool))
+}
--- /dev/null
+++ b/kernel/evacuation_test.go
@@ -0,0 +1,204 @@
+package kernel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+func in(domain, name, pool string) model.Endpoint {
+	return model.Endpoint{Name: name, Pool: pool, Address: name + ":1", FailureDomain: domain, State: model.Live}
+}
+
+// domainsRoster lists one endpoint of a pool in each of several failure domains.
+func domainsRoster(now time.Time, pool string, domains ...string) kernel.Roster {
+	var listed []model.Endpoint
+	for _, domain := range domains {
+		listed = append(listed, in(domain, pool+"-"+domain, pool))
+	}
+	return kernel.NewRoster().WithChanges(now, now, listed, nil, nil)
+}
+
+func evacuated(now time.Time, domains ...string) kernel.Evacuations {
+	e, _ := kernel.Evacuations{}.With(now, kernel.EvacuationChange{Evacuated: domains})
+	return e
+}
+
+// usableDomains returns the failure domains of the endpoints of a pool that may get a request.
+func usableDomains(now time.Time, r kernel.Roster, pool string) []string {
+	var candidates []kernel.Candidate
+	for _, e := range r.Endpoints(pool) {
+		candidates = append(candidates, kernel.Candidate{Endpoint: e})
+	}
+	var out []string
+	for _, c := range kernel.Usable(now, candidates, nil) {
+		out = append(out, c.Endpoint.FailureDomain)
+	}
+	return out
+}
+
+// Whatever operators write in whichever order, and however many of their writes a node hears of at once, through a
+// reader or after a lost history: once it has read the store, it sends nothing to just the domains that are evacuated.
+func TestEvacuationsFollowTheStoreInAnyOrderOfEvents(t *testing.T) {
+	domains := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		roster := domainsRoster(now, "p", domains...)
+		store := map[string]kernel.Row{}
+		var log []kernel.Row
+		version := uint64(1)
+		reader, follower := kernel.NewMirror(), kernel.NewMirror()
+		take := func(news []kernel.Row) {
+			var change kernel.EvacuationChange
+			for _, r := range news {
+				if r.Removed {
+					change.TakenBack = append(change.TakenBack, r.Key)
+				} else {
+					change.Evacuated = append(change.Evacuated, r.Key)
+				}
+			}
+			after, _ := roster.Evacuations().With(now, change)
+			roster = roster.WithEvacuations(after)
+		}
+		read := func(whole bool) {
+			after, known := reader.Known()
+			if whole || !known {
+				var rows []kernel.Row
+				for _, r := range store {
+					rows = append(rows, r)
+				}
+				reader.Take(now, rows, version, true)
+				return
+			}
+			var rows []kernel.Row
+			for _, r := range log {
+				if r.Version > after {
+					rows = append(rows, r)
+				}
+			}
+			reader.Take(now, rows, version, false)
+		}
+		ask := func() {
+			after, _ := follower.Known()
+			if d, known := reader.Since(now, after); known {
+				take(follower.TakeDelta(now, d))
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				version++
+				r := kernel.Row{Key: rapid.SampledFrom(domains).Draw(t, "domain"), Version: version, Removed: rapid.Bool().Draw(t, "taken back")}
+				log = append(log, r)
+				if delete(store, r.Key); !r.Removed {
+					store[r.Key] = r
+				}
+			},
+			"list again": func(t *rapid.T) {
+				roster = roster.WithChanges(now, now, []model.Endpoint{in("a", "p-a", "p")}, nil, nil)
+			},
+			"read":         func(*rapid.T) { read(false) },
+			"lost history": func(*rapid.T) { read(true) },
+			"ask":          func(*rapid.T) { ask() },
+			"": func(t *rapid.T) {
+				now = now.Add(100 * time.Millisecond)
+			},
+		})
+		read(false)
+		ask()
+		var want []string
+		for _, domain := range domains {
+			if _, held := store[domain]; !held {
+				want = append(want, domain)
+			}
+		}
+		must.Eq(t, want, usableDomains(now, roster, "p"))
+	})
+}
+
+func TestAnEvacuatedDomainGetsNoPieces(t *testing.T) {
+	now := time.Unix(1000, 0)
+	roster := domainsRoster(now, "makers", "a", "b")
+	g := kernel.NewGathering(gatherTraits)
+	g.SetEndpoints(roster.Endpoints("makers"))
+	early := pieceGroup(1, 1, 1000, now.Add(time.Minute))
+	early.Domain = "a"
+	ok, _ := g.Add(now, early)
+	must.True(t, ok)
+	underWay, ok := g.Next(now)
+	must.True(t, ok)
+	must.EqOp(t, "a", underWay.Endpoint.FailureDomain)
+
+	g.SetEndpoints(roster.WithEvacuations(evacuated(now, "a")).Endpoints("makers"))
+	total := 0
+	for id := uint64(2); id < 30; id++ {
+		now = now.Add(time.Second)
+		group := pieceGroup(id, 1, 1000, now.Add(time.Minute))
+		group.Domain, group.Patience = "a", time.Second
+		ok, _ = g.Add(now, group)
+		must.True(t, ok)
+		for batch, more := g.Next(now); more; batch, more = g.Next(now) {
+			must.EqOp(t, "b", batch.Endpoint.FailureDomain)
+			total += len(batch.Pieces)
+			g.Done(now, batch, make([]model.PieceResult, len(batch.Pieces)))
+		}
+	}
+	must.Positive(t, total)
+	ended, _ := g.Done(now, underWay, []model.PieceResult{{Handle: "h"}})
+	must.SliceLen(t, 1, ended, must.Sprint("what was under way ends in peace"))
+	must.EqOp(t, model.PieceFault(""), ended[0].Fault)
+
+	g.SetEndpoints(roster.WithEvacuations(evacuated(now, "a", "b")).Endpoints("makers"))
+	ok, retry := g.Add(now, pieceGroup(99, 1, 1000, now.Add(time.Minute)))
+	must.False(t, ok, must.Sprint("pieces that nothing can make are not held"))
+	must.Positive(t, retry)
+}
+
+func TestRequestsThatOnlyEvacuatedDomainsCouldServeAreRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	roster := domainsRoster(now, "engines", "a", "b").WithChanges(now, now, []model.Endpoint{in("a", "maker", "makers")}, nil, nil)
+	staged := kernel.Admission{Pool: "engines", Route: model.Route{Stages: []model.StageNode{{Pool: "makers"}}}}
+	for _, tc := range []struct {
+		evacuated []string
+		pieces    int
+		refused   bool
+	}{
+		{nil, 1, false},
+		{[]string{"b"}, 1, false},
+		{[]string{"a"}, 1, true},
+		{[]string{"a"}, 0, false},
+		{[]string{"a", "b"}, 0, true},
+	} {
+		refusal := kernel.AdmitPools(roster.WithEvacuations(evacuated(now, tc.evacuated...)), model.Forward{Pieces: []int{tc.pieces}}, staged)
+		must.EqOp(t, tc.refused, refusal != nil, must.Sprint(fmt.Sprint(tc)))
+		if refusal != nil {
+			must.EqOp(t, model.PoolEvacuated, refusal.Reason)
+			must.EqOp(t, model.NotRun, refusal.Verdict)
+			must.Positive(t, refusal.RetryAfter)
+		}
+	}
+}
+
+// A prompt's home moves off an evacuated domain and back to the same engine.
+func TestThePlaceOfAPromptComesBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	roster := domainsRoster(now, "engines", "a", "b", "c")
+	for i := range 50 {
+		key := fmt.Sprint("part-", i)
+		home := kernel.HomeDomain(key, roster.Endpoints("engines"))
+		away := roster.WithEvacuations(evacuated(now, home))
+		must.NotEq(t, home, kernel.HomeDomain(key, away.Endpoints("engines")))
+		back, _ := away.Evacuations().With(now, kernel.EvacuationChange{TakenBack: []string{home}})
+		must.EqOp(t, home, kernel.HomeDomain(key, away.WithEvacuations(back).Endpoints("engines")))
+		for _, other := range []string{"a", "b", "c"} {
+			if other != home {
+				must.EqOp(t, home, kernel.HomeDomain(key, roster.WithEvacuations(evacuated(now, other)).Endpoints("engines")))
+			}
+		}
+	}
+}
--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -149,6 +149,9 @@
 
 // Add takes a group in, or tells that it cannot be made in time and when to come back.
 func (g *Gathering) Add(now time.Time, group PieceGroup) (accepted bool, retryAfter time.Duration) {
+	if len(g.makers) > 0 && g.staying() == 0 {
+		return false, RetryAfter(evacuatedRetry)
+	}
 	wait := g.Wait(now, group)
 	finish := now.Add(wait + g.callTime(len(group.Pieces)))
 	overdue := finish.After(group.Due) && g.backlog() > lateBacklog
--- a/kernel/gatherorder.go
+++ b/kernel/gatherorder.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"basilstall.example/basilstall/model"
 )
 
 const (
@@ -72,7 +70,7 @@
 func (g *Gathering) idle(now time.Time) []*maker {
 	var out []*maker
 	for _, m := range g.makers {
-		if m.calls >= max(1, g.traits.Slots) || m.endpoint.State == model.Leaving {
+		if m.calls >= max(1, g.traits.Slots) || !m.endpoint.TakesWork() {
 			continue
 		}
 		if !now.Before(m.pausedUntil) && m.health.Usable(now) {
@@ -98,7 +96,7 @@
 		return true
 	}
 	for _, other := range g.makers {
-		if other.endpoint.FailureDomain == w.Domain && other.endpoint.State != model.Leaving {
+		if other.endpoint.FailureDomain == w.Domain && other.endpoint.TakesWork() {
 			return false
 		}
 	}
--- a/kernel/gatherroom.go
+++ b/kernel/gatherroom.go
@@ -80,7 +80,7 @@
 // room returns how much room the makers have in all, and how much of it is free.
 func (g *Gathering) room(now time.Time) (total, free float64) {
 	for _, m := range g.makers {
-		if m.endpoint.State != model.Leaving {
+		if m.endpoint.TakesWork() {
 			total += float64(g.traits.Room) * roomMargin
 			free += max(0, g.freeRoom(now, m))
 		}
--- a/kernel/gatherslow.go
+++ b/kernel/gatherslow.go
@@ -74,7 +74,7 @@
 func (g *Gathering) usualPace() float64 {
 	paces := make([]float64, 0, len(g.makers))
 	for _, m := range g.makers {
-		if m.endpoint.State != model.Leaving {
+		if m.endpoint.TakesWork() {
 			paces = append(paces, m.pace)
 		}
 	}
--- a/kernel/gatherwait.go
+++ b/kernel/gatherwait.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"basilstall.example/basilstall/model"
 )
 
 // Wait estimates how long the pieces of a group that comes now wait until their call starts: the
@@ -75,7 +73,7 @@
 func (g *Gathering) staying() int {
 	n := 0
 	for _, m := range g.makers {
-		if m.endpoint.State != model.Leaving {
+		if m.endpoint.TakesWork() {
 			n++
 		}
 	}
@@ -85,7 +83,7 @@
 func (g *Gathering) free() int {
 	n := 0
 	for _, m := range g.makers {
-		if m.endpoint.State != model.Leaving && m.calls < max(1, g.traits.Slots) {
+		if m.endpoint.TakesWork() && m.calls < max(1, g.traits.Slots) {
 			n++
 		}
 	}
--- a/kernel/placement.go
+++ b/kernel/placement.go
@@ -50,7 +50,7 @@
 func HomeDomain(key string, engines []model.Endpoint) string {
 	best, domain := uint64(0), ""
 	for _, e := range engines {
-		if e.State == model.Leaving {
+		if !e.TakesWork() {
 			continue
 		}
 		if score := rendezvousScore(key, e.Name); domain == "" || score > best {
--- a/kernel/roster.go
+++ b/kernel/roster.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"basilstall.example/basilstall/model"
@@ -23,6 +24,11 @@
 	// store is away. It is immutable.
 	Roster struct {
 		entries map[string]rosterEntry
+		// evacuations says which failure domains get no work.
+		evacuations Evacuations
+		// byPool holds the endpoints of each pool in the order of their names, in the states that follow from
+		// entries and evacuations.
+		byPool map[string][]model.Endpoint
 		// provenAt is when the list was last proven current; returnedAt is when that was first so
 		// after an outage.
 		provenAt   time.Time
@@ -73,24 +79,46 @@
 		maps.DeleteFunc(entries, func(_ string, e rosterEntry) bool { return e.missing })
 	}
 	r.entries = entries
-	return r
+	return r.indexed()
 }
 
-// Endpoints returns the endpoints of a pool in the order of their names, leaving ones included.
-func (r Roster) Endpoints(pool string) []model.Endpoint {
-	var out []model.Endpoint
-	for _, e := range r.entries {
-		if e.endpoint.Pool == pool {
-			out = append(out, e.endpoint)
+// WithEvacuations returns the roster under other evacuations.
+func (r Roster) WithEvacuations(e Evacuations) Roster {
+	r.evacuations = e
+	return r.indexed()
+}
+
+// Evacuations returns which failure domains get no work.
+func (r Roster) Evacuations() Evacuations {
+	return r.evacuations
+}
+
+// indexed returns the roster with byPool made from the rest.
+func (r Roster) indexed() Roster {
+	r.byPool = map[string][]model.Endpoint{}
+	for _, entry := range r.entries {
+		e := entry.endpoint
+		if e.State == model.Live && r.evacuations.Holds(e.FailureDomain) {
+			e.State = model.Evacuated
 		}
+		r.byPool[e.Pool] = append(r.byPool[e.Pool], e)
 	}
-	slices.SortFunc(out, func(a, b model.Endpoint) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return out
+	for _, endpoints := range r.byPool {
+		slices.SortFunc(endpoints, func(a, b model.Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return r
+}
+
+// Endpoints returns the endpoints of a pool in the order of their names, those that take no work included. The
+// slice is shared and must not be changed.
+func (r Roster) Endpoints(pool string) []model.Endpoint {
+	return r.byPool[pool]
+}
+
+// TakesWork tells whether new work may still be sent to an endpoint that was chosen earlier.
+func (r Roster) TakesWork(e model.Endpoint) bool {
+	entry, listed := r.entries[e.Name]
+	return listed && entry.endpoint.Life() == e.Life() && entry.endpoint.State != model.Leaving && !r.evacuations.Holds(e.FailureDomain)
 }
 
 // Find returns an endpoint by its name.
--- a/kernel/routing.go
+++ b/kernel/routing.go
@@ -36,7 +36,7 @@
 	staying := make([]Candidate, 0, len(candidates))
 	healthy := make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
-		if c.Endpoint.State == model.Leaving || slices.Contains(excluded, c.Endpoint.Life()) {
+		if !c.Endpoint.TakesWork() || slices.Contains(excluded, c.Endpoint.Life()) {
 			continue
 		}
 		staying = append(staying, c)
--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -13,6 +13,8 @@
 const (
 	Live    HostState = "Live"
 	Leaving HostState = "Leaving"
+	// Evacuated is an endpoint's state while operators keep work off its failure domain.
+	Evacuated HostState = "Evacuated"
 )
 
 type (
@@ -67,6 +69,11 @@
 	return e.Name + lifeMark + strconv.FormatInt(e.Started.UnixMilli(), 10)
 }
 
+// TakesWork tells whether new work may be sent to the endpoint.
+func (e Endpoint) TakesWork() bool {
+	return e.State != Leaving && e.State != Evacuated
+}
+
 // NameOfLife returns the name of the process that had a life.
 func NameOfLife(life string) string {
 	if i := strings.LastIndex(life, lifeMark); i >= 0 {
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -55,6 +55,8 @@
 	StageLate Reason = "StageLate"
 	// Quarantined: endpoints ended that ran the request, and it is held back.
 	Quarantined Reason = "Quarantined"
+	// PoolEvacuated: all endpoints of a pool that the request needs are in evacuated failure domains.
+	PoolEvacuated Reason = "PoolEvacuated"
 	// EndpointRefused: the endpoint did not run the request, and no other could be asked.
 	EndpointRefused Reason = "EndpointRefused"
 )
@@ -70,6 +72,8 @@
 	RetryResume   Reason = "RetryResume"
 	// RetryNotRun: the endpoint said that it did not run the call.
 	RetryNotRun Reason = "RetryNotRun"
+	// RetryWithdrawn: the endpoint may get no more work since it was chosen; nothing was sent.
+	RetryWithdrawn Reason = "RetryWithdrawn"
 	// RetryPiece: a piece was made again because its result or an input was gone.
 	RetryPiece Reason = "RetryPiece"
 )
--- /dev/null
+++ b/relay/evacuation_test.go
@@ -0,0 +1,45 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/relay"
+)
+
+// A request may be chosen an endpoint for, and then wait for a connection while the endpoint's failure domain is
+// evacuated. It goes elsewhere, and the endpoint's health is not blamed.
+func TestARequestWhoseEndpointIsEvacuatedBeforeItIsSent(t *testing.T) {
+	b := newBed(t)
+	now := time.Now()
+	roster := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{
+		{Name: "plain-0", Pool: "plain", FailureDomain: "a", State: model.Live},
+		{Name: "plain-1", Pool: "plain", FailureDomain: "b", State: model.Live},
+	}, nil, nil)
+	b.relay.ChangeRoster(func(kernel.Roster) kernel.Roster { return roster })
+	var sent []string
+	evacuate := true
+	b.wire.Forward = func(_ context.Context, s relay.Send) (*model.ForwardReply, error) {
+		if evacuate {
+			evacuate = false
+			b.relay.SetEvacuations(kernel.EvacuationChange{Evacuated: []string{s.Endpoint.FailureDomain}})
+		}
+		if err := s.BeforeSend(); err != nil {
+			return nil, err
+		}
+		sent = append(sent, s.Endpoint.FailureDomain)
+		return reply("answer"), nil
+	}
+	outcome := b.serve("/get/one")
+	must.Nil(t, outcome.Refusal)
+	must.True(t, outcome.Whole)
+	must.SliceLen(t, 1, sent)
+	must.False(t, b.relay.Roster().Evacuations().Holds(sent[0]))
+	b.relay.SetEvacuations(kernel.EvacuationChange{TakenBack: b.relay.Roster().Evacuations().Domains()})
+	must.Nil(t, b.serve("/get/two").Refusal)
+}
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -30,7 +30,7 @@
 		roster = roster.WithChanges(now, now, []model.Endpoint{
 			{Name: "plain-0", Started: time.UnixMilli(starts), Address: "a", Pool: "plain", State: model.Live},
 		}, nil, nil)
-		b.relay.SetRoster(roster)
+		b.relay.ChangeRoster(func(kernel.Roster) kernel.Roster { return roster })
 		ended := make(chan relay.Outcome, 1)
 		go func() { ended <- b.serve("/get/same") }()
 		select {
@@ -58,7 +58,7 @@
 		now := time.Now()
 		e := model.Endpoint{Name: fmt.Sprint("plain-", i), Address: "a", Pool: "plain", State: model.Live}
 		roster = roster.WithChanges(now, now, []model.Endpoint{e}, nil, nil)
-		b.relay.SetRoster(roster)
+		b.relay.ChangeRoster(func(kernel.Roster) kernel.Roster { return roster })
 		leave = func() {
 			e.State = model.Leaving
 			removed := []string{e.Name}
@@ -66,7 +66,7 @@
 				removed = nil
 			}
 			roster = roster.WithChanges(now, now, []model.Endpoint{e}, nil, nil).WithChanges(now, now, nil, removed, nil)
-			b.relay.SetRoster(roster)
+			b.relay.ChangeRoster(func(kernel.Roster) kernel.Roster { return roster })
 		}
 		outcome := b.serve("/get/same")
 		must.EqOp(t, model.StageFailed, outcome.Refusal.Reason)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -40,6 +40,9 @@
 		metrics     *metric.Set
 		peers       *peer.Client
 
+		// rosterChange is held while the roster changes: several tables of the store bear on it.
+		rosterChange sync.Mutex
+
 		mu     sync.Mutex
 		view   atomic.Pointer[kernel.RoutingView]
 		roster atomic.Pointer[kernel.Roster]
@@ -187,9 +190,12 @@
 	r.hub.setEndpoints(r.Roster())
 }
 
-// SetRoster takes over what is known of endpoints.
-func (r *Relay) SetRoster(roster kernel.Roster) {
+// ChangeRoster takes over what is newly known of endpoints.
+func (r *Relay) ChangeRoster(change func(before kernel.Roster) kernel.Roster) {
+	r.rosterChange.Lock()
+	defer r.rosterChange.Unlock()
 	before := *r.roster.Load()
+	roster := change(before)
 	r.roster.Store(&roster)
 	changes := roster.Changes(before)
 	r.logRoster(changes)
@@ -198,6 +204,23 @@
 	r.quarantine.Listed(roster.Endpoints)
 }
 
+// SetEvacuations takes over which failure domains are evacuated, and which no longer.
+func (r *Relay) SetEvacuations(change kernel.EvacuationChange) {
+	evacuations, news := r.Roster().Evacuations().With(r.now(), change)
+	if len(news.Evacuated) == 0 && len(news.TakenBack) == 0 {
+		return
+	}
+	r.ChangeRoster(func(before kernel.Roster) kernel.Roster { return before.WithEvacuations(evacuations) })
+	for _, domain := range news.Evacuated {
+		r.metrics.Event("DomainEvacuated")
+		r.log.Info().Str("Domain", domain).Int64("InFlight", r.InFlight()).Msg("failure domain evacuated")
+	}
+	for _, domain := range news.TakenBack {
+		r.metrics.Event("DomainTakenBack")
+		r.log.Info().Str("Domain", domain).Msg("failure domain taken back")
+	}
+}
+
 // SetHeldBack takes over which requests the store says are held back, and which no longer.
 func (r *Relay) SetHeldBack(change kernel.QuarantineChange) {
 	r.quarantine.Learn(change)
@@ -213,6 +236,9 @@
 	if gone := r.goneAt.Load(); refusal == nil && gone != nil {
 		refusal = kernel.TakeWhileLeaving(r.now(), *gone, admission.Route)
 	}
+	if refusal == nil {
+		refusal = kernel.AdmitPools(r.Roster(), f, admission)
+	}
 	if refusal != nil {
 		return r.refuseAtTheDoor(f, admission, view, refusal)
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -66,12 +66,13 @@
 	t.Cleanup(b.relay.Close)
 	b.setObjective(time.Minute)
 	now := time.Now()
-	b.relay.SetRoster(kernel.NewRoster().WithChanges(now, now, []model.Endpoint{
+	roster := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{
 		{Name: "plain-0", Pool: "plain", State: model.Live},
 		{Name: "plain-1", Pool: "plain", State: model.Live},
 		{Name: "engine-0", Pool: "engines", State: model.Live},
 		{Name: "maker-0", Pool: "makers", State: model.Live},
-	}, nil, nil))
+	}, nil, nil)
+	b.relay.ChangeRoster(func(kernel.Roster) kernel.Roster { return roster })
 	return b
 }
 
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -9,12 +9,14 @@
 	"github.com/go-faster/errors"
 )
 
+var errWithdrawn = errors.New("relay: the endpoint takes no more work")
+
 // noteFault notes what a failed send shows of the request and its endpoint.
 func (j *job) noteFault(p *pool, e model.Endpoint, fault *endpoint.Fault) {
 	if fault.Verdict != model.NotRun {
 		j.mayHaveRun = true
 	}
-	if fault.Kind == endpoint.Cancelled {
+	if fault.Kind == endpoint.Cancelled || fault.Kind == endpoint.Withdrawn {
 		return
 	}
 	if fault.Kind == endpoint.Refused {
@@ -87,6 +89,9 @@
 		if refusal == nil && !j.trial {
 			refusal = j.relay.quarantine.Refuses(j.forward.Digest)
 		}
+		if refusal == nil && !j.relay.Roster().TakesWork(e) {
+			return &endpoint.Fault{Kind: endpoint.Withdrawn, Verdict: model.NotRun, Err: errWithdrawn}
+		}
 		if refusal == nil {
 			return nil
 		}
--- a/relay/room.go
+++ b/relay/room.go
@@ -30,7 +30,8 @@
 		g.mu.Lock()
 		maker, ok := g.g.Maker(name)
 		g.mu.Unlock()
-		if ok {
+		// An evacuated endpoint gets nothing more; it drops results by itself after a while, and so does the account.
+		if ok && maker.State != model.Evacuated {
 			go g.freeAt(maker, made)
 		}
 	}
@@ -78,7 +79,9 @@
 func (g *gatherer) askRooms() {
 	for {
 		for _, maker := range g.relay.Roster().Endpoints(g.name) {
-			go g.askRoom(maker)
+			if maker.State != model.Evacuated {
+				go g.askRoom(maker)
+			}
 		}
 		if !clock.Sleep(g.relay.ctx, askRoomEvery) || !g.inherits() {
 			return
