Send cold endpoints no more than they bear, over all nodes

An endpoint that has just started, or comes back from an evacuation, may be cold: its pool states how many requests a second it bears then, and above that it falls over. Nothing here read that. Change: three nodes, by rendezvous hash of all announced nodes, may send to a cold endpoint, each after a pause, so that two choices of senders at once (who has heard of a change and who has not) keep the bound. A domain that is taken back counts as cold until its endpoints' own entries must have said so. The batcher of a stage pool does the same by itself. A request that only cold endpoints could serve is refused as not run (EndpointsCold).

--- /dev/null
+++ b/kernel/cold.go
@@ -0,0 +1,90 @@
+package kernel
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// mostColdSenders is how many nodes may send to one cold endpoint. Few nodes with several sends each keep a bound
+	// on the sum closer than many with less than one.
+	mostColdSenders = 3
+	// coldViews is how many different choices of senders may be in force at one time: of nodes that have heard who
+	// joined or left and of those that have not.
+	coldViews = 2
+	// coldWindow is the time in whose sends may arrive within one second: opening a connection may take 0.7 s.
+	coldWindow = 1800 * time.Millisecond
+	// coldReport is how long after the end of an evacuation an endpoint's own entry may not yet say that it is cold:
+	// an interval of entries, and the ways through the store, a reader and its followers.
+	coldReport = 3 * time.Second
+)
+
+type (
+	// ColdTerms bound what all nodes together send to a cold endpoint: in any second at most Excess times the rate that
+	// its pool states, and Slack.
+	ColdTerms struct {
+		Excess float64
+		Slack  float64
+	}
+
+	// ColdShare is what a cold endpoint may get of each of the nodes that may send to it.
+	ColdShare struct {
+		// Senders is how many nodes may send, the first ones by the endpoint's hash; 0 means that there is no bound.
+		Senders int
+		// Pause is the least time between two sends of one node.
+		Pause time.Duration
+	}
+)
+
+// Share returns what each sender may send to a cold endpoint of a pool with a stated rate a second. The bound holds
+// where two choices of senders are in force at once.
+func (t ColdTerms) Share(rate float64) ColdShare {
+	if rate <= 0 {
+		return ColdShare{}
+	}
+	each := max(1, max(rate, rate*t.Excess+t.Slack)/coldViews)
+	senders := min(mostColdSenders, int(each))
+	sends := math.Floor(each / float64(senders))
+	return ColdShare{Senders: senders, Pause: time.Duration(float64(coldWindow)/sends) + time.Millisecond}
+}
+
+// Single returns the share of a node that alone sends to the endpoints of a pool.
+func (s ColdShare) Single() ColdShare {
+	if s.Senders > 1 {
+		s.Pause /= time.Duration(s.Senders)
+		s.Senders = 1
+	}
+	return s
+}
+
+// Sends tells whether a node is one of those that may send to an endpoint while it is cold, by all nodes that have
+// announced themselves, reachable or not: nodes that are cut off from each other would else all take themselves for
+// the first. A node that knows of none yet does not send.
+func (s ColdShare) Sends(self string, endpoint model.Endpoint, nodes []Peer) bool {
+	own := rendezvousScore(endpoint.Life(), self)
+	before := 0
+	for _, n := range nodes {
+		if n.Name != self && rendezvousScore(endpoint.Life(), n.Name) > own {
+			before++
+		}
+	}
+	return len(nodes) > 0 && before < s.Senders
+}
+
+// IsCold tells whether an endpoint may still be cold.
+func IsCold(now time.Time, e model.Endpoint) bool {
+	return now.Before(e.ColdUntil)
+}
+
+// AnyCold tells whether one of several endpoints that take work may still be cold.
+func AnyCold(now time.Time, endpoints []model.Endpoint) bool {
+	return slices.ContainsFunc(endpoints, func(e model.Endpoint) bool { return e.TakesWork() && IsCold(now, e) })
+}
+
+// Due tells whether a sender may send to a cold endpoint again.
+func (s ColdShare) Due(now, sentAt time.Time) bool {
+	return sentAt.IsZero() || now.Sub(sentAt) >= s.Pause
+}
--- /dev/null
+++ b/kernel/cold_test.go
@@ -0,0 +1,240 @@
+package kernel_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	coldStep = 10 * time.Millisecond
+	// coldTrouble is when something happens to the fleet.
+	coldTrouble = 3 * time.Second
+)
+
+type (
+	// coldFleet is nodes that all have more requests for one cold endpoint than it may get.
+	coldFleet struct {
+		rng   *rand.Rand
+		terms kernel.ColdTerms
+		rate  float64
+		nodes []coldNode
+	}
+
+	coldNode struct {
+		name string
+		// knows are the nodes that this one has read of.
+		knows  []kernel.Peer
+		sends  bool
+		sentAt time.Time
+	}
+)
+
+func newColdFleet(seed uint64, nodes int, terms kernel.ColdTerms, rate float64) *coldFleet {
+	f := &coldFleet{rng: rand.New(rand.NewPCG(seed, 1)), terms: terms, rate: rate}
+	all := peersNamed("node", nodes)
+	for _, p := range all {
+		f.nodes = append(f.nodes, coldNode{name: p.Name, knows: all})
+	}
+	return f
+}
+
+func peersNamed(kind string, n int) []kernel.Peer {
+	var out []kernel.Peer
+	for i := range n {
+		out = append(out, kernel.Peer{Name: fmt.Sprint(kind, "-", i)})
+	}
+	return out
+}
+
+// play has all nodes send for a time as fast as they may, and returns the most requests that arrive within one second
+// and how many arrive in all. Some sends open a connection first.
+func (f *coldFleet) play(length time.Duration, at func(elapsed time.Duration)) (most, total int) {
+	share := f.terms.Share(f.rate)
+	start := time.Unix(1000, 0)
+	e := model.Endpoint{Name: "cold", ColdUntil: start.Add(length)}
+	var arrivals []time.Duration
+	for elapsed := time.Duration(0); elapsed < length; elapsed += coldStep {
+		at(elapsed)
+		now := start.Add(elapsed)
+		for i := range f.nodes {
+			n := &f.nodes[i]
+			if elapsed == 0 || elapsed == coldTrouble {
+				n.sends = share.Sends(n.name, e, n.knows)
+			}
+			if !n.sends || !share.Due(now, n.sentAt) {
+				continue
+			}
+			n.sentAt = now
+			delay := time.Duration(f.rng.IntN(50)) * time.Millisecond
+			if f.rng.IntN(5) == 0 {
+				delay += 700 * time.Millisecond
+			}
+			arrivals = append(arrivals, elapsed+delay)
+		}
+	}
+	slices.Sort(arrivals)
+	for i := range arrivals {
+		within := slices.IndexFunc(arrivals[i:], func(a time.Duration) bool { return a > arrivals[i]+time.Second })
+		if within < 0 {
+			within = len(arrivals) - i
+		}
+		most = max(most, within)
+	}
+	return most, len(arrivals)
+}
+
+// coldTroubles are what may happen to the nodes, or to what they know of each other.
+var coldTroubles = map[string]func(f *coldFleet){
+	"none": func(*coldFleet) {},
+	"two views that share no node": func(f *coldFleet) {
+		all, half := f.nodes[0].knows, len(f.nodes)/2
+		for i := range f.nodes {
+			f.nodes[i].knows = all[half:]
+			if i < half {
+				f.nodes[i].knows = all[:half]
+			}
+		}
+	},
+	"a sender leaves and half have not heard": func(f *coldFleet) {
+		all := f.nodes[0].knows
+		sender := slices.IndexFunc(f.nodes, func(n coldNode) bool { return n.sends })
+		left := slices.DeleteFunc(slices.Clone(all), func(p kernel.Peer) bool { return p.Name == f.nodes[sender].name })
+		for i := range f.nodes {
+			if f.rng.IntN(2) == 0 {
+				f.nodes[i].knows = left
+			}
+		}
+	},
+	"nodes join and half have not heard": func(f *coldFleet) {
+		more := append(slices.Clone(f.nodes[0].knows), peersNamed("joined", 3)...)
+		for _, p := range peersNamed("joined", 3) {
+			f.nodes = append(f.nodes, coldNode{name: p.Name, knows: more})
+		}
+		for i := range f.nodes {
+			if f.rng.IntN(2) == 0 {
+				f.nodes[i].knows = more
+			}
+		}
+	},
+	"many start again and know no node yet": func(f *coldFleet) {
+		for i := range f.nodes {
+			if f.rng.IntN(2) == 0 {
+				f.nodes[i].knows, f.nodes[i].sentAt = nil, time.Time{}
+			}
+		}
+	},
+	"all start again": func(f *coldFleet) {
+		for i := range f.nodes {
+			f.nodes[i].sentAt = time.Time{}
+		}
+	},
+}
+
+// Pattern: a cold endpoint that all nodes want. However many they are, whatever happens to them and whatever each of
+// them knows of the others, no second brings it more than the bound, and it is not left without work.
+func TestAColdEndpointGetsWhatItBears(t *testing.T) {
+	const length = 10 * time.Second
+	terms, rate := kernel.ColdTerms{Excess: 1.5, Slack: 5}, 9.4
+	bound := int(rate*terms.Excess + terms.Slack)
+	for name, trouble := range coldTroubles {
+		t.Run(name, func(t *testing.T) {
+			for _, nodes := range []int{1, 8, 76, 400} {
+				for seed := range uint64(5) {
+					f := newColdFleet(seed, nodes, terms, rate)
+					most, total := f.play(length, func(elapsed time.Duration) {
+						if elapsed == coldTrouble {
+							trouble(f)
+						}
+					})
+					must.LessEq(t, bound, most, must.Sprint(nodes, " nodes, seed ", seed))
+					must.GreaterEq(t, int(coldTrouble/time.Second), total, must.Sprint(nodes, " nodes, seed ", seed))
+				}
+			}
+		})
+	}
+}
+
+func TestAPoolWithoutAStatedRateHasNoBound(t *testing.T) {
+	must.EqOp(t, 0, kernel.ColdTerms{Excess: 1.5, Slack: 5}.Share(0).Senders)
+}
+
+// The bound is kept by pools of all rates, also where the settings state no excess.
+func TestTheSharesOfAColdEndpointFitItsBound(t *testing.T) {
+	for _, terms := range []kernel.ColdTerms{{}, {Excess: 1, Slack: 0}, {Excess: 1.5, Slack: 5}} {
+		for _, rate := range []float64{2, 3, 5, 9.4, 50, 1000} {
+			share := terms.Share(rate)
+			perView := share.Senders * int((1800*time.Millisecond+share.Pause-1)/share.Pause)
+			must.LessEq(t, max(2, int(max(rate, rate*terms.Excess+terms.Slack))), 2*perView, must.Sprint(terms, rate, share))
+		}
+	}
+}
+
+func TestAnEntrySaysUntilWhenItsEndpointIsCold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := in("a", "p-a", "p")
+	e.ColdFor = 3 * time.Second
+	r := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{e}, nil, nil)
+	must.True(t, kernel.AnyCold(now.Add(2900*time.Millisecond), r.Endpoints("p")))
+	must.False(t, kernel.AnyCold(now.Add(3*time.Second), r.Endpoints("p")))
+	e.ColdFor = 0
+	r = r.WithChanges(now.Add(time.Second), now.Add(time.Second), []model.Endpoint{e}, nil, nil)
+	must.False(t, kernel.AnyCold(now.Add(time.Second), r.Endpoints("p")), must.Sprint("its newest entry says that it is warm"))
+	e.ColdFor = time.Second
+	r = r.WithChanges(now.Add(2*time.Second), now.Add(2*time.Second), []model.Endpoint{e}, nil, nil)
+	must.True(t, kernel.AnyCold(now.Add(2*time.Second), r.Endpoints("p")), must.Sprint("it may become cold at any moment"))
+}
+
+// Endpoints may have become cold while their domain was evacuated; their entries say so later than the end is known.
+func TestADomainThatIsTakenBackCountsAsCold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := domainsRoster(now, "p", "a", "b").WithEvacuations(evacuated(now, "a"))
+	ended := now.Add(10 * time.Second)
+	back, _ := r.Evacuations().With(ended, kernel.EvacuationChange{TakenBack: []string{"a"}})
+	r = r.WithEvacuations(back)
+	for _, e := range r.Endpoints("p") {
+		must.EqOp(t, e.FailureDomain == "a", kernel.IsCold(ended, e))
+		must.False(t, kernel.IsCold(ended.Add(4*time.Second), e))
+	}
+	r = r.WithChanges(ended.Add(time.Second), ended.Add(time.Second), []model.Endpoint{in("a", "p-a", "p")}, nil, nil)
+	must.True(t, kernel.IsCold(ended.Add(time.Second), r.Endpoints("p")[0]), must.Sprint("an entry may have been written before the end"))
+}
+
+// A maker that is cold gets its calls one by one, and the others make the rest.
+func TestAColdMakerGetsFewCalls(t *testing.T) {
+	start := time.Unix(1000, 0)
+	warm, cold := in("a", "warm", "makers"), in("a", "cold", "makers")
+	cold.ColdUntil = start.Add(time.Minute)
+	g := kernel.NewGathering(gatherTraits)
+	share := kernel.ColdTerms{}.Share(4).Single()
+	g.SetCold(share)
+	g.SetEndpoints([]model.Endpoint{warm, cold})
+	calls := map[string]int{}
+	id := uint64(0)
+	const length = 20 * time.Second
+	for elapsed := time.Duration(0); elapsed < length; elapsed += 50 * time.Millisecond {
+		now := start.Add(elapsed)
+		id++
+		g.Add(now, pieceGroup(id, gatherTraits.Batch, 10, now.Add(time.Minute)))
+		for batch, more := g.Next(now); more; batch, more = g.Next(now) {
+			calls[batch.Endpoint.Name]++
+			g.Done(now, batch, make([]model.PieceResult, len(batch.Pieces)))
+			if calls["cold"]+calls["warm"] > 10_000 {
+				t.Fatal("calls without end")
+			}
+			if batch.Endpoint.Name == "warm" {
+				break
+			}
+		}
+	}
+	must.Positive(t, calls["cold"])
+	must.LessEq(t, int(length/share.Pause)+1, calls["cold"])
+	must.Greater(t, 2*calls["cold"], calls["warm"])
+}
--- a/kernel/evacuation.go
+++ b/kernel/evacuation.go
@@ -66,6 +66,15 @@
 	return e.since[domain]
 }
 
+// coldUntil returns until when the endpoints of a failure domain that was taken back may be cold without saying so.
+func (e Evacuations) coldUntil(domain string) time.Time {
+	ended, known := e.ended[domain]
+	if !known {
+		return time.Time{}
+	}
+	return ended.Add(coldReport)
+}
+
 // AdmitPools refuses a request at once where no endpoint of a pool that it needs may get work: of its stages' pools or
 // the one where it runs itself.
 func AdmitPools(r Roster, f model.Forward, a Admission) *model.Refusal {
--- a/kernel/evacuation_test.go
+++ b/kernel/evacuation_test.go
@@ -43,81 +43,97 @@
 	return out
 }
 
+// evacuationMachine drives the store's rows on evacuations, a node that reads them, and one that asks that node.
+type evacuationMachine struct {
+	now              time.Time
+	version          uint64
+	store            map[string]kernel.Row
+	log              []kernel.Row
+	reader, follower *kernel.Mirror
+	roster           kernel.Roster
+}
+
+func (m *evacuationMachine) write(domain string, takenBack bool) {
+	m.version++
+	r := kernel.Row{Key: domain, Version: m.version, Removed: takenBack}
+	m.log = append(m.log, r)
+	if delete(m.store, domain); !takenBack {
+		m.store[domain] = r
+	}
+}
+
+func (m *evacuationMachine) readWhole() {
+	var rows []kernel.Row
+	for _, r := range m.store {
+		rows = append(rows, r)
+	}
+	m.reader.Take(m.now, rows, m.version, true)
+}
+
+func (m *evacuationMachine) readChanges() {
+	after, known := m.reader.Known()
+	if !known {
+		m.readWhole()
+		return
+	}
+	var rows []kernel.Row
+	for _, r := range m.log {
+		if r.Version > after {
+			rows = append(rows, r)
+		}
+	}
+	m.reader.Take(m.now, rows, m.version, false)
+}
+
+func (m *evacuationMachine) ask() {
+	after, _ := m.follower.Known()
+	d, known := m.reader.Since(m.now, after)
+	if !known {
+		return
+	}
+	var change kernel.EvacuationChange
+	for _, r := range m.follower.TakeDelta(m.now, d) {
+		if r.Removed {
+			change.TakenBack = append(change.TakenBack, r.Key)
+		} else {
+			change.Evacuated = append(change.Evacuated, r.Key)
+		}
+	}
+	evacuations, _ := m.roster.Evacuations().With(m.now, change)
+	m.roster = m.roster.WithEvacuations(evacuations)
+}
+
 // Whatever operators write in whichever order, and however many of their writes a node hears of at once, through a
 // reader or after a lost history: once it has read the store, it sends nothing to just the domains that are evacuated.
 func TestEvacuationsFollowTheStoreInAnyOrderOfEvents(t *testing.T) {
 	domains := []string{"a", "b", "c"}
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
-		roster := domainsRoster(now, "p", domains...)
-		store := map[string]kernel.Row{}
-		var log []kernel.Row
-		version := uint64(1)
-		reader, follower := kernel.NewMirror(), kernel.NewMirror()
-		take := func(news []kernel.Row) {
-			var change kernel.EvacuationChange
-			for _, r := range news {
-				if r.Removed {
-					change.TakenBack = append(change.TakenBack, r.Key)
-				} else {
-					change.Evacuated = append(change.Evacuated, r.Key)
-				}
-			}
-			after, _ := roster.Evacuations().With(now, change)
-			roster = roster.WithEvacuations(after)
-		}
-		read := func(whole bool) {
-			after, known := reader.Known()
-			if whole || !known {
-				var rows []kernel.Row
-				for _, r := range store {
-					rows = append(rows, r)
-				}
-				reader.Take(now, rows, version, true)
-				return
-			}
-			var rows []kernel.Row
-			for _, r := range log {
-				if r.Version > after {
-					rows = append(rows, r)
-				}
-			}
-			reader.Take(now, rows, version, false)
-		}
-		ask := func() {
-			after, _ := follower.Known()
-			if d, known := reader.Since(now, after); known {
-				take(follower.TakeDelta(now, d))
-			}
+		m := &evacuationMachine{
+			now: now, version: 1, store: map[string]kernel.Row{}, reader: kernel.NewMirror(), follower: kernel.NewMirror(),
+			roster: domainsRoster(now, "p", domains...),
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"write": func(t *rapid.T) {
-				version++
-				r := kernel.Row{Key: rapid.SampledFrom(domains).Draw(t, "domain"), Version: version, Removed: rapid.Bool().Draw(t, "taken back")}
-				log = append(log, r)
-				if delete(store, r.Key); !r.Removed {
-					store[r.Key] = r
-				}
-			},
-			"list again": func(t *rapid.T) {
-				roster = roster.WithChanges(now, now, []model.Endpoint{in("a", "p-a", "p")}, nil, nil)
+				m.write(rapid.SampledFrom(domains).Draw(t, "domain"), rapid.Bool().Draw(t, "taken back"))
 			},
-			"read":         func(*rapid.T) { read(false) },
-			"lost history": func(*rapid.T) { read(true) },
-			"ask":          func(*rapid.T) { ask() },
-			"": func(t *rapid.T) {
-				now = now.Add(100 * time.Millisecond)
+			"list again": func(*rapid.T) {
+				m.roster = m.roster.WithChanges(m.now, m.now, []model.Endpoint{in("a", "p-a", "p")}, nil, nil)
 			},
+			"read":         func(*rapid.T) { m.readChanges() },
+			"lost history": func(*rapid.T) { m.readWhole() },
+			"ask":          func(*rapid.T) { m.ask() },
+			"":             func(*rapid.T) { m.now = m.now.Add(100 * time.Millisecond) },
 		})
-		read(false)
-		ask()
+		m.readChanges()
+		m.ask()
 		var want []string
 		for _, domain := range domains {
-			if _, held := store[domain]; !held {
+			if _, held := m.store[domain]; !held {
 				want = append(want, domain)
 			}
 		}
-		must.Eq(t, want, usableDomains(now, roster, "p"))
+		must.Eq(t, want, usableDomains(m.now, m.roster, "p"))
 	})
 }
 
--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -52,11 +52,15 @@
 		sharedUntil  time.Time
 		foreignUntil time.Time
 		policy       Policy
+		// cold bounds the calls to cold makers.
+		cold ColdShare
 	}
 
 	maker struct {
 		endpoint model.Endpoint
 		calls    int
+		// calledAt is when it last got a call.
+		calledAt time.Time
 		// used is the room taken by results and by calls under way.
 		used        int64
 		pausedUntil time.Time
@@ -122,6 +126,11 @@
 	g.traits = traits
 }
 
+// SetCold says how often one node may call a maker that is cold.
+func (g *Gathering) SetCold(share ColdShare) {
+	g.cold = share
+}
+
 // SetEndpoints brings the makers in line with the roster. What a maker held is gone with it.
 func (g *Gathering) SetEndpoints(endpoints []model.Endpoint) {
 	listed := make(map[string]bool, len(endpoints))
--- a/kernel/gathercall.go
+++ b/kernel/gathercall.go
@@ -94,6 +94,7 @@
 	batch.stated = g.callTime(len(batch.Pieces))
 	batch.fetching = g.fetchTime(batch)
 	m.calls++
+	m.calledAt = now
 	g.lastStart = now
 	if m.health.Ejected() {
 		m.health = m.health.WithProbe()
--- a/kernel/gatherorder.go
+++ b/kernel/gatherorder.go
@@ -73,6 +73,9 @@
 		if m.calls >= max(1, g.traits.Slots) || !m.endpoint.TakesWork() {
 			continue
 		}
+		if g.cold.Senders > 0 && IsCold(now, m.endpoint) && !g.cold.Due(now, m.calledAt) {
+			continue
+		}
 		if !now.Before(m.pausedUntil) && m.health.Usable(now) {
 			out = append(out, m)
 		}
--- a/kernel/roster.go
+++ b/kernel/roster.go
@@ -73,6 +73,10 @@
 		if known, ok := entries[e.Name]; ok && known.endpoint.Started.After(e.Started) {
 			continue
 		}
+		if e.ColdFor > 0 {
+			// The entry may have been under way, so this is late rather than early.
+			e.ColdUntil = now.Add(e.ColdFor)
+		}
 		entries[e.Name] = rosterEntry{endpoint: e}
 	}
 	if !grace {
@@ -101,6 +105,9 @@
 		if e.State == model.Live && r.evacuations.Holds(e.FailureDomain) {
 			e.State = model.Evacuated
 		}
+		if cold := r.evacuations.coldUntil(e.FailureDomain); cold.After(e.ColdUntil) {
+			e.ColdUntil = cold
+		}
 		r.byPool[e.Pool] = append(r.byPool[e.Pool], e)
 	}
 	for _, endpoints := range r.byPool {
--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -28,6 +28,9 @@
 		Address       string
 		FailureDomain string
 		State         HostState
+		// ColdFor is how long the endpoint stayed cold when it wrote its entry; ColdUntil is until when it may be cold.
+		ColdFor   time.Duration
+		ColdUntil time.Time
 	}
 
 	// Host is an entry host with its node.
--- a/model/routing.go
+++ b/model/routing.go
@@ -76,6 +76,8 @@
 		Name string
 		// MaxConns bounds the connections of all nodes together to one endpoint.
 		MaxConns int
+		// ColdRate is how many requests a second a cold endpoint bears; zero where cold ones bear what others do.
+		ColdRate float64
 		// Engine is nil for pools that are not model engines.
 		Engine *EngineTraits
 		// Pieces is nil for pools that carry out no stages.
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -57,6 +57,8 @@
 	Quarantined Reason = "Quarantined"
 	// PoolEvacuated: all endpoints of a pool that the request needs are in evacuated failure domains.
 	PoolEvacuated Reason = "PoolEvacuated"
+	// EndpointsCold: the endpoints have just started and bear no more requests now.
+	EndpointsCold Reason = "EndpointsCold"
 	// EndpointRefused: the endpoint did not run the request, and no other could be asked.
 	EndpointRefused Reason = "EndpointRefused"
 )
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -38,6 +38,7 @@
 		g.mu.Lock()
 		g.traits = *pool.Pieces
 		g.g.SetTraits(*pool.Pieces)
+		g.g.SetCold(h.relay.options.Cold.Share(pool.ColdRate).Single())
 		g.mu.Unlock()
 	}
 }
--- a/relay/nodes.go
+++ b/relay/nodes.go
@@ -34,6 +34,17 @@
 	return out
 }
 
+// announced returns the nodes that have announced themselves and are not leaving, whether they answer or not.
+func (r *Relay) announced() []kernel.Peer {
+	var out []kernel.Peer
+	for _, n := range *r.nodes.Load() {
+		if !n.Leaving {
+			out = append(out, kernel.Peer{Name: n.Name, Domain: n.Domain, Capacity: n.Capacity})
+		}
+	}
+	return out
+}
+
 // reachable tells whether another node is not leaving and answers, as far as is known.
 func (r *Relay) reachable(node string) bool {
 	for _, n := range *r.nodes.Load() {
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -36,6 +36,7 @@
 		load    model.Load
 		loadAt  time.Time
 		health  kernel.Health
+		cold    coldState
 	}
 )
 
@@ -59,12 +60,15 @@
 	return s
 }
 
-// candidates returns the listed endpoints with what is known of them, and forgets those that
-// are gone.
-func (p *pool) candidates(listed []model.Endpoint) []kernel.Candidate {
+// candidates returns the listed endpoints with what is known of them, but for cold ones that this node may not send
+// to now, and forgets those that are gone.
+func (p *pool) candidates(now time.Time, listed []model.Endpoint, cold coldGate) []kernel.Candidate {
 	out := make([]kernel.Candidate, 0, len(listed))
 	for _, e := range listed {
 		s := p.state(e.Life())
+		if !cold.admits(now, e, &s.cold) {
+			continue
+		}
 		out = append(out, kernel.Candidate{Endpoint: e, InFlight: s.inFlight, Load: s.load, LoadAt: s.loadAt, Health: s.health})
 	}
 	if len(p.states) > 2*len(listed)+8 {
@@ -78,23 +82,23 @@
 }
 
 // pick chooses an endpoint for a unary request and counts it as in flight.
-func (p *pool) pick(now time.Time, roster kernel.Roster, domain string, excluded []string) (model.Endpoint, bool) {
+func (p *pool) pick(now time.Time, roster kernel.Roster, cold coldGate, domain string, excluded []string) (model.Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := kernel.Usable(now, p.candidates(roster.Endpoints(p.name)), excluded)
+	usable := kernel.Usable(now, p.candidates(now, roster.Endpoints(p.name), cold), excluded)
 	i := kernel.PickTwoChoices(now, usable, domain, rand.Float64(), rand.Float64())
 	if i < 0 {
 		return model.Endpoint{}, false
 	}
-	p.take(usable[i], 0)
+	p.take(now, usable[i], 0)
 	return usable[i].Endpoint, true
 }
 
 // pickEngine chooses an engine for a prompt and counts it as in flight.
-func (p *pool) pickEngine(now time.Time, roster kernel.Roster, prompt model.Prompt, key string, excluded []string) (model.Endpoint, bool) {
+func (p *pool) pickEngine(now time.Time, roster kernel.Roster, cold coldGate, prompt model.Prompt, key string, excluded []string) (model.Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := kernel.Usable(now, p.candidates(roster.Endpoints(p.name)), excluded)
+	usable := kernel.Usable(now, p.candidates(now, roster.Endpoints(p.name), cold), excluded)
 	choices := make([]kernel.EngineChoice, 0, len(usable))
 	for _, c := range usable {
 		choices = append(choices, kernel.EngineChoice{Candidate: c, Reading: p.state(c.Endpoint.Life()).reading})
@@ -103,12 +107,13 @@
 	if i < 0 {
 		return model.Endpoint{}, false
 	}
-	p.take(usable[i], prompt.TokensIn)
+	p.take(now, usable[i], prompt.TokensIn)
 	return usable[i].Endpoint, true
 }
 
-func (p *pool) take(c kernel.Candidate, reading int) {
+func (p *pool) take(now time.Time, c kernel.Candidate, reading int) {
 	s := p.state(c.Endpoint.Life())
+	s.cold.sentAt = now
 	s.inFlight++
 	s.reading += reading
 	if c.Health.Ejected() {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -63,7 +63,7 @@
 	for {
 		e, end, ok := j.streamOnce(ctx, p, &state, stages)
 		if !ok {
-			return j.streamRefusal(&state, model.NotRun, model.NoEndpoint, "no engine is known")
+			return j.streamWithoutEngine(&state)
 		}
 		if outcome, over := j.streamEnded(ctx, &state, end, e); over {
 			return outcome
@@ -109,7 +109,7 @@
 func (j *job) streamOnce(ctx context.Context, p *pool, state *streamState, stages *stageRun) (model.Endpoint, streamEnd, bool) {
 	r := j.relay
 	tokens := j.forward.Prompt.TokensIn
-	e, ok := p.pickEngine(r.now(), r.Roster(), j.forward.Prompt, j.affinity(), j.excluded)
+	e, ok := p.pickEngine(r.now(), r.Roster(), r.coldGate(p.name), j.forward.Prompt, j.affinity(), j.excluded)
 	if !ok {
 		return e, streamEnd{}, false
 	}
@@ -293,12 +293,10 @@
 	return j.refuse(model.MayHaveRun, model.StageFailed, "the engine failed")
 }
 
-func (j *job) streamRefusal(state *streamState, verdict model.Verdict, reason model.Reason, detail string) Outcome {
+// streamWithoutEngine ends a stream for which there is no engine, or no other one.
+func (j *job) streamWithoutEngine(state *streamState) Outcome {
 	if state.begun {
 		return Outcome{Status: state.status, Attempts: j.asked}
 	}
-	if j.mayHaveRun {
-		verdict = model.MayHaveRun
-	}
-	return j.refuse(verdict, reason, detail)
+	return j.noEndpoint(j.verdict())
 }
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -66,7 +66,7 @@
 	p.request(j.relay.now())
 	results := make(chan unaryResult, j.admission.Route.MaxAttempts+1)
 	if !j.launch(ctx, p, results) {
-		return j.refuse(model.NotRun, model.NoEndpoint, "no endpoint is known")
+		return j.noEndpoint(model.NotRun)
 	}
 	running := 1
 	hedge := time.NewTimer(time.Duration(hedgeShare * float64(j.admission.Route.Objective)))
@@ -107,7 +107,7 @@
 // launch sends the request to one more endpoint.
 func (j *job) launch(ctx context.Context, p *pool, results chan<- unaryResult) bool {
 	r := j.relay
-	e, ok := p.pick(r.now(), r.Roster(), r.options.Domain, j.excluded)
+	e, ok := p.pick(r.now(), r.Roster(), r.coldGate(p.name), r.options.Domain, j.excluded)
 	if !ok {
 		return false
 	}
@@ -212,6 +212,19 @@
 	return j.refuse(verdict, model.CallerGone, "the caller went away")
 }
 
+// noEndpoint refuses a request that no endpoint may get now.
+func (j *job) noEndpoint(verdict model.Verdict) Outcome {
+	r := j.relay
+	if refusal := kernel.AdmitPools(r.Roster(), j.forward, j.admission); refusal != nil {
+		return Outcome{Refusal: refusal.WithVerdict(verdict), Attempts: j.asked}
+	}
+	reason, detail := model.NoEndpoint, "no endpoint is known"
+	if kernel.AnyCold(r.now(), r.Roster().Endpoints(j.admission.Pool)) {
+		reason, detail = model.EndpointsCold, "the endpoints are cold and bear no more now"
+	}
+	return j.refuse(verdict, reason, detail)
+}
+
 func (j *job) refuse(verdict model.Verdict, reason model.Reason, detail string) Outcome {
 	retry := time.Duration(0)
 	if verdict == model.NotRun {
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -22,6 +22,8 @@
 		KeyTrust time.Duration
 		// Budget bounds the repeated sends of all nodes together to each pool.
 		Budget kernel.BudgetTerms
+		// Cold bounds what all nodes together send to cold endpoints.
+		Cold kernel.ColdTerms
 		// Policy says which mechanisms decide.
 		Policy kernel.Policy
 	}
