Serve requests with homes only in the regions that their route and customer allow

Routes and customers may name the regions where they may be served; nothing here read it. A request with homes could reach any endpoint, and its pieces any node. Change: the settings' regions of failure domains mark endpoints; a request goes only to endpoints that both its route and its customer allow. Each pool has a queue of pieces in each region, batched by a node there (or by the one that the caller connected to), with the endpoints there. With one region nothing changes, queue names included. Ruled out: a filter on the makers of one queue for all regions; its batcher would be one node, in one region. No endpoint at home: refused as not run (NoHome).

--- a/kernel/evacuation.go
+++ b/kernel/evacuation.go
@@ -9,8 +9,13 @@
 	"basilstall.example/basilstall/model"
 )
 
-// evacuatedRetry is when a caller may come back whose request only evacuated endpoints could serve.
-const evacuatedRetry = time.Second
+const (
+	// evacuatedRetry is when a caller may come back whose request only evacuated endpoints could serve.
+	evacuatedRetry = time.Second
+	// noHomeRetry is when a caller may come back whose request no endpoint in an allowed region could serve: new ones
+	// are listed, or another routing is in force.
+	noHomeRetry = 2 * time.Second
+)
 
 // Evacuations is which failure domains operators keep work off. It is immutable.
 type Evacuations struct {
@@ -76,16 +81,16 @@
 }
 
 // AdmitPools refuses a request at once where no endpoint of a pool that it needs may get work: of its stages' pools or
-// the one where it runs itself.
+// the one where it runs itself. The endpoints that count are those in the regions that it may be served in.
 func AdmitPools(r Roster, f model.Forward, a Admission) *model.Refusal {
-	if refusal := admitPool(r, a.Pool); refusal != nil {
+	if refusal := admitPool(r, a.Pool, a.Homes); refusal != nil {
 		return refusal
 	}
 	for i, stage := range a.Route.Stages {
 		if PiecesOf(f, i) == 0 {
 			continue
 		}
-		if refusal := admitPool(r, stage.Pool); refusal != nil {
+		if refusal := admitPool(r, stage.Pool, a.Homes); refusal != nil {
 			return refusal
 		}
 	}
@@ -93,9 +98,13 @@
 }
 
 // admitPool refuses only for what is known: a pool without any listed endpoint may have some in a moment.
-func admitPool(r Roster, pool string) *model.Refusal {
+func admitPool(r Roster, pool string, homes Homes) *model.Refusal {
+	atHome := homes.AtHome(r.Endpoints(pool))
+	if len(atHome) == 0 && len(r.Endpoints(pool)) > 0 {
+		return model.NewRefusal(model.NotRun, model.NoHome, RetryAfter(noHomeRetry), fmt.Sprintf("pool %s has no endpoint in the allowed regions %s", pool, homes))
+	}
 	evacuated := false
-	for _, e := range r.Endpoints(pool) {
+	for _, e := range atHome {
 		if e.TakesWork() {
 			return nil
 		}
--- /dev/null
+++ b/kernel/homes_test.go
@@ -0,0 +1,76 @@
+package kernel_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+func inRegion(region, name, pool string) model.Endpoint {
+	e := in("domain of "+region, name, pool)
+	e.Region = region
+	return e
+}
+
+func TestBothRouteAndCustomerBindWhereARequestIsServed(t *testing.T) {
+	for _, tc := range []struct {
+		route, customer, allowed []string
+	}{
+		{nil, nil, []string{"north", "south", "west"}},
+		{[]string{"north"}, nil, []string{"north"}},
+		{nil, []string{"south", "west"}, []string{"south", "west"}},
+		{[]string{"north", "south"}, []string{"south", "west"}, []string{"south"}},
+		{[]string{"north"}, []string{"south"}, nil},
+	} {
+		homes := kernel.HomesOf(model.Route{Homes: tc.route}, model.KeyHolder{Homes: tc.customer})
+		var allowed []string
+		for _, region := range []string{"north", "south", "west"} {
+			if homes.Allows(region) {
+				allowed = append(allowed, region)
+			}
+		}
+		must.Eq(t, tc.allowed, allowed)
+	}
+}
+
+func TestPiecesGoToTheOwnRegionWhereThatIsAllowed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	roster := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{
+		inRegion("north", "n", "makers"), inRegion("south", "s", "makers"), inRegion("west", "w", "makers"),
+	}, nil, nil)
+	anywhere := kernel.HomesOf(model.Route{}, model.KeyHolder{})
+	southOrWest := kernel.HomesOf(model.Route{Homes: []string{"west", "south"}}, model.KeyHolder{})
+	for _, tc := range []struct {
+		name      string
+		evacuated []string
+		homes     kernel.Homes
+		want      string
+	}{
+		{"own", nil, anywhere, "north"},
+		{"not allowed", nil, southOrWest, "south"},
+		{"evacuated", []string{"domain of north"}, anywhere, "south"},
+		{"one home evacuated", []string{"domain of south"}, southOrWest, "west"},
+		{"all homes evacuated", []string{"domain of south", "domain of west"}, southOrWest, ""},
+	} {
+		region, ok := kernel.PieceRegion(roster.WithEvacuations(evacuated(now, tc.evacuated...)), "makers", tc.homes, "north")
+		must.EqOp(t, tc.want, region, must.Sprint(tc.name))
+		must.EqOp(t, tc.want != "", ok, must.Sprint(tc.name))
+	}
+}
+
+func TestARequestWithoutAnEndpointAtHomeIsRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	roster := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{inRegion("north", "n", "plain")}, nil, nil)
+	a := kernel.Admission{Pool: "plain"}
+	must.Nil(t, kernel.AdmitPools(roster, model.Forward{}, a))
+	a.Homes = kernel.HomesOf(model.Route{Homes: []string{"south"}}, model.KeyHolder{})
+	refusal := kernel.AdmitPools(roster, model.Forward{}, a)
+	must.NotNil(t, refusal)
+	must.EqOp(t, model.NoHome, refusal.Reason)
+	must.EqOp(t, model.NotRun, refusal.Verdict)
+	must.Positive(t, refusal.RetryAfter)
+}
--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -27,7 +27,9 @@
 		Pool          string
 		Address       string
 		FailureDomain string
-		State         HostState
+		// Region holds the failure domain; empty where the settings name none.
+		Region string
+		State  HostState
 		// ColdFor is how long the endpoint stayed cold when it wrote its entry; ColdUntil is until when it may be cold.
 		ColdFor   time.Duration
 		ColdUntil time.Time
--- a/model/routing.go
+++ b/model/routing.go
@@ -54,6 +54,8 @@
 		Sticky bool
 		// Resumable streams may go on at another endpoint.
 		Resumable bool
+		// Homes lists the regions that requests may be served in; none means any.
+		Homes []string
 	}
 
 	// WeightedPool is a pool with its share of a route.
@@ -115,6 +117,8 @@
 		Keys []string
 		// Priority replaces the route's if it is not negative.
 		Priority int
+		// Homes lists the regions that the customer's requests may be served in; none means any.
+		Homes []string
 	}
 
 	// CallerLimits bound what callers may send.
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -117,7 +117,7 @@
 	if known := g.knownGatherer(passedOver); known != "" {
 		return known
 	}
-	for _, node := range kernel.Gatherers(g.name, r.Reachable()) {
+	for _, node := range kernel.Gatherers(g.name, g.peers(r.Reachable())) {
 		if !slices.Contains(passedOver, node) {
 			return node
 		}
@@ -228,9 +228,10 @@
 	return ""
 }
 
-// release frees results by way of the pool's gatherer, which keeps account of the room.
-func (r *Relay) release(pool string, made []kernel.MadePiece) {
-	g := r.hub.find(pool)
+// release frees results of one queue by way of its gatherer, which keeps account of the room.
+func (r *Relay) release(made []kernel.MadePiece) {
+	queue := r.hub.queueOf(made[0])
+	g := r.hub.find(queue)
 	if g == nil {
 		return
 	}
@@ -244,7 +245,7 @@
 		ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
 		defer cancel()
 		var empty peer.Empty
-		if r.peers.Call(ctx, address, peer.KindRelease, peer.Release{Pool: pool, Made: made}, &empty) != nil {
+		if r.peers.Call(ctx, address, peer.KindRelease, peer.Release{Pool: queue, Made: made}, &empty) != nil {
 			// Without a gatherer to keep account, the makers are told from here.
 			r.metrics.Event("ReleaseFailed")
 			g.free(made)
--- a/relay/gatherer.go
+++ b/relay/gatherer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,7 +37,10 @@
 	// gatherer drives a kernel.Gathering.
 	gatherer struct {
 		relay *Relay
-		name  string
+		// name is that of the queue; its makers are the endpoints of a pool in a region.
+		name   string
+		pool   string
+		region string
 
 		mu      sync.Mutex
 		traits  model.PieceTraits
@@ -58,6 +62,23 @@
 	}
 )
 
+// makers returns the endpoints that the queue's pieces go to.
+func (g *gatherer) makers(roster kernel.Roster) []model.Endpoint {
+	if g.region == "" {
+		return roster.Endpoints(g.pool)
+	}
+	return slices.DeleteFunc(slices.Clone(roster.Endpoints(g.pool)), func(e model.Endpoint) bool { return e.Region != g.region })
+}
+
+// peers returns those of several nodes that may gather for the queue: the ones in its region.
+func (g *gatherer) peers(nodes []kernel.Peer) []kernel.Peer {
+	if g.region == "" {
+		return nodes
+	}
+	regions := g.relay.options.Regions
+	return slices.DeleteFunc(slices.Clone(nodes), func(n kernel.Peer) bool { return regions[n.Domain] != g.region })
+}
+
 // queued tells whether pieces wait there.
 func (t told) queued() bool {
 	return kernel.PoolOutlook{Wait: t.wait}.Queued()
--- a/relay/held.go
+++ b/relay/held.go
@@ -24,7 +24,7 @@
 
 // scarce tells whether the room where a stage's results lie is scarce.
 func (s *stageRun) scarce(stage int) bool {
-	return s.relay.hub.lastOutlook(s.stages[stage].Pool).Scarce()
+	return s.relay.hub.lastOutlook(s.queue(stage)).Scarce()
 }
 
 // firstEvent gives the engine's inputs up where nothing is likely to need them again: no other engine
@@ -86,7 +86,7 @@
 	delete(s.held, stage)
 	s.mu.Unlock()
 	if len(made) > 0 {
-		s.relay.release(s.stages[stage].Pool, made)
+		s.relay.release(made)
 	}
 }
 
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -12,12 +13,38 @@
 // gatherers told of their queues.
 type hub struct {
 	relay *Relay
-	mu    sync.Mutex
+	// regions are those that the settings tell apart; each pool has a gatherer in each of them, so that pieces reach
+	// no node outside the regions that their request may be served in.
+	regions []string
+	mu      sync.Mutex
+	// pools holds the gatherers by the names of their queues.
 	pools map[string]*gatherer
 }
 
 func newHub(r *Relay) *hub {
-	return &hub{relay: r, pools: map[string]*gatherer{}}
+	h := &hub{relay: r, pools: map[string]*gatherer{}}
+	for _, region := range r.options.Regions {
+		if !slices.Contains(h.regions, region) {
+			h.regions = append(h.regions, region)
+		}
+	}
+	if len(h.regions) < 2 {
+		h.regions = []string{""}
+	}
+	return h
+}
+
+// queue names the queue of a pool's pieces in a region.
+func (h *hub) queue(pool, region string) string {
+	if len(h.regions) < 2 {
+		return pool
+	}
+	return pool + "@" + region
+}
+
+// queueOf names the queue that results were made from.
+func (h *hub) queueOf(made kernel.MadePiece) string {
+	return h.queue(made.Pool, h.relay.options.Regions[made.Domain])
 }
 
 // setTraits brings the gatherers in line with the routing.
@@ -28,25 +55,35 @@
 		if pool.Pieces == nil {
 			continue
 		}
-		g := h.pools[name]
-		if g == nil {
-			g = &gatherer{relay: h.relay, name: name, g: kernel.NewGathering(*pool.Pieces), waiters: map[uint64]chan kernel.GroupOutcome{}}
-			g.g.SetPolicy(h.relay.options.Policy)
-			g.timer = time.AfterFunc(time.Hour, g.pump)
-			h.pools[name] = g
+		for _, region := range h.regions {
+			h.setPool(h.queue(name, region), region, pool)
 		}
-		g.mu.Lock()
-		g.traits = *pool.Pieces
-		g.g.SetTraits(*pool.Pieces)
-		g.g.SetCold(h.relay.options.Cold.Share(pool.ColdRate).Single())
-		g.mu.Unlock()
 	}
 }
 
+// setPool brings the gatherer of a queue in line with what the routing says of its pool.
+func (h *hub) setPool(queue, region string, pool model.Pool) {
+	g := h.pools[queue]
+	if g == nil {
+		g = &gatherer{
+			relay: h.relay, name: queue, pool: pool.Name, region: region,
+			g: kernel.NewGathering(*pool.Pieces), waiters: map[uint64]chan kernel.GroupOutcome{},
+		}
+		g.g.SetPolicy(h.relay.options.Policy)
+		g.timer = time.AfterFunc(time.Hour, g.pump)
+		h.pools[queue] = g
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.traits = *pool.Pieces
+	g.g.SetTraits(*pool.Pieces)
+	g.g.SetCold(h.relay.options.Cold.Share(pool.ColdRate).Single())
+}
+
 func (h *hub) setEndpoints(roster kernel.Roster) {
 	for _, g := range h.all() {
 		g.mu.Lock()
-		g.g.SetEndpoints(roster.Endpoints(g.name))
+		g.g.SetEndpoints(g.makers(roster))
 		g.mu.Unlock()
 		g.pump()
 	}
@@ -72,17 +109,17 @@
 	return out
 }
 
-func (h *hub) find(pool string) *gatherer {
+func (h *hub) find(queue string) *gatherer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.pools[pool]
+	return h.pools[queue]
 }
 
 // traitsOf returns what the routing says of the pools of several stages.
 func (h *hub) traitsOf(stages []model.StageNode) []kernel.PoolOutlook {
 	out := make([]kernel.PoolOutlook, len(stages))
 	for i, s := range stages {
-		if g := h.find(s.Pool); g != nil {
+		if g := h.find(h.queue(s.Pool, h.regions[0])); g != nil {
 			g.mu.Lock()
 			out[i].Traits = g.traits
 			g.mu.Unlock()
@@ -91,9 +128,9 @@
 	return out
 }
 
-// lastOutlook returns what a pool's gatherer last told, however long ago.
-func (h *hub) lastOutlook(pool string) kernel.PoolOutlook {
-	g := h.find(pool)
+// lastOutlook returns what the gatherer of a queue last told, however long ago.
+func (h *hub) lastOutlook(queue string) kernel.PoolOutlook {
+	g := h.find(queue)
 	if g == nil {
 		return kernel.PoolOutlook{}
 	}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -81,11 +81,11 @@
 	return out
 }
 
-// pick chooses an endpoint for a unary request and counts it as in flight.
-func (p *pool) pick(now time.Time, roster kernel.Roster, cold coldGate, domain string, excluded []string) (model.Endpoint, bool) {
+// pick chooses one of the listed endpoints for a unary request and counts it as in flight.
+func (p *pool) pick(now time.Time, listed []model.Endpoint, cold coldGate, domain string, excluded []string) (model.Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := kernel.Usable(now, p.candidates(now, roster.Endpoints(p.name), cold), excluded)
+	usable := kernel.Usable(now, p.candidates(now, listed, cold), excluded)
 	i := kernel.PickTwoChoices(now, usable, domain, rand.Float64(), rand.Float64())
 	if i < 0 {
 		return model.Endpoint{}, false
@@ -94,11 +94,11 @@
 	return usable[i].Endpoint, true
 }
 
-// pickEngine chooses an engine for a prompt and counts it as in flight.
-func (p *pool) pickEngine(now time.Time, roster kernel.Roster, cold coldGate, prompt model.Prompt, key string, excluded []string) (model.Endpoint, bool) {
+// pickEngine chooses one of the listed engines for a prompt and counts it as in flight.
+func (p *pool) pickEngine(now time.Time, listed []model.Endpoint, cold coldGate, prompt model.Prompt, key string, excluded []string) (model.Endpoint, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := kernel.Usable(now, p.candidates(now, roster.Endpoints(p.name), cold), excluded)
+	usable := kernel.Usable(now, p.candidates(now, listed, cold), excluded)
 	choices := make([]kernel.EngineChoice, 0, len(usable))
 	for _, c := range usable {
 		choices = append(choices, kernel.EngineChoice{Candidate: c, Reading: p.state(c.Endpoint.Life()).reading})
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -30,7 +30,7 @@
 	if known := g.knownGatherer(passedOver); known != "" || !r.options.Policy.Uses(kernel.NextProbed) {
 		return r.gathererOf(g, passedOver)
 	}
-	candidates := slices.DeleteFunc(kernel.Gatherers(g.name, r.Reachable()), func(node string) bool { return slices.Contains(passedOver, node) })
+	candidates := slices.DeleteFunc(kernel.Gatherers(g.name, g.peers(r.Reachable())), func(node string) bool { return slices.Contains(passedOver, node) })
 	candidates = candidates[:min(probedAtOnce, len(candidates))]
 	there := r.probeAll(ctx, candidates)
 	for i, node := range candidates {
--- a/relay/room.go
+++ b/relay/room.go
@@ -49,12 +49,13 @@
 	g.mu.Lock()
 	fetched := g.g.Fetched(g.relay.now())
 	g.mu.Unlock()
-	byPool := map[string][]kernel.MadePiece{}
+	byQueue := map[string][]kernel.MadePiece{}
 	for _, m := range fetched {
-		byPool[m.Pool] = append(byPool[m.Pool], m)
+		queue := g.relay.hub.queueOf(m)
+		byQueue[queue] = append(byQueue[queue], m)
 	}
-	for pool, made := range byPool {
-		g.relay.release(pool, made)
+	for _, made := range byQueue {
+		g.relay.release(made)
 	}
 }
 
@@ -78,7 +79,7 @@
 // lapse one after the other, and room that is not known to be free is lost to requests.
 func (g *gatherer) askRooms() {
 	for {
-		for _, maker := range g.relay.Roster().Endpoints(g.name) {
+		for _, maker := range g.makers(g.relay.Roster()) {
 			if maker.State != model.Evacuated {
 				go g.askRoom(maker)
 			}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -18,6 +18,7 @@
 		domain string
 
 		stages []model.StageNode
+		homes  kernel.Homes
 		// results has an entry for each stage that is done. It, started and released belong to the
 		// goroutine that serves the request.
 		results map[int][]kernel.MadePiece
@@ -79,7 +80,8 @@
 	run := &stageRun{
 		relay:   r,
 		stages:  j.admission.Route.Stages,
-		domain:  kernel.HomeDomain(kernel.AffinityKey(j.forward.Prompt), r.Roster().Endpoints(p.name)),
+		homes:   j.admission.Homes,
+		domain:  kernel.HomeDomain(kernel.AffinityKey(j.forward.Prompt), j.admission.Homes.AtHome(r.Roster().Endpoints(p.name))),
 		results: map[int][]kernel.MadePiece{},
 		started: map[int]bool{},
 		held:    map[int][]kernel.MadePiece{},
@@ -108,6 +110,14 @@
 	return run, kernel.AdmitStages(r.now(), j.forward, j.admission, run.plan, outlook)
 }
 
+// queue names the queue of a stage's pieces: that of a region that the request may be served in.
+func (s *stageRun) queue(stage int) string {
+	options := s.relay.options
+	pool := s.stages[stage].Pool
+	region, _ := kernel.PieceRegion(s.relay.Roster(), pool, s.homes, options.Regions[options.Domain])
+	return s.relay.hub.queue(pool, region)
+}
+
 // queued tells whether any of several pools has a queue: only then does it matter who is late.
 func queued(outlook []kernel.PoolOutlook) bool {
 	for _, o := range outlook {
@@ -177,7 +187,7 @@
 func (j *job) group(run *stageRun, stage int) gatherRequest {
 	node := j.admission.Route.Stages[stage]
 	g := gatherRequest{
-		pool:    node.Pool,
+		pool:    run.queue(stage),
 		domain:  run.domain,
 		bytes:   node.ResultBytes,
 		askedAt: j.relay.now(),
@@ -207,7 +217,7 @@
 	if len(inputs) == 0 {
 		moved = node.ResultBytes * int64(pieces)
 	}
-	full := j.relay.hub.lastOutlook(node.Pool).FullCall()
+	full := j.relay.hub.lastOutlook(run.queue(stage)).FullCall()
 	g.patience = kernel.DomainPatience(moved, full, g.due.Sub(j.relay.now())-full)
 	for n := range pieces {
 		piece.Number = n
--- a/relay/takeover.go
+++ b/relay/takeover.go
@@ -57,7 +57,7 @@
 	if other := g.knownGatherer(passedOver); other != "" {
 		return other
 	}
-	for _, node := range kernel.Gatherers(g.name, g.relay.Reachable()) {
+	for _, node := range kernel.Gatherers(g.name, g.peers(g.relay.Reachable())) {
 		if node == g.relay.options.Name {
 			return ""
 		}
@@ -185,7 +185,7 @@
 			peers = append(peers, kernel.Peer{Name: n.Name, Domain: n.Domain, Capacity: n.Capacity})
 		}
 	}
-	order := kernel.Gatherers(g.name, peers)
+	order := kernel.Gatherers(g.name, g.peers(peers))
 	nodes := order[:min(takeOverAsks, len(order))]
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -107,7 +107,7 @@
 // launch sends the request to one more endpoint.
 func (j *job) launch(ctx context.Context, p *pool, results chan<- unaryResult) bool {
 	r := j.relay
-	e, ok := p.pick(r.now(), r.Roster(), r.coldGate(p.name), r.options.Domain, j.excluded)
+	e, ok := p.pick(r.now(), j.atHome(), r.coldGate(p.name), r.options.Domain, j.excluded)
 	if !ok {
 		return false
 	}
@@ -212,6 +212,11 @@
 	return j.refuse(verdict, model.CallerGone, "the caller went away")
 }
 
+// atHome returns the endpoints of the request's pool in the regions where it may be served.
+func (j *job) atHome() []model.Endpoint {
+	return j.admission.Homes.AtHome(j.relay.Roster().Endpoints(j.admission.Pool))
+}
+
 // noEndpoint refuses a request that no endpoint may get now.
 func (j *job) noEndpoint(verdict model.Verdict) Outcome {
 	r := j.relay
@@ -219,7 +224,7 @@
 		return Outcome{Refusal: refusal.WithVerdict(verdict), Attempts: j.asked}
 	}
 	reason, detail := model.NoEndpoint, "no endpoint is known"
-	if kernel.AnyCold(r.now(), r.Roster().Endpoints(j.admission.Pool)) {
+	if kernel.AnyCold(r.now(), j.atHome()) {
 		reason, detail = model.EndpointsCold, "the endpoints are cold and bear no more now"
 	}
 	return j.refuse(verdict, reason, detail)
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -15,6 +15,8 @@
 		// Name and Domain are the node's.
 		Name   string
 		Domain string
+		// Regions holds the region of each failure domain; a domain that it does not name belongs to the region "".
+		Regions map[string]string
 		// Capacity is what the host can carry relative to others.
 		Capacity float64
 		// KeyTrust is the greatest age of the routing that API keys are trusted by; zero means
