Evacuate failure domains on the own interface, by the fleet's document

The project's own interface had no way to keep work off a failure domain. Change: the fleet's document lists them (Evacuated); the dispatcher gives their endpoints the state that takes no work, for placement, limits, retries and hedges alike. status shows them, with the same lines and counters as on the users' platform.

--- a/cli/status.go
+++ b/cli/status.go
@@ -41,6 +41,9 @@
 	fmt.Fprintf(sh.stdout, "node %s in %s, ready %t, table answers %t\n", s.Node, s.FailureDomain, s.Ready, s.TableAnswers)
 	fmt.Fprintf(sh.stdout, "settings revision %d, in flight %d, keys remembered %d\n", s.Revision, s.InFlight, s.Keys)
 	fmt.Fprintf(sh.stdout, "era %d of %s, horizon %s\n", s.Era, strings.Join(s.EraMembers, " "), s.Horizon.Format("15:04:05.000"))
+	for _, e := range s.Evacuated {
+		fmt.Fprintf(sh.stdout, "failure domain %s evacuated since %s\n", e.FailureDomain, e.Since.Format("15:04:05.000"))
+	}
 	for _, m := range s.Members {
 		fmt.Fprintf(sh.stdout, "  %-16s %-16s %s\n", m.Node, m.FailureDomain, m.State)
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -33,8 +33,9 @@
 		// plain switches to the baseline policies: round robin, no limits, naive retries.
 		plain bool
 
-		mu    sync.Mutex
-		pools map[string]*pool
+		mu          sync.Mutex
+		pools       map[string]*pool
+		evacuations kernel.Evacuations
 	}
 
 	// Job is one stage of one request.
@@ -102,6 +103,32 @@
 	}
 }
 
+// SetEvacuated gives the endpoints of just some failure domains no more work. It returns the domains whose state is a
+// new one.
+func (d *Dispatcher) SetEvacuated(now time.Time, domains []string) kernel.EvacuationChange {
+	d.mu.Lock()
+	change := kernel.EvacuationChange{Evacuated: domains}
+	for _, domain := range d.evacuations.Domains() {
+		if !slices.Contains(domains, domain) {
+			change.TakenBack = append(change.TakenBack, domain)
+		}
+	}
+	evacuations, news := d.evacuations.With(now, change)
+	d.evacuations = evacuations
+	d.mu.Unlock()
+	for _, name := range d.poolNames() {
+		d.pool(name).setEvacuations(evacuations)
+	}
+	return news
+}
+
+// Evacuations returns which failure domains get no work.
+func (d *Dispatcher) Evacuations() kernel.Evacuations {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.evacuations
+}
+
 // MarkLeaving gives an endpoint no more work; it reports whether that is news.
 func (d *Dispatcher) MarkLeaving(poolName, endpointName string) bool {
 	return d.pool(poolName).markLeaving(endpointName)
@@ -134,11 +161,11 @@
 	return out
 }
 
-// Endpoints returns the endpoints of a pool that do not leave.
+// Endpoints returns the endpoints of a pool that take work.
 func (d *Dispatcher) Endpoints(pool string) []model.Endpoint {
 	var out []model.Endpoint
 	for _, e := range d.pool(pool).status() {
-		if e.Endpoint.State != model.Leaving {
+		if e.Endpoint.TakesWork() {
 			out = append(out, e.Endpoint)
 		}
 	}
@@ -190,6 +217,7 @@
 	p := d.pools[name]
 	if p == nil {
 		p = newPool(name, d.domain, d.plain)
+		p.evacuations = d.evacuations
 		d.pools[name] = p
 	}
 	return p
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -29,10 +29,12 @@
 		domain    string
 		plain     bool
 		endpoints []*endpointState
-		limit     kernel.Limit
-		queue     *kernel.FairQueue
-		budget    kernel.RetryBudget
-		inFlight  int
+		// evacuations says which failure domains get no work.
+		evacuations kernel.Evacuations
+		limit       kernel.Limit
+		queue       *kernel.FairQueue
+		budget      kernel.RetryBudget
+		inFlight    int
 		// onDemand is true once an engine said that it lacked an adapter: only then is the use
 		// of adapters told.
 		onDemand bool
@@ -53,8 +55,10 @@
 		candidate kernel.Candidate
 		// leaving is set by the endpoint's own word or by a peer's; the list lags behind it.
 		leaving bool
-		calls   uint64
-		faults  uint64
+		// listed is the state that the list tells.
+		listed model.HostState
+		calls  uint64
+		faults uint64
 		// lacks holds when the engine last said that it lacks an adapter.
 		lacks map[string]time.Time
 	}
@@ -87,9 +91,8 @@
 			e = &endpointState{name: endpoint.Name, address: endpoint.Address}
 		}
 		e.candidate.Endpoint = endpoint
-		if e.leaving {
-			e.candidate.Endpoint.State = model.Leaving
-		}
+		e.listed = endpoint.State
+		p.setState(e)
 		p.endpoints = append(p.endpoints, e)
 	}
 	n := float64(max(1, len(listed)))
@@ -108,10 +111,32 @@
 		return false
 	}
 	e.leaving = true
-	e.candidate.Endpoint.State = model.Leaving
+	p.setState(e)
 	return true
 }
 
+// setEvacuations takes over which failure domains get no work.
+func (p *pool) setEvacuations(evacuations kernel.Evacuations) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evacuations = evacuations
+	for _, e := range p.endpoints {
+		p.setState(e)
+	}
+}
+
+// setState gives an endpoint the state that follows from the list, its own word and the evacuations.
+func (p *pool) setState(e *endpointState) {
+	state := e.listed
+	switch {
+	case e.leaving:
+		state = model.Leaving
+	case state == model.Live && p.evacuations.Holds(e.candidate.Endpoint.FailureDomain):
+		state = model.Evacuated
+	}
+	e.candidate.Endpoint.State = state
+}
+
 // endpointOf returns what the list says of an endpoint.
 func (p *pool) endpointOf(e *endpointState) model.Endpoint {
 	p.mu.Lock()
--- a/dispatch/poolpick.go
+++ b/dispatch/poolpick.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"basilstall.example/basilstall/kernel"
-	"basilstall.example/basilstall/model"
 )
 
 // pick chooses an endpoint and counts a call to it as in flight.
@@ -58,7 +57,7 @@
 	defer p.mu.Unlock()
 	staying := 0
 	for _, e := range p.endpoints {
-		if e.candidate.Endpoint.State == model.Leaving {
+		if !e.candidate.Endpoint.TakesWork() {
 			continue
 		}
 		staying++
--- a/kernel/limit.go
+++ b/kernel/limit.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"basilstall.example/basilstall/model"
 )
 
 const (
@@ -55,7 +53,7 @@
 func PoolLoadOf(now time.Time, reports []Candidate) PoolLoad {
 	var sum PoolLoad
 	for _, c := range reports {
-		if c.Endpoint.State == model.Leaving || now.Sub(c.LoadAt) > loadMemory {
+		if !c.Endpoint.TakesWork() || now.Sub(c.LoadAt) > loadMemory {
 			continue
 		}
 		sum.Queued += c.Load.Queued
--- a/model/settings.go
+++ b/model/settings.go
@@ -83,6 +83,8 @@
 		// WeightLoadEvery is the weight store's rate: the least time between two loads that
 		// one pool's engines are ordered to make.
 		WeightLoadEvery time.Duration `yaml:"WeightLoadEvery" validate:"gte=10ms,lte=10m"`
+		// Evacuated lists the failure domains whose endpoints get no work.
+		Evacuated []string `yaml:"Evacuated" validate:"unique,dive,required"`
 	}
 
 	// Document is one settings document as the table holds it.
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -63,6 +63,7 @@
 	options.FailureDomain = sample.BilbaoDomains[0]
 	options.Platform = f.platform.Address()
 	options.PeersToken = "token"
+	options.OperatorsToken = "token"
 	n, err := node.NewNode(*options, zerolog.Nop())
 	must.NoError(f.t, err)
 	return n
--- a/node/serve.go
+++ b/node/serve.go
@@ -117,6 +117,10 @@
 		Horizon:       row.Horizon,
 		Keys:          n.keys.len(),
 	}
+	evacuations := n.dispatcher.Evacuations()
+	for _, domain := range evacuations.Domains() {
+		status.Evacuated = append(status.Evacuated, operator.EvacuatedDomain{FailureDomain: domain, Since: evacuations.Since(domain)})
+	}
 	for _, info := range n.fleet.members() {
 		status.Members = append(status.Members, operator.MemberStatus{
 			Node:          info.Member.Node,
--- a/node/settings.go
+++ b/node/settings.go
@@ -48,10 +48,24 @@
 		n.log.Warn().Err(err).Msg("settings document refused; what was in force stays")
 	}
 	n.settings.Store(&next)
+	n.evacuate(next.Fleet.Evacuated)
 	n.metrics.Event("SettingsApplied")
 	n.log.Info().Uint64("Revision", next.Revision).Msg("settings in force")
 }
 
+// evacuate keeps work off the endpoints of just some failure domains.
+func (n *Node) evacuate(domains []string) {
+	news := n.dispatcher.SetEvacuated(time.Now(), domains)
+	for _, domain := range news.Evacuated {
+		n.metrics.Event("DomainEvacuated")
+		n.log.Info().Str("Domain", domain).Int64("InFlight", n.inFlight.Load()).Msg("failure domain evacuated")
+	}
+	for _, domain := range news.TakenBack {
+		n.metrics.Event("DomainTakenBack")
+		n.log.Info().Str("Domain", domain).Msg("failure domain taken back")
+	}
+}
+
 // pullSettings asks a peer that has newer settings for them.
 func (n *Node) pullSettings(ctx context.Context, address string) {
 	var reply peer.SettingsReply
--- a/operator/message.go
+++ b/operator/message.go
@@ -27,6 +27,14 @@
 		// Keys counts the keys that the node remembers.
 		Keys    int
 		Members []MemberStatus
+		// Evacuated lists the failure domains whose endpoints get no work.
+		Evacuated []EvacuatedDomain
+	}
+
+	// EvacuatedDomain is a failure domain that is evacuated, and since when as the node knows it.
+	EvacuatedDomain struct {
+		FailureDomain string
+		Since         time.Time
 	}
 
 	// MemberStatus is one node as another sees it.
