Have priority count among pieces only while not all can be on time

Cause: the order by priority was in force whether it had to choose or not. Change: pieces go by when they are due. Where that order, or the estimate for a group that comes, shows that not all can be on time, priority counts, and for four full calls after the last such sign, since refusals make room for the rest. The order by least laxity over the stages to come is the one by due time: due times are set back by the stages after. Tests: TestPriorityCountsWhenNotAllCanBeOnTime, busy and overloaded.

--- a/kernel/gather.go
+++ b/kernel/gather.go
@@ -52,6 +52,10 @@
 		sharedUntil  time.Time
 		foreignUntil time.Time
 		policy       Policy
+		// byRank is true while priority counts in the order of what waits, as of the last order.
+		byRank bool
+		// overloadedAt is when it last showed that not all can be on time.
+		overloadedAt time.Time
 		// cold bounds the calls to cold makers.
 		cold ColdShare
 	}
--- a/kernel/gatherload_test.go
+++ b/kernel/gatherload_test.go
@@ -34,6 +34,8 @@
 		slack, patience time.Duration
 		// held is how long a result is held.
 		held time.Duration
+		// ranks are those of the groups in turn; all have the first where there are none.
+		ranks []int
 		// slow makers take slowX times as long between from and to.
 		slow  []string
 		slowX float64
@@ -140,6 +142,9 @@
 	pieces := 1 + p.random.IntN(4)
 	group := pieceGroup(uint64(len(p.groups)+1), pieces, 1_500_000, p.now.Add(p.load.slack))
 	group.Until = group.Due.Add(p.load.patience)
+	if len(p.load.ranks) > 0 {
+		group.Rank = p.load.ranks[len(p.groups)%len(p.load.ranks)]
+	}
 	s := &simulatedGroup{PieceGroup: group, came: p.now}
 	p.groups[group.ID] = s
 	if accepted, retry := p.g.Add(p.now, group); !accepted {
@@ -252,3 +257,48 @@
 	must.Greater(t, onTimeWithout, onTimeWith)
 	must.Less(t, missedWithout/2, missedWith, must.Sprint("of those that missed it without, fewer than half do; on time ", onTimeWith, ", without ", onTimeWithout))
 }
+
+// onTimeOf counts the groups of a rank that were made before they were due.
+func onTimeOf(groups []*simulatedGroup, rank int) int {
+	of := slices.DeleteFunc(slices.Clone(groups), func(s *simulatedGroup) bool { return s.Rank != rank })
+	served, _ := onTime(of)
+	return served
+}
+
+// Pattern: requests of two priorities in a pool that is busy and not overloaded. A due time that priority puts off by
+// 0.2 s a rank makes the lower ones late although there is time for all. Beyond what the pool can make, the higher
+// ones go first as before.
+func TestPriorityCountsWhenNotAllCanBeOnTime(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		perSecond  float64
+		overloaded bool
+	}{
+		{"busy", 28, false},
+		{"overloaded", 60, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var highWith, highWithout, lowWith, lowWithout int
+			for seed := range uint64(loadSeeds) {
+				load := pieceLoad{
+					seed: seed, length: 10 * time.Second, perSecond: tc.perSecond, burst: 1, slack: 700 * time.Millisecond,
+					patience: 5 * time.Second, held: 300 * time.Millisecond, ranks: []int{0, 10},
+				}
+				groups, without := simulate(load, kernel.Policy{}), simulate(load, kernel.Policy{}.Without(kernel.RankedWhenOverloaded))
+				highWith += onTimeOf(groups, 0)
+				lowWith += onTimeOf(groups, 10)
+				highWithout += onTimeOf(without, 0)
+				lowWithout += onTimeOf(without, 10)
+			}
+			t.Log("on time, of high rank ", highWith, " (", highWithout, " without), of low rank ", lowWith, " (", lowWithout, ")")
+			if !tc.overloaded {
+				must.Greater(t, lowWithout, lowWith)
+				must.Greater(t, highWithout+lowWithout, highWith+lowWith)
+				must.GreaterEq(t, highWithout*9/10, highWith)
+				return
+			}
+			must.Greater(t, lowWith, highWith)
+			must.GreaterEq(t, highWithout*9/10, highWith)
+		})
+	}
+}
--- a/kernel/gatherorder.go
+++ b/kernel/gatherorder.go
@@ -11,6 +11,9 @@
 	// urgencyStep is how much later a group counts as due for each rank of its priority: about
 	// what a group waits under load.
 	urgencyStep = 200 * time.Millisecond
+	// overloadCalls is for how many full calls after the last sign of overload priority counts: what waits then was
+	// admitted under it.
+	overloadCalls = 4
 )
 
 // order returns the groups with waiting pieces: those that can still be on time by when they
@@ -26,10 +29,47 @@
 		}
 	}
 	shortest := now.Add(g.callTime(1))
-	slices.SortFunc(out, func(a, b *waitingGroup) int { return g.compareGroups(shortest, a, b, 0, 0) })
+	byOrder := func(a, b *waitingGroup) int { return g.compareGroups(shortest, a, b, 0, 0) }
+	g.byRank = g.ranked(now)
+	slices.SortFunc(out, byOrder)
+	if !g.byRank && g.overfull(now, out) {
+		g.overloadedAt = now
+		g.byRank = true
+		slices.SortFunc(out, byOrder)
+	}
 	return out
 }
 
+// ranked tells whether priority counts in the order of what waits: while not all can be on time, and a little longer,
+// since what is refused or given up makes room for the rest. While all can be on time, priority would make the lower ones
+// late for nothing.
+func (g *Gathering) ranked(now time.Time) bool {
+	if !g.policy.Uses(RankedWhenOverloaded) {
+		return true
+	}
+	return !g.overloadedAt.IsZero() && now.Sub(g.overloadedAt) < overloadCalls*g.callTime(g.traits.Batch)
+}
+
+// overfull tells whether, of the groups that could be on time by themselves, some would not be in the order of their due
+// times.
+func (g *Gathering) overfull(now time.Time, order []*waitingGroup) bool {
+	calls := max(1, g.staying()*max(1, g.traits.Slots))
+	each := float64(g.callTime(g.traits.Batch)) / float64(calls)
+	shortest := now.Add(g.callTime(1))
+	pieces := 0
+	for _, w := range order {
+		if shortest.After(w.Due) {
+			return false
+		}
+		pieces += len(w.waiting)
+		wait := time.Duration(float64(pieces) / float64(g.traits.Batch) * each)
+		if wait > time.Duration(each) && now.Add(wait+g.callTime(len(w.waiting))).After(w.Due) {
+			return true
+		}
+	}
+	return false
+}
+
 // orderFor returns the groups in the order in which a maker is to take them: those whose inputs lie
 // in another failure domain count as due later, by how long they would wait for their own.
 func (g *Gathering) orderFor(now time.Time, m *maker, order []*waitingGroup) []*waitingGroup {
@@ -55,12 +95,20 @@
 		}
 		return -1
 	}
-	if c := a.rankedDue().Add(laterA).Compare(b.rankedDue().Add(laterB)); c != 0 {
+	if c := g.countsAsDue(a).Add(laterA).Compare(g.countsAsDue(b).Add(laterB)); c != 0 {
 		return c
 	}
 	return int(int64(a.ID) - int64(b.ID))
 }
 
+// countsAsDue is when a group counts as due in the order that is in force.
+func (g *Gathering) countsAsDue(w *waitingGroup) time.Time {
+	if !g.byRank {
+		return w.Due
+	}
+	return w.rankedDue()
+}
+
 // rankedDue is when a group counts as due beside others.
 func (p PieceGroup) rankedDue() time.Time {
 	return p.Due.Add(time.Duration(p.Rank) * urgencyStep)
--- a/kernel/gatherwait.go
+++ b/kernel/gatherwait.go
@@ -5,8 +5,18 @@
 )
 
 // Wait estimates how long the pieces of a group that comes now wait until their call starts: the
-// work that goes before them, by the time of full batches and by room.
+// work that goes before them, by the time of full batches and by room. One that only the wait makes late is a sign of
+// overload.
 func (g *Gathering) Wait(now time.Time, group PieceGroup) time.Duration {
+	wait := g.estimate(now, group)
+	alone := now.Add(g.callTime(len(group.Pieces)))
+	if !alone.After(group.Due) && alone.Add(wait).After(group.Due) {
+		g.overloadedAt = now
+	}
+	return wait
+}
+
+func (g *Gathering) estimate(now time.Time, group PieceGroup) time.Duration {
 	makers := g.staying()
 	if makers == 0 {
 		return lapsedGrace
--- a/kernel/policy.go
+++ b/kernel/policy.go
@@ -35,6 +35,8 @@
 	// SlowMakers gives makers that have turned slow only what they make in time, and has what they hold up made
 	// elsewhere.
 	SlowMakers
+	// RankedWhenOverloaded has priority count in the order of pieces only while not all can be on time.
+	RankedWhenOverloaded
 )
 
 type (
