--- a/kernel/gather.go
+++ b/kernel/batch.go
@@ -30,11 +30,11 @@
 )
 
 type (
-	// Gathering collects the pieces of one pool from all nodes, and cuts them into calls as its
+	// BatchQueue collects the pieces of one pool from all nodes, and cuts them into calls as its
 	// endpoints come free. An endpoint works on one call at a time and takes the same time for
 	// a call whatever it holds, so pieces wait here, where others can join them, and never at
 	// an endpoint. No piece is started whose result would find no room. It changes in place.
-	Gathering struct {
+	BatchQueue struct {
 		traits model.PieceTraits
 		// makers holds the pool's endpoints by their lives.
 		makers  map[string]*maker
@@ -47,7 +47,7 @@
 		hold time.Duration
 		// lastStart is when the last call was handed out.
 		lastStart time.Time
-		// sharedUntil is until when calls of another gatherer may be under way at the makers,
+		// sharedUntil is until when calls of another batcher may be under way at the makers,
 		// foreignUntil until when results may lie there that it had made.
 		sharedUntil  time.Time
 		foreignUntil time.Time
@@ -108,9 +108,9 @@
 	}
 )
 
-// NewGathering returns a gathering for a pool.
-func NewGathering(traits model.PieceTraits) *Gathering {
-	return &Gathering{
+// NewBatchQueue returns a batch queue for a pool.
+func NewBatchQueue(traits model.PieceTraits) *BatchQueue {
+	return &BatchQueue{
 		traits:  traits,
 		makers:  map[string]*maker{},
 		groups:  map[uint64]*waitingGroup{},
@@ -121,22 +121,22 @@
 }
 
 // SetPolicy says which mechanisms decide.
-func (g *Gathering) SetPolicy(p Policy) {
+func (g *BatchQueue) SetPolicy(p Policy) {
 	g.policy = p
 }
 
 // SetTraits takes over what the newest routing says of the pool.
-func (g *Gathering) SetTraits(traits model.PieceTraits) {
+func (g *BatchQueue) SetTraits(traits model.PieceTraits) {
 	g.traits = traits
 }
 
 // SetCold says how often one node may call a maker that is cold.
-func (g *Gathering) SetCold(share ColdShare) {
+func (g *BatchQueue) SetCold(share ColdShare) {
 	g.cold = share
 }
 
 // SetEndpoints brings the makers in line with the roster. What a maker held is gone with it.
-func (g *Gathering) SetEndpoints(endpoints []model.Endpoint) {
+func (g *BatchQueue) SetEndpoints(endpoints []model.Endpoint) {
 	listed := make(map[string]bool, len(endpoints))
 	for _, e := range endpoints {
 		listed[e.Life()] = true
@@ -161,7 +161,7 @@
 }
 
 // Add takes a group in, or tells that it cannot be made in time and when to come back.
-func (g *Gathering) Add(now time.Time, group PieceGroup) (accepted bool, retryAfter time.Duration) {
+func (g *BatchQueue) Add(now time.Time, group PieceGroup) (accepted bool, retryAfter time.Duration) {
 	if len(g.makers) > 0 && g.staying() == 0 {
 		return false, RetryAfter(evacuatedRetry)
 	}
@@ -186,7 +186,7 @@
 
 // Cancel forgets a group and returns what was made for it; what is still being made turns up as
 // unwanted.
-func (g *Gathering) Cancel(id uint64) []MadePiece {
+func (g *BatchQueue) Cancel(id uint64) []MadePiece {
 	w := g.groups[id]
 	if w == nil {
 		return nil
@@ -197,7 +197,7 @@
 
 // Expire ends the groups that can no longer be made in time and forgets results that their
 // makers no longer hold.
-func (g *Gathering) Expire(now time.Time) []GroupOutcome {
+func (g *BatchQueue) Expire(now time.Time) []GroupOutcome {
 	var ended []GroupOutcome
 	latest := now.Add(g.callTime(1))
 	for id, w := range g.groups {
@@ -220,7 +220,7 @@
 }
 
 // Waiting returns how many pieces wait and how many calls are under way.
-func (g *Gathering) Waiting() (pieces, calls int) {
+func (g *BatchQueue) Waiting() (pieces, calls int) {
 	for _, w := range g.groups {
 		pieces += len(w.waiting)
 	}
@@ -229,7 +229,7 @@
 
 // Used returns how much room of an endpoint is taken, as far as is known here, and how many calls
 // it works on.
-func (g *Gathering) Used(life string) (bytes int64, calls int) {
+func (g *BatchQueue) Used(life string) (bytes int64, calls int) {
 	m := g.makers[life]
 	if m == nil {
 		return 0, 0
--- a/kernel/gather_test.go
+++ b/kernel/batch_test.go
@@ -11,7 +11,7 @@
 	"basilstall.example/basilstall/model"
 )
 
-var gatherTraits = model.PieceTraits{
+var batchTraits = model.PieceTraits{
 	Slots: 1, Batch: 8, CallTime: 200 * time.Millisecond, PieceTime: 21 * time.Millisecond,
 	Room: 18_000_000, Keep: 4 * time.Second,
 }
@@ -40,15 +40,15 @@
 	return out
 }
 
-func newGathering(n int) *kernel.Gathering {
-	g := kernel.NewGathering(gatherTraits)
+func newBatchQueue(n int) *kernel.BatchQueue {
+	g := kernel.NewBatchQueue(batchTraits)
 	g.SetEndpoints(makers(n))
 	return g
 }
 
 func TestPiecesOfManyRequestsShareCalls(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	ok, _ := g.Add(now, pieceGroup(1, 1, 8000, now.Add(3*time.Second)))
 	must.True(t, ok)
 	first, ok := g.Next(now)
@@ -69,7 +69,7 @@
 
 func TestNoPieceIsStartedWithoutRoomForItsResult(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	for id := uint64(1); id <= 4; id++ {
 		ok, _ := g.Add(now, pieceGroup(id, 5, 1_500_000, now.Add(5*time.Second)))
 		must.True(t, ok)
@@ -95,21 +95,21 @@
 
 func TestResultsThatNobodyFreedAreForgottenWhenTheirMakerDropsThem(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	g.Add(now, pieceGroup(1, 8, 2_000_000, now.Add(5*time.Second)))
 	batch, _ := g.Next(now)
 	g.Done(now, batch, madeAll(batch))
 	g.Add(now, pieceGroup(2, 4, 2_000_000, now.Add(9*time.Second)))
 	_, ok := g.Next(now)
 	must.False(t, ok)
-	g.Expire(now.Add(gatherTraits.Keep + time.Second))
-	_, ok = g.Next(now.Add(gatherTraits.Keep + time.Second))
+	g.Expire(now.Add(batchTraits.Keep + time.Second))
+	_, ok = g.Next(now.Add(batchTraits.Keep + time.Second))
 	must.True(t, ok)
 }
 
 func TestStartsOfCallsAreSpaced(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(5)
+	g := newBatchQueue(5)
 	g.Add(now, pieceGroup(1, 1, 0, now.Add(5*time.Second)))
 	_, ok := g.Next(now)
 	must.True(t, ok)
@@ -129,7 +129,7 @@
 // higher priority, whichever came first.
 func TestUrgentWorkGoesFirst(t *testing.T) {
 	now := time.Unix(1000, 0)
-	full := gatherTraits.CallTime + time.Duration(gatherTraits.Batch)*gatherTraits.PieceTime
+	full := batchTraits.CallTime + time.Duration(batchTraits.Batch)*batchTraits.PieceTime
 	for _, tc := range []struct {
 		name  string
 		due   time.Duration
@@ -138,7 +138,7 @@
 		{"time for both", 3 * full, "request-1"},
 		{"time for one", 3 * full / 2, "request-2"},
 	} {
-		g := newGathering(1)
+		g := newBatchQueue(1)
 		lowly := pieceGroup(1, 8, 0, now.Add(tc.due))
 		lowly.Rank = 2
 		g.Add(now, lowly)
@@ -150,7 +150,7 @@
 
 func TestAMakerWithoutRoomIsLeftAlone(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(2)
+	g := newBatchQueue(2)
 	g.Add(now, pieceGroup(1, 1, 1_500_000, now.Add(5*time.Second)))
 	first, _ := g.Next(now)
 	g.Done(now, first, []model.PieceResult{{Fault: model.PieceNoRoom}})
@@ -159,9 +159,9 @@
 	must.NotEq(t, first.Endpoint.Name, second.Endpoint.Name)
 }
 
-func TestRoomTakenByAnotherGatherersResultsIsNotGivenOut(t *testing.T) {
+func TestRoomTakenByAnotherBatchersResultsIsNotGivenOut(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	g.TakeOver(now)
 	g.NoteRoom(now, "maker-0", 4_000_000)
 	g.Add(now, pieceGroup(1, 8, 1_500_000, now.Add(5*time.Second)))
@@ -179,7 +179,7 @@
 
 func TestTheWaitForRoomIsTold(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	group := pieceGroup(9, 4, 1_500_000, now.Add(9*time.Second))
 	must.Eq(t, 0, g.Wait(now, group))
 	g.Add(now, pieceGroup(1, 8, 1_500_000, now.Add(5*time.Second)))
@@ -196,7 +196,7 @@
 
 func TestLateWorkDoesNotGoBeforeWorkThatCanBeOnTime(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	g.Add(now, pieceGroup(1, 8, 0, now.Add(100*time.Millisecond)))
 	g.Add(now, pieceGroup(2, 8, 0, now.Add(900*time.Millisecond)))
 	batch, ok := g.Next(now)
@@ -206,7 +206,7 @@
 
 func TestAGroupThatWouldBeLateIsRefusedAtOnceWhereOthersWait(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	for id := uint64(1); id <= 3; id++ {
 		ok, _ := g.Add(now, pieceGroup(id, 8, 0, now.Add(2*time.Second)))
 		must.True(t, ok)
@@ -223,7 +223,7 @@
 
 func TestPiecesStayWhereTheirInputsLieUnlessTheyWaitTooLong(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(3)
+	g := newBatchQueue(3)
 	busy := pieceGroup(1, 1, 0, now.Add(5*time.Second))
 	busy.Domain = "domain-1"
 	busy.Patience = 150 * time.Millisecond
@@ -244,7 +244,7 @@
 
 func TestALeavingMakerGetsNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	leaving := makers(1)
 	leaving[0].State = model.Leaving
 	g.SetEndpoints(leaving)
@@ -259,7 +259,7 @@
 // of results crossed between domains.
 func TestAMakerTakesGroupsOfItsOwnDomainFirst(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(2)
+	g := newBatchQueue(2)
 	due := now.Add(2 * time.Second)
 	for id := uint64(1); id <= 4; id++ {
 		group := pieceGroup(id, 8, 8000, due.Add(time.Duration(id)*time.Millisecond))
@@ -290,7 +290,7 @@
 	full := 444 * time.Millisecond
 	play := func(policy kernel.Policy) (groups, moved int, longest time.Duration) {
 		start := time.Unix(1000, 0)
-		g := kernel.NewGathering(traits)
+		g := kernel.NewBatchQueue(traits)
 		g.SetPolicy(policy)
 		g.SetEndpoints(makers(5))
 		domains := map[uint64]string{}
@@ -341,7 +341,7 @@
 	first := model.Endpoint{Name: "m", Pool: "p", State: model.Live, Started: time.Unix(900, 0)}
 	again := first
 	again.Started = time.Unix(999, 0)
-	g := kernel.NewGathering(model.PieceTraits{Slots: 1, Batch: 4, CallTime: 200 * time.Millisecond, PieceTime: time.Millisecond, Room: 1000, Keep: 4 * time.Second})
+	g := kernel.NewBatchQueue(model.PieceTraits{Slots: 1, Batch: 4, CallTime: 200 * time.Millisecond, PieceTime: time.Millisecond, Room: 1000, Keep: 4 * time.Second})
 	g.SetEndpoints([]model.Endpoint{first})
 	must.True(t, addPieces(g, now, 1, 2, 400))
 	batch, ok := g.Next(now)
@@ -373,7 +373,7 @@
 }
 
 // addPieces adds a group of pieces that may wait for long.
-func addPieces(g *kernel.Gathering, now time.Time, id uint64, count int, bytes int64) bool {
+func addPieces(g *kernel.BatchQueue, now time.Time, id uint64, count int, bytes int64) bool {
 	group := kernel.PieceGroup{ID: id, ResultBytes: bytes, Due: now.Add(5 * time.Second), Until: now.Add(5 * time.Second)}
 	for n := range count {
 		group.Pieces = append(group.Pieces, model.Piece{Request: "r", Number: n})
--- a/kernel/gathercall.go
+++ b/kernel/batchcall.go
@@ -9,7 +9,7 @@
 )
 
 // Next hands out a call that is to be made now; false means that none is.
-func (g *Gathering) Next(now time.Time) (PieceBatch, bool) {
+func (g *BatchQueue) Next(now time.Time) (PieceBatch, bool) {
 	order := g.order(now)
 	if len(order) == 0 || g.tooSoon(now, order) {
 		return PieceBatch{}, false
@@ -34,17 +34,17 @@
 }
 
 // tooSoon tells whether the next call is better made a little later, with more pieces.
-func (g *Gathering) tooSoon(now time.Time, order []*waitingGroup) bool {
+func (g *BatchQueue) tooSoon(now time.Time, order []*waitingGroup) bool {
 	return g.policy.Uses(SpacedCalls) && now.Sub(g.lastStart) < g.Spacing() && g.pieces(order) < g.traits.Batch
 }
 
 // Spacing is the least time between the starts of two calls that are not full.
-func (g *Gathering) Spacing() time.Duration {
+func (g *BatchQueue) Spacing() time.Duration {
 	calls := max(1, g.staying()*max(1, g.traits.Slots))
 	return time.Duration(spacing * float64(g.callTime(g.traits.Batch/2)) / float64(calls))
 }
 
-func (g *Gathering) pieces(order []*waitingGroup) int {
+func (g *BatchQueue) pieces(order []*waitingGroup) int {
 	n := 0
 	for _, w := range order {
 		n += len(w.waiting)
@@ -54,7 +54,7 @@
 
 // fill collects the pieces that a maker is to make next. A group's pieces stay together where
 // they fit.
-func (g *Gathering) fill(now time.Time, m *maker, order []*waitingGroup) PieceBatch {
+func (g *BatchQueue) fill(now time.Time, m *maker, order []*waitingGroup) PieceBatch {
 	var batch PieceBatch
 	room := math.Inf(1)
 	if g.traits.Room > 0 {
@@ -86,7 +86,7 @@
 	return batch
 }
 
-func (g *Gathering) start(now time.Time, m *maker, batch PieceBatch) PieceBatch {
+func (g *BatchQueue) start(now time.Time, m *maker, batch PieceBatch) PieceBatch {
 	g.batches++
 	batch.ID = g.batches
 	batch.Endpoint = m.endpoint
@@ -114,7 +114,7 @@
 
 // Expected returns how long a call may take before its endpoint is given up: what is stated,
 // times the pace that the endpoint showed.
-func (g *Gathering) Expected(batch PieceBatch) time.Duration {
+func (g *BatchQueue) Expected(batch PieceBatch) time.Duration {
 	pace := 1.0
 	if m := g.makers[batch.Endpoint.Life()]; m != nil {
 		pace = max(1, m.pace)
--- a/kernel/gatherend.go
+++ b/kernel/batchend.go
@@ -8,7 +8,7 @@
 )
 
 // Refused takes in that an endpoint did not run a call: its pieces wait again.
-func (g *Gathering) Refused(now time.Time, batch PieceBatch) []GroupOutcome {
+func (g *BatchQueue) Refused(now time.Time, batch PieceBatch) []GroupOutcome {
 	m := g.end(batch, nil)
 	if m != nil {
 		m.pausedUntil = now.Add(makerPause)
@@ -19,7 +19,7 @@
 }
 
 // Failed takes in that a call ended without an answer. What it made, if anything, is lost.
-func (g *Gathering) Failed(now time.Time, batch PieceBatch) []GroupOutcome {
+func (g *BatchQueue) Failed(now time.Time, batch PieceBatch) []GroupOutcome {
 	if m := g.end(batch, nil); m != nil {
 		m.health = m.health.WithFailure(now)
 		g.lastStart = time.Time{}
@@ -28,7 +28,7 @@
 }
 
 // Crashed takes in that a maker's process ended in the middle of a call: one of the pieces may have ended it.
-func (g *Gathering) Crashed(now time.Time, batch PieceBatch) []GroupOutcome {
+func (g *BatchQueue) Crashed(now time.Time, batch PieceBatch) []GroupOutcome {
 	for _, id := range batch.groups {
 		if w := g.groups[id]; w != nil {
 			w.suspect = true
@@ -38,7 +38,7 @@
 }
 
 // Unreachable takes in that a call's endpoint could not be connected to: its pieces wait again.
-func (g *Gathering) Unreachable(now time.Time, batch PieceBatch) []GroupOutcome {
+func (g *BatchQueue) Unreachable(now time.Time, batch PieceBatch) []GroupOutcome {
 	if m := g.end(batch, nil); m != nil {
 		m.health = m.health.WithUnreachable(now)
 		g.lastStart = time.Time{}
@@ -48,7 +48,7 @@
 
 // Done takes the results of a call in. It returns the groups that ended, and the results that
 // nobody waits for any more.
-func (g *Gathering) Done(now time.Time, batch PieceBatch, results []model.PieceResult) (ended []GroupOutcome, unwanted []MadePiece) {
+func (g *BatchQueue) Done(now time.Time, batch PieceBatch, results []model.PieceResult) (ended []GroupOutcome, unwanted []MadePiece) {
 	m := g.end(batch, results)
 	if m != nil {
 		m.health = m.health.WithSuccess()
@@ -88,7 +88,7 @@
 }
 
 // end frees the slot of a call, and the room of the pieces that were not made.
-func (g *Gathering) end(batch PieceBatch, results []model.PieceResult) *maker {
+func (g *BatchQueue) end(batch PieceBatch, results []model.PieceResult) *maker {
 	delete(g.running, batch.ID)
 	for i, p := range batch.Pieces {
 		if w := g.groups[batch.groups[i]]; w != nil {
@@ -110,7 +110,7 @@
 
 // retryPieces puts pieces that were not made back among the waiting ones, or ends their groups.
 // With failed nil, all pieces of the call share one fault.
-func (g *Gathering) retryPieces(now time.Time, batch PieceBatch, failed map[int]model.PieceFault, all model.PieceFault, counts bool) []GroupOutcome {
+func (g *BatchQueue) retryPieces(now time.Time, batch PieceBatch, failed map[int]model.PieceFault, all model.PieceFault, counts bool) []GroupOutcome {
 	var ended []GroupOutcome
 	for i, p := range batch.Pieces {
 		fault := all
@@ -145,7 +145,7 @@
 
 // EndStale ends the waiting groups whose inputs went with a life of their maker: a process that
 // started again may give the same handle to another request's result.
-func (g *Gathering) EndStale(superseded func(life string) bool) []GroupOutcome {
+func (g *BatchQueue) EndStale(superseded func(life string) bool) []GroupOutcome {
 	var ended []GroupOutcome
 	for id, w := range g.groups {
 		if len(w.waiting) == 0 || !AnyStale(w.Inputs, superseded) {
--- a/kernel/gatherers.go
+++ b/kernel/batchers.go
@@ -19,10 +19,10 @@
 	Capacity float64
 }
 
-// Gatherers returns the nodes in the order in which they are to gather the pieces of a pool, the
+// NodesByHash returns the nodes in the order in which they are to batch the pieces of a pool, the
 // same for all who know the same nodes: by weighted rendezvous hashing, so that the loss of one
 // node moves only what was its.
-func Gatherers(subject string, nodes []Peer) []string {
+func NodesByHash(subject string, nodes []Peer) []string {
 	scores := make(map[string]float64, len(nodes))
 	names := make([]string, 0, len(nodes))
 	for _, n := range nodes {
@@ -53,36 +53,36 @@
 	return -math.Pow(capacity, capacityPower) / math.Log(u)
 }
 
-// The answers to a node that gathers for a pool or is about to.
+// The answers to a node that batches for a pool or is about to.
 const (
-	// KeepPool: this node goes on to gather, and the other one leaves the pool to it.
+	// KeepPool: this node goes on to batch, and the other one leaves the pool to it.
 	KeepPool PoolAnswer = iota
-	// YieldPool: the other node gathers from now on.
+	// YieldPool: the other node batches from now on.
 	YieldPool
-	// SharePool: each gathers for its own requests.
+	// SharePool: each batches for its own requests.
 	SharePool
 )
 
 type (
-	// PoolAnswer is what a node that gathers answers to another one.
+	// PoolAnswer is what a node that batches answers to another one.
 	PoolAnswer int
 
-	// PoolClaim is a node's claim to gather for a pool.
+	// PoolClaim is a node's claim to batch for a pool.
 	PoolClaim struct {
 		Peer
-		// Gathers is true for a node that does so already, Leaving for one that will soon be gone.
-		Gathers bool
+		// Batches is true for a node that does so already, Leaving for one that will soon be gone.
+		Batches bool
 		Leaving bool
 	}
 )
 
-// AnswerClaim decides which of two nodes gathers for a pool, where the first does. It goes on unless it is
-// leaving or the other can carry more: a change costs calls that are not full. Where both gather, the one that
+// AnswerClaim decides which of two nodes batches for a pool, where the first does. It goes on unless it is
+// leaving or the other can carry more: a change costs calls that are not full. Where both batch, the one that
 // comes first for the pool does so alone. A leaving node gets no pool from one that stays.
 func AnswerClaim(pool string, own, other PoolClaim) PoolAnswer {
 	stays := other.Capacity <= own.Capacity
-	if other.Gathers {
-		stays = Gatherers(pool, []Peer{own.Peer, other.Peer})[0] == own.Name
+	if other.Batches {
+		stays = NodesByHash(pool, []Peer{own.Peer, other.Peer})[0] == own.Name
 	}
 	switch {
 	case own.Leaving && other.Leaving:
--- a/kernel/gatherers_test.go
+++ b/kernel/batchers_test.go
@@ -10,7 +10,7 @@
 	"basilstall.example/basilstall/kernel"
 )
 
-func TestLargeHostsGather(t *testing.T) {
+func TestLargeHostsBatch(t *testing.T) {
 	var nodes []kernel.Peer
 	for i := range 60 {
 		n := kernel.Peer{Name: fmt.Sprint("small-", i), Capacity: 0.192}
@@ -21,23 +21,23 @@
 	}
 	small := 0
 	for k := range 500 {
-		if first := kernel.Gatherers(fmt.Sprint("pool-", k), nodes)[0]; first[0] == 's' {
+		if first := kernel.NodesByHash(fmt.Sprint("pool-", k), nodes)[0]; first[0] == 's' {
 			small++
 		}
 	}
-	// 50 hosts of a weight of 0.00005 beside 10 of 0.26: 1 in 1,000. Where a small host gathered for
+	// 50 hosts of a weight of 0.00005 beside 10 of 0.26: 1 in 1,000. Where a small host batched for
 	// the pool of all requests, its link and processor bound the fleet to a third of its service.
 	must.LessEq(t, 3, small)
 }
 
-func TestTheLossOfAGathererMovesOnlyItsPools(t *testing.T) {
+func TestTheLossOfABatcherMovesOnlyItsPools(t *testing.T) {
 	nodes := []kernel.Peer{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}}
 	counts := map[string]float64{}
 	for k := range 2000 {
 		pool := fmt.Sprint("pool-", k)
-		order := kernel.Gatherers(pool, nodes)
+		order := kernel.NodesByHash(pool, nodes)
 		counts[order[0]]++
-		left := kernel.Gatherers(pool, nodes[1:])
+		left := kernel.NodesByHash(pool, nodes[1:])
 		if order[0] != "a" {
 			must.Eq(t, order[0], left[0])
 		} else {
@@ -50,12 +50,12 @@
 }
 
 func TestAnswerClaim(t *testing.T) {
-	claim := func(name string, capacity float64, gathers, leaving bool) kernel.PoolClaim {
-		return kernel.PoolClaim{Peer: kernel.Peer{Name: name, Capacity: capacity}, Gathers: gathers, Leaving: leaving}
+	claim := func(name string, capacity float64, batches, leaving bool) kernel.PoolClaim {
+		return kernel.PoolClaim{Peer: kernel.Peer{Name: name, Capacity: capacity}, Batches: batches, Leaving: leaving}
 	}
 	both := []kernel.Peer{{Name: "a", Capacity: 1}, {Name: "b", Capacity: 1}}
-	first := kernel.Gatherers("pool", both)[0]
-	second := kernel.Gatherers("pool", both)[1]
+	first := kernel.NodesByHash("pool", both)[0]
+	second := kernel.NodesByHash("pool", both)[1]
 	for _, tc := range []struct {
 		name       string
 		own, other kernel.PoolClaim
@@ -64,7 +64,7 @@
 		{"an equal that is back does not take the pool", claim("a", 1, true, false), claim("b", 1, false, false), kernel.KeepPool},
 		{"a smaller one neither", claim("a", 1, true, false), claim("b", 0.5, false, false), kernel.KeepPool},
 		{"a larger one does", claim("a", 1, true, false), claim("b", 2, false, false), kernel.YieldPool},
-		{"of two that gather the first goes on", claim(first, 1, true, false), claim(second, 1, true, false), kernel.KeepPool},
+		{"of two that batch the first goes on", claim(first, 1, true, false), claim(second, 1, true, false), kernel.KeepPool},
 		{"and the second leaves it", claim(second, 1, true, false), claim(first, 1, true, false), kernel.YieldPool},
 		{"a leaving one hands over", claim("a", 2, true, true), claim("b", 1, false, false), kernel.YieldPool},
 		{"but not to one that leaves too", claim("a", 1, true, true), claim("b", 1, false, true), kernel.SharePool},
--- a/kernel/gatherfailure_test.go
+++ b/kernel/batchfailure_test.go
@@ -11,7 +11,7 @@
 
 func TestARefusedCallIsMadeElsewhere(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(2)
+	g := newBatchQueue(2)
 	g.Add(now, pieceGroup(1, 3, 0, now.Add(5*time.Second)))
 	first, _ := g.Next(now)
 	must.SliceEmpty(t, g.Refused(now, first))
@@ -23,7 +23,7 @@
 
 func TestAnUnreachableMakerIsPutAsideAtOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(2)
+	g := newBatchQueue(2)
 	for id := uint64(1); id <= 2; id++ {
 		g.Add(now, pieceGroup(id, 1, 0, now.Add(5*time.Second)))
 	}
@@ -42,7 +42,7 @@
 
 func TestAGoneInputEndsTheGroup(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	g.Add(now, pieceGroup(1, 2, 0, now.Add(5*time.Second)))
 	batch, _ := g.Next(now)
 	ended, _ := g.Done(now, batch, []model.PieceResult{{Handle: "h"}, {Fault: model.PieceInputGone}})
@@ -53,7 +53,7 @@
 
 func TestResultsOfACancelledGroupAreUnwanted(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	g.Add(now, pieceGroup(1, 2, 0, now.Add(5*time.Second)))
 	batch, _ := g.Next(now)
 	must.SliceEmpty(t, g.Cancel(1))
--- a/kernel/gatherfetch.go
+++ b/kernel/batchfetch.go
@@ -22,7 +22,7 @@
 
 // fetchTime returns how long after its start a call needs the inputs of its pieces at most. Each
 // piece fetches all inputs of its group.
-func (g *Gathering) fetchTime(batch PieceBatch) time.Duration {
+func (g *BatchQueue) fetchTime(batch PieceBatch) time.Duration {
 	if g.traits.Link <= 0 {
 		return batch.stated
 	}
@@ -43,9 +43,9 @@
 // Fetched returns the inputs that the calls under way have fetched and that nothing else needs;
 // each is returned once. Held until the calls end, they would take room from other results for
 // twice as long. The price: a piece whose call fails after that can't be made again.
-func (g *Gathering) Fetched(now time.Time) []MadePiece {
+func (g *BatchQueue) Fetched(now time.Time) []MadePiece {
 	if now.Before(g.sharedUntil) {
-		// Another gatherer's call may come first at a maker; then the inputs are fetched later.
+		// Another batcher's call may come first at a maker; then the inputs are fetched later.
 		return nil
 	}
 	var out []MadePiece
--- a/kernel/gatherfetch_test.go
+++ b/kernel/batchfetch_test.go
@@ -26,8 +26,8 @@
 	return g
 }
 
-func fetchGathering(now time.Time, groups ...kernel.PieceGroup) *kernel.Gathering {
-	g := kernel.NewGathering(fetchTraits)
+func fetchQueue(now time.Time, groups ...kernel.PieceGroup) *kernel.BatchQueue {
+	g := kernel.NewBatchQueue(fetchTraits)
 	g.SetEndpoints(makers(1))
 	for _, group := range groups {
 		g.Add(now, group)
@@ -39,7 +39,7 @@
 // they were fetched, they hold it for a fifth of that.
 func TestInputsAreFreedOnceTheirCallHasFetchedThem(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := fetchGathering(now, fetchingGroup(1, 10, now, true))
+	g := fetchQueue(now, fetchingGroup(1, 10, now, true))
 	batch, ok := g.Next(now)
 	must.True(t, ok)
 	must.Less(t, 100*time.Millisecond, batch.FetchTime())
@@ -53,7 +53,7 @@
 
 func TestInputsThatOthersNeedAreKept(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := fetchGathering(now, fetchingGroup(1, 10, now, false))
+	g := fetchQueue(now, fetchingGroup(1, 10, now, false))
 	batch, _ := g.Next(now)
 	must.SliceEmpty(t, g.Fetched(now.Add(batch.FetchTime())))
 	ended, _ := g.Done(now.Add(228*time.Millisecond), batch, madeAll(batch))
@@ -62,7 +62,7 @@
 
 func TestInputsAreKeptWhilePiecesWait(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := fetchGathering(now, fetchingGroup(1, 70, now, true))
+	g := fetchQueue(now, fetchingGroup(1, 70, now, true))
 	batch, _ := g.Next(now)
 	must.Len(t, 62, batch.Pieces)
 	must.SliceEmpty(t, g.Fetched(now.Add(batch.FetchTime())))
@@ -74,7 +74,7 @@
 // A piece whose inputs are freed can't be made again: asking would cost a call for nothing.
 func TestAPieceThatFailsAfterItsInputsWereFreedEndsItsGroup(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := fetchGathering(now, fetchingGroup(1, 10, now, true))
+	g := fetchQueue(now, fetchingGroup(1, 10, now, true))
 	batch, _ := g.Next(now)
 	g.Fetched(now.Add(batch.FetchTime()))
 	results := madeAll(batch)
@@ -88,7 +88,7 @@
 // Where half of a pool's room is free, results are kept for as long as something might need them again.
 func TestResultsAreGivenUpEarlyOnlyWhereRoomIsScarce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(2)
+	g := newBatchQueue(2)
 	must.EqOp(t, 0, g.RoomTaken(now))
 	must.True(t, addPieces(g, now, 1, 8, 2_000_000))
 	batch, ok := g.Next(now)
--- a/kernel/gatherhandover_test.go
+++ b/kernel/batchhandover_test.go
@@ -10,10 +10,10 @@
 	"basilstall.example/basilstall/model"
 )
 
-// What was not started moves to the next gatherer; what is under way ends where it began.
+// What was not started moves to the next batcher; what is under way ends where it began.
 func TestAHandoverMovesWhatWasNotStarted(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	must.True(t, addPieces(g, now, 1, 8, 1_500_000))
 	running, ok := g.Next(now)
 	must.True(t, ok)
@@ -28,10 +28,10 @@
 	must.SliceEmpty(t, unwanted)
 }
 
-// Beside another gatherer's calls a call may wait at its maker, and fetch later than reckoned.
-func TestInputsAreKeptWhileAnotherGatherersCallsMayBeUnderWay(t *testing.T) {
+// Beside another batcher's calls a call may wait at its maker, and fetch later than reckoned.
+func TestInputsAreKeptWhileAnotherBatchersCallsMayBeUnderWay(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := kernel.NewGathering(fetchTraits)
+	g := kernel.NewBatchQueue(fetchTraits)
 	g.SetEndpoints(makers(1))
 	g.TakeOver(now)
 	g.Add(now, fetchingGroup(1, 10, now, true))
--- a/kernel/gatherload_test.go
+++ b/kernel/batchload_test.go
@@ -50,9 +50,9 @@
 		wait        time.Duration
 	}
 
-	// simulatedPool drives a gathering in virtual time, with makers that work one call at a time.
+	// simulatedPool drives a batch queue in virtual time, with makers that work one call at a time.
 	simulatedPool struct {
-		g      *kernel.Gathering
+		g      *kernel.BatchQueue
 		load   pieceLoad
 		now    time.Time
 		began  time.Time
@@ -69,7 +69,7 @@
 func simulate(load pieceLoad, policy kernel.Policy) []*simulatedGroup {
 	began := time.Unix(1000, 0)
 	p := &simulatedPool{
-		g: newGathering(5), load: load, now: began, began: began, random: rand.New(rand.NewPCG(load.seed, 0)),
+		g: newBatchQueue(5), load: load, now: began, began: began, random: rand.New(rand.NewPCG(load.seed, 0)),
 		groups: map[uint64]*simulatedGroup{}, running: map[time.Time][]kernel.PieceBatch{}, overdue: map[time.Time][]kernel.PieceBatch{}, held: map[time.Time][]kernel.MadePiece{}, next: began,
 	}
 	p.g.SetPolicy(policy)
@@ -129,7 +129,7 @@
 
 // callTime is how long a call takes that begins now, or began when it was handed out.
 func (p *simulatedPool) callTime(batch kernel.PieceBatch) time.Duration {
-	usual := gatherTraits.CallTime + time.Duration(len(batch.Pieces))*gatherTraits.PieceTime
+	usual := batchTraits.CallTime + time.Duration(len(batch.Pieces))*batchTraits.PieceTime
 	since := batch.StartedAt().Sub(p.began)
 	if since < p.load.from || since >= p.load.to || !slices.Contains(p.load.slow, batch.Endpoint.Name) {
 		return usual
@@ -191,11 +191,11 @@
 // Seen: in a burst beyond what a pool of heavy results can make, requests waited for their pieces until their
 // callers left, 4.4 s for an objective of 1.1 s, and were told nothing; neighbours that came later passed.
 // How: work that can no longer be on time goes after all that can, and in a queue there is always some that
-// can. Nothing ended it but its deadline. Proved by the gatherer's state as such groups were withdrawn: late
+// can. Nothing ended it but its deadline. Proved by the batcher's state as such groups were withdrawn: late
 // by 3.5 s, at place 12 to 29 of the queue, never tried.
 func TestWorkThatIsPassedByIsEndedInABurst(t *testing.T) {
-	full := gatherTraits.CallTime + time.Duration(gatherTraits.Batch)*gatherTraits.PieceTime
-	shortest := gatherTraits.CallTime + gatherTraits.PieceTime
+	full := batchTraits.CallTime + time.Duration(batchTraits.Batch)*batchTraits.PieceTime
+	shortest := batchTraits.CallTime + batchTraits.PieceTime
 	var onTimeWith, onTimeWithout int
 	for seed := range uint64(loadSeeds) {
 		load := pieceLoad{
@@ -222,7 +222,7 @@
 // A pool without a queue makes late work all the same: it takes nothing from others.
 func TestLateWorkIsMadeWhereNothingQueues(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	late := pieceGroup(1, 3, 8000, now.Add(-time.Second))
 	ok, _ := g.Add(now, late)
 	must.True(t, ok)
--- a/kernel/gatherorder.go
+++ b/kernel/batchorder.go
@@ -18,7 +18,7 @@
 
 // order returns the groups with waiting pieces: those that can still be on time by when they
 // are due, then the late ones.
-func (g *Gathering) order(now time.Time) []*waitingGroup {
+func (g *BatchQueue) order(now time.Time) []*waitingGroup {
 	var out []*waitingGroup
 	for _, w := range g.groups {
 		if g.isLate(now, w) {
@@ -43,7 +43,7 @@
 // ranked tells whether priority counts in the order of what waits: while not all can be on time, and a little longer,
 // since what is refused or given up makes room for the rest. While all can be on time, priority would make the lower ones
 // late for nothing.
-func (g *Gathering) ranked(now time.Time) bool {
+func (g *BatchQueue) ranked(now time.Time) bool {
 	if !g.policy.Uses(RankedWhenOverloaded) {
 		return true
 	}
@@ -52,7 +52,7 @@
 
 // overfull tells whether, of the groups that could be on time by themselves, some would not be in the order of their due
 // times.
-func (g *Gathering) overfull(now time.Time, order []*waitingGroup) bool {
+func (g *BatchQueue) overfull(now time.Time, order []*waitingGroup) bool {
 	calls := max(1, g.staying()*max(1, g.traits.Slots))
 	each := float64(g.callTime(g.traits.Batch)) / float64(calls)
 	shortest := now.Add(g.callTime(1))
@@ -72,7 +72,7 @@
 
 // orderFor returns the groups in the order in which a maker is to take them: those whose inputs lie
 // in another failure domain count as due later, by how long they would wait for their own.
-func (g *Gathering) orderFor(now time.Time, m *maker, order []*waitingGroup) []*waitingGroup {
+func (g *BatchQueue) orderFor(now time.Time, m *maker, order []*waitingGroup) []*waitingGroup {
 	shortest := now.Add(g.callTime(1))
 	later := func(w *waitingGroup) time.Duration {
 		if w.Domain == "" || w.Domain == m.endpoint.FailureDomain {
@@ -88,7 +88,7 @@
 }
 
 // compareGroups puts groups that can still be on time first, then goes by when they count as due.
-func (g *Gathering) compareGroups(shortest time.Time, a, b *waitingGroup, laterA, laterB time.Duration) int {
+func (g *BatchQueue) compareGroups(shortest time.Time, a, b *waitingGroup, laterA, laterB time.Duration) int {
 	if la, lb := shortest.After(a.Due), shortest.After(b.Due); la != lb && g.policy.Uses(LateLast) {
 		if la {
 			return 1
@@ -102,7 +102,7 @@
 }
 
 // countsAsDue is when a group counts as due in the order that is in force.
-func (g *Gathering) countsAsDue(w *waitingGroup) time.Time {
+func (g *BatchQueue) countsAsDue(w *waitingGroup) time.Time {
 	if !g.byRank {
 		return w.Due
 	}
@@ -115,7 +115,7 @@
 }
 
 // idle returns the makers that may get a call, those that have most room first.
-func (g *Gathering) idle(now time.Time) []*maker {
+func (g *BatchQueue) idle(now time.Time) []*maker {
 	var out []*maker
 	for _, m := range g.makers {
 		if m.calls >= max(1, g.traits.Slots) || !m.endpoint.TakesWork() {
@@ -139,7 +139,7 @@
 
 // suits tells whether a maker may make a group: in the domain where the inputs lie, or
 // anywhere once the group has waited.
-func (g *Gathering) suits(now time.Time, m *maker, w *waitingGroup) bool {
+func (g *BatchQueue) suits(now time.Time, m *maker, w *waitingGroup) bool {
 	if w.Domain == "" || m.endpoint.FailureDomain == w.Domain {
 		return true
 	}
--- a/kernel/gatherpassed.go
+++ b/kernel/batchpassed.go
@@ -12,7 +12,7 @@
 
 // endPassedBy ends the groups that were passed by for too long. They would wait on until they are useless, and
 // their callers with them, who are better told at once and come back when the queue has drained.
-func (g *Gathering) endPassedBy(now time.Time) []GroupOutcome {
+func (g *BatchQueue) endPassedBy(now time.Time) []GroupOutcome {
 	if !g.policy.Uses(LateEnded) {
 		return nil
 	}
@@ -33,7 +33,7 @@
 
 // lateSince is from when on a group waits that can no longer be on time: from its start where its request was late
 // before.
-func (g *Gathering) lateSince(w *waitingGroup) time.Time {
+func (g *BatchQueue) lateSince(w *waitingGroup) time.Time {
 	late := w.Due.Add(-g.callTime(1))
 	if w.AskedAt.After(late) {
 		return w.AskedAt
@@ -42,6 +42,6 @@
 }
 
 // isLate tells whether a group can no longer be on time, whoever makes it.
-func (g *Gathering) isLate(now time.Time, w *waitingGroup) bool {
+func (g *BatchQueue) isLate(now time.Time, w *waitingGroup) bool {
 	return now.Add(g.callTime(1)).After(w.Due)
 }
--- a/kernel/gatherroom.go
+++ b/kernel/batchroom.go
@@ -9,29 +9,29 @@
 const (
 	// refusedRoom is how long room counts as taken that a maker refused a result for: about as long
 	// as results are held. It shrinks meanwhile, so that pieces try the maker again as results
-	// lapse; a third or twice as long serves some per cent less after a gatherer was lost.
+	// lapse; a third or twice as long serves some per cent less after a batcher was lost.
 	refusedRoom = 700 * time.Millisecond
-	// handoverCalls is for how many full calls after a take-over another gatherer's calls may be
+	// handoverCalls is for how many full calls after a take-over another batcher's calls may be
 	// under way: the one that it had made, and those for groups that waited there.
 	handoverCalls = 3
 )
 
-// TakeOver takes in that another node may have gathered for the pool until now. Its calls may be under
+// TakeOver takes in that another node may have batched for the pool until now. Its calls may be under
 // way, and what it had made takes room until it lapses.
-func (g *Gathering) TakeOver(now time.Time) {
+func (g *BatchQueue) TakeOver(now time.Time) {
 	full := g.callTime(g.traits.Batch)
 	g.sharedUntil = now.Add(handoverCalls * full)
 	g.foreignUntil = now.Add(g.traits.Keep + full)
 }
 
-// Inherits tells whether results of another gatherer may still take room.
-func (g *Gathering) Inherits(now time.Time) bool {
+// Inherits tells whether results of another batcher may still take room.
+func (g *BatchQueue) Inherits(now time.Time) bool {
 	return now.Before(g.foreignUntil)
 }
 
 // NoteRoom takes in how much room an endpoint reports to have free: what is missing beyond the
-// results known here belongs to another gatherer, whose place this one took.
-func (g *Gathering) NoteRoom(now time.Time, life string, free int64) {
+// results known here belongs to another batcher, whose place this one took.
+func (g *BatchQueue) NoteRoom(now time.Time, life string, free int64) {
 	if m := g.makers[life]; m != nil {
 		m.setForeign(now, g.foreignUntil, g.traits.Room-free-m.used)
 	}
@@ -39,7 +39,7 @@
 
 // noteFull takes in that a call found no room for a result although there should have been some: all
 // that is not used by results known here is taken by others.
-func (g *Gathering) noteFull(now time.Time, m *maker) {
+func (g *BatchQueue) noteFull(now time.Time, m *maker) {
 	taken := g.traits.Room - m.used
 	if !g.policy.Uses(RoomLearnt) {
 		taken = g.traits.Room
@@ -64,12 +64,12 @@
 }
 
 // freeRoom is how much room a maker is taken to have, in bytes; it may be negative.
-func (g *Gathering) freeRoom(now time.Time, m *maker) float64 {
+func (g *BatchQueue) freeRoom(now time.Time, m *maker) float64 {
 	return float64(g.traits.Room)*roomMargin - float64(m.used) - m.foreignRoom(now)
 }
 
 // RoomTaken returns which share of the makers' room is taken, between 0 and 1.
-func (g *Gathering) RoomTaken(now time.Time) float64 {
+func (g *BatchQueue) RoomTaken(now time.Time) float64 {
 	total, free := g.room(now)
 	if total <= 0 {
 		return 0
@@ -78,7 +78,7 @@
 }
 
 // room returns how much room the makers have in all, and how much of it is free.
-func (g *Gathering) room(now time.Time) (total, free float64) {
+func (g *BatchQueue) room(now time.Time) (total, free float64) {
 	for _, m := range g.makers {
 		if m.endpoint.TakesWork() {
 			total += float64(g.traits.Room) * roomMargin
@@ -89,7 +89,7 @@
 }
 
 // Maker returns an endpoint by its life.
-func (g *Gathering) Maker(life string) (model.Endpoint, bool) {
+func (g *BatchQueue) Maker(life string) (model.Endpoint, bool) {
 	m := g.makers[life]
 	if m == nil {
 		return model.Endpoint{}, false
@@ -98,7 +98,7 @@
 }
 
 // Release takes in that a result is no longer held.
-func (g *Gathering) Release(now time.Time, made MadePiece) {
+func (g *BatchQueue) Release(now time.Time, made MadePiece) {
 	m := g.makers[made.Maker]
 	r, known := g.results[made.Handle]
 	delete(g.results, made.Handle)
--- a/kernel/gatherroom_test.go
+++ b/kernel/batchroom_test.go
@@ -19,11 +19,11 @@
 
 const roomResult = 60_000
 
-// lostGatherer plays the pattern "the gatherer is lost with all that it knew": the makers are full of
+// lostBatcher plays the pattern "the batcher is lost with all that it knew": the makers are full of
 // results that nobody frees. They lapse one after the other, as they were made over the last second,
 // Keep after each was made. Requests of four pieces come at three quarters of what the calls can carry.
-type lostGatherer struct {
-	g       *kernel.Gathering
+type lostBatcher struct {
+	g       *kernel.BatchQueue
 	lapses  map[string][]time.Time
 	running []kernel.PieceBatch
 	held    map[string][]kernel.MadePiece
@@ -31,8 +31,8 @@
 	wasted  int
 }
 
-func newLostGatherer(start time.Time, policy kernel.Policy) *lostGatherer {
-	l := &lostGatherer{g: kernel.NewGathering(roomTraits), lapses: map[string][]time.Time{}, held: map[string][]kernel.MadePiece{}}
+func newLostBatcher(start time.Time, policy kernel.Policy) *lostBatcher {
+	l := &lostBatcher{g: kernel.NewBatchQueue(roomTraits), lapses: map[string][]time.Time{}, held: map[string][]kernel.MadePiece{}}
 	l.g.SetPolicy(policy)
 	l.g.SetEndpoints(makers(5))
 	l.g.TakeOver(start)
@@ -46,8 +46,8 @@
 	return l
 }
 
-// foreign is how many results of the lost gatherer a maker holds.
-func (l *lostGatherer) foreign(now time.Time, maker string) int {
+// foreign is how many results of the lost batcher a maker holds.
+func (l *lostBatcher) foreign(now time.Time, maker string) int {
 	n := 0
 	for _, at := range l.lapses[maker] {
 		if now.Before(at) {
@@ -59,7 +59,7 @@
 
 // end ends a call as its maker does: pieces find room or are not made. Results are given up at once, as
 // if their consumers had fetched them.
-func (l *lostGatherer) end(now time.Time, batch kernel.PieceBatch) {
+func (l *lostBatcher) end(now time.Time, batch kernel.PieceBatch) {
 	room := int(roomTraits.Room/roomResult) - l.foreign(batch.StartedAt(), batch.Endpoint.Name)
 	results := madeAll(batch)
 	for i := range results {
@@ -80,7 +80,7 @@
 }
 
 // play returns how many requests were made by the end of each second.
-func (l *lostGatherer) play(start time.Time, seconds int) []int {
+func (l *lostBatcher) play(start time.Time, seconds int) []int {
 	var done []int
 	id := uint64(0)
 	for step := range seconds * 200 {
@@ -110,14 +110,14 @@
 	return done
 }
 
-// What makers refuse tells how much room the lost gatherer's results take, and pieces that found none
+// What makers refuse tells how much room the lost batcher's results take, and pieces that found none
 // are asked for again for as long as they can be on time. With makers put aside whole after a refusal, and
 // three tries a piece, less was served in the seconds in which those results lapse.
-func TestRoomLeftByALostGathererIsLearnt(t *testing.T) {
+func TestRoomLeftByALostBatcherIsLearnt(t *testing.T) {
 	start := time.Unix(1000, 0)
-	learnt := newLostGatherer(start, kernel.Policy{})
+	learnt := newLostBatcher(start, kernel.Policy{})
 	with := learnt.play(start, 6)
-	aside := newLostGatherer(start, kernel.Policy{}.Without(kernel.RoomLearnt))
+	aside := newLostBatcher(start, kernel.Policy{}.Without(kernel.RoomLearnt))
 	without := aside.play(start, 6)
 	t.Logf("requests made by second: learnt %v (%d pieces without room), put aside %v (%d)", with, learnt.wasted, without, aside.wasted)
 	must.GreaterEq(t, without[2], with[2])
@@ -126,12 +126,12 @@
 
 func TestAMakerThatReportsItsRoomIsTakenAtItsWord(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(1)
+	g := newBatchQueue(1)
 	g.TakeOver(now)
 	must.True(t, g.Inherits(now))
 	g.NoteRoom(now, "maker-0", 0)
 	must.EqOp(t, 1, g.RoomTaken(now))
-	g.NoteRoom(now.Add(time.Second), "maker-0", gatherTraits.Room)
+	g.NoteRoom(now.Add(time.Second), "maker-0", batchTraits.Room)
 	must.EqOp(t, 0, g.RoomTaken(now.Add(time.Second)))
-	must.False(t, g.Inherits(now.Add(2*gatherTraits.Keep)))
+	must.False(t, g.Inherits(now.Add(2*batchTraits.Keep)))
 }
--- a/kernel/gatherslow.go
+++ b/kernel/batchslow.go
@@ -23,7 +23,7 @@
 
 // Overdue takes in that a call takes longer than it should. Where nothing queues, its pieces that another endpoint
 // could still make on time wait again; whichever is made first counts. It returns how many.
-func (g *Gathering) Overdue(now time.Time, batch PieceBatch) int {
+func (g *BatchQueue) Overdue(now time.Time, batch PieceBatch) int {
 	if _, runs := g.running[batch.ID]; !runs || !g.policy.Uses(SlowMakers) {
 		return 0
 	}
@@ -47,7 +47,7 @@
 }
 
 // OverdueAfter returns how long after its start a call is overdue.
-func (g *Gathering) OverdueAfter(batch PieceBatch) time.Duration {
+func (g *BatchQueue) OverdueAfter(batch PieceBatch) time.Duration {
 	expected := g.Expected(batch)
 	if batch.probe {
 		expected = batch.stated
@@ -71,7 +71,7 @@
 }
 
 // usualPace is the median of the endpoints' paces: where all are slow, none is to be spared.
-func (g *Gathering) usualPace() float64 {
+func (g *BatchQueue) usualPace() float64 {
 	paces := make([]float64, 0, len(g.makers))
 	for _, m := range g.makers {
 		if m.endpoint.TakesWork() {
@@ -86,13 +86,13 @@
 }
 
 // slow tells whether an endpoint takes much longer than the usual one, or has yet to answer a call that was overdue.
-func (g *Gathering) slow(m *maker, usual float64) bool {
+func (g *BatchQueue) slow(m *maker, usual float64) bool {
 	return g.policy.Uses(SlowMakers) && (m.unanswered || m.pace > slowFactor*usual)
 }
 
 // fillSlow collects the pieces that a slow maker is to make next: of groups that it makes on time, or that are late
 // whoever makes them, where its pace is known; else a single piece from time to time.
-func (g *Gathering) fillSlow(now time.Time, m *maker, order []*waitingGroup) PieceBatch {
+func (g *BatchQueue) fillSlow(now time.Time, m *maker, order []*waitingGroup) PieceBatch {
 	if !m.unanswered {
 		end := now.Add(time.Duration(m.pace * float64(g.callTime(g.traits.Batch))))
 		fit := slices.DeleteFunc(slices.Clone(order), func(w *waitingGroup) bool { return end.After(w.Due) && !g.isLate(now, w) })
--- a/kernel/gatherslow_test.go
+++ b/kernel/batchslow_test.go
@@ -11,10 +11,10 @@
 )
 
 // overdueCall starts a call for a group of two pieces at the first of two makers, and lets it become overdue.
-func overdueCall(t *testing.T, slack time.Duration) (g *kernel.Gathering, call kernel.PieceBatch, now time.Time) {
+func overdueCall(t *testing.T, slack time.Duration) (g *kernel.BatchQueue, call kernel.PieceBatch, now time.Time) {
 	t.Helper()
 	now = time.Unix(1000, 0)
-	g = newGathering(2)
+	g = newBatchQueue(2)
 	ok, _ := g.Add(now, pieceGroup(1, 2, 8000, now.Add(slack)))
 	must.True(t, ok)
 	call, ok = g.Next(now)
--- a/kernel/gathersuspect_test.go
+++ b/kernel/batchsuspect_test.go
@@ -13,7 +13,7 @@
 // under way at each end as it is: nothing could tell them apart, and all would fail.
 func TestRequestsUnderWhichAMakerEndedShareNoCall(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newGathering(3)
+	g := newBatchQueue(3)
 	for id := uint64(1); id <= 3; id++ {
 		group := pieceGroup(id, 2, 8000, now.Add(5*time.Second))
 		for i := range group.Pieces {
--- a/kernel/gatherwait.go
+++ b/kernel/batchwait.go
@@ -7,7 +7,7 @@
 // Wait estimates how long the pieces of a group that comes now wait until their call starts: the
 // work that goes before them, by the time of full batches and by room. One that only the wait makes late is a sign of
 // overload.
-func (g *Gathering) Wait(now time.Time, group PieceGroup) time.Duration {
+func (g *BatchQueue) Wait(now time.Time, group PieceGroup) time.Duration {
 	wait := g.estimate(now, group)
 	alone := now.Add(g.callTime(len(group.Pieces)))
 	if !alone.After(group.Due) && alone.Add(wait).After(group.Due) {
@@ -16,7 +16,7 @@
 	return wait
 }
 
-func (g *Gathering) estimate(now time.Time, group PieceGroup) time.Duration {
+func (g *BatchQueue) estimate(now time.Time, group PieceGroup) time.Duration {
 	makers := g.staying()
 	if makers == 0 {
 		return lapsedGrace
@@ -43,7 +43,7 @@
 // ahead returns how many pieces are made before those of a group, and how many bytes of results find
 // room before its last one has. Work that is late goes after all that is not. Results that are larger
 // wait for room while smaller ones pass them by, so they count as far as there is room for them.
-func (g *Gathering) ahead(now time.Time, group PieceGroup, free float64) (pieces int, bytes int64) {
+func (g *BatchQueue) ahead(now time.Time, group PieceGroup, free float64) (pieces int, bytes int64) {
 	bytes = int64(len(group.Pieces)) * group.ResultBytes
 	shortest := now.Add(g.callTime(1))
 	own := &waitingGroup{PieceGroup: group}
@@ -72,7 +72,7 @@
 }
 
 // backlog is how many full batches wait for each endpoint.
-func (g *Gathering) backlog() float64 {
+func (g *BatchQueue) backlog() float64 {
 	waiting := 0
 	for _, w := range g.groups {
 		waiting += len(w.waiting)
@@ -80,7 +80,7 @@
 	return float64(waiting) / float64(max(1, g.traits.Batch*g.staying()))
 }
 
-func (g *Gathering) staying() int {
+func (g *BatchQueue) staying() int {
 	n := 0
 	for _, m := range g.makers {
 		if m.endpoint.TakesWork() {
@@ -90,7 +90,7 @@
 	return n
 }
 
-func (g *Gathering) free() int {
+func (g *BatchQueue) free() int {
 	n := 0
 	for _, m := range g.makers {
 		if m.endpoint.TakesWork() && m.calls < max(1, g.traits.Slots) {
@@ -100,6 +100,6 @@
 	return n
 }
 
-func (g *Gathering) callTime(pieces int) time.Duration {
+func (g *BatchQueue) callTime(pieces int) time.Duration {
 	return g.traits.CallTime + time.Duration(min(pieces, g.traits.Batch))*g.traits.PieceTime
 }
--- a/kernel/bench_test.go
+++ b/kernel/bench_test.go
@@ -196,8 +196,8 @@
 	return s
 }
 
-// Whoever looks for a pool's gatherer, or for who reads the store, orders the nodes by hash.
-func BenchmarkGatherers(b *testing.B) {
+// Whoever looks for a pool's batcher, or for who reads the store, orders the nodes by hash.
+func BenchmarkNodesByHash(b *testing.B) {
 	for _, n := range []int{9, 400, 4000} {
 		nodes := make([]kernel.Peer, n)
 		for i := range nodes {
@@ -205,7 +205,7 @@
 		}
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for b.Loop() {
-				benchSink = len(kernel.Gatherers("pool", nodes))
+				benchSink = len(kernel.NodesByHash("pool", nodes))
 			}
 		})
 	}
--- a/kernel/cold_test.go
+++ b/kernel/cold_test.go
@@ -212,7 +212,7 @@
 	start := time.Unix(1000, 0)
 	warm, cold := in("a", "warm", "makers"), in("a", "cold", "makers")
 	cold.ColdUntil = start.Add(time.Minute)
-	g := kernel.NewGathering(gatherTraits)
+	g := kernel.NewBatchQueue(batchTraits)
 	share := kernel.ColdTerms{}.Share(4).Single()
 	g.SetCold(share)
 	g.SetEndpoints([]model.Endpoint{warm, cold})
@@ -222,7 +222,7 @@
 	for elapsed := time.Duration(0); elapsed < length; elapsed += 50 * time.Millisecond {
 		now := start.Add(elapsed)
 		id++
-		g.Add(now, pieceGroup(id, gatherTraits.Batch, 10, now.Add(time.Minute)))
+		g.Add(now, pieceGroup(id, batchTraits.Batch, 10, now.Add(time.Minute)))
 		for batch, more := g.Next(now); more; batch, more = g.Next(now) {
 			calls[batch.Endpoint.Name]++
 			g.Done(now, batch, make([]model.PieceResult, len(batch.Pieces)))
--- a/kernel/evacuation_test.go
+++ b/kernel/evacuation_test.go
@@ -140,7 +140,7 @@
 func TestAnEvacuatedDomainGetsNoPieces(t *testing.T) {
 	now := time.Unix(1000, 0)
 	roster := domainsRoster(now, "makers", "a", "b")
-	g := kernel.NewGathering(gatherTraits)
+	g := kernel.NewBatchQueue(batchTraits)
 	g.SetEndpoints(roster.Endpoints("makers"))
 	early := pieceGroup(1, 1, 1000, now.Add(time.Minute))
 	early.Domain = "a"
--- a/kernel/pieces.go
+++ b/kernel/pieces.go
@@ -10,7 +10,7 @@
 type (
 	// PieceGroup is the pieces of one stage of one request. They are wanted together.
 	PieceGroup struct {
-		// ID is unique among the groups of one gathering.
+		// ID is unique among the groups of one batch queue.
 		ID     uint64
 		Pieces []model.Piece
 		// ResultBytes is the approximate size of one result.
@@ -25,7 +25,7 @@
 		Patience time.Duration
 		// Rank is the request's priority; 0 comes first.
 		Rank int
-		// AskedAt is when its sender first asked for it, of whatever gatherer; zero means when it was added.
+		// AskedAt is when its sender first asked for it, of whatever batcher; zero means when it was added.
 		AskedAt time.Time
 		// Due is when the results must be there for the request to be on time; Until is when
 		// they become useless.
--- a/kernel/policy.go
+++ b/kernel/policy.go
@@ -17,10 +17,10 @@
 	ReleasedAtFirstEvent
 	// RoomLearnt takes what makers refuse for lack of room as a measure of what others left there.
 	RoomLearnt
-	// OneGatherer keeps a pool with the node that gathers for it until that one leaves or is lost, and
+	// OneBatcher keeps a pool with the node that batches for it until that one leaves or is lost, and
 	// sends groups on to it that come elsewhere.
-	OneGatherer
-	// NextProbed asks several nodes at once which of them is there when a gatherer was lost.
+	OneBatcher
+	// NextProbed asks several nodes at once which of them is there when a batcher was lost.
 	NextProbed
 	// OwnWait tells each request the wait of its own pieces: by their size and by when they are due.
 	OwnWait
--- a/kernel/reading.go
+++ b/kernel/reading.go
@@ -177,7 +177,7 @@
 			}
 		}
 	}
-	return Gatherers("reader beyond "+r.domain, far)
+	return NodesByHash("reader beyond "+r.domain, far)
 }
 
 // askersOf returns the nodes of a failure domain that are bound to ask the store, the first one first.
@@ -189,7 +189,7 @@
 		}
 	}
 	// A node that started again may be known twice.
-	order := slices.Compact(Gatherers("reader of "+domain, near))
+	order := slices.Compact(NodesByHash("reader of "+domain, near))
 	return order[:min(mostAskers, len(order))]
 }
 
--- a/kernel/reading_test.go
+++ b/kernel/reading_test.go
@@ -227,7 +227,7 @@
 		// A node that knows no more than itself and one other follows it, or reads.
 		rank := 0
 		for _, other := range f.peers {
-			if other.Domain == p.Domain && kernel.Gatherers("reader of "+p.Domain, []kernel.Peer{p, other})[0] != p.Name {
+			if other.Domain == p.Domain && kernel.NodesByHash("reader of "+p.Domain, []kernel.Peer{p, other})[0] != p.Name {
 				rank++
 			}
 		}
--- a/kernel/returning_test.go
+++ b/kernel/returning_test.go
@@ -51,7 +51,7 @@
 // burst plays callers against one pool: for some seconds more come than it can serve, and each that
 // is refused comes back once.
 type burst struct {
-	g        *kernel.Gathering
+	g        *kernel.BatchQueue
 	memory   *kernel.Returning
 	admitted kernel.Admission
 	running  []kernel.PieceBatch
@@ -70,7 +70,7 @@
 func newBurst(memory *kernel.Returning) *burst {
 	route := model.Route{Objective: burstObjective, Timeout: 6 * time.Second, Stages: []model.StageNode{{Pool: "p", ResultBytes: 8000}}}
 	return &burst{
-		g: newGathering(3), memory: memory, admitted: kernel.Admission{Route: route},
+		g: newBatchQueue(3), memory: memory, admitted: kernel.Admission{Route: route},
 		asked: map[uint64]time.Time{}, again: map[uint64]time.Time{},
 	}
 }
@@ -84,7 +84,7 @@
 	}
 	a := b.admitted
 	a.Until = now.Add(6 * time.Second)
-	outlook := []kernel.PoolOutlook{{Traits: gatherTraits, Wait: b.g.Wait(now, pieceGroup(id, 3, 8000, now.Add(burstObjective)))}}
+	outlook := []kernel.PoolOutlook{{Traits: batchTraits, Wait: b.g.Wait(now, pieceGroup(id, 3, 8000, now.Add(burstObjective)))}}
 	plan := kernel.PlanStages(f, a, outlook, burstEngine)
 	refusal := kernel.AdmitStages(now, f, a, plan, outlook)
 	if refusal == nil {
--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -39,7 +39,7 @@
 	}
 
 	// PoolOutlook is what a node expects of a pool: how long pieces wait and which share of the
-	// room is taken, as far as its gatherer last told.
+	// room is taken, as far as its batcher last told.
 	PoolOutlook struct {
 		Traits    model.PieceTraits
 		Wait      time.Duration
--- a/kernel/stageplan_test.go
+++ b/kernel/stageplan_test.go
@@ -30,7 +30,7 @@
 func outlook(wait time.Duration) []kernel.PoolOutlook {
 	out := make([]kernel.PoolOutlook, 4)
 	for i := range out {
-		out[i] = kernel.PoolOutlook{Traits: gatherTraits, Wait: wait}
+		out[i] = kernel.PoolOutlook{Traits: batchTraits, Wait: wait}
 	}
 	return out
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -43,7 +43,7 @@
 	s.set.GetOrCreateHistogram(fmt.Sprintf(`basilstall_answer_seconds{pipeline=%q}`, pipeline)).Update(elapsed.Seconds())
 }
 
-// WaitTold notes which wait a pool's gatherer told for pieces and how long they waited: by how much they
+// WaitTold notes which wait a pool's batcher told for pieces and how long they waited: by how much they
 // waited longer, or less long.
 func (s *Set) WaitTold(pool string, told, waited time.Duration) {
 	side, off := "longer", waited-told
--- a/model/forward.go
+++ b/model/forward.go
@@ -124,7 +124,7 @@
 	PieceInputGone PieceFault = "InputGone"
 	// PieceNoRoom: the endpoint had no room for its result.
 	PieceNoRoom PieceFault = "NoRoom"
-	// PieceMoved: another node gathers for the pool now, and is to be asked.
+	// PieceMoved: another node batches for the pool now, and is to be asked.
 	PieceMoved PieceFault = "Moved"
 	// PieceFailed: the endpoint failed to make it, or the call failed.
 	PieceFailed PieceFault = "Failed"
--- a/peer/message.go
+++ b/peer/message.go
@@ -22,8 +22,8 @@
 	KindDemand
 	KindGrant
 	KindSeal
-	KindGather
-	KindGatherCancel
+	KindBatch
+	KindBatchCancel
 	KindRelease
 	KindProbe
 	KindFeed
@@ -141,9 +141,9 @@
 		From   time.Time
 	}
 
-	// Gather asks the gatherer of a pool for the pieces of one stage of one request. Times are
+	// Batch asks the batcher of a pool for the pieces of one stage of one request. Times are
 	// given as what is left: clocks differ between hosts.
-	Gather struct {
+	Batch struct {
 		Pool string
 		// OnlyAsk asks how long the pieces would wait, and for nothing else.
 		OnlyAsk bool
@@ -164,13 +164,13 @@
 		AskedAgo time.Duration
 		DueIn    time.Duration
 		UntilIn  time.Duration
-		// PassedOver names nodes that did not answer the sender or gather no more: it can't be sent on
+		// PassedOver names nodes that did not answer the sender or batch no more: it can't be sent on
 		// to them.
 		PassedOver []string
 	}
 
-	// GatherReply ends a group.
-	GatherReply struct {
+	// BatchReply ends a group.
+	BatchReply struct {
 		Outcome kernel.GroupOutcome
 		// Refused is true where the group was not taken; RetryAfter says when to come back.
 		Refused    bool
@@ -179,37 +179,37 @@
 		Wait time.Duration
 		// RoomTaken is the share of the pool's room that is taken.
 		RoomTaken float64
-		// Leaving is true where the node gathers no more: the sender asks another one.
+		// Leaving is true where the node batches no more: the sender asks another one.
 		Leaving bool
-		// Moved is true where another node gathers for the pool now. MovedTo names it where it is
+		// Moved is true where another node batches for the pool now. MovedTo names it where it is
 		// known; the sender asks it instead.
 		Moved   bool
 		MovedTo string
 	}
 
-	// TakeOver asks a node that may gather for a pool to leave that to the sender.
+	// TakeOver asks a node that may batch for a pool to leave that to the sender.
 	TakeOver struct {
 		Pool string
 		Node string
-		// Capacity is what the sender's host can carry relative to others; Gathers tells that it
-		// gathers already.
+		// Capacity is what the sender's host can carry relative to others; Batches tells that it
+		// batches already.
 		Capacity float64
-		Gathers  bool
-		// Leaving tells that the sender is leaving itself: it gathers only where all others leave.
+		Batches  bool
+		// Leaving tells that the sender is leaving itself: it batches only where all others leave.
 		Leaving bool
 	}
 
-	// TakeOverReply is from a node that gathered until now, or names the node that goes on to gather.
+	// TakeOverReply is from a node that batched until now, or names the node that goes on to batch.
 	TakeOverReply struct {
-		Gathered bool
-		// MovedTo names the node that gathers as far as is known; Stays is true where that is the
+		Batched bool
+		// MovedTo names the node that batches as far as is known; Stays is true where that is the
 		// answering node itself, which goes on.
 		MovedTo string
 		Stays   bool
 	}
 
-	// GatherCancel withdraws a group that nobody waits for any more.
-	GatherCancel struct {
+	// BatchCancel withdraws a group that nobody waits for any more.
+	BatchCancel struct {
 		Pool  string
 		Group string
 	}
@@ -218,11 +218,11 @@
 	Release struct {
 		Pool string
 		Made []kernel.MadePiece
-		// SentOn is true where a node passed it on to the one that gathers.
+		// SentOn is true where a node passed it on to the one that batches.
 		SentOn bool
 	}
 
-	// ProbeReply tells whether a node gathers pieces.
+	// ProbeReply tells whether a node batches pieces.
 	ProbeReply struct {
 		Leaving bool
 	}
--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -16,8 +16,8 @@
 const (
 	// connectTimeout bounds the attempt to connect to an endpoint that broke off.
 	connectTimeout = 700 * time.Millisecond
-	// gatherTime is how long what else breaks off at the same end is waited for, to be told at once.
-	gatherTime = 20 * time.Millisecond
+	// collectTime is how long what else breaks off at the same end is waited for, to be told at once.
+	collectTime = 20 * time.Millisecond
 	// listTime is how long the list of endpoints may take to say that a process has ended that could not be
 	// connected to: heartbeats have to fail to come, and then the entry lapses.
 	listTime = 8 * time.Second
@@ -45,7 +45,7 @@
 	answers bool
 	// looked is closed once the address was tried.
 	looked chan struct{}
-	// flushing is true while what has gathered is about to be reported.
+	// flushing is true while what was collected is about to be reported.
 	flushing bool
 }
 
@@ -154,7 +154,7 @@
 		return
 	}
 	d.flushing = true
-	time.AfterFunc(gatherTime, func() {
+	time.AfterFunc(collectTime, func() {
 		k.mu.Lock()
 		digests := d.digests
 		d.digests, d.flushing = nil, false
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -184,7 +184,7 @@
 
 // keepers returns the nodes that keep a pool's cases, the first one that decides.
 func (k *Keeper) keepers(pool string) []string {
-	return kernel.Gatherers(pool, k.seams.Peers())
+	return kernel.NodesByHash(pool, k.seams.Peers())
 }
 
 // keeps tells whether this node decides on a pool's cases.
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -28,7 +28,7 @@
 			}
 		}},
 		{"the keeper stands still", time.Second, func(f *fleet) {
-			f.mute[kernel.Gatherers("engines", f.peers("node-0"))[0]] = true
+			f.mute[kernel.NodesByHash("engines", f.peers("node-0"))[0]] = true
 		}},
 		{"the store turns a third of the nodes away", time.Second, func(f *fleet) {
 			for i, name := range f.names {
@@ -90,7 +90,7 @@
 		t.Run(fmt.Sprint("keeper stands still: ", mute), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(t, fleetSize)
-				f.mute[kernel.Gatherers("engines", f.peers("node-0"))[0]] = mute
+				f.mute[kernel.NodesByHash("engines", f.peers("node-0"))[0]] = mute
 				popular := model.NewDigest("popular")
 				refused := 0
 				for range 30 {
--- a/relay/gather.go
+++ b/relay/batch.go
@@ -13,24 +13,24 @@
 )
 
 const (
-	// gatherPatience is how long beyond the time by which a group is due its sender waits for the
-	// gatherer's answer before it turns to the next node.
-	gatherPatience = 200 * time.Millisecond
-	// outlookTimeout bounds the question for a gatherer's queue; without an answer in time the
+	// batchPatience is how long beyond the time by which a group is due its sender waits for the
+	// batcher's answer before it turns to the next node.
+	batchPatience = 200 * time.Millisecond
+	// outlookTimeout bounds the question for a batcher's queue; without an answer in time the
 	// request is taken as if there were none.
 	outlookTimeout = 40 * time.Millisecond
-	// releaseTimeout bounds the word to a gatherer that results are no longer needed.
+	// releaseTimeout bounds the word to a batcher that results are no longer needed.
 	releaseTimeout = time.Second
-	// gathererTries is how many nodes that do not answer a group is sent to: each costs the time after
-	// which silence counts. mostAsked bounds all that are asked: those that do not gather say so
+	// batcherTries is how many nodes that do not answer a group is sent to: each costs the time after
+	// which silence counts. mostAsked bounds all that are asked: those that do not batch say so
 	// within a round trip, and name who does.
-	gathererTries = 3
-	mostAsked     = 12
+	batcherTries = 3
+	mostAsked    = 12
 )
 
 type (
-	// gatherRequest is the pieces of one stage of one request.
-	gatherRequest struct {
+	// batchRequest is the pieces of one stage of one request.
+	batchRequest struct {
 		pool   string
 		pieces []model.Piece
 		// inputs are what each piece is made from; with freeInputs nothing else needs them.
@@ -44,16 +44,16 @@
 		askedAt  time.Time
 		due      time.Time
 		until    time.Time
-		// passedOver names the nodes that did not answer or gather no more.
+		// passedOver names the nodes that did not answer or batch no more.
 		passedOver []string
 	}
 
-	// gatherResult is a gatherer's answer.
-	gatherResult struct {
+	// batchResult is a batcher's answer.
+	batchResult struct {
 		outcome kernel.GroupOutcome
 		refused bool
-		// leaving tells that the node gathers no more because it leaves, moved that another one
-		// gathers, which movedTo names where it is known.
+		// leaving tells that the node batches no more because it leaves, moved that another one
+		// batches, which movedTo names where it is known.
 		leaving    bool
 		moved      bool
 		movedTo    string
@@ -62,26 +62,26 @@
 	}
 )
 
-// gather has the pieces of a group made by the pool's gatherer: one node for each pool, the same
-// for all nodes, so that pieces of all requests share calls. A gatherer that doesn't answer is
+// batch has the pieces of a group made by the pool's batcher: one node for each pool, the same
+// for all nodes, so that pieces of all requests share calls. A batcher that doesn't answer is
 // passed over for the next one.
-func (r *Relay) gather(ctx context.Context, req gatherRequest) stageDone {
+func (r *Relay) batch(ctx context.Context, req batchRequest) stageDone {
 	g := r.hub.find(req.pool)
 	if g == nil {
 		return stageDone{refusal: model.NewRefusal(model.NotRun, model.NoEndpoint, kernel.RetryAfter(refusedRetry), "the pool "+req.pool+" is not known")}
 	}
-	node := r.gathererOf(g, nil)
+	node := r.batcherOf(g, nil)
 	failed := 0
 	for range mostAsked {
-		if node == "" || ctx.Err() != nil || failed >= gathererTries {
+		if node == "" || ctx.Err() != nil || failed >= batcherTries {
 			break
 		}
-		result, err := r.askGatherer(ctx, node, g, req)
+		result, err := r.askBatcher(ctx, node, g, req)
 		if err == nil && !result.leaving && !result.moved {
-			g.noteGatherer(node)
+			g.noteBatcher(node)
 			g.note(result.told)
 			done := result.done(req)
-			done.time.Gatherer = node
+			done.time.Batcher = node
 			if done.refusal == nil {
 				r.metrics.WaitTold(req.pool, done.time.Told, done.time.Waited)
 			}
@@ -93,44 +93,44 @@
 		switch {
 		case err != nil:
 			failed++
-			r.noteGatherer(node, req, err)
+			r.noteBatcher(node, req, err)
 		case result.leaving:
 			r.suspects.suspect(node)
 		default:
-			r.metrics.Event("GathererMoved")
+			r.metrics.Event("BatcherMoved")
 		}
 		switch {
 		case err != nil:
-			node = r.answeringGatherer(ctx, g, req.passedOver)
+			node = r.answeringBatcher(ctx, g, req.passedOver)
 		case result.movedTo != "":
 			node = result.movedTo
 		default:
-			node = r.gathererOf(g, req.passedOver)
+			node = r.batcherOf(g, req.passedOver)
 		}
 	}
-	return stageDone{refusal: model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(refusedRetry), "no node gathered the pieces of pool "+req.pool)}
+	return stageDone{refusal: model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(refusedRetry), "no node batched the pieces of pool "+req.pool)}
 }
 
-// gathererOf returns the node to ask for a pool's pieces: the one that gathered last, else the first by
+// batcherOf returns the node to ask for a pool's pieces: the one that batched last, else the first by
 // hash; empty where all were passed over.
-func (r *Relay) gathererOf(g *gatherer, passedOver []string) string {
-	if known := g.knownGatherer(passedOver); known != "" {
+func (r *Relay) batcherOf(g *batcher, passedOver []string) string {
+	if known := g.knownBatcher(passedOver); known != "" {
 		return known
 	}
-	for _, node := range kernel.Gatherers(g.name, g.peers(r.Reachable())) {
+	for _, node := range kernel.NodesByHash(g.name, g.peers(r.Reachable())) {
 		if !slices.Contains(passedOver, node) {
 			return node
 		}
 	}
-	// Where all others leave too, a node that is leaving gathers for its own requests.
+	// Where all others leave too, a node that is leaving batches for its own requests.
 	if !slices.Contains(passedOver, r.options.Name) {
 		return r.options.Name
 	}
 	return ""
 }
 
-// done says what a gatherer's answer means for the stage.
-func (result gatherResult) done(req gatherRequest) stageDone {
+// done says what a batcher's answer means for the stage.
+func (result batchResult) done(req batchRequest) stageDone {
 	pool := req.pool
 	if result.refused {
 		return stageDone{refusal: model.NewRefusal(model.NotRun, model.StageLate, kernel.RetryAfter(result.retryAfter), "pool "+pool+" has no time for the pieces")}
@@ -152,10 +152,10 @@
 	return done
 }
 
-// outlook returns how long the pieces of several stages would wait, by stage. Gatherers that have not
+// outlook returns how long the pieces of several stages would wait, by stage. Batchers that have not
 // told of their queues lately are asked, and those that have a queue: who waits how long in it depends
 // on the size of the results and on when they are due.
-func (r *Relay) outlook(ctx context.Context, stages []model.StageNode, groups map[int]gatherRequest) []kernel.PoolOutlook {
+func (r *Relay) outlook(ctx context.Context, stages []model.StageNode, groups map[int]batchRequest) []kernel.PoolOutlook {
 	out := r.hub.traitsOf(stages)
 	ctx, cancel := context.WithTimeout(ctx, outlookTimeout)
 	defer cancel()
@@ -178,16 +178,16 @@
 	return out
 }
 
-// askTold asks the pool's gatherer how long pieces wait.
-func (r *Relay) askTold(ctx context.Context, g *gatherer, req gatherRequest) told {
-	node := r.gathererOf(g, nil)
+// askTold asks the pool's batcher how long pieces wait.
+func (r *Relay) askTold(ctx context.Context, g *batcher, req batchRequest) told {
+	node := r.batcherOf(g, nil)
 	if node == r.options.Name {
 		return g.tell(req.group(0))
 	}
-	message := r.gatherMessage(req)
+	message := r.batchMessage(req)
 	message.OnlyAsk = true
-	var reply peer.GatherReply
-	if r.peers.Call(ctx, r.addressOf(node), peer.KindGather, message, &reply) != nil || reply.Leaving {
+	var reply peer.BatchReply
+	if r.peers.Call(ctx, r.addressOf(node), peer.KindBatch, message, &reply) != nil || reply.Leaving {
 		r.metrics.Event("OutlookUnknown")
 		return told{}
 	}
@@ -196,14 +196,14 @@
 	return last
 }
 
-func (r *Relay) noteGatherer(node string, req gatherRequest, err error) {
+func (r *Relay) noteBatcher(node string, req batchRequest, err error) {
 	r.suspects.suspect(node)
-	r.metrics.Event("GathererFailed")
-	r.log.Info().Str("Request", req.pieces[0].Request).Str("Pool", req.pool).Str("Gatherer", node).Err(err).Msg("gatherer did not answer")
+	r.metrics.Event("BatcherFailed")
+	r.log.Info().Str("Request", req.pieces[0].Request).Str("Pool", req.pool).Str("Batcher", node).Err(err).Msg("batcher did not answer")
 }
 
 // group returns the request as the kernel takes it.
-func (req gatherRequest) group(id uint64) kernel.PieceGroup {
+func (req batchRequest) group(id uint64) kernel.PieceGroup {
 	return kernel.PieceGroup{
 		ID:          id,
 		Pieces:      req.pieces,
@@ -228,14 +228,14 @@
 	return ""
 }
 
-// release frees results of one queue by way of its gatherer, which keeps account of the room.
+// release frees results of one queue by way of its batcher, which keeps account of the room.
 func (r *Relay) release(made []kernel.MadePiece) {
 	queue := r.hub.queueOf(made[0])
 	g := r.hub.find(queue)
 	if g == nil {
 		return
 	}
-	node := r.gathererOf(g, nil)
+	node := r.batcherOf(g, nil)
 	if node == r.options.Name {
 		g.free(made)
 		return
@@ -246,7 +246,7 @@
 		defer cancel()
 		var empty peer.Empty
 		if r.peers.Call(ctx, address, peer.KindRelease, peer.Release{Pool: queue, Made: made}, &empty) != nil {
-			// Without a gatherer to keep account, the makers are told from here.
+			// Without a batcher to keep account, the makers are told from here.
 			r.metrics.Event("ReleaseFailed")
 			g.free(made)
 		}
--- a/relay/gatherer.go
+++ b/relay/batcher.go
@@ -14,28 +14,28 @@
 )
 
 const (
-	// pumpAgain is when a gatherer at most looks again while pieces wait: a part of the time that
+	// pumpAgain is when a batcher at most looks again while pieces wait: a part of the time that
 	// a piece waits for its own failure domain.
 	pumpAgain = 30 * time.Millisecond
 	// callPatience is how many times its expected time a call for pieces may take before it is
 	// given up and its pieces are asked for elsewhere, and callGrace what is added to that.
 	callPatience = 2.5
 	callGrace    = 300 * time.Millisecond
-	// outlookMemory is how long a gatherer's word on its queue counts; then it is asked again
+	// outlookMemory is how long a batcher's word on its queue counts; then it is asked again
 	// before a request's stages begin.
 	outlookMemory = 120 * time.Millisecond
 )
 
 type (
-	// told is what a gatherer tells of its queue: how long the pieces that it was asked for wait,
+	// told is what a batcher tells of its queue: how long the pieces that it was asked for wait,
 	// and which share of the pool's room is taken.
 	told struct {
 		wait      time.Duration
 		roomTaken float64
 	}
 
-	// gatherer drives a kernel.Gathering.
-	gatherer struct {
+	// batcher drives a kernel.BatchQueue.
+	batcher struct {
 		relay *Relay
 		// name is that of the queue; its makers are the endpoints of a pool in a region.
 		name   string
@@ -44,34 +44,34 @@
 
 		mu      sync.Mutex
 		traits  model.PieceTraits
-		g       *kernel.Gathering
+		g       *kernel.BatchQueue
 		waiters map[uint64]chan kernel.GroupOutcome
 		timer   *time.Timer
-		// told is what the pool's gatherer last told of its queue, at toldAt.
+		// told is what the pool's batcher last told of its queue, at toldAt.
 		told   told
 		toldAt time.Time
-		// gatheredAt is when the last group came.
-		gatheredAt time.Time
-		// active is true while this node gathers; current is the node that did so last, as far as
+		// batchedAt is when the last group came.
+		batchedAt time.Time
+		// active is true while this node batches; current is the node that did so last, as far as
 		// is known here. begins is held while it is found out who is to.
 		active  bool
 		current string
-		// begun counts how often this node began to gather.
+		// begun counts how often this node began to batch.
 		begun  int
 		begins sync.Mutex
 	}
 )
 
 // makers returns the endpoints that the queue's pieces go to.
-func (g *gatherer) makers(roster kernel.Roster) []model.Endpoint {
+func (g *batcher) makers(roster kernel.Roster) []model.Endpoint {
 	if g.region == "" {
 		return roster.Endpoints(g.pool)
 	}
 	return slices.DeleteFunc(slices.Clone(roster.Endpoints(g.pool)), func(e model.Endpoint) bool { return e.Region != g.region })
 }
 
-// peers returns those of several nodes that may gather for the queue: the ones in its region.
-func (g *gatherer) peers(nodes []kernel.Peer) []kernel.Peer {
+// peers returns those of several nodes that may batch for the queue: the ones in its region.
+func (g *batcher) peers(nodes []kernel.Peer) []kernel.Peer {
 	if g.region == "" {
 		return nodes
 	}
@@ -84,14 +84,14 @@
 	return kernel.PoolOutlook{Wait: t.wait}.Queued()
 }
 
-// lastTold returns what the pool's gatherer last told of its queue, if that was lately.
-func (g *gatherer) lastTold() (told, bool) {
+// lastTold returns what the pool's batcher last told of its queue, if that was lately.
+func (g *batcher) lastTold() (told, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.told, g.relay.now().Sub(g.toldAt) < outlookMemory
 }
 
-func (g *gatherer) note(t told) {
+func (g *batcher) note(t told) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.told = t
@@ -99,25 +99,25 @@
 }
 
 // tell returns what is to be told to who asks for a group.
-func (g *gatherer) tell(group kernel.PieceGroup) told {
+func (g *batcher) tell(group kernel.PieceGroup) told {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.tellLocked(group)
 }
 
-func (g *gatherer) tellLocked(group kernel.PieceGroup) told {
+func (g *batcher) tellLocked(group kernel.PieceGroup) told {
 	now := g.relay.now()
 	return told{wait: g.g.Wait(now, group), roomTaken: g.g.RoomTaken(now)}
 }
 
-// gather takes a group of this or another node in and waits for its end.
-func (g *gatherer) gather(ctx context.Context, group kernel.PieceGroup, passedOver []string) gatherResult {
+// batch takes a group of this or another node in and waits for its end.
+func (g *batcher) batch(ctx context.Context, group kernel.PieceGroup, passedOver []string) batchResult {
 	if elsewhere := g.place(ctx, passedOver); elsewhere != "" {
-		return gatherResult{moved: true, movedTo: elsewhere}
+		return batchResult{moved: true, movedTo: elsewhere}
 	}
 	now := g.relay.now()
 	if kernel.AnyStale(group.Inputs, g.relay.Roster().Superseded) {
-		return gatherResult{outcome: kernel.GroupOutcome{Group: group.ID, Fault: model.PieceInputGone}}
+		return batchResult{outcome: kernel.GroupOutcome{Group: group.ID, Fault: model.PieceInputGone}}
 	}
 	done := make(chan kernel.GroupOutcome, 1)
 	g.mu.Lock()
@@ -129,15 +129,15 @@
 	g.mu.Unlock()
 	if !accepted {
 		g.relay.metrics.Event("PiecesRefused")
-		return gatherResult{refused: true, retryAfter: retry, told: tell}
+		return batchResult{refused: true, retryAfter: retry, told: tell}
 	}
 	g.pump()
 	select {
 	case outcome := <-done:
 		if outcome.Fault == model.PieceMoved {
-			return gatherResult{moved: true, movedTo: g.knownGatherer(nil)}
+			return batchResult{moved: true, movedTo: g.knownBatcher(nil)}
 		}
-		return gatherResult{outcome: outcome, told: tell}
+		return batchResult{outcome: outcome, told: tell}
 	case <-ctx.Done():
 	}
 	g.cancel(group.ID)
@@ -147,10 +147,10 @@
 		g.free(outcome.Made)
 	default:
 	}
-	return gatherResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}, told: tell}
+	return batchResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}, told: tell}
 }
 
-func (g *gatherer) cancel(id uint64) {
+func (g *batcher) cancel(id uint64) {
 	g.mu.Lock()
 	made := g.g.Cancel(id)
 	delete(g.waiters, id)
@@ -159,7 +159,7 @@
 }
 
 // pump makes all calls that can be made now.
-func (g *gatherer) pump() {
+func (g *batcher) pump() {
 	if g.relay.ctx.Err() != nil {
 		return
 	}
@@ -178,7 +178,7 @@
 	}
 }
 
-func (g *gatherer) call(batch kernel.PieceBatch, expected, overdueAfter time.Duration) {
+func (g *batcher) call(batch kernel.PieceBatch, expected, overdueAfter time.Duration) {
 	r := g.relay
 	defer r.guard(func() {
 		g.mu.Lock()
@@ -221,7 +221,7 @@
 
 // crashed tells whether the maker's process ended in the middle of a call, and has that looked into where the
 // connection broke.
-func (g *gatherer) crashed(batch kernel.PieceBatch, err error) bool {
+func (g *batcher) crashed(batch kernel.PieceBatch, err error) bool {
 	var fault *endpoint.Fault
 	if !errors.As(err, &fault) || fault.Kind != endpoint.Cut || fault.Verdict == model.NotRun {
 		return false
@@ -231,7 +231,7 @@
 }
 
 // overdue has the pieces of a call that takes too long made elsewhere, too.
-func (g *gatherer) overdue(batch kernel.PieceBatch) {
+func (g *batcher) overdue(batch kernel.PieceBatch) {
 	r := g.relay
 	g.mu.Lock()
 	again := g.g.Overdue(r.now(), batch)
@@ -242,7 +242,7 @@
 	g.pump()
 }
 
-func (g *gatherer) logCall(batch kernel.PieceBatch, reply PieceReply, err error) {
+func (g *batcher) logCall(batch kernel.PieceBatch, reply PieceReply, err error) {
 	r := g.relay
 	r.metrics.Event("PieceCalls")
 	faults := map[model.PieceFault]int{}
@@ -273,7 +273,7 @@
 }
 
 // finish hands the outcomes of groups to those who wait for them.
-func (g *gatherer) finish(ended []kernel.GroupOutcome) {
+func (g *batcher) finish(ended []kernel.GroupOutcome) {
 	for _, o := range ended {
 		g.mu.Lock()
 		waiting := g.waiters[o.Group]
@@ -287,7 +287,7 @@
 	}
 }
 
-func (g *gatherer) expire() {
+func (g *batcher) expire() {
 	now := g.relay.now()
 	g.mu.Lock()
 	ended := g.g.Expire(now)
--- a/relay/gatherpeer.go
+++ b/relay/batchpeer.go
@@ -10,25 +10,25 @@
 	"basilstall.example/basilstall/peer"
 )
 
-func (r *Relay) askGatherer(ctx context.Context, node string, g *gatherer, req gatherRequest) (gatherResult, error) {
+func (r *Relay) askBatcher(ctx context.Context, node string, g *batcher, req batchRequest) (batchResult, error) {
 	if node == r.options.Name {
-		return g.gather(ctx, req.group(r.groups.Add(1)), req.passedOver), nil
+		return g.batch(ctx, req.group(r.groups.Add(1)), req.passedOver), nil
 	}
 	address := r.addressOf(node)
-	message := r.gatherMessage(req)
-	callCtx, cancel := context.WithTimeout(ctx, max(gatherPatience, message.UntilIn+gatherPatience))
+	message := r.batchMessage(req)
+	callCtx, cancel := context.WithTimeout(ctx, max(batchPatience, message.UntilIn+batchPatience))
 	defer cancel()
-	var reply peer.GatherReply
-	err := r.peers.Call(callCtx, address, peer.KindGather, message, &reply)
+	var reply peer.BatchReply
+	err := r.peers.Call(callCtx, address, peer.KindBatch, message, &reply)
 	if ctx.Err() != nil || callCtx.Err() != nil {
-		// The time is up. That says nothing of the gatherer: its silence would have ended the call.
+		// The time is up. That says nothing of the batcher: its silence would have ended the call.
 		r.cancelGroup(address, message)
-		return gatherResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}}, nil
+		return batchResult{outcome: kernel.GroupOutcome{Fault: model.PieceLate}}, nil
 	}
 	if err != nil {
-		return gatherResult{}, err
+		return batchResult{}, err
 	}
-	return gatherResult{
+	return batchResult{
 		outcome:    reply.Outcome,
 		refused:    reply.Refused,
 		leaving:    reply.Leaving,
@@ -39,11 +39,11 @@
 	}, nil
 }
 
-// gatherMessage returns the request as another node takes it.
-func (r *Relay) gatherMessage(req gatherRequest) peer.Gather {
+// batchMessage returns the request as another node takes it.
+func (r *Relay) batchMessage(req batchRequest) peer.Batch {
 	now := r.now()
 	first := req.pieces[0]
-	message := peer.Gather{
+	message := peer.Batch{
 		Pool:        req.pool,
 		Group:       fmt.Sprintf("%s/%d", r.options.Name, r.groups.Add(1)),
 		Request:     first.Request,
@@ -68,39 +68,39 @@
 }
 
 // cancelGroup withdraws a group whose request was given up.
-func (r *Relay) cancelGroup(address string, m peer.Gather) {
+func (r *Relay) cancelGroup(address string, m peer.Batch) {
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, releaseTimeout)
 		defer cancel()
 		var empty peer.Empty
-		if r.peers.Call(ctx, address, peer.KindGatherCancel, peer.GatherCancel{Pool: m.Pool, Group: m.Group}, &empty) != nil {
-			r.metrics.Event("GatherCancelFailed")
+		if r.peers.Call(ctx, address, peer.KindBatchCancel, peer.BatchCancel{Pool: m.Pool, Group: m.Group}, &empty) != nil {
+			r.metrics.Event("BatchCancelFailed")
 		}
 	}()
 }
 
-// Handlers answer other nodes' calls to this one's gatherers.
+// Handlers answer other nodes' calls to this one's batchers.
 func (r *Relay) Handlers() map[peer.Kind]peer.Handler {
 	handlers := map[peer.Kind]peer.Handler{
-		peer.KindGather:       r.answerGather,
-		peer.KindGatherCancel: r.answerGatherCancel,
-		peer.KindRelease:      r.answerRelease,
-		peer.KindProbe:        r.answerProbe,
-		peer.KindReturn:       r.answerReturn,
-		peer.KindTakeOver:     r.answerTakeOver,
+		peer.KindBatch:       r.answerBatch,
+		peer.KindBatchCancel: r.answerBatchCancel,
+		peer.KindRelease:     r.answerRelease,
+		peer.KindProbe:       r.answerProbe,
+		peer.KindReturn:      r.answerReturn,
+		peer.KindTakeOver:    r.answerTakeOver,
 	}
 	maps.Copy(handlers, r.quarantine.Handlers())
 	return handlers
 }
 
-func (r *Relay) answerGather(ctx context.Context, body []byte) (any, error) {
-	var m peer.Gather
+func (r *Relay) answerBatch(ctx context.Context, body []byte) (any, error) {
+	var m peer.Batch
 	if err := peer.DecodeBody(body, &m); err != nil {
 		return nil, err
 	}
 	g := r.hub.find(m.Pool)
 	if g == nil || r.Leaving() {
-		return peer.GatherReply{Leaving: true}, nil
+		return peer.BatchReply{Leaving: true}, nil
 	}
 	now := r.now()
 	group := kernel.PieceGroup{
@@ -123,14 +123,14 @@
 	}
 	if m.OnlyAsk {
 		tell := g.tell(group)
-		return peer.GatherReply{Wait: tell.wait, RoomTaken: tell.roomTaken}, nil
+		return peer.BatchReply{Wait: tell.wait, RoomTaken: tell.roomTaken}, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.remote.add(m.Group, cancel)
 	defer r.remote.remove(m.Group)
-	result := g.gather(ctx, group, m.PassedOver)
-	return peer.GatherReply{
+	result := g.batch(ctx, group, m.PassedOver)
+	return peer.BatchReply{
 		MovedTo:    result.movedTo,
 		Moved:      result.moved,
 		Outcome:    result.outcome,
@@ -141,8 +141,8 @@
 	}, nil
 }
 
-func (r *Relay) answerGatherCancel(_ context.Context, body []byte) (any, error) {
-	var m peer.GatherCancel
+func (r *Relay) answerBatchCancel(_ context.Context, body []byte) (any, error) {
+	var m peer.BatchCancel
 	if err := peer.DecodeBody(body, &m); err != nil {
 		return nil, err
 	}
@@ -159,7 +159,7 @@
 	if g == nil {
 		return peer.Empty{}, nil
 	}
-	if next := g.knownGatherer(nil); next != "" && !m.SentOn {
+	if next := g.knownBatcher(nil); next != "" && !m.SentOn {
 		m.SentOn = true
 		var empty peer.Empty
 		if r.peers.Call(ctx, r.addressOf(next), peer.KindRelease, m, &empty) == nil {
@@ -174,7 +174,7 @@
 	return peer.ProbeReply{Leaving: r.Leaving()}, nil
 }
 
-// probe asks a node whether it gathers pieces.
+// probe asks a node whether it batches pieces.
 func (r *Relay) probe(node string) bool {
 	address := r.addressOf(node)
 	if address == "" {
--- a/relay/held.go
+++ b/relay/held.go
@@ -52,7 +52,7 @@
 	return true
 }
 
-// forgetInputs notes that what a stage was made from was freed by its gatherer.
+// forgetInputs notes that what a stage was made from was freed by its batcher.
 func (s *stageRun) forgetInputs(stage int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -9,20 +9,20 @@
 	"basilstall.example/basilstall/model"
 )
 
-// hub holds this node's gatherers, one for each pool that carries out pieces, and what other nodes'
-// gatherers told of their queues.
+// hub holds this node's batchers, one for each pool that carries out pieces, and what other nodes'
+// batchers told of their queues.
 type hub struct {
 	relay *Relay
-	// regions are those that the settings tell apart; each pool has a gatherer in each of them, so that pieces reach
+	// regions are those that the settings tell apart; each pool has a batcher in each of them, so that pieces reach
 	// no node outside the regions that their request may be served in.
 	regions []string
 	mu      sync.Mutex
-	// pools holds the gatherers by the names of their queues.
-	pools map[string]*gatherer
+	// pools holds the batchers by the names of their queues.
+	pools map[string]*batcher
 }
 
 func newHub(r *Relay) *hub {
-	h := &hub{relay: r, pools: map[string]*gatherer{}}
+	h := &hub{relay: r, pools: map[string]*batcher{}}
 	for _, region := range r.options.Regions {
 		if !slices.Contains(h.regions, region) {
 			h.regions = append(h.regions, region)
@@ -47,7 +47,7 @@
 	return h.queue(made.Pool, h.relay.options.Regions[made.Domain])
 }
 
-// setTraits brings the gatherers in line with the routing.
+// setTraits brings the batchers in line with the routing.
 func (h *hub) setTraits(table *kernel.RouteTable) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -61,13 +61,13 @@
 	}
 }
 
-// setPool brings the gatherer of a queue in line with what the routing says of its pool.
+// setPool brings the batcher of a queue in line with what the routing says of its pool.
 func (h *hub) setPool(queue, region string, pool model.Pool) {
 	g := h.pools[queue]
 	if g == nil {
-		g = &gatherer{
+		g = &batcher{
 			relay: h.relay, name: queue, pool: pool.Name, region: region,
-			g: kernel.NewGathering(*pool.Pieces), waiters: map[uint64]chan kernel.GroupOutcome{},
+			g: kernel.NewBatchQueue(*pool.Pieces), waiters: map[uint64]chan kernel.GroupOutcome{},
 		}
 		g.g.SetPolicy(h.relay.options.Policy)
 		g.timer = time.AfterFunc(time.Hour, g.pump)
@@ -99,17 +99,17 @@
 	}
 }
 
-func (h *hub) all() []*gatherer {
+func (h *hub) all() []*batcher {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	out := make([]*gatherer, 0, len(h.pools))
+	out := make([]*batcher, 0, len(h.pools))
 	for _, g := range h.pools {
 		out = append(out, g)
 	}
 	return out
 }
 
-func (h *hub) find(queue string) *gatherer {
+func (h *hub) find(queue string) *batcher {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.pools[queue]
@@ -128,7 +128,7 @@
 	return out
 }
 
-// lastOutlook returns what the gatherer of a queue last told, however long ago.
+// lastOutlook returns what the batcher of a queue last told, however long ago.
 func (h *hub) lastOutlook(queue string) kernel.PoolOutlook {
 	g := h.find(queue)
 	if g == nil {
--- a/relay/log.go
+++ b/relay/log.go
@@ -75,7 +75,7 @@
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
 func (times stageTimes) MarshalZerologArray(a *zerolog.Array) {
 	for _, t := range times {
-		a.Dict(zerolog.Dict().Int("Stage", t.Stage).Str("Pool", t.Pool).Str("Gatherer", t.Gatherer).
+		a.Dict(zerolog.Dict().Int("Stage", t.Stage).Str("Pool", t.Pool).Str("Batcher", t.Batcher).
 			Dur("Elapsed", t.Elapsed).Dur("Waited", t.Waited).Dur("Told", t.Told).Str("Fault", string(t.Fault)))
 	}
 }
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// quickProbe is how long a node may take to say that it is there when a gatherer was lost: many
+	// quickProbe is how long a node may take to say that it is there when a batcher was lost: many
 	// round trips between hosts.
 	quickProbe = 100 * time.Millisecond
 	// probedAtOnce is how many nodes are asked at once. With three of five nodes lost at one moment,
@@ -24,13 +24,13 @@
 
 var errNoProbe = errors.New("relay: no answer to a probe")
 
-// answeringGatherer returns the first node for a pool that answers at once, of those that were not passed
+// answeringBatcher returns the first node for a pool that answers at once, of those that were not passed
 // over; this node where none does.
-func (r *Relay) answeringGatherer(ctx context.Context, g *gatherer, passedOver []string) string {
-	if known := g.knownGatherer(passedOver); known != "" || !r.options.Policy.Uses(kernel.NextProbed) {
-		return r.gathererOf(g, passedOver)
+func (r *Relay) answeringBatcher(ctx context.Context, g *batcher, passedOver []string) string {
+	if known := g.knownBatcher(passedOver); known != "" || !r.options.Policy.Uses(kernel.NextProbed) {
+		return r.batcherOf(g, passedOver)
 	}
-	candidates := slices.DeleteFunc(kernel.Gatherers(g.name, g.peers(r.Reachable())), func(node string) bool { return slices.Contains(passedOver, node) })
+	candidates := slices.DeleteFunc(kernel.NodesByHash(g.name, g.peers(r.Reachable())), func(node string) bool { return slices.Contains(passedOver, node) })
 	candidates = candidates[:min(probedAtOnce, len(candidates))]
 	there := r.probeAll(ctx, candidates)
 	for i, node := range candidates {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -54,7 +54,7 @@
 		remote   *remoteGroups
 		// lives ends the calls to endpoints that have started again.
 		lives *lives
-		// returning holds the refused requests of the pools that this node gathers for.
+		// returning holds the refused requests of the pools that this node batches for.
 		returning *returning
 		// quarantine holds back the requests that end the endpoints that run them.
 		quarantine *quarantine.Keeper
@@ -67,7 +67,7 @@
 		cancel   context.CancelFunc
 	}
 
-	// Node is another node, or this one, as a gatherer of pieces.
+	// Node is another node, or this one, as a batcher of pieces.
 	Node struct {
 		Name    string
 		Domain  string
@@ -103,7 +103,7 @@
 	}, now, metrics, log)
 	metrics.Gauge("requests_held_back", func() float64 { return float64(r.quarantine.Len()) })
 	r.suspects = newSuspects(r.ctx, r.probe, func(node string) {
-		r.log.Info().Str("Gatherer", node).Msg("node answers again")
+		r.log.Info().Str("Batcher", node).Msg("node answers again")
 	})
 	roster := kernel.NewRoster()
 	r.roster.Store(&roster)
@@ -130,7 +130,7 @@
 	r.peers.Close()
 }
 
-// Leave makes the relay gather no more pieces for other nodes and take no more requests that
+// Leave makes the relay batch no more pieces for other nodes and take no more requests that
 // might not end before a time.
 func (r *Relay) Leave(gone time.Time) {
 	r.goneAt.Store(&gone)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -184,21 +184,21 @@
 	must.EqOp(t, 0, len(inputs))
 }
 
-// A gatherer may answer late because a call takes long. Only silence says that it is lost: taken for lost,
-// another node would gather beside it.
+// A batcher may answer late because a call takes long. Only silence says that it is lost: taken for lost,
+// another node would batch beside it.
 func TestAGroupThatIsLateAccusesNobody(t *testing.T) {
 	b := newBed(t)
-	gatherer, err := peer.NewServer("127.0.0.1:0", "")
+	batcher, err := peer.NewServer("127.0.0.1:0", "")
 	must.NoError(t, err)
-	defer gatherer.Close()
-	gatherer.Serve(kernel.Member{Node: "other"}, map[peer.Kind]peer.Handler{
-		peer.KindGather: func(ctx context.Context, _ []byte) (any, error) {
+	defer batcher.Close()
+	batcher.Serve(kernel.Member{Node: "other"}, map[peer.Kind]peer.Handler{
+		peer.KindBatch: func(ctx context.Context, _ []byte) (any, error) {
 			<-ctx.Done()
-			return peer.GatherReply{}, nil
+			return peer.BatchReply{}, nil
 		},
-		peer.KindGatherCancel: func(context.Context, []byte) (any, error) { return peer.Empty{}, nil },
+		peer.KindBatchCancel: func(context.Context, []byte) (any, error) { return peer.Empty{}, nil },
 	})
-	b.relay.SetNodes([]relay.Node{{Name: "other", Address: gatherer.Address(), Capacity: 1000}}, nil)
+	b.relay.SetNodes([]relay.Node{{Name: "other", Address: batcher.Address(), Capacity: 1000}}, nil)
 	now := time.Now()
 	f := model.Forward{ID: "id", Method: "POST", URI: "/gen/1", Path: "/gen/1", Host: "h", ReceivedAt: now, Deadline: now.Add(600 * time.Millisecond), Pieces: []int{1}}
 	outcome := b.relay.Serve(context.Background(), f, relay.Responder{Begin: func(int, http.Header) {}, Write: func([]byte) error { return nil }})
@@ -207,8 +207,8 @@
 }
 
 // Seen: a request waited for its pieces until its caller left, though they could long no longer be on time and
-// nothing told the caller. How: the gatherer ended such pieces by the request's deadline alone. Proved by the
-// gatherer's queue as the caller left. The endpoint here never comes free, and the request has a minute.
+// nothing told the caller. How: the batcher ended such pieces by the request's deadline alone. Proved by the
+// batcher's queue as the caller left. The endpoint here never comes free, and the request has a minute.
 func TestARequestWhosePiecesArePassedByIsRefused(t *testing.T) {
 	b := newBed(t)
 	over := make(chan struct{})
--- a/relay/returning.go
+++ b/relay/returning.go
@@ -10,8 +10,8 @@
 	"basilstall.example/basilstall/peer"
 )
 
-// returning guards a kernel.Returning, which one node holds for each pool of stages: its gatherer,
-// whom all nodes talk to anyway. It is soft state: with the gatherer lost, callers that come back
+// returning guards a kernel.Returning, which one node holds for each pool of stages: its batcher,
+// whom all nodes talk to anyway. It is soft state: with the batcher lost, callers that come back
 // count as new ones.
 type returning struct {
 	mu     sync.Mutex
@@ -82,7 +82,7 @@
 
 // returnKeeper returns the node that remembers the refused requests of a route.
 func (r *Relay) returnKeeper(stages []model.StageNode) string {
-	return kernel.Gatherers(stages[0].Pool, r.Reachable())[0]
+	return kernel.NodesByHash(stages[0].Pool, r.Reachable())[0]
 }
 
 func (r *Relay) answerReturn(_ context.Context, body []byte) (any, error) {
--- a/relay/room.go
+++ b/relay/room.go
@@ -21,7 +21,7 @@
 
 // free gives results up at their makers. Their room is given out again only once the maker has
 // confirmed: a call that overtakes the word would find no room.
-func (g *gatherer) free(made []kernel.MadePiece) {
+func (g *batcher) free(made []kernel.MadePiece) {
 	byMaker := map[string][]kernel.MadePiece{}
 	for _, m := range made {
 		byMaker[m.Maker] = append(byMaker[m.Maker], m)
@@ -37,9 +37,9 @@
 	}
 }
 
-// freeFetched gives up the inputs that calls have fetched. Beside another gatherer it does not: where
+// freeFetched gives up the inputs that calls have fetched. Beside another batcher it does not: where
 // two of them call the same maker, one call waits there for the other, and fetches later than reckoned.
-func (g *gatherer) freeFetched() {
+func (g *batcher) freeFetched() {
 	g.mu.Lock()
 	alone := g.active && !g.relay.Leaving()
 	g.mu.Unlock()
@@ -59,7 +59,7 @@
 	}
 }
 
-func (g *gatherer) freeAt(maker model.Endpoint, made []kernel.MadePiece) {
+func (g *batcher) freeAt(maker model.Endpoint, made []kernel.MadePiece) {
 	ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
 	defer cancel()
 	if err := g.relay.wire.Free(ctx, maker, handlesOf(made)); err != nil {
@@ -75,9 +75,9 @@
 	g.pump()
 }
 
-// askRooms asks the makers for their room until no result of another gatherer can be left: those
+// askRooms asks the makers for their room until no result of another batcher can be left: those
 // lapse one after the other, and room that is not known to be free is lost to requests.
-func (g *gatherer) askRooms() {
+func (g *batcher) askRooms() {
 	for {
 		for _, maker := range g.makers(g.relay.Roster()) {
 			if maker.State != model.Evacuated {
@@ -90,13 +90,13 @@
 	}
 }
 
-func (g *gatherer) inherits() bool {
+func (g *batcher) inherits() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.g.Inherits(g.relay.now())
 }
 
-func (g *gatherer) askRoom(maker model.Endpoint) {
+func (g *batcher) askRoom(maker model.Endpoint) {
 	ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
 	defer cancel()
 	free, err := g.relay.wire.Room(ctx, maker)
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -35,7 +35,7 @@
 	stageDone struct {
 		stage int
 		made  []kernel.MadePiece
-		// inputsFreed is true where the gatherer freed what the stage was made from.
+		// inputsFreed is true where the batcher freed what the stage was made from.
 		inputsFreed bool
 		refusal     *model.Refusal
 		time        StageTime
@@ -91,7 +91,7 @@
 	if len(run.plan.Last) == 0 {
 		return run, nil
 	}
-	groups := map[int]gatherRequest{}
+	groups := map[int]batchRequest{}
 	for i := range run.stages {
 		if kernel.PiecesOf(j.forward, i) > 0 {
 			groups[i] = j.group(run, i)
@@ -152,7 +152,7 @@
 	return running
 }
 
-// collectInputs gathers the results that the engine needs.
+// collectInputs lists the results that the engine needs.
 func (s *stageRun) collectInputs() {
 	var last []kernel.MadePiece
 	for _, i := range s.plan.Last {
@@ -184,9 +184,9 @@
 }
 
 // group prepares the pieces of a stage.
-func (j *job) group(run *stageRun, stage int) gatherRequest {
+func (j *job) group(run *stageRun, stage int) batchRequest {
 	node := j.admission.Route.Stages[stage]
-	g := gatherRequest{
+	g := batchRequest{
 		pool:    run.queue(stage),
 		domain:  run.domain,
 		bytes:   node.ResultBytes,
@@ -226,9 +226,9 @@
 	return g
 }
 
-func (j *job) runStage(ctx context.Context, stage int, group gatherRequest) stageDone {
+func (j *job) runStage(ctx context.Context, stage int, group batchRequest) stageDone {
 	began := j.relay.now()
-	done := j.relay.gather(ctx, group)
+	done := j.relay.batch(ctx, group)
 	done.stage = stage
 	done.time.Stage = stage
 	done.time.Pool = group.pool
--- a/relay/takeover.go
+++ b/relay/takeover.go
@@ -12,52 +12,52 @@
 )
 
 const (
-	// takeOverAfter is how long a node has not gathered for a pool when another may have done it:
+	// takeOverAfter is how long a node has not batched for a pool when another may have done it:
 	// a pool in use gets pieces far more often.
 	takeOverAfter = 1500 * time.Millisecond
-	// takeOverTimeout bounds the question to those that may gather; the first pieces wait for it,
+	// takeOverTimeout bounds the question to those that may batch; the first pieces wait for it,
 	// and a node that was lost does not answer.
 	takeOverTimeout = 60 * time.Millisecond
-	// confirmEvery is how often a node that gathers asks whether another does too: after a cut or a
+	// confirmEvery is how often a node that batches asks whether another does too: after a cut or a
 	// freeze both may, until they hear of each other.
 	confirmEvery = 500 * time.Millisecond
-	// takeOverAsks is how many nodes are asked beside the one that gathered last: those that come
-	// first for the pool. Any node that sent pieces lately knows who gathers.
+	// takeOverAsks is how many nodes are asked beside the one that batched last: those that come
+	// first for the pool. Any node that sent pieces lately knows who batches.
 	takeOverAsks = 2
 )
 
-// place decides where a group is to be gathered: here, where the name is empty, or at another node. Two
-// nodes that gather for one pool would give the same room out twice and call makers that are busy, so a
-// node that does not gather yet sends groups on to the one that does, and begins only where there is none.
-func (g *gatherer) place(ctx context.Context, passedOver []string) (elsewhere string) {
+// place decides where a group is to be batched: here, where the name is empty, or at another node. Two
+// nodes that batch for one pool would give the same room out twice and call makers that are busy, so a
+// node that does not batch yet sends groups on to the one that does, and begins only where there is none.
+func (g *batcher) place(ctx context.Context, passedOver []string) (elsewhere string) {
 	g.begins.Lock()
 	defer g.begins.Unlock()
-	if g.gathers() {
+	if g.batches() {
 		return ""
 	}
-	if other := g.follows(passedOver); other != "" && g.relay.options.Policy.Uses(kernel.OneGatherer) {
+	if other := g.follows(passedOver); other != "" && g.relay.options.Policy.Uses(kernel.OneBatcher) {
 		return other
 	}
 	return g.begin(ctx, passedOver)
 }
 
-// gathers tells whether this node gathers for the pool, and notes that a group came.
-func (g *gatherer) gathers() bool {
+// batches tells whether this node batches for the pool, and notes that a group came.
+func (g *batcher) batches() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.relay.now()
-	g.active = g.active && now.Sub(g.gatheredAt) < takeOverAfter
-	g.gatheredAt = now
+	g.active = g.active && now.Sub(g.batchedAt) < takeOverAfter
+	g.batchedAt = now
 	return g.active
 }
 
-// follows returns the other node that gathers, as far as is known here, or that is to; empty where it
+// follows returns the other node that batches, as far as is known here, or that is to; empty where it
 // is this one.
-func (g *gatherer) follows(passedOver []string) string {
-	if other := g.knownGatherer(passedOver); other != "" {
+func (g *batcher) follows(passedOver []string) string {
+	if other := g.knownBatcher(passedOver); other != "" {
 		return other
 	}
-	for _, node := range kernel.Gatherers(g.name, g.peers(g.relay.Reachable())) {
+	for _, node := range kernel.NodesByHash(g.name, g.peers(g.relay.Reachable())) {
 		if node == g.relay.options.Name {
 			return ""
 		}
@@ -68,8 +68,8 @@
 	return ""
 }
 
-// knownGatherer returns the other node that was last seen to gather, while it is reachable.
-func (g *gatherer) knownGatherer(passedOver []string) string {
+// knownBatcher returns the other node that was last seen to batch, while it is reachable.
+func (g *batcher) knownBatcher(passedOver []string) string {
 	g.mu.Lock()
 	known := g.current
 	g.mu.Unlock()
@@ -79,22 +79,22 @@
 	return known
 }
 
-func (g *gatherer) noteGatherer(node string) {
+func (g *batcher) noteBatcher(node string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.current = node
 }
 
-// begin asks those that may gather for the pool to hand it over. It returns the node that goes on to
-// gather instead; empty where this one does from now on.
-func (g *gatherer) begin(ctx context.Context, passedOver []string) (elsewhere string) {
+// begin asks those that may batch for the pool to hand it over. It returns the node that goes on to
+// batch instead; empty where this one does from now on.
+func (g *batcher) begin(ctx context.Context, passedOver []string) (elsewhere string) {
 	r := g.relay
 	g.mu.Lock()
 	g.g.TakeOver(r.now())
 	g.mu.Unlock()
 	yielded, other := g.askOthers(ctx, g.question(false))
-	if other != "" && !slices.Contains(passedOver, other) && r.options.Policy.Uses(kernel.OneGatherer) {
-		g.noteGatherer(other)
+	if other != "" && !slices.Contains(passedOver, other) && r.options.Policy.Uses(kernel.OneBatcher) {
+		g.noteBatcher(other)
 		return other
 	}
 	g.mu.Lock()
@@ -104,30 +104,30 @@
 	begun := g.begun
 	worthAsking := g.traits.Room >= roomWorthAsking
 	g.mu.Unlock()
-	r.metrics.Event("GathererTookOver")
-	r.log.Info().Str("Pool", g.name).Bool("Yielded", yielded).Msg("gathering begins here")
+	r.metrics.Event("BatcherTookOver")
+	r.log.Info().Str("Pool", g.name).Bool("Yielded", yielded).Msg("batching begins here")
 	if worthAsking {
 		go g.askRooms()
 	}
-	if r.options.Policy.Uses(kernel.OneGatherer) {
+	if r.options.Policy.Uses(kernel.OneBatcher) {
 		go g.confirm(begun)
 	}
 	return ""
 }
 
-// question is what other nodes are asked that may gather for the pool.
-func (g *gatherer) question(gathers bool) peer.TakeOver {
+// question is what other nodes are asked that may batch for the pool.
+func (g *batcher) question(batches bool) peer.TakeOver {
 	r := g.relay
-	return peer.TakeOver{Pool: g.name, Node: r.options.Name, Capacity: r.options.Capacity, Gathers: gathers, Leaving: r.Leaving()}
+	return peer.TakeOver{Pool: g.name, Node: r.options.Name, Capacity: r.options.Capacity, Batches: batches, Leaving: r.Leaving()}
 }
 
-// confirm asks from time to time whether another node gathers too, until this one gathers no more or has
+// confirm asks from time to time whether another node batches too, until this one batches no more or has
 // begun anew.
-func (g *gatherer) confirm(begun int) {
+func (g *batcher) confirm(begun int) {
 	r := g.relay
 	for clock.Sleep(r.ctx, confirmEvery) {
 		g.mu.Lock()
-		active := g.active && g.begun == begun && r.now().Sub(g.gatheredAt) < takeOverAfter
+		active := g.active && g.begun == begun && r.now().Sub(g.batchedAt) < takeOverAfter
 		g.mu.Unlock()
 		if !active {
 			return
@@ -139,19 +139,19 @@
 	}
 }
 
-// askOthers asks those that may gather for the pool. It tells whether one yielded, and returns the node that
+// askOthers asks those that may batch for the pool. It tells whether one yielded, and returns the node that
 // does not.
-func (g *gatherer) askOthers(ctx context.Context, question peer.TakeOver) (yielded bool, other string) {
+func (g *batcher) askOthers(ctx context.Context, question peer.TakeOver) (yielded bool, other string) {
 	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
 	defer cancel()
-	asked := g.formerGatherers()
+	asked := g.formerBatchers()
 	for _, reply := range g.ask(ctx, asked, question) {
 		if named := reply.MovedTo; named != "" && named != g.relay.options.Name && !slices.Contains(asked, named) {
-			// Only the node itself knows whether it gathers still.
+			// Only the node itself knows whether it batches still.
 			reply = g.ask(ctx, []string{named}, question)[0]
 		}
 		switch {
-		case reply.Gathered:
+		case reply.Batched:
 			yielded = true
 		case reply.Stays:
 			other = reply.MovedTo
@@ -161,7 +161,7 @@
 }
 
 // ask asks several nodes at once; nodes that do not answer leave empty replies.
-func (g *gatherer) ask(ctx context.Context, nodes []string, question peer.TakeOver) []peer.TakeOverReply {
+func (g *batcher) ask(ctx context.Context, nodes []string, question peer.TakeOver) []peer.TakeOverReply {
 	r := g.relay
 	var asked sync.WaitGroup
 	replies := make([]peer.TakeOverReply, len(nodes))
@@ -176,16 +176,16 @@
 	return replies
 }
 
-// formerGatherers returns the other nodes that may gather for the pool, whether they are reachable or not:
+// formerBatchers returns the other nodes that may batch for the pool, whether they are reachable or not:
 // a node that is leaving may still hold groups that wait.
-func (g *gatherer) formerGatherers() []string {
+func (g *batcher) formerBatchers() []string {
 	var peers []kernel.Peer
 	for _, n := range *g.relay.nodes.Load() {
 		if n.Name != g.relay.options.Name {
 			peers = append(peers, kernel.Peer{Name: n.Name, Domain: n.Domain, Capacity: n.Capacity})
 		}
 	}
-	order := kernel.Gatherers(g.name, g.peers(peers))
+	order := kernel.NodesByHash(g.name, g.peers(peers))
 	nodes := order[:min(takeOverAsks, len(order))]
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -195,17 +195,17 @@
 	return nodes
 }
 
-// yield answers a node that gathers or is about to: this one leaves the pool to it, or says who gathers.
-func (g *gatherer) yield(m peer.TakeOver) peer.TakeOverReply {
+// yield answers a node that batches or is about to: this one leaves the pool to it, or says who batches.
+func (g *batcher) yield(m peer.TakeOver) peer.TakeOverReply {
 	r := g.relay
 	g.mu.Lock()
-	active := g.active && r.now().Sub(g.gatheredAt) < takeOverAfter
+	active := g.active && r.now().Sub(g.batchedAt) < takeOverAfter
 	g.mu.Unlock()
 	if !active {
-		return peer.TakeOverReply{MovedTo: g.knownGatherer([]string{m.Node})}
+		return peer.TakeOverReply{MovedTo: g.knownBatcher([]string{m.Node})}
 	}
-	own := kernel.PoolClaim{Peer: kernel.Peer{Name: r.options.Name, Capacity: r.options.Capacity}, Gathers: true, Leaving: r.Leaving()}
-	other := kernel.PoolClaim{Peer: kernel.Peer{Name: m.Node, Capacity: m.Capacity}, Gathers: m.Gathers, Leaving: m.Leaving}
+	own := kernel.PoolClaim{Peer: kernel.Peer{Name: r.options.Name, Capacity: r.options.Capacity}, Batches: true, Leaving: r.Leaving()}
+	other := kernel.PoolClaim{Peer: kernel.Peer{Name: m.Node, Capacity: m.Capacity}, Batches: m.Batches, Leaving: m.Leaving}
 	switch kernel.AnswerClaim(g.name, own, other) {
 	case kernel.KeepPool:
 		return peer.TakeOverReply{MovedTo: r.options.Name, Stays: true}
@@ -214,20 +214,20 @@
 	default:
 		r.suspects.clear(m.Node)
 		g.stepDown(m.Node)
-		return peer.TakeOverReply{Gathered: true}
+		return peer.TakeOverReply{Batched: true}
 	}
 }
 
 // stepDown leaves the pool to another node.
-func (g *gatherer) stepDown(to string) {
+func (g *batcher) stepDown(to string) {
 	r := g.relay
 	g.mu.Lock()
 	g.active, g.current = false, to
 	moved := g.g.HandOver()
 	g.mu.Unlock()
 	g.finish(moved)
-	r.metrics.Event("GathererYielded")
-	r.log.Info().Str("Pool", g.name).Str("To", to).Int("Groups", len(moved)).Msg("gathering handed over")
+	r.metrics.Event("BatcherYielded")
+	r.log.Info().Str("Pool", g.name).Str("To", to).Int("Groups", len(moved)).Msg("batching handed over")
 }
 
 func (r *Relay) answerTakeOver(_ context.Context, body []byte) (any, error) {
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -109,14 +109,14 @@
 	}
 
 	// StageTime says how long a stage took, how much of that its pieces waited for a call, and which
-	// wait the gatherer told when they came.
+	// wait the batcher told when they came.
 	StageTime struct {
-		Stage    int
-		Pool     string
-		Gatherer string
-		Elapsed  time.Duration
-		Waited   time.Duration
-		Told     time.Duration
-		Fault    model.PieceFault
+		Stage   int
+		Pool    string
+		Batcher string
+		Elapsed time.Duration
+		Waited  time.Duration
+		Told    time.Duration
+		Fault   model.PieceFault
 	}
 )
