--- a/kernel/batch.go
+++ b/kernel/batch.go
@@ -15,9 +15,9 @@
 	// together stay together, and pieces that just missed them wait for a whole call; spaced
 	// evenly, a piece waits for a part of the spacing.
 	spacing = 0.8
-	// makerPause is how long an endpoint that refused a call as full gets no other: a part of
+	// workerPause is how long an endpoint that refused a call as full gets no other: a part of
 	// the shortest call.
-	makerPause = 60 * time.Millisecond
+	workerPause = 60 * time.Millisecond
 	// pieceTries bounds how often a piece is asked for.
 	pieceTries = 3
 	// paceWeight is the weight of the newest call in an endpoint's pace.
@@ -36,8 +36,8 @@
 	// an endpoint. No piece is started whose result would find no room. It changes in place.
 	BatchQueue struct {
 		traits model.PieceTraits
-		// makers holds the pool's endpoints by their lives.
-		makers  map[string]*maker
+		// workers holds the pool's endpoints by their lives.
+		workers map[string]*worker
 		groups  map[uint64]*waitingGroup
 		running map[uint64]PieceBatch
 		// results holds what is known to occupy room, by handle.
@@ -47,7 +47,7 @@
 		hold time.Duration
 		// lastStart is when the last call was handed out.
 		lastStart time.Time
-		// sharedUntil is until when calls of another batcher may be under way at the makers,
+		// sharedUntil is until when calls of another batcher may be under way at the workers,
 		// foreignUntil until when results may lie there that it had made.
 		sharedUntil  time.Time
 		foreignUntil time.Time
@@ -56,11 +56,11 @@
 		byRank bool
 		// overloadedAt is when it last showed that not all can be on time.
 		overloadedAt time.Time
-		// cold bounds the calls to cold makers.
+		// cold bounds the calls to cold workers.
 		cold ColdShare
 	}
 
-	maker struct {
+	worker struct {
 		endpoint model.Endpoint
 		calls    int
 		// calledAt is when it last got a call.
@@ -94,15 +94,15 @@
 		// fetchedAt is when the calls under way have fetched the inputs.
 		fetchedAt   time.Time
 		inputsFreed bool
-		// suspect is true once a maker ended while it made this group's pieces: no two such groups share a call, so
-		// that what ends a maker does not take the same others' pieces with it again and again.
+		// suspect is true once a worker ended while it made this group's pieces: no two such groups share a call, so
+		// that what ends a worker does not take the same others' pieces with it again and again.
 		suspect bool
 	}
 
 	heldResult struct {
-		maker string
-		bytes int64
-		// since is when its call started, until when its maker drops it.
+		worker string
+		bytes  int64
+		// since is when its call started, until when its worker drops it.
 		since time.Time
 		until time.Time
 	}
@@ -112,7 +112,7 @@
 func NewBatchQueue(traits model.PieceTraits) *BatchQueue {
 	return &BatchQueue{
 		traits:  traits,
-		makers:  map[string]*maker{},
+		workers: map[string]*worker{},
 		groups:  map[uint64]*waitingGroup{},
 		running: map[uint64]PieceBatch{},
 		results: map[string]heldResult{},
@@ -130,30 +130,30 @@
 	g.traits = traits
 }
 
-// SetCold says how often one node may call a maker that is cold.
+// SetCold says how often one node may call a worker that is cold.
 func (g *BatchQueue) SetCold(share ColdShare) {
 	g.cold = share
 }
 
-// SetEndpoints brings the makers in line with the roster. What a maker held is gone with it.
+// SetEndpoints brings the workers in line with the roster. What a worker held is gone with it.
 func (g *BatchQueue) SetEndpoints(endpoints []model.Endpoint) {
 	listed := make(map[string]bool, len(endpoints))
 	for _, e := range endpoints {
 		listed[e.Life()] = true
-		m := g.makers[e.Life()]
+		m := g.workers[e.Life()]
 		if m == nil {
-			m = &maker{pace: 1}
-			g.makers[e.Life()] = m
+			m = &worker{pace: 1}
+			g.workers[e.Life()] = m
 		}
 		m.endpoint = e
 	}
-	for life := range g.makers {
+	for life := range g.workers {
 		if listed[life] {
 			continue
 		}
-		delete(g.makers, life)
+		delete(g.workers, life)
 		for handle, r := range g.results {
-			if r.maker == life {
+			if r.worker == life {
 				delete(g.results, handle)
 			}
 		}
@@ -162,7 +162,7 @@
 
 // Add takes a group in, or tells that it cannot be made in time and when to come back.
 func (g *BatchQueue) Add(now time.Time, group PieceGroup) (accepted bool, retryAfter time.Duration) {
-	if len(g.makers) > 0 && g.staying() == 0 {
+	if len(g.workers) > 0 && g.staying() == 0 {
 		return false, RetryAfter(evacuatedRetry)
 	}
 	wait := g.Wait(now, group)
@@ -196,7 +196,7 @@
 }
 
 // Expire ends the groups that can no longer be made in time and forgets results that their
-// makers no longer hold.
+// workers no longer hold.
 func (g *BatchQueue) Expire(now time.Time) []GroupOutcome {
 	var ended []GroupOutcome
 	latest := now.Add(g.callTime(1))
@@ -213,7 +213,7 @@
 	ended = append(ended, g.endPassedBy(now)...)
 	for handle, r := range g.results {
 		if now.After(r.until) {
-			g.Release(now, MadePiece{Handle: handle, Maker: r.maker})
+			g.Release(now, MadePiece{Handle: handle, Worker: r.worker})
 		}
 	}
 	return ended
@@ -230,7 +230,7 @@
 // Used returns how much room of an endpoint is taken, as far as is known here, and how many calls
 // it works on.
 func (g *BatchQueue) Used(life string) (bytes int64, calls int) {
-	m := g.makers[life]
+	m := g.workers[life]
 	if m == nil {
 		return 0, 0
 	}
--- a/kernel/batch_property_test.go
+++ b/kernel/batch_property_test.go
@@ -31,7 +31,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &batchMachine{
 			now:     time.Unix(1000, 0),
-			g:       newBatchQueue(rapid.IntRange(1, 4).Draw(t, "makers")),
+			g:       newBatchQueue(rapid.IntRange(1, 4).Draw(t, "workers")),
 			open:    map[uint64]int{},
 			held:    map[string]int64{},
 			inCalls: map[string]int64{},
@@ -85,7 +85,7 @@
 	}
 }
 
-// expire lets time pass until all makers have dropped what they hold.
+// expire lets time pass until all workers have dropped what they hold.
 func (m *batchMachine) expire(t *rapid.T) {
 	m.ended(t, m.g.Expire(m.now))
 	m.now = m.now.Add(2 * batchTraits.Keep)
--- a/kernel/batch_test.go
+++ b/kernel/batch_test.go
@@ -16,10 +16,10 @@
 	Room: 18_000_000, Keep: 4 * time.Second,
 }
 
-func makers(n int) []model.Endpoint {
+func workers(n int) []model.Endpoint {
 	var out []model.Endpoint
 	for i := range n {
-		out = append(out, model.Endpoint{Name: fmt.Sprint("maker-", i), Pool: "p", FailureDomain: fmt.Sprint("domain-", i%3), State: model.Live})
+		out = append(out, model.Endpoint{Name: fmt.Sprint("worker-", i), Pool: "p", FailureDomain: fmt.Sprint("domain-", i%3), State: model.Live})
 	}
 	return out
 }
@@ -42,7 +42,7 @@
 
 func newBatchQueue(n int) *kernel.BatchQueue {
 	g := kernel.NewBatchQueue(batchTraits)
-	g.SetEndpoints(makers(n))
+	g.SetEndpoints(workers(n))
 	return g
 }
 
@@ -87,13 +87,13 @@
 		g.Done(now, batch, results)
 	}
 	must.Len(t, 11, handles, must.Sprint("11 results of 1.5 MB fill 97% of 18 MB"))
-	g.Release(now, kernel.MadePiece{Handle: handles[0], Maker: "maker-0"})
+	g.Release(now, kernel.MadePiece{Handle: handles[0], Worker: "worker-0"})
 	batch, ok := g.Next(now)
 	must.True(t, ok)
 	must.Len(t, 1, batch.Pieces)
 }
 
-func TestResultsThatNobodyFreedAreForgottenWhenTheirMakerDropsThem(t *testing.T) {
+func TestResultsThatNobodyFreedAreForgottenWhenTheirWorkerDropsThem(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := newBatchQueue(1)
 	g.Add(now, pieceGroup(1, 8, 2_000_000, now.Add(5*time.Second)))
@@ -148,7 +148,7 @@
 	}
 }
 
-func TestAMakerWithoutRoomIsLeftAlone(t *testing.T) {
+func TestAWorkerWithoutRoomIsLeftAlone(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := newBatchQueue(2)
 	g.Add(now, pieceGroup(1, 1, 1_500_000, now.Add(5*time.Second)))
@@ -163,7 +163,7 @@
 	now := time.Unix(1000, 0)
 	g := newBatchQueue(1)
 	g.TakeOver(now)
-	g.NoteRoom(now, "maker-0", 4_000_000)
+	g.NoteRoom(now, "worker-0", 4_000_000)
 	g.Add(now, pieceGroup(1, 8, 1_500_000, now.Add(5*time.Second)))
 	batch, ok := g.Next(now)
 	must.True(t, ok)
@@ -171,7 +171,7 @@
 	g.Done(now, batch, madeAll(batch))
 	_, ok = g.Next(now.Add(g.Spacing()))
 	must.False(t, ok)
-	g.Release(now, kernel.MadePiece{Handle: "unknown here", Maker: "maker-0", Bytes: 3_000_000})
+	g.Release(now, kernel.MadePiece{Handle: "unknown here", Worker: "worker-0", Bytes: 3_000_000})
 	batch, ok = g.Next(now.Add(g.Spacing()))
 	must.True(t, ok)
 	must.Len(t, 2, batch.Pieces)
@@ -189,7 +189,7 @@
 	// 12 of 17.46 MB are taken; the slot is free.
 	must.Positive(t, g.Wait(now, group))
 	for _, r := range results {
-		g.Release(now.Add(900*time.Millisecond), kernel.MadePiece{Handle: r.Handle, Maker: "maker-0"})
+		g.Release(now.Add(900*time.Millisecond), kernel.MadePiece{Handle: r.Handle, Worker: "worker-0"})
 	}
 	must.Eq(t, 0, g.Wait(now, group))
 }
@@ -242,10 +242,10 @@
 	must.NotEq(t, "domain-1", batch.Endpoint.FailureDomain)
 }
 
-func TestALeavingMakerGetsNothing(t *testing.T) {
+func TestALeavingWorkerGetsNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := newBatchQueue(1)
-	leaving := makers(1)
+	leaving := workers(1)
 	leaving[0].State = model.Leaving
 	g.SetEndpoints(leaving)
 	group := pieceGroup(1, 1, 0, now.Add(9*time.Second))
@@ -254,10 +254,10 @@
 	must.False(t, ok)
 }
 
-// Under load a maker that comes free finds many groups waiting: among groups due at about the same
+// Under load a worker that comes free finds many groups waiting: among groups due at about the same
 // time it takes those whose inputs lie in its own failure domain. At equal load half as many bytes
 // of results crossed between domains.
-func TestAMakerTakesGroupsOfItsOwnDomainFirst(t *testing.T) {
+func TestAWorkerTakesGroupsOfItsOwnDomainFirst(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := newBatchQueue(2)
 	due := now.Add(2 * time.Second)
@@ -282,7 +282,7 @@
 	must.Eq(t, []string{"request-1"}, took["domain-1"])
 }
 
-// Each piece of a stage fetches all results of the stage before, 1.4 MB a request, and five makers lie in
+// Each piece of a stage fetches all results of the stage before, 1.4 MB a request, and five workers lie in
 // three failure domains. At two thirds of what the calls carry, groups that may wait for the next call of
 // their domain hardly ever move, and wait no longer than a call.
 func TestPiecesWaitForTheirInputsDomain(t *testing.T) {
@@ -292,7 +292,7 @@
 		start := time.Unix(1000, 0)
 		g := kernel.NewBatchQueue(traits)
 		g.SetPolicy(policy)
-		g.SetEndpoints(makers(5))
+		g.SetEndpoints(workers(5))
 		domains := map[uint64]string{}
 		var running []kernel.PieceBatch
 		end := func(now time.Time, batch kernel.PieceBatch) {
@@ -333,10 +333,10 @@
 	must.LessEq(t, 2*full, longest)
 }
 
-// A maker that starts again under its name holds nothing: its room is free, results of its former life
+// A worker that starts again under its name holds nothing: its room is free, results of its former life
 // are not counted against it, and pieces made from them end at once, as the new process may give their
 // handles to other requests.
-func TestAMakerThatStartsAgainHoldsNothing(t *testing.T) {
+func TestAWorkerThatStartsAgainHoldsNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	first := model.Endpoint{Name: "m", Pool: "p", State: model.Live, Started: time.Unix(900, 0)}
 	again := first
@@ -349,7 +349,7 @@
 	ended, _ := g.Done(now.Add(200*time.Millisecond), batch, []model.PieceResult{{Handle: "h1"}, {Handle: "h2"}})
 	must.SliceLen(t, 1, ended)
 	made := ended[0].Made
-	must.EqOp(t, first.Life(), made[0].Maker)
+	must.EqOp(t, first.Life(), made[0].Worker)
 	now = now.Add(time.Second)
 	must.True(t, addPieces(g, now, 2, 2, 400))
 	_, ok = g.Next(now)
--- a/kernel/batchcall.go
+++ b/kernel/batchcall.go
@@ -15,7 +15,7 @@
 		return PieceBatch{}, false
 	}
 	usual := g.usualPace()
-	var slow []*maker
+	var slow []*worker
 	for _, m := range g.idle(now) {
 		if g.slow(m, usual) {
 			slow = append(slow, m)
@@ -52,9 +52,9 @@
 	return n
 }
 
-// fill collects the pieces that a maker is to make next. A group's pieces stay together where
+// fill collects the pieces that a worker is to make next. A group's pieces stay together where
 // they fit.
-func (g *BatchQueue) fill(now time.Time, m *maker, order []*waitingGroup) PieceBatch {
+func (g *BatchQueue) fill(now time.Time, m *worker, order []*waitingGroup) PieceBatch {
 	var batch PieceBatch
 	room := math.Inf(1)
 	if g.traits.Room > 0 {
@@ -86,7 +86,7 @@
 	return batch
 }
 
-func (g *BatchQueue) start(now time.Time, m *maker, batch PieceBatch) PieceBatch {
+func (g *BatchQueue) start(now time.Time, m *worker, batch PieceBatch) PieceBatch {
 	g.batches++
 	batch.ID = g.batches
 	batch.Endpoint = m.endpoint
@@ -116,7 +116,7 @@
 // times the pace that the endpoint showed.
 func (g *BatchQueue) Expected(batch PieceBatch) time.Duration {
 	pace := 1.0
-	if m := g.makers[batch.Endpoint.Life()]; m != nil {
+	if m := g.workers[batch.Endpoint.Life()]; m != nil {
 		pace = max(1, m.pace)
 	}
 	return time.Duration(float64(batch.stated) * pace)
--- a/kernel/batchend.go
+++ b/kernel/batchend.go
@@ -11,7 +11,7 @@
 func (g *BatchQueue) Refused(now time.Time, batch PieceBatch) []GroupOutcome {
 	m := g.end(batch, nil)
 	if m != nil {
-		m.pausedUntil = now.Add(makerPause)
+		m.pausedUntil = now.Add(workerPause)
 		g.lastStart = time.Time{}
 		m.health.Probing = false
 	}
@@ -27,7 +27,7 @@
 	return g.retryPieces(now, batch, nil, model.PieceFailed, true)
 }
 
-// Crashed takes in that a maker's process ended in the middle of a call: one of the pieces may have ended it.
+// Crashed takes in that a worker's process ended in the middle of a call: one of the pieces may have ended it.
 func (g *BatchQueue) Crashed(now time.Time, batch PieceBatch) []GroupOutcome {
 	for _, id := range batch.groups {
 		if w := g.groups[id]; w != nil {
@@ -64,8 +64,8 @@
 			}
 			continue
 		}
-		g.results[r.Handle] = heldResult{maker: batch.Endpoint.Life(), bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)}
-		made := MadePiece{Number: p.Number, Handle: r.Handle, Maker: batch.Endpoint.Life(), Pool: batch.Endpoint.Pool, Domain: batch.Endpoint.FailureDomain, Bytes: batch.bytes[i]}
+		g.results[r.Handle] = heldResult{worker: batch.Endpoint.Life(), bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)}
+		made := MadePiece{Number: p.Number, Handle: r.Handle, Worker: batch.Endpoint.Life(), Pool: batch.Endpoint.Pool, Domain: batch.Endpoint.FailureDomain, Bytes: batch.bytes[i]}
 		w := g.groups[batch.groups[i]]
 		if w == nil || w.has(p.Number) {
 			unwanted = append(unwanted, made)
@@ -88,14 +88,14 @@
 }
 
 // end frees the slot of a call, and the room of the pieces that were not made.
-func (g *BatchQueue) end(batch PieceBatch, results []model.PieceResult) *maker {
+func (g *BatchQueue) end(batch PieceBatch, results []model.PieceResult) *worker {
 	delete(g.running, batch.ID)
 	for i, p := range batch.Pieces {
 		if w := g.groups[batch.groups[i]]; w != nil {
 			w.running[p.Number]--
 		}
 	}
-	m := g.makers[batch.Endpoint.Life()]
+	m := g.workers[batch.Endpoint.Life()]
 	if m == nil {
 		return nil
 	}
@@ -143,7 +143,7 @@
 	return GroupOutcome{Group: w.ID, Made: w.made, Fault: fault, Waited: w.waited, InputsFreed: w.inputsFreed}
 }
 
-// EndStale ends the waiting groups whose inputs went with a life of their maker: a process that
+// EndStale ends the waiting groups whose inputs went with a life of their worker: a process that
 // started again may give the same handle to another request's result.
 func (g *BatchQueue) EndStale(superseded func(life string) bool) []GroupOutcome {
 	var ended []GroupOutcome
@@ -157,7 +157,7 @@
 	return ended
 }
 
-// AnyStale tells whether any of several results went with a life of its maker.
+// AnyStale tells whether any of several results went with a life of its worker.
 func AnyStale(made []MadePiece, superseded func(life string) bool) bool {
-	return slices.ContainsFunc(made, func(m MadePiece) bool { return superseded(m.Maker) })
+	return slices.ContainsFunc(made, func(m MadePiece) bool { return superseded(m.Worker) })
 }
--- a/kernel/batchfailure_test.go
+++ b/kernel/batchfailure_test.go
@@ -21,7 +21,7 @@
 	must.Len(t, 3, second.Pieces)
 }
 
-func TestAnUnreachableMakerIsPutAsideAtOnce(t *testing.T) {
+func TestAnUnreachableWorkerIsPutAsideAtOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := newBatchQueue(2)
 	for id := uint64(1); id <= 2; id++ {
--- a/kernel/batchfetch.go
+++ b/kernel/batchfetch.go
@@ -7,7 +7,7 @@
 	// latest: some round trips.
 	fetchGrace = 60 * time.Millisecond
 	// fetchMargin is how many times the time that the endpoint's link needs for the inputs they may
-	// take: their makers' links carry other calls' inputs too.
+	// take: their workers' links carry other calls' inputs too.
 	fetchMargin = 2
 	// scarceRoom is the share of a pool's room from which on it counts as scarce: with more left,
 	// twice the results that are usually held find room.
@@ -45,7 +45,7 @@
 // twice as long. The price: a piece whose call fails after that can't be made again.
 func (g *BatchQueue) Fetched(now time.Time) []MadePiece {
 	if now.Before(g.sharedUntil) {
-		// Another batcher's call may come first at a maker; then the inputs are fetched later.
+		// Another batcher's call may come first at a worker; then the inputs are fetched later.
 		return nil
 	}
 	var out []MadePiece
--- a/kernel/batchfetch_test.go
+++ b/kernel/batchfetch_test.go
@@ -21,14 +21,14 @@
 	g := pieceGroup(id, pieces, 6000, now.Add(2*time.Second))
 	g.FreeInputs = free
 	for n := range 4 {
-		g.Inputs = append(g.Inputs, kernel.MadePiece{Number: n, Handle: "input", Maker: "before", Pool: "q", Bytes: 60_000})
+		g.Inputs = append(g.Inputs, kernel.MadePiece{Number: n, Handle: "input", Worker: "before", Pool: "q", Bytes: 60_000})
 	}
 	return g
 }
 
 func fetchQueue(now time.Time, groups ...kernel.PieceGroup) *kernel.BatchQueue {
 	g := kernel.NewBatchQueue(fetchTraits)
-	g.SetEndpoints(makers(1))
+	g.SetEndpoints(workers(1))
 	for _, group := range groups {
 		g.Add(now, group)
 	}
--- a/kernel/batchhandover_test.go
+++ b/kernel/batchhandover_test.go
@@ -28,11 +28,11 @@
 	must.SliceEmpty(t, unwanted)
 }
 
-// Beside another batcher's calls a call may wait at its maker, and fetch later than reckoned.
+// Beside another batcher's calls a call may wait at its worker, and fetch later than reckoned.
 func TestInputsAreKeptWhileAnotherBatchersCallsMayBeUnderWay(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := kernel.NewBatchQueue(fetchTraits)
-	g.SetEndpoints(makers(1))
+	g.SetEndpoints(workers(1))
 	g.TakeOver(now)
 	g.Add(now, fetchingGroup(1, 10, now, true))
 	batch, ok := g.Next(now)
--- a/kernel/batchload_test.go
+++ b/kernel/batchload_test.go
@@ -36,7 +36,7 @@
 		held time.Duration
 		// ranks are those of the groups in turn; all have the first where there are none.
 		ranks []int
-		// slow makers take slowX times as long between from and to.
+		// slow workers take slowX times as long between from and to.
 		slow  []string
 		slowX float64
 	}
@@ -50,7 +50,7 @@
 		wait        time.Duration
 	}
 
-	// simulatedPool drives a batch queue in virtual time, with makers that work one call at a time.
+	// simulatedPool drives a batch queue in virtual time, with workers that work one call at a time.
 	simulatedPool struct {
 		g      *kernel.BatchQueue
 		load   pieceLoad
@@ -243,13 +243,13 @@
 		load := pieceLoad{
 			seed: seed, length: 12 * time.Second, perSecond: 16, burst: 1, from: 2 * time.Second, to: 10 * time.Second,
 			slack: 900 * time.Millisecond, patience: 5 * time.Second, held: 300 * time.Millisecond,
-			slow: []string{"maker-1"}, slowX: 3.5,
+			slow: []string{"worker-1"}, slowX: 3.5,
 		}
 		groups := simulate(load, kernel.Policy{})
 		served, _ := onTime(groups)
 		onTimeWith += served
 		missedWith += len(groups) - served
-		groups = simulate(load, kernel.Policy{}.Without(kernel.SlowMakers))
+		groups = simulate(load, kernel.Policy{}.Without(kernel.SlowWorkers))
 		served, _ = onTime(groups)
 		onTimeWithout += served
 		missedWithout += len(groups) - served
--- a/kernel/batchorder.go
+++ b/kernel/batchorder.go
@@ -70,9 +70,9 @@
 	return false
 }
 
-// orderFor returns the groups in the order in which a maker is to take them: those whose inputs lie
+// orderFor returns the groups in the order in which a worker is to take them: those whose inputs lie
 // in another failure domain count as due later, by how long they would wait for their own.
-func (g *BatchQueue) orderFor(now time.Time, m *maker, order []*waitingGroup) []*waitingGroup {
+func (g *BatchQueue) orderFor(now time.Time, m *worker, order []*waitingGroup) []*waitingGroup {
 	shortest := now.Add(g.callTime(1))
 	later := func(w *waitingGroup) time.Duration {
 		if w.Domain == "" || w.Domain == m.endpoint.FailureDomain {
@@ -114,10 +114,10 @@
 	return p.Due.Add(time.Duration(p.Rank) * urgencyStep)
 }
 
-// idle returns the makers that may get a call, those that have most room first.
-func (g *BatchQueue) idle(now time.Time) []*maker {
-	var out []*maker
-	for _, m := range g.makers {
+// idle returns the workers that may get a call, those that have most room first.
+func (g *BatchQueue) idle(now time.Time) []*worker {
+	var out []*worker
+	for _, m := range g.workers {
 		if m.calls >= max(1, g.traits.Slots) || !m.endpoint.TakesWork() {
 			continue
 		}
@@ -128,7 +128,7 @@
 			out = append(out, m)
 		}
 	}
-	slices.SortFunc(out, func(a, b *maker) int {
+	slices.SortFunc(out, func(a, b *worker) int {
 		if c := cmp.Compare(g.freeRoom(now, b), g.freeRoom(now, a)); c != 0 {
 			return c
 		}
@@ -137,16 +137,16 @@
 	return out
 }
 
-// suits tells whether a maker may make a group: in the domain where the inputs lie, or
+// suits tells whether a worker may make a group: in the domain where the inputs lie, or
 // anywhere once the group has waited.
-func (g *BatchQueue) suits(now time.Time, m *maker, w *waitingGroup) bool {
+func (g *BatchQueue) suits(now time.Time, m *worker, w *waitingGroup) bool {
 	if w.Domain == "" || m.endpoint.FailureDomain == w.Domain {
 		return true
 	}
 	if now.Sub(w.arrived) >= w.Patience || !g.policy.Uses(NearInputs) {
 		return true
 	}
-	for _, other := range g.makers {
+	for _, other := range g.workers {
 		if other.endpoint.FailureDomain == w.Domain && other.endpoint.TakesWork() {
 			return false
 		}
--- a/kernel/batchpassed.go
+++ b/kernel/batchpassed.go
@@ -6,7 +6,7 @@
 	"basilstall.example/basilstall/model"
 )
 
-// mostPassedBy is for how many full calls a group may wait on that can no longer be on time. Each maker has turned
+// mostPassedBy is for how many full calls a group may wait on that can no longer be on time. Each worker has turned
 // to the queue as often meanwhile, and found work that could still be on time, or no room.
 const mostPassedBy = 1
 
--- a/kernel/batchroom.go
+++ b/kernel/batchroom.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// refusedRoom is how long room counts as taken that a maker refused a result for: about as long
-	// as results are held. It shrinks meanwhile, so that pieces try the maker again as results
+	// refusedRoom is how long room counts as taken that a worker refused a result for: about as long
+	// as results are held. It shrinks meanwhile, so that pieces try the worker again as results
 	// lapse; a third or twice as long serves some per cent less after a batcher was lost.
 	refusedRoom = 700 * time.Millisecond
 	// handoverCalls is for how many full calls after a take-over another batcher's calls may be
@@ -32,14 +32,14 @@
 // NoteRoom takes in how much room an endpoint reports to have free: what is missing beyond the
 // results known here belongs to another batcher, whose place this one took.
 func (g *BatchQueue) NoteRoom(now time.Time, life string, free int64) {
-	if m := g.makers[life]; m != nil {
+	if m := g.workers[life]; m != nil {
 		m.setForeign(now, g.foreignUntil, g.traits.Room-free-m.used)
 	}
 }
 
 // noteFull takes in that a call found no room for a result although there should have been some: all
 // that is not used by results known here is taken by others.
-func (g *BatchQueue) noteFull(now time.Time, m *maker) {
+func (g *BatchQueue) noteFull(now time.Time, m *worker) {
 	taken := g.traits.Room - m.used
 	if !g.policy.Uses(RoomLearnt) {
 		taken = g.traits.Room
@@ -47,7 +47,7 @@
 	m.setForeign(now, now.Add(refusedRoom), taken)
 }
 
-func (m *maker) setForeign(now, until time.Time, bytes int64) {
+func (m *worker) setForeign(now, until time.Time, bytes int64) {
 	m.foreign = max(0, bytes)
 	m.foreignAt = now
 	m.foreignUntil = until
@@ -55,7 +55,7 @@
 
 // foreignRoom is how much room others' results are taken to fill. They lapse one after the other, so
 // what was noted shrinks evenly until the last is gone.
-func (m *maker) foreignRoom(now time.Time) float64 {
+func (m *worker) foreignRoom(now time.Time) float64 {
 	if m.foreign == 0 || !now.Before(m.foreignUntil) {
 		return 0
 	}
@@ -63,12 +63,12 @@
 	return float64(m.foreign) * left
 }
 
-// freeRoom is how much room a maker is taken to have, in bytes; it may be negative.
-func (g *BatchQueue) freeRoom(now time.Time, m *maker) float64 {
+// freeRoom is how much room a worker is taken to have, in bytes; it may be negative.
+func (g *BatchQueue) freeRoom(now time.Time, m *worker) float64 {
 	return float64(g.traits.Room)*roomMargin - float64(m.used) - m.foreignRoom(now)
 }
 
-// RoomTaken returns which share of the makers' room is taken, between 0 and 1.
+// RoomTaken returns which share of the workers' room is taken, between 0 and 1.
 func (g *BatchQueue) RoomTaken(now time.Time) float64 {
 	total, free := g.room(now)
 	if total <= 0 {
@@ -77,9 +77,9 @@
 	return 1 - free/total
 }
 
-// room returns how much room the makers have in all, and how much of it is free.
+// room returns how much room the workers have in all, and how much of it is free.
 func (g *BatchQueue) room(now time.Time) (total, free float64) {
-	for _, m := range g.makers {
+	for _, m := range g.workers {
 		if m.endpoint.TakesWork() {
 			total += float64(g.traits.Room) * roomMargin
 			free += max(0, g.freeRoom(now, m))
@@ -88,9 +88,9 @@
 	return total, free
 }
 
-// Maker returns an endpoint by its life.
-func (g *BatchQueue) Maker(life string) (model.Endpoint, bool) {
-	m := g.makers[life]
+// Worker returns an endpoint by its life.
+func (g *BatchQueue) Worker(life string) (model.Endpoint, bool) {
+	m := g.workers[life]
 	if m == nil {
 		return model.Endpoint{}, false
 	}
@@ -99,7 +99,7 @@
 
 // Release takes in that a result is no longer held.
 func (g *BatchQueue) Release(now time.Time, made MadePiece) {
-	m := g.makers[made.Maker]
+	m := g.workers[made.Worker]
 	r, known := g.results[made.Handle]
 	delete(g.results, made.Handle)
 	switch {
--- a/kernel/batchroom_test.go
+++ b/kernel/batchroom_test.go
@@ -11,7 +11,7 @@
 )
 
 // roomTraits are those of a pool whose results are many and small beside its room of 3 MB, which its
-// makers do not tell: 28 pieces of 60 kB a call, five makers, calls of 444 ms.
+// workers do not tell: 28 pieces of 60 kB a call, five workers, calls of 444 ms.
 var roomTraits = model.PieceTraits{
 	Slots: 1, Batch: 28, CallTime: 240 * time.Millisecond, PieceTime: 7300 * time.Microsecond,
 	Room: 3_000_000, Keep: 4 * time.Second, Link: 1_250_000_000,
@@ -19,7 +19,7 @@
 
 const roomResult = 60_000
 
-// lostBatcher plays the pattern "the batcher is lost with all that it knew": the makers are full of
+// lostBatcher plays the pattern "the batcher is lost with all that it knew": the workers are full of
 // results that nobody frees. They lapse one after the other, as they were made over the last second,
 // Keep after each was made. Requests of four pieces come at three quarters of what the calls can carry.
 type lostBatcher struct {
@@ -34,11 +34,11 @@
 func newLostBatcher(start time.Time, policy kernel.Policy) *lostBatcher {
 	l := &lostBatcher{g: kernel.NewBatchQueue(roomTraits), lapses: map[string][]time.Time{}, held: map[string][]kernel.MadePiece{}}
 	l.g.SetPolicy(policy)
-	l.g.SetEndpoints(makers(5))
+	l.g.SetEndpoints(workers(5))
 	l.g.TakeOver(start)
 	// The loss was 1.5 s ago: nodes need that to come back.
 	lost := start.Add(-1500 * time.Millisecond)
-	for _, m := range makers(5) {
+	for _, m := range workers(5) {
 		for i := range 50 {
 			l.lapses[m.Name] = append(l.lapses[m.Name], lost.Add(roomTraits.Keep-time.Duration(i)*20*time.Millisecond))
 		}
@@ -46,10 +46,10 @@
 	return l
 }
 
-// foreign is how many results of the lost batcher a maker holds.
-func (l *lostBatcher) foreign(now time.Time, maker string) int {
+// foreign is how many results of the lost batcher a worker holds.
+func (l *lostBatcher) foreign(now time.Time, worker string) int {
 	n := 0
-	for _, at := range l.lapses[maker] {
+	for _, at := range l.lapses[worker] {
 		if now.Before(at) {
 			n++
 		}
@@ -57,7 +57,7 @@
 	return n
 }
 
-// end ends a call as its maker does: pieces find room or are not made. Results are given up at once, as
+// end ends a call as its worker does: pieces find room or are not made. Results are given up at once, as
 // if their consumers had fetched them.
 func (l *lostBatcher) end(now time.Time, batch kernel.PieceBatch) {
 	room := int(roomTraits.Room/roomResult) - l.foreign(batch.StartedAt(), batch.Endpoint.Name)
@@ -110,8 +110,8 @@
 	return done
 }
 
-// What makers refuse tells how much room the lost batcher's results take, and pieces that found none
-// are asked for again for as long as they can be on time. With makers put aside whole after a refusal, and
+// What workers refuse tells how much room the lost batcher's results take, and pieces that found none
+// are asked for again for as long as they can be on time. With workers put aside whole after a refusal, and
 // three tries a piece, less was served in the seconds in which those results lapse.
 func TestRoomLeftByALostBatcherIsLearnt(t *testing.T) {
 	start := time.Unix(1000, 0)
@@ -124,14 +124,14 @@
 	must.GreaterEq(t, 60*3*9/10, with[5]-with[2], must.Sprint("what comes is served once the results have lapsed"))
 }
 
-func TestAMakerThatReportsItsRoomIsTakenAtItsWord(t *testing.T) {
+func TestAWorkerThatReportsItsRoomIsTakenAtItsWord(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := newBatchQueue(1)
 	g.TakeOver(now)
 	must.True(t, g.Inherits(now))
-	g.NoteRoom(now, "maker-0", 0)
+	g.NoteRoom(now, "worker-0", 0)
 	must.EqOp(t, 1, g.RoomTaken(now))
-	g.NoteRoom(now.Add(time.Second), "maker-0", batchTraits.Room)
+	g.NoteRoom(now.Add(time.Second), "worker-0", batchTraits.Room)
 	must.EqOp(t, 0, g.RoomTaken(now.Add(time.Second)))
 	must.False(t, g.Inherits(now.Add(2*batchTraits.Keep)))
 }
--- a/kernel/batchslow.go
+++ b/kernel/batchslow.go
@@ -24,10 +24,10 @@
 // Overdue takes in that a call takes longer than it should. Where nothing queues, its pieces that another endpoint
 // could still make on time wait again; whichever is made first counts. It returns how many.
 func (g *BatchQueue) Overdue(now time.Time, batch PieceBatch) int {
-	if _, runs := g.running[batch.ID]; !runs || !g.policy.Uses(SlowMakers) {
+	if _, runs := g.running[batch.ID]; !runs || !g.policy.Uses(SlowWorkers) {
 		return 0
 	}
-	if m := g.makers[batch.Endpoint.Life()]; m != nil {
+	if m := g.workers[batch.Endpoint.Life()]; m != nil {
 		m.unanswered = true
 	}
 	if g.backlog() > lateBacklog {
@@ -56,7 +56,7 @@
 }
 
 // notePace takes in how long a call took.
-func (m *maker) notePace(now time.Time, batch PieceBatch, usual float64) {
+func (m *worker) notePace(now time.Time, batch PieceBatch, usual float64) {
 	weight := paceWeight
 	if m.unanswered || m.pace > slowFactor*usual {
 		weight = recoverWeight
@@ -72,8 +72,8 @@
 
 // usualPace is the median of the endpoints' paces: where all are slow, none is to be spared.
 func (g *BatchQueue) usualPace() float64 {
-	paces := make([]float64, 0, len(g.makers))
-	for _, m := range g.makers {
+	paces := make([]float64, 0, len(g.workers))
+	for _, m := range g.workers {
 		if m.endpoint.TakesWork() {
 			paces = append(paces, m.pace)
 		}
@@ -86,13 +86,13 @@
 }
 
 // slow tells whether an endpoint takes much longer than the usual one, or has yet to answer a call that was overdue.
-func (g *BatchQueue) slow(m *maker, usual float64) bool {
-	return g.policy.Uses(SlowMakers) && (m.unanswered || m.pace > slowFactor*usual)
+func (g *BatchQueue) slow(m *worker, usual float64) bool {
+	return g.policy.Uses(SlowWorkers) && (m.unanswered || m.pace > slowFactor*usual)
 }
 
-// fillSlow collects the pieces that a slow maker is to make next: of groups that it makes on time, or that are late
+// fillSlow collects the pieces that a slow worker is to make next: of groups that it makes on time, or that are late
 // whoever makes them, where its pace is known; else a single piece from time to time.
-func (g *BatchQueue) fillSlow(now time.Time, m *maker, order []*waitingGroup) PieceBatch {
+func (g *BatchQueue) fillSlow(now time.Time, m *worker, order []*waitingGroup) PieceBatch {
 	if !m.unanswered {
 		end := now.Add(time.Duration(m.pace * float64(g.callTime(g.traits.Batch))))
 		fit := slices.DeleteFunc(slices.Clone(order), func(w *waitingGroup) bool { return end.After(w.Due) && !g.isLate(now, w) })
--- a/kernel/batchslow_test.go
+++ b/kernel/batchslow_test.go
@@ -10,7 +10,7 @@
 	"basilstall.example/basilstall/model"
 )
 
-// overdueCall starts a call for a group of two pieces at the first of two makers, and lets it become overdue.
+// overdueCall starts a call for a group of two pieces at the first of two workers, and lets it become overdue.
 func overdueCall(t *testing.T, slack time.Duration) (g *kernel.BatchQueue, call kernel.PieceBatch, now time.Time) {
 	t.Helper()
 	now = time.Unix(1000, 0)
--- a/kernel/batchsuspect_test.go
+++ b/kernel/batchsuspect_test.go
@@ -9,9 +9,9 @@
 	"basilstall.example/basilstall/model"
 )
 
-// A piece may end the maker that begins to make it. What shared its call would go with it to the next maker, and be
+// A piece may end the worker that begins to make it. What shared its call would go with it to the next worker, and be
 // under way at each end as it is: nothing could tell them apart, and all would fail.
-func TestRequestsUnderWhichAMakerEndedShareNoCall(t *testing.T) {
+func TestRequestsUnderWhichAWorkerEndedShareNoCall(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := newBatchQueue(3)
 	for id := uint64(1); id <= 3; id++ {
--- a/kernel/batchwait.go
+++ b/kernel/batchwait.go
@@ -17,14 +17,14 @@
 }
 
 func (g *BatchQueue) estimate(now time.Time, group PieceGroup) time.Duration {
-	makers := g.staying()
-	if makers == 0 {
+	workers := g.staying()
+	if workers == 0 {
 		return lapsedGrace
 	}
 	total, free := g.room(now)
 	ahead, aheadBytes := g.ahead(now, group, free)
 	full := g.callTime(g.traits.Batch)
-	calls := float64(makers * max(1, g.traits.Slots))
+	calls := float64(workers * max(1, g.traits.Slots))
 	// With all endpoints busy, one comes free after a call's share on average.
 	first := float64(full) / (2 * calls)
 	if g.free() > 0 {
@@ -82,7 +82,7 @@
 
 func (g *BatchQueue) staying() int {
 	n := 0
-	for _, m := range g.makers {
+	for _, m := range g.workers {
 		if m.endpoint.TakesWork() {
 			n++
 		}
@@ -92,7 +92,7 @@
 
 func (g *BatchQueue) free() int {
 	n := 0
-	for _, m := range g.makers {
+	for _, m := range g.workers {
 		if m.endpoint.TakesWork() && m.calls < max(1, g.traits.Slots) {
 			n++
 		}
--- a/kernel/cold_test.go
+++ b/kernel/cold_test.go
@@ -207,10 +207,10 @@
 	must.True(t, kernel.IsCold(ended.Add(time.Second), r.Endpoints("p")[0]), must.Sprint("an entry may have been written before the end"))
 }
 
-// A maker that is cold gets its calls one by one, and the others make the rest.
-func TestAColdMakerGetsFewCalls(t *testing.T) {
+// A worker that is cold gets its calls one by one, and the others make the rest.
+func TestAColdWorkerGetsFewCalls(t *testing.T) {
 	start := time.Unix(1000, 0)
-	warm, cold := in("a", "warm", "makers"), in("a", "cold", "makers")
+	warm, cold := in("a", "warm", "workers"), in("a", "cold", "workers")
 	cold.ColdUntil = start.Add(time.Minute)
 	g := kernel.NewBatchQueue(batchTraits)
 	share := kernel.ColdTerms{}.Share(4).Single()
--- a/kernel/evacuation_test.go
+++ b/kernel/evacuation_test.go
@@ -139,9 +139,9 @@
 
 func TestAnEvacuatedDomainGetsNoPieces(t *testing.T) {
 	now := time.Unix(1000, 0)
-	roster := domainsRoster(now, "makers", "a", "b")
+	roster := domainsRoster(now, "workers", "a", "b")
 	g := kernel.NewBatchQueue(batchTraits)
-	g.SetEndpoints(roster.Endpoints("makers"))
+	g.SetEndpoints(roster.Endpoints("workers"))
 	early := pieceGroup(1, 1, 1000, now.Add(time.Minute))
 	early.Domain = "a"
 	ok, _ := g.Add(now, early)
@@ -150,7 +150,7 @@
 	must.True(t, ok)
 	must.EqOp(t, "a", underWay.Endpoint.FailureDomain)
 
-	g.SetEndpoints(roster.WithEvacuations(evacuated(now, "a")).Endpoints("makers"))
+	g.SetEndpoints(roster.WithEvacuations(evacuated(now, "a")).Endpoints("workers"))
 	total := 0
 	for id := uint64(2); id < 30; id++ {
 		now = now.Add(time.Second)
@@ -169,7 +169,7 @@
 	must.SliceLen(t, 1, ended, must.Sprint("what was under way ends in peace"))
 	must.EqOp(t, model.PieceFault(""), ended[0].Fault)
 
-	g.SetEndpoints(roster.WithEvacuations(evacuated(now, "a", "b")).Endpoints("makers"))
+	g.SetEndpoints(roster.WithEvacuations(evacuated(now, "a", "b")).Endpoints("workers"))
 	ok, retry := g.Add(now, pieceGroup(99, 1, 1000, now.Add(time.Minute)))
 	must.False(t, ok, must.Sprint("pieces that nothing can make are not held"))
 	must.Positive(t, retry)
@@ -177,8 +177,8 @@
 
 func TestRequestsThatOnlyEvacuatedDomainsCouldServeAreRefused(t *testing.T) {
 	now := time.Unix(1000, 0)
-	roster := domainsRoster(now, "engines", "a", "b").WithChanges(now, now, []model.Endpoint{in("a", "maker", "makers")}, nil, nil)
-	staged := kernel.Admission{Pool: "engines", Route: model.Route{Stages: []model.StageNode{{Pool: "makers"}}}}
+	roster := domainsRoster(now, "engines", "a", "b").WithChanges(now, now, []model.Endpoint{in("a", "worker", "workers")}, nil, nil)
+	staged := kernel.Admission{Pool: "engines", Route: model.Route{Stages: []model.StageNode{{Pool: "workers"}}}}
 	for _, tc := range []struct {
 		evacuated []string
 		pieces    int
--- a/kernel/homes_test.go
+++ b/kernel/homes_test.go
@@ -40,7 +40,7 @@
 func TestPiecesGoToTheOwnRegionWhereThatIsAllowed(t *testing.T) {
 	now := time.Unix(1000, 0)
 	roster := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{
-		inRegion("north", "n", "makers"), inRegion("south", "s", "makers"), inRegion("west", "w", "makers"),
+		inRegion("north", "n", "workers"), inRegion("south", "s", "workers"), inRegion("west", "w", "workers"),
 	}, nil, nil)
 	anywhere := kernel.HomesOf(model.Route{}, model.KeyHolder{})
 	southOrWest := kernel.HomesOf(model.Route{Homes: []string{"west", "south"}}, model.KeyHolder{})
@@ -56,7 +56,7 @@
 		{"one home evacuated", []string{"domain of south"}, southOrWest, "west"},
 		{"all homes evacuated", []string{"domain of south", "domain of west"}, southOrWest, ""},
 	} {
-		region, ok := kernel.PieceRegion(roster.WithEvacuations(evacuated(now, tc.evacuated...)), "makers", tc.homes, "north")
+		region, ok := kernel.PieceRegion(roster.WithEvacuations(evacuated(now, tc.evacuated...)), "workers", tc.homes, "north")
 		must.EqOp(t, tc.want, region, must.Sprint(tc.name))
 		must.EqOp(t, tc.want != "", ok, must.Sprint(tc.name))
 	}
--- a/kernel/pieces.go
+++ b/kernel/pieces.go
@@ -54,8 +54,8 @@
 	MadePiece struct {
 		Number int
 		Handle string
-		// Maker is the life of the endpoint that holds the result, of a pool and in a failure domain.
-		Maker  string
+		// Worker is the life of the endpoint that holds the result, of a pool and in a failure domain.
+		Worker string
 		Pool   string
 		Domain string
 		// Bytes is its approximate size.
--- a/kernel/policy.go
+++ b/kernel/policy.go
@@ -3,19 +3,19 @@
 // The mechanisms of decision that a policy can do without, each by itself. What each is worth is
 // listed in docs/design/decisions.md.
 const (
-	// SpacedCalls lets calls for pieces that are not full wait for an even share of the makers' time,
+	// SpacedCalls lets calls for pieces that are not full wait for an even share of the workers' time,
 	// so that more pieces join them.
 	SpacedCalls Mechanism = iota
 	// LateLast orders work that can no longer be on time after all that can.
 	LateLast
-	// NearInputs lets pieces wait for a maker in the failure domain where their inputs lie.
+	// NearInputs lets pieces wait for a worker in the failure domain where their inputs lie.
 	NearInputs
 	// FreedOnceFetched frees the inputs of a call once it has fetched them.
 	FreedOnceFetched
 	// ReleasedAtFirstEvent frees the inputs of a stream that may be resumed at its first event, where
 	// their pool's room is scarce.
 	ReleasedAtFirstEvent
-	// RoomLearnt takes what makers refuse for lack of room as a measure of what others left there.
+	// RoomLearnt takes what workers refuse for lack of room as a measure of what others left there.
 	RoomLearnt
 	// OneBatcher keeps a pool with the node that batches for it until that one leaves or is lost, and
 	// sends groups on to it that come elsewhere.
@@ -32,9 +32,9 @@
 	HedgedReads
 	// LateEnded ends work that can no longer be on time once others have passed it by for too long.
 	LateEnded
-	// SlowMakers gives makers that have turned slow only what they make in time, and has what they hold up made
+	// SlowWorkers gives workers that have turned slow only what they make in time, and has what they hold up made
 	// elsewhere.
-	SlowMakers
+	SlowWorkers
 	// RankedWhenOverloaded has priority count in the order of pieces only while not all can be on time.
 	RankedWhenOverloaded
 )
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -246,7 +246,7 @@
 		defer cancel()
 		var empty peer.Empty
 		if r.peers.Call(ctx, address, peer.KindRelease, peer.Release{Pool: queue, Made: made}, &empty) != nil {
-			// Without a batcher to keep account, the makers are told from here.
+			// Without a batcher to keep account, the workers are told from here.
 			r.metrics.Event("ReleaseFailed")
 			g.free(made)
 		}
--- a/relay/batcher.go
+++ b/relay/batcher.go
@@ -37,7 +37,7 @@
 	// batcher drives a kernel.BatchQueue.
 	batcher struct {
 		relay *Relay
-		// name is that of the queue; its makers are the endpoints of a pool in a region.
+		// name is that of the queue; its workers are the endpoints of a pool in a region.
 		name   string
 		pool   string
 		region string
@@ -62,8 +62,8 @@
 	}
 )
 
-// makers returns the endpoints that the queue's pieces go to.
-func (g *batcher) makers(roster kernel.Roster) []model.Endpoint {
+// workers returns the endpoints that the queue's pieces go to.
+func (g *batcher) workers(roster kernel.Roster) []model.Endpoint {
 	if g.region == "" {
 		return roster.Endpoints(g.pool)
 	}
@@ -219,7 +219,7 @@
 	g.pump()
 }
 
-// crashed tells whether the maker's process ended in the middle of a call, and has that looked into where the
+// crashed tells whether the worker's process ended in the middle of a call, and has that looked into where the
 // connection broke.
 func (g *batcher) crashed(batch kernel.PieceBatch, err error) bool {
 	var fault *endpoint.Fault
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -83,13 +83,13 @@
 func (h *hub) setEndpoints(roster kernel.Roster) {
 	for _, g := range h.all() {
 		g.mu.Lock()
-		g.g.SetEndpoints(g.makers(roster))
+		g.g.SetEndpoints(g.workers(roster))
 		g.mu.Unlock()
 		g.pump()
 	}
 }
 
-// endStale ends the groups whose inputs went with a life of their maker.
+// endStale ends the groups whose inputs went with a life of their worker.
 func (h *hub) endStale() {
 	for _, g := range h.all() {
 		g.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -70,7 +70,7 @@
 		{Name: "plain-0", Pool: "plain", State: model.Live},
 		{Name: "plain-1", Pool: "plain", State: model.Live},
 		{Name: "engine-0", Pool: "engines", State: model.Live},
-		{Name: "maker-0", Pool: "makers", State: model.Live},
+		{Name: "worker-0", Pool: "workers", State: model.Live},
 	}, nil, nil)
 	b.relay.ChangeRoster(func(kernel.Roster) kernel.Roster { return roster })
 	return b
@@ -80,14 +80,14 @@
 func (b *bed) setObjective(objective time.Duration) {
 	b.version++
 	now := time.Now()
-	stages := []model.StageNode{{Pool: "makers", ResultBytes: 1000}}
+	stages := []model.StageNode{{Pool: "workers", ResultBytes: 1000}}
 	b.relay.SetRouting(now, kernel.NewRouteTable(model.Routing{
 		Version: b.version,
 		Routes: []model.Route{
 			{Name: "get", Host: "h", Prefix: "/get/", Kind: model.Safe, Timeout: time.Minute, Objective: objective, MaxAttempts: 2, Split: []model.WeightedPool{{Pool: "plain"}}},
 			{Name: "gen", Host: "h", Prefix: "/gen/", Kind: model.Stream, Timeout: time.Minute, Objective: objective, MaxAttempts: 1, Split: []model.WeightedPool{{Pool: "engines"}}, Stages: stages},
 		},
-		Pools: map[string]model.Pool{"makers": {Name: "makers", Pieces: &model.PieceTraits{
+		Pools: map[string]model.Pool{"workers": {Name: "workers", Pieces: &model.PieceTraits{
 			Slots: 1, Batch: 4, CallTime: time.Millisecond, PieceTime: time.Millisecond, Room: 18_000_000, Keep: time.Minute,
 		}}},
 	}))
@@ -164,7 +164,7 @@
 	go func() { first <- b.serve("/gen/1", 1) }()
 	<-started
 	go func() { second <- b.serve("/gen/2", 1) }()
-	body, err := peer.EncodeBody(peer.TakeOver{Pool: "makers", Node: "unknown", Capacity: 1})
+	body, err := peer.EncodeBody(peer.TakeOver{Pool: "workers", Node: "unknown", Capacity: 1})
 	must.NoError(t, err)
 	var refused relay.Outcome
 	for moved := false; !moved; {
--- a/relay/room.go
+++ b/relay/room.go
@@ -19,26 +19,26 @@
 	askRoomEvery = 400 * time.Millisecond
 )
 
-// free gives results up at their makers. Their room is given out again only once the maker has
+// free gives results up at their workers. Their room is given out again only once the worker has
 // confirmed: a call that overtakes the word would find no room.
 func (g *batcher) free(made []kernel.MadePiece) {
-	byMaker := map[string][]kernel.MadePiece{}
+	byWorker := map[string][]kernel.MadePiece{}
 	for _, m := range made {
-		byMaker[m.Maker] = append(byMaker[m.Maker], m)
+		byWorker[m.Worker] = append(byWorker[m.Worker], m)
 	}
-	for name, made := range byMaker {
+	for name, made := range byWorker {
 		g.mu.Lock()
-		maker, ok := g.g.Maker(name)
+		worker, ok := g.g.Worker(name)
 		g.mu.Unlock()
 		// An evacuated endpoint gets nothing more; it drops results by itself after a while, and so does the account.
-		if ok && maker.State != model.Evacuated {
-			go g.freeAt(maker, made)
+		if ok && worker.State != model.Evacuated {
+			go g.freeAt(worker, made)
 		}
 	}
 }
 
 // freeFetched gives up the inputs that calls have fetched. Beside another batcher it does not: where
-// two of them call the same maker, one call waits there for the other, and fetches later than reckoned.
+// two of them call the same worker, one call waits there for the other, and fetches later than reckoned.
 func (g *batcher) freeFetched() {
 	g.mu.Lock()
 	alone := g.active && !g.relay.Leaving()
@@ -59,11 +59,11 @@
 	}
 }
 
-func (g *batcher) freeAt(maker model.Endpoint, made []kernel.MadePiece) {
+func (g *batcher) freeAt(worker model.Endpoint, made []kernel.MadePiece) {
 	ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
 	defer cancel()
-	if err := g.relay.wire.Free(ctx, maker, handlesOf(made)); err != nil {
-		// The maker drops them by itself after a while, and so does the account.
+	if err := g.relay.wire.Free(ctx, worker, handlesOf(made)); err != nil {
+		// The worker drops them by itself after a while, and so does the account.
 		g.relay.metrics.Event("FreeFailed")
 		return
 	}
@@ -75,13 +75,13 @@
 	g.pump()
 }
 
-// askRooms asks the makers for their room until no result of another batcher can be left: those
+// askRooms asks the workers for their room until no result of another batcher can be left: those
 // lapse one after the other, and room that is not known to be free is lost to requests.
 func (g *batcher) askRooms() {
 	for {
-		for _, maker := range g.makers(g.relay.Roster()) {
-			if maker.State != model.Evacuated {
-				go g.askRoom(maker)
+		for _, worker := range g.workers(g.relay.Roster()) {
+			if worker.State != model.Evacuated {
+				go g.askRoom(worker)
 			}
 		}
 		if !clock.Sleep(g.relay.ctx, askRoomEvery) || !g.inherits() {
@@ -96,16 +96,16 @@
 	return g.g.Inherits(g.relay.now())
 }
 
-func (g *batcher) askRoom(maker model.Endpoint) {
+func (g *batcher) askRoom(worker model.Endpoint) {
 	ctx, cancel := context.WithTimeout(g.relay.ctx, freeTimeout)
 	defer cancel()
-	free, err := g.relay.wire.Room(ctx, maker)
+	free, err := g.relay.wire.Room(ctx, worker)
 	if err != nil {
 		g.relay.metrics.Event("RoomUnknown")
 		return
 	}
 	g.mu.Lock()
-	g.g.NoteRoom(g.relay.now(), maker.Life(), free)
+	g.g.NoteRoom(g.relay.now(), worker.Life(), free)
 	g.mu.Unlock()
 }
 
--- a/relay/takeover.go
+++ b/relay/takeover.go
@@ -27,7 +27,7 @@
 )
 
 // place decides where a group is to be batched: here, where the name is empty, or at another node. Two
-// nodes that batch for one pool would give the same room out twice and call makers that are busy, so a
+// nodes that batch for one pool would give the same room out twice and call workers that are busy, so a
 // node that does not batch yet sends groups on to the one that does, and begins only where there is none.
 func (g *batcher) place(ctx context.Context, passedOver []string) (elsewhere string) {
 	g.begins.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -84,7 +84,7 @@
 	}
 	defer c.close()
 	c.store.Rewrite(c.announced)
-	for pool, count := range map[string]int{"plain": 3, "engines": 3, "makers": 2} {
+	for pool, count := range map[string]int{"plain": 3, "engines": 3, "workers": 2} {
 		for i := range count {
 			must.NoError(t, c.newServer(fmt.Sprintf("%s-%d", pool, i), pool))
 		}
