--- a/kernel/batch.go
+++ b/kernel/batch.go
@@ -36,7 +36,7 @@
 	// an endpoint. No piece is started whose result would find no room. It changes in place.
 	BatchQueue struct {
 		traits model.PieceTraits
-		// workers holds the pool's endpoints by their lives.
+		// workers holds the pool's endpoints by their incarnations.
 		workers map[string]*worker
 		groups  map[uint64]*waitingGroup
 		running map[uint64]PieceBatch
@@ -139,21 +139,21 @@
 func (g *BatchQueue) SetEndpoints(endpoints []model.Endpoint) {
 	listed := make(map[string]bool, len(endpoints))
 	for _, e := range endpoints {
-		listed[e.Life()] = true
-		m := g.workers[e.Life()]
+		listed[e.Incarnation()] = true
+		m := g.workers[e.Incarnation()]
 		if m == nil {
 			m = &worker{pace: 1}
-			g.workers[e.Life()] = m
+			g.workers[e.Incarnation()] = m
 		}
 		m.endpoint = e
 	}
-	for life := range g.workers {
-		if listed[life] {
+	for incarnation := range g.workers {
+		if listed[incarnation] {
 			continue
 		}
-		delete(g.workers, life)
+		delete(g.workers, incarnation)
 		for handle, r := range g.results {
-			if r.worker == life {
+			if r.worker == incarnation {
 				delete(g.results, handle)
 			}
 		}
@@ -229,8 +229,8 @@
 
 // Used returns how much room of an endpoint is taken, as far as is known here, and how many calls
 // it works on.
-func (g *BatchQueue) Used(life string) (bytes int64, calls int) {
-	m := g.workers[life]
+func (g *BatchQueue) Used(incarnation string) (bytes int64, calls int) {
+	m := g.workers[incarnation]
 	if m == nil {
 		return 0, 0
 	}
--- a/kernel/batch_test.go
+++ b/kernel/batch_test.go
@@ -333,7 +333,7 @@
 	must.LessEq(t, 2*full, longest)
 }
 
-// A worker that starts again under its name holds nothing: its room is free, results of its former life
+// A worker that starts again under its name holds nothing: its room is free, results of its former incarnation
 // are not counted against it, and pieces made from them end at once, as the new process may give their
 // handles to other requests.
 func TestAWorkerThatStartsAgainHoldsNothing(t *testing.T) {
@@ -349,25 +349,25 @@
 	ended, _ := g.Done(now.Add(200*time.Millisecond), batch, []model.PieceResult{{Handle: "h1"}, {Handle: "h2"}})
 	must.SliceLen(t, 1, ended)
 	made := ended[0].Made
-	must.EqOp(t, first.Life(), made[0].Worker)
+	must.EqOp(t, first.Incarnation(), made[0].Worker)
 	now = now.Add(time.Second)
 	must.True(t, addPieces(g, now, 2, 2, 400))
 	_, ok = g.Next(now)
 	must.False(t, ok, must.Sprint("the room is taken"))
 	g.SetEndpoints([]model.Endpoint{again})
 	batch, ok = g.Next(now)
-	must.True(t, ok, must.Sprint("the room went with the former life"))
-	must.EqOp(t, again.Life(), batch.Endpoint.Life())
+	must.True(t, ok, must.Sprint("the room went with the former incarnation"))
+	must.EqOp(t, again.Incarnation(), batch.Endpoint.Incarnation())
 	g.Release(now, made[0])
-	used, _ := g.Used(again.Life())
-	must.EqOp(t, 800, used, must.Sprint("a result of the former life frees nothing of the new one"))
+	used, _ := g.Used(again.Incarnation())
+	must.EqOp(t, 800, used, must.Sprint("a result of the former incarnation frees nothing of the new one"))
 
 	accepted, _ := g.Add(now, kernel.PieceGroup{
 		ID: 3, Pieces: []model.Piece{{Request: "r", Number: 0}}, ResultBytes: 400, Inputs: made,
 		Due: now.Add(5 * time.Second), Until: now.Add(5 * time.Second),
 	})
 	must.True(t, accepted)
-	stale := g.EndStale(func(life string) bool { return life == first.Life() })
+	stale := g.EndStale(func(incarnation string) bool { return incarnation == first.Incarnation() })
 	must.SliceLen(t, 1, stale)
 	must.EqOp(t, model.PieceInputGone, stale[0].Fault)
 }
--- a/kernel/batchcall.go
+++ b/kernel/batchcall.go
@@ -116,7 +116,7 @@
 // times the pace that the endpoint showed.
 func (g *BatchQueue) Expected(batch PieceBatch) time.Duration {
 	pace := 1.0
-	if m := g.workers[batch.Endpoint.Life()]; m != nil {
+	if m := g.workers[batch.Endpoint.Incarnation()]; m != nil {
 		pace = max(1, m.pace)
 	}
 	return time.Duration(float64(batch.stated) * pace)
--- a/kernel/batchend.go
+++ b/kernel/batchend.go
@@ -64,8 +64,8 @@
 			}
 			continue
 		}
-		g.results[r.Handle] = heldResult{worker: batch.Endpoint.Life(), bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)}
-		made := MadePiece{Number: p.Number, Handle: r.Handle, Worker: batch.Endpoint.Life(), Pool: batch.Endpoint.Pool, Domain: batch.Endpoint.FailureDomain, Bytes: batch.bytes[i]}
+		g.results[r.Handle] = heldResult{worker: batch.Endpoint.Incarnation(), bytes: batch.bytes[i], since: batch.startedAt, until: now.Add(g.traits.Keep)}
+		made := MadePiece{Number: p.Number, Handle: r.Handle, Worker: batch.Endpoint.Incarnation(), Pool: batch.Endpoint.Pool, Domain: batch.Endpoint.FailureDomain, Bytes: batch.bytes[i]}
 		w := g.groups[batch.groups[i]]
 		if w == nil || w.has(p.Number) {
 			unwanted = append(unwanted, made)
@@ -95,7 +95,7 @@
 			w.running[p.Number]--
 		}
 	}
-	m := g.workers[batch.Endpoint.Life()]
+	m := g.workers[batch.Endpoint.Incarnation()]
 	if m == nil {
 		return nil
 	}
@@ -143,9 +143,9 @@
 	return GroupOutcome{Group: w.ID, Made: w.made, Fault: fault, Waited: w.waited, InputsFreed: w.inputsFreed}
 }
 
-// EndStale ends the waiting groups whose inputs went with a life of their worker: a process that
+// EndStale ends the waiting groups whose inputs went with an incarnation of their worker: a process that
 // started again may give the same handle to another request's result.
-func (g *BatchQueue) EndStale(superseded func(life string) bool) []GroupOutcome {
+func (g *BatchQueue) EndStale(superseded func(incarnation string) bool) []GroupOutcome {
 	var ended []GroupOutcome
 	for id, w := range g.groups {
 		if len(w.waiting) == 0 || !AnyStale(w.Inputs, superseded) {
@@ -157,7 +157,7 @@
 	return ended
 }
 
-// AnyStale tells whether any of several results went with a life of its worker.
-func AnyStale(made []MadePiece, superseded func(life string) bool) bool {
+// AnyStale tells whether any of several results went with an incarnation of its worker.
+func AnyStale(made []MadePiece, superseded func(incarnation string) bool) bool {
 	return slices.ContainsFunc(made, func(m MadePiece) bool { return superseded(m.Worker) })
 }
--- a/kernel/batchroom.go
+++ b/kernel/batchroom.go
@@ -31,8 +31,8 @@
 
 // NoteRoom takes in how much room an endpoint reports to have free: what is missing beyond the
 // results known here belongs to another batcher, whose place this one took.
-func (g *BatchQueue) NoteRoom(now time.Time, life string, free int64) {
-	if m := g.workers[life]; m != nil {
+func (g *BatchQueue) NoteRoom(now time.Time, incarnation string, free int64) {
+	if m := g.workers[incarnation]; m != nil {
 		m.setForeign(now, g.foreignUntil, g.traits.Room-free-m.used)
 	}
 }
@@ -88,9 +88,9 @@
 	return total, free
 }
 
-// Worker returns an endpoint by its life.
-func (g *BatchQueue) Worker(life string) (model.Endpoint, bool) {
-	m := g.workers[life]
+// Worker returns an endpoint by its incarnation.
+func (g *BatchQueue) Worker(incarnation string) (model.Endpoint, bool) {
+	m := g.workers[incarnation]
 	if m == nil {
 		return model.Endpoint{}, false
 	}
--- a/kernel/batchslow.go
+++ b/kernel/batchslow.go
@@ -27,7 +27,7 @@
 	if _, runs := g.running[batch.ID]; !runs || !g.policy.Uses(SlowWorkers) {
 		return 0
 	}
-	if m := g.workers[batch.Endpoint.Life()]; m != nil {
+	if m := g.workers[batch.Endpoint.Incarnation()]; m != nil {
 		m.unanswered = true
 	}
 	if g.backlog() > lateBacklog {
--- a/kernel/cold.go
+++ b/kernel/cold.go
@@ -64,10 +64,10 @@
 // announced themselves, reachable or not: nodes that are cut off from each other would else all take themselves for
 // the first. A node that knows of none yet does not send.
 func (s ColdShare) Sends(self string, endpoint model.Endpoint, nodes []Peer) bool {
-	own := rendezvousScore(endpoint.Life(), self)
+	own := rendezvousScore(endpoint.Incarnation(), self)
 	before := 0
 	for _, n := range nodes {
-		if n.Name != self && rendezvousScore(endpoint.Life(), n.Name) > own {
+		if n.Name != self && rendezvousScore(endpoint.Incarnation(), n.Name) > own {
 			before++
 		}
 	}
--- a/kernel/pieces.go
+++ b/kernel/pieces.go
@@ -54,7 +54,7 @@
 	MadePiece struct {
 		Number int
 		Handle string
-		// Worker is the life of the endpoint that holds the result, of a pool and in a failure domain.
+		// Worker is the incarnation of the endpoint that holds the result, of a pool and in a failure domain.
 		Worker string
 		Pool   string
 		Domain string
--- a/kernel/quarantine.go
+++ b/kernel/quarantine.go
@@ -55,8 +55,8 @@
 
 	// Crash is the end of an endpoint's process while it worked on a request.
 	Crash struct {
-		Life string
-		At   time.Time
+		Incarnation string
+		At          time.Time
 	}
 
 	// HeldRequest is what nodes tell each other of a request that is held back.
@@ -66,8 +66,8 @@
 		Pool string
 		// Firm is false where other requests were under way at all the same ends: trials tell which one it is.
 		Firm bool
-		// Lives are the processes that ended, at most mostCrashes.
-		Lives []string
+		// Incarnations are the processes that ended, at most mostCrashes.
+		Incarnations []string
 		// Since is how long before this was written the first of them ended.
 		Since time.Duration
 	}
@@ -151,7 +151,7 @@
 	if now.Before(q.trusted[digest]) {
 		return
 	}
-	if why, known := q.explained[crash.Life]; known && why.digest != digest && now.Before(why.until) {
+	if why, known := q.explained[crash.Incarnation]; known && why.digest != digest && now.Before(why.until) {
 		return
 	}
 	if q.endTrial(digest) {
@@ -224,6 +224,6 @@
 // has tells whether an end is counted already: reports on one come from several nodes.
 func (c *crashCase) has(crash Crash) bool {
 	return slices.ContainsFunc(c.crashes, func(known Crash) bool {
-		return known.Life == crash.Life && crash.At.Sub(known.At).Abs() < SameCrash
+		return known.Incarnation == crash.Incarnation && crash.At.Sub(known.At).Abs() < SameCrash
 	})
 }
--- a/kernel/quarantine_test.go
+++ b/kernel/quarantine_test.go
@@ -24,11 +24,11 @@
 func keepsAll(string) bool { return true }
 
 // end lets an endpoint end under requests, each reported a little later than the one before.
-func (w *keeperBed) end(life string, digests ...model.Digest) {
+func (w *keeperBed) end(incarnation string, digests ...model.Digest) {
 	at := w.now
 	for _, d := range digests {
 		w.now = w.now.Add(10 * time.Millisecond)
-		w.Crashed(w.now, d, "pool", kernel.Crash{Life: life, At: at})
+		w.Crashed(w.now, d, "pool", kernel.Crash{Incarnation: incarnation, At: at})
 	}
 	w.now = w.now.Add(time.Second)
 }
@@ -87,7 +87,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			w := newKeeperBed()
 			for i, digests := range tc.ends {
-				w.end(fmt.Sprint("life-", i), digests...)
+				w.end(fmt.Sprint("incarnation-", i), digests...)
 			}
 			w.judge()
 			for d, want := range tc.want {
@@ -104,7 +104,7 @@
 func TestReportsOnOneEndCountOnce(t *testing.T) {
 	w := newKeeperBed()
 	for range 5 {
-		w.Crashed(w.now, "a", "pool", kernel.Crash{Life: "l", At: w.now})
+		w.Crashed(w.now, "a", "pool", kernel.Crash{Incarnation: "l", At: w.now})
 		w.now = w.now.Add(50 * time.Millisecond)
 	}
 	w.now = w.now.Add(time.Second)
@@ -113,7 +113,7 @@
 	// A process that does not say when it started bears the same name after each start.
 	for range 2 {
 		w.now = w.now.Add(5 * time.Second)
-		w.Crashed(w.now, "a", "pool", kernel.Crash{Life: "l", At: w.now})
+		w.Crashed(w.now, "a", "pool", kernel.Crash{Incarnation: "l", At: w.now})
 	}
 	w.now = w.now.Add(time.Second)
 	w.judge()
@@ -124,10 +124,10 @@
 	w := newKeeperBed()
 	w.end("1", "a", "b")
 	w.end("2", "a", "b")
-	w.Crashed(w.now, "b", "pool", kernel.Crash{Life: "3", At: w.now})
+	w.Crashed(w.now, "b", "pool", kernel.Crash{Incarnation: "3", At: w.now})
 	w.now = w.now.Add(kernel.JudgeAfter / 2)
 	must.SliceEmpty(t, w.judge().Hold)
-	w.Crashed(w.now, "a", "pool", kernel.Crash{Life: "3", At: w.now})
+	w.Crashed(w.now, "a", "pool", kernel.Crash{Incarnation: "3", At: w.now})
 	w.now = w.now.Add(kernel.JudgeAfter * 2 / 3)
 	must.SliceEmpty(t, w.judge().Hold, must.Sprint("the last report is too young"))
 	w.now = w.now.Add(kernel.JudgeAfter)
@@ -217,7 +217,7 @@
 }
 
 func TestWhatWasAnsweredSinceIsNotAtFault(t *testing.T) {
-	held := kernel.HeldRequest{Digest: "a", Pool: "pool", Firm: true, Lives: []string{"1", "2", "3"}, Since: time.Minute}
+	held := kernel.HeldRequest{Digest: "a", Pool: "pool", Firm: true, Incarnations: []string{"1", "2", "3"}, Since: time.Minute}
 	w := newKeeperBed()
 	w.Answered(w.now.Add(-30*time.Second), "a")
 	must.False(t, w.Learn(w.now, held))
@@ -255,14 +255,14 @@
 func TestTheQuarantineIsBounded(t *testing.T) {
 	w := newKeeperBed()
 	for n := range 1000 {
-		w.Learn(w.now, kernel.HeldRequest{Digest: model.Digest(fmt.Sprint(n)), Pool: "pool", Firm: true, Lives: []string{fmt.Sprint(n)}})
+		w.Learn(w.now, kernel.HeldRequest{Digest: model.Digest(fmt.Sprint(n)), Pool: "pool", Firm: true, Incarnations: []string{fmt.Sprint(n)}})
 		w.now = w.now.Add(time.Millisecond)
 	}
 	must.EqOp(t, 256, w.Len())
 	must.EqOp(t, kernel.Held, w.passage("999"), must.Sprint("the oldest yield"))
 	w = newKeeperBed()
 	for n := range 6000 {
-		w.Crashed(w.now, model.Digest(fmt.Sprint(n)), "pool", kernel.Crash{Life: "l", At: w.now})
+		w.Crashed(w.now, model.Digest(fmt.Sprint(n)), "pool", kernel.Crash{Incarnation: "l", At: w.now})
 		w.now = w.now.Add(time.Millisecond)
 	}
 	must.EqOp(t, 4096, w.Cases())
--- a/kernel/quarantinejudge.go
+++ b/kernel/quarantinejudge.go
@@ -33,7 +33,7 @@
 
 // Same tells whether two words on a request say the same.
 func (h HeldRequest) Same(other HeldRequest) bool {
-	return h.Digest == other.Digest && h.Pool == other.Pool && h.Firm == other.Firm && h.Since == other.Since && slices.Equal(h.Lives, other.Lives)
+	return h.Digest == other.Digest && h.Pool == other.Pool && h.Firm == other.Firm && h.Since == other.Since && slices.Equal(h.Incarnations, other.Incarnations)
 }
 
 // Judge decides on the cases of the pools that are kept here. A request under which enough endpoints ended is held.
@@ -47,13 +47,13 @@
 		c := q.cases[digest]
 		c.ripensAt = time.Time{}
 		h := q.holdOf(now, digest, c)
-		if before := q.held[digest]; before != nil && before.Firm == h.Firm && len(before.Lives) >= len(h.Lives) {
+		if before := q.held[digest]; before != nil && before.Firm == h.Firm && len(before.Incarnations) >= len(h.Incarnations) {
 			continue
 		}
 		change.Hold = append(change.Hold, h)
 		if h.Firm {
-			for _, life := range h.Lives {
-				q.explain(now, digest, life)
+			for _, incarnation := range h.Incarnations {
+				q.explain(now, digest, incarnation)
 			}
 		}
 	}
@@ -93,8 +93,8 @@
 	h := HeldRequest{Digest: digest, Pool: c.pool, Firm: !q.shared(digest, c)}
 	first := now
 	for _, crash := range c.crashes {
-		if !slices.Contains(h.Lives, crash.Life) {
-			h.Lives = append(h.Lives, crash.Life)
+		if !slices.Contains(h.Incarnations, crash.Incarnation) {
+			h.Incarnations = append(h.Incarnations, crash.Incarnation)
 		}
 		if crash.At.Before(first) {
 			first = crash.At
@@ -145,9 +145,9 @@
 			delete(q.trusted, digest)
 		}
 	}
-	for life, why := range q.explained {
+	for incarnation, why := range q.explained {
 		if now.After(why.until) {
-			delete(q.explained, life)
+			delete(q.explained, incarnation)
 		}
 	}
 }
--- a/kernel/quarantinelearn.go
+++ b/kernel/quarantinelearn.go
@@ -19,9 +19,9 @@
 	if before != nil && before.Firm == h.Firm {
 		q.held[h.Digest].trials = before.trials
 	}
-	for _, life := range h.Lives {
+	for _, incarnation := range h.Incarnations {
 		if h.Firm {
-			q.explain(now, h.Digest, life)
+			q.explain(now, h.Digest, incarnation)
 		}
 	}
 	q.seed(now, h)
@@ -39,10 +39,10 @@
 		c = &crashCase{pool: h.Pool, changedAt: now}
 		q.cases[h.Digest] = c
 	}
-	for _, life := range h.Lives {
-		known := slices.ContainsFunc(c.crashes, func(crash Crash) bool { return crash.Life == life })
+	for _, incarnation := range h.Incarnations {
+		known := slices.ContainsFunc(c.crashes, func(crash Crash) bool { return crash.Incarnation == incarnation })
 		if !known && len(c.crashes) < mostCrashes {
-			c.crashes = append(c.crashes, Crash{Life: life, At: now.Add(-h.Since)})
+			c.crashes = append(c.crashes, Crash{Incarnation: incarnation, At: now.Add(-h.Since)})
 		}
 	}
 }
@@ -59,12 +59,12 @@
 
 // explain takes an end off the other requests that were under way there: its cause is known. Those that have as many
 // ends as it takes keep them: they may be a cause as well, which a trial tells.
-func (q *Quarantine) explain(now time.Time, digest model.Digest, life string) {
-	q.explained[life] = explanation{digest: digest, until: now.Add(explainedFor)}
+func (q *Quarantine) explain(now time.Time, digest model.Digest, incarnation string) {
+	q.explained[incarnation] = explanation{digest: digest, until: now.Add(explainedFor)}
 	for other, c := range q.cases {
 		if other == digest || len(c.crashes) >= CrashesToHold {
 			continue
 		}
-		c.crashes = slices.DeleteFunc(c.crashes, func(known Crash) bool { return known.Life == life })
+		c.crashes = slices.DeleteFunc(c.crashes, func(known Crash) bool { return known.Incarnation == incarnation })
 	}
 }
--- a/kernel/roster.go
+++ b/kernel/roster.go
@@ -125,7 +125,7 @@
 // TakesWork tells whether new work may still be sent to an endpoint that was chosen earlier.
 func (r Roster) TakesWork(e model.Endpoint) bool {
 	entry, listed := r.entries[e.Name]
-	return listed && entry.endpoint.Life() == e.Life() && entry.endpoint.State != model.Leaving && !r.evacuations.Holds(e.FailureDomain)
+	return listed && entry.endpoint.Incarnation() == e.Incarnation() && entry.endpoint.State != model.Leaving && !r.evacuations.Holds(e.FailureDomain)
 }
 
 // Find returns an endpoint by its name.
@@ -134,11 +134,11 @@
 	return e.endpoint, ok
 }
 
-// Superseded tells whether the process that had a life has started again since: then nothing of that
-// life is left, neither results nor calls under way.
-func (r Roster) Superseded(life string) bool {
-	e, known := r.entries[model.NameOfLife(life)]
-	return known && e.endpoint.Life() != life
+// Superseded tells whether the process that had an incarnation has started again since: then nothing of that
+// incarnation is left, neither results nor calls under way.
+func (r Roster) Superseded(incarnation string) bool {
+	e, known := r.entries[model.NameOfIncarnation(incarnation)]
+	return known && e.endpoint.Incarnation() != incarnation
 }
 
 // Len returns how many endpoints are known.
@@ -154,7 +154,7 @@
 // RosterChange is one difference between two rosters.
 type RosterChange struct {
 	Endpoint model.Endpoint
-	// Before is the former life of a process that started again; empty for other changes.
+	// Before is the former incarnation of a process that started again; empty for other changes.
 	Before model.Endpoint
 	What   string
 }
@@ -167,7 +167,7 @@
 		switch {
 		case !known:
 			out = append(out, RosterChange{Endpoint: e.endpoint, What: "endpoint listed"})
-		case old.endpoint.Life() != e.endpoint.Life():
+		case old.endpoint.Incarnation() != e.endpoint.Incarnation():
 			out = append(out, RosterChange{Endpoint: e.endpoint, Before: old.endpoint, What: "endpoint started again"})
 		case old.endpoint.State != e.endpoint.State:
 			out = append(out, RosterChange{Endpoint: e.endpoint, What: "endpoint changed its state"})
--- a/kernel/roster_test.go
+++ b/kernel/roster_test.go
@@ -98,21 +98,21 @@
 	return e
 }
 
-func TestRosterTellsLivesApart(t *testing.T) {
+func TestRosterTellsIncarnationsApart(t *testing.T) {
 	now := time.Unix(1000, 0)
 	first := kernel.NewRoster().WithChanges(now, now, []model.Endpoint{born("a", 900)}, nil, nil)
-	must.False(t, first.Superseded(born("a", 900).Life()))
+	must.False(t, first.Superseded(born("a", 900).Incarnation()))
 	again := first.WithChanges(now, now, []model.Endpoint{born("a", 990)}, nil, nil)
-	must.True(t, again.Superseded(born("a", 900).Life()))
-	must.False(t, again.Superseded(born("a", 990).Life()))
-	must.False(t, again.Superseded(born("b", 900).Life()), must.Sprint("not listed is not superseded: it may serve on"))
+	must.True(t, again.Superseded(born("a", 900).Incarnation()))
+	must.False(t, again.Superseded(born("a", 990).Incarnation()))
+	must.False(t, again.Superseded(born("b", 900).Incarnation()), must.Sprint("not listed is not superseded: it may serve on"))
 	changes := again.Changes(first)
 	must.SliceLen(t, 1, changes)
-	must.EqOp(t, born("a", 900).Life(), changes[0].Before.Life())
-	must.EqOp(t, born("a", 990).Life(), changes[0].Endpoint.Life())
+	must.EqOp(t, born("a", 900).Incarnation(), changes[0].Before.Incarnation())
+	must.EqOp(t, born("a", 990).Incarnation(), changes[0].Endpoint.Incarnation())
 	late := again.WithChanges(now, now, []model.Endpoint{born("a", 900)}, nil, nil)
 	e, _ := late.Find("a")
-	must.EqOp(t, born("a", 990).Life(), e.Life(), must.Sprint("an older report came late"))
+	must.EqOp(t, born("a", 990).Incarnation(), e.Incarnation(), must.Sprint("an older report came late"))
 }
 
 // An entry that was overwritten by what names no endpoint is gone at once, also in the grace after an
--- a/kernel/routing.go
+++ b/kernel/routing.go
@@ -31,12 +31,12 @@
 }
 
 // Usable returns the candidates that may get a call: not leaving, not put aside, not among
-// the excluded lives. If health alone leaves less than the floor, health is disregarded.
+// the excluded incarnations. If health alone leaves less than the floor, health is disregarded.
 func Usable(now time.Time, candidates []Candidate, excluded []string) []Candidate {
 	staying := make([]Candidate, 0, len(candidates))
 	healthy := make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
-		if !c.Endpoint.TakesWork() || slices.Contains(excluded, c.Endpoint.Life()) {
+		if !c.Endpoint.TakesWork() || slices.Contains(excluded, c.Endpoint.Incarnation()) {
 			continue
 		}
 		staying = append(staying, c)
--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -62,16 +62,16 @@
 	}
 )
 
-// lifeMark stands between the name and the start in the identity of one life of a process.
-const lifeMark = "@"
+// incarnationMark stands between the name and the start in the identity of one incarnation of a process.
+const incarnationMark = "@"
 
-// Life returns what tells one start of the process from any other. Everything that is believed of a
-// process belongs to one life: what it holds, its load, its health, its connections.
-func (e Endpoint) Life() string {
+// Incarnation returns what tells one start of the process from any other. Everything that is believed of a
+// process belongs to one incarnation: what it holds, its load, its health, its connections.
+func (e Endpoint) Incarnation() string {
 	if e.Started.IsZero() {
 		return e.Name
 	}
-	return e.Name + lifeMark + strconv.FormatInt(e.Started.UnixMilli(), 10)
+	return e.Name + incarnationMark + strconv.FormatInt(e.Started.UnixMilli(), 10)
 }
 
 // TakesWork tells whether new work may be sent to the endpoint.
@@ -79,10 +79,10 @@
 	return e.State != Leaving && e.State != Evacuated
 }
 
-// NameOfLife returns the name of the process that had a life.
-func NameOfLife(life string) string {
-	if i := strings.LastIndex(life, lifeMark); i >= 0 {
-		return life[:i]
+// NameOfIncarnation returns the name of the process that had an incarnation.
+func NameOfIncarnation(incarnation string) string {
+	if i := strings.LastIndex(incarnation, incarnationMark); i >= 0 {
+		return incarnation[:i]
 	}
-	return life
+	return incarnation
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -264,8 +264,8 @@
 
 	// Crash tells a pool's keeper that the process of an endpoint ended while it worked on requests.
 	Crash struct {
-		Pool string
-		Life string
+		Pool        string
+		Incarnation string
 		// EndedAgo is how long ago that was: clocks differ between hosts.
 		EndedAgo time.Duration
 		Digests  []model.Digest
--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -55,7 +55,7 @@
 	now := k.now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	d := k.ends[e.Life()]
+	d := k.ends[e.Incarnation()]
 	if d != nil && d.proof != "" && now.Sub(d.at) > kernel.SameCrash {
 		// It had ended, was connected to all the same, and broke off again: it does not say when it started.
 		d = nil
@@ -66,7 +66,7 @@
 			return
 		}
 		d = &end{endpoint: e, at: now, looked: make(chan struct{})}
-		k.ends[e.Life()] = d
+		k.ends[e.Incarnation()] = d
 		go k.lookInto(d)
 	}
 	if len(d.digests)+len(digests) > mostDigests {
@@ -82,7 +82,7 @@
 // HasEnded tells whether an endpoint that broke off has ended, as soon as that is known from its address.
 func (k *Keeper) HasEnded(e model.Endpoint) bool {
 	k.mu.Lock()
-	d := k.ends[e.Life()]
+	d := k.ends[e.Incarnation()]
 	k.mu.Unlock()
 	if d == nil {
 		return false
@@ -112,8 +112,8 @@
 	clock.Sleep(k.ctx, listTime)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.ends[d.endpoint.Life()] == d {
-		delete(k.ends, d.endpoint.Life())
+	if k.ends[d.endpoint.Incarnation()] == d {
+		delete(k.ends, d.endpoint.Incarnation())
 	}
 }
 
@@ -122,14 +122,14 @@
 func (k *Keeper) Listed(endpoints func(pool string) []model.Endpoint) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for life, d := range k.ends {
+	for incarnation, d := range k.ends {
 		if d.proof != "" {
 			continue
 		}
 		listed, replaced := false, false
 		for _, e := range endpoints(d.endpoint.Pool) {
-			listed = listed || e.Life() == life
-			replaced = replaced || e.Life() != life && e.Address == d.endpoint.Address
+			listed = listed || e.Incarnation() == incarnation
+			replaced = replaced || e.Incarnation() != incarnation && e.Address == d.endpoint.Address
 		}
 		switch {
 		case replaced:
@@ -167,16 +167,16 @@
 
 // report tells the pool's keepers, and counts here as well: where no other node can be reached this one decides.
 func (k *Keeper) report(d *end, digests []model.Digest) {
-	life, pool := d.endpoint.Life(), d.endpoint.Pool
+	incarnation, pool := d.endpoint.Incarnation(), d.endpoint.Pool
 	var names []string
 	for _, digest := range digests[:min(len(digests), mostLogged)] {
 		names = append(names, string(digest))
 	}
-	k.log.Info().Str("Endpoint", life).Str("Pool", pool).Str("Proof", d.proof).Int("Requests", len(digests)).
+	k.log.Info().Str("Endpoint", incarnation).Str("Pool", pool).Str("Proof", d.proof).Int("Requests", len(digests)).
 		Strs("Digests", names).Msg("endpoint ended under requests")
-	k.takeCrash(pool, kernel.Crash{Life: life, At: d.at}, digests)
+	k.takeCrash(pool, kernel.Crash{Incarnation: incarnation, At: d.at}, digests)
 	k.tell(pool, peer.KindCrash, func(lost bool) any {
-		return peer.Crash{Pool: pool, Life: life, EndedAgo: k.now().Sub(d.at), Digests: digests, KeeperLost: lost}
+		return peer.Crash{Pool: pool, Incarnation: incarnation, EndedAgo: k.now().Sub(d.at), Digests: digests, KeeperLost: lost}
 	})
 }
 
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -59,13 +59,13 @@
 		// noticed holds which nodes have found out that another is mute.
 		noticed map[[2]string]bool
 		// deaf nodes are not answered by the store.
-		deaf   map[string]bool
-		rows   []kernel.HeldRequest
-		dead   map[string]bool
-		lives  int
-		calls  int
-		bytes  int
-		writes int
+		deaf         map[string]bool
+		rows         []kernel.HeldRequest
+		dead         map[string]bool
+		incarnations int
+		calls        int
+		bytes        int
+		writes       int
 	}
 
 	// try is what became of one request.
@@ -207,8 +207,8 @@
 // end ends an endpoint: each of the requests breaks off, at a node of its own.
 func (f *fleet) end(digests ...model.Digest) {
 	f.mu.Lock()
-	f.lives++
-	e := model.Endpoint{Name: fmt.Sprint("life-", f.lives), Pool: "engines", Address: fmt.Sprint("life-", f.lives)}
+	f.incarnations++
+	e := model.Endpoint{Name: fmt.Sprint("incarnation-", f.incarnations), Pool: "engines", Address: fmt.Sprint("incarnation-", f.incarnations)}
 	f.dead[e.Address] = true
 	f.mu.Unlock()
 	for _, d := range digests {
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -163,8 +163,8 @@
 		if passage == kernel.Free {
 			k.metrics.Event("QuarantineLearned")
 		}
-		if before.Firm != h.Firm || len(before.Lives) != len(h.Lives) {
-			k.log.Info().Str("Digest", string(h.Digest)).Str("Pool", h.Pool).Bool("Firm", h.Firm).Strs("Ended", h.Lives).
+		if before.Firm != h.Firm || len(before.Incarnations) != len(h.Incarnations) {
+			k.log.Info().Str("Digest", string(h.Digest)).Str("Pool", h.Pool).Bool("Firm", h.Firm).Strs("Ended", h.Incarnations).
 				Msg("request held back")
 		}
 	}
--- a/quarantine/keeper_test.go
+++ b/quarantine/keeper_test.go
@@ -149,7 +149,7 @@
 		f.cut["node-0"] = true
 		f.mu.Unlock()
 		for i := range kernel.CrashesToHold {
-			name := fmt.Sprint("life-", i)
+			name := fmt.Sprint("incarnation-", i)
 			f.mu.Lock()
 			f.dead[name] = true
 			f.mu.Unlock()
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -174,7 +174,7 @@
 	if m.KeeperLost {
 		k.actFor(m.Pool)
 	}
-	k.takeCrash(m.Pool, kernel.Crash{Life: m.Life, At: k.now().Add(-m.EndedAgo)}, m.Digests)
+	k.takeCrash(m.Pool, kernel.Crash{Incarnation: m.Incarnation, At: k.now().Add(-m.EndedAgo)}, m.Digests)
 	return peer.Empty{}, nil
 }
 
--- a/relay/batcher.go
+++ b/relay/batcher.go
@@ -254,7 +254,7 @@
 	}
 	if len(faults) > 0 {
 		g.mu.Lock()
-		used, calls := g.g.Used(batch.Endpoint.Life())
+		used, calls := g.g.Used(batch.Endpoint.Incarnation())
 		g.mu.Unlock()
 		r.log.Info().Str("Pool", g.name).Str("Endpoint", batch.Endpoint.Name).Int("Pieces", len(batch.Pieces)).
 			Str("Request", batch.Pieces[0].Request).Any("Faults", faults).Int64("RoomUsed", used).Int("Calls", calls).
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// endStale ends the groups whose inputs went with a life of their worker.
+// endStale ends the groups whose inputs went with an incarnation of their worker.
 func (h *hub) endStale() {
 	for _, g := range h.all() {
 		g.mu.Lock()
--- a/relay/lives.go
+++ b/relay/incarnations.go
@@ -14,57 +14,57 @@
 // waiting for their time-outs would cost streams that can go on elsewhere seconds.
 var errStartedAgain = errors.New("relay: the endpoint has started again")
 
-// lives holds the calls under way by the life of the endpoint that they were made to.
-type lives struct {
+// incarnations holds the calls under way by the incarnation of the endpoint that they were made to.
+type incarnations struct {
 	mu sync.Mutex
 	// calls has, for each call, the requests that it is for.
 	calls map[string]map[*context.CancelCauseFunc][]model.Digest
 }
 
-func newLives() *lives {
-	return &lives{calls: map[string]map[*context.CancelCauseFunc][]model.Digest{}}
+func newIncarnations() *incarnations {
+	return &incarnations{calls: map[string]map[*context.CancelCauseFunc][]model.Digest{}}
 }
 
-// begin returns a context for a call to an endpoint for some requests; it ends with the endpoint's life. The
+// begin returns a context for a call to an endpoint for some requests; it ends with the endpoint's incarnation. The
 // function that it returns is to be called when the call is over.
 func (r *Relay) begin(ctx context.Context, e model.Endpoint, digests ...model.Digest) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	l := r.lives
-	life := e.Life()
+	l := r.incarnations
+	incarnation := e.Incarnation()
 	l.mu.Lock()
-	if l.calls[life] == nil {
-		l.calls[life] = map[*context.CancelCauseFunc][]model.Digest{}
+	if l.calls[incarnation] == nil {
+		l.calls[incarnation] = map[*context.CancelCauseFunc][]model.Digest{}
 	}
-	l.calls[life][&cancel] = digests
+	l.calls[incarnation][&cancel] = digests
 	l.mu.Unlock()
-	if r.Roster().Superseded(life) {
+	if r.Roster().Superseded(incarnation) {
 		cancel(errStartedAgain)
 	}
 	return ctx, func() {
 		l.mu.Lock()
-		delete(l.calls[life], &cancel)
-		if len(l.calls[life]) == 0 {
-			delete(l.calls, life)
+		delete(l.calls[incarnation], &cancel)
+		if len(l.calls[incarnation]) == 0 {
+			delete(l.calls, incarnation)
 		}
 		l.mu.Unlock()
 		cancel(nil)
 	}
 }
 
-// end ends the calls to a life and returns how many there were, and for which requests.
-func (l *lives) end(life string) (calls int, digests []model.Digest) {
+// end ends the calls to an incarnation and returns how many there were, and for which requests.
+func (l *incarnations) end(incarnation string) (calls int, digests []model.Digest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for cancel, of := range l.calls[life] {
+	for cancel, of := range l.calls[incarnation] {
 		(*cancel)(errStartedAgain)
 		digests = append(digests, of...)
 	}
-	return len(l.calls[life]), digests
+	return len(l.calls[incarnation]), digests
 }
 
-// endFormerLives ends what hangs on endpoints that have started again: calls under way, idle
+// endFormerIncarnations ends what hangs on endpoints that have started again: calls under way, idle
 // connections, and pieces whose inputs lay there.
-func (r *Relay) endFormerLives(changes []kernel.RosterChange) {
+func (r *Relay) endFormerIncarnations(changes []kernel.RosterChange) {
 	again := false
 	for _, c := range changes {
 		if c.Before.Name == "" {
@@ -72,12 +72,12 @@
 		}
 		again = true
 		r.metrics.Event("EndpointStartedAgain")
-		ended, digests := r.lives.end(c.Before.Life())
+		ended, digests := r.incarnations.end(c.Before.Incarnation())
 		if len(digests) > 0 {
 			r.brokeOff(c.Before, digests...)
 		}
 		r.wire.Retire(c.Before.Address)
-		r.log.Info().Str("Endpoint", c.Before.Life()).Int("Calls", ended).Msg("calls to a former life ended")
+		r.log.Info().Str("Endpoint", c.Before.Incarnation()).Int("Calls", ended).Msg("calls to a former incarnation ended")
 	}
 	if again {
 		r.hub.endStale()
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -23,7 +23,7 @@
 		name   string
 		mu     sync.Mutex
 		budget *kernel.SharedBudget
-		// states is by the lives of endpoints.
+		// states is by the incarnations of endpoints.
 		states map[string]*endpointState
 		// firstEvent is the time until a stream's first event.
 		firstEvent kernel.Quantiles
@@ -51,11 +51,11 @@
 	return p
 }
 
-func (p *pool) state(life string) *endpointState {
-	s := p.states[life]
+func (p *pool) state(incarnation string) *endpointState {
+	s := p.states[incarnation]
 	if s == nil {
 		s = &endpointState{}
-		p.states[life] = s
+		p.states[incarnation] = s
 	}
 	return s
 }
@@ -65,16 +65,16 @@
 func (p *pool) candidates(now time.Time, listed []model.Endpoint, cold coldGate) []kernel.Candidate {
 	out := make([]kernel.Candidate, 0, len(listed))
 	for _, e := range listed {
-		s := p.state(e.Life())
+		s := p.state(e.Incarnation())
 		if !cold.admits(now, e, &s.cold) {
 			continue
 		}
 		out = append(out, kernel.Candidate{Endpoint: e, InFlight: s.inFlight, Load: s.load, LoadAt: s.loadAt, Health: s.health})
 	}
 	if len(p.states) > 2*len(listed)+8 {
-		for life, s := range p.states {
-			if s.inFlight == 0 && !slices.ContainsFunc(listed, func(e model.Endpoint) bool { return e.Life() == life }) {
-				delete(p.states, life)
+		for incarnation, s := range p.states {
+			if s.inFlight == 0 && !slices.ContainsFunc(listed, func(e model.Endpoint) bool { return e.Incarnation() == incarnation }) {
+				delete(p.states, incarnation)
 			}
 		}
 	}
@@ -101,7 +101,7 @@
 	usable := kernel.Usable(now, p.candidates(now, listed, cold), excluded)
 	choices := make([]kernel.EngineChoice, 0, len(usable))
 	for _, c := range usable {
-		choices = append(choices, kernel.EngineChoice{Candidate: c, Reading: p.state(c.Endpoint.Life()).reading})
+		choices = append(choices, kernel.EngineChoice{Candidate: c, Reading: p.state(c.Endpoint.Incarnation()).reading})
 	}
 	i := kernel.PickEngine(now, choices, key)
 	if i < 0 {
@@ -112,7 +112,7 @@
 }
 
 func (p *pool) take(now time.Time, c kernel.Candidate, reading int) {
-	s := p.state(c.Endpoint.Life())
+	s := p.state(c.Endpoint.Incarnation())
 	s.cold.sentAt = now
 	s.inFlight++
 	s.reading += reading
@@ -122,56 +122,56 @@
 }
 
 // readPrompt notes that an engine has read a prompt.
-func (p *pool) readPrompt(life string, tokens int, took time.Duration) {
+func (p *pool) readPrompt(incarnation string, tokens int, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(life).reading -= tokens
+	p.state(incarnation).reading -= tokens
 	p.firstEvent.Observe(took)
 }
 
 // dropPrompt notes that a prompt will not be read.
-func (p *pool) dropPrompt(life string, tokens int) {
+func (p *pool) dropPrompt(incarnation string, tokens int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(life).reading -= tokens
+	p.state(incarnation).reading -= tokens
 }
 
 // leave counts a request as no longer in flight.
-func (p *pool) leave(life string) {
+func (p *pool) leave(incarnation string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state(life).inFlight--
+	p.state(incarnation).inFlight--
 }
 
-func (p *pool) succeeded(life string) {
+func (p *pool) succeeded(incarnation string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(life)
+	s := p.state(incarnation)
 	s.health = s.health.WithSuccess()
 }
 
-func (p *pool) failed(now time.Time, life string) {
+func (p *pool) failed(now time.Time, incarnation string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(life)
+	s := p.state(incarnation)
 	s.health = s.health.WithFailure(now)
 }
 
 // unreachable notes that an endpoint could not be connected to.
-func (p *pool) unreachable(now time.Time, life string) {
+func (p *pool) unreachable(now time.Time, incarnation string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(life)
+	s := p.state(incarnation)
 	s.health = s.health.WithUnreachable(now)
 }
 
-func (p *pool) reported(now time.Time, life string, load *model.Load) {
+func (p *pool) reported(now time.Time, incarnation string, load *model.Load) {
 	if load == nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.state(life)
+	s := p.state(incarnation)
 	s.load = *load
 	s.loadAt = now
 }
--- a/relay/quarantine_test.go
+++ b/relay/quarantine_test.go
@@ -18,7 +18,7 @@
 
 // A process may end and be back without a word on its connections: the list alone says that another start of it is
 // there. What was under way is counted as at any other end.
-func TestCallsToAFormerLifeCountAgainstTheirRequest(t *testing.T) {
+func TestCallsToAFormerIncarnationCountAgainstTheirRequest(t *testing.T) {
 	b := newBed(t)
 	b.wire.Forward = func(ctx context.Context, _ relay.Send) (*model.ForwardReply, error) {
 		<-ctx.Done()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,8 +52,8 @@
 		// suspects are nodes that did not answer; remote holds other nodes' groups here.
 		suspects *suspects
 		remote   *remoteGroups
-		// lives ends the calls to endpoints that have started again.
-		lives *lives
+		// incarnations ends the calls to endpoints that have started again.
+		incarnations *incarnations
 		// returning holds the refused requests of the pools that this node batches for.
 		returning *returning
 		// quarantine holds back the requests that end the endpoints that run them.
@@ -96,7 +96,7 @@
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.hub = newHub(r)
 	r.remote = newRemoteGroups()
-	r.lives = newLives()
+	r.incarnations = newIncarnations()
 	r.returning = newReturning()
 	r.quarantine = quarantine.NewKeeper(r.ctx, options.Name, quarantine.Seams{
 		Peers: r.Reachable, Call: r.callNode, Connect: wire.Connect, Store: wire.HoldBack,
@@ -200,7 +200,7 @@
 	changes := roster.Changes(before)
 	r.logRoster(changes)
 	r.hub.setEndpoints(roster)
-	r.endFormerLives(changes)
+	r.endFormerIncarnations(changes)
 	r.quarantine.Listed(roster.Endpoints)
 }
 
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -20,9 +20,9 @@
 		return
 	}
 	if fault.Kind == endpoint.Refused {
-		p.unreachable(j.relay.now(), e.Life())
+		p.unreachable(j.relay.now(), e.Incarnation())
 	} else {
-		p.failed(j.relay.now(), e.Life())
+		p.failed(j.relay.now(), e.Incarnation())
 	}
 	j.relay.logAttempt(j.forward, e, j.asked, fault.RetryReason(), fault)
 	if fault.Verdict != model.NotRun && fault.Kind == endpoint.Cut {
--- a/relay/room.go
+++ b/relay/room.go
@@ -105,7 +105,7 @@
 		return
 	}
 	g.mu.Lock()
-	g.g.NoteRoom(g.relay.now(), worker.Life(), free)
+	g.g.NoteRoom(g.relay.now(), worker.Incarnation(), free)
 	g.mu.Unlock()
 }
 
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -163,7 +163,7 @@
 	}
 }
 
-// stale tells whether one of the engine's inputs went with a life of its worker.
+// stale tells whether one of the engine's inputs went with an incarnation of its worker.
 func (s *stageRun) stale() bool {
 	for _, i := range s.plan.Last {
 		if kernel.AnyStale(s.results[i], s.relay.Roster().Superseded) {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -113,8 +113,8 @@
 	if !ok {
 		return e, streamEnd{}, false
 	}
-	defer p.leave(e.Life())
-	j.excluded = append(j.excluded, e.Life())
+	defer p.leave(e.Incarnation())
+	j.excluded = append(j.excluded, e.Incarnation())
 	j.asked++
 	began := r.now()
 	read := false
@@ -123,7 +123,7 @@
 			return
 		}
 		read = true
-		p.readPrompt(e.Life(), tokens, r.now().Sub(began))
+		p.readPrompt(e.Incarnation(), tokens, r.now().Sub(began))
 		j.firstEvent(stages)
 	}
 	send := j.send(e, j.asked > 1)
@@ -138,7 +138,7 @@
 	send.After = state.events.last
 	end := j.relayEvents(ctx, p, send, state, onFirst)
 	if !read {
-		p.dropPrompt(e.Life(), tokens)
+		p.dropPrompt(e.Incarnation(), tokens)
 	}
 	j.noteStreamEnd(p, e, end)
 	return e, end, true
@@ -166,7 +166,7 @@
 		return streamEnd{err: err}
 	}
 	defer reply.Close()
-	p.reported(j.relay.now(), send.Endpoint.Life(), reply.Load)
+	p.reported(j.relay.now(), send.Endpoint.Incarnation(), reply.Load)
 	if reply.NotRun {
 		return streamEnd{reply: reply}
 	}
@@ -267,7 +267,7 @@
 	case end.err != nil:
 		j.noteFault(p, e, asFault(end.err))
 	case end.whole:
-		p.succeeded(e.Life())
+		p.succeeded(e.Incarnation())
 	case end.reply != nil && end.reply.NotRun:
 		j.relay.logAttempt(j.forward, e, j.asked, model.RetryNotRun, nil)
 	}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -111,11 +111,11 @@
 	if !ok {
 		return false
 	}
-	j.excluded = append(j.excluded, e.Life())
+	j.excluded = append(j.excluded, e.Incarnation())
 	j.asked++
 	send := j.send(e, j.asked > 1)
 	go func() {
-		defer p.leave(e.Life())
+		defer p.leave(e.Incarnation())
 		res := unaryResult{endpoint: e}
 		defer r.guard(func() {
 			res.err = errPanic
@@ -153,22 +153,22 @@
 		j.noteFault(p, res.endpoint, asFault(res.err))
 		return false
 	}
-	p.reported(now, res.endpoint.Life(), res.reply.Load)
+	p.reported(now, res.endpoint.Incarnation(), res.reply.Load)
 	if res.reply.NotRun {
 		return false
 	}
 	j.mayHaveRun = true
 	if !res.reply.Authentic && res.reply.Status < http.StatusMultipleChoices {
 		// A success that the endpoint did not sign is not its answer.
-		p.failed(now, res.endpoint.Life())
+		p.failed(now, res.endpoint.Incarnation())
 		res.err = &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.New("relay: the answer is not signed")}
 		return false
 	}
 	if res.reply.Status >= http.StatusInternalServerError {
-		p.failed(now, res.endpoint.Life())
+		p.failed(now, res.endpoint.Incarnation())
 		return false
 	}
-	p.succeeded(res.endpoint.Life())
+	p.succeeded(res.endpoint.Incarnation())
 	return true
 }
 
