--- a/follow/follower.go
+++ b/follow/follower.go
@@ -71,8 +71,8 @@
 		decided atomic.Bool
 		// news tells of each answer about the tables.
 		news *news
-		// patience is how long another node's answer is waited for. It belongs to the goroutine that asks them.
-		patience time.Duration
+		// callTimeout is how long another node's answer is waited for. It belongs to the goroutine that asks them.
+		callTimeout time.Duration
 		// givenUpAt is when an answer that was given up was last logged, on the clock of Now in nanoseconds.
 		givenUpAt atomic.Int64
 	}
@@ -89,7 +89,7 @@
 
 // NewFollower follows tables until ctx ends.
 func NewFollower(ctx context.Context, options Options, store Store, r *relay.Relay, tables []Table, metrics *metric.Set, log zerolog.Logger) *Follower {
-	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), news: newNews(), patience: options.MostAge}
+	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), news: newNews(), callTimeout: options.MostAge}
 	f.reading = kernel.NewReading(options.Name, options.Domain, options.MostAge)
 	f.reads.Store(true)
 	for _, t := range tables {
--- a/follow/source.go
+++ b/follow/source.go
@@ -74,7 +74,7 @@
 	// A node whose answer still comes is not silent, but another one may tell the news sooner.
 	answer.Slow = errors.Is(err, context.DeadlineExceeded)
 	answer.Failed = err != nil && !answer.Slow
-	f.patience = kernel.Patience(f.patience, f.options.MostAge, peerMost, !answer.Slow)
+	f.callTimeout = kernel.CallTimeout(f.callTimeout, f.options.MostAge, peerMost, !answer.Slow)
 	if answer.Failed {
 		f.metrics.Event("ReaderFailed")
 		f.relay.Suspect(source, err)
@@ -105,7 +105,7 @@
 
 // askNode asks a node for what it knows of all tables, and returns what it said of its own proofs.
 func (f *Follower) askNode(ctx context.Context, node string, hold time.Duration) (kernel.SourceAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.patience+hold)
+	ctx, cancel := context.WithTimeout(ctx, f.callTimeout+hold)
 	defer cancel()
 	// Others wait for the same answer, or a large one comes over a slow link: endpoints that leave are to be
 	// known all the same.
--- a/kernel/batch_test.go
+++ b/kernel/batch_test.go
@@ -226,14 +226,14 @@
 	g := newBatchQueue(3)
 	busy := pieceGroup(1, 1, 0, now.Add(5*time.Second))
 	busy.Domain = "domain-1"
-	busy.Patience = 150 * time.Millisecond
+	busy.LocalityWait = 150 * time.Millisecond
 	g.Add(now, busy)
 	batch, ok := g.Next(now)
 	must.True(t, ok)
 	must.Eq(t, "domain-1", batch.Endpoint.FailureDomain)
 	waiting := pieceGroup(2, 1, 0, now.Add(5*time.Second))
 	waiting.Domain = "domain-1"
-	waiting.Patience = 150 * time.Millisecond
+	waiting.LocalityWait = 150 * time.Millisecond
 	g.Add(now, waiting)
 	_, ok = g.Next(now.Add(50 * time.Millisecond))
 	must.False(t, ok)
@@ -264,12 +264,12 @@
 	for id := uint64(1); id <= 4; id++ {
 		group := pieceGroup(id, 8, 8000, due.Add(time.Duration(id)*time.Millisecond))
 		group.Domain = fmt.Sprint("domain-", id%2)
-		group.Patience = 100 * time.Millisecond
+		group.LocalityWait = 100 * time.Millisecond
 		g.Add(now, group)
 	}
 	urgent := pieceGroup(5, 8, 8000, due.Add(-time.Second))
 	urgent.Domain = "domain-0"
-	urgent.Patience = 100 * time.Millisecond
+	urgent.LocalityWait = 100 * time.Millisecond
 	g.Add(now, urgent)
 	later := now.Add(500 * time.Millisecond)
 	took := map[string][]string{}
@@ -315,7 +315,7 @@
 				id := uint64(step)
 				group := pieceGroup(id, 6, 6000, now.Add(2*time.Second))
 				group.Domain = fmt.Sprint("domain-", []int{0, 0, 1, 1, 2}[step/4%5])
-				group.Patience = kernel.DomainPatience(1_400_000, full, 2*time.Second-full)
+				group.LocalityWait = kernel.LocalityWait(1_400_000, full, 2*time.Second-full)
 				domains[id] = group.Domain
 				g.Add(now, group)
 			}
--- a/kernel/batchers.go
+++ b/kernel/batchers.go
@@ -6,9 +6,8 @@
 	"strings"
 )
 
-// capacityPower is how much more the larger hosts get to do: with 6, a host of four times another's
-// capacity is chosen 4,096 times as often, so that small hosts keep to their own callers even where
-// they are many. With 3, one pool in ten fell to a small host among 57 small and 8 large ones.
+// capacityPower keeps a pool off small hosts while large ones are up, however many the small ones are: a host of four
+// times another's capacity is chosen 4,096 times as often.
 const capacityPower = 6
 
 // Peer is a node as the choice of who works for others sees it.
--- a/kernel/batchorder.go
+++ b/kernel/batchorder.go
@@ -78,7 +78,7 @@
 		if w.Domain == "" || w.Domain == m.endpoint.FailureDomain {
 			return 0
 		}
-		return w.Patience
+		return w.LocalityWait
 	}
 	out := slices.Clone(order)
 	slices.SortStableFunc(out, func(a, b *waitingGroup) int {
@@ -143,7 +143,7 @@
 	if w.Domain == "" || m.endpoint.FailureDomain == w.Domain {
 		return true
 	}
-	if now.Sub(w.arrived) >= w.Patience || !g.policy.Uses(NearInputs) {
+	if now.Sub(w.arrived) >= w.LocalityWait || !g.policy.Uses(NearInputs) {
 		return true
 	}
 	for _, other := range g.workers {
--- a/kernel/batchroom.go
+++ b/kernel/batchroom.go
@@ -8,8 +8,7 @@
 
 const (
 	// refusedRoom is how long room counts as taken that a worker refused a result for: about as long
-	// as results are held. It shrinks meanwhile, so that pieces try the worker again as results
-	// lapse; a third or twice as long serves some per cent less after a batcher was lost.
+	// as results are held. It shrinks meanwhile, so that pieces try the worker again as results lapse.
 	refusedRoom = 700 * time.Millisecond
 	// handoverCalls is for how many full calls after a take-over another batcher's calls may be
 	// under way: the one that it had made, and those for groups that waited there.
--- a/kernel/batchslow.go
+++ b/kernel/batchslow.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// overdueFactor is how many times as long as expected a call takes to count as overdue. Of calls at sound
-	// endpoints of three pools, nine in ten took under 1.1 times what was expected and 99 in 100 under 1.3.
+	// overdueFactor is how many times as long as expected a call takes to count as overdue: beyond what calls at
+	// sound endpoints sway by.
 	overdueFactor = 1.5
 	// slowFactor is how many times as long as the pool's usual endpoint one takes to count as slow.
 	slowFactor = 1.5
--- a/kernel/evacuation_test.go
+++ b/kernel/evacuation_test.go
@@ -155,7 +155,7 @@
 	for id := uint64(2); id < 30; id++ {
 		now = now.Add(time.Second)
 		group := pieceGroup(id, 1, 1000, now.Add(time.Minute))
-		group.Domain, group.Patience = "a", time.Second
+		group.Domain, group.LocalityWait = "a", time.Second
 		ok, _ = g.Add(now, group)
 		must.True(t, ok)
 		for batch, more := g.Next(now); more; batch, more = g.Next(now) {
--- a/kernel/leaving.go
+++ b/kernel/leaving.go
@@ -7,9 +7,8 @@
 )
 
 const (
-	// streamNeeds is the time that a stream may need from its receipt to its last event; nearly
-	// all that were measured under load ended within it. A leaving node takes none that might not
-	// end before it is gone.
+	// streamNeeds is the time that a stream may need from its receipt to its last event. A leaving node takes none
+	// that might not end before it is gone.
 	streamNeeds = 5 * time.Second
 	// unaryNeeds is the most that a unary request is taken to need; its route's timeout if that
 	// is less.
--- a/kernel/pieces.go
+++ b/kernel/pieces.go
@@ -20,9 +20,9 @@
 		Inputs     []MadePiece
 		FreeInputs bool
 		// Domain is the failure domain where the inputs lie or the results are wanted; empty
-		// where it does not matter. After Patience other domains are as good.
-		Domain   string
-		Patience time.Duration
+		// where it does not matter. After LocalityWait other domains are as good.
+		Domain       string
+		LocalityWait time.Duration
 		// Rank is the request's priority; 0 comes first.
 		Rank int
 		// AskedAt is when its sender first asked for it, of whatever batcher; zero means when it was added.
--- a/kernel/placement.go
+++ b/kernel/placement.go
@@ -17,10 +17,9 @@
 	// smallMove is how many bytes are moved between failure domains without waiting for an endpoint
 	// where they lie: less than a millisecond of a usual link.
 	smallMove = 100_000
-	// slackShare is the share of a group's slack that it may wait for an endpoint where its inputs
-	// lie: with three stages on the way half of it is left for queues. With a third, 0.2 to 0.8 in a
-	// hundred requests fewer were served, for no fewer bytes that count.
-	slackShare = 1.0 / 6
+	// localityWaitShare is the part of a group's slack that it may wait for a worker near its inputs: with three stages
+	// on the way half of it is left for queues.
+	localityWaitShare = 1.0 / 6
 	// slotShare is the share of an engine's slots that may be taken before others are preferred.
 	slotShare = 0.9
 )
@@ -60,16 +59,14 @@
 	return domain
 }
 
-// DomainPatience returns how long pieces wait for an endpoint in the failure domain that they
-// prefer, by how many bytes they would else move: for its next call, whose full length is given, as far as
-// that leaves them on time. With five endpoints in three domains and each piece of a stage fetching all
-// results of the stage before, results between domains fell to a fifth of what they were with waits of up
-// to 130 ms, at the same time to the first event.
-func DomainPatience(bytes int64, full, slack time.Duration) time.Duration {
+// LocalityWait returns how long pieces wait for a worker in the failure domain that they prefer (delay scheduling), by
+// how many bytes they would else move: for its next call, whose full length is given, as far as that leaves them on
+// time.
+func LocalityWait(bytes int64, full, slack time.Duration) time.Duration {
 	if bytes < smallMove {
 		return 0
 	}
-	return max(0, min(full, time.Duration(slackShare*float64(slack))))
+	return max(0, min(full, time.Duration(localityWaitShare*float64(slack))))
 }
 
 // PickEngine returns the index of the engine for a prompt, -1 for none: by the affinity key, and
--- a/kernel/placement_test.go
+++ b/kernel/placement_test.go
@@ -67,10 +67,10 @@
 	must.Eq(t, -1, kernel.PickEngine(now, nil, "key"))
 }
 
-func TestPatienceGrowsWithWhatIsMoved(t *testing.T) {
+func TestTheLocalityWaitGrowsWithWhatIsMoved(t *testing.T) {
 	full := 444 * time.Millisecond
-	must.EqOp(t, 0, kernel.DomainPatience(50_000, full, time.Minute), must.Sprint("little to move"))
-	must.EqOp(t, full, kernel.DomainPatience(3_600_000, full, time.Minute), must.Sprint("the next call of the domain"))
-	must.EqOp(t, 100*time.Millisecond, kernel.DomainPatience(3_600_000, full, 600*time.Millisecond), must.Sprint("a sixth of the slack"))
-	must.EqOp(t, 0, kernel.DomainPatience(3_600_000, full, -time.Second), must.Sprint("late already"))
+	must.EqOp(t, 0, kernel.LocalityWait(50_000, full, time.Minute), must.Sprint("little to move"))
+	must.EqOp(t, full, kernel.LocalityWait(3_600_000, full, time.Minute), must.Sprint("the next call of the domain"))
+	must.EqOp(t, 100*time.Millisecond, kernel.LocalityWait(3_600_000, full, 600*time.Millisecond), must.Sprint("a sixth of the slack"))
+	must.EqOp(t, 0, kernel.LocalityWait(3_600_000, full, -time.Second), must.Sprint("late already"))
 }
--- a/kernel/routes.go
+++ b/kernel/routes.go
@@ -19,8 +19,8 @@
 		holders map[string]model.KeyHolder
 	}
 
-	// hostRoutes holds a host's routes by prefix: a match costs a look-up for each slash of a path, 0.2
-	// microseconds of 3,000 routes on one host, where asking each route took 19.
+	// hostRoutes holds a host's routes by prefix: a match costs a look-up for each slash of a path, however many routes
+	// the host has.
 	hostRoutes struct {
 		byPrefix map[string]model.Route
 		// longest is the length of the longest prefix in bytes.
--- a/peer/message.go
+++ b/peer/message.go
@@ -148,18 +148,18 @@
 		// OnlyAsk asks how long the pieces would wait, and for nothing else.
 		OnlyAsk bool
 		// Group is unique among the sender's groups.
-		Group       string
-		Request     string
-		Digest      model.Digest
-		Stage       int
-		Numbers     []int
-		Key         string
-		Inputs      []kernel.MadePiece
-		FreeInputs  bool
-		ResultBytes int64
-		Domain      string
-		Patience    time.Duration
-		Rank        int
+		Group        string
+		Request      string
+		Digest       model.Digest
+		Stage        int
+		Numbers      []int
+		Key          string
+		Inputs       []kernel.MadePiece
+		FreeInputs   bool
+		ResultBytes  int64
+		Domain       string
+		LocalityWait time.Duration
+		Rank         int
 		// AskedAgo is how long ago the sender first asked for the pieces, of any node.
 		AskedAgo time.Duration
 		DueIn    time.Duration
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// batchPatience is how long beyond the time by which a group is due its sender waits for the
+	// batchGrace is how long beyond the time by which a group is due its sender waits for the
 	// batcher's answer before it turns to the next node.
-	batchPatience = 200 * time.Millisecond
+	batchGrace = 200 * time.Millisecond
 	// outlookTimeout bounds the question for a batcher's queue; without an answer in time the
 	// request is taken as if there were none.
 	outlookTimeout = 40 * time.Millisecond
@@ -38,12 +38,12 @@
 		freeInputs bool
 		bytes      int64
 		domain     string
-		// patience is how long the pieces wait for the domain.
-		patience time.Duration
-		rank     int
-		askedAt  time.Time
-		due      time.Time
-		until    time.Time
+		// localityWait is how long the pieces wait for the domain.
+		localityWait time.Duration
+		rank         int
+		askedAt      time.Time
+		due          time.Time
+		until        time.Time
 		// passedOver names the nodes that did not answer or batch no more.
 		passedOver []string
 	}
@@ -205,17 +205,17 @@
 // group returns the request as the kernel takes it.
 func (req batchRequest) group(id uint64) kernel.PieceGroup {
 	return kernel.PieceGroup{
-		ID:          id,
-		Pieces:      req.pieces,
-		Inputs:      req.inputs,
-		FreeInputs:  req.freeInputs,
-		ResultBytes: req.bytes,
-		Domain:      req.domain,
-		Patience:    req.patience,
-		Rank:        req.rank,
-		AskedAt:     req.askedAt,
-		Due:         req.due,
-		Until:       req.until,
+		ID:           id,
+		Pieces:       req.pieces,
+		Inputs:       req.inputs,
+		FreeInputs:   req.freeInputs,
+		ResultBytes:  req.bytes,
+		Domain:       req.domain,
+		LocalityWait: req.localityWait,
+		Rank:         req.rank,
+		AskedAt:      req.askedAt,
+		Due:          req.due,
+		Until:        req.until,
 	}
 }
 
--- a/relay/batcher.go
+++ b/relay/batcher.go
@@ -17,10 +17,10 @@
 	// pumpAgain is when a batcher at most looks again while pieces wait: a part of the time that
 	// a piece waits for its own failure domain.
 	pumpAgain = 30 * time.Millisecond
-	// callPatience is how many times its expected time a call for pieces may take before it is
+	// callTimeoutFactor is how many times its expected time a call for pieces may take before it is
 	// given up and its pieces are asked for elsewhere, and callGrace what is added to that.
-	callPatience = 2.5
-	callGrace    = 300 * time.Millisecond
+	callTimeoutFactor = 2.5
+	callGrace         = 300 * time.Millisecond
 	// outlookMemory is how long a batcher's word on its queue counts; then it is asked again
 	// before a request's stages begin.
 	outlookMemory = 120 * time.Millisecond
@@ -187,7 +187,7 @@
 		g.finish(ended)
 		g.pump()
 	})
-	timeout := time.Duration(callPatience*float64(expected)) + callGrace
+	timeout := time.Duration(callTimeoutFactor*float64(expected)) + callGrace
 	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
 	ctx, over := r.begin(ctx, batch.Endpoint, batch.Digests()...)
--- a/relay/batchpeer.go
+++ b/relay/batchpeer.go
@@ -16,7 +16,7 @@
 	}
 	address := r.addressOf(node)
 	message := r.batchMessage(req)
-	callCtx, cancel := context.WithTimeout(ctx, max(batchPatience, message.UntilIn+batchPatience))
+	callCtx, cancel := context.WithTimeout(ctx, max(batchGrace, message.UntilIn+batchGrace))
 	defer cancel()
 	var reply peer.BatchReply
 	err := r.peers.Call(callCtx, address, peer.KindBatch, message, &reply)
@@ -44,22 +44,22 @@
 	now := r.now()
 	first := req.pieces[0]
 	message := peer.Batch{
-		Pool:        req.pool,
-		Group:       fmt.Sprintf("%s/%d", r.options.Name, r.groups.Add(1)),
-		Request:     first.Request,
-		Digest:      first.Digest,
-		Stage:       first.Stage,
-		Key:         first.Key,
-		Inputs:      req.inputs,
-		FreeInputs:  req.freeInputs,
-		ResultBytes: req.bytes,
-		Domain:      req.domain,
-		Patience:    req.patience,
-		Rank:        req.rank,
-		AskedAgo:    now.Sub(req.askedAt),
-		DueIn:       req.due.Sub(now),
-		UntilIn:     req.until.Sub(now),
-		PassedOver:  req.passedOver,
+		Pool:         req.pool,
+		Group:        fmt.Sprintf("%s/%d", r.options.Name, r.groups.Add(1)),
+		Request:      first.Request,
+		Digest:       first.Digest,
+		Stage:        first.Stage,
+		Key:          first.Key,
+		Inputs:       req.inputs,
+		FreeInputs:   req.freeInputs,
+		ResultBytes:  req.bytes,
+		Domain:       req.domain,
+		LocalityWait: req.localityWait,
+		Rank:         req.rank,
+		AskedAgo:     now.Sub(req.askedAt),
+		DueIn:        req.due.Sub(now),
+		UntilIn:      req.until.Sub(now),
+		PassedOver:   req.passedOver,
 	}
 	for _, p := range req.pieces {
 		message.Numbers = append(message.Numbers, p.Number)
@@ -104,16 +104,16 @@
 	}
 	now := r.now()
 	group := kernel.PieceGroup{
-		ID:          r.groups.Add(1),
-		Inputs:      m.Inputs,
-		FreeInputs:  m.FreeInputs,
-		ResultBytes: m.ResultBytes,
-		Domain:      m.Domain,
-		Patience:    m.Patience,
-		Rank:        m.Rank,
-		AskedAt:     now.Add(-m.AskedAgo),
-		Due:         now.Add(m.DueIn),
-		Until:       now.Add(m.UntilIn),
+		ID:           r.groups.Add(1),
+		Inputs:       m.Inputs,
+		FreeInputs:   m.FreeInputs,
+		ResultBytes:  m.ResultBytes,
+		Domain:       m.Domain,
+		LocalityWait: m.LocalityWait,
+		Rank:         m.Rank,
+		AskedAt:      now.Add(-m.AskedAgo),
+		Due:          now.Add(m.DueIn),
+		Until:        now.Add(m.UntilIn),
 	}
 	handles := handlesOf(m.Inputs)
 	for _, n := range m.Numbers {
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -218,7 +218,7 @@
 		moved = node.ResultBytes * int64(pieces)
 	}
 	full := j.relay.hub.lastOutlook(run.queue(stage)).FullCall()
-	g.patience = kernel.DomainPatience(moved, full, g.due.Sub(j.relay.now())-full)
+	g.localityWait = kernel.LocalityWait(moved, full, g.due.Sub(j.relay.now())-full)
 	for n := range pieces {
 		piece.Number = n
 		g.pieces = append(g.pieces, piece)
