--- a/kernel/batch.go
+++ b/kernel/batch.go
@@ -20,8 +20,8 @@
 	workerPause = 60 * time.Millisecond
 	// pieceTries bounds how often a piece is asked for.
 	pieceTries = 3
-	// paceWeight is the weight of the newest call in an endpoint's pace.
-	paceWeight = 0.3
+	// slowdownWeight is the weight of the newest call in an endpoint's slowdown.
+	slowdownWeight = 0.3
 	// holdWeight is the weight of the newest result in the time that results are held.
 	holdWeight = 0.05
 	// lateBacklog is how many full batches an endpoint may have waiting for work that comes
@@ -74,11 +74,11 @@
 		foreignAt    time.Time
 		foreignUntil time.Time
 		health       Health
-		// pace is how long calls take, relative to what is stated; probedAt is when it last got a piece for
+		// slowdown is how long calls take, relative to what is stated; probedAt is when it last got a piece for
 		// finding out whether it is still slow.
-		pace     float64
+		slowdown float64
 		probedAt time.Time
-		// unanswered is true from a call that was overdue until one is answered: its pace is not known.
+		// unanswered is true from a call that was overdue until one is answered: its slowdown is not known.
 		unanswered bool
 	}
 
@@ -142,7 +142,7 @@
 		listed[e.Incarnation()] = true
 		m := g.workers[e.Incarnation()]
 		if m == nil {
-			m = &worker{pace: 1}
+			m = &worker{slowdown: 1}
 			g.workers[e.Incarnation()] = m
 		}
 		m.endpoint = e
@@ -210,7 +210,7 @@
 		ended = append(ended, w.outcome(model.PieceLate))
 		delete(g.groups, id)
 	}
-	ended = append(ended, g.endPassedBy(now)...)
+	ended = append(ended, g.endStarved(now)...)
 	for handle, r := range g.results {
 		if now.After(r.until) {
 			g.Release(now, MadePiece{Handle: handle, Worker: r.worker})
--- a/kernel/batchcall.go
+++ b/kernel/batchcall.go
@@ -14,7 +14,7 @@
 	if len(order) == 0 || g.tooSoon(now, order) {
 		return PieceBatch{}, false
 	}
-	usual := g.usualPace()
+	usual := g.usualSlowdown()
 	var slow []*worker
 	for _, m := range g.idle(now) {
 		if g.slow(m, usual) {
@@ -113,11 +113,11 @@
 }
 
 // Expected returns how long a call may take before its endpoint is given up: what is stated,
-// times the pace that the endpoint showed.
+// times the slowdown that the endpoint showed.
 func (g *BatchQueue) Expected(batch PieceBatch) time.Duration {
-	pace := 1.0
+	slowdown := 1.0
 	if m := g.workers[batch.Endpoint.Incarnation()]; m != nil {
-		pace = max(1, m.pace)
+		slowdown = max(1, m.slowdown)
 	}
-	return time.Duration(float64(batch.stated) * pace)
+	return time.Duration(float64(batch.stated) * slowdown)
 }
--- a/kernel/batchend.go
+++ b/kernel/batchend.go
@@ -52,7 +52,7 @@
 	m := g.end(batch, results)
 	if m != nil {
 		m.health = m.health.WithSuccess()
-		m.notePace(now, batch, g.usualPace())
+		m.noteSlowdown(now, batch, g.usualSlowdown())
 	}
 	failed := map[int]model.PieceFault{}
 	for i, p := range batch.Pieces {
--- a/kernel/batchload_test.go
+++ b/kernel/batchload_test.go
@@ -193,7 +193,7 @@
 // How: work that can no longer be on time goes after all that can, and in a queue there is always some that
 // can. Nothing ended it but its deadline. Proved by the batcher's state as such groups were withdrawn: late
 // by 3.5 s, at place 12 to 29 of the queue, never tried.
-func TestWorkThatIsPassedByIsEndedInABurst(t *testing.T) {
+func TestStarvedWorkIsEndedInABurst(t *testing.T) {
 	full := batchTraits.CallTime + time.Duration(batchTraits.Batch)*batchTraits.PieceTime
 	shortest := batchTraits.CallTime + batchTraits.PieceTime
 	var onTimeWith, onTimeWithout int
@@ -213,7 +213,7 @@
 			// A full call after it can't be on time, at the next look; a call that is under way is waited for.
 			latest := s.Due.Add(-shortest + full + loadSweep + full)
 			must.False(t, !s.made && s.ended.After(latest), must.Sprint("group ", s.ID, " of seed ", seed, " ended ", s.ended.Sub(s.Due), " after it was due"))
-			must.True(t, s.made || s.fault == model.PieceLate || s.fault == model.PiecePassedBy)
+			must.True(t, s.made || s.fault == model.PieceLate || s.fault == model.PieceStarved)
 		}
 	}
 	must.GreaterEq(t, onTimeWithout, onTimeWith, must.Sprint("what is on time must not become less"))
@@ -235,7 +235,7 @@
 
 // Seen: while a third of a stage's endpoints took 3.5 times as long as usual, each of them got a full call after
 // the other, which was given up just before it ended, at 3.3 times: 10 endpoints lost 34 calls in
-// 5 s. How: nothing but a call's end told that it was slow, and a call that was given up told nothing of the pace.
+// 5 s. How: nothing but a call's end told that it was slow, and a call that was given up told nothing of the slowdown.
 // Proved by the calls' times: all at slow endpoints ended as failures, those at others in 1.1 times what is stated.
 func TestSlowEndpointsHoldUpLittle(t *testing.T) {
 	var onTimeWith, onTimeWithout, missedWith, missedWithout int
--- a/kernel/batchslow.go
+++ b/kernel/batchslow.go
@@ -16,7 +16,7 @@
 	// slowProbe is how often a slow endpoint gets a piece that it is too slow for, to find out whether it still
 	// is; the piece is made elsewhere, too, once it is overdue.
 	slowProbe = time.Second
-	// recoverWeight is the weight of the newest call in a slow endpoint's pace, and of the first that tells that it
+	// recoverWeight is the weight of the newest call in a slow endpoint's slowdown, and of the first that tells that it
 	// is slow: two calls bring it back.
 	recoverWeight = 0.7
 )
@@ -55,13 +55,13 @@
 	return time.Duration(overdueFactor*float64(expected)) + fetchGrace
 }
 
-// notePace takes in how long a call took.
-func (m *worker) notePace(now time.Time, batch PieceBatch, usual float64) {
-	weight := paceWeight
-	if m.unanswered || m.pace > slowFactor*usual {
+// noteSlowdown takes in how long a call took.
+func (m *worker) noteSlowdown(now time.Time, batch PieceBatch, usual float64) {
+	weight := slowdownWeight
+	if m.unanswered || m.slowdown > slowFactor*usual {
 		weight = recoverWeight
 	}
-	m.pace += weight * (batch.took(now) - m.pace)
+	m.slowdown += weight * (batch.took(now) - m.slowdown)
 	m.unanswered = false
 }
 
@@ -70,31 +70,31 @@
 	return float64(now.Sub(b.startedAt)) / float64(max(1, b.stated))
 }
 
-// usualPace is the median of the endpoints' paces: where all are slow, none is to be spared.
-func (g *BatchQueue) usualPace() float64 {
-	paces := make([]float64, 0, len(g.workers))
+// usualSlowdown is the median of the endpoints' slowdowns: where all are slow, none is to be spared.
+func (g *BatchQueue) usualSlowdown() float64 {
+	slowdowns := make([]float64, 0, len(g.workers))
 	for _, m := range g.workers {
 		if m.endpoint.TakesWork() {
-			paces = append(paces, m.pace)
+			slowdowns = append(slowdowns, m.slowdown)
 		}
 	}
-	if len(paces) == 0 {
+	if len(slowdowns) == 0 {
 		return 1
 	}
-	slices.Sort(paces)
-	return max(1, paces[(len(paces)-1)/2])
+	slices.Sort(slowdowns)
+	return max(1, slowdowns[(len(slowdowns)-1)/2])
 }
 
 // slow tells whether an endpoint takes much longer than the usual one, or has yet to answer a call that was overdue.
 func (g *BatchQueue) slow(m *worker, usual float64) bool {
-	return g.policy.Uses(SlowWorkers) && (m.unanswered || m.pace > slowFactor*usual)
+	return g.policy.Uses(SlowWorkers) && (m.unanswered || m.slowdown > slowFactor*usual)
 }
 
 // fillSlow collects the pieces that a slow worker is to make next: of groups that it makes on time, or that are late
-// whoever makes them, where its pace is known; else a single piece from time to time.
+// whoever makes them, where its slowdown is known; else a single piece from time to time.
 func (g *BatchQueue) fillSlow(now time.Time, m *worker, order []*waitingGroup) PieceBatch {
 	if !m.unanswered {
-		end := now.Add(time.Duration(m.pace * float64(g.callTime(g.traits.Batch))))
+		end := now.Add(time.Duration(m.slowdown * float64(g.callTime(g.traits.Batch))))
 		fit := slices.DeleteFunc(slices.Clone(order), func(w *waitingGroup) bool { return end.After(w.Due) && !g.isLate(now, w) })
 		if batch := g.fill(now, m, fit); len(batch.Pieces) > 0 {
 			return batch
--- a/kernel/batchslow_test.go
+++ b/kernel/batchslow_test.go
@@ -102,8 +102,8 @@
 
 // Seen while a failed soak was traced: an endpoint that answered nothing counted as slower with each call, without
 // bound, and the slower it counted the longer its next call was waited for: at calls of some milliseconds 250 times
-// what is stated after four of them. How: a call that was overdue set the pace by how long it had taken, and the next
-// one was overdue later by as much. Only an answer tells a pace.
+// what is stated after four of them. How: a call that was overdue set the slowdown by how long it had taken, and the next
+// one was overdue later by as much. Only an answer tells a slowdown.
 func TestAnEndpointThatAnswersNothingIsNotWaitedForLonger(t *testing.T) {
 	g, call, now := overdueCall(t, 2*time.Second)
 	dead := call.Endpoint.Name
--- a/kernel/batchpassed.go
+++ b/kernel/batchstarved.go
@@ -6,22 +6,22 @@
 	"basilstall.example/basilstall/model"
 )
 
-// mostPassedBy is for how many full calls a group may wait on that can no longer be on time. Each worker has turned
+// mostStarved is for how many full calls a group may wait on that can no longer be on time. Each worker has turned
 // to the queue as often meanwhile, and found work that could still be on time, or no room.
-const mostPassedBy = 1
+const mostStarved = 1
 
-// endPassedBy ends the groups that were passed by for too long. They would wait on until they are useless, and
+// endStarved ends the groups that starved for too long. They would wait on until they are useless, and
 // their callers with them, who are better told at once and come back when the queue has drained.
-func (g *BatchQueue) endPassedBy(now time.Time) []GroupOutcome {
+func (g *BatchQueue) endStarved(now time.Time) []GroupOutcome {
 	if !g.policy.Uses(LateEnded) {
 		return nil
 	}
 	var ended []GroupOutcome
 	for _, w := range g.groups {
-		if len(w.waiting) == 0 || now.Before(g.lateSince(w).Add(mostPassedBy*g.callTime(g.traits.Batch))) {
+		if len(w.waiting) == 0 || now.Before(g.lateSince(w).Add(mostStarved*g.callTime(g.traits.Batch))) {
 			continue
 		}
-		outcome := w.outcome(model.PiecePassedBy)
+		outcome := w.outcome(model.PieceStarved)
 		outcome.Wait = g.Wait(now, w.PieceGroup)
 		ended = append(ended, outcome)
 	}
--- a/model/forward.go
+++ b/model/forward.go
@@ -118,8 +118,8 @@
 const (
 	// PieceLate: its deadline had passed when its turn came.
 	PieceLate PieceFault = "Late"
-	// PiecePassedBy: it could no longer be on time, and what could went before it for too long.
-	PiecePassedBy PieceFault = "PassedBy"
+	// PieceStarved: it could no longer be on time, and what could went before it for too long.
+	PieceStarved PieceFault = "Starved"
 	// PieceInputGone: a result that it needs is gone.
 	PieceInputGone PieceFault = "InputGone"
 	// PieceNoRoom: the endpoint had no room for its result.
--- a/relay/batcher.go
+++ b/relay/batcher.go
@@ -293,8 +293,8 @@
 	ended := g.g.Expire(now)
 	g.mu.Unlock()
 	for _, o := range ended {
-		if o.Fault == model.PiecePassedBy {
-			g.relay.metrics.Event("PiecesPassedBy")
+		if o.Fault == model.PieceStarved {
+			g.relay.metrics.Event("PiecesStarved")
 		}
 	}
 	g.finish(ended)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -209,7 +209,7 @@
 // Seen: a request waited for its pieces until its caller left, though they could long no longer be on time and
 // nothing told the caller. How: the batcher ended such pieces by the request's deadline alone. Proved by the
 // batcher's queue as the caller left. The endpoint here never comes free, and the request has a minute.
-func TestARequestWhosePiecesArePassedByIsRefused(t *testing.T) {
+func TestARequestWhosePiecesStarveIsRefused(t *testing.T) {
 	b := newBed(t)
 	over := make(chan struct{})
 	defer close(over)
@@ -228,7 +228,7 @@
 	must.EqOp(t, model.NotRun, outcome.Refusal.Verdict)
 	must.Positive(t, outcome.Refusal.RetryAfter)
 	must.SliceLen(t, 1, outcome.Stages)
-	must.EqOp(t, model.PiecePassedBy, outcome.Stages[0].Fault)
+	must.EqOp(t, model.PieceStarved, outcome.Stages[0].Fault)
 }
 
 type broken struct{}
