Soak: evacuations and cold endpoints

Evacuations, single and twice in quick succession, of a failure domain with endpoints of its own, and engines that turn cold, beside the troubles of nodes and the store. Checked by when requests and calls for pieces reach endpoints.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -35,6 +35,8 @@
 		known[s.ID] = s
 		c.checkAnswer(s, runs[s.ID])
 	}
+	c.checkPieces()
+	c.checkCold()
 	for id, ran := range runs {
 		s := known[id]
 		if s == nil {
@@ -118,6 +120,7 @@
 	if !unlisted.IsZero() && s.at.After(unlisted.Add(drain+slack)) {
 		c.breach("%s was sent to %s, which had left %v before", s.ID, r.server.Name, s.at.Sub(unlisted))
 	}
+	c.checkEvacuated(s.ID, r.run.At, r.server)
 	if at, gone := c.revokedAt(s.Key); gone && s.at.After(at.Add(revoke)) {
 		c.breach("%s ran although its key was taken away %v before it was sent", s.ID, s.at.Sub(at))
 	}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -46,6 +46,8 @@
 		writing sync.Mutex
 		// away is held while the store is taken away as a whole.
 		away sync.Mutex
+		// emptying is held while a failure domain is evacuated.
+		emptying sync.Mutex
 
 		callers *callers
 
@@ -56,17 +58,28 @@
 		keys     []string
 		// revoked holds when each key was taken away.
 		revoked map[string]time.Time
-		extra   int
+		// evacuated holds when each failure domain was evacuated.
+		evacuated map[string][]period
+		extra     int
 		// added is how many routes of the newest version have not always stood.
 		added    int
 		breaches []string
 	}
 
+	// period is a time from one moment to another, which is zero while it lasts.
+	period struct {
+		from, to time.Time
+	}
+
 	// server is an endpoint with its pool.
 	server struct {
 		*standin.Endpoint
 		pool  string
 		proxy *proxy
+		// domain is its failure domain; the usual one where it is empty.
+		domain string
+		// cold is until when it says that it is cold, and since when.
+		cold period
 		// unlistedAt is when its entry was removed, or its process ended; zero before.
 		unlistedAt time.Time
 	}
@@ -102,7 +115,11 @@
 
 // newServer starts an endpoint and lists it.
 func (c *cluster) newServer(name, pool string) error {
-	s := &server{Endpoint: standin.NewEndpoint(name), pool: pool}
+	return c.newServerIn("", name, pool)
+}
+
+func (c *cluster) newServerIn(domain, name, pool string) error {
+	s := &server{Endpoint: standin.NewEndpoint(name), pool: pool, domain: domain}
 	var err error
 	if s.proxy, err = newProxy(s.Address()); err != nil {
 		return err
@@ -135,7 +152,7 @@
 }
 
 func (c *cluster) list(s *server, draining bool) {
-	c.store.List(standin.Entry{Name: s.Name, Pool: s.pool, Address: s.proxy.address(), Draining: draining, Started: s.Started()})
+	c.store.List(standin.Entry{Name: s.Name, Pool: s.pool, Address: s.proxy.address(), Domain: s.domain, Draining: draining, Cold: time.Until(s.cold.to), Started: s.Started()})
 }
 
 // configure writes the next version of the routing. Versions are written in their order, as the platform has it: else
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -51,6 +51,8 @@
 	{"key taken away behind a cut", keyTakenBehindACut},
 	{"store away", storeAway},
 	{"poison requests", poisonRequests},
+	{"evacuation", evacuation},
+	{"cold endpoint", coldEndpoint},
 }
 
 func (c *cluster) anyNode(random *rand.Rand) *node {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,6 +33,9 @@
 	"endpoint fails,endpoint link,endpoint leaves,endpoint starts again,foreign entries,routing changes,routes added," +
 	"key taken away,key taken away behind a cut,store away"
 
+// poisonKinds are the kinds of faults that the seeds drew from that have poison requests and no evacuations.
+const poisonKinds = firstKinds + ",poison requests"
+
 // keptSeeds are run each time: the first for a start, the others because they once failed.
 var keptSeeds = []struct {
 	seed uint64
@@ -42,8 +45,9 @@
 	cause string
 }{
 	{1, firstKinds, 6 * time.Second, "no node served after the faults, once beside much else"},
-	{2, "", 6 * time.Second, "none: a short run of all kinds"},
-	{74019, "", 10 * time.Second, "two requests that end endpoints at one end: it counts against one of them only, and the other needs one more"},
+	{2, poisonKinds, 6 * time.Second, "none: a short run of these kinds"},
+	{3, "evacuation,cold endpoint,kill,terminate,pause,store fails,store compacts,reader cut off", 6 * time.Second, "none: evacuations and cold endpoints beside troubles of nodes and the store"},
+	{74019, poisonKinds, 10 * time.Second, "two requests that end endpoints at one end: it counts against one of them only, and the other needs one more"},
 	{4015, "reader cut off,endpoint leaves", 12 * time.Second, "an endpoint listed and removed between two questions stayed in use"},
 	{9005, "routes added,routing changes,kill,store link", 12 * time.Second, "a node was told each version of a large routing that it had missed, more than it reads at once"},
 }
@@ -80,7 +84,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	c := &cluster{
 		dir: t.TempDir(), binary: binary, store: standin.NewStore(),
-		endpoints: map[string]*server{}, keys: []string{goodKey}, revoked: map[string]time.Time{},
+		endpoints: map[string]*server{}, keys: []string{goodKey}, revoked: map[string]time.Time{}, evacuated: map[string][]period{},
 	}
 	defer c.close()
 	c.store.Rewrite(c.announced)
