Keep the index of endpoints where an answer tells no news

Suspected: since the evacuations each question about the list copied and indexed it anew, news or not. With 3,000 endpoints that takes some milliseconds and megabytes; now an answer without news changes the proof's age alone.

--- a/kernel/roster.go
+++ b/kernel/roster.go
@@ -56,6 +56,10 @@
 	}
 	r.provenAt = provenAt
 	grace := !r.returnedAt.IsZero() && now.Sub(r.returnedAt) < lapsedGrace
+	if len(listed)+len(removed)+len(unreadable) == 0 && (grace || !r.anyMissing()) {
+		// Most answers tell no news, and a copy of a large list costs a small host's processor.
+		return r
+	}
 	entries := maps.Clone(r.entries)
 	for _, name := range removed {
 		e, known := entries[name]
@@ -86,6 +90,15 @@
 	return r.indexed()
 }
 
+func (r Roster) anyMissing() bool {
+	for _, e := range r.entries {
+		if e.missing {
+			return true
+		}
+	}
+	return false
+}
+
 // WithEvacuations returns the roster under other evacuations.
 func (r Roster) WithEvacuations(e Evacuations) Roster {
 	r.evacuations = e
