Decode what endpoints state of themselves in one place, and log it

Nothing told what an endpoint had stated in its answers: that it leaves (Server-Leaving), or that it wants no requests from this node for a time (503 with Retry-After). model.Statement is what an answer of any kind states, decoded by platform.decodeStatement for requests, calls for pieces, calls that free results and reports; kernel.Standing is what a node believes by it of one incarnation, kept by the registry. All calls pass relay.callEndpoint. New lines: endpoint states that it is leaving, endpoint asks for a pause; new counters: SentToLeavingEndpoint, SentDuringPause. No decision reads it yet.

Tests of relay, kernel, platform and ratecap pass.

--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -27,6 +27,8 @@
 		entries map[string]registryEntry
 		// evacuations are the failure domains that get no work.
 		evacuations Evacuations
+		// standings holds what endpoints have stated of themselves to this node, by incarnation.
+		standings map[string]listedStanding
 		// byPool holds the endpoints of each pool in the order of their names, with the states that follow from
 		// entries and evacuations.
 		byPool map[string][]model.Endpoint
@@ -41,6 +43,12 @@
 		// lapsed is true for an entry that lapsed during an outage of the store and may be listed again.
 		lapsed bool
 	}
+
+	listedStanding struct {
+		Standing
+		// unlistedSince is when the incarnation was first missing from the list; zero while it is listed.
+		unlistedSince time.Time
+	}
 )
 
 // NewRegistry returns a registry without endpoints.
@@ -88,9 +96,56 @@
 		maps.DeleteFunc(entries, func(_ string, e registryEntry) bool { return e.lapsed })
 	}
 	r.entries = entries
+	r.standings = r.retainedStandings(now)
 	return r.indexed()
 }
 
+// retainedStandings returns the standings without those of incarnations that left the list long ago.
+func (r Registry) retainedStandings(now time.Time) map[string]listedStanding {
+	retained := make(map[string]listedStanding, len(r.standings))
+	for incarnation, s := range r.standings {
+		switch {
+		case r.lists(incarnation):
+			s.unlistedSince = time.Time{}
+		case s.unlistedSince.IsZero():
+			s.unlistedSince = now
+		case now.Sub(s.unlistedSince) >= standingRetention:
+			continue
+		}
+		retained[incarnation] = s
+	}
+	return retained
+}
+
+// lists reports whether an incarnation is listed.
+func (r Registry) lists(incarnation string) bool {
+	entry, known := r.entries[model.NameOfIncarnation(incarnation)]
+	return known && entry.endpoint.Incarnation() == incarnation
+}
+
+// WithStatement returns the registry after an endpoint stated something of itself in an answer to this node, and whether
+// its standing has changed.
+func (r Registry) WithStatement(now time.Time, e model.Endpoint, stated model.Statement) (after Registry, changed bool) {
+	incarnation := e.Incarnation()
+	before := r.standings[incarnation]
+	standing := before.With(now, stated)
+	if standing == before.Standing {
+		return r, false
+	}
+	r.standings = maps.Clone(r.standings)
+	if r.standings == nil {
+		r.standings = map[string]listedStanding{}
+	}
+	before.Standing = standing
+	r.standings[incarnation] = before
+	return r, true
+}
+
+// Standing returns what an incarnation of an endpoint has stated of itself to this node.
+func (r Registry) Standing(incarnation string) Standing {
+	return r.standings[incarnation].Standing
+}
+
 func (r Registry) anyLapsed() bool {
 	for _, e := range r.entries {
 		if e.lapsed {
--- /dev/null
+++ b/kernel/standing.go
@@ -0,0 +1,46 @@
+package kernel
+
+import (
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// maxPause bounds the pauses that are granted: after that, a request shows whether the endpoint still wants none.
+	maxPause = 10 * time.Minute
+	// standingRetention is how long the standing of an incarnation is kept after its entry left the list: an entry that
+	// is missing for longer than an outage of the store does not come back.
+	standingRetention = 10 * time.Minute
+)
+
+// Standing is what one node believes of an incarnation of an endpoint by the endpoint's own answers to this node. It
+// does not depend on the list, which may be older or out of reach. A Standing is immutable.
+type Standing struct {
+	// LeavingSince is when the endpoint first stated that it is leaving; zero if it never has.
+	LeavingSince time.Time
+	// PausedUntil is when the last pause ends that the endpoint has asked this node for; zero if it never has.
+	PausedUntil time.Time
+}
+
+// With returns the standing after an answer. Answers may arrive out of order: neither a leaving nor a pause is ended by
+// an answer that does not state it.
+func (s Standing) With(now time.Time, stated model.Statement) Standing {
+	if stated.Leaving && s.LeavingSince.IsZero() {
+		s.LeavingSince = now
+	}
+	if until := now.Add(min(stated.PauseFor, maxPause)); stated.PauseFor > 0 && until.After(s.PausedUntil) {
+		s.PausedUntil = until
+	}
+	return s
+}
+
+// Leaving reports whether the endpoint has stated that it is leaving.
+func (s Standing) Leaving() bool {
+	return !s.LeavingSince.IsZero()
+}
+
+// Paused reports whether the endpoint wants no requests from this node now.
+func (s Standing) Paused(now time.Time) bool {
+	return now.Before(s.PausedUntil)
+}
--- a/model/forward.go
+++ b/model/forward.go
@@ -67,10 +67,8 @@
 		InputsGone bool
 		// Authentic is true if the reply carries the endpoint's signature.
 		Authentic bool
-		// Load is the load that the endpoint reports; nil if it reports none.
-		Load *Load
-		// RateCap limits the requests that the endpoint accepts from all nodes together.
-		RateCap RateCap
+		// Statement is what the endpoint states of itself; empty if the reply is Misdirected.
+		Statement Statement
 		// Close ends the exchange. The connection is reused only if the body was read to its end.
 		Close func()
 	}
--- a/relay/ratecaps.go
+++ b/relay/ratecaps.go
@@ -75,36 +75,6 @@
 	return r.rateCaps.AdmitPool(r.now(), a.Pool, endpoints, r.pool(a.Pool).lastSentAt)
 }
 
-// forward sends a request to an endpoint, once, and records the rate cap in the answer.
-func (r *Relay) forward(ctx context.Context, send Send) (*model.ForwardReply, error) {
-	sentAt := r.now()
-	r.rateCaps.RecordSend(send.Endpoint)
-	reply, err := r.deps.Forward(ctx, send)
-	if err == nil && !reply.Misdirected {
-		r.recordRateCap(sentAt, send.Endpoint, reply.RateCap, reply.Authentic)
-	}
-	return reply, err
-}
-
-// runPieces makes one call for pieces and records the rate cap in the answer.
-func (r *Relay) runPieces(ctx context.Context, e model.Endpoint, pieces []model.Piece) (PieceReply, error) {
-	sentAt := r.now()
-	r.rateCaps.RecordSend(e)
-	reply, err := r.deps.RunPieces(ctx, e, pieces)
-	if !reply.Misdirected {
-		r.recordRateCap(sentAt, e, reply.RateCap, err == nil && !reply.NotRun)
-	}
-	return reply, err
-}
-
-// recordRateCap records the rate cap in an answer to a request that was sent at sentAt. The absence of a cap counts
-// only in a complete answer: a damaged one may have lost it.
-func (r *Relay) recordRateCap(sentAt time.Time, e model.Endpoint, stated model.RateCap, complete bool) {
-	if stated.Stated || complete {
-		r.rateCaps.RecordAnswer(sentAt, e, stated)
-	}
-}
-
 // chooseEndpoint chooses an endpoint for one attempt by pick. If this node may send to the endpoint only with another
 // node's permit, it requests one; if the permit is denied, it calls release for the endpoint and chooses another.
 func (j *job) chooseEndpoint(ctx context.Context, p *pool, pick func(now time.Time, limits sendLimits) (choice, bool), release func(model.Endpoint)) (model.Endpoint, bool) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -48,11 +48,13 @@
 			}
 			return out, nil
 		},
-		FreeResults: func(_ context.Context, _ model.Endpoint, handles []string) error {
+		FreeResults: func(_ context.Context, _ model.Endpoint, handles []string) (model.Statement, error) {
 			b.freed <- handles
-			return nil
+			return model.Statement{}, nil
+		},
+		FreeRoom: func(context.Context, model.Endpoint) (int64, model.Statement, error) {
+			return 18_000_000, model.Statement{}, nil
 		},
-		FreeRoom: func(context.Context, model.Endpoint) (int64, error) { return 18_000_000, nil },
 		Connect:  func(context.Context, string) error { return nil },
 	}
 	deps := relay.Dependencies{
--- a/relay/room.go
+++ b/relay/room.go
@@ -62,7 +62,7 @@
 func (b *batcher) freeResultsAt(worker model.Endpoint, made []kernel.ResultRef) {
 	ctx, cancel := context.WithTimeout(b.relay.ctx, freeTimeout)
 	defer cancel()
-	if err := b.relay.deps.FreeResults(ctx, worker, resultHandles(made)); err != nil {
+	if err := b.relay.freeResultsAt(ctx, worker, made); err != nil {
 		// The worker drops them after the pool's ResultTTL, and the queue then counts their room as free.
 		b.relay.metrics.CountEvent("FreeFailed")
 		return
@@ -108,7 +108,7 @@
 func (b *batcher) fetchFreeRoom(worker model.Endpoint) {
 	ctx, cancel := context.WithTimeout(b.relay.ctx, freeTimeout)
 	defer cancel()
-	free, err := b.relay.deps.FreeRoom(ctx, worker)
+	free, err := b.relay.freeRoom(ctx, worker)
 	if err != nil {
 		b.relay.metrics.CountEvent("RoomUnknown")
 		return
--- /dev/null
+++ b/relay/statements.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+)
+
+// forward sends a request to an endpoint, once.
+func (r *Relay) forward(ctx context.Context, send Send) (*model.ForwardReply, error) {
+	var reply *model.ForwardReply
+	err := r.callEndpoint(send.Endpoint, func() (stated model.Statement, err error) {
+		reply, err = r.deps.Forward(ctx, send)
+		if err != nil {
+			return model.Statement{}, err
+		}
+		return reply.Statement, nil
+	})
+	return reply, err
+}
+
+// runPieces makes one call for pieces.
+func (r *Relay) runPieces(ctx context.Context, e model.Endpoint, pieces []model.Piece) (PieceReply, error) {
+	var reply PieceReply
+	err := r.callEndpoint(e, func() (stated model.Statement, err error) {
+		reply, err = r.deps.RunPieces(ctx, e, pieces)
+		return reply.Statement, err
+	})
+	return reply, err
+}
+
+// freeResultsAt makes one call that frees results.
+func (r *Relay) freeResultsAt(ctx context.Context, e model.Endpoint, made []kernel.ResultRef) error {
+	return r.callEndpoint(e, func() (model.Statement, error) {
+		return r.deps.FreeResults(ctx, e, resultHandles(made))
+	})
+}
+
+// freeRoom makes one call that asks for the free room of an endpoint.
+func (r *Relay) freeRoom(ctx context.Context, e model.Endpoint) (free int64, err error) {
+	err = r.callEndpoint(e, func() (stated model.Statement, err error) {
+		free, stated, err = r.deps.FreeRoom(ctx, e)
+		return stated, err
+	})
+	return free, err
+}
+
+// callEndpoint makes one call to an endpoint and records what the endpoint states of itself in its answer. All calls to
+// endpoints pass through it.
+func (r *Relay) callEndpoint(e model.Endpoint, call func() (model.Statement, error)) error {
+	sentAt := r.now()
+	r.countSend(sentAt, e)
+	stated, err := call()
+	r.recordStatement(sentAt, e, stated)
+	return err
+}
+
+// countSend counts calls to endpoints that have stated that they want none, or few.
+func (r *Relay) countSend(now time.Time, e model.Endpoint) {
+	r.rateCaps.RecordSend(e)
+	standing := r.Registry().Standing(e.Incarnation())
+	if standing.Leaving() {
+		r.metrics.CountEvent("SentToLeavingEndpoint")
+	}
+	if standing.Paused(now) {
+		r.metrics.CountEvent("SentDuringPause")
+	}
+}
+
+// recordStatement records what an endpoint states of itself in the answer to a call that was sent at sentAt.
+func (r *Relay) recordStatement(sentAt time.Time, e model.Endpoint, stated model.Statement) {
+	if stated.RateCap.Stated || stated.Whole {
+		r.rateCaps.RecordAnswer(sentAt, e, stated.RateCap)
+	}
+	if !stated.Leaving && stated.PauseFor <= 0 {
+		return
+	}
+	now := r.now()
+	if _, changes := r.Registry().WithStatement(now, e, stated); !changes {
+		return
+	}
+	var before, after kernel.Standing
+	r.UpdateRegistry(func(registry kernel.Registry) kernel.Registry {
+		before = registry.Standing(e.Incarnation())
+		registry, _ = registry.WithStatement(now, e, stated)
+		after = registry.Standing(e.Incarnation())
+		return registry
+	})
+	r.logStanding(now, e, before, after)
+}
+
+// logStanding logs what an endpoint has newly stated of itself.
+func (r *Relay) logStanding(now time.Time, e model.Endpoint, before, after kernel.Standing) {
+	line := r.log.Info().Str("Endpoint", e.Incarnation()).Str("Pool", e.Pool).Dur("RegistryAge", r.Registry().Age(now))
+	if after.Leaving() && !before.Leaving() {
+		r.metrics.CountEvent("EndpointStatedLeaving")
+		line.Msg("endpoint states that it is leaving")
+		return
+	}
+	if after.PausedUntil.After(before.PausedUntil) {
+		r.metrics.CountEvent("EndpointPaused")
+		line.Dur("Pause", after.PausedUntil.Sub(now)).Bool("Before", before.Paused(now)).Msg("endpoint asks for a pause")
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -172,7 +172,7 @@
 		return streamResult{err: err}
 	}
 	defer reply.Close()
-	p.recordLoad(j.relay.now(), send.Endpoint.Incarnation(), reply.Load)
+	p.recordLoad(j.relay.now(), send.Endpoint.Incarnation(), reply.Statement.Load)
 	if reply.NotRun {
 		return streamResult{reply: reply}
 	}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -161,7 +161,7 @@
 		j.recordFault(p, res.endpoint, asFault(res.err))
 		return false
 	}
-	p.recordLoad(now, res.endpoint.Incarnation(), res.reply.Load)
+	p.recordLoad(now, res.endpoint.Incarnation(), res.reply.Statement.Load)
 	if res.reply.NotRun {
 		return false
 	}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -36,10 +36,11 @@
 		Forward func(ctx context.Context, send Send) (*model.ForwardReply, error)
 		// RunPieces makes one call for pieces. The results are in the order of the pieces.
 		RunPieces func(ctx context.Context, e model.Endpoint, pieces []model.Piece) (PieceReply, error)
-		// FreeResults frees results that an endpoint holds.
-		FreeResults func(ctx context.Context, e model.Endpoint, handles []string) error
-		// FreeRoom returns how many bytes of results an endpoint has room for now.
-		FreeRoom func(ctx context.Context, e model.Endpoint) (int64, error)
+		// FreeResults frees results that an endpoint holds. It returns what the endpoint states of itself, also with an
+		// error.
+		FreeResults func(ctx context.Context, e model.Endpoint, handles []string) (model.Statement, error)
+		// FreeRoom returns how many bytes of results an endpoint has room for now, and what it states of itself.
+		FreeRoom func(ctx context.Context, e model.Endpoint) (int64, model.Statement, error)
 		// Connect opens a connection to an address and keeps it for a later call.
 		Connect func(ctx context.Context, address string) error
 		// StoreQuarantine writes a change of the held requests to the store.
@@ -76,8 +77,8 @@
 		NotRun bool
 		// Misdirected is true if the address now belongs to another endpoint; it implies NotRun.
 		Misdirected bool
-		// RateCap is the rate cap that the endpoint states, if any.
-		RateCap model.RateCap
+		// Statement is what the endpoint states of itself; empty if the reply is Misdirected.
+		Statement model.Statement
 		Results []model.PieceResult
 	}
 
