--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -55,7 +55,7 @@
 		FreeRoom: func(context.Context, model.Endpoint) (int64, model.Statement, error) {
 			return 18_000_000, model.Statement{}, nil
 		},
-		Connect:  func(context.Context, string) error { return nil },
+		Connect: func(context.Context, string) error { return nil },
 	}
 	deps := relay.Dependencies{
 		Forward: func(ctx context.Context, s relay.Send) (*model.ForwardReply, error) { return b.deps.Forward(ctx, s) },
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -79,7 +79,7 @@
 		Misdirected bool
 		// Statement is what the endpoint states of itself; empty if the reply is Misdirected.
 		Statement model.Statement
-		Results []model.PieceResult
+		Results   []model.PieceResult
 	}
 
 	// Responder sends an answer to a caller.
