Send nothing to an endpoint that has stated that it is leaving

The header field went through to the caller and nothing read it; nodes knew of a leaving by the store's list alone, which an outage of the store kept as it was.

No entry takes it back; a process that started again is another one. Calls for pieces, for freed results and for room are looked at once more when their connection is open, as requests were, and other nodes get no permits for it. A pool all of whose endpoints are leaving is refused at the door, with when. Left out: telling other nodes, since each is told by its first answer and the endpoint serves on for longer than that takes.

--- /dev/null
+++ b/kernel/admitpools.go
@@ -0,0 +1,57 @@
+package kernel
+
+import (
+	"fmt"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// noRegionRetry is the Retry-After time of a request that no endpoint in an allowed region could serve: by then
+	// other endpoints may be listed, or another routing may be in force.
+	noRegionRetry = 2 * time.Second
+	// leavingRetry is the Retry-After time of a request that only leaving endpoints could serve: by then an endpoint that
+	// replaces one of them may be listed.
+	leavingRetry = time.Second
+)
+
+// AdmitPools refuses a request if no endpoint of a pool that it needs may get work: the pools of its stages that have
+// pieces, and the pool that serves the request itself. Only endpoints in the allowed regions of the request count.
+func AdmitPools(r Registry, f model.Forward, a Admission) *model.Refusal {
+	if refusal := admitPool(r, a.Pool, a.Regions); refusal != nil {
+		return refusal
+	}
+	for i, stage := range a.Route.Stages {
+		if PieceCount(f, i) == 0 {
+			continue
+		}
+		if refusal := admitPool(r, stage.Pool, a.Regions); refusal != nil {
+			return refusal
+		}
+	}
+	return nil
+}
+
+// admitPool refuses a request if a pool has endpoints, but none in an allowed region, or only ones there that may get no
+// work. A pool without any listed endpoint is not refused: its endpoints may be listed shortly.
+func admitPool(r Registry, pool string, regions AllowedRegions) *model.Refusal {
+	allowed := regions.AllowedEndpoints(r.Endpoints(pool))
+	if len(allowed) == 0 && len(r.Endpoints(pool)) > 0 {
+		return model.NewRefusal(model.NotRun, model.NoHome, ClampRetryAfter(noRegionRetry), fmt.Sprintf("pool %s has no endpoint in the allowed regions %s", pool, regions))
+	}
+	evacuated := false
+	for _, e := range allowed {
+		if e.TakesWork() {
+			return nil
+		}
+		evacuated = evacuated || e.State == model.Evacuated
+	}
+	if len(allowed) == 0 {
+		return nil
+	}
+	if !evacuated {
+		return model.NewRefusal(model.NotRun, model.NoEndpoint, ClampRetryAfter(leavingRetry), fmt.Sprintf("all endpoints of pool %s are leaving", pool))
+	}
+	return model.NewRefusal(model.NotRun, model.PoolEvacuated, ClampRetryAfter(evacuatedRetry), fmt.Sprintf("all endpoints of pool %s are in evacuated failure domains", pool))
+}
--- a/kernel/evacuation.go
+++ b/kernel/evacuation.go
@@ -1,21 +1,13 @@
 package kernel
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"time"
-
-	"basilstall.example/basilstall/model"
 )
 
-const (
-	// evacuatedRetry is the Retry-After time of a request that only evacuated endpoints could serve.
-	evacuatedRetry = time.Second
-	// noRegionRetry is the Retry-After time of a request that no endpoint in an allowed region could serve: by then
-	// other endpoints may be listed, or another routing may be in force.
-	noRegionRetry = 2 * time.Second
-)
+// evacuatedRetry is the Retry-After time of a request that only evacuated endpoints could serve.
+const evacuatedRetry = time.Second
 
 // Evacuations is the set of failure domains that operators have evacuated: their endpoints get no work. It is
 // immutable.
@@ -81,40 +73,3 @@
 	}
 	return ended.Add(coldReportDelay)
 }
-
-// AdmitPools refuses a request if no endpoint of a pool that it needs may get work: the pools of its stages that have
-// pieces, and the pool that serves the request itself. Only endpoints in the allowed regions of the request count.
-func AdmitPools(r Registry, f model.Forward, a Admission) *model.Refusal {
-	if refusal := admitPool(r, a.Pool, a.Regions); refusal != nil {
-		return refusal
-	}
-	for i, stage := range a.Route.Stages {
-		if PieceCount(f, i) == 0 {
-			continue
-		}
-		if refusal := admitPool(r, stage.Pool, a.Regions); refusal != nil {
-			return refusal
-		}
-	}
-	return nil
-}
-
-// admitPool refuses a request if a pool has endpoints, but none in an allowed region, or only evacuated ones there. A
-// pool without any listed endpoint is not refused: its endpoints may be listed shortly.
-func admitPool(r Registry, pool string, regions AllowedRegions) *model.Refusal {
-	allowed := regions.AllowedEndpoints(r.Endpoints(pool))
-	if len(allowed) == 0 && len(r.Endpoints(pool)) > 0 {
-		return model.NewRefusal(model.NotRun, model.NoHome, ClampRetryAfter(noRegionRetry), fmt.Sprintf("pool %s has no endpoint in the allowed regions %s", pool, regions))
-	}
-	evacuated := false
-	for _, e := range allowed {
-		if e.TakesWork() {
-			return nil
-		}
-		evacuated = evacuated || e.State == model.Evacuated
-	}
-	if !evacuated {
-		return nil
-	}
-	return model.NewRefusal(model.NotRun, model.PoolEvacuated, ClampRetryAfter(evacuatedRetry), fmt.Sprintf("all endpoints of pool %s are in evacuated failure domains", pool))
-}
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -30,7 +30,7 @@
 		// standings holds what endpoints have stated of themselves to this node, by incarnation.
 		standings map[string]listedStanding
 		// byPool holds the endpoints of each pool in the order of their names, with the states that follow from
-		// entries and evacuations.
+		// entries, standings and evacuations.
 		byPool map[string][]model.Endpoint
 		// provenAt is when the list was last proven current; storeRecoveredAt is when that first happened after the
 		// last outage of the store.
@@ -72,7 +72,7 @@
 	entries := maps.Clone(r.entries)
 	for _, name := range removed {
 		e, known := entries[name]
-		if known && grace && e.endpoint.State != model.Leaving {
+		if known && grace && r.effective(e.endpoint).State != model.Leaving {
 			e.lapsed = true
 			entries[name] = e
 		} else {
@@ -138,7 +138,7 @@
 	}
 	before.Standing = standing
 	r.standings[incarnation] = before
-	return r, true
+	return r.indexed(), true
 }
 
 // Standing returns what an incarnation of an endpoint has stated of itself to this node.
@@ -170,13 +170,7 @@
 func (r Registry) indexed() Registry {
 	r.byPool = map[string][]model.Endpoint{}
 	for _, entry := range r.entries {
-		e := entry.endpoint
-		if e.State == model.Live && r.evacuations.Contains(e.FailureDomain) {
-			e.State = model.Evacuated
-		}
-		if cold := r.evacuations.coldUntil(e.FailureDomain); cold.After(e.ColdUntil) {
-			e.ColdUntil = cold
-		}
+		e := r.effective(entry.endpoint)
 		r.byPool[e.Pool] = append(r.byPool[e.Pool], e)
 	}
 	for _, endpoints := range r.byPool {
@@ -185,6 +179,20 @@
 	return r
 }
 
+// effective returns a listed endpoint with what its own answers and the evacuations add to its entry.
+func (r Registry) effective(e model.Endpoint) model.Endpoint {
+	switch {
+	case r.Standing(e.Incarnation()).Leaving():
+		e.State = model.Leaving
+	case e.State == model.Live && r.evacuations.Contains(e.FailureDomain):
+		e.State = model.Evacuated
+	}
+	if cold := r.evacuations.coldUntil(e.FailureDomain); cold.After(e.ColdUntil) {
+		e.ColdUntil = cold
+	}
+	return e
+}
+
 // Endpoints returns the endpoints of a pool in the order of their names, including those that take no work. The slice
 // is shared and must not be changed.
 func (r Registry) Endpoints(pool string) []model.Endpoint {
@@ -193,14 +201,17 @@
 
 // TakesWork reports whether new work may still be sent to an endpoint that was chosen earlier.
 func (r Registry) TakesWork(e model.Endpoint) bool {
-	entry, listed := r.entries[e.Name]
-	return listed && entry.endpoint.Incarnation() == e.Incarnation() && entry.endpoint.State != model.Leaving && !r.evacuations.Contains(e.FailureDomain)
+	known, listed := r.Find(e.Name)
+	return listed && known.Incarnation() == e.Incarnation() && known.TakesWork()
 }
 
 // Find returns an endpoint by its name.
 func (r Registry) Find(name string) (model.Endpoint, bool) {
 	e, ok := r.entries[name]
-	return e.endpoint, ok
+	if !ok {
+		return model.Endpoint{}, false
+	}
+	return r.effective(e.endpoint), true
 }
 
 // Superseded reports whether the process of an incarnation has started again since: neither its results nor its calls
--- a/relay/batcher.go
+++ b/relay/batcher.go
@@ -217,14 +217,14 @@
 	var unwanted []kernel.ResultRef
 	b.mu.Lock()
 	switch {
+	case reply.NotRun, err != nil && asFault(err).Kind == endpoint.Withdrawn:
+		ended = b.queue.Refused(now, batch)
 	case err != nil && asFault(err).Kind == endpoint.Refused:
 		ended = b.queue.Unreachable(now, batch)
 	case crashed:
 		ended = b.queue.Crashed(now, batch)
 	case err != nil:
 		ended = b.queue.Failed(now, batch)
-	case reply.NotRun:
-		ended = b.queue.Refused(now, batch)
 	default:
 		ended, unwanted = b.queue.Done(now, batch, reply.Results)
 	}
--- a/relay/ratecaps.go
+++ b/relay/ratecaps.go
@@ -12,8 +12,13 @@
 	"basilstall.example/basilstall/ratecap"
 )
 
-// maxPermitRequests is the maximum number of permits that are requested for one attempt.
-const maxPermitRequests = 2
+const (
+	// maxPermitRequests is the maximum number of permits that are requested for one attempt.
+	maxPermitRequests = 2
+	// leavingPermitWait is how long another node waits until it asks again for a permit to send to an endpoint that gets
+	// no work from this one.
+	leavingPermitWait = time.Second
+)
 
 var errNodeUnavailable = errors.New("relay: the node is leaving or does not answer")
 
@@ -50,7 +55,8 @@
 	return reply.Granted, reply.Wait, err
 }
 
-// handleCapPermit handles another node's request for a permit. It is denied for an incarnation that is not listed.
+// handleCapPermit handles another node's request for a permit. It is denied for an incarnation that is not listed or may
+// get no work.
 func (r *Relay) handleCapPermit(_ context.Context, body []byte) (any, error) {
 	var request peer.CapPermit
 	if err := peer.DecodeBody(body, &request); err != nil {
@@ -60,6 +66,9 @@
 	if !listed || e.Incarnation() != request.Incarnation {
 		return peer.CapPermitReply{}, nil
 	}
+	if !e.TakesWork() {
+		return peer.CapPermitReply{Wait: leavingPermitWait}, nil
+	}
 	granted, wait := r.pool(request.Pool).grantPermit(r.now(), request.Incarnation, r.rateCaps.Permit)
 	return peer.CapPermitReply{Granted: granted, Wait: wait}, nil
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -41,26 +41,26 @@
 		Forward: func(context.Context, relay.Send) (*model.ForwardReply, error) {
 			return reply("id: 1\ndata: x\n\n"), nil
 		},
-		RunPieces: func(_ context.Context, e model.Endpoint, pieces []model.Piece) (relay.PieceReply, error) {
+		RunPieces: func(_ context.Context, c relay.Call, pieces []model.Piece) (relay.PieceReply, error) {
 			out := relay.PieceReply{}
 			for range pieces {
-				out.Results = append(out.Results, model.PieceResult{Handle: e.Name + "/h"})
+				out.Results = append(out.Results, model.PieceResult{Handle: c.Endpoint.Name + "/h"})
 			}
 			return out, nil
 		},
-		FreeResults: func(_ context.Context, _ model.Endpoint, handles []string) (model.Statement, error) {
+		FreeResults: func(_ context.Context, _ relay.Call, handles []string) (model.Statement, error) {
 			b.freed <- handles
 			return model.Statement{}, nil
 		},
-		FreeRoom: func(context.Context, model.Endpoint) (int64, model.Statement, error) {
+		FreeRoom: func(context.Context, relay.Call) (int64, model.Statement, error) {
 			return 18_000_000, model.Statement{}, nil
 		},
 		Connect: func(context.Context, string) error { return nil },
 	}
 	deps := relay.Dependencies{
 		Forward: func(ctx context.Context, s relay.Send) (*model.ForwardReply, error) { return b.deps.Forward(ctx, s) },
-		RunPieces: func(ctx context.Context, e model.Endpoint, p []model.Piece) (relay.PieceReply, error) {
-			return b.deps.RunPieces(ctx, e, p)
+		RunPieces: func(ctx context.Context, c relay.Call, p []model.Piece) (relay.PieceReply, error) {
+			return b.deps.RunPieces(ctx, c, p)
 		},
 		FreeResults:     b.deps.FreeResults,
 		FreeRoom:        b.deps.FreeRoom,
@@ -139,7 +139,7 @@
 	b.deps.Forward = forward
 
 	run := b.deps.RunPieces
-	b.deps.RunPieces = func(context.Context, model.Endpoint, []model.Piece) (relay.PieceReply, error) { panic("pieces") }
+	b.deps.RunPieces = func(context.Context, relay.Call, []model.Piece) (relay.PieceReply, error) { panic("pieces") }
 	outcome = b.serve("/gen/1", 2)
 	must.NotNil(t, outcome.Refusal)
 	must.Eq(t, model.NotRun, outcome.Refusal.Verdict)
@@ -174,10 +174,10 @@
 	b := newTestBed(t)
 	started, proceed := make(chan struct{}, 8), make(chan struct{})
 	run := b.deps.RunPieces
-	b.deps.RunPieces = func(ctx context.Context, e model.Endpoint, pieces []model.Piece) (relay.PieceReply, error) {
+	b.deps.RunPieces = func(ctx context.Context, c relay.Call, pieces []model.Piece) (relay.PieceReply, error) {
 		started <- struct{}{}
 		<-proceed
-		return run(ctx, e, pieces)
+		return run(ctx, c, pieces)
 	}
 	inputs := make(chan int, 8)
 	b.deps.Forward = func(_ context.Context, s relay.Send) (*model.ForwardReply, error) {
@@ -237,7 +237,7 @@
 	b := newTestBed(t)
 	started, finish := make(chan struct{}, 1), make(chan struct{})
 	defer close(finish)
-	b.deps.RunPieces = func(context.Context, model.Endpoint, []model.Piece) (relay.PieceReply, error) {
+	b.deps.RunPieces = func(context.Context, relay.Call, []model.Piece) (relay.PieceReply, error) {
 		started <- struct{}{}
 		<-finish
 		return relay.PieceReply{NotRun: true}, nil
--- a/relay/room.go
+++ b/relay/room.go
@@ -90,13 +90,13 @@
 	}
 }
 
-// allowsExtraCalls reports whether a worker may get calls other than those for pieces. Evacuated workers get none,
-// and workers that are cold or state a rate cap accept only few calls.
+// allowsExtraCalls reports whether a worker may get calls other than those for pieces. Workers that may get no work get
+// none, and workers that are cold or state a rate cap accept only few calls.
 func (b *batcher) allowsExtraCalls(worker model.Endpoint) bool {
 	r := b.relay
 	traits, _ := r.View().Table.Pool(b.pool)
 	limited := traits.ColdRate > 0 && kernel.IsCold(r.now(), worker)
-	return worker.State != model.Evacuated && !limited && !r.rateCaps.HasCap(worker.Incarnation())
+	return worker.TakesWork() && !limited && !r.rateCaps.HasCap(worker.Incarnation())
 }
 
 func (b *batcher) mayHoldForeignResults() bool {
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 )
@@ -25,7 +26,7 @@
 func (r *Relay) runPieces(ctx context.Context, e model.Endpoint, pieces []model.Piece) (PieceReply, error) {
 	var reply PieceReply
 	err := r.callEndpoint(e, func() (stated model.Statement, err error) {
-		reply, err = r.deps.RunPieces(ctx, e, pieces)
+		reply, err = r.deps.RunPieces(ctx, r.newCall(e), pieces)
 		return reply.Statement, err
 	})
 	return reply, err
@@ -34,37 +35,49 @@
 // freeResultsAt makes one call that frees results.
 func (r *Relay) freeResultsAt(ctx context.Context, e model.Endpoint, made []kernel.ResultRef) error {
 	return r.callEndpoint(e, func() (model.Statement, error) {
-		return r.deps.FreeResults(ctx, e, resultHandles(made))
+		return r.deps.FreeResults(ctx, r.newCall(e), resultHandles(made))
 	})
 }
 
 // freeRoom makes one call that asks for the free room of an endpoint.
 func (r *Relay) freeRoom(ctx context.Context, e model.Endpoint) (free int64, err error) {
 	err = r.callEndpoint(e, func() (stated model.Statement, err error) {
-		free, stated, err = r.deps.FreeRoom(ctx, e)
+		free, stated, err = r.deps.FreeRoom(ctx, r.newCall(e))
 		return stated, err
 	})
 	return free, err
 }
 
+// newCall returns a call that is withdrawn if the endpoint may get no work any more when its connection is open.
+func (r *Relay) newCall(e model.Endpoint) Call {
+	return Call{Endpoint: e, BeforeSend: func() error {
+		if !r.Registry().TakesWork(e) {
+			return &endpoint.Fault{Kind: endpoint.Withdrawn, Verdict: model.NotRun, Err: errWithdrawn}
+		}
+		return nil
+	}}
+}
+
 // callEndpoint makes one call to an endpoint and records what the endpoint states of itself in its answer. All calls to
 // endpoints pass through it.
 func (r *Relay) callEndpoint(e model.Endpoint, call func() (model.Statement, error)) error {
 	sentAt := r.now()
-	r.countSend(sentAt, e)
+	standing := r.Registry().Standing(e.Incarnation())
+	r.rateCaps.RecordSend(e)
 	stated, err := call()
+	if err == nil || asFault(err).Verdict != model.NotRun {
+		r.countUnwanted(sentAt, standing)
+	}
 	r.recordStatement(sentAt, e, stated)
 	return err
 }
 
-// countSend counts calls to endpoints that have stated that they want none, or few.
-func (r *Relay) countSend(now time.Time, e model.Endpoint) {
-	r.rateCaps.RecordSend(e)
-	standing := r.Registry().Standing(e.Incarnation())
+// countUnwanted counts calls to endpoints that had stated that they want none.
+func (r *Relay) countUnwanted(sentAt time.Time, standing kernel.Standing) {
 	if standing.Leaving() {
 		r.metrics.CountEvent("SentToLeavingEndpoint")
 	}
-	if standing.Paused(now) {
+	if standing.Paused(sentAt) {
 		r.metrics.CountEvent("SentDuringPause")
 	}
 }
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -35,12 +35,12 @@
 		// Forward sends a request to an endpoint, once.
 		Forward func(ctx context.Context, send Send) (*model.ForwardReply, error)
 		// RunPieces makes one call for pieces. The results are in the order of the pieces.
-		RunPieces func(ctx context.Context, e model.Endpoint, pieces []model.Piece) (PieceReply, error)
+		RunPieces func(ctx context.Context, call Call, pieces []model.Piece) (PieceReply, error)
 		// FreeResults frees results that an endpoint holds. It returns what the endpoint states of itself, also with an
 		// error.
-		FreeResults func(ctx context.Context, e model.Endpoint, handles []string) (model.Statement, error)
+		FreeResults func(ctx context.Context, call Call, handles []string) (model.Statement, error)
 		// FreeRoom returns how many bytes of results an endpoint has room for now, and what it states of itself.
-		FreeRoom func(ctx context.Context, e model.Endpoint) (int64, model.Statement, error)
+		FreeRoom func(ctx context.Context, call Call) (int64, model.Statement, error)
 		// Connect opens a connection to an address and keeps it for a later call.
 		Connect func(ctx context.Context, address string) error
 		// StoreQuarantine writes a change of the held requests to the store.
@@ -71,6 +71,13 @@
 		BeforeSend func() error
 	}
 
+	// Call is one call to an endpoint that is not a caller's request.
+	Call struct {
+		Endpoint model.Endpoint
+		// BeforeSend is called when a connection is open. If it returns an error, the call is not made.
+		BeforeSend func() error
+	}
+
 	// PieceReply is an endpoint's answer to a call for pieces.
 	PieceReply struct {
 		// NotRun is true if the endpoint states that it did not run the call; there are no results then.
