Send nothing to an endpoint in the pause that it has asked this node for

A refusal left no trace, so an engine with a little load was the first choice again.

A pause is part of the incarnation's standing: each request, retry, hedge and call for pieces chooses among endpoints that accept work now, looks once more when the connection is open, and the batcher counts waits without them. The longest of several pauses holds; only an answer to a request sent after it ends it for good, and until then a node has one request under way there, where others may get the rest. A pool whose endpoints have all asked for a pause is refused at the door with when the first ends, and so is a request that found out last. Results at a paused worker are freed after it.

--- a/kernel/admitpools.go
+++ b/kernel/admitpools.go
@@ -18,15 +18,15 @@
 
 // AdmitPools refuses a request if no endpoint of a pool that it needs may get work: the pools of its stages that have
 // pieces, and the pool that serves the request itself. Only endpoints in the allowed regions of the request count.
-func AdmitPools(r Registry, f model.Forward, a Admission) *model.Refusal {
-	if refusal := admitPool(r, a.Pool, a.Regions); refusal != nil {
+func AdmitPools(now time.Time, r Registry, f model.Forward, a Admission) *model.Refusal {
+	if refusal := admitPool(now, r, a.Pool, a.Regions); refusal != nil {
 		return refusal
 	}
 	for i, stage := range a.Route.Stages {
 		if PieceCount(f, i) == 0 {
 			continue
 		}
-		if refusal := admitPool(r, stage.Pool, a.Regions); refusal != nil {
+		if refusal := admitPool(now, r, stage.Pool, a.Regions); refusal != nil {
 			return refusal
 		}
 	}
@@ -35,21 +35,28 @@
 
 // admitPool refuses a request if a pool has endpoints, but none in an allowed region, or only ones there that may get no
 // work. A pool without any listed endpoint is not refused: its endpoints may be listed shortly.
-func admitPool(r Registry, pool string, regions AllowedRegions) *model.Refusal {
+func admitPool(now time.Time, r Registry, pool string, regions AllowedRegions) *model.Refusal {
 	allowed := regions.AllowedEndpoints(r.Endpoints(pool))
 	if len(allowed) == 0 && len(r.Endpoints(pool)) > 0 {
 		return model.NewRefusal(model.NotRun, model.NoHome, ClampRetryAfter(noRegionRetry), fmt.Sprintf("pool %s has no endpoint in the allowed regions %s", pool, regions))
 	}
 	evacuated := false
+	var pauseEnd time.Time
 	for _, e := range allowed {
-		if e.TakesWork() {
+		if e.Accepts(now) {
 			return nil
 		}
+		if e.TakesWork() && (pauseEnd.IsZero() || e.PausedUntil.Before(pauseEnd)) {
+			pauseEnd = e.PausedUntil
+		}
 		evacuated = evacuated || e.State == model.Evacuated
 	}
 	if len(allowed) == 0 {
 		return nil
 	}
+	if !pauseEnd.IsZero() {
+		return model.NewRefusal(model.NotRun, model.EndpointsPaused, ClampRetryAfter(pauseEnd.Sub(now)), fmt.Sprintf("all endpoints of pool %s want no requests now", pool))
+	}
 	if !evacuated {
 		return model.NewRefusal(model.NotRun, model.NoEndpoint, ClampRetryAfter(leavingRetry), fmt.Sprintf("all endpoints of pool %s are leaving", pool))
 	}
--- a/kernel/batch.go
+++ b/kernel/batch.go
@@ -203,7 +203,7 @@
 	}
 	wait := q.EstimateWait(now, group)
 	finish := now.Add(wait + q.callTime(len(group.Pieces)))
-	late := finish.After(group.Due) && q.backlog() > maxLateBacklog
+	late := finish.After(group.Due) && q.backlog(now) > maxLateBacklog
 	if late || finish.After(group.Until) {
 		return false, ClampRetryAfter(max(wait, q.callTime(q.traits.MaxBatch)))
 	}
--- a/kernel/batchcall.go
+++ b/kernel/batchcall.go
@@ -35,12 +35,12 @@
 
 // shouldDefer reports whether to delay the next call so that more pieces can join it.
 func (q *BatchQueue) shouldDefer(now time.Time, groups []*waitingGroup) bool {
-	return q.policy.Uses(SpacedCalls) && now.Sub(q.lastStart) < q.Spacing() && q.countWaiting(groups) < q.traits.MaxBatch
+	return q.policy.Uses(SpacedCalls) && now.Sub(q.lastStart) < q.Spacing(now) && q.countWaiting(groups) < q.traits.MaxBatch
 }
 
 // Spacing returns the least time between the starts of two calls that are not full.
-func (q *BatchQueue) Spacing() time.Duration {
-	return time.Duration(spacingRatio * float64(q.callTime(q.traits.MaxBatch/2)) / q.concurrency())
+func (q *BatchQueue) Spacing(now time.Time) time.Duration {
+	return time.Duration(spacingRatio * float64(q.callTime(q.traits.MaxBatch/2)) / q.concurrency(now))
 }
 
 func (q *BatchQueue) countWaiting(groups []*waitingGroup) int {
--- a/kernel/batchfetch_test.go
+++ b/kernel/batchfetch_test.go
@@ -96,7 +96,7 @@
 	must.True(t, ok)
 	must.Len(t, 8, batch.Pieces)
 	must.False(t, kernel.PoolEstimate{RoomTaken: q.RoomTaken(now)}.Scarce(), must.Sprint("16 of 36 MB"))
-	now = now.Add(q.Spacing())
+	now = now.Add(q.Spacing(now))
 	must.True(t, addGroup(q, now, 2, 2, 2_000_000))
 	_, ok = q.Next(now)
 	must.True(t, ok)
--- a/kernel/batchorder.go
+++ b/kernel/batchorder.go
@@ -53,7 +53,7 @@
 // overloaded reports whether some groups that could be on time on their own would be late if all were made in the
 // order of their due times.
 func (q *BatchQueue) overloaded(now time.Time, groups []*waitingGroup) bool {
-	interval := float64(q.callTime(q.traits.MaxBatch)) / q.concurrency()
+	interval := float64(q.callTime(q.traits.MaxBatch)) / q.concurrency(now)
 	earliestFinish := now.Add(q.callTime(1))
 	pieces := 0
 	for _, g := range groups {
@@ -117,7 +117,7 @@
 func (q *BatchQueue) availableWorkers(now time.Time) []*worker {
 	var out []*worker
 	for _, w := range q.workers {
-		if w.runningCalls >= max(1, q.traits.Slots) || !w.endpoint.TakesWork() {
+		if w.runningCalls >= max(1, q.traits.Slots) || !w.endpoint.Accepts(now) {
 			continue
 		}
 		if q.coldShare.Senders > 0 && IsCold(now, w.endpoint) && !q.coldShare.Due(now, w.lastCallAt) {
@@ -140,7 +140,7 @@
 }
 
 // eligible reports whether a worker may make a group: it is in the failure domain of the group's inputs, the
-// group has waited for LocalityWait, or that domain has no worker that takes work.
+// group has waited for LocalityWait, or that domain has no worker that accepts work now.
 func (q *BatchQueue) eligible(now time.Time, w *worker, g *waitingGroup) bool {
 	if g.Domain == "" || w.endpoint.FailureDomain == g.Domain {
 		return true
@@ -149,7 +149,7 @@
 		return true
 	}
 	for _, other := range q.workers {
-		if other.endpoint.FailureDomain == g.Domain && other.endpoint.TakesWork() {
+		if other.endpoint.FailureDomain == g.Domain && other.endpoint.Accepts(now) {
 			return false
 		}
 	}
--- a/kernel/batchroom.go
+++ b/kernel/batchroom.go
@@ -83,10 +83,10 @@
 	return 1 - free/total
 }
 
-// roomTotals returns the room of all workers that take work and how much of it is free, in bytes.
+// roomTotals returns the room of all workers that accept work now and how much of it is free, in bytes.
 func (q *BatchQueue) roomTotals(now time.Time) (total, free float64) {
 	for _, w := range q.workers {
-		if w.endpoint.TakesWork() {
+		if w.endpoint.Accepts(now) {
 			total += float64(q.traits.Room) * roomMargin
 			free += max(0, q.freeRoom(now, w))
 		}
--- a/kernel/batchslow.go
+++ b/kernel/batchslow.go
@@ -31,7 +31,7 @@
 	if w := q.workers[batch.Endpoint.Incarnation()]; w != nil {
 		w.unanswered = true
 	}
-	if q.backlog() > maxLateBacklog {
+	if q.backlog(now) > maxLateBacklog {
 		// A second call would occupy an endpoint while other pieces wait for their first.
 		return 0
 	}
--- a/kernel/batchwait.go
+++ b/kernel/batchwait.go
@@ -20,15 +20,13 @@
 }
 
 func (q *BatchQueue) estimateWait(now time.Time, group PieceGroup) time.Duration {
-	workers := q.countActiveWorkers()
-	if workers == 0 {
-		// By then, endpoints that lapsed during an outage of the store are listed again.
-		return relistGracePeriod
+	if wait, none := q.waitForWorker(now); none {
+		return wait
 	}
 	total, free := q.roomTotals(now)
 	ahead, aheadBytes := q.workAhead(now, group, free)
 	full := q.callTime(q.traits.MaxBatch)
-	calls := q.concurrency()
+	calls := q.concurrency(now)
 	// When all endpoints are busy, the next one becomes free after half of the mean interval between calls.
 	firstWait := float64(full) / (2 * calls)
 	if q.countFreeWorkers(now) > 0 {
@@ -44,6 +42,25 @@
 	return max(time.Duration(bySlots), byRoom)
 }
 
+// waitForWorker returns how long it takes until any worker accepts a call, if none does now.
+func (q *BatchQueue) waitForWorker(now time.Time) (wait time.Duration, none bool) {
+	// By then, endpoints that lapsed during an outage of the store are listed again.
+	wait, none = relistGracePeriod, true
+	paused := false
+	for _, w := range q.workers {
+		switch {
+		case w.endpoint.Accepts(now):
+			return 0, false
+		case !w.endpoint.TakesWork():
+		case !paused:
+			paused, wait = true, w.endpoint.PausedUntil.Sub(now)
+		default:
+			wait = min(wait, w.endpoint.PausedUntil.Sub(now))
+		}
+	}
+	return wait, none
+}
+
 // workAhead returns how many pieces are made before those of a group, and how many bytes of results need room
 // before the group's last one has it. Late work comes after all work that is not late. Smaller results overtake
 // larger ones that wait for room, so larger results count only as far as there is room for them.
@@ -76,12 +93,12 @@
 }
 
 // backlog returns the number of full batches that wait for each endpoint.
-func (q *BatchQueue) backlog() float64 {
+func (q *BatchQueue) backlog(now time.Time) float64 {
 	waiting := 0
 	for _, g := range q.groups {
 		waiting += len(g.waiting)
 	}
-	return float64(waiting) / (float64(max(1, q.traits.MaxBatch)) * q.concurrency() / float64(max(1, q.traits.Slots)))
+	return float64(waiting) / (float64(max(1, q.traits.MaxBatch)) * q.concurrency(now) / float64(max(1, q.traits.Slots)))
 }
 
 func (q *BatchQueue) countActiveWorkers() int {
@@ -96,11 +113,11 @@
 
 // concurrency returns how many calls the workers run at a time. A worker with a rate cap counts only as many of
 // its slots as the cap keeps busy.
-func (q *BatchQueue) concurrency() float64 {
+func (q *BatchQueue) concurrency(now time.Time) float64 {
 	full := q.callTime(q.traits.MaxBatch)
 	calls := 0.0
 	for _, w := range q.workers {
-		if w.endpoint.TakesWork() {
+		if w.endpoint.Accepts(now) {
 			calls += w.concurrency(full, q.traits.Slots)
 		}
 	}
@@ -125,7 +142,7 @@
 func (q *BatchQueue) countFreeWorkers(now time.Time) int {
 	n := 0
 	for _, w := range q.workers {
-		if w.endpoint.TakesWork() && w.runningCalls < max(1, q.traits.Slots) && !w.atRateCap(now) {
+		if w.endpoint.Accepts(now) && w.runningCalls < max(1, q.traits.Slots) && !w.atRateCap(now) {
 			n++
 		}
 	}
--- a/kernel/evacuation_test.go
+++ b/kernel/evacuation_test.go
@@ -198,7 +198,7 @@
 		{[]string{"a"}, 0, false},
 		{[]string{"a", "b"}, 0, true},
 	} {
-		refusal := kernel.AdmitPools(registry.WithEvacuations(evacuationsOf(now, tc.evacuated...)), model.Forward{Pieces: []int{tc.pieces}}, staged)
+		refusal := kernel.AdmitPools(now, registry.WithEvacuations(evacuationsOf(now, tc.evacuated...)), model.Forward{Pieces: []int{tc.pieces}}, staged)
 		must.EqOp(t, tc.refused, refusal != nil, must.Sprint(fmt.Sprint(tc)))
 		if refusal != nil {
 			must.EqOp(t, model.PoolEvacuated, refusal.Reason)
--- a/kernel/homes_test.go
+++ b/kernel/homes_test.go
@@ -68,9 +68,9 @@
 	now := time.Unix(1000, 0)
 	registry := kernel.NewRegistry().WithChanges(now, now, []model.Endpoint{endpointInRegion("north", "n", "plain")}, nil, nil)
 	a := kernel.Admission{Pool: "plain"}
-	must.Nil(t, kernel.AdmitPools(registry, model.Forward{}, a))
+	must.Nil(t, kernel.AdmitPools(time.Now(), registry, model.Forward{}, a))
 	a.Regions = kernel.AllowedRegionsFor(model.Route{AllowedRegions: []string{"south"}}, model.KeyHolder{})
-	refusal := kernel.AdmitPools(registry, model.Forward{}, a)
+	refusal := kernel.AdmitPools(time.Now(), registry, model.Forward{}, a)
 	must.NotNil(t, refusal)
 	must.EqOp(t, model.NoHome, refusal.Reason)
 	must.EqOp(t, model.NotRun, refusal.Verdict)
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -123,12 +123,12 @@
 	return known && entry.endpoint.Incarnation() == incarnation
 }
 
-// WithStatement returns the registry after an endpoint stated something of itself in an answer to this node, and whether
-// its standing has changed.
-func (r Registry) WithStatement(now time.Time, e model.Endpoint, stated model.Statement) (after Registry, changed bool) {
+// WithStatement returns the registry after an endpoint stated something of itself in the answer to a request that this
+// node sent at sentAt, and whether its standing has changed.
+func (r Registry) WithStatement(sentAt, now time.Time, e model.Endpoint, stated model.Statement) (after Registry, changed bool) {
 	incarnation := e.Incarnation()
 	before := r.standings[incarnation]
-	standing := before.With(now, stated)
+	standing := before.With(sentAt, now, stated)
 	if standing == before.Standing {
 		return r, false
 	}
@@ -181,8 +181,10 @@
 
 // effective returns a listed endpoint with what its own answers and the evacuations add to its entry.
 func (r Registry) effective(e model.Endpoint) model.Endpoint {
+	standing := r.Standing(e.Incarnation())
+	e.PausedUntil = standing.PausedUntil
 	switch {
-	case r.Standing(e.Incarnation()).Leaving():
+	case standing.Leaving():
 		e.State = model.Leaving
 	case e.State == model.Live && r.evacuations.Contains(e.FailureDomain):
 		e.State = model.Evacuated
@@ -199,10 +201,10 @@
 	return r.byPool[pool]
 }
 
-// TakesWork reports whether new work may still be sent to an endpoint that was chosen earlier.
-func (r Registry) TakesWork(e model.Endpoint) bool {
+// Accepts reports whether new work may still be sent to an endpoint that was chosen earlier.
+func (r Registry) Accepts(now time.Time, e model.Endpoint) bool {
 	known, listed := r.Find(e.Name)
-	return listed && known.Incarnation() == e.Incarnation() && known.TakesWork()
+	return listed && known.Incarnation() == e.Incarnation() && known.Accepts(now)
 }
 
 // Find returns an endpoint by its name.
--- a/kernel/routing.go
+++ b/kernel/routing.go
@@ -30,14 +30,14 @@
 	Health Health
 }
 
-// Usable returns the candidates that may get a call: those that are not leaving, not ejected and not among the excluded
-// incarnations. If fewer than the share minUsableShare of the others are healthy, those with the fewest ejections are
-// added up to that share.
+// Usable returns the candidates that may get a call: those that accept work now, are not ejected and not among the
+// excluded incarnations. If fewer than the share minUsableShare of the others are healthy, those with the fewest ejections
+// are added up to that share.
 func Usable(now time.Time, candidates []Candidate, excluded []string) []Candidate {
 	eligible := make([]Candidate, 0, len(candidates))
 	healthy := make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
-		if !c.Endpoint.TakesWork() || slices.Contains(excluded, c.Endpoint.Incarnation()) {
+		if !c.Endpoint.Accepts(now) || slices.Contains(excluded, c.Endpoint.Incarnation()) {
 			continue
 		}
 		eligible = append(eligible, c)
@@ -46,9 +46,23 @@
 		}
 	}
 	if float64(len(healthy)) >= minUsableShare*float64(len(eligible)) && len(healthy) > 0 {
-		return healthy
+		return withoutProbed(now, healthy)
 	}
-	return withLeastEjected(eligible, healthy)
+	return withoutProbed(now, withLeastEjected(eligible, healthy))
+}
+
+// withoutProbed returns the candidates without those on probation that have a call in flight: its answer shows whether
+// the endpoint accepts requests again. If no other is left, it returns all.
+func withoutProbed(now time.Time, candidates []Candidate) []Candidate {
+	probed := func(c Candidate) bool { return c.Endpoint.OnProbation(now) && c.InFlight > 0 }
+	if !slices.ContainsFunc(candidates, probed) {
+		return candidates
+	}
+	others := slices.DeleteFunc(slices.Clone(candidates), probed)
+	if len(others) == 0 {
+		return candidates
+	}
+	return others
 }
 
 // withLeastEjected adds to the healthy candidates those with the fewest ejections, up to the share minUsableShare.
--- a/kernel/standing.go
+++ b/kernel/standing.go
@@ -19,13 +19,17 @@
 type Standing struct {
 	// LeavingSince is when the endpoint first stated that it is leaving; zero if it never has.
 	LeavingSince time.Time
-	// PausedUntil is when the last pause ends that the endpoint has asked this node for; zero if it never has.
+	// PausedUntil is when the last pause ends that the endpoint has asked this node for; zero if none, or if the endpoint
+	// has accepted a request after it.
 	PausedUntil time.Time
 }
 
-// With returns the standing after an answer. Answers may arrive out of order: neither a leaving nor a pause is ended by
-// an answer that does not state it.
-func (s Standing) With(now time.Time, stated model.Statement) Standing {
+// With returns the standing after an answer to a request that was sent at sentAt. Answers may arrive out of order: one
+// that does not state a leaving or a pause ends neither.
+func (s Standing) With(sentAt, now time.Time, stated model.Statement) Standing {
+	if stated.Whole && stated.PauseFor == 0 && !sentAt.Before(s.PausedUntil) {
+		s.PausedUntil = time.Time{}
+	}
 	if stated.Leaving && s.LeavingSince.IsZero() {
 		s.LeavingSince = now
 	}
--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -35,6 +35,9 @@
 		// from which it is certainly no longer cold.
 		ColdFor   time.Duration
 		ColdUntil time.Time
+		// PausedUntil is when the last pause ends that the endpoint has asked this node for; zero if none, or if the
+		// endpoint has accepted a request after it. It is not part of the list.
+		PausedUntil time.Time `json:"-"`
 	}
 
 	// Host is an entry host, one that receives callers' requests, and the node that runs on it.
@@ -87,6 +90,16 @@
 	return e.State != Leaving && e.State != Evacuated
 }
 
+// Accepts reports whether this node may send new work to the endpoint now.
+func (e Endpoint) Accepts(now time.Time) bool {
+	return e.TakesWork() && !now.Before(e.PausedUntil)
+}
+
+// OnProbation reports whether the endpoint has asked for a pause that is over, and has accepted no request since.
+func (e Endpoint) OnProbation(now time.Time) bool {
+	return !e.PausedUntil.IsZero() && !now.Before(e.PausedUntil)
+}
+
 // NameOfIncarnation returns the name of the process that an incarnation belongs to.
 func NameOfIncarnation(incarnation string) string {
 	if i := strings.LastIndex(incarnation, incarnationSeparator); i >= 0 {
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -71,6 +71,8 @@
 	Quarantined Reason = "Quarantined"
 	// PoolEvacuated: all endpoints of a pool that the request needs are in evacuated failure domains.
 	PoolEvacuated Reason = "PoolEvacuated"
+	// EndpointsPaused: all endpoints of a pool that the request needs have asked this node for a pause.
+	EndpointsPaused Reason = "EndpointsPaused"
 	// EndpointsCold: the endpoints have just started and can handle no more requests now.
 	EndpointsCold Reason = "EndpointsCold"
 	// EndpointsCapped: the rate caps that the endpoints state allow no more requests now.
--- a/ratecap/limiter.go
+++ b/ratecap/limiter.go
@@ -145,12 +145,12 @@
 	return !view.Cap.Stated || view.Due(now, sentAt, l.Rank(now, e.Incarnation()))
 }
 
-// AdmitPool returns a refusal if all endpoints of a pool that accept work have caps, and this node may neither send
+// AdmitPool returns a refusal if all endpoints of a pool that accept work now have caps, and this node may neither send
 // to one of them now nor ask for a permit. sentAt returns when this node last sent to an endpoint.
 func (l *Limiter) AdmitPool(now time.Time, pool string, endpoints []model.Endpoint, sentAt func(incarnation string) time.Time) *model.Refusal {
 	var capped []kernel.CappedEndpoint
 	for _, e := range endpoints {
-		if !e.TakesWork() {
+		if !e.Accepts(now) {
 			continue
 		}
 		incarnation := e.Incarnation()
--- a/relay/batcher.go
+++ b/relay/batcher.go
@@ -190,7 +190,7 @@
 		time.AfterFunc(batch.FetchTime(), b.freeFetchedInputs)
 	}
 	if pieces, _ := b.queue.Pending(); pieces > 0 {
-		b.timer.Reset(min(startCallsInterval, max(time.Millisecond, b.queue.Spacing()/2)))
+		b.timer.Reset(min(startCallsInterval, max(time.Millisecond, b.queue.Spacing(b.relay.now())/2)))
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -253,7 +253,7 @@
 		refusal = kernel.AdmitWhileLeaving(r.now(), *stopsAt, admission.Route)
 	}
 	if refusal == nil {
-		refusal = kernel.AdmitPools(r.Registry(), f, admission)
+		refusal = kernel.AdmitPools(r.now(), r.Registry(), f, admission)
 	}
 	if refusal == nil {
 		refusal = r.admitRateCaps(admission)
--- a/relay/room.go
+++ b/relay/room.go
@@ -30,8 +30,15 @@
 		b.mu.Lock()
 		worker, ok := b.queue.Worker(name)
 		b.mu.Unlock()
+		if !ok {
+			continue
+		}
+		if pause := worker.PausedUntil.Sub(b.relay.now()); worker.TakesWork() && pause > 0 {
+			time.AfterFunc(pause, func() { b.freeResults(made) })
+			continue
+		}
 		// Other workers drop the results after the pool's ResultTTL, and the queue then counts their room as free.
-		if ok && b.allowsExtraCalls(worker) {
+		if b.allowsExtraCalls(worker) {
 			go b.freeResultsAt(worker, made)
 		}
 	}
@@ -90,13 +97,13 @@
 	}
 }
 
-// allowsExtraCalls reports whether a worker may get calls other than those for pieces. Workers that may get no work get
-// none, and workers that are cold or state a rate cap accept only few calls.
+// allowsExtraCalls reports whether a worker may get calls other than those for pieces. Workers that accept no work
+// now get none, and workers that are cold or state a rate cap accept only few calls.
 func (b *batcher) allowsExtraCalls(worker model.Endpoint) bool {
 	r := b.relay
 	traits, _ := r.View().Table.Pool(b.pool)
 	limited := traits.ColdRate > 0 && kernel.IsCold(r.now(), worker)
-	return worker.TakesWork() && !limited && !r.rateCaps.HasCap(worker.Incarnation())
+	return worker.Accepts(r.now()) && !limited && !r.rateCaps.HasCap(worker.Incarnation())
 }
 
 func (b *batcher) mayHoldForeignResults() bool {
--- a/relay/room_test.go
+++ b/relay/room_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/relay"
 )
 
 // A cold worker gets only calls for pieces. It is not asked to free results or for its free room, because such calls
@@ -26,3 +28,22 @@
 	case <-time.After(500 * time.Millisecond):
 	}
 }
+
+// Results at a worker that has asked for a pause are freed after it. Guards against calls in the pause, and against results
+// that occupy room until they expire.
+func TestResultsAreFreedAfterPause(t *testing.T) {
+	b := newTestBed(t)
+	run := b.deps.RunPieces
+	b.deps.RunPieces = func(ctx context.Context, c relay.Call, pieces []model.Piece) (relay.PieceReply, error) {
+		out, err := run(ctx, c, pieces)
+		out.Statement.PauseFor = 200 * time.Millisecond
+		return out, err
+	}
+	must.True(t, b.serve("/gen/1", 1).Complete)
+	select {
+	case freed := <-b.freed:
+		must.Eq(t, []string{"worker-0/h"}, freed)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the results were not freed")
+	}
+}
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -51,7 +51,7 @@
 // newCall returns a call that is withdrawn if the endpoint may get no work any more when its connection is open.
 func (r *Relay) newCall(e model.Endpoint) Call {
 	return Call{Endpoint: e, BeforeSend: func() error {
-		if !r.Registry().TakesWork(e) {
+		if !r.Registry().Accepts(r.now(), e) {
 			return &endpoint.Fault{Kind: endpoint.Withdrawn, Verdict: model.NotRun, Err: errWithdrawn}
 		}
 		return nil
@@ -87,17 +87,14 @@
 	if stated.RateCap.Stated || stated.Whole {
 		r.rateCaps.RecordAnswer(sentAt, e, stated.RateCap)
 	}
-	if !stated.Leaving && stated.PauseFor <= 0 {
-		return
-	}
 	now := r.now()
-	if _, changes := r.Registry().WithStatement(now, e, stated); !changes {
+	if _, changes := r.Registry().WithStatement(sentAt, now, e, stated); !changes {
 		return
 	}
 	var before, after kernel.Standing
 	r.UpdateRegistry(func(registry kernel.Registry) kernel.Registry {
 		before = registry.Standing(e.Incarnation())
-		registry, _ = registry.WithStatement(now, e, stated)
+		registry, _ = registry.WithStatement(sentAt, now, e, stated)
 		after = registry.Standing(e.Incarnation())
 		return registry
 	})
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -295,7 +295,7 @@
 		return Outcome{Refusal: refusal, Attempts: j.attempts}
 	}
 	if !j.mayHaveRun {
-		return j.refuse(model.NotRun, model.EndpointRefused, "no engine took the request")
+		return j.refuseEndpointRefused("no engine took the request")
 	}
 	return j.refuse(model.MayHaveRun, model.StageFailed, "the engine failed")
 }
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -203,7 +203,7 @@
 		return Outcome{Refusal: refusal, Attempts: j.attempts}
 	}
 	if !j.mayHaveRun {
-		return j.refuse(model.NotRun, model.EndpointRefused, "no endpoint took the request")
+		return j.refuseEndpointRefused("no endpoint took the request")
 	}
 	return j.refuse(model.MayHaveRun, model.StageFailed, "the endpoint failed")
 }
@@ -228,7 +228,7 @@
 // refuseNoEndpoint refuses a request that may not be sent to any endpoint now.
 func (j *job) refuseNoEndpoint(verdict model.Verdict) Outcome {
 	r := j.relay
-	if refusal := kernel.AdmitPools(r.Registry(), j.forward, j.admission); refusal != nil {
+	if refusal := kernel.AdmitPools(r.now(), r.Registry(), j.forward, j.admission); refusal != nil {
 		return Outcome{Refusal: refusal.WithVerdict(verdict), Attempts: j.attempts}
 	}
 	reason, detail := model.NoEndpoint, "no endpoint is known"
@@ -241,6 +241,16 @@
 	return j.refuse(verdict, reason, detail)
 }
 
+// refuseEndpointRefused refuses a request that no endpoint took. Where the last refusals have left no endpoint to ask, the
+// caller learns when there is one.
+func (j *job) refuseEndpointRefused(detail string) Outcome {
+	outcome := j.refuse(model.NotRun, model.EndpointRefused, detail)
+	if refusal := kernel.AdmitPools(j.relay.now(), j.relay.Registry(), j.forward, j.admission); refusal != nil {
+		outcome.Refusal.RetryAfter = refusal.RetryAfter
+	}
+	return outcome
+}
+
 func (j *job) refuse(verdict model.Verdict, reason model.Reason, detail string) Outcome {
 	retryAfter := time.Duration(0)
 	if verdict == model.NotRun {
