--- a/model/statement.go
+++ b/model/statement.go
@@ -20,5 +20,5 @@
 
 // Statement returns what the load states. whole is true if the answer that it came with is complete.
 func (l Load) Statement(whole bool) Statement {
-	return Statement{Load: &l, RateCap: l.RateCap, Leaving: l.Leaving, Whole: whole}
+	return Statement{Load: &l, RateCap: l.RateCap, Leaving: l.Leaving, PauseFor: l.PauseFor, Whole: whole}
 }
