Own interface: read what endpoints state in all answers, for one incarnation

Only a leaving in a successful answer or in an event of a stream was read: refusals, failures and engines' refusals of streams were dropped with what they stated, a pause was read nowhere, and a leaving was forgotten with a listing that was missing once and kept for a process that started again at the same address.

All answers pass attempts.recordStatement, which keeps the same kernel.Standing as on the users' platform; faults carry the load that came with them, and an engine's refusal says whether the call ran. Notices between nodes name the incarnation (where the list tells none the name, as before). Standings outlast a missing entry for ten minutes, and where incarnations cannot be told apart a leaving is forgotten after as long. Permits for an endpoint that takes no work are denied. A pool whose endpoints have all asked for a pause is refused before it waits for a place, with when.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -219,10 +219,9 @@
 func (a *attempts) handleOutcome(ctx context.Context, o outcome, running map[int]startedCall) (bool, error) {
 	now := time.Now()
 	a.busy += o.elapsed
-	a.recordPacing(o.startedAt, now, o.endpoint, o.reply.Load, o.err == nil)
 	if o.err == nil {
 		a.mayHaveRun = true
-		a.reportLeaving(o.endpoint, &o.reply.Load)
+		a.recordStatement(o.startedAt, now, o.endpoint, &o.reply.Load, true)
 		output, err := a.job.Plugin.ParseReply(a.job.Work, o.reply)
 		if err == nil {
 			a.pool.recordSuccess(now, o.endpoint, o.elapsed, &o.reply.Load)
@@ -234,6 +233,7 @@
 		o.err = &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: err}
 	}
 	fault := asFault(o.err)
+	a.recordStatement(o.startedAt, now, o.endpoint, fault.Load, false)
 	a.recordFault(now, o.endpoint, fault)
 	if ctx.Err() != nil {
 		a.abandon(running)
@@ -275,21 +275,26 @@
 	}
 }
 
-func (a *attempts) reportLeaving(e *endpointState, load *model.Load) {
-	if load != nil && load.Leaving {
-		a.dispatcher.OnLeaving(a.pool.name, e.name)
+// recordStatement records what an endpoint states of itself in its answer to a call that was sent at sentAt; load is nil
+// if it states nothing. The absence of a rate cap or of a cold time counts only in the answer to a successful call.
+func (a *attempts) recordStatement(sentAt, now time.Time, e *endpointState, load *model.Load, succeeded bool) {
+	if load == nil {
+		return
 	}
-}
-
-// recordPacing applies the rate cap and the remaining cold time that an endpoint stated in its answer to a call. The
-// absence of either counts only in the answer to a successful call.
-func (a *attempts) recordPacing(startedAt, now time.Time, e *endpointState, load model.Load, succeeded bool) {
-	if load.RateCap.Stated || succeeded {
-		a.dispatcher.OnAnswer(startedAt, a.pool.endpointOf(e), load.RateCap)
+	stated := load.Statement(succeeded)
+	if stated.RateCap.Stated || stated.Whole {
+		a.dispatcher.OnAnswer(sentAt, a.pool.endpointOf(e), stated.RateCap)
+	}
+	if load.ColdFor > 0 || stated.Whole {
+		a.pool.recordCold(sentAt, now, e, load.ColdFor)
+	}
+	if stated.Leaving {
+		a.dispatcher.OnLeaving(a.pool.name, a.pool.endpointOf(e).Incarnation())
 	}
-	if load.ColdFor > 0 || succeeded {
-		a.pool.recordCold(startedAt, now, e, load.ColdFor)
+	if stated.PauseFor > 0 {
+		a.dispatcher.metrics.CountEvent("EndpointPaused")
 	}
+	a.pool.recordStanding(sentAt, now, e, stated)
 }
 
 // abandon records the calls that still run when the stage ends. The connections to their endpoints are retired, since
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -16,8 +16,8 @@
 	// Dispatcher runs stages on the endpoints of their pools. It is safe for concurrent use. The exported fields must
 	// be set before the first call; NewDispatcher sets defaults.
 	Dispatcher struct {
-		// OnLeaving is called when an endpoint reports in a reply that it is leaving.
-		OnLeaving func(pool, endpoint string)
+		// OnLeaving is called when an incarnation of an endpoint reports in a reply that it is leaving.
+		OnLeaving func(pool, incarnation string)
 		// OnAdapterDemand is called when a request uses an adapter of engines that load adapters on demand. waiting is
 		// true if all engines that accept work have recently replied that they lack it.
 		OnAdapterDemand func(pool, adapter string, deadline time.Time, waiting bool)
@@ -164,10 +164,10 @@
 	return d.evacuations
 }
 
-// MarkLeaving stops new work for an endpoint that is leaving. It reports whether the endpoint is known and was not
-// marked before.
-func (d *Dispatcher) MarkLeaving(poolName, endpointName string) bool {
-	return d.pool(poolName).markLeaving(endpointName)
+// MarkLeaving stops new work for an incarnation of an endpoint that is leaving. It reports whether the incarnation is
+// listed and was not marked before.
+func (d *Dispatcher) MarkLeaving(poolName, incarnation string) bool {
+	return d.pool(poolName).markLeaving(time.Now(), incarnation)
 }
 
 // Estimates returns the estimates of several stages for a request that arrives now. weight is that of its customer.
@@ -246,13 +246,17 @@
 	return slices.ContainsFunc(d.Status(), func(s EndpointStatus) bool { return s.Endpoint.Incarnation() == incarnation })
 }
 
-// checkPool returns a refusal if rate caps and cold limits let this node call none of the pool's endpoints now.
+// checkPool returns a refusal if pauses, rate caps and cold limits let this node call none of the pool's endpoints now.
 func (d *Dispatcher) checkPool(p *pool) *model.Refusal {
-	if d.plain || p.admitsAny(time.Now()) {
+	now := time.Now()
+	if d.plain || p.admitsAny(now) {
 		return nil
 	}
 	endpoints, calledAt := p.lastCalls()
-	return d.AdmitPool(time.Now(), p.name, endpoints, func(incarnation string) time.Time { return calledAt[incarnation] })
+	if refusal := kernel.AdmitPaused(now, p.name, endpoints); refusal != nil {
+		return refusal
+	}
+	return d.AdmitPool(now, p.name, endpoints, func(incarnation string) time.Time { return calledAt[incarnation] })
 }
 
 func waitRefusal(ctx context.Context, p *pool, e kernel.StageEstimate) error {
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -7,8 +7,13 @@
 	"basilstall.example/basilstall/kernel"
 )
 
-// maxPermitRequests is the maximum number of permits requested for one call.
-const maxPermitRequests = 2
+const (
+	// maxPermitRequests is the maximum number of permits requested for one call.
+	maxPermitRequests = 2
+	// leavingPermitWait is how long another node waits until it asks again for a permit to call an endpoint that takes no
+	// work.
+	leavingPermitWait = time.Second
+)
 
 // chooseEndpoint chooses an endpoint for one call, or returns nil if none may get it. If this node may call the chosen
 // endpoint only with another node's permit, it requests one. If the permit is denied, it chooses again.
@@ -40,6 +45,9 @@
 		if e.candidate.Endpoint.Incarnation() != incarnation {
 			continue
 		}
+		if !e.candidate.Endpoint.TakesWork() {
+			return false, leavingPermitWait
+		}
 		granted, wait = decide(now, incarnation, e.pacing.calledAt)
 		if granted {
 			e.pacing.calledAt = now
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -68,8 +68,8 @@
 		address string
 		// candidate holds what endpoints are chosen by, such as the load, the health and the calls in flight.
 		candidate kernel.Candidate
-		// leaving is true once the endpoint or a peer has reported that it is leaving. The list is updated later.
-		leaving bool
+		// standing is what the endpoint has stated of itself, or a peer has reported of it. The list is updated later.
+		standing kernel.Standing
 		// listedState is the state in the list.
 		listedState model.HostState
 		calls       uint64
@@ -91,9 +91,11 @@
 
 	// unlistedEndpoint is what is kept of an endpoint that the list has dropped at unlistedAt.
 	unlistedEndpoint struct {
-		address    string
-		pacing     endpointPacing
-		unlistedAt time.Time
+		address     string
+		incarnation string
+		pacing      endpointPacing
+		standing    kernel.Standing
+		unlistedAt  time.Time
 	}
 )
 
@@ -121,9 +123,11 @@
 	p.endpoints = p.endpoints[:0:0]
 	for _, endpoint := range listed {
 		e := known[endpoint.Name]
-		if e == nil || e.candidate.Endpoint.Address != endpoint.Address {
-			e = &endpointState{name: endpoint.Name, address: endpoint.Address}
-			e.pacing = p.pacingOf(endpoint)
+		if e == nil || e.address != endpoint.Address || e.candidate.Endpoint.Incarnation() != endpoint.Incarnation() {
+			e = p.newEndpointState(endpoint)
+		}
+		if endpoint.Started.IsZero() {
+			e.standing = e.standing.WithoutOldLeaving(now)
 		}
 		if e.pacing.coldUntil.After(endpoint.ColdUntil) {
 			endpoint.ColdUntil = e.pacing.coldUntil
@@ -142,38 +146,53 @@
 	p.limit.Max = maxLimitPerEndpoint * n
 }
 
-// pacingOf returns the pacing of an endpoint that the list has recently dropped and now lists again at the same
-// address. For all others it is zero.
-func (p *pool) pacingOf(endpoint model.Endpoint) endpointPacing {
+// newEndpointState returns the state of an endpoint that is newly listed. If the list has recently dropped the same
+// incarnation, its pacing and standing are kept.
+func (p *pool) newEndpointState(endpoint model.Endpoint) *endpointState {
+	e := &endpointState{name: endpoint.Name, address: endpoint.Address}
 	unlisted := p.unlisted[endpoint.Name]
-	if unlisted.address != endpoint.Address {
-		return endpointPacing{}
+	if unlisted.address == endpoint.Address && unlisted.incarnation == endpoint.Incarnation() {
+		e.pacing, e.standing = unlisted.pacing, unlisted.standing
 	}
-	return unlisted.pacing
+	return e
 }
 
-// rememberUnlisted keeps the pacing of endpoints that the list has dropped. Otherwise all nodes would call an endpoint
-// at once if its entry was missing from the list for a moment.
+// rememberUnlisted keeps the pacing and the standing of endpoints that the list has dropped. Otherwise all nodes would
+// call an endpoint at once if its entry was missing from the list for a moment.
 func (p *pool) rememberUnlisted(now time.Time, removed map[string]*endpointState) {
-	maps.DeleteFunc(p.unlisted, func(_ string, u unlistedEndpoint) bool { return now.Sub(u.unlistedAt) >= unlistedRetention })
+	maps.DeleteFunc(p.unlisted, func(_ string, u unlistedEndpoint) bool {
+		age := now.Sub(u.unlistedAt)
+		return age >= kernel.StandingRetention || age >= unlistedRetention && u.standing == kernel.Standing{}
+	})
 	for name, e := range removed {
-		p.unlisted[name] = unlistedEndpoint{address: e.address, pacing: e.pacing, unlistedAt: now}
+		p.unlisted[name] = unlistedEndpoint{
+			address: e.address, incarnation: e.candidate.Endpoint.Incarnation(), pacing: e.pacing, standing: e.standing, unlistedAt: now,
+		}
 	}
 }
 
-// markLeaving records that an endpoint is leaving. It reports whether the endpoint is known and was not marked before.
-func (p *pool) markLeaving(name string) bool {
+// markLeaving records that an incarnation of an endpoint is leaving. It reports whether the incarnation is listed and was
+// not marked before.
+func (p *pool) markLeaving(now time.Time, incarnation string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e := p.find(name)
-	if e == nil || e.leaving {
+	e := p.find(model.NameOfIncarnation(incarnation))
+	if e == nil || e.candidate.Endpoint.Incarnation() != incarnation || e.standing.Leaving() {
 		return false
 	}
-	e.leaving = true
+	e.standing = e.standing.With(now, now, model.Statement{Leaving: true})
 	p.updateState(e)
 	return true
 }
 
+// recordStanding records what an endpoint states of itself in its answer to a call that was sent at sentAt.
+func (p *pool) recordStanding(sentAt, now time.Time, e *endpointState, stated model.Statement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.standing = e.standing.With(sentAt, now, stated)
+	p.updateState(e)
+}
+
 // setEvacuations sets the failure domains whose endpoints get no work.
 func (p *pool) setEvacuations(evacuations kernel.Evacuations) {
 	p.mu.Lock()
@@ -184,16 +203,17 @@
 	}
 }
 
-// updateState sets the state of an endpoint from its listed state, reports that it is leaving, and the evacuations.
+// updateState sets the state of an endpoint from its listed state, its standing and the evacuations.
 func (p *pool) updateState(e *endpointState) {
 	state := e.listedState
 	switch {
-	case e.leaving:
+	case e.standing.Leaving():
 		state = model.Leaving
 	case state == model.Live && p.evacuations.Contains(e.candidate.Endpoint.FailureDomain):
 		state = model.Evacuated
 	}
 	e.candidate.Endpoint.State = state
+	e.candidate.Endpoint.PausedUntil = e.standing.PausedUntil
 }
 
 // lastCalls returns the pool's endpoints, and by incarnation when this node last called each.
--- a/dispatch/poolpick.go
+++ b/dispatch/poolpick.go
@@ -97,12 +97,12 @@
 	return e
 }
 
-// admitsAny reports whether rate caps and cold limits let this node call any endpoint now, with a permit if need be.
+// admitsAny reports whether pauses, rate caps and cold limits let this node call any endpoint now, with a permit if need be.
 func (p *pool) admitsAny(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.ContainsFunc(p.endpoints, func(e *endpointState) bool {
-		return e.candidate.Endpoint.TakesWork() && p.admitsCall(now, e, true)
+		return e.candidate.Endpoint.Accepts(now) && p.admitsCall(now, e, true)
 	})
 }
 
--- a/dispatch/statements_test.go
+++ b/dispatch/statements_test.go
@@ -95,7 +95,7 @@
 	other := newStatingServer(t, "answer", model.Load{})
 	d = dispatch.NewDispatcher("domain-0", false, metric.NewSet())
 	t.Cleanup(d.Close)
-	d.OnLeaving = func(pool, endpoint string) { d.MarkLeaving(pool, endpoint) }
+	d.OnLeaving = func(pool, incarnation string) { d.MarkLeaving(pool, incarnation) }
 	listed = []model.Endpoint{{Name: "a", Pool: "p", Address: stating.address()}, {Name: "b", Pool: "p", Address: other.address()}}
 	d.SetEndpoints(listed)
 	for range 100 {
@@ -155,6 +155,21 @@
 	must.Greater(t, before, stating.calls.Load())
 }
 
+// A notice that an earlier incarnation is leaving says nothing of the one that is listed. Guards against notices of other
+// nodes that arrive after the endpoint has started again.
+func TestLeavingNoticeBelongsToIncarnation(t *testing.T) {
+	t.Parallel()
+	before := model.Endpoint{Name: "a", Pool: "p", Address: "a:1", Started: time.UnixMilli(1000)}
+	after := before
+	after.Started = time.UnixMilli(2000)
+	d := dispatch.NewDispatcher("domain-0", false, metric.NewSet())
+	d.SetEndpoints([]model.Endpoint{after})
+	must.False(t, d.MarkLeaving("p", before.Incarnation()))
+	must.SliceLen(t, 1, d.Endpoints("p"))
+	must.True(t, d.MarkLeaving("p", after.Incarnation()))
+	must.SliceEmpty(t, d.Endpoints("p"))
+}
+
 // If all endpoints have asked for a pause, a stage is refused at once, as not run, with when the first pause ends.
 // Guards against calls in the pause for want of another endpoint.
 func TestPausedPoolIsRefusedAtOnce(t *testing.T) {
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -121,7 +121,7 @@
 		now := time.Now()
 		if event.Load != nil {
 			load = event.Load
-			a.recordPacing(startedAt, now, e, *load, true)
+			a.recordStatement(startedAt, now, e, load, true)
 			a.pool.recordLoad(now, e, *load)
 		}
 		if event.Final {
@@ -145,13 +145,13 @@
 	})
 	now := time.Now()
 	a.busy += now.Sub(startedAt)
-	a.reportLeaving(e, load)
 	if err == nil {
 		a.mayHaveRun = true
 		a.pool.recordSuccess(now, e, now.Sub(startedAt), load)
 		return nil
 	}
 	fault := asFault(err)
+	a.recordStatement(startedAt, now, e, fault.Load, false)
 	if fault.Kind == endpoint.Silent {
 		a.observeSilence(startedAt, lastTokenAt, now)
 	}
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -94,7 +94,9 @@
 		return reply, &Fault{Kind: Mismatch, Verdict: model.MayHaveRun, Err: errors.Errorf("reply to %s/%s/%d", reply.Request, reply.Stage, reply.Attempt)}
 	}
 	if res.StatusCode != http.StatusOK {
-		return reply, statusFault(res.StatusCode, reply.Verdict, reply.Error)
+		fault := statusFault(res.StatusCode, reply.Verdict, reply.Error)
+		fault.Load = &reply.Load
+		return reply, fault
 	}
 	return reply, nil
 }
@@ -109,11 +111,8 @@
 		return c.newFault(ctx, target, trace, err)
 	}
 	defer res.Body.Close()
-	if res.StatusCode == StatusNotLoaded {
-		return &Fault{Kind: NotLoaded, Verdict: model.NotRun, Err: errors.New("the adapter is not loaded")}
-	}
 	if res.StatusCode != http.StatusOK {
-		return statusFault(res.StatusCode, model.MayHaveRun, res.Status)
+		return streamFault(res, call)
 	}
 	events := json.NewDecoder(res.Body)
 	for {
@@ -229,6 +228,24 @@
 	return &Fault{Kind: Status, Verdict: verdict, Err: errors.Errorf("status %d: %s", status, text)}
 }
 
+// streamFault returns the fault of a call that an engine did not answer with a stream. The body of its answer, if it is a
+// reply to the call, states the verdict and the load.
+func streamFault(res *http.Response, call model.StageCall) *Fault {
+	fault := statusFault(res.StatusCode, model.MayHaveRun, res.Status)
+	if res.StatusCode == StatusNotLoaded {
+		fault = &Fault{Kind: NotLoaded, Verdict: model.NotRun, Err: errors.New("the adapter is not loaded")}
+	}
+	var reply model.StageReply
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(&reply); err != nil || !reply.Matches(call) {
+		return fault
+	}
+	if reply.Verdict == model.NotRun {
+		fault.Verdict = model.NotRun
+	}
+	fault.Load = &reply.Load
+	return fault
+}
+
 func newTransport(keepAlive bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}
 	return &http.Transport{
--- a/endpoint/error.go
+++ b/endpoint/error.go
@@ -37,7 +37,9 @@
 	Verdict model.Verdict
 	// Reused is true if the connection had been kept open since an earlier call, or since Exchanger.Connect.
 	Reused bool
-	Err    error
+	// Load is what the endpoint states of itself in its answer; nil if there is no answer.
+	Load *model.Load
+	Err  error
 }
 
 // Error implements error.
--- a/kernel/admitpools.go
+++ b/kernel/admitpools.go
@@ -41,24 +41,38 @@
 		return model.NewRefusal(model.NotRun, model.NoHome, ClampRetryAfter(noRegionRetry), fmt.Sprintf("pool %s has no endpoint in the allowed regions %s", pool, regions))
 	}
 	evacuated := false
-	var pauseEnd time.Time
 	for _, e := range allowed {
 		if e.Accepts(now) {
 			return nil
 		}
-		if e.TakesWork() && (pauseEnd.IsZero() || e.PausedUntil.Before(pauseEnd)) {
-			pauseEnd = e.PausedUntil
-		}
 		evacuated = evacuated || e.State == model.Evacuated
 	}
 	if len(allowed) == 0 {
 		return nil
 	}
-	if !pauseEnd.IsZero() {
-		return model.NewRefusal(model.NotRun, model.EndpointsPaused, ClampRetryAfter(pauseEnd.Sub(now)), fmt.Sprintf("all endpoints of pool %s want no requests now", pool))
+	if refusal := AdmitPaused(now, pool, allowed); refusal != nil {
+		return refusal
 	}
 	if !evacuated {
 		return model.NewRefusal(model.NotRun, model.NoEndpoint, ClampRetryAfter(leavingRetry), fmt.Sprintf("all endpoints of pool %s are leaving", pool))
 	}
 	return model.NewRefusal(model.NotRun, model.PoolEvacuated, ClampRetryAfter(evacuatedRetry), fmt.Sprintf("all endpoints of pool %s are in evacuated failure domains", pool))
 }
+
+// AdmitPaused refuses a request if no endpoint of a pool accepts work now and some have asked for a pause. The caller
+// learns when the first pause ends.
+func AdmitPaused(now time.Time, pool string, endpoints []model.Endpoint) *model.Refusal {
+	var firstEnd time.Time
+	for _, e := range endpoints {
+		if e.Accepts(now) {
+			return nil
+		}
+		if e.TakesWork() && (firstEnd.IsZero() || e.PausedUntil.Before(firstEnd)) {
+			firstEnd = e.PausedUntil
+		}
+	}
+	if firstEnd.IsZero() {
+		return nil
+	}
+	return model.NewRefusal(model.NotRun, model.EndpointsPaused, ClampRetryAfter(firstEnd.Sub(now)), fmt.Sprintf("all endpoints of pool %s want no requests now", pool))
+}
--- a/kernel/membership.go
+++ b/kernel/membership.go
@@ -45,7 +45,7 @@
 		FailureDomain string
 		// Accuser is set on a suspicion: the node that no longer hears from the member.
 		Accuser string
-		// Pool and Endpoint are set on the notice that an endpoint is leaving.
+		// Pool and Endpoint, an incarnation, are set on the notice that an endpoint is leaving.
 		Pool     string
 		Endpoint string
 	}
@@ -182,9 +182,9 @@
 	return true
 }
 
-// AnnounceLeaving queues the notice that an endpoint is leaving.
-func (m *Membership) AnnounceLeaving(pool, endpoint string) {
-	m.enqueue(GossipUpdate{Pool: pool, Endpoint: endpoint})
+// AnnounceLeaving queues the notice that an incarnation of an endpoint is leaving.
+func (m *Membership) AnnounceLeaving(pool, incarnation string) {
+	m.enqueue(GossipUpdate{Pool: pool, Endpoint: incarnation})
 }
 
 // Tick begins a round of heartbeats. It drops updates that were sent in enough rounds, suspects monitored members
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -109,7 +109,7 @@
 			s.unlistedSince = time.Time{}
 		case s.unlistedSince.IsZero():
 			s.unlistedSince = now
-		case now.Sub(s.unlistedSince) >= standingRetention:
+		case now.Sub(s.unlistedSince) >= StandingRetention:
 			continue
 		}
 		retained[incarnation] = s
--- a/kernel/standing.go
+++ b/kernel/standing.go
@@ -9,9 +9,9 @@
 const (
 	// maxPause bounds the pauses that are granted: after that, a request shows whether the endpoint still wants none.
 	maxPause = 10 * time.Minute
-	// standingRetention is how long the standing of an incarnation is kept after its entry left the list: an entry that
-	// is missing for longer than an outage of the store does not come back.
-	standingRetention = 10 * time.Minute
+	// StandingRetention is how long the standing of an incarnation is kept after its entry left the list: an entry that
+	// is missing for longer than an outage of the list does not come back.
+	StandingRetention = 10 * time.Minute
 )
 
 // Standing is what one node believes of an incarnation of an endpoint by the endpoint's own answers to this node. It
@@ -44,6 +44,15 @@
 	return !s.LeavingSince.IsZero()
 }
 
+// WithoutOldLeaving returns the standing without a leaving that was stated more than StandingRetention ago. It is used
+// where the list does not tell the incarnations of an endpoint apart.
+func (s Standing) WithoutOldLeaving(now time.Time) Standing {
+	if s.Leaving() && now.Sub(s.LeavingSince) >= StandingRetention {
+		s.LeavingSince = time.Time{}
+	}
+	return s
+}
+
 // Paused reports whether the endpoint wants no requests from this node now.
 func (s Standing) Paused(now time.Time) bool {
 	return now.Before(s.PausedUntil)
--- a/node/cold.go
+++ b/node/cold.go
@@ -83,7 +83,7 @@
 	}
 	anyTakesWork := false
 	for _, e := range endpoints {
-		if !e.TakesWork() {
+		if !e.Accepts(now) {
 			continue
 		}
 		lastCall := calledAt(e.Incarnation())
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -136,15 +136,16 @@
 	}
 }
 
-// markLeaving stops new work for an endpoint that is leaving, and announces the leaving to the other nodes.
-func (n *Node) markLeaving(pool, endpoint string) {
-	if !n.dispatcher.MarkLeaving(pool, endpoint) {
+// markLeaving stops new work for an incarnation of an endpoint that is leaving, and announces the leaving to the other
+// nodes.
+func (n *Node) markLeaving(pool, incarnation string) {
+	if !n.dispatcher.MarkLeaving(pool, incarnation) {
 		return
 	}
 	n.metrics.CountEvent("EndpointLeaving")
-	n.log.Info().Str("Pool", pool).Str("Endpoint", endpoint).Msg("endpoint is leaving")
+	n.log.Info().Str("Pool", pool).Str("Endpoint", incarnation).Msg("endpoint is leaving")
 	n.fleet.mu.Lock()
-	n.fleet.membership.AnnounceLeaving(pool, endpoint)
+	n.fleet.membership.AnnounceLeaving(pool, incarnation)
 	n.fleet.mu.Unlock()
 }
 
