Own interface: answer 503, not 500, where endpoints are cold, capped or paused

Callers of the own interface got status 500 for a request that had not run and that they were told when to send again, where all endpoints of a pool were cold or at their rate caps: the reasons had come without a status, and the default is an internal error. TestEveryReasonHasStatus takes the reasons from the source of package model, so a new one without a status fails; before, it failed at the first (StaleRouting).

--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -21,6 +21,7 @@
 	model.KeyAhead:         http.StatusConflict,
 	model.OutcomeUnknown:   http.StatusConflict,
 	model.CustomerLimit:    http.StatusTooManyRequests,
+	model.TooLarge:         http.StatusRequestEntityTooLarge,
 	model.StageFailed:      http.StatusBadGateway,
 	model.StageTimeout:     http.StatusGatewayTimeout,
 	model.DeadlinePassed:   http.StatusGatewayTimeout,
@@ -35,6 +36,14 @@
 	model.AdapterNotLoaded: http.StatusServiceUnavailable,
 	model.CallerGone:       http.StatusServiceUnavailable,
 	model.Quarantined:      http.StatusServiceUnavailable,
+	model.StaleRouting:     http.StatusServiceUnavailable,
+	model.StageLate:        http.StatusServiceUnavailable,
+	model.PoolEvacuated:    http.StatusServiceUnavailable,
+	model.EndpointsPaused:  http.StatusServiceUnavailable,
+	model.EndpointsCold:    http.StatusServiceUnavailable,
+	model.EndpointsCapped:  http.StatusServiceUnavailable,
+	model.NoHome:           http.StatusServiceUnavailable,
+	model.EndpointRefused:  http.StatusServiceUnavailable,
 }
 
 // writeRefusal counts a refusal and writes it, with the time after which the caller may retry.
