Index one endpoint, not all pools, after each pause

An endpoint in need may ask each node for a pause every few seconds, and a pool of 140 all of them: with 790 endpoints known, a pause cost a new index of all pools and a comparison of both registries.

--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -138,7 +138,21 @@
 	}
 	before.Standing = standing
 	r.standings[incarnation] = before
-	return r.indexed(), true
+	return r.withReindexed(e), true
+}
+
+// withReindexed returns the registry with the entry of one endpoint replaced in byPool. Endpoints of a large pool may ask
+// for pauses many times a second, and indexing all pools takes much processor time on a small host.
+func (r Registry) withReindexed(e model.Endpoint) Registry {
+	known, listed := r.Find(e.Name)
+	i := slices.IndexFunc(r.byPool[known.Pool], func(other model.Endpoint) bool { return other.Name == e.Name })
+	if !listed || i < 0 {
+		return r
+	}
+	r.byPool = maps.Clone(r.byPool)
+	r.byPool[known.Pool] = slices.Clone(r.byPool[known.Pool])
+	r.byPool[known.Pool][i] = known
+	return r
 }
 
 // Standing returns what an incarnation of an endpoint has stated of itself to this node.
--- a/kernel/standing_test.go
+++ b/kernel/standing_test.go
@@ -1,6 +1,7 @@
 package kernel_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -135,3 +136,16 @@
 	must.EqOp(t, model.NotRun, refusal.Verdict)
 	must.EqOp(t, 2*time.Second, refusal.RetryAfter)
 }
+
+// BenchmarkPauseOfOneEndpoint measures what each pause costs a node that knows 790 endpoints.
+func BenchmarkPauseOfOneEndpoint(b *testing.B) {
+	now := time.Now()
+	var listed []model.Endpoint
+	for i := range 790 {
+		listed = append(listed, model.Endpoint{Name: fmt.Sprint("e-", i), Pool: fmt.Sprint("p-", i%6), State: model.Live})
+	}
+	r := kernel.NewRegistry().WithChanges(now, now, listed, nil, nil)
+	for i := range b.N {
+		r, _ = r.WithStatement(now, now, listed[i%len(listed)], model.Statement{PauseFor: time.Duration(i + 1)})
+	}
+}
--- a/relay/batcher.go
+++ b/relay/batcher.go
@@ -75,6 +75,14 @@
 	return slices.DeleteFunc(slices.Clone(registry.Endpoints(b.pool)), func(e model.Endpoint) bool { return e.Region != b.region })
 }
 
+// setEndpoints sets the workers of the queue.
+func (b *batcher) setEndpoints(registry kernel.Registry) {
+	b.mu.Lock()
+	b.queue.SetEndpoints(b.workers(registry))
+	b.mu.Unlock()
+	b.updateRateCaps()
+}
+
 // updateRateCaps sets the rate caps of the workers in the queue.
 func (b *batcher) updateRateCaps() {
 	b.mu.Lock()
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -81,12 +81,19 @@
 	b.queue.SetColdShare(s.relay.options.ColdLimits.FractionalShare(share, pool.ColdRate).ForSingleSender())
 }
 
+// setEndpoints passes the endpoints to all batchers.
 func (s *batcherSet) setEndpoints(registry kernel.Registry) {
 	for _, b := range s.all() {
-		b.mu.Lock()
-		b.queue.SetEndpoints(b.workers(registry))
-		b.mu.Unlock()
-		b.updateRateCaps()
+		b.setEndpoints(registry)
+	}
+}
+
+// setPoolEndpoints passes the endpoints of a pool to its batchers.
+func (s *batcherSet) setPoolEndpoints(pool string, registry kernel.Registry) {
+	for _, b := range s.all() {
+		if b.pool == pool {
+			b.setEndpoints(registry)
+		}
 	}
 }
 
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -91,14 +91,13 @@
 	if _, changes := r.Registry().WithStatement(sentAt, now, e, stated); !changes {
 		return
 	}
-	var before, after kernel.Standing
-	r.UpdateRegistry(func(registry kernel.Registry) kernel.Registry {
-		before = registry.Standing(e.Incarnation())
-		registry, _ = registry.WithStatement(sentAt, now, e, stated)
-		after = registry.Standing(e.Incarnation())
-		return registry
-	})
-	r.logStanding(now, e, before, after)
+	r.registryMu.Lock()
+	before := r.Registry()
+	registry, _ := before.WithStatement(sentAt, now, e, stated)
+	r.registry.Store(&registry)
+	r.batchers.setPoolEndpoints(e.Pool, registry)
+	r.registryMu.Unlock()
+	r.logStanding(now, e, before.Standing(e.Incarnation()), registry.Standing(e.Incarnation()))
 }
 
 // logStanding logs what an endpoint has newly stated of itself.
