Name the rate caps where a request's permits were denied

A refusal after a denial takes what the limiter knows of the caps (kernel.RefuseCapped) and says when this node may next send or ask.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -44,6 +44,8 @@
 		busy time.Duration
 		// connectBy is the deadline for the connection of the next call; zero for none.
 		connectBy time.Time
+		// permitDenied is true if a permit was denied when an endpoint was last chosen.
+		permitDenied bool
 		// hedging is true while a hedge is started.
 		hedging bool
 		// mayHaveRun is true once an endpoint may have received a call.
@@ -169,7 +171,11 @@
 
 // noEndpointRefusal returns the refusal of a request for which no endpoint could be chosen.
 func (a *attempts) noEndpointRefusal(err error) error {
-	if refusal := a.dispatcher.checkPool(a.pool); refusal != nil {
+	refusal := a.dispatcher.checkPool(a.pool)
+	if refusal == nil && a.permitDenied {
+		refusal = a.dispatcher.refusePool(a.pool)
+	}
+	if refusal != nil {
 		if a.mayHaveRun {
 			return refusal.WithVerdict(model.MayHaveRun)
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -37,6 +37,9 @@
 		// AdmitPool returns a refusal if rate caps and cold limits let this node call none of the endpoints of a pool
 		// now. calledAt returns when this node last called an endpoint.
 		AdmitPool func(now time.Time, pool string, endpoints []model.Endpoint, calledAt func(incarnation string) time.Time) *model.Refusal
+		// RefusePool returns the refusal of a stage whose permits were denied, or nil if an endpoint of its pool has no
+		// rate cap.
+		RefusePool func(now time.Time, pool string, endpoints []model.Endpoint, calledAt func(incarnation string) time.Time) *model.Refusal
 		// MayRequestPermit reports whether another node may be asked for a permit to call an endpoint in its place,
 		// given when this node last called it.
 		MayRequestPermit func(now time.Time, e model.Endpoint, calledAt time.Time) bool
@@ -111,6 +114,9 @@
 		AdmitPool: func(time.Time, string, []model.Endpoint, func(string) time.Time) *model.Refusal {
 			return nil
 		},
+		RefusePool: func(time.Time, string, []model.Endpoint, func(string) time.Time) *model.Refusal {
+			return nil
+		},
 		MayRequestPermit: func(time.Time, model.Endpoint, time.Time) bool { return false },
 		RequestPermit:    func(context.Context, model.Endpoint) bool { return false },
 
@@ -259,6 +265,12 @@
 	return d.AdmitPool(now, p.name, endpoints, func(incarnation string) time.Time { return calledAt[incarnation] })
 }
 
+// refusePool returns the refusal of a stage whose permits were denied, or nil if an endpoint of its pool has no rate cap.
+func (d *Dispatcher) refusePool(p *pool) *model.Refusal {
+	endpoints, calledAt := p.lastCalls()
+	return d.RefusePool(time.Now(), p.name, endpoints, func(incarnation string) time.Time { return calledAt[incarnation] })
+}
+
 func waitRefusal(ctx context.Context, p *pool, e kernel.StageEstimate) error {
 	if ctx.Err() == context.Canceled {
 		return model.NewRefusal(model.NotRun, model.CallerGone, 0, "the caller went away")
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -22,6 +22,7 @@
 	for permitRequests := 0; ; permitRequests++ {
 		now := time.Now()
 		e, needsPermit := a.pool.pick(now, prefix, excluded, permitRequests < maxPermitRequests)
+		a.permitDenied = permitRequests > 0
 		if e == nil || !needsPermit {
 			return e
 		}
--- a/dispatch/permit_test.go
+++ b/dispatch/permit_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
 
 	"basilstall.example/basilstall/dispatch"
@@ -56,3 +57,21 @@
 	})
 	return err
 }
+
+// A stage whose permits were denied is refused because of the rate caps, also if another endpoint could have been asked
+// for. Guards against a refusal that names no endpoint as its reason.
+func TestRefusalAfterDeniedPermitsNamesRateCaps(t *testing.T) {
+	t.Parallel()
+	d := dispatch.NewDispatcher("domain-0", false, metric.NewSet())
+	d.Admits = func(time.Time, model.Endpoint, time.Time) bool { return false }
+	d.MayRequestPermit = func(time.Time, model.Endpoint, time.Time) bool { return true }
+	d.RequestPermit = func(context.Context, model.Endpoint) bool { return false }
+	d.RefusePool = func(now time.Time, pool string, _ []model.Endpoint, _ func(string) time.Time) *model.Refusal {
+		return kernel.RefuseCapped(now, pool, []kernel.CappedEndpoint{{}})
+	}
+	d.SetEndpoints([]model.Endpoint{{Name: "a", Pool: "p", Address: "a:1"}})
+	var refusal *model.Refusal
+	must.True(t, errors.As(runStage(t, d), &refusal))
+	must.EqOp(t, model.EndpointsCapped, refusal.Reason)
+	must.EqOp(t, model.NotRun, refusal.Verdict)
+}
--- a/kernel/ratecap.go
+++ b/kernel/ratecap.go
@@ -157,23 +157,28 @@
 }
 
 // AdmitCapped refuses a request that only endpoints with rate caps could serve if this node may not send to any of them
-// now and cannot ask for a permit either. The Retry-After time is when this node may next send or ask for a permit;
-// where neither is known, it is when the endpoints together take one more request, from any node.
+// now and cannot ask for a permit either.
 func AdmitCapped(now time.Time, pool string, endpoints []CappedEndpoint) *model.Refusal {
-	perSecond, retry := 0.0, time.Duration(0)
 	for _, e := range endpoints {
-		if e.View.Due(now, e.SentAt, e.Rank) {
+		if e.View.Due(now, e.SentAt, e.Rank) || e.MayRequestPermit && !now.Before(e.NextPermitRequestAt) {
 			return nil
 		}
+	}
+	return RefuseCapped(now, pool, endpoints)
+}
+
+// RefuseCapped refuses a request that only endpoints with rate caps could serve; nil if there are none. The Retry-After
+// time is when this node may next send or ask for a permit; where neither is known, it is when the endpoints together take
+// one more request, from any node.
+func RefuseCapped(now time.Time, pool string, endpoints []CappedEndpoint) *model.Refusal {
+	perSecond, retry := 0.0, time.Duration(0)
+	for _, e := range endpoints {
 		perSecond += e.View.Cap.PerSecond
 		if e.MayRequestPermit {
-			if !now.Before(e.NextPermitRequestAt) {
-				return nil
-			}
-			retry = shorterWait(retry, e.NextPermitRequestAt.Sub(now))
+			retry = shorterWait(retry, max(minCapRetry, e.NextPermitRequestAt.Sub(now)))
 		}
 		if e.Rank < maxCapSharers {
-			retry = shorterWait(retry, e.SentAt.Add(e.View.sendInterval()).Sub(now))
+			retry = shorterWait(retry, max(minCapRetry, e.SentAt.Add(e.View.sendInterval()).Sub(now)))
 		}
 	}
 	if len(endpoints) == 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -131,6 +131,7 @@
 	n.dispatcher.RequestPermit = n.rateCaps.RequestPermit
 	n.dispatcher.Admits = n.mayCallEndpoint
 	n.dispatcher.AdmitPool = n.admitPool
+	n.dispatcher.RefusePool = n.rateCaps.RefusePool
 	if err := n.listen(); err != nil {
 		n.Close()
 		return nil, err
--- a/ratecap/limiter.go
+++ b/ratecap/limiter.go
@@ -148,6 +148,16 @@
 // AdmitPool returns a refusal if all endpoints of a pool that accept work now have caps, and this node may neither send
 // to one of them now nor ask for a permit. sentAt returns when this node last sent to an endpoint.
 func (l *Limiter) AdmitPool(now time.Time, pool string, endpoints []model.Endpoint, sentAt func(incarnation string) time.Time) *model.Refusal {
+	return kernel.AdmitCapped(now, pool, l.cappedEndpoints(now, endpoints, sentAt))
+}
+
+// RefusePool returns the refusal of a request whose permits were denied, or nil if an endpoint of its pool has no cap.
+func (l *Limiter) RefusePool(now time.Time, pool string, endpoints []model.Endpoint, sentAt func(incarnation string) time.Time) *model.Refusal {
+	return kernel.RefuseCapped(now, pool, l.cappedEndpoints(now, endpoints, sentAt))
+}
+
+// cappedEndpoints returns the endpoints that accept work now if all of these have caps, and none otherwise.
+func (l *Limiter) cappedEndpoints(now time.Time, endpoints []model.Endpoint, sentAt func(incarnation string) time.Time) []kernel.CappedEndpoint {
 	var capped []kernel.CappedEndpoint
 	for _, e := range endpoints {
 		if !e.Accepts(now) {
@@ -163,7 +173,7 @@
 			View: view, SentAt: sentAt(incarnation), Rank: l.Rank(now, incarnation), MayRequestPermit: ok, NextPermitRequestAt: at,
 		})
 	}
-	return kernel.AdmitCapped(now, pool, capped)
+	return capped
 }
 
 // RecordSend counts the requests and calls for pieces that are sent to endpoints with caps.
--- a/relay/permits_test.go
+++ b/relay/permits_test.go
@@ -95,3 +95,25 @@
 	must.Positive(t, attempts)
 	must.SliceEmpty(t, h.sent)
 }
+
+// A request whose permits were denied is refused because of the rate caps, with when to come back, also if another endpoint
+// could have been asked for. Guards against a refusal that names no endpoint as its reason.
+func TestRefusalAfterDeniedPermitsNamesRateCaps(t *testing.T) {
+	t.Parallel()
+	h := newPermitTestBed(t)
+	now := time.Now()
+	var added []model.Endpoint
+	for _, name := range []string{"plain-2", "plain-3", "plain-4"} {
+		e := model.Endpoint{Name: name, Pool: "plain", State: model.Live}
+		added = append(added, e)
+		h.relay.SetRateCap(e.Incarnation(), model.NewRateCap(1))
+	}
+	h.relay.UpdateRegistry(func(before kernel.Registry) kernel.Registry {
+		return before.WithChanges(now, now, added, nil, nil)
+	})
+	refusal := h.serve("/get/one").Refusal
+	must.NotNil(t, refusal)
+	must.EqOp(t, model.EndpointsCapped, refusal.Reason)
+	must.EqOp(t, model.NotRun, refusal.Verdict)
+	must.Positive(t, refusal.RetryAfter)
+}
--- a/relay/ratecaps.go
+++ b/relay/ratecaps.go
@@ -84,6 +84,12 @@
 	return r.rateCaps.AdmitPool(r.now(), a.Pool, endpoints, r.pool(a.Pool).lastSentAt)
 }
 
+// refuseRateCaps returns the refusal of a request whose permits were denied, or nil if an endpoint of its pool has no cap.
+func (r *Relay) refuseRateCaps(a kernel.Admission) *model.Refusal {
+	endpoints := a.Regions.AllowedEndpoints(r.Registry().Endpoints(a.Pool))
+	return r.rateCaps.RefusePool(r.now(), a.Pool, endpoints, r.pool(a.Pool).lastSentAt)
+}
+
 // chooseEndpoint chooses an endpoint for one attempt by pick. If this node may send to the endpoint only with another
 // node's permit, it requests one; if the permit is denied, it calls release for the endpoint and chooses another.
 func (j *job) chooseEndpoint(ctx context.Context, p *pool, pick func(now time.Time, limits sendLimits) (choice, bool), release func(model.Endpoint)) (model.Endpoint, bool) {
@@ -94,6 +100,7 @@
 		limits.allowPermits = requested < maxPermitRequests
 		now := r.now()
 		c, ok := pick(now, limits)
+		j.permitDenied = requested > 0
 		if !ok || !c.needsPermit {
 			return c.endpoint, ok
 		}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -46,6 +46,8 @@
 		mayHaveRun bool
 		// permitUntil is when the other node's permit for the chosen endpoint expires; zero if no permit is needed.
 		permitUntil time.Time
+		// permitDenied is true if a permit was denied when an endpoint was last chosen.
+		permitDenied bool
 		// trial is true if the request is held back and was permitted to run once, on trial.
 		trial        bool
 		stageTimings []StageTiming
@@ -235,6 +237,9 @@
 	if refusal := r.admitRateCaps(j.admission); refusal != nil {
 		return Outcome{Refusal: refusal.WithVerdict(verdict), Attempts: j.attempts}
 	}
+	if refusal := r.refuseRateCaps(j.admission); refusal != nil && j.permitDenied {
+		return Outcome{Refusal: refusal.WithVerdict(verdict), Attempts: j.attempts}
+	}
 	if kernel.AnyCold(r.now(), j.allowedEndpoints()) {
 		reason, detail = model.EndpointsCold, "the endpoints are cold and bear no more now"
 	}
