--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -36,6 +36,7 @@
 		c.checkAnswer(s, runs[s.ID])
 	}
 	c.checkRateCaps(requests)
+	c.checkStatements(requests)
 	c.checkPieceCalls()
 	c.checkCold()
 	for id, requestRuns := range runs {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -61,6 +61,8 @@
 	{"evacuation", evacuate},
 	{"cold endpoint", makeEngineCold},
 	{"rate cap", applyRateCaps},
+	{"leaving answers", leaveByAnswers},
+	{"refusals with pause", refuseWithPause},
 }
 
 func (c *cluster) randomNode(random *rand.Rand) *node {
