--- a/endpoint/exchange_test.go
+++ b/endpoint/exchange_test.go
@@ -283,3 +283,36 @@
 		must.EqOp(t, want, int64(s.conns.Load()), must.Sprint(maxIdle, " idle connections"))
 	}
 }
+
+// An idle connection is used no longer than the endpoint states that it keeps it, less a margin for its close in transit.
+// Guards against requests that are lost on a connection that the endpoint is closing.
+func TestIdleConnectionExpiresAsStated(t *testing.T) {
+	s := newScriptedServer(t, func(int, int) string {
+		return "HTTP/1.1 200 OK\r\nX-Id: %\r\nKeep-Alive: max=9, timeout=3\r\nContent-Length: 2\r\n\r\nok"
+	})
+	now := time.Now()
+	x := endpoint.NewExchanger(func() time.Time { return now })
+	for _, step := range []struct {
+		idle  time.Duration
+		conns int64
+	}{{0, 1}, {2400 * time.Millisecond, 1}, {2600 * time.Millisecond, 2}} {
+		now = now.Add(step.idle)
+		_, err := send(t, x, s.address, "a")
+		must.NoError(t, err)
+		must.EqOp(t, step.conns, s.conns.Load())
+	}
+}
+
+// A connection is not used again after an answer that announces its close, although it is still open. Guards against
+// requests that are lost on a connection that the endpoint is closing.
+func TestConnectionIsNotUsedAfterAnnouncedClose(t *testing.T) {
+	s := newScriptedServer(t, func(int, int) string {
+		return "HTTP/1.1 200 OK\r\nX-Id: %\r\nConnection: close\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok"
+	})
+	x := endpoint.NewExchanger(time.Now)
+	for range 2 {
+		_, err := send(t, x, s.address, "a")
+		must.NoError(t, err)
+	}
+	must.EqOp(t, 2, s.conns.Load())
+}
--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -69,7 +69,7 @@
 		// RateCap limits the stage calls that the endpoint accepts from all nodes together. Reads of an engine's state
 		// and orders to it do not count.
 		RateCap RateCap
-		// PauseFor is how long the endpoint wants no calls from the node that it answers; 0 if it asks for no pause.
+		// PauseFor is how long the endpoint wants no stage calls from the node that it answers; 0 if it asks for no pause.
 		PauseFor time.Duration `json:",omitempty"`
 	}
 )
