--- a/caller/refusal_test.go
+++ b/caller/refusal_test.go
@@ -46,8 +46,7 @@
 }
 
 // A refusal of a request that has not run never has the status of an internal error, whatever its reason. Guards against
-// callers that are told so when endpoints are cold, at their rate caps or want a pause, and against new reasons without a
-// status.
+// status 500 where endpoints are cold, at their rate caps or have asked for a pause, and against reasons without a status.
 func TestEveryReasonHasStatus(t *testing.T) {
 	reasons := refusalReasons(t)
 	must.Greater(t, 20, len(reasons))
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -44,7 +44,7 @@
 		busy time.Duration
 		// connectBy is the deadline for the connection of the next call; zero for none.
 		connectBy time.Time
-		// permitDenied is true if a permit was denied when an endpoint was last chosen.
+		// permitDenied is true if the last choice of an endpoint was denied a permit.
 		permitDenied bool
 		// hedging is true while a hedge is started.
 		hedging bool
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -215,7 +215,7 @@
 	return r.byPool[pool]
 }
 
-// Accepts reports whether new work may still be sent to an endpoint that was chosen earlier.
+// Accepts reports whether this node may send new work to an incarnation of an endpoint now: it is listed and accepts work.
 func (r Registry) Accepts(now time.Time, e model.Endpoint) bool {
 	known, listed := r.Find(e.Name)
 	return listed && known.Incarnation() == e.Incarnation() && known.Accepts(now)
--- a/kernel/standing_test.go
+++ b/kernel/standing_test.go
@@ -96,7 +96,7 @@
 }
 
 // After a pause one request of a node is under way at the endpoint until it has accepted one, where others may get the
-// rest. Guards against many requests of one node that are turned away together at the end of each pause.
+// rest. Guards against a burst of refused requests at the end of each pause.
 func TestEndpointIsProbedAfterPause(t *testing.T) {
 	now := time.Now()
 	end := now.Add(time.Second)
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -46,7 +46,7 @@
 		mayHaveRun bool
 		// permitUntil is when the other node's permit for the chosen endpoint expires; zero if no permit is needed.
 		permitUntil time.Time
-		// permitDenied is true if a permit was denied when an endpoint was last chosen.
+		// permitDenied is true if the last choice of an endpoint was denied a permit.
 		permitDenied bool
 		// trial is true if the request is held back and was permitted to run once, on trial.
 		trial        bool
