--- a/relay/statements_test.go
+++ b/relay/statements_test.go
@@ -24,8 +24,8 @@
 	})
 }
 
-// An endpoint may state that it is leaving, or wants a pause, after it was chosen but before the connection is open. The
-// request has to go to another endpoint, without counting as a retry. Guards against sends that rely on an old choice.
+// A request whose endpoint states that it is leaving, or asks for a pause, before the connection is open goes to another
+// endpoint, which is no retry. Guards against requests that are sent by an outdated choice.
 func TestStatementBeforeSendMovesRequest(t *testing.T) {
 	for name, stated := range statements {
 		t.Run(name, func(t *testing.T) {
@@ -106,8 +106,8 @@
 	}
 }
 
-// A node grants no permit for an endpoint that it knows to be leaving. Guards against requests of other nodes that have
-// not heard of it yet.
+// A node grants no permit for an endpoint that it knows to be leaving. Guards against requests of other nodes
+// that have had no answer of the endpoint since.
 func TestPermitForLeavingEndpointIsDenied(t *testing.T) {
 	b := newTestBed(t)
 	b.fakeNow.Store(time.Now().UnixNano())
