Log and count what a node believes of its path to the endpoints of a pool

Callers of nodes that had lost their links to all endpoints were refused, and no line said that a node reached none of a pool, since when, or that this had ended: each failed attempt names one endpoint.

kernel.Path follows from the connections that a node tries to open: lost after two endpoints one after the other with no success in between, reached again with the next success. It is logged and counted; nothing is decided by it yet.

Tests: kernel TestPath...

--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -19,6 +19,9 @@
 	defaultIdleTimeout = 900 * time.Millisecond
 	// idleMargin is subtracted from a stated idle timeout, since the endpoint's close may still be in transit.
 	idleMargin = 500 * time.Millisecond
+	// minConclusiveDial is how long an endpoint must have left a connection unanswered for an abandoned attempt to count as
+	// a failure: many round trips between hosts.
+	minConclusiveDial = 400 * time.Millisecond
 	// userTimeout is the TCP user timeout: a connection whose data is not acknowledged for that long, as in a network
 	// partition, is closed.
 	userTimeout = 2500 * time.Millisecond
@@ -32,8 +35,9 @@
 	Exchanger struct {
 		// Now returns the time, from which it is computed how long connections have been idle.
 		Now func() time.Time
-		// OnConnect is called after each connection is opened.
-		OnConnect func()
+		// OnDial is called after each attempt to open a connection, with when it began and its error. It is not called for an
+		// attempt that was abandoned before it could tell anything of the endpoint.
+		OnDial func(address string, beganAt time.Time, err error)
 
 		dialer net.Dialer
 		mu     sync.Mutex
@@ -63,7 +67,7 @@
 
 // NewExchanger returns an exchanger without connections.
 func NewExchanger(now func() time.Time) *Exchanger {
-	x := &Exchanger{Now: now, OnConnect: func() {}, idle: map[string][]*exchangeConn{}}
+	x := &Exchanger{Now: now, OnDial: func(string, time.Time, error) {}, idle: map[string][]*exchangeConn{}}
 	x.dialer = net.Dialer{
 		Timeout:         dialTimeout,
 		Control:         TCPUserTimeout(userTimeout),
@@ -114,11 +118,14 @@
 
 // dial opens a connection.
 func (x *Exchanger) dial(ctx context.Context, address string) (*exchangeConn, error) {
+	beganAt := x.Now()
 	conn, err := x.dialer.DialContext(ctx, "tcp", address)
+	if err == nil || ctx.Err() == nil || x.Now().Sub(beganAt) >= minConclusiveDial {
+		x.OnDial(address, beganAt, err)
+	}
 	if err != nil {
 		return nil, err
 	}
-	x.OnConnect()
 	c := &exchangeConn{conn: conn, limiter: &headerLimiter{conn: conn}, address: address}
 	c.reader = bufio.NewReaderSize(c.limiter, readBufferBytes)
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- /dev/null
+++ b/kernel/path.go
@@ -0,0 +1,80 @@
+package kernel
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// minUnreached is how many endpoints of a pool a node must fail to reach, one after the other, before it takes its own
+	// path to the pool for lost: a single endpoint may stand still or have crashed.
+	minUnreached = 2
+	// unreachedTTL is how long a failure to connect counts. It is longer than two connections may take to fail, one after
+	// the other.
+	unreachedTTL = 2500 * time.Millisecond
+	// The interval between trials of a lost path doubles from minTrialInterval to maxTrialInterval. Each is drawn at
+	// random, from half of the interval to all of it, so that nodes that were cut off together do not return at once.
+	minTrialInterval = 300 * time.Millisecond
+	maxTrialInterval = 800 * time.Millisecond
+)
+
+// Path is what a node believes of its own path to the endpoints of a pool, by the connections that it has tried to open.
+// Connections that were open before say nothing: they may live on while no new one can be opened. A Path is immutable.
+type Path struct {
+	// LostSince is when the path was found to be lost; zero while it is not.
+	LostSince time.Time
+	// reachedAt is when a connection to an endpoint of the pool was last opened.
+	reachedAt time.Time
+	// unreached holds, by incarnation, when the last connection to an endpoint failed. Only endpoints that could not be
+	// reached since reachedAt are in it.
+	unreached map[string]time.Time
+	// trials counts the trials since the path was lost.
+	trials int
+}
+
+// Lost reports whether the node reaches no endpoint of the pool.
+func (p Path) Lost() bool {
+	return !p.LostSince.IsZero()
+}
+
+// WithReached returns the path after a connection to an endpoint was opened.
+func (p Path) WithReached(now time.Time) Path {
+	return Path{reachedAt: now}
+}
+
+// WithUnreached returns the path after a connection to an incarnation of an endpoint, begun at beganAt, could not be
+// opened. A failure that began before another connection was opened does not count.
+func (p Path) WithUnreached(beganAt, now time.Time, incarnation string) Path {
+	if beganAt.Before(p.reachedAt) {
+		return p
+	}
+	unreached := maps.Clone(p.unreached)
+	if unreached == nil {
+		unreached = map[string]time.Time{}
+	}
+	maps.DeleteFunc(unreached, func(_ string, at time.Time) bool { return now.Sub(at) > unreachedTTL })
+	unreached[incarnation] = now
+	p.unreached = unreached
+	if !p.Lost() && len(unreached) >= minUnreached {
+		p.LostSince = now
+	}
+	return p
+}
+
+// Unreached returns how many endpoints could not be reached lately.
+func (p Path) Unreached() int {
+	return len(p.unreached)
+}
+
+// TriedLately reports whether a connection to an incarnation could not be opened lately.
+func (p Path) TriedLately(now time.Time, incarnation string) bool {
+	at, tried := p.unreached[incarnation]
+	return tried && now.Sub(at) <= unreachedTTL
+}
+
+// WithTrial returns the path after a trial began, and the time until the next one. random is from 0 to 1.
+func (p Path) WithTrial(random float64) (Path, time.Duration) {
+	interval := min(minTrialInterval<<min(p.trials, 4), maxTrialInterval)
+	p.trials++
+	return p, time.Duration((0.5 + random/2) * float64(interval))
+}
--- /dev/null
+++ b/kernel/path_test.go
@@ -0,0 +1,63 @@
+package kernel_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+)
+
+var pathStart = time.Unix(1000, 0)
+
+func pathAt(after time.Duration) time.Time { return pathStart.Add(after) }
+
+// A node takes its path for lost only after it failed to reach several endpoints with no success in between. Guards
+// against one endpoint that stands still being taken for a cut, and against a cut that is not noticed.
+func TestPathIsLostAfterSeveralEndpoints(t *testing.T) {
+	var p kernel.Path
+	p = p.WithReached(pathAt(0))
+	p = p.WithUnreached(pathAt(100*time.Millisecond), pathAt(800*time.Millisecond), "a")
+	p = p.WithUnreached(pathAt(800*time.Millisecond), pathAt(1500*time.Millisecond), "a")
+	must.False(t, p.Lost(), must.Sprint("one endpoint that stands still"))
+	p = p.WithUnreached(pathAt(900*time.Millisecond), pathAt(1600*time.Millisecond), "b")
+	must.True(t, p.Lost())
+	must.Eq(t, pathAt(1600*time.Millisecond), p.LostSince)
+	p = p.WithReached(pathAt(2 * time.Second))
+	must.False(t, p.Lost())
+}
+
+// A connection that failed after a later one was opened says nothing of the path. Guards against a belief that outlives a
+// cut by the time-out of the connections begun in it.
+func TestPathIgnoresFailuresBegunBeforeSuccess(t *testing.T) {
+	var p kernel.Path
+	p = p.WithReached(pathAt(time.Second))
+	p = p.WithUnreached(pathAt(900*time.Millisecond), pathAt(1600*time.Millisecond), "a")
+	p = p.WithUnreached(pathAt(950*time.Millisecond), pathAt(1650*time.Millisecond), "b")
+	must.False(t, p.Lost())
+}
+
+// Failures that lie far apart do not add up.
+func TestPathForgetsOldFailures(t *testing.T) {
+	var p kernel.Path
+	p = p.WithUnreached(pathAt(0), pathAt(700*time.Millisecond), "a")
+	p = p.WithUnreached(pathAt(5*time.Second), pathAt(5700*time.Millisecond), "b")
+	must.False(t, p.Lost())
+	must.EqOp(t, 1, p.Unreached())
+}
+
+// Trials of a lost path go on, at intervals that are bounded and spread.
+func TestPathTrialsAreSpreadAndBounded(t *testing.T) {
+	var p kernel.Path
+	p = p.WithUnreached(pathAt(0), pathAt(0), "a").WithUnreached(pathAt(0), pathAt(0), "b")
+	shortest, longest := time.Hour, time.Duration(0)
+	for i := range 40 {
+		var wait time.Duration
+		p, wait = p.WithTrial(float64(i%11) / 10)
+		must.Positive(t, wait)
+		shortest, longest = min(shortest, wait), max(longest, wait)
+	}
+	must.LessEq(t, time.Second, longest)
+	must.Greater(t, shortest, longest)
+}
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -230,6 +230,16 @@
 	return r.effective(e.endpoint), true
 }
 
+// FindByAddress returns the endpoint that is listed at an address. Of several, the one that started last is returned.
+func (r Registry) FindByAddress(address string) (found model.Endpoint, ok bool) {
+	for _, entry := range r.entries {
+		if e := entry.endpoint; e.Address == address && (!ok || e.Started.After(found.Started)) {
+			found, ok = e, true
+		}
+	}
+	return found, ok
+}
+
 // Superseded reports whether the process of an incarnation has started again since: neither its results nor its calls
 // in flight exist any more.
 func (r Registry) Superseded(incarnation string) bool {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -69,6 +69,8 @@
 		refusedRequests *refusedRequests
 		// quarantine holds back requests that crash the endpoints that run them.
 		quarantine *quarantine.Agent
+		// paths holds this node's paths to the endpoints of each pool.
+		paths *paths
 		// rateCaps limits what is sent to endpoints that state a rate cap.
 		rateCaps *ratecap.Limiter
 
@@ -110,6 +112,7 @@
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.batchers = newBatcherSet(r)
 	r.remoteGroups = newRemoteGroups()
+	r.paths = newPaths()
 	r.activeCalls = newCallTracker()
 	r.refusedRequests = newRefusedRequests()
 	r.quarantine = quarantine.NewAgent(r.ctx, options.Name, quarantine.Dependencies{
@@ -117,6 +120,7 @@
 	}, now, metrics, log)
 	metrics.Gauge("requests_held_back", func() float64 { return float64(r.quarantine.Len()) })
 	metrics.Gauge("endpoints_with_rate_cap", func() float64 { return float64(r.rateCaps.Len()) })
+	metrics.Gauge("pools_not_reached", func() float64 { return float64(r.paths.lostCount()) })
 	r.suspects = newSuspects(r.ctx, r.probe, func(node string) {
 		r.log.Info().Str("Batcher", node).Msg("node answers again")
 	})
