--- a/standin/cutlink.go
+++ b/standin/cutlink.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -39,6 +39,7 @@
 		address string
 		target  string
 
+		carried atomic.Int64
 		// stateMu serializes changes of the state.
 		stateMu sync.Mutex
 
@@ -65,6 +66,9 @@
 // Address returns the address on which the link listens.
 func (l *CutLink) Address() string { return l.address }
 
+// Carried returns the number of bytes that were forwarded to the server.
+func (l *CutLink) Carried() int64 { return l.carried.Load() }
+
 // SetState changes the state of the link.
 func (l *CutLink) SetState(state LinkState) {
 	l.stateMu.Lock()
@@ -184,12 +188,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan struct{}, 2)
-	for _, pair := range [][2]*net.TCPConn{{client, server}, {server, client}} {
-		go func() {
-			l.copy(ctx, pair[0], pair[1])
-			done <- struct{}{}
-		}()
-	}
+	go func() {
+		l.copy(ctx, client, server, &l.carried)
+		done <- struct{}{}
+	}()
+	go func() {
+		l.copy(ctx, server, client, &atomic.Int64{})
+		done <- struct{}{}
+	}()
 	<-done
 	// The other direction ends as well, with what is under way: a link that is cut forwards no end of a connection.
 	l.mu.Lock()
@@ -198,8 +204,9 @@
 	l.mu.Unlock()
 }
 
-// copy forwards bytes from src to dst until one of them ends. While the link is silent, it forwards nothing.
-func (l *CutLink) copy(ctx context.Context, src, dst *net.TCPConn) {
+// copy forwards bytes from src to dst until one of them ends, and counts them. While the link is silent, it forwards
+// nothing.
+func (l *CutLink) copy(ctx context.Context, src, dst *net.TCPConn, carried *atomic.Int64) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buffer)
@@ -210,8 +217,9 @@
 			if _, err := dst.Write(buffer[:n]); err != nil {
 				return
 			}
+			carried.Add(int64(n))
 		}
-		if err == io.EOF || err != nil {
+		if err != nil {
 			return
 		}
 	}
