Have a node that reaches the pool send requests in place of one that does not

Cause: a node knew of no path but its own, and took every failure on it for the endpoints'.

Change: kernel.Path, which was logged only, now decides. A node that reaches no endpoint of a pool asks another one, picked by what it has to spare among those that lately agreed (kernel.PickHelper), and sends the request over a stream of its own (peer.Stream) after that node has agreed: one hop, never a second. Before the request is written it has not run and the next node may be asked; after that a lost answer means that it may have run. Such a node does not batch the pool's pieces; their senders go on to another. Trials end the belief.

Why it holds: the belief is found out by connections that fail anyway and two that check, ends with the first that opens, and a false one costs one hop. The other node decides on endpoints as for its own requests.

--- a/kernel/batchhandover.go
+++ b/kernel/batchhandover.go
@@ -17,3 +17,14 @@
 	}
 	return moved
 }
+
+// Abandon ends all groups, also those with started pieces, because this node no longer reaches the workers. Their senders
+// send them to the pool's next batcher, which has all their pieces made.
+func (q *BatchQueue) Abandon() []GroupOutcome {
+	moved := make([]GroupOutcome, 0, len(q.groups))
+	for id, g := range q.groups {
+		moved = append(moved, g.outcome(model.PieceMoved))
+		delete(q.groups, id)
+	}
+	return moved
+}
--- a/kernel/path.go
+++ b/kernel/path.go
@@ -43,8 +43,9 @@
 }
 
 // WithUnreached returns the path after a connection to an incarnation of an endpoint, begun at beganAt, could not be
-// opened. A failure that began before another connection was opened does not count.
-func (p Path) WithUnreached(beganAt, now time.Time, incarnation string) Path {
+// opened. A failure that began before another connection was opened does not count. Where othersLost, the paths to other
+// pools are lost already, and one endpoint is enough.
+func (p Path) WithUnreached(beganAt, now time.Time, incarnation string, othersLost bool) Path {
 	if beganAt.Before(p.reachedAt) {
 		return p
 	}
@@ -55,12 +56,26 @@
 	maps.DeleteFunc(unreached, func(_ string, at time.Time) bool { return now.Sub(at) > unreachedTTL })
 	unreached[incarnation] = now
 	p.unreached = unreached
-	if !p.Lost() && len(unreached) >= minUnreached {
+	if !p.Lost() && (othersLost || len(unreached) >= minUnreached) {
 		p.LostSince = now
 	}
 	return p
 }
 
+// WithoutEndpoint returns the path after an incarnation of an endpoint has ended or left the list: that it could not be
+// reached says nothing of the path. Where nothing else says so, the path is no longer lost.
+func (p Path) WithoutEndpoint(incarnation string) Path {
+	if _, tried := p.unreached[incarnation]; !tried {
+		return p
+	}
+	p.unreached = maps.Clone(p.unreached)
+	delete(p.unreached, incarnation)
+	if len(p.unreached) == 0 {
+		p.LostSince = time.Time{}
+	}
+	return p
+}
+
 // Unreached returns how many endpoints could not be reached lately.
 func (p Path) Unreached() int {
 	return len(p.unreached)
--- a/kernel/path_test.go
+++ b/kernel/path_test.go
@@ -18,10 +18,10 @@
 func TestPathIsLostAfterSeveralEndpoints(t *testing.T) {
 	var p kernel.Path
 	p = p.WithReached(pathAt(0))
-	p = p.WithUnreached(pathAt(100*time.Millisecond), pathAt(800*time.Millisecond), "a")
-	p = p.WithUnreached(pathAt(800*time.Millisecond), pathAt(1500*time.Millisecond), "a")
+	p = p.WithUnreached(pathAt(100*time.Millisecond), pathAt(800*time.Millisecond), "a", false)
+	p = p.WithUnreached(pathAt(800*time.Millisecond), pathAt(1500*time.Millisecond), "a", false)
 	must.False(t, p.Lost(), must.Sprint("one endpoint that stands still"))
-	p = p.WithUnreached(pathAt(900*time.Millisecond), pathAt(1600*time.Millisecond), "b")
+	p = p.WithUnreached(pathAt(900*time.Millisecond), pathAt(1600*time.Millisecond), "b", false)
 	must.True(t, p.Lost())
 	must.Eq(t, pathAt(1600*time.Millisecond), p.LostSince)
 	p = p.WithReached(pathAt(2 * time.Second))
@@ -33,16 +33,16 @@
 func TestPathIgnoresFailuresBegunBeforeSuccess(t *testing.T) {
 	var p kernel.Path
 	p = p.WithReached(pathAt(time.Second))
-	p = p.WithUnreached(pathAt(900*time.Millisecond), pathAt(1600*time.Millisecond), "a")
-	p = p.WithUnreached(pathAt(950*time.Millisecond), pathAt(1650*time.Millisecond), "b")
+	p = p.WithUnreached(pathAt(900*time.Millisecond), pathAt(1600*time.Millisecond), "a", false)
+	p = p.WithUnreached(pathAt(950*time.Millisecond), pathAt(1650*time.Millisecond), "b", false)
 	must.False(t, p.Lost())
 }
 
 // Failures that lie far apart do not add up.
 func TestPathForgetsOldFailures(t *testing.T) {
 	var p kernel.Path
-	p = p.WithUnreached(pathAt(0), pathAt(700*time.Millisecond), "a")
-	p = p.WithUnreached(pathAt(5*time.Second), pathAt(5700*time.Millisecond), "b")
+	p = p.WithUnreached(pathAt(0), pathAt(700*time.Millisecond), "a", false)
+	p = p.WithUnreached(pathAt(5*time.Second), pathAt(5700*time.Millisecond), "b", false)
 	must.False(t, p.Lost())
 	must.EqOp(t, 1, p.Unreached())
 }
@@ -50,7 +50,7 @@
 // Trials of a lost path go on, at intervals that are bounded and spread.
 func TestPathTrialsAreSpreadAndBounded(t *testing.T) {
 	var p kernel.Path
-	p = p.WithUnreached(pathAt(0), pathAt(0), "a").WithUnreached(pathAt(0), pathAt(0), "b")
+	p = p.WithUnreached(pathAt(0), pathAt(0), "a", false).WithUnreached(pathAt(0), pathAt(0), "b", false)
 	shortest, longest := time.Hour, time.Duration(0)
 	for i := range 40 {
 		var wait time.Duration
@@ -61,3 +61,16 @@
 	must.LessEq(t, time.Second, longest)
 	must.Greater(t, shortest, longest)
 }
+
+// Endpoints that have ended are no evidence of a cut. Guards against a pool whose endpoints crash one after the other, and
+// are replaced, being taken for out of reach.
+func TestPathForgetsEndedEndpoints(t *testing.T) {
+	var p kernel.Path
+	p = p.WithUnreached(pathAt(0), pathAt(time.Millisecond), "a", false).WithoutEndpoint("a")
+	p = p.WithUnreached(pathAt(time.Second), pathAt(time.Second), "b", false)
+	must.False(t, p.Lost())
+	p = p.WithUnreached(pathAt(time.Second), pathAt(time.Second), "c", false)
+	must.True(t, p.Lost())
+	must.True(t, p.WithoutEndpoint("b").Lost())
+	must.False(t, p.WithoutEndpoint("b").WithoutEndpoint("c").Lost())
+}
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -215,6 +215,11 @@
 	return r.byPool[pool]
 }
 
+// Pools returns the names of the pools that have endpoints, in no particular order.
+func (r Registry) Pools() []string {
+	return slices.Collect(maps.Keys(r.byPool))
+}
+
 // Accepts reports whether this node may send new work to an incarnation of an endpoint now: it is listed and accepts work.
 func (r Registry) Accepts(now time.Time, e model.Endpoint) bool {
 	known, listed := r.Find(e.Name)
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -77,6 +77,8 @@
 	EndpointsCold Reason = "EndpointsCold"
 	// EndpointsCapped: the rate caps that the endpoints state allow no more requests now.
 	EndpointsCapped Reason = "EndpointsCapped"
+	// EndpointsUnreachable: this node reaches no endpoint of a pool, and knows no node that does.
+	EndpointsUnreachable Reason = "EndpointsUnreachable"
 	// NoHome: no endpoint of a pool that the request needs is in a region that both its route and its customer allow.
 	NoHome Reason = "NoHome"
 	// EndpointRefused: the endpoint did not run the request, and no other endpoint could be tried.
@@ -103,6 +105,8 @@
 	RetryNotRun Reason = "RetryNotRun"
 	// RetryWithdrawn: the endpoint became ineligible for work after it was chosen; nothing was sent.
 	RetryWithdrawn Reason = "RetryWithdrawn"
+	// RetryNode: the node that sent the call in this node's place did not answer.
+	RetryNode Reason = "RetryNode"
 	// RetryPiece: a piece was processed again because its result or an input was lost.
 	RetryPiece Reason = "RetryPiece"
 )
--- a/peer/client.go
+++ b/peer/client.go
@@ -32,7 +32,9 @@
 		// dialLocks holds a lock for each address, so that concurrent calls do not open several connections to one
 		// peer.
 		dialLocks map[string]*sync.Mutex
-		closed    bool
+		// idleStreams holds the idle connections for streams by address.
+		idleStreams map[string][]*Stream
+		closed      bool
 		// silenceTimeout is how long nothing may be received on a connection with calls in flight before it is
 		// closed. helloTimeout bounds the exchange of Hello and HelloReply on a new connection.
 		silenceTimeout time.Duration
@@ -67,6 +69,7 @@
 		conns:     map[string]*clientConn{},
 		dialLocks: map[string]*sync.Mutex{},
 
+		idleStreams:    map[string][]*Stream{},
 		silenceTimeout: defaultSilenceTimeout,
 		helloTimeout:   defaultHelloTimeout,
 	}
@@ -122,10 +125,17 @@
 	c.closed = true
 	conns := c.conns
 	c.conns = map[string]*clientConn{}
+	streams := c.idleStreams
+	c.idleStreams = map[string][]*Stream{}
 	c.mu.Unlock()
 	for _, conn := range conns {
 		conn.close()
 	}
+	for _, idle := range streams {
+		for _, s := range idle {
+			s.Close()
+		}
+	}
 }
 
 // connection returns the connection to an address and opens it if necessary.
--- a/peer/server.go
+++ b/peer/server.go
@@ -25,6 +25,8 @@
 		// CancelOnDisconnect holds the kinds whose handlers' contexts are cancelled when the connection is closed,
 		// because their work is of no use without the caller. It must not be changed once the server runs.
 		CancelOnDisconnect map[Kind]bool
+		// StreamHandlers holds the handlers of the kinds that open streams. It must not be changed once the server runs.
+		StreamHandlers map[Kind]StreamHandler
 		// OnTokenRefused is called for each Hello with a wrong token, with the remote address.
 		OnTokenRefused func(remote string)
 
@@ -100,8 +102,9 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	reader := bufio.NewReader(conn)
 	w := &replyWriter{conn: conn}
+	streams := &streamReceiver{conn: conn, writeMu: &w.mu}
+	reader := bufio.NewReader(readerFunc(streams.read))
 	if !s.handshake(conn, reader, w) {
 		return
 	}
@@ -112,6 +115,13 @@
 		if err != nil {
 			return
 		}
+		if handler := s.StreamHandlers[frame.Kind]; handler != nil {
+			streams.begin(connCtx, handler, frame.Body)
+			continue
+		}
+		if streams.receive(frame) {
+			continue
+		}
 		if frame.Kind == KindPing {
 			w.write(Frame{Kind: KindPing, Reply: true, Body: frame.Body})
 			continue
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -54,6 +54,8 @@
 		refused bool
 		// leaving is true if the node no longer batches because it is leaving.
 		leaving bool
+		// unreached is true if the node does not batch because it reaches no worker.
+		unreached bool
 		// moved is true if another node batches for the pool; movedTo is its name, if known.
 		moved      bool
 		movedTo    string
@@ -71,12 +73,13 @@
 	}
 	node := r.selectBatcher(b, nil)
 	failed := 0
+	unreached := false
 	for range maxBatchersAsked {
 		if node == "" || ctx.Err() != nil || failed >= maxBatcherFailures {
 			break
 		}
 		result, err := r.callBatcher(ctx, node, b, req)
-		if err == nil && !result.leaving && !result.moved {
+		if err == nil && !result.leaving && !result.unreached && !result.moved {
 			b.setCurrentBatcher(node)
 			b.recordReport(result.report)
 			stage := result.stageResult(req)
@@ -86,7 +89,8 @@
 			}
 			return stage
 		}
-		if err != nil || result.leaving || result.movedTo != "" {
+		unreached = unreached || result.unreached
+		if err != nil || result.leaving || result.unreached || result.movedTo != "" {
 			req.excluded = append(req.excluded, node)
 		}
 		switch {
@@ -95,6 +99,8 @@
 			r.recordBatcherFailure(node, req, err)
 		case result.leaving:
 			r.suspects.suspect(node)
+		case result.unreached:
+			r.metrics.CountEvent("BatcherReachesNoWorker")
 		default:
 			r.metrics.CountEvent("BatcherMoved")
 		}
@@ -107,6 +113,9 @@
 			node = r.selectBatcher(b, req.excluded)
 		}
 	}
+	if unreached {
+		return stageResult{refusal: kernel.RefuseUnreachable(req.pool)}
+	}
 	return stageResult{refusal: model.NewRefusal(model.NotRun, model.StageLate, kernel.ClampRetryAfter(refusalRetryAfter), "no node batched the pieces of pool "+req.pool)}
 }
 
@@ -190,6 +199,10 @@
 		r.metrics.CountEvent("QueueReportUnknown")
 		return queueReport{}
 	}
+	if reply.Unreached {
+		b.forgetBatcher(node)
+		return queueReport{}
+	}
 	report := queueReport{wait: reply.Wait, roomTaken: reply.RoomTaken}
 	b.recordReport(report)
 	return report
--- a/relay/batcher.go
+++ b/relay/batcher.go
@@ -136,6 +136,9 @@
 // runGroup adds a group of this or another node to the queue and waits for its outcome. If another node
 // batches for the pool, it returns the name of that node instead.
 func (b *batcher) runGroup(ctx context.Context, group kernel.PieceGroup, excluded []string) batchResult {
+	if b.unreached() {
+		return batchResult{unreached: true}
+	}
 	if movedTo := b.placeGroup(ctx, excluded); movedTo != "" {
 		return batchResult{moved: true, movedTo: movedTo}
 	}
@@ -159,6 +162,9 @@
 	select {
 	case outcome := <-done:
 		if outcome.Fault == model.PieceMoved {
+			if b.unreached() {
+				return batchResult{unreached: true}
+			}
 			return batchResult{moved: true, movedTo: b.knownBatcher(nil)}
 		}
 		return batchResult{outcome: outcome, report: report}
--- a/relay/batchpeer.go
+++ b/relay/batchpeer.go
@@ -33,6 +33,7 @@
 		outcome:    reply.Outcome,
 		refused:    reply.Refused,
 		leaving:    reply.Leaving,
+		unreached:  reply.Unreached,
 		moved:      reply.Moved,
 		movedTo:    reply.MovedTo,
 		retryAfter: reply.RetryAfter,
@@ -123,6 +124,9 @@
 			Request: m.Request, Digest: m.Digest, Stage: m.Stage, Number: n, Key: m.Key, Inputs: handles, Deadline: group.Until,
 		})
 	}
+	if b.unreached() {
+		return peer.BatchReply{Unreached: true}, nil
+	}
 	if m.OnlyAsk {
 		report := b.reportFor(group)
 		return peer.BatchReply{Wait: report.wait, RoomTaken: report.roomTaken}, nil
@@ -133,6 +137,7 @@
 	defer r.remoteGroups.remove(m.Group)
 	result := b.runGroup(ctx, group, m.PassedOver)
 	return peer.BatchReply{
+		Unreached:  result.unreached,
 		MovedTo:    result.movedTo,
 		Moved:      result.moved,
 		Outcome:    result.outcome,
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -104,6 +104,15 @@
 	}
 }
 
+// leavePool ends the batching for a pool that this node does not reach.
+func (s *batcherSet) leavePool(pool string) {
+	for _, b := range s.all() {
+		if b.pool == pool {
+			b.abandon()
+		}
+	}
+}
+
 // endStale ends the groups with inputs that were lost with an earlier incarnation of their worker.
 func (s *batcherSet) endStale() {
 	for _, b := range s.all() {
--- a/relay/log.go
+++ b/relay/log.go
@@ -45,6 +45,12 @@
 	if o.Endpoint != "" {
 		line = line.Str("Endpoint", o.Endpoint)
 	}
+	if o.Through != "" {
+		line = line.Str("Through", o.Through)
+	}
+	if o.For != "" {
+		line = line.Str("For", o.For)
+	}
 	if o.FirstEventTime > 0 {
 		line = line.Dur("First", o.FirstEventTime)
 	}
--- a/relay/nodes.go
+++ b/relay/nodes.go
@@ -15,6 +15,7 @@
 func (r *Relay) SetNodes(nodes []Node, announced []string) {
 	r.nodes.Store(&nodes)
 	r.nodesKnown.Store(true)
+	r.helpers.retain(nodes)
 	for _, name := range announced {
 		r.suspects.probeNow(name)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -71,6 +71,10 @@
 		quarantine *quarantine.Agent
 		// paths holds this node's paths to the endpoints of each pool.
 		paths *paths
+		// helpers holds what is known of the nodes that send requests in place of this one.
+		helpers *helpers
+		// relayedBytes is the size of the bodies of the requests that this node serves for other nodes.
+		relayedBytes atomic.Int64
 		// rateCaps limits what is sent to endpoints that state a rate cap.
 		rateCaps *ratecap.Limiter
 
@@ -113,6 +117,7 @@
 	r.batchers = newBatcherSet(r)
 	r.remoteGroups = newRemoteGroups()
 	r.paths = newPaths()
+	r.helpers = newHelpers()
 	r.activeCalls = newCallTracker()
 	r.refusedRequests = newRefusedRequests()
 	r.quarantine = quarantine.NewAgent(r.ctx, options.Name, quarantine.Dependencies{
@@ -219,6 +224,7 @@
 	r.registry.Store(&registry)
 	changes := registry.Changes(before)
 	r.logRegistryChanges(changes)
+	r.updatePaths(changes)
 	r.batchers.setEndpoints(registry)
 	r.cancelStaleCalls(changes)
 	r.quarantine.ApplyEndpointList(registry.Endpoints)
@@ -256,11 +262,9 @@
 	if stopsAt := r.stopsAt.Load(); refusal == nil && stopsAt != nil {
 		refusal = kernel.AdmitWhileLeaving(r.now(), *stopsAt, admission.Route)
 	}
-	if refusal == nil {
-		refusal = kernel.AdmitPools(r.now(), r.Registry(), f, admission)
-	}
-	if refusal == nil {
-		refusal = r.admitRateCaps(admission)
+	if refusal == nil && !r.paths.find(admission.Pool).Lost() {
+		// The state of endpoints that this node does not reach is for the node to judge that sends in its place.
+		refusal = r.admitEndpoints(f, admission)
 	}
 	if refusal != nil {
 		return r.refuseUnstarted(f, admission, view, refusal)
@@ -270,38 +274,57 @@
 	if refusal != nil {
 		return r.refuseUnstarted(f, admission, view, refusal)
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, admission.Deadline.Sub(r.now()), context.DeadlineExceeded)
-	defer cancel()
 	job := &job{relay: r, forward: f, admission: admission, responder: out, startedAt: r.now(), trial: trial}
-	var outcome Outcome
-	if admission.Route.Kind == model.Stream {
-		outcome = job.serveStream(ctx)
-	} else {
-		outcome = job.serveUnary(ctx)
-	}
-	outcome.Stages = job.stageTimings
-	f = job.forward
-	outcome.Late = f.Waited+outcome.FirstEventTime > admission.Route.Objective
-	if outcome.Refusal != nil && outcome.Refusal.Reason == model.StageLate && len(job.stageTimings) == 0 {
-		outcome.Estimates = job.estimates
-	}
+	outcome := job.serve(ctx)
 	switch {
 	case outcome.Refusal != nil:
 		r.metrics.CountRefusal(outcome.Refusal)
 		r.metrics.ObserveRefusalTime(outcome.Refusal, r.now().Sub(f.ReceivedAt))
-		if outcome.Refusal.Verdict == model.NotRun && outcome.Refusal.RetryAfter > 0 {
-			r.recordRefused(job.forward, admission)
-		}
 	case !outcome.Complete:
 		r.metrics.CountEvent("AnswerBrokenOff")
 	default:
-		r.quarantine.RecordAnswer(f.Digest)
 		r.metrics.ObserveAnswer(admission.Route.Name, r.now().Sub(f.ReceivedAt))
 	}
 	if trial && outcome.Refusal != nil && outcome.Refusal.Verdict == model.NotRun {
 		r.quarantine.CancelTrial(f.Digest)
 	}
-	r.logOutcome(f, admission, view, outcome)
+	r.logOutcome(job.forward, admission, view, outcome)
+	return outcome
+}
+
+// admitEndpoints refuses a request if no endpoint of a pool that it needs may get work from this node now.
+func (r *Relay) admitEndpoints(f model.Forward, a kernel.Admission) *model.Refusal {
+	if refusal := kernel.AdmitPools(r.now(), r.Registry(), f, a); refusal != nil {
+		return refusal
+	}
+	return r.admitRateCaps(a)
+}
+
+// serve runs an admitted request to its end.
+func (j *job) serve(ctx context.Context) Outcome {
+	r := j.relay
+	ctx, cancel := context.WithTimeoutCause(ctx, j.admission.Deadline.Sub(r.now()), context.DeadlineExceeded)
+	defer cancel()
+	var outcome Outcome
+	if j.admission.Route.Kind == model.Stream {
+		outcome = j.serveStream(ctx)
+	} else {
+		outcome = j.serveUnary(ctx)
+	}
+	outcome.Stages = j.stageTimings
+	outcome.Through = j.throughNode
+	outcome.Late = j.forward.Waited+outcome.FirstEventTime > j.admission.Route.Objective
+	if outcome.Refusal != nil && outcome.Refusal.Reason == model.StageLate && len(j.stageTimings) == 0 {
+		outcome.Estimates = j.estimates
+	}
+	switch {
+	case outcome.Refusal != nil:
+		if outcome.Refusal.Verdict == model.NotRun && outcome.Refusal.RetryAfter > 0 && j.throughNode == "" {
+			r.recordRefused(j.forward, j.admission)
+		}
+	case outcome.Complete:
+		r.quarantine.RecordAnswer(j.forward.Digest)
+	}
 	return outcome
 }
 
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -10,10 +10,12 @@
 func (j *job) allowStreamRetry(p *pool, state *streamState, run *stageRun, result streamResult) bool {
 	var refusal *model.Refusal
 	if errors.As(result.err, &refusal) {
-		return false
+		// Stages that other nodes were to run have not been run here.
+		return len(j.admission.Route.Stages) == 0 && j.pathIsBack(p, refusal)
 	}
-	if run.inputsReleased || (result.reply != nil && result.reply.InputsGone) {
-		// The inputs are gone for any other engine as well.
+	lost := j.forNode == "" && j.relay.paths.find(p.name).Lost()
+	if !lost && (run.inputsReleased || (result.reply != nil && result.reply.InputsGone)) {
+		// The inputs are gone for any other engine as well. Another node makes them anew.
 		return false
 	}
 	reason := model.RetryNotRun
@@ -32,6 +34,9 @@
 	if state.headerSent && state.splitter.lastID == "" {
 		return false
 	}
+	if j.isFirstSend(p, result.err) {
+		return true
+	}
 	if j.attempts >= j.admission.Route.MaxAttempts || !j.takeRetry(p, result.err) {
 		return false
 	}
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -20,6 +20,7 @@
 		return
 	}
 	if fault.Kind == endpoint.Refused {
+		j.unreached = true
 		p.recordUnreachable(j.relay.now(), e.Incarnation())
 	} else {
 		p.recordFailure(j.relay.now(), e.Incarnation())
@@ -38,11 +39,14 @@
 	reason := model.RetryStatus
 	var refusal *model.Refusal
 	if errors.As(res.err, &refusal) {
-		return false
+		return j.pathIsBack(p, refusal)
 	}
 	if res.err != nil {
 		fault := asFault(res.err)
 		reason = fault.RetryReason()
+		if res.node != "" {
+			reason = model.RetryNode
+		}
 		if fault.Verdict == model.NotRun {
 			// Nothing was sent: this is not an attempt.
 			j.attempts--
@@ -56,6 +60,9 @@
 	if j.mayHaveRun && j.admission.Route.Kind == model.Unsafe {
 		return false
 	}
+	if j.isFirstSend(p, res.err) {
+		return true
+	}
 	if j.attempts >= j.admission.Route.MaxAttempts || !j.takeRetry(p, res.err) {
 		return false
 	}
@@ -63,6 +70,21 @@
 	return true
 }
 
+// pathIsBack reports whether this node reaches the pool after no node sent the request in its place. That may happen once.
+func (j *job) pathIsBack(p *pool, refusal *model.Refusal) bool {
+	if refusal.Reason != model.EndpointsUnreachable || refusal.Verdict != model.NotRun || j.pathWasBack || j.unreached || j.relay.paths.find(p.name).Lost() {
+		return false
+	}
+	j.pathWasBack = true
+	return true
+}
+
+// isFirstSend reports whether the next attempt, after one that ended with err, is the first one from which an endpoint may
+// get the request, because this node does not reach the pool and another one will send it. It is no retry then.
+func (j *job) isFirstSend(p *pool, err error) bool {
+	return err != nil && asFault(err).Kind == endpoint.Refused && j.attempts == 0 && j.forNode == "" && j.relay.paths.find(p.name).Lost()
+}
+
 // takeRetry takes a retry from the pool's budget, after an attempt that ended with err, or nil. A withdrawn attempt was
 // never sent, so the next one is not a retry.
 func (j *job) takeRetry(p *pool, err error) bool {
@@ -74,6 +96,10 @@
 
 // startHedge sends a safe request to one more endpoint while another one may be running it.
 func (j *job) startHedge(ctx context.Context, p *pool, results chan<- unaryResult) bool {
+	if j.throughNode != "" || j.relay.paths.find(p.name).Lost() {
+		// The node that sends the request sends it to a second endpoint, too.
+		return false
+	}
 	if j.admission.Route.Kind != model.Safe || !j.relay.options.Policy.Uses(kernel.HedgedReads) || j.attempts >= j.admission.Route.MaxAttempts {
 		return false
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -50,16 +50,20 @@
 // an engine, whose events are written to the caller as they arrive.
 func (j *job) serveStream(ctx context.Context) Outcome {
 	p := j.relay.pool(j.admission.Pool)
-	p.recordRequest(j.relay.now())
-	run, refusal := j.runStages(ctx, p)
-	defer run.releaseAll()
-	if refusal != nil {
-		if ctx.Err() != nil {
-			return j.refuseContextDone(ctx)
+	run := &stageRun{relay: j.relay}
+	if !j.relay.paths.find(p.name).Lost() {
+		j.countRequest(p)
+		var refusal *model.Refusal
+		run, refusal = j.runStages(ctx, p)
+		defer run.releaseAll()
+		if refusal != nil {
+			if ctx.Err() != nil {
+				return j.refuseContextDone(ctx)
+			}
+			return Outcome{Refusal: refusal.WithVerdict(j.verdict())}
 		}
-		return Outcome{Refusal: refusal}
 	}
-	var state streamState
+	state := streamState{splitter: eventSplitter{lastID: j.lastEventID}}
 	for {
 		e, result, ok := j.attemptStream(ctx, p, &state, run)
 		if !ok {
@@ -108,6 +112,9 @@
 // attemptStream makes one attempt at an engine. It returns false if there was no engine to send to.
 func (j *job) attemptStream(ctx context.Context, p *pool, state *streamState, run *stageRun) (model.Endpoint, streamResult, bool) {
 	r := j.relay
+	if r.paths.find(p.name).Lost() {
+		return j.attemptStreamThroughNode(ctx, state, run)
+	}
 	tokens := j.forward.Prompt.TokensIn
 	e, ok := j.chooseEndpoint(ctx, p, func(now time.Time, limits sendLimits) (choice, bool) {
 		return p.pickEngine(now, j.allowedEndpoints(), limits, j.forward.Prompt, j.affinityKey(), j.excluded)
@@ -116,11 +123,13 @@
 		p.release(e.Incarnation())
 	})
 	if !ok {
+		if j.unreached {
+			return j.attemptStreamThroughNode(ctx, state, run)
+		}
 		return e, streamResult{}, false
 	}
 	defer p.release(e.Incarnation())
-	j.excluded = append(j.excluded, e.Incarnation())
-	j.attempts++
+	j.recordAttempt(e)
 	startedAt := r.now()
 	firstSeen := false
 	onFirstEvent := func() {
@@ -180,12 +189,17 @@
 	if reply.Status != http.StatusOK || !reply.Authentic {
 		return j.writeFailure(reply, state)
 	}
+	return j.writeReply(reply, state, func() { idleTimer.Reset(streamIdleTimeout) }, onFirstEvent)
+}
+
+// writeReply writes the events of an answer to the caller until the answer ends. It calls onRead after each read.
+func (j *job) writeReply(reply *model.ForwardReply, state *streamState, onRead, onFirstEvent func()) streamResult {
 	state.splitter.partial = nil
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := reply.Body.Read(buffer)
 		if n > 0 {
-			idleTimer.Reset(streamIdleTimeout)
+			onRead()
 			if result, done := j.writeEvents(reply, state, buffer[:n], onFirstEvent); done {
 				return result
 			}
@@ -292,6 +306,9 @@
 func (j *job) refuseFailedStream(result streamResult) Outcome {
 	var refusal *model.Refusal
 	if errors.As(result.err, &refusal) {
+		if j.mayHaveRun {
+			refusal = refusal.WithVerdict(model.MayHaveRun)
+		}
 		return Outcome{Refusal: refusal, Attempts: j.attempts}
 	}
 	if !j.mayHaveRun {
--- a/relay/takeover.go
+++ b/relay/takeover.go
@@ -84,6 +84,15 @@
 	b.currentBatcher = node
 }
 
+// forgetBatcher records that a node does not batch, as it reaches no worker.
+func (b *batcher) forgetBatcher(node string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.currentBatcher == node {
+		b.currentBatcher = ""
+	}
+}
+
 // claimPool asks the possible batchers to hand the pool over. It returns the node that continues to batch, or an
 // empty name if this one batches from now on.
 func (b *batcher) claimPool(ctx context.Context, excluded []string) (movedTo string) {
@@ -118,7 +127,7 @@
 // batches.
 func (b *batcher) takeOverRequest(batches bool) peer.TakeOver {
 	r := b.relay
-	return peer.TakeOver{Pool: b.queueName, Node: r.options.Name, Capacity: r.options.Capacity, Batches: batches, Leaving: r.Leaving()}
+	return peer.TakeOver{Pool: b.queueName, Node: r.options.Name, Capacity: r.options.Capacity, Batches: batches, Leaving: r.Leaving() || b.unreached()}
 }
 
 // confirmSole regularly checks whether another node batches too, and steps down if so. It returns once this node
@@ -205,7 +214,7 @@
 	if !active {
 		return peer.TakeOverReply{MovedTo: b.knownBatcher([]string{m.Node})}
 	}
-	own := kernel.BatcherCandidate{Peer: kernel.Peer{Name: r.options.Name, Capacity: r.options.Capacity}, Batching: true, Leaving: r.Leaving()}
+	own := kernel.BatcherCandidate{Peer: kernel.Peer{Name: r.options.Name, Capacity: r.options.Capacity}, Batching: true, Leaving: r.Leaving() || b.unreached()}
 	other := kernel.BatcherCandidate{Peer: kernel.Peer{Name: m.Node, Capacity: m.Capacity}, Batching: m.Batches, Leaving: m.Leaving}
 	switch kernel.DecideTakeOver(b.queueName, own, other) {
 	case kernel.KeepPool:
@@ -231,6 +240,27 @@
 	r.log.Info().Str("Pool", b.queueName).Str("To", to).Int("Groups", len(moved)).Msg("batching handed over")
 }
 
+// unreached reports whether this node does not reach the pool's workers. It does not batch then.
+func (b *batcher) unreached() bool {
+	return b.relay.paths.find(b.pool).Lost()
+}
+
+// abandon ends the batching on this node, which does not reach the pool's workers. The senders of all groups send them to
+// another node.
+func (b *batcher) abandon() {
+	b.forgetBatcher(b.relay.options.Name)
+	b.mu.Lock()
+	active := b.active
+	b.active = false
+	moved := b.queue.Abandon()
+	b.mu.Unlock()
+	b.deliverOutcomes(moved)
+	if active {
+		b.relay.metrics.CountEvent("BatcherUnreached")
+		b.relay.log.Info().Str("Pool", b.queueName).Int("Groups", len(moved)).Msg("batching ended, as no worker is reached")
+	}
+}
+
 func (r *Relay) handleTakeOver(_ context.Context, body []byte) (any, error) {
 	var m peer.TakeOver
 	if err := peer.DecodeBody(body, &m); err != nil {
--- /dev/null
+++ b/relay/throughnode.go
@@ -0,0 +1,347 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/endpoint"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
+)
+
+const (
+	// offerTimeout bounds the question to another node whether it sends a request: many round trips between hosts.
+	offerTimeout = 300 * time.Millisecond
+	// relayChunkBytes is the maximum size of the parts in which bodies pass between nodes.
+	relayChunkBytes = 32 << 10
+)
+
+var (
+	errRelayBroken = errors.New("relay: the answer of another node broke off")
+	// errNodeDeclined is the cause if another node does not send the request, which has not run.
+	errNodeDeclined = errors.New("relay: another node does not send the request")
+)
+
+type (
+	// nodeReply is the answer to a request that another node has sent.
+	nodeReply struct {
+		node  string
+		reply *model.ForwardReply
+		// attempts is the number of endpoints that the request was sent to, as far as it is known.
+		attempts int
+		err      error
+	}
+
+	// relayedBody is the body of an answer that another node passes on.
+	relayedBody struct {
+		stream *peer.Stream
+		rest   []byte
+		// ended is set at the end of the answer; complete is true if it is whole.
+		ended, complete bool
+	}
+)
+
+// sendThroughNode has another node send the request to an endpoint, because this one does not reach the pool: each request
+// crosses from node to node once at most. Nodes are asked one after the other until one takes the request.
+func (j *job) sendThroughNode(ctx context.Context, lastEventID string) nodeReply {
+	r := j.relay
+	asked := slices.Clone(j.excludedNodes)
+	refusal := kernel.RefuseUnreachable(j.admission.Pool)
+	for range kernel.MaxHelpersAsked {
+		node := r.helpers.pick(r.now(), j.admission.Pool, r.otherNodes(asked))
+		if node == "" || ctx.Err() != nil {
+			break
+		}
+		asked = append(asked, node)
+		result := j.sendThrough(ctx, node, lastEventID)
+		var declined *model.Refusal
+		switch {
+		case errors.As(result.err, &declined) && kernel.OtherHelperMayServe(declined):
+			refusal = declined
+		case !errors.Is(result.err, errNodeDeclined):
+			return result
+		}
+		r.helpers.recordDeclined(r.now(), node, j.admission.Pool)
+	}
+	r.metrics.CountEvent("NoNodeSends")
+	return nodeReply{attempts: j.attempts, err: refusal}
+}
+
+// sendThrough asks one node to send the request, and sends it there if the node agrees.
+func (j *job) sendThrough(ctx context.Context, node, lastEventID string) nodeReply {
+	r := j.relay
+	stream, load, err := j.offer(ctx, node)
+	if err != nil {
+		return nodeReply{err: err}
+	}
+	end := r.helpers.recordAccepted(r.now(), node, j.admission.Pool, load)
+	stop := context.AfterFunc(ctx, stream.Close)
+	reply, attempts, err := j.exchangeThrough(ctx, stream, lastEventID)
+	if err != nil {
+		end()
+		stop()
+		stream.Close()
+		return nodeReply{node: node, attempts: attempts, err: err}
+	}
+	body := reply.Body.(*relayedBody)
+	reply.Close = func() {
+		end()
+		if stop() && body.ended {
+			stream.Release()
+			return
+		}
+		stream.Close()
+	}
+	return nodeReply{node: node, reply: reply, attempts: attempts}
+}
+
+// offer asks a node to send the request. It returns the stream on which the request is expected, and the load of the node.
+func (j *job) offer(ctx context.Context, node string) (*peer.Stream, float64, error) {
+	r := j.relay
+	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	for {
+		stream, err := r.peers.OpenStream(ctx, r.addressOf(node))
+		if err != nil {
+			if ctx.Err() == nil {
+				r.Suspect(node, err)
+			}
+			return nil, 0, errors.Wrap(errNodeDeclined, err.Error())
+		}
+		stop := context.AfterFunc(ctx, stream.Close)
+		var reply peer.RelayReply
+		if err = stream.Send(peer.KindRelay, peer.Relay{Pool: j.admission.Pool, Version: j.admission.Version, BodyBytes: int64(len(j.forward.Body))}); err == nil {
+			err = stream.Receive(peer.KindRelay, &reply)
+		}
+		if !stop() || err != nil {
+			stream.Close()
+			if stream.Reused() && ctx.Err() == nil {
+				// The peer may have closed the idle connection.
+				continue
+			}
+			return nil, 0, errors.Wrap(errNodeDeclined, "no answer to the question")
+		}
+		if reply.Declined != "" {
+			stream.Release()
+			r.metrics.CountEvent("NodeDeclined" + string(reply.Declined))
+			return nil, 0, errors.Wrap(errNodeDeclined, string(reply.Declined))
+		}
+		return stream, reply.Load, nil
+	}
+}
+
+// exchangeThrough sends the request on a stream and receives the head of the answer. attempts is the number of endpoints
+// that the request was sent to.
+func (j *job) exchangeThrough(ctx context.Context, stream *peer.Stream, lastEventID string) (reply *model.ForwardReply, attempts int, err error) {
+	r := j.relay
+	attempts = j.attempts
+	if refusal := kernel.RecheckAdmission(r.now(), r.View(), r.options.MaxRoutingAge, j.forward, j.admission); refusal != nil {
+		return nil, attempts, refusal
+	}
+	if err := j.writeRelayRequest(stream, lastEventID); err != nil {
+		// The last part was not written, so the node has no whole request.
+		return nil, attempts, errors.Wrap(errNodeDeclined, err.Error())
+	}
+	for {
+		frame, err := stream.Next()
+		if err != nil {
+			return nil, max(attempts, j.attempts+1), j.relayFault(ctx, err)
+		}
+		switch frame.Kind {
+		case peer.KindRelaySent:
+			var sent peer.RelaySent
+			if err := peer.DecodeBody(frame.Body, &sent); err != nil {
+				return nil, attempts + 1, j.relayFault(ctx, err)
+			}
+			attempts = sent.Attempts
+		case peer.KindRelayHead:
+			var head peer.RelayHead
+			if err := peer.DecodeBody(frame.Body, &head); err != nil {
+				return nil, attempts, j.relayFault(ctx, err)
+			}
+			return &model.ForwardReply{Status: head.Status, Header: head.Header, Body: &relayedBody{stream: stream}, Authentic: true}, attempts, nil
+		case peer.KindRelayEnd:
+			var end peer.RelayEnd
+			if err := peer.DecodeBody(frame.Body, &end); err != nil || end.Refusal == nil {
+				return nil, max(attempts, j.attempts+1), j.relayFault(ctx, errRelayBroken)
+			}
+			return nil, end.Attempts, end.Refusal
+		default:
+			return nil, attempts, j.relayFault(ctx, errRelayBroken)
+		}
+	}
+}
+
+// relayFault returns the fault of a request that was sent to another node and got no answer.
+func (j *job) relayFault(ctx context.Context, err error) error {
+	fault := &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}
+	if ctx.Err() != nil {
+		fault.Kind = endpoint.Cancelled
+	}
+	return fault
+}
+
+// writeRelayRequest writes the request and its body to a stream.
+func (j *job) writeRelayRequest(stream *peer.Stream, lastEventID string) error {
+	now := j.relay.now()
+	f := j.forward
+	message := peer.RelayRequest{
+		Node: j.relay.options.Name, ID: f.ID, Method: f.Method, URI: f.URI, Path: f.Path, Host: f.Host, Header: f.Header,
+		Digest: f.Digest, Key: f.Key, Prompt: f.Prompt, Pieces: f.Pieces, PieceKey: f.PieceKey,
+		ReceivedAgo: now.Sub(f.ReceivedAt), Waited: f.Waited, Route: j.admission.Route.Name, Customer: j.admission.Customer,
+		Attempts: j.attempts, Excluded: j.excluded, MayHaveRun: j.mayHaveRun, Counted: j.counted, Trial: j.trial, LastEventID: lastEventID,
+	}
+	if !f.Deadline.IsZero() {
+		message.Left = max(time.Millisecond, f.Deadline.Sub(now))
+	}
+	if err := stream.Send(peer.KindRelayRequest, message); err != nil {
+		return err
+	}
+	return writeRelayData(stream, f.Body)
+}
+
+func writeRelayData(stream *peer.Stream, data []byte) error {
+	for part := range slices.Chunk(data, relayChunkBytes) {
+		if err := stream.Send(peer.KindRelayData, peer.RelayData{Data: part}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Read implements io.Reader. It returns io.EOF only at the end of a whole answer.
+func (b *relayedBody) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.ended {
+			return 0, b.end()
+		}
+		frame, err := b.stream.Next()
+		if err != nil {
+			return 0, err
+		}
+		switch frame.Kind {
+		case peer.KindRelayData:
+			var data peer.RelayData
+			if err := peer.DecodeBody(frame.Body, &data); err != nil {
+				return 0, err
+			}
+			b.rest = data.Data
+		case peer.KindRelayEnd:
+			var end peer.RelayEnd
+			if err := peer.DecodeBody(frame.Body, &end); err != nil {
+				return 0, err
+			}
+			b.ended, b.complete = true, end.Complete
+		case peer.KindRelaySent:
+		default:
+			return 0, errRelayBroken
+		}
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *relayedBody) end() error {
+	if b.complete {
+		return io.EOF
+	}
+	return errRelayBroken
+}
+
+// startNodeAttempt has another node send the request, whose result goes to results. It returns false if this node got the
+// request from another one.
+func (j *job) startNodeAttempt(ctx context.Context, results chan<- unaryResult) bool {
+	if j.forNode != "" {
+		return false
+	}
+	j.throughNode = ""
+	go func() {
+		res := unaryResult{node: "unknown", attempts: j.attempts}
+		defer j.relay.recoverPanic(func() {
+			res.err = errPanic
+			results <- res
+		})
+		sent := j.sendThroughNode(ctx, "")
+		res.node, res.attempts, res.reply, res.err = sent.node, sent.attempts, sent.reply, sent.err
+		if res.err == nil {
+			res.body, res.err = readAnswer(res.reply)
+		}
+		results <- res
+	}()
+	return true
+}
+
+// acceptNodeResult reports whether the result of another node is an answer for the caller. The node has judged the
+// endpoint's answer.
+func (j *job) acceptNodeResult(res *unaryResult) bool {
+	j.recordNodeResult(res.node, res.attempts, res.err)
+	return res.err == nil
+}
+
+// recordNodeResult records how an attempt through another node ended.
+func (j *job) recordNodeResult(node string, attempts int, err error) {
+	j.throughNode = node
+	j.attempts = max(j.attempts, attempts)
+	var refusal *model.Refusal
+	if errors.As(err, &refusal) {
+		j.mayHaveRun = j.mayHaveRun || refusal.Verdict != model.NotRun
+		return
+	}
+	j.mayHaveRun = true
+	if err == nil || asFault(err).Kind == endpoint.Cancelled {
+		return
+	}
+	j.excludedNodes = append(j.excludedNodes, node)
+	j.relay.metrics.CountEvent("NodeLostRequest")
+	j.relay.log.Info().Str("Request", j.forward.ID).Str("Digest", string(j.forward.Digest)).Str("Pool", j.admission.Pool).
+		Str("Through", node).Int("Attempt", j.attempts).Err(err).Msg("the node that sent the request did not answer")
+}
+
+// attemptStreamThroughNode makes one attempt at a stream through another node. It returns false if this node got the
+// request from another one. The results of stages that were run here are freed: the other node runs them anew.
+func (j *job) attemptStreamThroughNode(ctx context.Context, state *streamState, run *stageRun) (model.Endpoint, streamResult, bool) {
+	if j.forNode != "" {
+		return model.Endpoint{}, streamResult{}, false
+	}
+	run.releaseAll()
+	lastEventID := ""
+	if state.headerSent {
+		lastEventID = state.splitter.lastID
+	}
+	sent := j.sendThroughNode(ctx, lastEventID)
+	result := streamResult{err: sent.err}
+	if sent.err == nil {
+		j.mayHaveRun = true
+		result = j.writeRelayedReply(sent.reply, state)
+		sent.reply.Close()
+	}
+	j.recordNodeResult(sent.node, sent.attempts, result.err)
+	return model.Endpoint{}, result, true
+}
+
+// writeRelayedReply writes the answer that another node passes on to the caller.
+func (j *job) writeRelayedReply(reply *model.ForwardReply, state *streamState) streamResult {
+	if reply.Status == http.StatusOK {
+		return j.writeReply(reply, state, func() {}, func() {})
+	}
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxUnaryBytes+1))
+	if err != nil {
+		return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}}
+	}
+	if state.headerSent {
+		return streamResult{err: &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errRelayBroken}}
+	}
+	state.headerSent, state.status = true, reply.Status
+	j.responder.Begin(reply.Status, reply.Header)
+	if j.responder.Write(body) != nil {
+		return streamResult{callerGone: true}
+	}
+	return streamResult{failureWritten: true}
+}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -48,6 +48,23 @@
 		permitUntil time.Time
 		// permitDenied is true if the last choice of an endpoint was denied a permit.
 		permitDenied bool
+		// forNode is the node that got the request from its caller and does not reach the pool; empty if this node did. Such
+		// a request is sent to endpoints only, never to a further node.
+		forNode string
+		// throughNode is the last node that sent the request in place of this one; empty if none did. excludedNodes are
+		// those that were lost over it.
+		throughNode   string
+		excludedNodes []string
+		// unreached is true once no connection to a chosen endpoint could be opened.
+		unreached bool
+		// pathWasBack is true once this node reached the pool again while the request was served.
+		pathWasBack bool
+		// counted is true once the request counts towards this node's share of the retry budget, or another one's.
+		counted bool
+		// lastEventID is the ID of the last event that the caller of a relayed stream already has.
+		lastEventID string
+		// onSend is called before each attempt at an endpoint, with the number of attempts; nil for none.
+		onSend func(attempts int)
 		// trial is true if the request is held back and was permitted to run once, on trial.
 		trial        bool
 		stageTimings []StageTiming
@@ -58,6 +75,10 @@
 	// unaryResult is the result of one attempt at a unary request.
 	unaryResult struct {
 		endpoint model.Endpoint
+		// node is the node that sent the request in place of this one, and attempts the number of attempts with those that
+		// it told of; node is empty if this node sent the request.
+		node     string
+		attempts int
 		reply    *model.ForwardReply
 		body     []byte
 		err      error
@@ -69,10 +90,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := j.relay.pool(j.admission.Pool)
-	p.recordRequest(j.relay.now())
 	results := make(chan unaryResult, j.admission.Route.MaxAttempts+1)
 	if !j.startAttempt(ctx, p, results) {
-		return j.refuseNoEndpoint(model.NotRun)
+		return j.refuseNoEndpoint(j.verdict())
 	}
 	running := 1
 	hedgeTimer := time.NewTimer(time.Duration(hedgeDelayShare * float64(j.admission.Route.Objective)))
@@ -115,14 +135,17 @@
 // could be chosen.
 func (j *job) startAttempt(ctx context.Context, p *pool, results chan<- unaryResult) bool {
 	r := j.relay
+	if r.paths.find(p.name).Lost() {
+		return j.startNodeAttempt(ctx, results)
+	}
+	j.countRequest(p)
 	e, ok := j.chooseEndpoint(ctx, p, func(now time.Time, limits sendLimits) (choice, bool) {
 		return p.pick(now, j.allowedEndpoints(), limits, r.options.Domain, j.excluded)
 	}, func(e model.Endpoint) { p.release(e.Incarnation()) })
 	if !ok {
-		return false
+		return j.unreached && j.startNodeAttempt(ctx, results)
 	}
-	j.excluded = append(j.excluded, e.Incarnation())
-	j.attempts++
+	j.recordAttempt(e)
 	send := j.newSend(e, j.attempts > 1)
 	go func() {
 		defer p.release(e.Incarnation())
@@ -142,6 +165,23 @@
 	return true
 }
 
+// countRequest counts the request towards this node's share of the retry budget, once.
+func (j *job) countRequest(p *pool) {
+	if !j.counted {
+		p.recordRequest(j.relay.now())
+	}
+	j.counted = true
+}
+
+// recordAttempt records that the request is about to be sent to an endpoint.
+func (j *job) recordAttempt(e model.Endpoint) {
+	j.excluded = append(j.excluded, e.Incarnation())
+	j.attempts++
+	if j.onSend != nil {
+		j.onSend(j.attempts)
+	}
+}
+
 // readAnswer reads the whole body of a reply and closes the reply.
 func readAnswer(reply *model.ForwardReply) ([]byte, error) {
 	defer reply.Close()
@@ -159,6 +199,9 @@
 // endpoint.
 func (j *job) acceptResult(p *pool, res *unaryResult) bool {
 	now := j.relay.now()
+	if res.node != "" {
+		return j.acceptNodeResult(res)
+	}
 	if res.err != nil {
 		j.recordFault(p, res.endpoint, asFault(res.err))
 		return false
@@ -202,6 +245,9 @@
 	}
 	var refusal *model.Refusal
 	if errors.As(last.err, &refusal) {
+		if j.mayHaveRun {
+			refusal = refusal.WithVerdict(model.MayHaveRun)
+		}
 		return Outcome{Refusal: refusal, Attempts: j.attempts}
 	}
 	if !j.mayHaveRun {
@@ -230,6 +276,9 @@
 // refuseNoEndpoint refuses a request that may not be sent to any endpoint now.
 func (j *job) refuseNoEndpoint(verdict model.Verdict) Outcome {
 	r := j.relay
+	if j.unreached || r.paths.find(j.admission.Pool).Lost() {
+		return Outcome{Refusal: kernel.RefuseUnreachable(j.admission.Pool).WithVerdict(verdict), Attempts: j.attempts}
+	}
 	if refusal := kernel.AdmitPools(r.now(), r.Registry(), j.forward, j.admission); refusal != nil {
 		return Outcome{Refusal: refusal.WithVerdict(verdict), Attempts: j.attempts}
 	}
@@ -249,6 +298,9 @@
 // refuseEndpointRefused refuses a request that no endpoint took. Where the last refusals have left no endpoint to ask, the
 // caller learns when there is one.
 func (j *job) refuseEndpointRefused(detail string) Outcome {
+	if j.unreached && j.relay.paths.find(j.admission.Pool).Lost() {
+		return j.refuseNoEndpoint(model.NotRun)
+	}
 	outcome := j.refuse(model.NotRun, model.EndpointRefused, detail)
 	if refusal := kernel.AdmitPools(j.relay.now(), j.relay.Registry(), j.forward, j.admission); refusal != nil {
 		outcome.Refusal.RetryAfter = refusal.RetryAfter
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -106,6 +106,10 @@
 		// Endpoint is the name of the endpoint that answered; Attempts is how many endpoints the request was sent to.
 		Endpoint string
 		Attempts int
+		// Through is the node that sent the request in place of this one; empty if this one did.
+		Through string
+		// For is the node that got the request from its caller; empty if this one did.
+		For string
 		// FirstEventTime is how long after its arrival the request got the first event of its stream; 0 if there was
 		// none.
 		FirstEventTime time.Duration
