--- a/kernel/helpers.go
+++ b/kernel/helpers.go
@@ -18,9 +18,9 @@
 	// exploreShare is the share of requests that go to a node that is no known helper, so that the helpers of a long cut are
 	// not the same for all of it.
 	exploreShare = 0.1
-	// MaxHelpersAsked is how many nodes are asked for one request: if two thirds of all nodes are cut off, and nothing is
+	// MaxHelpersAsked is how many nodes are asked for one request: if three quarters of all nodes are cut off, and nothing is
 	// known of them yet, one of these reaches the pool in nine of ten cases.
-	MaxHelpersAsked = 6
+	MaxHelpersAsked = 8
 	// maxRelayedBytes bounds the bodies that a node holds for other nodes, so that a large one does not end it.
 	maxRelayedBytes = 24 << 20
 	// unreachableRetryAfter is the time after which a caller may retry a request for a pool that no node reaches: within it,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -73,8 +73,10 @@
 		paths *paths
 		// helpers holds what is known of the nodes that send requests in place of this one.
 		helpers *helpers
-		// relayedBytes is the size of the bodies of the requests that this node serves for other nodes.
-		relayedBytes atomic.Int64
+		// relayedRequests is the number of requests that this node serves for other nodes, relayedBytes the size of their
+		// bodies.
+		relayedRequests atomic.Int64
+		relayedBytes    atomic.Int64
 		// rateCaps limits what is sent to endpoints that state a rate cap.
 		rateCaps *ratecap.Limiter
 
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -48,6 +48,11 @@
 	return stream.Send(peer.KindRelayEnd, peer.RelayEnd{Complete: outcome.Complete, Refusal: outcome.Refusal, Attempts: outcome.Attempts})
 }
 
+// RelayedRequests returns the number of requests that this node is serving for other nodes.
+func (r *Relay) RelayedRequests() int64 {
+	return r.relayedRequests.Load()
+}
+
 // hasEndpoint reports whether an endpoint of a pool may get work from this node now.
 func (r *Relay) hasEndpoint(pool string) bool {
 	now := r.now()
@@ -89,6 +94,8 @@
 func (r *Relay) serveRelayed(ctx context.Context, m peer.RelayRequest, f model.Forward, stream *peer.Stream) Outcome {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
+	r.relayedRequests.Add(1)
+	defer r.relayedRequests.Add(-1)
 	view := r.View()
 	admission, refusal := kernel.AdmitRelayed(r.now(), view, r.options.MaxRoutingAge, f, m.Route, m.Customer)
 	if refusal == nil {
