Send endpoints that state a refusal cap no more than they bear to refuse

Cause: an answer said something that no node read. Class: as leaving, pauses and rate caps before.

Change: one more field of model.Statement, decoded in one place, believed for an incarnation in the machinery of rate caps (its notices in the store, its end by a later answer without it). The first nodes by rendezvous hash send, one fewer than the refusals that are borne; each starts with one request at a time, has more under way as the endpoint accepts them, and pauses for a second after a refusal (kernel.RefusalWindow). Others have one of these send for them, as where they reach no endpoint, or refuse at once with a time to come back. A batcher pauses after a refusal by the same bound. The entry's slots are read for it.

Why it holds: each sender causes one refusal a second at most.

--- a/follow/notices.go
+++ b/follow/notices.go
@@ -14,11 +14,12 @@
 
 const (
 	// NoticesTable is the table of the notices that nodes send to all other nodes. It has a row for each held request,
-	// with the digest as its key, and one for each endpoint with a rate cap, with RateCapPrefix and the incarnation as
-	// its key.
+	// with the digest as its key, and one for each endpoint with a rate cap or a refusal cap, with RateCapPrefix or
+	// RefusalCapPrefix and the incarnation as its key.
 	NoticesTable = "basilstall_notices"
-	// RateCapPrefix is the prefix of the keys of rows about rate caps.
-	RateCapPrefix = "rate-cap/"
+	// RateCapPrefix and RefusalCapPrefix are the prefixes of the keys of rows about rate caps and refusal caps.
+	RateCapPrefix    = "rate-cap/"
+	RefusalCapPrefix = "refusal-cap/"
 	// noticesMaxWait is how long the store may delay its answer to a request for changes of NoticesTable. Changes are
 	// answered at once. A connection that has become silent is given up soon after this time, and so within the time in
 	// which all nodes have to know a notice.
@@ -45,7 +46,11 @@
 	var change kernel.QuarantineChange
 	for _, row := range rows {
 		if incarnation, ok := strings.CutPrefix(row.Key, RateCapPrefix); ok {
-			n.applyRateCap(incarnation, row)
+			n.applyCap(incarnation, row, n.relay.SetRateCap)
+			continue
+		}
+		if incarnation, ok := strings.CutPrefix(row.Key, RefusalCapPrefix); ok {
+			n.applyCap(incarnation, row, n.relay.SetRefusalCap)
 			continue
 		}
 		if row.Removed {
@@ -64,13 +69,13 @@
 	}
 }
 
-func (n *Notices) applyRateCap(incarnation string, row kernel.Row) {
-	var rateCap model.RateCap
+func (n *Notices) applyCap(incarnation string, row kernel.Row, set func(incarnation string, stated model.RateCap)) {
+	var stated model.RateCap
 	if !row.Removed {
-		if err := json.Unmarshal([]byte(row.Value), &rateCap); err != nil || !rateCap.Stated {
-			n.log.Error().Str("Endpoint", incarnation).Err(err).Msg("invalid row of a rate cap")
+		if err := json.Unmarshal([]byte(row.Value), &stated); err != nil || !stated.Stated {
+			n.log.Error().Str("Endpoint", incarnation).Err(err).Msg("invalid row of a cap of an endpoint")
 			return
 		}
 	}
-	n.relay.SetRateCap(incarnation, rateCap)
+	set(incarnation, stated)
 }
--- a/kernel/batch.go
+++ b/kernel/batch.go
@@ -97,6 +97,8 @@
 		probedAt time.Time
 		// rateCap limits the calls a second that the worker accepts from all batchers together.
 		rateCap model.RateCap
+		// refusalPause is how long it gets no call after it refused one; at least refusalBackoff.
+		refusalPause time.Duration
 		// unanswered is true from the time a call is overdue until any call is answered; meanwhile the slowdown
 		// is unknown.
 		unanswered bool
@@ -167,6 +169,13 @@
 	}
 }
 
+// SetRefusalCap sets how many calls a second a worker may have to refuse from all batchers together.
+func (q *BatchQueue) SetRefusalCap(incarnation string, stated model.RateCap) {
+	if w := q.workers[incarnation]; w != nil {
+		w.refusalPause = max(refusalBackoff, RefusalCapBatcherPause(stated))
+	}
+}
+
 // SetEndpoints sets the pool's listed endpoints. Results of workers that are no longer listed are forgotten: they
 // are lost with the worker.
 func (q *BatchQueue) SetEndpoints(endpoints []model.Endpoint) {
--- a/kernel/batchend.go
+++ b/kernel/batchend.go
@@ -11,7 +11,7 @@
 func (q *BatchQueue) Refused(now time.Time, batch PieceBatch) []GroupOutcome {
 	w := q.finishCall(batch, nil)
 	if w != nil {
-		w.pausedUntil = now.Add(refusalBackoff)
+		w.pausedUntil = now.Add(max(refusalBackoff, w.refusalPause))
 		q.lastStart = time.Time{}
 		w.health.Probing = false
 	}
--- a/kernel/helpers.go
+++ b/kernel/helpers.go
@@ -171,7 +171,8 @@
 		return false
 	}
 	switch refusal.Reason {
-	case model.EndpointsUnreachable, model.StaleRouting, model.NotReady, model.NoEndpoint, model.EndpointsPaused, model.EndpointsCold, model.EndpointsCapped:
+	case model.EndpointsUnreachable, model.StaleRouting, model.NotReady, model.NoEndpoint, model.EndpointsPaused, model.EndpointsCold, model.EndpointsCapped,
+		model.EndpointsBrittle:
 		return true
 	default:
 		return false
--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -31,6 +31,8 @@
 		// Region is the region of the failure domain; empty if the settings define none.
 		Region string
 		State  HostState
+		// Slots is how many requests the endpoint processes at a time; 0 if its entry does not say.
+		Slots int `json:",omitempty"`
 		// ColdFor is how much longer the endpoint was cold when it wrote its entry in the list. ColdUntil is the time
 		// from which it is certainly no longer cold.
 		ColdFor   time.Duration
@@ -69,6 +71,8 @@
 		// RateCap limits the stage calls that the endpoint accepts from all nodes together. Reads of an engine's state
 		// and orders to it do not count.
 		RateCap RateCap
+		// RefusalCap is how many stage calls a second, from all nodes together, the endpoint may have to refuse without ending.
+		RefusalCap RateCap `json:",omitzero"`
 		// PauseFor is how long the endpoint wants no stage calls from the node that it answers; 0 if it asks for no pause.
 		PauseFor time.Duration `json:",omitempty"`
 	}
--- a/model/statement.go
+++ b/model/statement.go
@@ -10,6 +10,9 @@
 	// RateCap limits the requests that the endpoint accepts from all nodes together. Its absence counts only in an
 	// answer that is Whole.
 	RateCap RateCap
+	// RefusalCap is how many requests a second, from all nodes together, the endpoint may have to refuse for want of room
+	// without ending. Its absence counts only in an answer that is Whole.
+	RefusalCap RateCap
 	// Leaving is true if the endpoint is about to end and accepts no new work from any node. It never takes that back.
 	Leaving bool
 	// PauseFor is how long the endpoint wants no requests from the node that it answers; 0 if it asks for no pause.
@@ -20,5 +23,5 @@
 
 // Statement returns what the load states. whole is true if the answer that it came with is complete.
 func (l Load) Statement(whole bool) Statement {
-	return Statement{Load: &l, RateCap: l.RateCap, Leaving: l.Leaving, PauseFor: l.PauseFor, Whole: whole}
+	return Statement{Load: &l, RateCap: l.RateCap, RefusalCap: l.RefusalCap, Leaving: l.Leaving, PauseFor: l.PauseFor, Whole: whole}
 }
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -77,6 +77,8 @@
 	EndpointsCold Reason = "EndpointsCold"
 	// EndpointsCapped: the rate caps that the endpoints state allow no more requests now.
 	EndpointsCapped Reason = "EndpointsCapped"
+	// EndpointsBrittle: the endpoints end if they have to refuse more than a few requests, and take no more now.
+	EndpointsBrittle Reason = "EndpointsBrittle"
 	// EndpointsUnreachable: this node reaches no endpoint of a pool, and knows no node that does.
 	EndpointsUnreachable Reason = "EndpointsUnreachable"
 	// NoHome: no endpoint of a pool that the request needs is in a region that both its route and its customer allow.
--- a/ratecap/limiter.go
+++ b/ratecap/limiter.go
@@ -1,6 +1,7 @@
 package ratecap
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -32,6 +33,8 @@
 type (
 	// Dependencies are the functions through which a Limiter learns of nodes and endpoints, and informs other nodes.
 	Dependencies struct {
+		// Kind is the kind of the caps in the names of events, and Name that in log lines: a rate cap if they are empty.
+		Kind, Name string
 		// Announced returns the nodes that have announced themselves and are not leaving, whether or not they answer.
 		Announced func() []kernel.Peer
 		// Listed reports whether an incarnation of an endpoint is listed.
@@ -86,6 +89,7 @@
 
 // NewLimiter returns a limiter that knows of no cap. Its background work ends with ctx.
 func NewLimiter(ctx context.Context, name string, deps Dependencies, now func() time.Time, metrics *metric.Set, log zerolog.Logger) *Limiter {
+	deps.Kind, deps.Name = cmp.Or(deps.Kind, "RateCap"), cmp.Or(deps.Name, "rate cap")
 	l := &Limiter{name: name, deps: deps, now: now, metrics: metrics, log: log, endpoints: map[string]*endpointCap{}}
 	go func() {
 		for clock.Sleep(ctx, sweepInterval) {
@@ -179,7 +183,7 @@
 // RecordSend counts the requests and calls for pieces that are sent to endpoints with caps.
 func (l *Limiter) RecordSend(e model.Endpoint) {
 	if l.HasCap(e.Incarnation()) {
-		l.metrics.CountEvent("SentUnderRateCap")
+		l.metrics.CountEvent("SentUnder" + l.deps.Kind)
 	}
 }
 
@@ -224,9 +228,9 @@
 	if before.Cap == after.Cap {
 		return
 	}
-	l.metrics.CountEvent("RateCapChanged")
+	l.metrics.CountEvent(l.deps.Kind + "Changed")
 	l.log.Info().Str("Endpoint", incarnation).Str("From", from).Bool("Stated", after.Cap.Stated).
-		Float64("PerSecond", after.Cap.PerSecond).Float64("Before", before.Cap.PerSecond).Msg("rate cap of an endpoint")
+		Float64("PerSecond", after.Cap.PerSecond).Float64("Before", before.Cap.PerSecond).Msg(l.deps.Name + " of an endpoint")
 	l.deps.Changed()
 }
 
@@ -289,7 +293,7 @@
 	defer cancel()
 	err := l.deps.Publish(ctx, incarnation, stated)
 	if err != nil {
-		l.metrics.CountEvent("RateCapNotPublished")
+		l.metrics.CountEvent(l.deps.Kind + "NotPublished")
 	}
 	l.update(incarnation, func(c *endpointCap) {
 		c.publishing = false
--- a/relay/batcher.go
+++ b/relay/batcher.go
@@ -88,6 +88,7 @@
 	b.mu.Lock()
 	for _, worker := range b.workers(b.relay.Registry()) {
 		b.queue.SetRateCap(worker.Incarnation(), b.relay.rateCaps.FractionalView(worker.Incarnation()).Cap)
+		b.queue.SetRefusalCap(worker.Incarnation(), b.relay.refusalCaps.FractionalView(worker.Incarnation()).Cap)
 	}
 	b.mu.Unlock()
 	b.startCalls()
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -23,6 +23,8 @@
 		announced func() []kernel.Peer
 		// rateCaps limits what is sent to endpoints with rate caps.
 		rateCaps *ratecap.Limiter
+		// refusalCaps holds the refusal caps of endpoints.
+		refusalCaps *ratecap.Limiter
 		// allowPermits is true if endpoints may be chosen that require a permit of another node.
 		allowPermits bool
 	}
@@ -33,20 +35,24 @@
 		lastSentAt time.Time
 		// coldRole is whether the node may send while the endpoint is cold.
 		coldRole kernel.ColdRole
+		// refusalRole and refusalWindow are whether the node may send to the endpoint while it states a refusal cap, and how
+		// much.
+		refusalRole   kernel.RefusalRole
+		refusalWindow kernel.RefusalWindow
 	}
 )
 
 func (r *Relay) sendLimits(pool string) sendLimits {
 	table := r.View().Table
 	traits, _ := table.Pool(pool)
-	return sendLimits{self: r.options.Name, startedAt: r.startedAt, leaving: r.Leaving(), cold: r.options.ColdLimits.FractionalShare(table.CapacityShare(pool), traits.ColdRate), announced: r.announcedPeers, rateCaps: r.rateCaps}
+	return sendLimits{self: r.options.Name, startedAt: r.startedAt, leaving: r.Leaving(), cold: r.options.ColdLimits.FractionalShare(table.CapacityShare(pool), traits.ColdRate), announced: r.announcedPeers, rateCaps: r.rateCaps, refusalCaps: r.refusalCaps}
 }
 
 // admits reports whether this node may send a request to an endpoint now, and whether it needs a permit of another
 // node to do so.
 func (l sendLimits) admits(now time.Time, e model.Endpoint, s *endpointState) (admitted, needsPermit bool) {
 	switch {
-	case !l.admitsCold(now, e, &s.sends):
+	case !l.admitsCold(now, e, &s.sends), !l.admitsRefusals(now, e, s):
 		return false, false
 	case l.rateCaps.Admits(now, e, s.sends.lastSentAt):
 		return true, false
@@ -65,3 +71,23 @@
 	}
 	return l.cold.DueForRole(now, s.coldRole, s.lastSentAt)
 }
+
+// admitsRefusals reports whether this node may send one more request to an endpoint that may state a refusal cap.
+func (l sendLimits) admitsRefusals(now time.Time, e model.Endpoint, s *endpointState) bool {
+	stated := l.refusalCaps.FractionalView(e.Incarnation()).Cap
+	if !stated.Stated {
+		return true
+	}
+	if s.sends.refusalRole.Expired(now) {
+		s.sends.refusalRole = s.sends.refusalRole.With(now, l.startedAt, l.self, e.Incarnation(), l.announced())
+	}
+	return !l.leaving && s.sends.refusalWindow.Admits(now, stated, s.slots(e), s.sends.refusalRole, s.inFlight)
+}
+
+// slots returns how many requests an endpoint processes at a time, by its last report or else its entry.
+func (s *endpointState) slots(e model.Endpoint) int {
+	if s.load.Slots > 0 {
+		return s.load.Slots
+	}
+	return e.Slots
+}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -91,6 +91,13 @@
 	return out
 }
 
+// hasCandidate reports whether this node may send to one of the listed endpoints now.
+func (p *pool) hasCandidate(now time.Time, listed []model.Endpoint, limits sendLimits) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.candidates(now, listed, limits), func(c kernel.Candidate) bool { return c.Endpoint.Accepts(now) })
+}
+
 // pick chooses one of the listed endpoints for a unary request and reserves it.
 func (p *pool) pick(now time.Time, listed []model.Endpoint, limits sendLimits, domain string, excluded []string) (choice, bool) {
 	p.mu.Lock()
@@ -127,6 +134,7 @@
 	if !needsPermit {
 		s.sends.lastSentAt = now
 	}
+	s.sends.refusalWindow = s.sends.refusalWindow.WithSend(now)
 	s.inFlight++
 	s.pendingPrefillTokens += prefillTokens
 	if c.Health.Ejected() {
@@ -155,6 +163,18 @@
 	return granted, wait
 }
 
+// recordAcceptance records whether an endpoint has accepted a request, or refused it for want of room.
+func (p *pool) recordAcceptance(now time.Time, incarnation string, accepted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.state(incarnation)
+	if accepted {
+		s.sends.refusalWindow = s.sends.refusalWindow.WithAccepted(now, s.inFlight)
+	} else {
+		s.sends.refusalWindow = s.sends.refusalWindow.WithRefused(now, s.inFlight)
+	}
+}
+
 // lastSentAt returns when this node last sent a request to an endpoint, or let another node do so by a permit; zero if
 // never.
 func (p *pool) lastSentAt(incarnation string) time.Time {
--- a/relay/ratecaps.go
+++ b/relay/ratecaps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -37,6 +38,46 @@
 	}, r.now, r.metrics, r.log)
 }
 
+// newRefusalCapLimiter returns what this node knows of the refusal caps of endpoints.
+func (r *Relay) newRefusalCapLimiter() *ratecap.Limiter {
+	return ratecap.NewLimiter(r.ctx, r.options.Name, ratecap.Dependencies{
+		Kind:      "RefusalCap",
+		Name:      "refusal cap",
+		Announced: r.announcedPeers,
+		Listed: func(incarnation string) bool {
+			e, listed := r.Registry().Find(model.NameOfIncarnation(incarnation))
+			return listed && e.Incarnation() == incarnation
+		},
+		Fraction: r.rateCapShare,
+		Publish:  r.deps.PublishRefusalCap,
+		Changed:  r.batchers.updateRateCaps,
+	}, r.now, r.metrics, r.log)
+}
+
+// SetRefusalCap applies the refusal cap of an endpoint, or its absence, that is published in the store.
+func (r *Relay) SetRefusalCap(incarnation string, stated model.RateCap) {
+	r.refusalCaps.ApplyNotice(incarnation, stated)
+}
+
+// hasRefusalCaps reports whether an endpoint of a pool states a refusal cap. Only some nodes may send to such endpoints.
+func (r *Relay) hasRefusalCaps(pool string) bool {
+	if r.refusalCaps.Len() == 0 {
+		return false
+	}
+	return slices.ContainsFunc(r.Registry().Endpoints(pool), func(e model.Endpoint) bool { return r.refusalCaps.HasCap(e.Incarnation()) })
+}
+
+// barred reports whether this node may send nothing to the endpoints of a pool now because they state refusal caps. Another
+// node may.
+func (r *Relay) barred(pool string) bool {
+	if !r.hasRefusalCaps(pool) {
+		return false
+	}
+	limits := r.sendLimits(pool)
+	limits.allowPermits = true
+	return !r.pool(pool).hasCandidate(r.now(), r.Registry().Endpoints(pool), limits)
+}
+
 // rateCapShare returns the share of an endpoint's rate cap, from 0 to 1, that requests may use; pieces may use a share
 // of the same size.
 func (r *Relay) rateCapShare(incarnation string) float64 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -79,6 +79,8 @@
 		relayedBytes    atomic.Int64
 		// rateCaps limits what is sent to endpoints that state a rate cap.
 		rateCaps *ratecap.Limiter
+		// refusalCaps holds the refusal caps that endpoints state.
+		refusalCaps *ratecap.Limiter
 
 		// stopsAt is when a leaving node will stop; nil while it is not leaving.
 		stopsAt     atomic.Pointer[time.Time]
@@ -126,6 +128,7 @@
 		Peers: r.Reachable, Call: r.callNode, Connect: deps.Connect, ReachesOthers: r.reachesOthers, Store: deps.StoreQuarantine,
 	}, now, metrics, log)
 	metrics.Gauge("requests_held_back", func() float64 { return float64(r.quarantine.Len()) })
+	metrics.Gauge("endpoints_with_refusal_cap", func() float64 { return float64(r.refusalCaps.Len()) })
 	metrics.Gauge("endpoints_with_rate_cap", func() float64 { return float64(r.rateCaps.Len()) })
 	metrics.Gauge("pools_not_reached", func() float64 { return float64(r.paths.lostCount()) })
 	r.suspects = newSuspects(r.ctx, r.probe, func(node string) {
@@ -136,6 +139,7 @@
 	r.view.Store(&kernel.RoutingView{})
 	r.nodes.Store(&[]Node{})
 	r.rateCaps = r.newRateCapLimiter()
+	r.refusalCaps = r.newRefusalCapLimiter()
 	go func() {
 		ticker := time.NewTicker(sweepInterval)
 		defer ticker.Stop()
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -56,7 +56,7 @@
 // hasEndpoint reports whether an endpoint of a pool may get work from this node now.
 func (r *Relay) hasEndpoint(pool string) bool {
 	now := r.now()
-	return slices.ContainsFunc(r.Registry().Endpoints(pool), func(e model.Endpoint) bool { return e.Accepts(now) })
+	return !r.barred(pool) && slices.ContainsFunc(r.Registry().Endpoints(pool), func(e model.Endpoint) bool { return e.Accepts(now) })
 }
 
 func receiveRelayedBody(stream *peer.Stream, size int64) ([]byte, error) {
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -10,8 +10,7 @@
 func (j *job) allowStreamRetry(p *pool, state *streamState, run *stageRun, result streamResult) bool {
 	var refusal *model.Refusal
 	if errors.As(result.err, &refusal) {
-		// Stages that other nodes were to run have not been run here.
-		return len(j.admission.Route.Stages) == 0 && j.pathIsBack(p, refusal)
+		return !j.throughNodeOnly && j.pathIsBack(p, refusal)
 	}
 	lost := j.forNode == "" && j.relay.paths.find(p.name).Lost()
 	if !lost && (run.inputsReleased || (result.reply != nil && result.reply.InputsGone)) {
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -127,7 +127,7 @@
 			refusal = j.relay.quarantine.Check(j.forward.Digest)
 		}
 		expired := !permitUntil.IsZero() && j.relay.now().After(permitUntil)
-		if refusal == nil && (expired || !j.relay.Registry().Accepts(j.relay.now(), e) || j.relay.rateCaps.View(e.Incarnation()).StatedAfter(chosenAt)) {
+		if refusal == nil && (expired || !j.relay.Registry().Accepts(j.relay.now(), e) || j.relay.rateCaps.View(e.Incarnation()).StatedAfter(chosenAt) || j.relay.refusalCaps.View(e.Incarnation()).StatedAfter(chosenAt)) {
 			return &endpoint.Fault{Kind: endpoint.Withdrawn, Verdict: model.NotRun, Err: errWithdrawn}
 		}
 		if refusal == nil {
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -19,6 +19,9 @@
 		}
 		return reply.Statement, nil
 	})
+	if err == nil && !reply.Misdirected {
+		r.pool(send.Endpoint.Pool).recordAcceptance(r.now(), send.Endpoint.Incarnation(), !reply.NotRun || reply.InputsGone)
+	}
 	return reply, err
 }
 
@@ -87,6 +90,9 @@
 	if stated.RateCap.Stated || stated.Whole {
 		r.rateCaps.RecordAnswer(sentAt, e, stated.RateCap)
 	}
+	if stated.RefusalCap.Stated || stated.Whole {
+		r.refusalCaps.RecordAnswer(sentAt, e, stated.RefusalCap)
+	}
 	now := r.now()
 	if _, changes := r.Registry().WithStatement(sentAt, now, e, stated); !changes {
 		return
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -51,7 +51,8 @@
 func (j *job) serveStream(ctx context.Context) Outcome {
 	p := j.relay.pool(j.admission.Pool)
 	run := &stageRun{relay: j.relay}
-	if !j.relay.paths.find(p.name).Lost() {
+	j.throughNodeOnly = j.forNode == "" && (j.relay.paths.find(p.name).Lost() || j.relay.barred(p.name))
+	if !j.throughNodeOnly {
 		j.countRequest(p)
 		var refusal *model.Refusal
 		run, refusal = j.runStages(ctx, p)
@@ -112,7 +113,7 @@
 // attemptStream makes one attempt at an engine. It returns false if there was no engine to send to.
 func (j *job) attemptStream(ctx context.Context, p *pool, state *streamState, run *stageRun) (model.Endpoint, streamResult, bool) {
 	r := j.relay
-	if r.paths.find(p.name).Lost() {
+	if j.throughNodeOnly || r.paths.find(p.name).Lost() {
 		return j.attemptStreamThroughNode(ctx, state, run)
 	}
 	tokens := j.forward.Prompt.TokensIn
@@ -123,7 +124,7 @@
 		p.release(e.Incarnation())
 	})
 	if !ok {
-		if j.unreached {
+		if j.otherNodeMaySend(p) {
 			return j.attemptStreamThroughNode(ctx, state, run)
 		}
 		return e, streamResult{}, false
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -55,6 +55,8 @@
 		// those that were lost over it.
 		throughNode   string
 		excludedNodes []string
+		// throughNodeOnly is true for a stream whose stages were not run here, because another node is to send it.
+		throughNodeOnly bool
 		// unreached is true once no connection to a chosen endpoint could be opened.
 		unreached bool
 		// pathWasBack is true once this node reached the pool again while the request was served.
@@ -143,7 +145,7 @@
 		return p.pick(now, j.allowedEndpoints(), limits, r.options.Domain, j.excluded)
 	}, func(e model.Endpoint) { p.release(e.Incarnation()) })
 	if !ok {
-		return j.unreached && j.startNodeAttempt(ctx, results)
+		return j.otherNodeMaySend(p) && j.startNodeAttempt(ctx, results)
 	}
 	j.recordAttempt(e)
 	send := j.newSend(e, j.attempts > 1)
@@ -165,6 +167,11 @@
 	return true
 }
 
+// otherNodeMaySend reports whether another node may send the request although this one has no endpoint to send it to.
+func (j *job) otherNodeMaySend(p *pool) bool {
+	return j.unreached || j.relay.hasRefusalCaps(p.name)
+}
+
 // countRequest counts the request towards this node's share of the retry budget, once.
 func (j *job) countRequest(p *pool) {
 	if !j.counted {
@@ -282,6 +289,9 @@
 	if refusal := kernel.AdmitPools(r.now(), r.Registry(), j.forward, j.admission); refusal != nil {
 		return Outcome{Refusal: refusal.WithVerdict(verdict), Attempts: j.attempts}
 	}
+	if r.hasRefusalCaps(j.admission.Pool) {
+		return Outcome{Refusal: kernel.RefuseRefusalCapped(j.admission.Pool).WithVerdict(verdict), Attempts: j.attempts}
+	}
 	reason, detail := model.NoEndpoint, "no endpoint is known"
 	if refusal := r.admitRateCaps(j.admission); refusal != nil {
 		return Outcome{Refusal: refusal.WithVerdict(verdict), Attempts: j.attempts}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -48,6 +48,8 @@
 		// PublishRateCap writes the rate cap that an endpoint states, or that it states none, to the store, from which
 		// all nodes learn it.
 		PublishRateCap func(ctx context.Context, incarnation string, stated model.RateCap) error
+		// PublishRefusalCap does the same with the refusal cap.
+		PublishRefusalCap func(ctx context.Context, incarnation string, stated model.RateCap) error
 		// CloseIdle closes the idle connections to an address.
 		CloseIdle func(address string)
 	}
