Bear endpoints that stand still for a second

Cause: an opening packet that is lost is sent again after a second, longer than a connection is waited for; and a belief of two seconds' age could not tell a cut from endpoints that stand still.

Change: while no connection is open another one is begun every 0.2 s. A pool that no other node reaches either is tried here once more for two seconds after the first failure; after that requests are refused at once.

--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -32,7 +32,10 @@
 	maxHeaderBytes = 64 << 10
 )
 
-var errStrayReply = errors.New("endpoint: the reply belongs to another request")
+var (
+	errStrayReply  = errors.New("endpoint: the reply belongs to another request")
+	errDialTimeout = errors.New("endpoint: no connection was opened in time")
+)
 
 type (
 	// Exchange is one request. It is sent unchanged, on a connection that carries nothing else until its reply has been
--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -19,6 +19,9 @@
 	defaultIdleTimeout = 900 * time.Millisecond
 	// idleMargin is subtracted from a stated idle timeout, since the endpoint's close may still be in transit.
 	idleMargin = 500 * time.Millisecond
+	// redialInterval is the interval at which further connections are begun while none is open: several round trips between
+	// hosts.
+	redialInterval = 200 * time.Millisecond
 	// minConclusiveDial is how long an endpoint must have left a connection unanswered for an abandoned attempt to count as
 	// a failure: many round trips between hosts.
 	minConclusiveDial = 400 * time.Millisecond
@@ -119,7 +122,7 @@
 // dial opens a connection.
 func (x *Exchanger) dial(ctx context.Context, address string) (*exchangeConn, error) {
 	beganAt := x.Now()
-	conn, err := x.dialer.DialContext(ctx, "tcp", address)
+	conn, err := x.dialRepeatedly(ctx, address)
 	if err == nil || ctx.Err() == nil || x.Now().Sub(beganAt) >= minConclusiveDial {
 		x.OnDial(address, beganAt, err)
 	}
@@ -134,6 +137,45 @@
 	return c, nil
 }
 
+// dialRepeatedly opens a connection. Until one is open it begins another one every redialInterval: if an opening packet is
+// lost, or the endpoint stands still, the system sends it again only after a second.
+func (x *Exchanger) dialRepeatedly(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	type result struct {
+		conn net.Conn
+		err  error
+	}
+	results := make(chan result)
+	begin := func() {
+		go func() {
+			conn, err := x.dialer.DialContext(ctx, "tcp", address)
+			select {
+			case results <- result{conn, err}:
+			case <-ctx.Done():
+				if conn != nil {
+					_ = conn.Close()
+				}
+			}
+		}()
+	}
+	begin()
+	ticker := time.NewTicker(redialInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case r := <-results:
+			if r.err == nil || ctx.Err() == nil {
+				return r.conn, r.err
+			}
+		case <-ticker.C:
+			begin()
+		case <-ctx.Done():
+			return nil, errDialTimeout
+		}
+	}
+}
+
 // Connect opens a connection to an address and keeps it for the next exchange. The error shows whether a process
 // listens there.
 func (x *Exchanger) Connect(ctx context.Context, address string) error {
--- a/kernel/path.go
+++ b/kernel/path.go
@@ -12,6 +12,9 @@
 	// unreachedTTL is how long a failure to connect counts. It is longer than two connections may take to fail, one after
 	// the other.
 	unreachedTTL = 2500 * time.Millisecond
+	// standstillPatience is how long after the first failure endpoints may only stand still, all of a pool at once. Until
+	// then a pool that no other node reaches either is tried again.
+	standstillPatience = 2 * time.Second
 	// The interval between trials of a lost path doubles from minTrialInterval to maxTrialInterval. Each is drawn at
 	// random, from half of the interval to all of it, so that nodes that were cut off together do not return at once.
 	minTrialInterval = 300 * time.Millisecond
@@ -28,6 +31,8 @@
 	// unreached holds, by incarnation, when the last connection to an endpoint failed. Only endpoints that could not be
 	// reached since reachedAt are in it.
 	unreached map[string]time.Time
+	// suspectSince is when the first of the connections in unreached was begun.
+	suspectSince time.Time
 	// trials counts the trials since the path was lost.
 	trials int
 }
@@ -37,6 +42,11 @@
 	return !p.LostSince.IsZero()
 }
 
+// MayBeStandstill reports whether the endpoints of a pool that no other node reaches may only stand still.
+func (p Path) MayBeStandstill(now time.Time) bool {
+	return !p.Lost() || now.Sub(p.suspectSince) < standstillPatience
+}
+
 // WithReached returns the path after a connection to an endpoint was opened.
 func (p Path) WithReached(now time.Time) Path {
 	return Path{reachedAt: now}
@@ -54,6 +64,9 @@
 		unreached = map[string]time.Time{}
 	}
 	maps.DeleteFunc(unreached, func(_ string, at time.Time) bool { return now.Sub(at) > unreachedTTL })
+	if len(unreached) == 0 {
+		p.suspectSince = beganAt
+	}
 	unreached[incarnation] = now
 	p.unreached = unreached
 	if !p.Lost() && (othersLost || len(unreached) >= minUnreached) {
--- a/kernel/path_test.go
+++ b/kernel/path_test.go
@@ -74,3 +74,14 @@
 	must.True(t, p.WithoutEndpoint("b").Lost())
 	must.False(t, p.WithoutEndpoint("b").WithoutEndpoint("c").Lost())
 }
+
+// A pool that falls silent as a whole is given a while before requests for it are refused at once. Guards against
+// endpoints that stand still for a second being taken for a cut.
+func TestPathMayBeStandstillForAWhile(t *testing.T) {
+	var p kernel.Path
+	p = p.WithUnreached(pathAt(0), pathAt(700*time.Millisecond), "a", false).WithUnreached(pathAt(300*time.Millisecond), pathAt(time.Second), "b", false)
+	must.True(t, p.Lost())
+	must.True(t, p.MayBeStandstill(pathAt(1200*time.Millisecond)))
+	p = p.WithUnreached(pathAt(1800*time.Millisecond), pathAt(2500*time.Millisecond), "c", false)
+	must.False(t, p.MayBeStandstill(pathAt(2500*time.Millisecond)))
+}
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -10,9 +10,9 @@
 func (j *job) allowStreamRetry(p *pool, state *streamState, run *stageRun, result streamResult) bool {
 	var refusal *model.Refusal
 	if errors.As(result.err, &refusal) {
-		return !j.throughNodeOnly && j.pathIsBack(p, refusal)
+		return j.triesOwnPath(p, refusal)
 	}
-	lost := j.forNode == "" && j.relay.paths.find(p.name).Lost()
+	lost := j.forNode == "" && j.sendsThroughNode(p)
 	if !lost && (run.inputsReleased || (result.reply != nil && result.reply.InputsGone)) {
 		// The inputs are gone for any other engine as well. Another node makes them anew.
 		return false
@@ -33,7 +33,7 @@
 	if state.headerSent && state.splitter.lastID == "" {
 		return false
 	}
-	if j.isFirstSend(p, result.err) {
+	if j.isFirstSend(result.err) {
 		return true
 	}
 	if j.attempts >= j.admission.Route.MaxAttempts || !j.takeRetry(p, result.err) {
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -9,6 +9,9 @@
 	"github.com/go-faster/errors"
 )
 
+// maxUnreached is how many endpoints are tried for a request that none could be sent to.
+const maxUnreached = 4
+
 var errWithdrawn = errors.New("relay: the endpoint may no longer get the request")
 
 // recordFault records and logs what a failed attempt shows about the request and its endpoint.
@@ -20,7 +23,7 @@
 		return
 	}
 	if fault.Kind == endpoint.Refused {
-		j.unreached = true
+		j.unreached = append(j.unreached, e.Incarnation())
 		p.recordUnreachable(j.relay.now(), e.Incarnation())
 	} else {
 		p.recordFailure(j.relay.now(), e.Incarnation())
@@ -39,7 +42,7 @@
 	reason := model.RetryStatus
 	var refusal *model.Refusal
 	if errors.As(res.err, &refusal) {
-		return j.pathIsBack(p, refusal)
+		return j.triesOwnPath(p, refusal)
 	}
 	if res.err != nil {
 		fault := asFault(res.err)
@@ -60,7 +63,7 @@
 	if j.mayHaveRun && j.admission.Route.Kind == model.Unsafe {
 		return false
 	}
-	if j.isFirstSend(p, res.err) {
+	if j.isFirstSend(res.err) {
 		return true
 	}
 	if j.attempts >= j.admission.Route.MaxAttempts || !j.takeRetry(p, res.err) {
@@ -70,19 +73,25 @@
 	return true
 }
 
-// pathIsBack reports whether this node reaches the pool after no node sent the request in its place. That may happen once.
-func (j *job) pathIsBack(p *pool, refusal *model.Refusal) bool {
-	if refusal.Reason != model.EndpointsUnreachable || refusal.Verdict != model.NotRun || j.pathWasBack || j.unreached || j.relay.paths.find(p.name).Lost() {
+// triesOwnPath reports whether this node sends the request itself after no other node did so: it reaches the pool again, or
+// the endpoints may only stand still. That happens once for each request.
+func (j *job) triesOwnPath(p *pool, refusal *model.Refusal) bool {
+	if refusal.Reason != model.EndpointsUnreachable || refusal.Verdict != model.NotRun || j.ownPathOnly {
 		return false
 	}
-	j.pathWasBack = true
-	return true
+	j.ownPathOnly = j.relay.paths.find(p.name).MayBeStandstill(j.relay.now())
+	return j.ownPathOnly
+}
+
+// sendsThroughNode reports whether another node is to send the request.
+func (j *job) sendsThroughNode(p *pool) bool {
+	return j.relay.paths.find(p.name).Lost() && !j.ownPathOnly
 }
 
 // isFirstSend reports whether the next attempt, after one that ended with err, is the first one from which an endpoint may
-// get the request, because this node does not reach the pool and another one will send it. It is no retry then.
-func (j *job) isFirstSend(p *pool, err error) bool {
-	return err != nil && asFault(err).Kind == endpoint.Refused && j.attempts == 0 && j.forNode == "" && j.relay.paths.find(p.name).Lost()
+// get the request, because no connection could be opened before. It is no retry then.
+func (j *job) isFirstSend(err error) bool {
+	return err != nil && asFault(err).Kind == endpoint.Refused && j.attempts == 0 && len(j.excluded) < maxUnreached
 }
 
 // takeRetry takes a retry from the pool's budget, after an attempt that ended with err, or nil. A withdrawn attempt was
@@ -96,7 +105,7 @@
 
 // startHedge sends a safe request to one more endpoint while another one may be running it.
 func (j *job) startHedge(ctx context.Context, p *pool, results chan<- unaryResult) bool {
-	if j.throughNode != "" || j.relay.paths.find(p.name).Lost() {
+	if j.throughNode != "" || j.sendsThroughNode(p) {
 		// The node that sends the request sends it to a second endpoint, too.
 		return false
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -51,17 +51,13 @@
 func (j *job) serveStream(ctx context.Context) Outcome {
 	p := j.relay.pool(j.admission.Pool)
 	run := &stageRun{relay: j.relay}
-	j.throughNodeOnly = j.forNode == "" && (j.relay.paths.find(p.name).Lost() || j.relay.barred(p.name))
+	defer func() { run.releaseAll() }()
+	j.throughNodeOnly = j.forNode == "" && (j.sendsThroughNode(p) || j.relay.barred(p.name))
 	if !j.throughNodeOnly {
-		j.countRequest(p)
-		var refusal *model.Refusal
-		run, refusal = j.runStages(ctx, p)
-		defer run.releaseAll()
-		if refusal != nil {
-			if ctx.Err() != nil {
-				return j.refuseContextDone(ctx)
-			}
-			return Outcome{Refusal: refusal.WithVerdict(j.verdict())}
+		var outcome Outcome
+		var done bool
+		if run, outcome, done = j.prepareStream(ctx, p); done {
+			return outcome
 		}
 	}
 	state := streamState{splitter: eventSplitter{lastID: j.lastEventID}}
@@ -70,11 +66,19 @@
 		if !ok {
 			return j.finishWithoutEngine(&state)
 		}
-		if outcome, done := j.finalOutcome(ctx, &state, result, e); done {
+		outcome, done := j.finalOutcome(ctx, &state, result, e)
+		if done {
 			return outcome
 		}
+		retry := j.allowStreamRetry(p, &state, run, result)
 		switch {
-		case j.allowStreamRetry(p, &state, run, result):
+		case retry && j.throughNodeOnly && j.ownPathOnly:
+			j.throughNodeOnly = false
+			var done bool
+			if run, outcome, done = j.prepareStream(ctx, p); done {
+				return outcome
+			}
+		case retry:
 		case state.headerSent:
 			return j.streamOutcome(&state, e)
 		default:
@@ -83,6 +87,20 @@
 	}
 }
 
+// prepareStream runs the stages of a stream that this node sends. done is true if the request ends with the outcome.
+func (j *job) prepareStream(ctx context.Context, p *pool) (run *stageRun, outcome Outcome, done bool) {
+	j.countRequest(p)
+	run, refusal := j.runStages(ctx, p)
+	switch {
+	case refusal == nil:
+		return run, Outcome{}, false
+	case ctx.Err() != nil:
+		return run, j.refuseContextDone(ctx), true
+	default:
+		return run, Outcome{Refusal: refusal.WithVerdict(j.verdict())}, true
+	}
+}
+
 // streamOutcome returns the outcome of a stream that ends here, incomplete.
 func (j *job) streamOutcome(state *streamState, e model.Endpoint) Outcome {
 	outcome := Outcome{Status: state.status, Endpoint: e.Name, Attempts: j.attempts}
@@ -113,7 +131,7 @@
 // attemptStream makes one attempt at an engine. It returns false if there was no engine to send to.
 func (j *job) attemptStream(ctx context.Context, p *pool, state *streamState, run *stageRun) (model.Endpoint, streamResult, bool) {
 	r := j.relay
-	if j.throughNodeOnly || r.paths.find(p.name).Lost() {
+	if j.throughNodeOnly || j.sendsThroughNode(p) {
 		return j.attemptStreamThroughNode(ctx, state, run)
 	}
 	tokens := j.forward.Prompt.TokensIn
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -195,7 +195,7 @@
 		Node: j.relay.options.Name, ID: f.ID, Method: f.Method, URI: f.URI, Path: f.Path, Host: f.Host, Header: f.Header,
 		Digest: f.Digest, Key: f.Key, Prompt: f.Prompt, Pieces: f.Pieces, PieceKey: f.PieceKey,
 		ReceivedAgo: now.Sub(f.ReceivedAt), Waited: f.Waited, Route: j.admission.Route.Name, Customer: j.admission.Customer,
-		Attempts: j.attempts, Excluded: j.excluded, MayHaveRun: j.mayHaveRun, Counted: j.counted, Trial: j.trial, LastEventID: lastEventID,
+		Attempts: j.attempts, Excluded: j.reachedEndpoints(), MayHaveRun: j.mayHaveRun, Counted: j.counted, Trial: j.trial, LastEventID: lastEventID,
 	}
 	if !f.Deadline.IsZero() {
 		message.Left = max(time.Millisecond, f.Deadline.Sub(now))
@@ -206,6 +206,12 @@
 	return writeRelayData(stream, f.Body)
 }
 
+// reachedEndpoints returns the incarnations of the endpoints that may have got the request. Those that this node could not
+// connect to may get it from another one.
+func (j *job) reachedEndpoints() []string {
+	return slices.DeleteFunc(slices.Clone(j.excluded), func(incarnation string) bool { return slices.Contains(j.unreached, incarnation) })
+}
+
 func writeRelayData(stream *peer.Stream, data []byte) error {
 	for part := range slices.Chunk(data, relayChunkBytes) {
 		if err := stream.Send(peer.KindRelayData, peer.RelayData{Data: part}); err != nil {
@@ -311,6 +317,7 @@
 		return model.Endpoint{}, streamResult{}, false
 	}
 	run.releaseAll()
+	j.throughNodeOnly = true
 	lastEventID := ""
 	if state.headerSent {
 		lastEventID = state.splitter.lastID
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -55,12 +55,13 @@
 		// those that were lost over it.
 		throughNode   string
 		excludedNodes []string
-		// throughNodeOnly is true for a stream whose stages were not run here, because another node is to send it.
+		// throughNodeOnly is true for a stream whose stages were not run here, or whose results were freed, because another
+		// node is to send it.
 		throughNodeOnly bool
-		// unreached is true once no connection to a chosen endpoint could be opened.
-		unreached bool
-		// pathWasBack is true once this node reached the pool again while the request was served.
-		pathWasBack bool
+		// unreached are the incarnations of the chosen endpoints to which no connection could be opened.
+		unreached []string
+		// ownPathOnly is true once this node sends the request itself because no other one did.
+		ownPathOnly bool
 		// counted is true once the request counts towards this node's share of the retry budget, or another one's.
 		counted bool
 		// lastEventID is the ID of the last event that the caller of a relayed stream already has.
@@ -137,7 +138,7 @@
 // could be chosen.
 func (j *job) startAttempt(ctx context.Context, p *pool, results chan<- unaryResult) bool {
 	r := j.relay
-	if r.paths.find(p.name).Lost() {
+	if j.sendsThroughNode(p) {
 		return j.startNodeAttempt(ctx, results)
 	}
 	j.countRequest(p)
@@ -169,7 +170,7 @@
 
 // otherNodeMaySend reports whether another node may send the request although this one has no endpoint to send it to.
 func (j *job) otherNodeMaySend(p *pool) bool {
-	return j.unreached || j.relay.hasRefusalCaps(p.name)
+	return !j.ownPathOnly && (len(j.unreached) > 0 || j.relay.hasRefusalCaps(p.name))
 }
 
 // countRequest counts the request towards this node's share of the retry budget, once.
@@ -283,7 +284,7 @@
 // refuseNoEndpoint refuses a request that may not be sent to any endpoint now.
 func (j *job) refuseNoEndpoint(verdict model.Verdict) Outcome {
 	r := j.relay
-	if j.unreached || r.paths.find(j.admission.Pool).Lost() {
+	if len(j.unreached) > 0 || r.paths.find(j.admission.Pool).Lost() {
 		return Outcome{Refusal: kernel.RefuseUnreachable(j.admission.Pool).WithVerdict(verdict), Attempts: j.attempts}
 	}
 	if refusal := kernel.AdmitPools(r.now(), r.Registry(), j.forward, j.admission); refusal != nil {
@@ -308,7 +309,7 @@
 // refuseEndpointRefused refuses a request that no endpoint took. Where the last refusals have left no endpoint to ask, the
 // caller learns when there is one.
 func (j *job) refuseEndpointRefused(detail string) Outcome {
-	if j.unreached && j.relay.paths.find(j.admission.Pool).Lost() {
+	if len(j.unreached) > 0 && j.relay.paths.find(j.admission.Pool).Lost() {
 		return j.refuseNoEndpoint(model.NotRun)
 	}
 	outcome := j.refuse(model.NotRun, model.EndpointRefused, detail)
