Tell all nodes which pools a node does not reach, so that others take its part

Callers: where the few nodes that may send to a cold endpoint, or to one with a refusal cap, were cut off from it, nobody sent to it. Cause: those roles follow from the nodes that have announced themselves, whatever they reach. Change: a node's row names the pools that it does not reach, once that has held for a second; roles follow from the others. Shares of rate caps pass on by permits, which need no path. Why it holds: all nodes follow the rows, the node itself as well, so two sets of senders overlap for as long as at a change of membership. Evidence: platform TestCutOffNodesPassOnTheirRoles fails with the roles taken from all announced nodes (no request in 20 s).

--- a/follow/nodes.go
+++ b/follow/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,6 +21,11 @@
 	// NodesPollInterval is the time between two requests for changes of NodesTable. Nodes that are leaving or do not
 	// answer are detected by calls to them.
 	NodesPollInterval = 1500 * time.Millisecond
+	// unreachedCheckInterval is how often a node looks whether its row names the pools that it does not reach, and
+	// unreachedStability how often in a row they have to be the same before it writes them: a belief of a moment is not
+	// worth a write that all nodes read.
+	unreachedCheckInterval = 500 * time.Millisecond
+	unreachedStability     = 2
 )
 
 // Nodes writes this node's row of NodesTable and passes the rows of all nodes to the relay. The row of a failed node
@@ -76,17 +82,46 @@
 	n.relay.SetNodes(nodes, announced)
 }
 
-// Announce writes this node's row, and writes it once more, marked as leaving, when the channel is closed. It retries
-// failed writes and returns after the second one, or when ctx ends.
+// Announce writes this node's row, again whenever the pools change that it does not reach, and once more, marked as leaving,
+// when the channel is closed. It retries failed writes and returns after the last one, or when ctx ends.
 func (n *Nodes) Announce(ctx context.Context, leaving <-chan struct{}) {
 	n.writeWithRetry(ctx, n.own)
-	select {
-	case <-leaving:
-		leavingNode := n.own
-		leavingNode.Leaving = true
-		n.writeWithRetry(ctx, leavingNode)
-	case <-ctx.Done():
+	ticker := time.NewTicker(unreachedCheckInterval)
+	defer ticker.Stop()
+	stable := 0
+	var before []string
+	for {
+		select {
+		case <-ticker.C:
+			unreached := n.relay.UnreachedPools()
+			stable++
+			if !slices.Equal(unreached, before) {
+				stable = 0
+			}
+			before = unreached
+			if stable >= unreachedStability && !slices.Equal(unreached, n.own.Unreached) {
+				n.announceUnreached(ctx, unreached)
+			}
+		case <-leaving:
+			leavingNode := n.own
+			leavingNode.Leaving = true
+			n.writeWithRetry(ctx, leavingNode)
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// announceUnreached writes the pools that this node does not reach. A write that fails is tried again at the next check.
+func (n *Nodes) announceUnreached(ctx context.Context, unreached []string) {
+	node := n.own
+	node.Unreached = unreached
+	if err := n.write(ctx, node); err != nil {
+		n.metrics.CountEvent("AnnounceFailed")
+		return
 	}
+	n.own = node
 }
 
 func (n *Nodes) writeWithRetry(ctx context.Context, node relay.Node) {
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -45,7 +45,7 @@
 func (r *Relay) sendLimits(pool string) sendLimits {
 	table := r.View().Table
 	traits, _ := table.Pool(pool)
-	return sendLimits{self: r.options.Name, startedAt: r.startedAt, leaving: r.Leaving(), cold: r.options.ColdLimits.FractionalShare(table.CapacityShare(pool), traits.ColdRate), announced: r.announcedPeers, rateCaps: r.rateCaps, refusalCaps: r.refusalCaps}
+	return sendLimits{self: r.options.Name, startedAt: r.startedAt, leaving: r.Leaving(), cold: r.options.ColdLimits.FractionalShare(table.CapacityShare(pool), traits.ColdRate), announced: func() []kernel.Peer { return r.announcedSenders(pool) }, rateCaps: r.rateCaps, refusalCaps: r.refusalCaps}
 }
 
 // admits reports whether this node may send a request to an endpoint now, and whether it needs a permit of another
--- a/relay/nodes.go
+++ b/relay/nodes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -47,6 +48,23 @@
 	return out
 }
 
+// announcedSenders returns the nodes that have announced themselves, are not leaving and have not announced that they do not
+// reach a pool, whether or not they answer. They share what few nodes may send to an endpoint.
+func (r *Relay) announcedSenders(pool string) []kernel.Peer {
+	var out []kernel.Peer
+	for _, n := range *r.nodes.Load() {
+		if !n.Leaving && !slices.Contains(n.Unreached, pool) {
+			out = append(out, kernel.Peer{Name: n.Name, Domain: n.Domain, Capacity: n.Capacity})
+		}
+	}
+	return out
+}
+
+// UnreachedPools returns the pools that this node does not reach, in order.
+func (r *Relay) UnreachedPools() []string {
+	return r.paths.lostPools()
+}
+
 // isReachable reports whether another node is known, not leaving and not suspected.
 func (r *Relay) isReachable(node string) bool {
 	for _, n := range *r.nodes.Load() {
--- a/relay/paths.go
+++ b/relay/paths.go
@@ -46,16 +46,17 @@
 	return before, after
 }
 
-// lostCount returns the number of pools that this node does not reach.
-func (p *paths) lostCount() int {
+// lostPools returns the pools that this node does not reach, in order.
+func (p *paths) lostPools() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	lost := 0
-	for _, path := range p.byPool {
+	var lost []string
+	for pool, path := range p.byPool {
 		if path.Lost() {
-			lost++
+			lost = append(lost, pool)
 		}
 	}
+	slices.Sort(lost)
 	return lost
 }
 
@@ -66,7 +67,7 @@
 		return
 	}
 	now := r.now()
-	othersLost := r.paths.lostCount() > 0
+	othersLost := len(r.paths.lostPools()) > 0
 	before, after := r.paths.update(e.Pool, func(p kernel.Path) kernel.Path {
 		if err == nil {
 			return p.WithReached(now)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -98,6 +98,8 @@
 		// Capacity is the capacity of the node's host relative to others.
 		Capacity float64
 		Leaving  bool
+		// Unreached lists the pools that the node does not reach, in order: others take its part in what few nodes do.
+		Unreached []string `json:",omitempty"`
 	}
 )
 
@@ -130,7 +132,7 @@
 	metrics.Gauge("requests_held_back", func() float64 { return float64(r.quarantine.Len()) })
 	metrics.Gauge("endpoints_with_refusal_cap", func() float64 { return float64(r.refusalCaps.Len()) })
 	metrics.Gauge("endpoints_with_rate_cap", func() float64 { return float64(r.rateCaps.Len()) })
-	metrics.Gauge("pools_not_reached", func() float64 { return float64(r.paths.lostCount()) })
+	metrics.Gauge("pools_not_reached", func() float64 { return float64(len(r.paths.lostPools())) })
 	r.suspects = newSuspects(r.ctx, r.probe, func(node string) {
 		r.log.Info().Str("Batcher", node).Msg("node answers again")
 	})
