--- a/relay/nodes.go
+++ b/relay/nodes.go
@@ -104,6 +104,12 @@
 	return kernel.MaxIdleConnections(traits.MaxConns, r.fleetSize())
 }
 
+// KnownNodes returns the number of nodes that share the limits of the fleet, or 0 while that is not known. Until then
+// nothing is taken from the retry budget that the nodes share.
+func (r *Relay) KnownNodes() int {
+	return r.fleetSize()
+}
+
 // fleetSize returns how many nodes share the limits of the fleet, or 0 while that is not known.
 func (r *Relay) fleetSize() int {
 	if !r.nodesKnown.Load() {
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -10,7 +10,7 @@
 )
 
 // maxUnreached is how many endpoints are tried for a request that none could be sent to.
-const maxUnreached = 4
+const maxUnreached = 3
 
 var errWithdrawn = errors.New("relay: the endpoint may no longer get the request")
 
@@ -80,6 +80,9 @@
 		return false
 	}
 	j.ownPathOnly = j.relay.paths.find(p.name).MayBeStandstill(j.relay.now())
+	if j.ownPathOnly {
+		j.excluded, j.unreached = j.reachedEndpoints(), nil
+	}
 	return j.ownPathOnly
 }
 
@@ -91,7 +94,7 @@
 // isFirstSend reports whether the next attempt, after one that ended with err, is the first one from which an endpoint may
 // get the request, because no connection could be opened before. It is no retry then.
 func (j *job) isFirstSend(err error) bool {
-	return err != nil && asFault(err).Kind == endpoint.Refused && j.attempts == 0 && len(j.excluded) < maxUnreached
+	return err != nil && asFault(err).Kind == endpoint.Refused && j.attempts == 0 && len(j.unreached) < maxUnreached
 }
 
 // takeRetry takes a retry from the pool's budget, after an attempt that ended with err, or nil. A withdrawn attempt was
