--- a/relay/helpers.go
+++ b/reach/helpers.go
@@ -1,8 +1,7 @@
-package relay
+package reach
 
 import (
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -10,8 +9,8 @@
 )
 
 type (
-	// helpers holds what is known of the nodes that send requests in place of this one.
-	helpers struct {
+	// Helpers holds what is known of the nodes that send requests in place of this one. It is safe for concurrent use.
+	Helpers struct {
 		mu sync.Mutex
 		// byNode has an entry for each node that was asked. Entries of nodes that are gone are dropped.
 		byNode map[string]*helperState
@@ -31,11 +30,12 @@
 	}
 )
 
-func newHelpers() *helpers {
-	return &helpers{byNode: map[string]*helperState{}}
+// NewHelpers returns a Helpers that knows of no node.
+func NewHelpers() *Helpers {
+	return &Helpers{byNode: map[string]*helperState{}}
 }
 
-func (h *helpers) stateLocked(node string) *helperState {
+func (h *Helpers) stateLocked(node string) *helperState {
 	s := h.byNode[node]
 	if s == nil {
 		s = &helperState{pools: map[string]helperAnswers{}}
@@ -44,8 +44,8 @@
 	return s
 }
 
-// pick returns the node to ask next for a request to a pool; it is empty if there is none.
-func (h *helpers) pick(now time.Time, pool string, peers []kernel.Peer) string {
+// Pick returns the node to ask next for a request to a pool; it is empty if there is none.
+func (h *Helpers) Pick(now time.Time, pool string, peers []kernel.Peer) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	candidates := make([]kernel.Helper, 0, len(peers))
@@ -65,8 +65,8 @@
 	return candidates[i].Name
 }
 
-// recordAccepted records that a node accepted a request for a pool, which is under way there until end is called.
-func (h *helpers) recordAccepted(now time.Time, node, pool string, load float64) (end func()) {
+// RecordAccepted records that a node accepted a request for a pool, which is under way there until end is called.
+func (h *Helpers) RecordAccepted(now time.Time, node, pool string, load float64) (end func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.stateLocked(node)
@@ -82,8 +82,8 @@
 	})
 }
 
-// recordDeclined records that a node declined a request for a pool, or did not answer.
-func (h *helpers) recordDeclined(now time.Time, node, pool string) {
+// RecordDeclined records that a node declined a request for a pool, or did not answer.
+func (h *Helpers) RecordDeclined(now time.Time, node, pool string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.stateLocked(node)
@@ -92,20 +92,13 @@
 	s.pools[pool] = answers
 }
 
-// retain drops what is known of nodes that are not among the given ones.
-func (h *helpers) retain(nodes []Node) {
+// Retain drops what is known of nodes that are not listed.
+func (h *Helpers) Retain(listed func(node string) bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for name := range h.byNode {
-		if !slices.ContainsFunc(nodes, func(n Node) bool { return n.Name == name }) {
+		if !listed(name) {
 			delete(h.byNode, name)
 		}
 	}
 }
-
-// otherNodes returns the reachable nodes but this one and the excluded ones.
-func (r *Relay) otherNodes(excluded []string) []kernel.Peer {
-	return slices.DeleteFunc(r.Reachable(), func(p kernel.Peer) bool {
-		return p.Name == r.options.Name || slices.Contains(excluded, p.Name)
-	})
-}
--- a/relay/nodes.go
+++ b/relay/nodes.go
@@ -16,7 +16,9 @@
 func (r *Relay) SetNodes(nodes []Node, announced []string) {
 	r.nodes.Store(&nodes)
 	r.nodesKnown.Store(true)
-	r.helpers.retain(nodes)
+	r.helpers.Retain(func(name string) bool {
+		return slices.ContainsFunc(nodes, func(n Node) bool { return n.Name == name })
+	})
 	for _, name := range announced {
 		r.suspects.probeNow(name)
 	}
@@ -62,7 +64,14 @@
 
 // UnreachedPools returns the pools that this node does not reach, in order.
 func (r *Relay) UnreachedPools() []string {
-	return r.paths.lostPools()
+	return r.paths.LostPools()
+}
+
+// otherNodes returns the reachable nodes but this one and the excluded ones.
+func (r *Relay) otherNodes(excluded []string) []kernel.Peer {
+	return slices.DeleteFunc(r.Reachable(), func(p kernel.Peer) bool {
+		return p.Name == r.options.Name || slices.Contains(excluded, p.Name)
+	})
 }
 
 // isReachable reports whether another node is known, not leaving and not suspected.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -22,6 +22,7 @@
 	"basilstall.example/basilstall/peer"
 	"basilstall.example/basilstall/quarantine"
 	"basilstall.example/basilstall/ratecap"
+	"basilstall.example/basilstall/reach"
 )
 
 const (
@@ -70,9 +71,9 @@
 		// quarantine holds back requests that crash the endpoints that run them.
 		quarantine *quarantine.Agent
 		// paths holds this node's paths to the endpoints of each pool.
-		paths *paths
+		paths *reach.Tracker
 		// helpers holds what is known of the nodes that send requests in place of this one.
-		helpers *helpers
+		helpers *reach.Helpers
 		// relayedRequests is the number of requests that this node serves for other nodes, relayedBytes the size of their
 		// bodies.
 		relayedRequests atomic.Int64
@@ -122,17 +123,17 @@
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.batchers = newBatcherSet(r)
 	r.remoteGroups = newRemoteGroups()
-	r.paths = newPaths()
-	r.helpers = newHelpers()
+	r.paths = r.newPaths()
+	r.helpers = reach.NewHelpers()
 	r.activeCalls = newCallTracker()
 	r.refusedRequests = newRefusedRequests()
 	r.quarantine = quarantine.NewAgent(r.ctx, options.Name, quarantine.Dependencies{
-		Peers: r.Reachable, Call: r.callNode, Connect: deps.Connect, ReachesOthers: r.reachesOthers, Store: deps.StoreQuarantine,
+		Peers: r.Reachable, Call: r.callNode, Connect: deps.Connect, ReachesOthers: r.paths.ReachesOthers, Store: deps.StoreQuarantine,
 	}, now, metrics, log)
 	metrics.Gauge("requests_held_back", func() float64 { return float64(r.quarantine.Len()) })
 	metrics.Gauge("endpoints_with_refusal_cap", func() float64 { return float64(r.refusalCaps.Len()) })
 	metrics.Gauge("endpoints_with_rate_cap", func() float64 { return float64(r.rateCaps.Len()) })
-	metrics.Gauge("pools_not_reached", func() float64 { return float64(len(r.paths.lostPools())) })
+	metrics.Gauge("pools_not_reached", func() float64 { return float64(len(r.paths.LostPools())) })
 	r.suspects = newSuspects(r.ctx, r.probe, func(node string) {
 		r.log.Info().Str("Batcher", node).Msg("node answers again")
 	})
@@ -270,7 +271,7 @@
 	if stopsAt := r.stopsAt.Load(); refusal == nil && stopsAt != nil {
 		refusal = kernel.AdmitWhileLeaving(r.now(), *stopsAt, admission.Route)
 	}
-	if refusal == nil && !r.paths.find(admission.Pool).Lost() {
+	if refusal == nil && !r.paths.Lost(admission.Pool) {
 		// The state of endpoints that this node does not reach is for the node to judge that sends in its place.
 		refusal = r.admitEndpoints(f, admission)
 	}
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -27,7 +27,7 @@
 		return err
 	}
 	declined := kernel.DeclineRelay(kernel.HelperState{
-		Leaving: r.Leaving(), PathLost: r.paths.find(offer.Pool).Lost(), HasEndpoint: r.hasEndpoint(offer.Pool), Routing: r.View(),
+		Leaving: r.Leaving(), PathLost: r.paths.Lost(offer.Pool), HasEndpoint: r.hasEndpoint(offer.Pool), Routing: r.View(),
 		HeldBytes: r.relayedBytes.Load(),
 	}, kernel.RelayOffer{Version: offer.Version, BodyBytes: offer.BodyBytes})
 	load := float64(r.InFlight()) / max(r.options.Capacity, 1)
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -79,7 +79,7 @@
 	if refusal.Reason != model.EndpointsUnreachable || refusal.Verdict != model.NotRun || j.ownPathOnly {
 		return false
 	}
-	j.ownPathOnly = j.relay.paths.find(p.name).MayBeStandstill(j.relay.now())
+	j.ownPathOnly = j.relay.paths.Path(p.name).MayBeStandstill(j.relay.now())
 	if j.ownPathOnly {
 		j.excluded, j.unreached = j.reachedEndpoints(), nil
 	}
@@ -88,7 +88,7 @@
 
 // sendsThroughNode reports whether another node is to send the request.
 func (j *job) sendsThroughNode(p *pool) bool {
-	return j.relay.paths.find(p.name).Lost() && !j.ownPathOnly
+	return j.relay.paths.Lost(p.name) && !j.ownPathOnly
 }
 
 // isFirstSend reports whether the next attempt, after one that ended with err, is the first one from which an endpoint may
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -54,7 +54,7 @@
 	asked := slices.Clone(j.excludedNodes)
 	refusal := kernel.RefuseUnreachable(j.admission.Pool)
 	for range kernel.MaxHelpersAsked {
-		node := r.helpers.pick(r.now(), j.admission.Pool, r.otherNodes(asked))
+		node := r.helpers.Pick(r.now(), j.admission.Pool, r.otherNodes(asked))
 		if node == "" || ctx.Err() != nil {
 			break
 		}
@@ -67,7 +67,7 @@
 		case !errors.Is(result.err, errNodeDeclined):
 			return result
 		}
-		r.helpers.recordDeclined(r.now(), node, j.admission.Pool)
+		r.helpers.RecordDeclined(r.now(), node, j.admission.Pool)
 	}
 	r.metrics.CountEvent("NoNodeSends")
 	return nodeReply{attempts: j.attempts, err: refusal}
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nodeReply{err: err}
 	}
-	end := r.helpers.recordAccepted(r.now(), node, j.admission.Pool, load)
+	end := r.helpers.RecordAccepted(r.now(), node, j.admission.Pool, load)
 	stop := context.AfterFunc(ctx, stream.Close)
 	reply, attempts, err := j.exchangeThrough(ctx, stream, lastEventID)
 	if err != nil {
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -284,7 +284,7 @@
 // refuseNoEndpoint refuses a request that may not be sent to any endpoint now.
 func (j *job) refuseNoEndpoint(verdict model.Verdict) Outcome {
 	r := j.relay
-	if len(j.unreached) > 0 || r.paths.find(j.admission.Pool).Lost() {
+	if len(j.unreached) > 0 || r.paths.Lost(j.admission.Pool) {
 		return Outcome{Refusal: kernel.RefuseUnreachable(j.admission.Pool).WithVerdict(verdict), Attempts: j.attempts}
 	}
 	if refusal := kernel.AdmitPools(r.now(), r.Registry(), j.forward, j.admission); refusal != nil {
@@ -309,7 +309,7 @@
 // refuseEndpointRefused refuses a request that no endpoint took. Where the last refusals have left no endpoint to ask, the
 // caller learns when there is one.
 func (j *job) refuseEndpointRefused(detail string) Outcome {
-	if len(j.unreached) > 0 && j.relay.paths.find(j.admission.Pool).Lost() {
+	if len(j.unreached) > 0 && j.relay.paths.Lost(j.admission.Pool) {
 		return j.refuseNoEndpoint(model.NotRun)
 	}
 	outcome := j.refuse(model.NotRun, model.EndpointRefused, detail)
