Own interface: have a member that reaches the pool run a stage in place of one that does not

Callers of a node that reached no endpoint were refused on this interface as well: its dispatcher knew only its own path. A stage that this node can send to no endpoint, with nothing sent, is run by a member that reaches the pool: one hop, tokens passed on as they come, the caller's leaving and the deadline with it. The key's owner stays the owner, so a lost answer is one that may have run. Ends of endpoints count as proven only where this node reaches another one. A connection may take 0.7 s, not 2, as on the other interface.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -227,6 +227,7 @@
 	a.busy += o.elapsed
 	if o.err == nil {
 		a.mayHaveRun = true
+		a.dispatcher.OnConnection(a.pool.endpointOf(o.endpoint), o.startedAt, nil)
 		a.recordStatement(o.startedAt, now, o.endpoint, &o.reply.Load, true)
 		output, err := a.job.Plugin.ParseReply(a.job.Work, o.reply)
 		if err == nil {
@@ -240,6 +241,7 @@
 	}
 	fault := asFault(o.err)
 	a.recordStatement(o.startedAt, now, o.endpoint, fault.Load, false)
+	a.recordConnectFailure(o.endpoint, o.startedAt, fault)
 	a.recordFault(now, o.endpoint, fault)
 	if ctx.Err() != nil {
 		a.abandon(running)
@@ -267,6 +269,13 @@
 	return true
 }
 
+// recordConnectFailure records that no connection to an endpoint could be opened, if that is the fault.
+func (a *attempts) recordConnectFailure(e *endpointState, beganAt time.Time, fault *endpoint.Fault) {
+	if fault.Verdict == model.NotRun && (fault.Kind == endpoint.Refused || fault.Kind == endpoint.Silent) {
+		a.dispatcher.OnConnection(a.pool.endpointOf(e), beganAt, fault)
+	}
+}
+
 func (a *attempts) recordFault(now time.Time, e *endpointState, fault *endpoint.Fault) {
 	if fault.Verdict != model.NotRun {
 		a.mayHaveRun = true
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -24,6 +24,9 @@
 		// OnDisconnect is called when the connection to an endpoint broke during a call and the endpoint, which is not
 		// leaving, may have worked on the request.
 		OnDisconnect func(e model.Endpoint, req model.Request)
+		// OnConnection is called after a call to an endpoint, begun at beganAt, with the error if no connection could be
+		// opened.
+		OnConnection func(e model.Endpoint, beganAt time.Time, err error)
 		// CheckRequest is called right before each call, except for hedges and for requests on trial. It returns a
 		// refusal if the request must not be sent.
 		CheckRequest func(req model.Request) *model.Refusal
@@ -107,6 +110,7 @@
 		Unary:           client.Unary,
 
 		OnDisconnect: func(model.Endpoint, model.Request) {},
+		OnConnection: func(model.Endpoint, time.Time, error) {},
 		CheckRequest: func(model.Request) *model.Refusal { return nil },
 		OnCall:       func(model.Endpoint) {},
 		OnAnswer:     func(time.Time, model.Endpoint, model.RateCap) {},
@@ -213,6 +217,20 @@
 	return out
 }
 
+// ListedEndpoints returns all listed endpoints of a pool.
+func (d *Dispatcher) ListedEndpoints(pool string) []model.Endpoint {
+	var out []model.Endpoint
+	for _, e := range d.pool(pool).status() {
+		out = append(out, e.Endpoint)
+	}
+	return out
+}
+
+// Pools returns the names of the pools.
+func (d *Dispatcher) Pools() []string {
+	return d.poolNames()
+}
+
 // Close closes the idle connections to endpoints.
 func (d *Dispatcher) Close() {
 	d.client.Close()
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -147,11 +147,13 @@
 	a.busy += now.Sub(startedAt)
 	if err == nil {
 		a.mayHaveRun = true
+		a.dispatcher.OnConnection(a.pool.endpointOf(e), startedAt, nil)
 		a.pool.recordSuccess(now, e, now.Sub(startedAt), load)
 		return nil
 	}
 	fault := asFault(err)
 	a.recordStatement(startedAt, now, e, fault.Load, false)
+	a.recordConnectFailure(e, startedAt, fault)
 	if fault.Kind == endpoint.Silent {
 		a.observeSilence(startedAt, lastTokenAt, now)
 	}
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -247,7 +247,7 @@
 }
 
 func newTransport(keepAlive bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 15 * time.Second}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableKeepAlives:   !keepAlive,
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"basilstall.example/basilstall/peer"
 	"basilstall.example/basilstall/quarantine"
 	"basilstall.example/basilstall/ratecap"
+	"basilstall.example/basilstall/reach"
 	"basilstall.example/basilstall/table"
 )
 
@@ -59,7 +60,11 @@
 	// state a rate cap. notices follows the table's row that publishes both to all nodes.
 	quarantine *quarantine.Agent
 	rateCaps   *ratecap.Limiter
-	notices    *notices
+	// paths holds this node's paths to the endpoints of each pool, and helpers what is known of the members that run stages
+	// in place of this one.
+	paths   *reach.Tracker
+	helpers *reach.Helpers
+	notices *notices
 	// coldRoles caches which cold endpoints this node may call.
 	coldRoles *coldRoleCache
 	// runningAtHandover lists the IDs of the keys whose requests were still running when this node handed its keys over.
@@ -119,11 +124,14 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.quarantine = n.newQuarantineAgent()
 	n.rateCaps = n.newRateCapLimiter()
+	n.paths = n.newPaths()
+	n.helpers = reach.NewHelpers()
 	settings := kernel.NewSettings()
 	n.settings.Store(&settings)
 	n.dispatcher.OnLeaving = n.markLeaving
 	n.dispatcher.OnAdapterDemand = n.recordAdapterUse
 	n.dispatcher.OnDisconnect = n.recordDisconnect
+	n.dispatcher.OnConnection = n.paths.Record
 	n.dispatcher.CheckRequest = n.checkQuarantine
 	n.dispatcher.OnCall = n.rateCaps.RecordSend
 	n.dispatcher.OnAnswer = n.rateCaps.RecordAnswer
@@ -167,6 +175,7 @@
 		peer.KindCapPermit:  n.handleCapPermit,
 		peer.KindRatePermit: n.handleRatePermit,
 	})
+	n.peerServer.StreamHandlers = map[peer.Kind]peer.StreamHandler{peer.KindRelay: n.handleRelay}
 	n.peerServer.Serve(n.member, handlers)
 	return nil
 }
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -18,19 +18,25 @@
 // newQuarantineAgent returns this node's part of the quarantine.
 func (n *Node) newQuarantineAgent() *quarantine.Agent {
 	return quarantine.NewAgent(n.ctx, n.member.Node, quarantine.Dependencies{
-		Peers: n.coordinatorPeers,
-		Call:  n.callMember,
-		Connect: func(ctx context.Context, address string) error {
-			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-			if err != nil {
-				return err
-			}
-			return conn.Close()
+		Peers:   n.coordinatorPeers,
+		Call:    n.callMember,
+		Connect: connectOnce,
+		ReachesOthers: func(ctx context.Context, e model.Endpoint) bool {
+			return n.paths.ReachesOthers(ctx, e)
 		},
 		Store: n.storeQuarantineChange,
 	}, time.Now, n.metrics, n.log)
 }
 
+// connectOnce opens a connection to an address and closes it.
+func connectOnce(ctx context.Context, address string) error {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // coordinatorPeers returns the members that may coordinate the quarantine of a pool: the live ones, and this node even
 // while it is leaving.
 func (n *Node) coordinatorPeers() []kernel.Peer {
--- a/node/runner.go
+++ b/node/runner.go
@@ -47,7 +47,7 @@
 		if i == len(pipeline.Stages)-1 {
 			job.Emit = emit
 		}
-		result, err := n.dispatcher.Run(ctx, job)
+		result, err := n.runStage(ctx, job)
 		result.Timing.Stage = stage.Name
 		p.stages = append(p.stages, result.Timing)
 		n.metrics.AddStageUsage(req.Account(), result.Timing, stage.Pool)
--- a/peer/message.go
+++ b/peer/message.go
@@ -41,6 +41,9 @@
 	KindRelayHead
 	KindRelayData
 	KindRelayEnd
+	KindRelayStage
+	KindRelayToken
+	KindRelayStageEnd
 )
 
 type (
@@ -428,4 +431,28 @@
 		Refusal  *model.Refusal
 		Attempts int
 	}
+
+	// RelayStage is one stage of a request of the project's own interface, which follows Relay in place of RelayRequest. The
+	// other node answers with RelayToken for each token of a stream, and RelayStageEnd.
+	RelayStage struct {
+		Request  model.Request
+		Stage    model.Stage
+		Previous model.StageOutput
+		// Left is the time until the request's deadline.
+		Left time.Duration
+		// Trial is true if the request is held back and was permitted to run once.
+		Trial bool
+	}
+
+	// RelayToken is a token of a stream.
+	RelayToken struct {
+		Token model.Token
+	}
+
+	// RelayStageEnd ends the stage: with its output, or with the refusal if that is not nil.
+	RelayStageEnd struct {
+		Output  model.StageOutput
+		Timing  model.StageTiming
+		Refusal *model.Refusal
+	}
 )
--- a/scenario/encodings_test.go
+++ b/scenario/encodings_test.go
@@ -67,6 +67,9 @@
 		"RelayReply":          peer.RelayReply{},
 		"RelayRequest":        peer.RelayRequest{},
 		"RelaySent":           peer.RelaySent{},
+		"RelayStage":          peer.RelayStage{},
+		"RelayStageEnd":       peer.RelayStageEnd{},
+		"RelayToken":          peer.RelayToken{},
 		"Release":             peer.Release{},
 		"Return":              peer.CallerWait{},
 		"ReturnReply":         peer.CallerWaitReply{},
@@ -138,6 +141,7 @@
 		peer.KindExplain, peer.KindDemand, peer.KindGrant, peer.KindSeal, peer.KindBatch, peer.KindBatchCancel,
 		peer.KindRelease, peer.KindProbe, peer.KindFeed, peer.KindCallerWait, peer.KindTakeOver, peer.KindCrash,
 		peer.KindTrial, peer.KindClear, peer.KindStoreQuarantine, peer.KindCapPermit, peer.KindRatePermit,
+		peer.KindRelay, peer.KindRelayRequest, peer.KindRelaySent, peer.KindRelayHead, peer.KindRelayData, peer.KindRelayEnd, peer.KindRelayStage, peer.KindRelayToken, peer.KindRelayStageEnd,
 	}
 }
 
