Own interface: heed the refusals a second that endpoints state

Endpoints state a refusal cap with their load in replies, events and refusals (model.Load.RefusalCap). The dispatcher holds it for the incarnation and sends by kernel.RefusalWindow; where this node may send nothing, a member that may runs the stage, else the stage is refused at once as not run. dispatch TestRefusalCapIsHeeded: one call in place of twenty. Not passed on between members: each learns it by its own calls.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -172,6 +172,9 @@
 // noEndpointRefusal returns the refusal of a request for which no endpoint could be chosen.
 func (a *attempts) noEndpointRefusal(err error) error {
 	refusal := a.dispatcher.checkPool(a.pool)
+	if refusal == nil && a.pool.hasRefusalCap() {
+		refusal = kernel.RefuseRefusalCapped(a.pool.name)
+	}
 	if refusal == nil && a.permitDenied {
 		refusal = a.dispatcher.refusePool(a.pool)
 	}
@@ -228,6 +231,7 @@
 	if o.err == nil {
 		a.mayHaveRun = true
 		a.dispatcher.OnConnection(a.pool.endpointOf(o.endpoint), o.startedAt, nil)
+		a.pool.recordAcceptance(now, o.endpoint, true)
 		a.recordStatement(o.startedAt, now, o.endpoint, &o.reply.Load, true)
 		output, err := a.job.Plugin.ParseReply(a.job.Work, o.reply)
 		if err == nil {
@@ -277,6 +281,9 @@
 }
 
 func (a *attempts) recordFault(now time.Time, e *endpointState, fault *endpoint.Fault) {
+	if fault.Kind == endpoint.Status {
+		a.pool.recordAcceptance(now, e, fault.Verdict != model.NotRun)
+	}
 	if fault.Verdict != model.NotRun {
 		a.mayHaveRun = true
 	}
@@ -300,6 +307,9 @@
 	if stated.RateCap.Stated || stated.Whole {
 		a.dispatcher.OnAnswer(sentAt, a.pool.endpointOf(e), stated.RateCap)
 	}
+	if stated.RefusalCap.Stated || stated.Whole {
+		a.pool.recordRefusalCap(sentAt, now, e, stated.RefusalCap)
+	}
 	if load.ColdFor > 0 || stated.Whole {
 		a.pool.recordCold(sentAt, now, e, load.ColdFor)
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -37,6 +37,8 @@
 		OnAnswer func(sentAt time.Time, e model.Endpoint, stated model.RateCap)
 		// Admits reports whether rate caps and cold limits let this node call an endpoint now, given when it last did.
 		Admits func(now time.Time, e model.Endpoint, calledAt time.Time) bool
+		// RefusalRole finds out whether this node may call an endpoint that states a refusal cap.
+		RefusalRole func(now time.Time, role kernel.RefusalRole, incarnation string) kernel.RefusalRole
 		// AdmitPool returns a refusal if rate caps and cold limits let this node call none of the endpoints of a pool
 		// now. calledAt returns when this node last called an endpoint.
 		AdmitPool func(now time.Time, pool string, endpoints []model.Endpoint, calledAt func(incarnation string) time.Time) *model.Refusal
@@ -115,6 +117,9 @@
 		OnCall:       func(model.Endpoint) {},
 		OnAnswer:     func(time.Time, model.Endpoint, model.RateCap) {},
 		Admits:       func(time.Time, model.Endpoint, time.Time) bool { return true },
+		RefusalRole: func(now time.Time, role kernel.RefusalRole, incarnation string) kernel.RefusalRole {
+			return role.With(now, time.Time{}, "", incarnation, nil)
+		},
 		AdmitPool: func(time.Time, string, []model.Endpoint, func(string) time.Time) *model.Refusal {
 			return nil
 		},
@@ -226,6 +231,11 @@
 	return out
 }
 
+// HasRefusalCap reports whether an endpoint of a pool states a refusal cap. Only some nodes may call such endpoints.
+func (d *Dispatcher) HasRefusalCap(pool string) bool {
+	return d.pool(pool).hasRefusalCap()
+}
+
 // Pools returns the names of the pools.
 func (d *Dispatcher) Pools() []string {
 	return d.poolNames()
@@ -280,6 +290,9 @@
 	if refusal := kernel.AdmitPaused(now, p.name, endpoints); refusal != nil {
 		return refusal
 	}
+	if p.hasRefusalCap() {
+		return kernel.RefuseRefusalCapped(p.name)
+	}
 	return d.AdmitPool(now, p.name, endpoints, func(incarnation string) time.Time { return calledAt[incarnation] })
 }
 
@@ -305,6 +318,9 @@
 		p = newPool(name, d.domain, d.plain)
 		p.evacuations = d.evacuations
 		p.admits = func(now time.Time, e model.Endpoint, calledAt time.Time) bool { return d.Admits(now, e, calledAt) }
+		p.refusalRole = func(now time.Time, role kernel.RefusalRole, incarnation string) kernel.RefusalRole {
+			return d.RefusalRole(now, role, incarnation)
+		}
 		p.mayRequestPermit = func(now time.Time, e model.Endpoint, calledAt time.Time) bool {
 			return d.MayRequestPermit(now, e, calledAt)
 		}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -42,6 +42,8 @@
 		evacuations kernel.Evacuations
 		// admits is Dispatcher.Admits.
 		admits func(now time.Time, e model.Endpoint, calledAt time.Time) bool
+		// refusalRole is Dispatcher.RefusalRole.
+		refusalRole func(now time.Time, role kernel.RefusalRole, incarnation string) kernel.RefusalRole
 		// mayRequestPermit is Dispatcher.MayRequestPermit.
 		mayRequestPermit func(now time.Time, e model.Endpoint, calledAt time.Time) bool
 		limit            kernel.ConcurrencyLimit
@@ -87,6 +89,11 @@
 		coldUntil time.Time
 		// coldReportedAt is when it last reported that it is cold.
 		coldReportedAt time.Time
+		// refusalCap is the refusal cap that it states in its replies; refusalRole and refusalWindow are whether this node
+		// may call it then, and how much.
+		refusalCap    kernel.CapView
+		refusalRole   kernel.RefusalRole
+		refusalWindow kernel.RefusalWindow
 	}
 
 	// unlistedEndpoint is what is kept of an endpoint that the list has dropped at unlistedAt.
--- a/dispatch/poolpick.go
+++ b/dispatch/poolpick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
 )
 
 // pick chooses an endpoint and counts a call to it as in flight. It returns nil if no endpoint may get a call. Excluded
@@ -34,6 +35,7 @@
 	e = p.find(usable[i].Endpoint.Name)
 	e.candidate.InFlight++
 	e.calls++
+	e.pacing.refusalWindow = e.pacing.refusalWindow.WithSend(now)
 	if !p.admits(now, e.candidate.Endpoint, e.pacing.calledAt) {
 		return e, true
 	}
@@ -110,9 +112,49 @@
 // reports true if another node may be asked for a permit. No permit is requested for an ejected endpoint.
 func (p *pool) admitsCall(now time.Time, e *endpointState, allowPermit bool) bool {
 	endpoint := e.candidate.Endpoint
+	if !p.admitsRefusals(now, e) {
+		return false
+	}
 	return p.admits(now, endpoint, e.pacing.calledAt) || allowPermit && !e.candidate.Health.Ejected() && p.mayRequestPermit(now, endpoint, e.pacing.calledAt)
 }
 
+// admitsRefusals reports whether this node may call an endpoint that may state a refusal cap now.
+func (p *pool) admitsRefusals(now time.Time, e *endpointState) bool {
+	stated := e.pacing.refusalCap.Cap
+	if !stated.Stated {
+		return true
+	}
+	if e.pacing.refusalRole.Expired(now) {
+		e.pacing.refusalRole = p.refusalRole(now, e.pacing.refusalRole, e.candidate.Endpoint.Incarnation())
+	}
+	return e.pacing.refusalWindow.Admits(now, stated, e.candidate.Load.Slots, e.pacing.refusalRole, e.candidate.InFlight)
+}
+
+// hasRefusalCap reports whether an endpoint states a refusal cap.
+func (p *pool) hasRefusalCap() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.endpoints, func(e *endpointState) bool { return e.pacing.refusalCap.Cap.Stated })
+}
+
+// recordRefusalCap records the refusal cap, or its absence, in an endpoint's answer to a call that was sent at sentAt.
+func (p *pool) recordRefusalCap(sentAt, now time.Time, e *endpointState, stated model.RateCap) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e.pacing.refusalCap = e.pacing.refusalCap.WithAnswer(sentAt, now, stated)
+}
+
+// recordAcceptance records whether an endpoint has accepted a call, or refused it for want of room.
+func (p *pool) recordAcceptance(now time.Time, e *endpointState, accepted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if accepted {
+		e.pacing.refusalWindow = e.pacing.refusalWindow.WithAccepted(now, e.candidate.InFlight)
+	} else {
+		e.pacing.refusalWindow = e.pacing.refusalWindow.WithRefused(now, e.candidate.InFlight)
+	}
+}
+
 // admittedCandidates returns the endpoints for which admitsCall reports true.
 func (p *pool) admittedCandidates(now time.Time, allowPermit bool) []kernel.Candidate {
 	out := make([]kernel.Candidate, 0, len(p.endpoints))
--- a/dispatch/statements_test.go
+++ b/dispatch/statements_test.go
@@ -189,3 +189,24 @@
 		must.EqOp(t, before, stating.calls.Load())
 	}
 }
+
+// An endpoint that ends if it has to refuse more than a few calls a second gets no further call for a second after it has
+// refused one. Guards against a node of the project's own interface that goes on calling it.
+func TestRefusalCapIsHeeded(t *testing.T) {
+	for name, stream := range map[string]bool{"call": false, "stream": true} {
+		t.Run(name, func(t *testing.T) {
+			stating := newStatingServer(t, "refusal", model.Load{RefusalCap: model.NewRateCap(3)})
+			d := dispatch.NewDispatcher("domain", false, metric.NewSet())
+			t.Cleanup(d.Close)
+			d.SetEndpoints([]model.Endpoint{{Name: "stating", Pool: "p", Address: stating.address(), State: model.Live}})
+			for range 20 {
+				must.Error(t, runStatedStage(t, d, stream))
+			}
+			must.EqOp(t, 1, stating.calls.Load())
+			refusal := model.AsRefusal(runStatedStage(t, d, stream))
+			must.EqOp(t, model.EndpointsBrittle, refusal.Reason)
+			must.EqOp(t, model.NotRun, refusal.Verdict)
+			must.Positive(t, refusal.RetryAfter)
+		})
+	}
+}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -148,6 +148,7 @@
 	if err == nil {
 		a.mayHaveRun = true
 		a.dispatcher.OnConnection(a.pool.endpointOf(e), startedAt, nil)
+		a.pool.recordAcceptance(now, e, true)
 		a.pool.recordSuccess(now, e, now.Sub(startedAt), load)
 		return nil
 	}
--- a/kernel/refusalcap.go
+++ b/kernel/refusalcap.go
@@ -42,10 +42,10 @@
 }
 
 // With returns the role of the node self, which has started at startedAt, by the rendezvous hash of an endpoint's
-// incarnation over all announced nodes, whether they answer or not.
+// incarnation over all announced nodes, whether they answer or not. A node without a name has no others beside it.
 func (r RefusalRole) With(now, startedAt time.Time, self, incarnation string, announced []Peer) RefusalRole {
 	r = RefusalRole{rank: math.MaxInt, rankedAt: now}
-	if now.Sub(startedAt) < refusalRoleDelay || len(announced) == 0 {
+	if now.Sub(startedAt) < refusalRoleDelay || len(announced) == 0 && self != "" {
 		return r
 	}
 	own := rendezvousScore(incarnation, self)
--- a/node/node.go
+++ b/node/node.go
@@ -132,6 +132,10 @@
 	n.dispatcher.OnAdapterDemand = n.recordAdapterUse
 	n.dispatcher.OnDisconnect = n.recordDisconnect
 	n.dispatcher.OnConnection = n.paths.Record
+	startedAt := time.Now()
+	n.dispatcher.RefusalRole = func(now time.Time, role kernel.RefusalRole, incarnation string) kernel.RefusalRole {
+		return role.With(now, startedAt, n.member.Node, incarnation, n.announcedPeers())
+	}
 	n.dispatcher.CheckRequest = n.checkQuarantine
 	n.dispatcher.OnCall = n.rateCaps.RecordSend
 	n.dispatcher.OnAnswer = n.rateCaps.RecordAnswer
--- a/node/relayed.go
+++ b/node/relayed.go
@@ -49,7 +49,7 @@
 	}
 	if !n.paths.Lost(pool) {
 		result, err := n.dispatcher.Run(ctx, job)
-		if err == nil || model.AsRefusal(err).Verdict != model.NotRun || !n.paths.Lost(pool) {
+		if err == nil || model.AsRefusal(err).Verdict != model.NotRun || !n.paths.Lost(pool) && model.AsRefusal(err).Reason != model.EndpointsBrittle {
 			return result, err
 		}
 	}
@@ -61,6 +61,7 @@
 func (n *Node) runStageThroughMember(ctx context.Context, job dispatch.Job) (dispatch.Result, error) {
 	pool := job.Work.Stage.Pool
 	peers := n.otherPeers()
+	refused := kernel.RefuseUnreachable(pool)
 	for range kernel.MaxHelpersAsked {
 		name := n.helpers.Pick(time.Now(), pool, peers)
 		if name == "" || ctx.Err() != nil {
@@ -68,13 +69,18 @@
 		}
 		peers = withoutPeer(peers, name)
 		result, err := n.runStageAt(ctx, name, job)
-		if !errors.Is(err, errMemberDeclined) {
+		switch {
+		case err == nil:
+			return result, nil
+		case isRefusal(err) && kernel.OtherHelperMayServe(model.AsRefusal(err)):
+			refused = model.AsRefusal(err)
+		case !errors.Is(err, errMemberDeclined):
 			return result, err
 		}
 		n.helpers.RecordDeclined(time.Now(), name, pool)
 	}
 	n.metrics.CountEvent("NoNodeSends")
-	return dispatch.Result{}, kernel.RefuseUnreachable(pool)
+	return dispatch.Result{}, refused
 }
 
 func withoutPeer(peers []kernel.Peer, name string) []kernel.Peer {
