Soak: nodes cut off from endpoints, and endpoints that state refusal caps

The nodes of each failure domain reach each endpoint over links of their own, which are cut in three ways, for all pools or one.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -50,6 +50,9 @@
 		routingMu sync.Mutex
 		// outageMu is held during an outage of the whole store.
 		outageMu sync.Mutex
+		// links holds the links from nodes to endpoints. cutOffMu is held while some are cut.
+		links    *endpointLinks
+		cutOffMu sync.Mutex
 		// evacuationMu is held while a failure domain is evacuated.
 		evacuationMu sync.Mutex
 
@@ -104,6 +107,8 @@
 		cluster *cluster
 		name    string
 		domain  string
+		// storeView is the store with the addresses of the links over which the node reaches endpoints.
+		storeView *standin.StoreProxy
 		// storeProxy carries the node's connections to the store, peerProxy those of other nodes to this one.
 		storeProxy *proxy
 		peerProxy  *proxy
@@ -155,6 +160,7 @@
 // starts after replacementDelay, and the entry of the crashed endpoint is removed after lapseDelay.
 func (c *cluster) replaceCrashed(e *endpoint) {
 	e.proxy.close()
+	c.links.end(e.proxy.address())
 	c.mu.Lock()
 	e.unlistedAt = time.Now()
 	c.sequence++
@@ -202,8 +208,9 @@
 // startNode creates the proxies, log and settings file of a node and starts its process.
 func (c *cluster) startNode(number int) error {
 	n := &node{cluster: c, name: fmt.Sprint("node-", number), domain: fmt.Sprint("domain-", number%failureDomainCount)}
+	n.storeView = standin.NewRewritingStoreProxy(c.store, func(value string) string { return c.links.rewrite(n.domain, value) })
 	var err error
-	if n.storeProxy, err = newNarrowProxy(c.store.Address()); err != nil {
+	if n.storeProxy, err = newNarrowProxy(n.storeView.Address()); err != nil {
 		return err
 	}
 	if n.peerProxy, err = newNarrowProxy(""); err != nil {
@@ -352,9 +359,11 @@
 		n.signal(syscall.SIGCONT)
 		n.stop(syscall.SIGKILL)
 		n.storeProxy.close()
+		n.storeView.Close()
 		n.peerProxy.close()
 		_ = n.logFile.Close()
 	}
+	c.links.close()
 	for _, e := range c.endpoints {
 		e.proxy.close()
 		e.Close()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -49,6 +49,8 @@
 	{"reader cut off", cutOffReader},
 	{"endpoint fails", failEndpoint},
 	{"endpoint link", disturbEndpointLink},
+	{"endpoints cut off", cutOffEndpoints},
+	{"refusal caps", stateRefusalCap},
 	{"endpoint leaves", replaceEndpoint},
 	{"endpoint starts again", restartEndpoint},
 	{"foreign entries", putInvalidEntries},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -90,7 +90,7 @@
 func runSeed(t *testing.T, binary string, seed uint64, only string, duration time.Duration) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	c := &cluster{
-		dir: t.TempDir(), binary: binary, store: standin.NewStore(),
+		dir: t.TempDir(), binary: binary, store: standin.NewStore(), links: newEndpointLinks(),
 		endpoints: map[string]*endpoint{}, apiKeys: []string{validKey}, revokedAPIKeys: map[string]time.Time{}, evacuations: map[string][]period{},
 	}
 	defer c.close()
