--- /dev/null
+++ b/endpoint/dialer_test.go
@@ -0,0 +1,53 @@
+package endpoint_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
+
+	"basilstall.example/basilstall/endpoint"
+)
+
+const (
+	// standstill is how long an endpoint may stand still, and partitionTimeout the time within which a partition has to be
+	// noticed.
+	standstill       = 1500 * time.Millisecond
+	partitionTimeout = 4 * time.Second
+)
+
+// Connections to endpoints outlive a standstill and end soon in a partition, by the user timeout and by keep-alive probes
+// alike. Guards against a user timeout that makes keep-alive give up sooner, or later, than its count of probes says.
+func TestDialerTimeouts(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	dialer := endpoint.NewDialer()
+	conn, err := dialer.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	must.NoError(t, err)
+	option := func(name int) int {
+		var value int
+		var optionErr error
+		must.NoError(t, raw.Control(func(fd uintptr) { value, optionErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }))
+		must.NoError(t, optionErr)
+		return value
+	}
+	userTimeout := time.Duration(option(unix.TCP_USER_TIMEOUT)) * time.Millisecond
+	idle := time.Duration(option(unix.TCP_KEEPIDLE)) * time.Second
+	interval := time.Duration(option(unix.TCP_KEEPINTVL)) * time.Second
+	must.Greater(t, standstill, userTimeout)
+	must.Less(t, partitionTimeout, userTimeout)
+	// Keep-alive gives up at the first probe that is due after the user timeout has passed.
+	probe := idle
+	for probe < userTimeout {
+		probe += interval
+	}
+	must.Greater(t, standstill, probe)
+	must.LessEq(t, partitionTimeout, probe)
+	must.Eq(t, probe, idle+time.Duration(option(unix.TCP_KEEPCNT))*interval, must.Sprint("the count of probes says the same"))
+}
--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -30,6 +30,9 @@
 	userTimeout = 2500 * time.Millisecond
 	// keepAliveIdle is the time before the first TCP keep-alive probe and between probes.
 	keepAliveIdle = time.Second
+	// keepAliveCount is how many probes may stay unanswered. With the time before the first one they take somewhat longer
+	// than userTimeout, which ends the connection whatever the count.
+	keepAliveCount = 2
 )
 
 type (
@@ -71,12 +74,18 @@
 // NewExchanger returns an exchanger without connections.
 func NewExchanger(now func() time.Time) *Exchanger {
 	x := &Exchanger{Now: now, OnDial: func(string, time.Time, error) {}, idle: map[string][]*exchangeConn{}}
-	x.dialer = net.Dialer{
+	x.dialer = NewDialer()
+	return x
+}
+
+// NewDialer returns the dialer of connections to endpoints. Such a connection outlives an endpoint that stands still for a
+// second, and ends within a few seconds of a network partition. The TCP user timeout also decides when keep-alive gives up.
+func NewDialer() net.Dialer {
+	return net.Dialer{
 		Timeout:         dialTimeout,
 		Control:         TCPUserTimeout(userTimeout),
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: 2},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount},
 	}
-	return x
 }
 
 // TCPUserTimeout returns a control function for net.Dialer that sets the TCP user timeout: the system closes a
