Say that a request may have run while another node sends it

Callers of a node that reaches no endpoint whose time was up got 503, which says that the request has not run, although the other node had sent it: this node counts its own attempts only. While another node may be sending, a request that ends may have run (504). The attempt through a node works on a copy of the request's state, and no hedge starts beside it.

--- a/relay/retry.go
+++ b/relay/retry.go
@@ -108,7 +108,7 @@
 
 // startHedge sends a safe request to one more endpoint while another one may be running it.
 func (j *job) startHedge(ctx context.Context, p *pool, results chan<- unaryResult) bool {
-	if j.throughNode != "" || j.sendsThroughNode(p) {
+	if j.atNode || j.throughNode != "" || j.sendsThroughNode(p) {
 		// The node that sends the request sends it to a second endpoint, too.
 		return false
 	}
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -165,7 +166,9 @@
 			if err := peer.DecodeBody(frame.Body, &head); err != nil {
 				return nil, attempts, j.relayFault(ctx, err)
 			}
-			return &model.ForwardReply{Status: head.Status, Header: head.Header, Body: &relayedBody{stream: stream}, Authentic: true}, attempts, nil
+			header := http.Header{}
+			maps.Copy(header, head.Header)
+			return &model.ForwardReply{Status: head.Status, Header: header, Body: &relayedBody{stream: stream}, Authentic: true}, attempts, nil
 		case peer.KindRelayEnd:
 			var end peer.RelayEnd
 			if err := peer.DecodeBody(frame.Body, &end); err != nil || end.Refusal == nil {
@@ -267,14 +270,15 @@
 	if j.forNode != "" {
 		return false
 	}
-	j.throughNode = ""
+	j.atNode = true
+	attempt := j.snapshot()
 	go func() {
-		res := unaryResult{node: "unknown", attempts: j.attempts}
-		defer j.relay.recoverPanic(func() {
+		res := unaryResult{throughNode: true, attempts: attempt.attempts}
+		defer attempt.relay.recoverPanic(func() {
 			res.err = errPanic
 			results <- res
 		})
-		sent := j.sendThroughNode(ctx, "")
+		sent := attempt.sendThroughNode(ctx, "")
 		res.node, res.attempts, res.reply, res.err = sent.node, sent.attempts, sent.reply, sent.err
 		if res.err == nil {
 			res.body, res.err = readAnswer(res.reply)
@@ -284,9 +288,19 @@
 	return true
 }
 
+// snapshot returns a copy that does not change with the job.
+func (j *job) snapshot() *job {
+	out := *j
+	out.excluded = slices.Clone(j.excluded)
+	out.unreached = slices.Clone(j.unreached)
+	out.excludedNodes = slices.Clone(j.excludedNodes)
+	return &out
+}
+
 // acceptNodeResult reports whether the result of another node is an answer for the caller. The node has judged the
 // endpoint's answer.
 func (j *job) acceptNodeResult(res *unaryResult) bool {
+	j.atNode = false
 	j.recordNodeResult(res.node, res.attempts, res.err)
 	return res.err == nil
 }
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -55,6 +55,8 @@
 		// those that were lost over it.
 		throughNode   string
 		excludedNodes []string
+		// atNode is true while another node may be sending the request.
+		atNode bool
 		// throughNodeOnly is true for a stream whose stages were not run here, or whose results were freed, because another
 		// node is to send it.
 		throughNodeOnly bool
@@ -78,13 +80,14 @@
 	// unaryResult is the result of one attempt at a unary request.
 	unaryResult struct {
 		endpoint model.Endpoint
-		// node is the node that sent the request in place of this one, and attempts the number of attempts with those that
-		// it told of; node is empty if this node sent the request.
-		node     string
-		attempts int
-		reply    *model.ForwardReply
-		body     []byte
-		err      error
+		// throughNode is true if another node was to send the request. node is its name, empty if none did, and attempts the
+		// number of attempts with those that it told of.
+		throughNode bool
+		node        string
+		attempts    int
+		reply       *model.ForwardReply
+		body        []byte
+		err         error
 	}
 )
 
@@ -207,7 +210,7 @@
 // endpoint.
 func (j *job) acceptResult(p *pool, res *unaryResult) bool {
 	now := j.relay.now()
-	if res.node != "" {
+	if res.throughNode {
 		return j.acceptNodeResult(res)
 	}
 	if res.err != nil {
@@ -266,8 +269,8 @@
 
 // refuseContextDone refuses a request that has timed out or whose caller has disconnected.
 func (j *job) refuseContextDone(ctx context.Context) Outcome {
-	verdict := model.NotRun
-	if j.attempts > 0 {
+	verdict := j.verdict()
+	if j.attempts > 0 || j.atNode {
 		verdict = model.MayHaveRun
 	}
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
