Take a node that stops for a lost answer, not for a caller that has left

Callers of a request that a stopping node was sending got a closed connection: it told the first node that its caller had gone, which is how a stopping node sees it. The answer is lost then: safe requests go on through another node, others may have run.

--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -174,6 +174,10 @@
 			if err := peer.DecodeBody(frame.Body, &end); err != nil || end.Refusal == nil {
 				return nil, max(attempts, j.attempts+1), j.relayFault(ctx, errRelayBroken)
 			}
+			if end.Refusal.Reason == model.CallerGone {
+				// The node has stopped: the caller has left it, but not this one.
+				return nil, max(end.Attempts, j.attempts+1), j.relayFault(ctx, errRelayBroken)
+			}
 			return nil, end.Attempts, end.Refusal
 		default:
 			return nil, attempts, j.relayFault(ctx, errRelayBroken)
