--- a/follow/notices.go
+++ b/follow/notices.go
@@ -17,8 +17,9 @@
 	// with the digest as its key, and one for each endpoint with a rate cap or a refusal cap, with RateCapPrefix or
 	// RefusalCapPrefix and the incarnation as its key.
 	NoticesTable = "basilstall_notices"
-	// RateCapPrefix and RefusalCapPrefix are the prefixes of the keys of rows about rate caps and refusal caps.
-	RateCapPrefix    = "rate-cap/"
+	// RateCapPrefix is the prefix of the keys of rows about rate caps.
+	RateCapPrefix = "rate-cap/"
+	// RefusalCapPrefix is the prefix of the keys of rows about refusal caps.
 	RefusalCapPrefix = "refusal-cap/"
 	// noticesMaxWait is how long the store may delay its answer to a request for changes of NoticesTable. Changes are
 	// answered at once. A connection that has become silent is given up soon after this time, and so within the time in
--- a/kernel/helpers_test.go
+++ b/kernel/helpers_test.go
@@ -79,6 +79,18 @@
 	return false
 }
 
+// sendRound sends one request of each node that is cut off and returns how many were refused.
+func (s *cutFleetSim) sendRound(round int) int {
+	now := time.Unix(1000, 0).Add(time.Duration(round) * helperPause)
+	refused := 0
+	for node, cut := range s.cut {
+		if cut && !s.send(now, node) {
+			refused++
+		}
+	}
+	return refused
+}
+
 // A third and three quarters of 400 nodes are cut off, and know nothing of each other: their requests are taken, by nodes in
 // proportion to their capacity, without asking for each anew. Guards against a single node that gets all of them, and
 // against requests that are refused although a quarter of the fleet reaches the pool.
@@ -86,24 +98,12 @@
 	for _, cut := range []int{130, 300} {
 		t.Run(fmt.Sprint(cut), func(t *testing.T) {
 			s := newCutFleetSim(7, cut)
-			first, later, sent := 0, 0, 0
-			for round := range helperRounds {
-				now := time.Unix(1000, 0).Add(time.Duration(round) * helperPause)
-				for node := range helperFleet {
-					if !s.cut[node] {
-						continue
-					}
-					sent++
-					taken := s.send(now, node)
-					switch {
-					case taken:
-					case round == 0:
-						first++
-					default:
-						later++
-					}
-				}
+			first := s.sendRound(0)
+			later := 0
+			for round := 1; round < helperRounds; round++ {
+				later += s.sendRound(round)
 			}
+			sent := helperRounds * cut
 			must.LessEq(t, cut/5, first, must.Sprint("requests refused while nothing is known"))
 			must.LessEq(t, sent/50, later, must.Sprint("requests refused later, of ", sent))
 			must.LessEq(t, 3*sent, s.asked, must.Sprint("questions"))
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -91,6 +91,33 @@
 	}
 }
 
+// startLinked starts a node that sees the platform over links of its own, and adds it to the fleet.
+func (f *fleet) startLinked(platform *linkedPlatform) *node.Node {
+	f.t.Helper()
+	options := config.NewOptions()
+	options.Name = "cut-off"
+	options.FailureDomain = sample.BilbaoDomains[0]
+	options.Platform = strings.TrimPrefix(platform.server.URL, "http://")
+	options.PeersToken = "token"
+	options.OperatorsToken = "token"
+	n, err := node.NewNode(*options, zerolog.Nop())
+	must.NoError(f.t, err)
+	f.nodes = append(f.nodes, n)
+	f.awaitReady()
+	return n
+}
+
+// countRefused sends requests to a node one after the other and returns how many were refused.
+func (f *fleet) countRefused(n *node.Node, pipeline string, count int) int {
+	refused := 0
+	for range count {
+		if f.send(n, pipeline, "usual") != "" {
+			refused++
+		}
+	}
+	return refused
+}
+
 // A node that reaches no endpoint has its requests' stages run by members that do: idempotent and non-idempotent ones and
 // streams. Guards against a node of the project's own interface that knows only its own path.
 func TestCutOffNodeRunsStagesThroughMembers(t *testing.T) {
@@ -98,16 +125,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 2)
 			platform := newLinkedPlatform(t, f.platform.Address())
-			options := config.NewOptions()
-			options.Name = "cut-off"
-			options.FailureDomain = sample.BilbaoDomains[0]
-			options.Platform = strings.TrimPrefix(platform.server.URL, "http://")
-			options.PeersToken = "token"
-			options.OperatorsToken = "token"
-			cutOff, err := node.NewNode(*options, zerolog.Nop())
-			must.NoError(t, err)
-			f.nodes = append(f.nodes, cutOff)
-			f.awaitReady()
+			cutOff := f.startLinked(platform)
 			pipelines := []string{"renewal", "route-note", "collection-ticket"}
 			for _, pipeline := range pipelines {
 				f.await("the node serves before the cut", func() bool { return f.send(cutOff, pipeline, "usual") == "" })
@@ -115,13 +133,7 @@
 			platform.setState(state)
 			for _, pipeline := range pipelines {
 				f.await(pipeline+" is served during the cut", func() bool { return f.send(cutOff, pipeline, "usual") == "" })
-				refused := 0
-				for range 20 {
-					if f.send(cutOff, pipeline, "usual") != "" {
-						refused++
-					}
-				}
-				must.LessEq(t, 6, refused, must.Sprint("refused on ", pipeline))
+				must.LessEq(t, 6, f.countRefused(cutOff, pipeline, 20), must.Sprint("refused on ", pipeline))
 			}
 			must.Positive(t, f.nodes[0].EventCount("RelayedStages")+f.nodes[1].EventCount("RelayedStages"))
 			platform.setState(standin.LinkOpen)
--- a/node/node.go
+++ b/node/node.go
@@ -128,11 +128,24 @@
 	n.helpers = reach.NewHelpers()
 	settings := kernel.NewSettings()
 	n.settings.Store(&settings)
+	n.connectDispatcher(now)
+	if err := n.listen(); err != nil {
+		n.Close()
+		return nil, err
+	}
+	n.registerGauges()
+	n.startLoops()
+	n.log.Info().Str("Callers", n.CallersAddress()).Str("Operators", n.OperatorsAddress()).Str("Peers", n.member.Address).Msg("node started")
+	return n, nil
+}
+
+// connectDispatcher sets the functions by which the dispatcher of a node that started at startedAt learns from it, and it from
+// the dispatcher.
+func (n *Node) connectDispatcher(startedAt time.Time) {
 	n.dispatcher.OnLeaving = n.markLeaving
 	n.dispatcher.OnAdapterDemand = n.recordAdapterUse
 	n.dispatcher.OnDisconnect = n.recordDisconnect
 	n.dispatcher.OnConnection = n.paths.Record
-	startedAt := time.Now()
 	n.dispatcher.RefusalRole = func(now time.Time, role kernel.RefusalRole, incarnation string) kernel.RefusalRole {
 		return role.With(now, startedAt, n.member.Node, incarnation, n.announcedPeers())
 	}
@@ -144,14 +157,6 @@
 	n.dispatcher.Admits = n.mayCallEndpoint
 	n.dispatcher.AdmitPool = n.admitPool
 	n.dispatcher.RefusePool = n.rateCaps.RefusePool
-	if err := n.listen(); err != nil {
-		n.Close()
-		return nil, err
-	}
-	n.registerGauges()
-	n.startLoops()
-	n.log.Info().Str("Callers", n.CallersAddress()).Str("Operators", n.OperatorsAddress()).Str("Peers", n.member.Address).Msg("node started")
-	return n, nil
 }
 
 func (n *Node) listen() error {
