--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -17,6 +17,7 @@
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/peer"
+	"basilstall.example/basilstall/standin"
 )
 
 // newServer returns a server that handles KindSettings with handler.
@@ -230,3 +231,74 @@
 	c.bytesReturned.Add(int64(len(p)))
 	return len(p), nil
 }
+
+// The connections of streams are used again, and closed once they have been idle for a while. Guards against a node that keeps
+// connections to all nodes that once sent requests in its place.
+func TestIdleStreamsAreClosed(t *testing.T) {
+	closed := make(chan struct{}, 1)
+	s, err := peer.NewServer("127.0.0.1:0", "secret")
+	must.NoError(t, err)
+	t.Cleanup(s.Close)
+	s.StreamHandlers = map[peer.Kind]peer.StreamHandler{peer.KindRelay: func(_ context.Context, _ []byte, stream *peer.Stream) error {
+		return stream.Send(peer.KindRelay, peer.RelayReply{})
+	}}
+	proxied := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		upstream, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			return
+		}
+		close(proxied)
+		go func() { _, _ = io.Copy(conn, upstream) }()
+		_, _ = io.Copy(upstream, conn)
+		closed <- struct{}{}
+	}()
+	s.Serve(kernel.Member{Node: "b"}, map[peer.Kind]peer.Handler{})
+	c := peer.NewClient("a", "secret")
+	defer c.Close()
+	for range 3 {
+		stream, err := c.OpenStream(t.Context(), listener.Addr().String())
+		must.NoError(t, err)
+		must.NoError(t, stream.Send(peer.KindRelay, peer.Relay{Pool: "p"}))
+		must.NoError(t, stream.Receive(peer.KindRelay, &peer.RelayReply{}))
+		stream.Release()
+	}
+	<-proxied
+	<-closed
+}
+
+// A stream ends when its peer falls silent, and with it the work at the other end. Guards against requests that wait for a node
+// whose connections hang.
+func TestStreamEndsWhenPeerFallsSilent(t *testing.T) {
+	begun, ended := make(chan struct{}), make(chan struct{})
+	s, err := peer.NewServer("127.0.0.1:0", "secret")
+	must.NoError(t, err)
+	t.Cleanup(s.Close)
+	s.StreamHandlers = map[peer.Kind]peer.StreamHandler{peer.KindRelay: func(ctx context.Context, _ []byte, _ *peer.Stream) error {
+		close(begun)
+		<-ctx.Done()
+		close(ended)
+		return ctx.Err()
+	}}
+	s.Serve(kernel.Member{Node: "b"}, map[peer.Kind]peer.Handler{})
+	link := standin.NewCutLink(s.Address())
+	t.Cleanup(link.Close)
+	c := peer.NewClient("a", "secret")
+	defer c.Close()
+	stream, err := c.OpenStream(t.Context(), link.Address())
+	must.NoError(t, err)
+	defer stream.Close()
+	must.NoError(t, stream.Send(peer.KindRelay, peer.Relay{Pool: "p"}))
+	<-begun
+	link.SetState(standin.LinkSilent)
+	_, err = stream.Next()
+	must.Error(t, err)
+	<-ended
+}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -214,7 +214,28 @@
 	c.mu.Unlock()
 	if !kept {
 		s.Close()
+		return
 	}
+	time.AfterFunc(idleStreamTimeout, func() { c.closeIdleStreams(s.address) })
+}
+
+// closeIdleStreams closes the connections to an address that have been idle for idleStreamTimeout.
+func (c *Client) closeIdleStreams(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var kept []*Stream
+	for _, s := range c.idleStreams[address] {
+		if time.Since(s.idleSince) < idleStreamTimeout {
+			kept = append(kept, s)
+		} else {
+			s.Close()
+		}
+	}
+	if len(kept) == 0 {
+		delete(c.idleStreams, address)
+		return
+	}
+	c.idleStreams[address] = kept
 }
 
 // Close closes the connection of the stream, which ends the peer's work for it. It may be called more than once, and
