--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -96,6 +96,8 @@
 		// rateCaps are the rate caps that it stated. rateCapMu is held while it states one.
 		rateCaps  []statedRateCap
 		rateCapMu sync.Mutex
+		// refusalCapMu is held while it states a refusal cap.
+		refusalCapMu sync.Mutex
 		// leavingSince is when it began to state in its answers that it is leaving; zero before.
 		leavingSince time.Time
 		// unlistedAt is the time at which its entry was removed or its process crashed; zero before.
--- a/soak/cutoff_test.go
+++ b/soak/cutoff_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,8 +15,15 @@
 	// cutOffTime is how long nodes are cut off from endpoints besides the duration of a fault: long enough for requests to
 	// go through other nodes.
 	cutOffTime = 4 * time.Second
-	// refusalCapTime is how long an endpoint states a refusal cap besides the duration of a fault.
-	refusalCapTime = 5 * time.Second
+	// refusalCapTime is how long an endpoint states a refusal cap besides the duration of a fault, and refusalCapNotice
+	// within what time nodes learn of it.
+	refusalCapTime   = 9 * time.Second
+	refusalCapNotice = 4 * time.Second
+	// statedRefusals is how many requests a second the endpoint may refuse, and statedRoom how many it takes at a time.
+	statedRefusals = 3
+	statedRoom     = 2
+	// standstillTime is how long endpoints stand still.
+	standstillTime = 1200 * time.Millisecond
 )
 
 // endpointLinks holds the links over which the nodes of each failure domain reach endpoints. Nodes of a domain read the list
@@ -94,6 +102,20 @@
 	}
 }
 
+// setMatching sets the state of all links whose keys, pool and address, have a prefix and a suffix.
+func (l *endpointLinks) setMatching(prefix, suffix string, state links.LinkState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, domain := range l.byDomain {
+		for key, link := range domain {
+			_, address, _ := strings.Cut(key, "/")
+			if strings.HasPrefix(key, prefix) && strings.HasSuffix(key, suffix) && !l.ended[address] {
+				link.SetState(state)
+			}
+		}
+	}
+}
+
 // end makes all links to an endpoint refuse connections, as its own address does once its process has ended.
 func (l *endpointLinks) end(address string) {
 	l.mu.Lock()
@@ -143,12 +165,64 @@
 	}
 }
 
-// stateRefusalCap makes an endpoint state that it ends if it has to refuse more than three requests a second, and take two
-// at a time.
+// stateRefusalCap makes an endpoint state that it ends if it has to refuse more than a few requests a second, and take few at
+// a time. It checks that no more are refused while no node is disturbed.
 func stateRefusalCap(c *cluster, random *rand.Rand, duration time.Duration) {
 	e := c.randomEndpoint(random)
-	refusals := 3
-	e.SetRefusalCap(&refusals, 2)
+	if !e.refusalCapMu.TryLock() {
+		return
+	}
+	defer e.refusalCapMu.Unlock()
+	refusals := statedRefusals
+	begun := time.Now()
+	e.SetRefusalCap(&refusals, statedRoom)
 	time.Sleep(duration + refusalCapTime)
 	e.SetRefusalCap(nil, 0)
+	ended := time.Now()
+	for _, at := range e.NoRoom() {
+		if at.Before(begun.Add(refusalCapNotice)) || c.anyDisturbedBetween(begun.Add(-refusalCapNotice), ended) {
+			continue
+		}
+		if count := countWithin(e.NoRoom(), at, time.Second); count > statedRefusals {
+			c.reportViolation("%s had to refuse %d requests in a second, and stated %d", e.Name, count, statedRefusals)
+			return
+		}
+	}
+}
+
+// anyDisturbedBetween reports whether a node was disturbed in a period.
+func (c *cluster) anyDisturbedBetween(from, to time.Time) bool {
+	return slices.ContainsFunc(c.nodes, func(n *node) bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return slices.ContainsFunc(n.disturbances, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+	})
+}
+
+// countWithin counts the times from one on that lie within a duration.
+func countWithin(times []time.Time, from time.Time, duration time.Duration) int {
+	count := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Sub(from) < duration {
+			count++
+		}
+	}
+	return count
+}
+
+// standStill makes an endpoint, or all of a pool, leave everything unanswered for a second, new connections too, and go on.
+func standStill(c *cluster, random *rand.Rand, _ time.Duration) {
+	e := c.randomEndpoint(random)
+	suffix := "/" + e.proxy.address()
+	prefix := ""
+	if random.IntN(3) == 0 {
+		prefix, suffix = e.pool+"/", ""
+	}
+	if !c.cutOffMu.TryLock() {
+		return
+	}
+	defer c.cutOffMu.Unlock()
+	c.links.setMatching(prefix, suffix, links.LinkSilent)
+	time.Sleep(standstillTime)
+	c.links.setMatching(prefix, suffix, links.LinkOpen)
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -51,6 +51,7 @@
 	{"endpoint link", disturbEndpointLink},
 	{"endpoints cut off", cutOffEndpoints},
 	{"refusal caps", stateRefusalCap},
+	{"endpoints stand still", standStill},
 	{"endpoint leaves", replaceEndpoint},
 	{"endpoint starts again", restartEndpoint},
 	{"foreign entries", putInvalidEntries},
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,8 @@
 	{4, "rate cap,kill,terminate,pause,store fails,reader cut off", 12 * time.Second, "none: endpoints that state rate caps during faults of nodes and the store"},
 	{100, "rate cap,store fails,store compacts", 10 * time.Second, "none: rate caps of engines, services and workers, without faults of nodes"},
 	{5, "leaving answers,refusals with pause,kill,terminate,pause,store fails,store away", 10 * time.Second, "none: endpoints that state that they leave, or want a pause, during faults of nodes and the store"},
+	{6, "endpoints cut off,endpoints stand still,kill,terminate,pause,store fails,reader cut off", 10 * time.Second, "none: nodes that reach no endpoint during faults of nodes and the store"},
+	{7, "refusal caps,endpoints stand still,store fails,store compacts", 12 * time.Second, "none: endpoints that state refusal caps, without faults of nodes"},
 	{74019, poisonSeedFaults, 10 * time.Second, "two poison requests at one crash: it counts against only one of them, and the other needs a further crash"},
 	{4015, "reader cut off,endpoint leaves", 12 * time.Second, "an endpoint that was listed and removed between two reads of the list stayed in use"},
 	{9005, "routes added,routing changes,kill,store link", 12 * time.Second, "a node received every version of a large routing that it had missed, more than it reads at once"},
