--- a/endpoint/dialer_test.go
+++ b/endpoint/dialer_test.go
@@ -12,13 +12,13 @@
 )
 
 const (
-	// standstill is how long an endpoint may stand still, and partitionTimeout the time within which a partition has to be
+	// stallDuration is how long an endpoint may be unresponsive, and partitionTimeout the time within which a partition has to be
 	// noticed.
-	standstill       = 1500 * time.Millisecond
+	stallDuration    = 1500 * time.Millisecond
 	partitionTimeout = 4 * time.Second
 )
 
-// Connections to endpoints outlive a standstill and end soon in a partition, by the user timeout and by keep-alive probes
+// Connections to endpoints survive a stalled endpoint and are closed soon in a network partition, by the user timeout and by keep-alive probes
 // alike. Guards against a user timeout that makes keep-alive give up sooner, or later, than its count of probes says.
 func TestDialerTimeouts(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -40,14 +40,14 @@
 	userTimeout := time.Duration(option(unix.TCP_USER_TIMEOUT)) * time.Millisecond
 	idle := time.Duration(option(unix.TCP_KEEPIDLE)) * time.Second
 	interval := time.Duration(option(unix.TCP_KEEPINTVL)) * time.Second
-	must.Greater(t, standstill, userTimeout)
+	must.Greater(t, stallDuration, userTimeout)
 	must.Less(t, partitionTimeout, userTimeout)
 	// Keep-alive gives up at the first probe that is due after the user timeout has passed.
 	probe := idle
 	for probe < userTimeout {
 		probe += interval
 	}
-	must.Greater(t, standstill, probe)
+	must.Greater(t, stallDuration, probe)
 	must.LessEq(t, partitionTimeout, probe)
 	must.Eq(t, probe, idle+time.Duration(option(unix.TCP_KEEPCNT))*interval, must.Sprint("the count of probes says the same"))
 }
--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -78,8 +78,8 @@
 	return x
 }
 
-// NewDialer returns the dialer of connections to endpoints. Such a connection outlives an endpoint that stands still for a
-// second, and ends within a few seconds of a network partition. The TCP user timeout also decides when keep-alive gives up.
+// NewDialer returns the dialer of connections to endpoints. Such a connection survives an endpoint that is stalled for a
+// second, and is closed within a few seconds of a network partition. The TCP user timeout also decides when keep-alive gives up.
 func NewDialer() net.Dialer {
 	return net.Dialer{
 		Timeout:         dialTimeout,
@@ -146,8 +146,8 @@
 	return c, nil
 }
 
-// dialRepeatedly opens a connection. Until one is open it begins another one every redialInterval: if an opening packet is
-// lost, or the endpoint stands still, the system sends it again only after a second.
+// dialRepeatedly opens a connection. Until one is open it begins another one every redialInterval: the kernel
+// retransmits a lost SYN only after a second.
 func (x *Exchanger) dialRepeatedly(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/kernel/helpers.go
+++ b/kernel/helpers.go
@@ -54,7 +54,7 @@
 		Peer
 		// InFlight is the number of requests that this node has under way there.
 		InFlight int
-		// Load is the load that the node told at LoadAt: the requests that it serves, relative to its capacity.
+		// Load is the load that the node last reported, at LoadAt: the requests that it serves, relative to its capacity.
 		Load   float64
 		LoadAt time.Time
 		// AcceptedAt and DeclinedAt are when it last accepted and declined a request for the pool; zero if never.
--- a/kernel/path.go
+++ b/kernel/path.go
@@ -7,14 +7,14 @@
 
 const (
 	// minUnreached is how many endpoints of a pool a node must fail to reach, one after the other, before it takes its own
-	// path to the pool for lost: a single endpoint may stand still or have crashed.
+	// path to the pool for lost: a single endpoint may be stalled or have crashed.
 	minUnreached = 2
 	// unreachedTTL is how long a failure to connect counts. It is longer than two connections may take to fail, one after
 	// the other.
 	unreachedTTL = 2500 * time.Millisecond
-	// standstillPatience is how long after the first failure endpoints may only stand still, all of a pool at once. Until
-	// then a pool that no other node reaches either is tried again.
-	standstillPatience = 2 * time.Second
+	// stallPatience is how long after the first failure all endpoints of a pool may only be stalled. Until then, a pool that
+	// no other node reaches either is tried again.
+	stallPatience = 2 * time.Second
 	// The interval between trials of a lost path doubles from minTrialInterval to maxTrialInterval. Each is drawn at
 	// random, from half of the interval to all of it, so that nodes that were cut off together do not return at once.
 	minTrialInterval = 300 * time.Millisecond
@@ -42,9 +42,9 @@
 	return !p.LostSince.IsZero()
 }
 
-// MayBeStandstill reports whether the endpoints of a pool that no other node reaches may only stand still.
-func (p Path) MayBeStandstill(now time.Time) bool {
-	return !p.Lost() || now.Sub(p.suspectSince) < standstillPatience
+// MayBeStalled reports whether the endpoints of a pool that no other node reaches may only be stalled.
+func (p Path) MayBeStalled(now time.Time) bool {
+	return !p.Lost() || now.Sub(p.suspectSince) < stallPatience
 }
 
 // WithReached returns the path after a connection to an endpoint was opened.
--- a/kernel/path_test.go
+++ b/kernel/path_test.go
@@ -14,13 +14,13 @@
 func pathAt(after time.Duration) time.Time { return pathStart.Add(after) }
 
 // A node takes its path for lost only after it failed to reach several endpoints with no success in between. Guards
-// against one endpoint that stands still being taken for a cut, and against a cut that is not noticed.
+// against one stalled endpoint being taken for a cut, and against a cut that is not noticed.
 func TestPathIsLostAfterSeveralEndpoints(t *testing.T) {
 	var p kernel.Path
 	p = p.WithReached(pathAt(0))
 	p = p.WithUnreached(pathAt(100*time.Millisecond), pathAt(800*time.Millisecond), "a", false)
 	p = p.WithUnreached(pathAt(800*time.Millisecond), pathAt(1500*time.Millisecond), "a", false)
-	must.False(t, p.Lost(), must.Sprint("one endpoint that stands still"))
+	must.False(t, p.Lost(), must.Sprint("one stalled endpoint"))
 	p = p.WithUnreached(pathAt(900*time.Millisecond), pathAt(1600*time.Millisecond), "b", false)
 	must.True(t, p.Lost())
 	must.Eq(t, pathAt(1600*time.Millisecond), p.LostSince)
@@ -76,12 +76,12 @@
 }
 
 // A pool that falls silent as a whole is given a while before requests for it are refused at once. Guards against
-// endpoints that stand still for a second being taken for a cut.
-func TestPathMayBeStandstillForAWhile(t *testing.T) {
+// endpoints that are stalled for a second being taken for a cut.
+func TestPathMayBeStalledForAWhile(t *testing.T) {
 	var p kernel.Path
 	p = p.WithUnreached(pathAt(0), pathAt(700*time.Millisecond), "a", false).WithUnreached(pathAt(300*time.Millisecond), pathAt(time.Second), "b", false)
 	must.True(t, p.Lost())
-	must.True(t, p.MayBeStandstill(pathAt(1200*time.Millisecond)))
+	must.True(t, p.MayBeStalled(pathAt(1200*time.Millisecond)))
 	p = p.WithUnreached(pathAt(1800*time.Millisecond), pathAt(2500*time.Millisecond), "c", false)
-	must.False(t, p.MayBeStandstill(pathAt(2500*time.Millisecond)))
+	must.False(t, p.MayBeStalled(pathAt(2500*time.Millisecond)))
 }
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -74,12 +74,12 @@
 }
 
 // triesOwnPath reports whether this node sends the request itself after no other node did so: it reaches the pool again, or
-// the endpoints may only stand still. That happens once for each request.
+// the endpoints may only be stalled. That happens once for each request.
 func (j *job) triesOwnPath(p *pool, refusal *model.Refusal) bool {
 	if refusal.Reason != model.EndpointsUnreachable || refusal.Verdict != model.NotRun || j.ownPathOnly {
 		return false
 	}
-	j.ownPathOnly = j.relay.paths.Path(p.name).MayBeStandstill(j.relay.now())
+	j.ownPathOnly = j.relay.paths.Path(p.name).MayBeStalled(j.relay.now())
 	if j.ownPathOnly {
 		j.excluded, j.unreached = j.reachedEndpoints(), nil
 	}
--- a/soak/cutoff_test.go
+++ b/soak/cutoff_test.go
@@ -22,8 +22,8 @@
 	// statedRefusals is how many requests a second the endpoint may refuse, and statedRoom how many it takes at a time.
 	statedRefusals = 3
 	statedRoom     = 2
-	// standstillTime is how long endpoints stand still.
-	standstillTime = 1200 * time.Millisecond
+	// stallTime is how long endpoints are stalled.
+	stallTime = 1200 * time.Millisecond
 )
 
 // endpointLinks holds the links over which the nodes of each failure domain reach endpoints. Nodes of a domain read the list
@@ -210,8 +210,8 @@
 	return count
 }
 
-// standStill makes an endpoint, or all of a pool, leave everything unanswered for a second, new connections too, and go on.
-func standStill(c *cluster, random *rand.Rand, _ time.Duration) {
+// stallEndpoints stalls an endpoint, or all of a pool, for a second: neither open nor new connections are answered.
+func stallEndpoints(c *cluster, random *rand.Rand, _ time.Duration) {
 	e := c.randomEndpoint(random)
 	suffix := "/" + e.proxy.address()
 	prefix := ""
@@ -223,6 +223,6 @@
 	}
 	defer c.cutOffMu.Unlock()
 	c.links.setMatching(prefix, suffix, links.LinkSilent)
-	time.Sleep(standstillTime)
+	time.Sleep(stallTime)
 	c.links.setMatching(prefix, suffix, links.LinkOpen)
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -51,7 +51,7 @@
 	{"endpoint link", disturbEndpointLink},
 	{"endpoints cut off", cutOffEndpoints},
 	{"refusal caps", stateRefusalCap},
-	{"endpoints stand still", standStill},
+	{"endpoints stall", stallEndpoints},
 	{"endpoint leaves", replaceEndpoint},
 	{"endpoint starts again", restartEndpoint},
 	{"foreign entries", putInvalidEntries},
--- a/standin/cutlink.go
+++ b/standin/cutlink.go
@@ -17,7 +17,7 @@
 // The states of links.
 const (
 	LinkOpen LinkState = iota
-	// LinkSilent forwards nothing on open connections, and leaves the opening packets of new ones unanswered.
+	// LinkSilent forwards nothing on open connections, and leaves the SYNs of new ones unanswered.
 	LinkSilent
 	// LinkReset resets open connections and refuses new ones.
 	LinkReset
@@ -135,7 +135,7 @@
 	l.fillers = nil
 }
 
-// ignoreConnections listens with a full queue, so that the system drops the opening packets of new connections.
+// ignoreConnections listens with a full queue, so that the system drops the SYNs of new connections.
 func (l *CutLink) ignoreConnections() {
 	address := netip.MustParseAddrPort(l.address)
 	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
