--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -319,6 +319,7 @@
 		return
 	}
 	j.mayHaveRun = true
+	j.counted = true
 	if err == nil || asFault(err).Kind == endpoint.Cancelled {
 		return
 	}
