--- a/standin/cutlink.go
+++ b/standin/cutlink.go
@@ -1,11 +1,13 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -40,6 +42,11 @@
 		target  string
 
 		carried atomic.Int64
+		// guard is a socket that is bound to the address and does not listen, so that nothing else gets the port while the
+		// link does not listen either.
+		guard     int
+		closeOnce sync.Once
+
 		// stateMu serializes changes of the state.
 		stateMu sync.Mutex
 
@@ -58,11 +65,36 @@
 // NewCutLink returns an open link to target, HOST:PORT. It panics if it can't listen.
 func NewCutLink(target string) *CutLink {
 	l := &CutLink{target: target, changed: make(chan struct{}), conns: map[*net.TCPConn]struct{}{}}
-	l.listen(net.JoinHostPort(NewLoopbackHost(), "0"))
-	l.address = l.listener.Addr().String()
+	l.reserve(netip.MustParseAddr(NewLoopbackHost()))
+	l.listen()
 	return l
 }
 
+// reserve binds the guard to a free port of a host.
+func (l *CutLink) reserve(host netip.Addr) {
+	l.guard = newSocket(netip.AddrPortFrom(host, 0))
+	bound, err := unix.Getsockname(l.guard)
+	if err != nil {
+		panic(err)
+	}
+	l.address = netip.AddrPortFrom(host, uint16(bound.(*unix.SockaddrInet4).Port)).String()
+}
+
+// newSocket returns a socket that shares an address with the other sockets of a link.
+func newSocket(address netip.AddrPort) int {
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		panic(err)
+	}
+	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+		panic(err)
+	}
+	if err := unix.Bind(socket, &unix.SockaddrInet4{Port: int(address.Port()), Addr: address.Addr().As4()}); err != nil {
+		panic(err)
+	}
+	return socket
+}
+
 // Address returns the address on which the link listens.
 func (l *CutLink) Address() string { return l.address }
 
@@ -85,7 +117,7 @@
 	l.stopListening()
 	switch state {
 	case LinkOpen:
-		l.listen(l.address)
+		l.listen()
 	case LinkSilent:
 		l.ignoreConnections()
 	case LinkReset:
@@ -96,10 +128,18 @@
 // Close stops the link and closes its connections.
 func (l *CutLink) Close() {
 	l.SetState(LinkReset)
+	l.closeOnce.Do(func() { _ = unix.Close(l.guard) })
 }
 
-func (l *CutLink) listen(address string) {
-	listener, err := net.Listen("tcp", address)
+func (l *CutLink) listen() {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var optionErr error
+		err := c.Control(func(fd uintptr) {
+			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+		})
+		return cmp.Or(err, optionErr)
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", l.address)
 	if err != nil {
 		panic(err)
 	}
@@ -137,17 +177,7 @@
 
 // ignoreConnections listens with a full queue, so that the system drops the SYNs of new connections.
 func (l *CutLink) ignoreConnections() {
-	address := netip.MustParseAddrPort(l.address)
-	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		panic(err)
-	}
-	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
-		panic(err)
-	}
-	if err := unix.Bind(socket, &unix.SockaddrInet4{Port: int(address.Port()), Addr: address.Addr().As4()}); err != nil {
-		panic(err)
-	}
+	socket := newSocket(netip.MustParseAddrPort(l.address))
 	if err := unix.Listen(socket, 0); err != nil {
 		panic(err)
 	}
