Ask the next node where one could not connect to the only endpoint of a pool

Callers of a node that forwarded a request got 503 although a third node reached the endpoint: the node that was asked refused with EndpointRefused, as where an endpoint has no room, and no other is asked then. Where no connection could be opened at all the refusal says that the pool is out of reach. TestNextNodeIsAskedAfterFailedConnection failed for safe and unsafe requests.

--- a/relay/unary.go
+++ b/relay/unary.go
@@ -312,7 +312,7 @@
 // refuseEndpointRefused refuses a request that no endpoint took. Where the last refusals have left no endpoint to ask, the
 // caller learns when there is one.
 func (j *job) refuseEndpointRefused(detail string) Outcome {
-	if len(j.unreached) > 0 && j.relay.paths.Lost(j.admission.Pool) {
+	if len(j.unreached) > 0 && j.attempts == 0 {
 		return j.refuseNoEndpoint(model.NotRun)
 	}
 	outcome := j.refuse(model.NotRun, model.EndpointRefused, detail)
