Log the versions of engines and where a stream goes on

The logs could not tell whether streams of two versions came about within an answer or over a caller's tries: no line had an engine's version, the next engine of a stream, or that a request is a continuation. Entries' versions, Resumes and Last-Event-Id are decoded and logged; no decision uses them.

--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -31,6 +31,9 @@
 		// Region is the region of the failure domain; empty if the settings define none.
 		Region string
 		State  HostState
+		// Version is that of the endpoint's software; empty if its entry does not say. What endpoints of different versions
+		// write does not fit together.
+		Version string `json:",omitempty"`
 		// Slots is how many requests the endpoint processes at a time; 0 if its entry does not say.
 		Slots int `json:",omitempty"`
 		// ColdFor is how much longer the endpoint was cold when it wrote its entry in the list. ColdUntil is the time
--- a/model/forward.go
+++ b/model/forward.go
@@ -34,6 +34,10 @@
 		Prompt   Prompt
 		// Pieces is the number of pieces of each stage of the route.
 		Pieces []int
+		// Resumes is the ID of the caller's attempt that brought the first event of the stream which this attempt continues
+		// after the event LastEventID; both are empty for a new stream.
+		Resumes     string
+		LastEventID string
 		// PieceKey is sent by the caller and names the input of the stages that depend on no other stage.
 		PieceKey string
 	}
--- a/relay/log.go
+++ b/relay/log.go
@@ -39,6 +39,9 @@
 	if f.Waited > 0 {
 		line = line.Dur("Waited", f.Waited)
 	}
+	if f.LastEventID != "" || f.Resumes != "" {
+		line = line.Str("Resumes", f.Resumes).Str("LastEvent", f.LastEventID)
+	}
 	if !f.Deadline.IsZero() {
 		line = line.Dur("Left", f.Deadline.Sub(f.ReceivedAt))
 	}
@@ -103,11 +106,18 @@
 		Msg("attempt failed")
 }
 
+// logResumed logs that a stream goes on at another endpoint within its answer.
+func (r *Relay) logResumed(f model.Forward, from, to model.Endpoint, lastEventID string) {
+	r.log.Info().Str("Request", f.ID).Str("Digest", string(f.Digest)).Str("Pool", to.Pool).Str("LastEvent", lastEventID).
+		Str("From", from.Incarnation()).Str("FromVersion", from.Version).Str("To", to.Incarnation()).Str("ToVersion", to.Version).
+		Dur("RegistryAge", r.Registry().Age(r.now())).Msg("stream goes on at another endpoint")
+}
+
 // logRegistryChanges logs each endpoint that was listed or removed, or whose state changed.
 func (r *Relay) logRegistryChanges(changes []kernel.RegistryChange) {
 	for _, change := range changes {
 		r.log.Info().Str("Endpoint", change.Endpoint.Incarnation()).Str("Pool", change.Endpoint.Pool).
-			Str("Address", change.Endpoint.Address).Str("State", string(change.Endpoint.State)).
+			Str("Address", change.Endpoint.Address).Str("State", string(change.Endpoint.State)).Str("Version", change.Endpoint.Version).
 			Msg(change.Message)
 	}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -29,6 +29,8 @@
 		splitter   eventSplitter
 		headerSent bool
 		status     int
+		// source is the endpoint that the stream was last at; its name is empty if another node sent the request.
+		source model.Endpoint
 		// firstEventAt is when the first event was received.
 		firstEventAt time.Time
 	}
@@ -169,6 +171,10 @@
 		return checkAdmission()
 	}
 	send.LastEventID = state.splitter.lastID
+	if state.headerSent {
+		r.logResumed(j.forward, state.source, e, state.splitter.lastID)
+	}
+	state.source = e
 	result := j.relayEvents(ctx, p, send, state, onFirstEvent)
 	if !firstSeen {
 		p.dropPendingPrefill(e.Incarnation(), tokens)
