Own interface: keep a stream at the version that began it

The same fault within a stage: after an engine broke off midway, the next call went to any engine. Once a stream has a token, only endpoints of the version that made it are chosen; without one the stage ends as VersionGone, may have run. Engines that state no version have the empty one, so nothing changes for them. Callers cannot take up a stream here, so nothing has to outlast the request.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -38,6 +38,8 @@
 		notLoadedCount int
 		// excluded lists the endpoints that are chosen again only if no other may get a call.
 		excluded []string
+		// boundTo is bound once a stream has its first token: what endpoints of two versions write does not fit together.
+		boundTo versionFilter
 		// endpointName is the endpoint whose reply was accepted.
 		endpointName string
 		// busy is the total duration of the calls.
@@ -184,6 +186,9 @@
 		}
 		return refusal
 	}
+	if a.boundTo.bound {
+		return a.newRefusal(model.VersionGone, errors.Errorf("no endpoint of version %q for the stream", a.boundTo.version))
+	}
 	return a.newRefusal(model.NoEndpoint, err)
 }
 
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -21,7 +21,7 @@
 	a.connectBy = time.Time{}
 	for permitRequests := 0; ; permitRequests++ {
 		now := time.Now()
-		e, needsPermit := a.pool.pick(now, prefix, excluded, permitRequests < maxPermitRequests)
+		e, needsPermit := a.pool.pick(now, prefix, excluded, a.boundTo, permitRequests < maxPermitRequests)
 		a.permitDenied = permitRequests > 0
 		if e == nil || !needsPermit {
 			return e
--- a/dispatch/poolpick.go
+++ b/dispatch/poolpick.go
@@ -9,16 +9,27 @@
 	"basilstall.example/basilstall/model"
 )
 
-// pick chooses an endpoint and counts a call to it as in flight. It returns nil if no endpoint may get a call. Excluded
-// endpoints are chosen only if no other is usable. With allowPermit, it may choose an endpoint that this node may call
+// versionFilter restricts a call to endpoints of one version, if it is bound.
+type versionFilter struct {
+	bound   bool
+	version string
+}
+
+// allows reports whether an endpoint may get the call.
+func (f versionFilter) allows(e model.Endpoint) bool {
+	return !f.bound || e.Version == f.version
+}
+
+// pick chooses an endpoint that a filter allows and counts a call to it as in flight. It returns nil if no endpoint may get a call.
+// Excluded endpoints are chosen only if no other is usable. With allowPermit, it may choose an endpoint that this node may call
 // only with another node's permit; needsPermit is then true.
-func (p *pool) pick(now time.Time, prefix string, excluded []string, allowPermit bool) (e *endpointState, needsPermit bool) {
+func (p *pool) pick(now time.Time, prefix string, excluded []string, filter versionFilter, allowPermit bool) (e *endpointState, needsPermit bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.plain {
 		return p.pickRoundRobin(), false
 	}
-	candidates := p.admittedCandidates(now, allowPermit)
+	candidates := slices.DeleteFunc(p.admittedCandidates(now, allowPermit), func(c kernel.Candidate) bool { return !filter.allows(c.Endpoint) })
 	usable := kernel.Usable(now, candidates, excluded)
 	if len(usable) == 0 {
 		usable = kernel.Usable(now, candidates, nil)
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -116,6 +116,7 @@
 	target.Timeout = a.tokenTimeout(startedAt)
 	lastTokenAt := startedAt
 	var load *model.Load
+	version := a.pool.endpointOf(e).Version
 	a.dispatcher.OnCall(a.pool.endpointOf(e))
 	err := a.dispatcher.client.Stream(ctx, target, call, func(event model.TokenEvent) error {
 		now := time.Now()
@@ -136,6 +137,9 @@
 		}
 		a.observeToken(startedAt, lastTokenAt, now)
 		lastTokenAt = now
+		if !a.boundTo.bound {
+			a.boundTo = versionFilter{bound: true, version: version}
+		}
 		a.stageOutput.Tokens++
 		output.WriteString(event.Text)
 		if a.job.Emit != nil {
