Soak: engines of two versions, and callers that come back

Engines are of two versions in turn, whose events name the one that wrote them, and pause between events so that nodes and engines are lost midway.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -34,6 +34,8 @@
 		standin.Answer
 		sentAt   time.Time
 		nodeName string
+		// began is the attempt that brought the first event of the stream that this one takes up again; nil for any other.
+		began *sentRequest
 	}
 
 	// callers sends requests to all nodes over keep-alive connections.
@@ -57,7 +59,8 @@
 		n := cs.cluster.nodes[random.IntN(len(cs.cluster.nodes))]
 		pause := time.Duration(random.ExpFloat64() * float64(meanRequestInterval))
 		if n.address() != "" {
-			cs.send(n, fmt.Sprintf("%s-%d", name, i), route, key)
+			s := cs.send(n, fmt.Sprintf("%s-%d", name, i), route, key)
+			cs.takeUp(random, s)
 		}
 		select {
 		case <-time.After(pause):
@@ -86,12 +89,17 @@
 }
 
 func (cs *callers) sendCall(n *node, call standin.Call) *sentRequest {
+	return cs.sendResumed(n, call, nil)
+}
+
+// sendResumed sends a call that may take up the stream that another one began.
+func (cs *callers) sendResumed(n *node, call standin.Call, began *sentRequest) *sentRequest {
 	call.Timeout = callerDeadline
 	call.Stream = call.Route == "gen" || call.Route == "res"
 	if call.Route == "gen" {
 		call.Pieces = "2,3"
 	}
-	request := &sentRequest{Call: call, sentAt: time.Now(), nodeName: n.name}
+	request := &sentRequest{Call: call, sentAt: time.Now(), nodeName: n.name, began: began}
 	cs.mu.Lock()
 	cs.requests = append(cs.requests, request)
 	cs.mu.Unlock()
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -37,6 +38,7 @@
 	}
 	c.checkRateCaps(requests)
 	c.checkStatements(requests)
+	c.checkVersions(sent)
 	c.checkPieceCalls()
 	c.checkCold()
 	for id, requestRuns := range runs {
@@ -66,11 +68,11 @@
 		if !signed {
 			c.reportViolation("%s received a success response that no endpoint signed for it: %q", s.ID, s.Signature)
 		}
-		if s.Answer.Body != expectedBody(s) {
+		if unsigned(s.Answer.Body) != expectedBody(s) {
 			c.reportViolation("%s received a success response with a wrong body: %q", s.ID, s.Answer.Body)
 		}
 	}
-	if s.Status == http.StatusOK && !s.Complete && !strings.HasPrefix(expectedBody(s), s.Answer.Body) {
+	if s.Status == http.StatusOK && !s.Complete && !strings.HasPrefix(expectedBody(s), unsigned(s.Answer.Body)) {
 		c.reportViolation("%s received a truncated answer that is not a prefix of the expected one: %q", s.ID, s.Answer.Body)
 	}
 	// Requests on get and res may run more than once, so that one which has run may still be answered with 503.
@@ -88,7 +90,8 @@
 		return "answer " + s.ID
 	}
 	var b strings.Builder
-	for n := 1; n <= streamEvents; n++ {
+	last, _ := strconv.Atoi(s.LastEvent)
+	for n := last + 1; n <= streamEvents; n++ {
 		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", n, n)
 	}
 	return b.String()
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -73,6 +73,8 @@
 		// 100, so that they differ from those of the first endpoints. Each routing version has as many added routes as
 		// the value of sequence when it was written.
 		sequence int
+		// engines is the number of engines that were started.
+		engines int
 		// addedRoutes is the number of routes in the newest routing version that were added during the run.
 		addedRoutes int
 		// violations describe the violated guarantees.
@@ -146,6 +148,10 @@
 // startEndpointIn starts an endpoint in a failure domain and writes its entry to the endpoint list.
 func (c *cluster) startEndpointIn(domain, name, pool string) error {
 	e := &endpoint{Endpoint: standin.NewEndpoint(name), pool: pool, domain: domain}
+	if pool == "engines" {
+		e.SetVersion(c.nextVersion())
+		e.SetPace(streamEvents, streamPause)
+	}
 	var err error
 	if e.proxy, err = newProxy(e.Address()); err != nil {
 		return err
@@ -180,7 +186,7 @@
 
 // writeEntry writes the entry of an endpoint to the endpoint list.
 func (c *cluster) writeEntry(e *endpoint, draining bool) {
-	c.store.PutEndpoint(standin.Entry{Name: e.Name, Pool: e.pool, Address: e.proxy.address(), Domain: e.domain, Draining: draining, Cold: time.Until(e.coldPeriod.to), Started: e.Started()})
+	c.store.PutEndpoint(standin.Entry{Name: e.Name, Pool: e.pool, Address: e.proxy.address(), Domain: e.domain, Draining: draining, Version: e.Version(), Cold: time.Until(e.coldPeriod.to), Started: e.Started()})
 }
 
 // writeRouting writes the next version of the routing. It has four routes throughout: get is safe, so that its requests
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -97,7 +97,7 @@
 	}
 	defer c.close()
 	c.store.SetRewrite(c.replaceNodeAddress)
-	for pool, count := range map[string]int{"plain": 3, "engines": 3, "workers": 2} {
+	for pool, count := range map[string]int{"plain": 3, "engines": 4, "workers": 2} {
 		for i := range count {
 			must.NoError(t, c.startEndpoint(fmt.Sprintf("%s-%d", pool, i), pool))
 		}
@@ -121,6 +121,7 @@
 	c.checkRecovery(cs, "after", recoveryTimeout)
 	c.checkPoison(cs)
 	c.checkRecovery(cs, "beside", recoveryTimeout)
+	c.checkTakenUp(cs)
 	c.check(cs)
 	t.Logf("seed %d: %d requests, faults %v", seed, len(cs.requests), injected)
 	if len(c.violations) > 0 {
