--- a/kernel/path_test.go
+++ b/kernel/path_test.go
@@ -1,6 +1,8 @@
 package kernel_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -85,3 +87,46 @@
 	p = p.WithUnreached(pathAt(1800*time.Millisecond), pathAt(2500*time.Millisecond), "c", false)
 	must.False(t, p.MayBeStalled(pathAt(2500*time.Millisecond)))
 }
+
+// Two of many endpoints that have crashed together say little of a path. Guards against a path that is taken for lost while most
+// of the pool is reached: one in nine pairs of seven endpoints, three of which had crashed, was.
+func TestPathIsNotLostWithFewCrashedEndpoints(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 0))
+	for _, tc := range []struct{ size, crashed int }{{3, 1}, {4, 2}, {7, 2}, {7, 3}, {12, 3}, {12, 6}, {60, 10}, {60, 30}} {
+		t.Run(fmt.Sprintf("%d of %d crashed", tc.crashed, tc.size), func(t *testing.T) {
+			lost := 0
+			const rounds = 2000
+			for range rounds {
+				if loseByTrials(random, tc.size, tc.crashed) {
+					lost++
+				}
+			}
+			// With half of the pool gone, one belief in ten is one too many.
+			must.Less(t, rounds/10, lost)
+			if tc.crashed <= 3 {
+				must.EqOp(t, 0, lost)
+			}
+		})
+	}
+	for _, size := range []int{2, 3, 7, 60} {
+		must.True(t, loseByTrials(random, size, size), must.Sprintf("all of %d out of reach", size))
+	}
+}
+
+// loseByTrials tries endpoints of a pool in random order, as a node does after a failure, and reports whether the path is taken for
+// lost before one is reached.
+func loseByTrials(random *rand.Rand, size, crashed int) bool {
+	var p kernel.Path
+	at := pathAt(0)
+	for _, i := range random.Perm(size) {
+		if i >= crashed {
+			return false
+		}
+		p = p.WithUnreached(at, at, fmt.Sprint(i), false)
+		if p.Lost() {
+			return true
+		}
+		at = at.Add(time.Millisecond)
+	}
+	return p.Lost()
+}
