Take a path for lost only after four endpoints, and move batchers after a failed trial

Cause: two connections that were refused, one after the other, were taken for a lost path, which says little where endpoints crash together; and a belief of any length moved batchers.

Change: four endpoints with no success in between, or all of a smaller pool; two where another pool's path is lost. Refused connections are tried one after the other, in milliseconds; where the first got no answer, the further ones are tried at once, so that a silent cut is found in the time of two connections as before. Batchers, and the word to other nodes that no worker is reached, wait for a trial that failed after the path was lost.

Why it holds: with up to three crashed endpoints no belief is wrong; with half of a large pool one in sixteen is, which costs one hop for some milliseconds and moves nothing.

--- a/kernel/path.go
+++ b/kernel/path.go
@@ -6,9 +6,12 @@
 )
 
 const (
-	// minUnreached is how many endpoints of a pool a node must fail to reach, one after the other, before it takes its own
-	// path to the pool for lost: a single endpoint may be stalled or have crashed.
-	minUnreached = 2
+	// maxUnreachedNeeded is how many endpoints of a pool a node must fail to reach, with no success in between, before it takes its
+	// own path to the pool for lost, or all of a smaller pool: endpoints that have crashed together are refused to all nodes alike.
+	// With half of a large pool crashed, four that are drawn at random have all crashed in one of sixteen cases.
+	maxUnreachedNeeded = 4
+	// minUnreachedNeeded is the least number, and enough where the paths to other pools are lost already.
+	minUnreachedNeeded = 2
 	// unreachedTTL is how long a failure to connect counts. It is longer than two connections may take to fail, one after
 	// the other.
 	unreachedTTL = 2500 * time.Millisecond
@@ -52,10 +55,32 @@
 	return Path{reachedAt: now}
 }
 
+// unreachedNeeded returns how many endpoints of a pool of a size must not be reached for the path to be lost.
+func unreachedNeeded(poolSize int, othersLost bool) int {
+	if othersLost {
+		return max(1, min(minUnreachedNeeded, poolSize))
+	}
+	return max(minUnreachedNeeded, min(maxUnreachedNeeded, poolSize))
+}
+
+// Confirmed reports whether the path is lost and a trial has failed since. What moves work to other nodes for long waits for that.
+func (p Path) Confirmed() bool {
+	return p.Lost() && p.trials > 0
+}
+
+// TrialsNeeded returns how many further endpoints of a pool of a size are to be tried at once after a connection could not be opened
+// within its time, so that a cut that shows as silence is found out in the time of two connections.
+func (p Path) TrialsNeeded(poolSize int) int {
+	if p.Lost() {
+		return 0
+	}
+	return max(0, unreachedNeeded(poolSize, false)-len(p.unreached))
+}
+
 // WithUnreached returns the path after a connection to an incarnation of an endpoint, begun at beganAt, could not be
-// opened. A failure that began before another connection was opened does not count. Where othersLost, the paths to other
-// pools are lost already, and one endpoint is enough.
-func (p Path) WithUnreached(beganAt, now time.Time, incarnation string, othersLost bool) Path {
+// opened. A failure that began before another connection was opened does not count. poolSize is the number of endpoints of the
+// pool that may get work. Where othersLost, the paths to other pools are lost already, and fewer endpoints are enough.
+func (p Path) WithUnreached(beganAt, now time.Time, incarnation string, othersLost bool, poolSize int) Path {
 	if beganAt.Before(p.reachedAt) {
 		return p
 	}
@@ -69,7 +94,7 @@
 	}
 	unreached[incarnation] = now
 	p.unreached = unreached
-	if !p.Lost() && (othersLost || len(unreached) >= minUnreached) {
+	if !p.Lost() && len(unreached) >= unreachedNeeded(poolSize, othersLost) {
 		p.LostSince = now
 	}
 	return p
--- a/kernel/path_test.go
+++ b/kernel/path_test.go
@@ -20,10 +20,10 @@
 func TestPathIsLostAfterSeveralEndpoints(t *testing.T) {
 	var p kernel.Path
 	p = p.WithReached(pathAt(0))
-	p = p.WithUnreached(pathAt(100*time.Millisecond), pathAt(800*time.Millisecond), "a", false)
-	p = p.WithUnreached(pathAt(800*time.Millisecond), pathAt(1500*time.Millisecond), "a", false)
+	p = p.WithUnreached(pathAt(100*time.Millisecond), pathAt(800*time.Millisecond), "a", false, 2)
+	p = p.WithUnreached(pathAt(800*time.Millisecond), pathAt(1500*time.Millisecond), "a", false, 2)
 	must.False(t, p.Lost(), must.Sprint("one stalled endpoint"))
-	p = p.WithUnreached(pathAt(900*time.Millisecond), pathAt(1600*time.Millisecond), "b", false)
+	p = p.WithUnreached(pathAt(900*time.Millisecond), pathAt(1600*time.Millisecond), "b", false, 2)
 	must.True(t, p.Lost())
 	must.Eq(t, pathAt(1600*time.Millisecond), p.LostSince)
 	p = p.WithReached(pathAt(2 * time.Second))
@@ -35,16 +35,16 @@
 func TestPathIgnoresFailuresBegunBeforeSuccess(t *testing.T) {
 	var p kernel.Path
 	p = p.WithReached(pathAt(time.Second))
-	p = p.WithUnreached(pathAt(900*time.Millisecond), pathAt(1600*time.Millisecond), "a", false)
-	p = p.WithUnreached(pathAt(950*time.Millisecond), pathAt(1650*time.Millisecond), "b", false)
+	p = p.WithUnreached(pathAt(900*time.Millisecond), pathAt(1600*time.Millisecond), "a", false, 2)
+	p = p.WithUnreached(pathAt(950*time.Millisecond), pathAt(1650*time.Millisecond), "b", false, 2)
 	must.False(t, p.Lost())
 }
 
 // Failures that lie far apart do not add up.
 func TestPathForgetsOldFailures(t *testing.T) {
 	var p kernel.Path
-	p = p.WithUnreached(pathAt(0), pathAt(700*time.Millisecond), "a", false)
-	p = p.WithUnreached(pathAt(5*time.Second), pathAt(5700*time.Millisecond), "b", false)
+	p = p.WithUnreached(pathAt(0), pathAt(700*time.Millisecond), "a", false, 2)
+	p = p.WithUnreached(pathAt(5*time.Second), pathAt(5700*time.Millisecond), "b", false, 2)
 	must.False(t, p.Lost())
 	must.EqOp(t, 1, p.Unreached())
 }
@@ -52,7 +52,7 @@
 // Trials of a lost path go on, at intervals that are bounded and spread.
 func TestPathTrialsAreSpreadAndBounded(t *testing.T) {
 	var p kernel.Path
-	p = p.WithUnreached(pathAt(0), pathAt(0), "a", false).WithUnreached(pathAt(0), pathAt(0), "b", false)
+	p = p.WithUnreached(pathAt(0), pathAt(0), "a", false, 2).WithUnreached(pathAt(0), pathAt(0), "b", false, 2)
 	shortest, longest := time.Hour, time.Duration(0)
 	for i := range 40 {
 		var wait time.Duration
@@ -68,10 +68,10 @@
 // are replaced, being taken for out of reach.
 func TestPathForgetsEndedEndpoints(t *testing.T) {
 	var p kernel.Path
-	p = p.WithUnreached(pathAt(0), pathAt(time.Millisecond), "a", false).WithoutEndpoint("a")
-	p = p.WithUnreached(pathAt(time.Second), pathAt(time.Second), "b", false)
+	p = p.WithUnreached(pathAt(0), pathAt(time.Millisecond), "a", false, 2).WithoutEndpoint("a")
+	p = p.WithUnreached(pathAt(time.Second), pathAt(time.Second), "b", false, 2)
 	must.False(t, p.Lost())
-	p = p.WithUnreached(pathAt(time.Second), pathAt(time.Second), "c", false)
+	p = p.WithUnreached(pathAt(time.Second), pathAt(time.Second), "c", false, 2)
 	must.True(t, p.Lost())
 	must.True(t, p.WithoutEndpoint("b").Lost())
 	must.False(t, p.WithoutEndpoint("b").WithoutEndpoint("c").Lost())
@@ -81,10 +81,10 @@
 // endpoints that are stalled for a second being taken for a cut.
 func TestPathMayBeStalledForAWhile(t *testing.T) {
 	var p kernel.Path
-	p = p.WithUnreached(pathAt(0), pathAt(700*time.Millisecond), "a", false).WithUnreached(pathAt(300*time.Millisecond), pathAt(time.Second), "b", false)
+	p = p.WithUnreached(pathAt(0), pathAt(700*time.Millisecond), "a", false, 2).WithUnreached(pathAt(300*time.Millisecond), pathAt(time.Second), "b", false, 2)
 	must.True(t, p.Lost())
 	must.True(t, p.MayBeStalled(pathAt(1200*time.Millisecond)))
-	p = p.WithUnreached(pathAt(1800*time.Millisecond), pathAt(2500*time.Millisecond), "c", false)
+	p = p.WithUnreached(pathAt(1800*time.Millisecond), pathAt(2500*time.Millisecond), "c", false, 2)
 	must.False(t, p.MayBeStalled(pathAt(2500*time.Millisecond)))
 }
 
@@ -101,6 +101,7 @@
 					lost++
 				}
 			}
+			t.Logf("%d of %d beliefs were wrong", lost, rounds)
 			// With half of the pool gone, one belief in ten is one too many.
 			must.Less(t, rounds/10, lost)
 			if tc.crashed <= 3 {
@@ -122,7 +123,7 @@
 		if i >= crashed {
 			return false
 		}
-		p = p.WithUnreached(at, at, fmt.Sprint(i), false)
+		p = p.WithUnreached(at, at, fmt.Sprint(i), false, size)
 		if p.Lost() {
 			return true
 		}
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
@@ -31,6 +34,8 @@
 		// is the error of the last connection, and e the endpoint that was reached.
 		OnLost func(pool string, path kernel.Path, err error)
 		OnBack func(e model.Endpoint, since time.Time)
+		// OnConfirmed is called when a trial has failed since the path to a pool was lost.
+		OnConfirmed func(pool string)
 		// OnTry is called before each connection that only tries a path.
 		OnTry func()
 	}
@@ -44,12 +49,14 @@
 
 		mu     sync.Mutex
 		byPool map[string]kernel.Path
+		// trials is the number of connections under way that only try the path to a pool.
+		trials map[string]int
 	}
 )
 
 // NewTracker returns a tracker that knows of no lost path. Its background work ends with ctx.
 func NewTracker(ctx context.Context, deps Dependencies, now func() time.Time) *Tracker {
-	return &Tracker{ctx: ctx, deps: deps, now: now, byPool: map[string]kernel.Path{}}
+	return &Tracker{ctx: ctx, deps: deps, now: now, byPool: map[string]kernel.Path{}, trials: map[string]int{}}
 }
 
 // Path returns the path to a pool.
@@ -92,15 +99,16 @@
 func (t *Tracker) Record(e model.Endpoint, beganAt time.Time, err error) {
 	now := t.now()
 	othersLost := len(t.LostPools()) > 0
+	size := len(t.accepting(e.Pool))
 	before, after := t.update(e.Pool, func(p kernel.Path) kernel.Path {
 		if err == nil {
 			return p.WithReached(now)
 		}
-		return p.WithUnreached(beganAt, now, e.Incarnation(), othersLost)
+		return p.WithUnreached(beganAt, now, e.Incarnation(), othersLost, size)
 	})
 	switch {
 	case !after.Lost() && after.Unreached() > before.Unreached():
-		go t.tryEndpoint(e.Pool)
+		t.tryFurther(e.Pool, after.TrialsNeeded(size), err)
 	case after.Lost() && !before.Lost():
 		t.deps.OnLost(e.Pool, after, err)
 		go t.tryPath(e.Pool)
@@ -110,15 +118,50 @@
 	}
 }
 
+// tryFurther tries further endpoints of a pool after a connection could not be opened: the needed number at once if it got no answer,
+// since each such trial takes long, and otherwise one after the other, since an endpoint may just have crashed.
+func (t *Tracker) tryFurther(pool string, needed int, err error) {
+	var silent net.Error
+	if !errors.As(err, &silent) || !silent.Timeout() {
+		needed = min(needed, 1)
+	}
+	t.mu.Lock()
+	needed = max(0, needed-t.trials[pool])
+	t.trials[pool] += needed
+	t.mu.Unlock()
+	for range needed {
+		go func() {
+			for failed := true; failed; {
+				before := t.Path(pool)
+				t.tryEndpoint(pool)
+				after := t.Path(pool)
+				failed = !after.Lost() && after.Unreached() > before.Unreached() && after.TrialsNeeded(len(t.accepting(pool))) > 0
+			}
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.trials[pool]--
+		}()
+	}
+}
+
+// accepting returns the endpoints of a pool that may get work.
+func (t *Tracker) accepting(pool string) []model.Endpoint {
+	now := t.now()
+	return slices.DeleteFunc(slices.Clone(t.deps.Endpoints(pool)), func(e model.Endpoint) bool { return !e.Accepts(now) })
+}
+
 // tryPath tries the path to a pool until it is back.
 func (t *Tracker) tryPath(pool string) {
 	for {
 		t.tryEndpoint(pool)
 		var wait time.Duration
-		t.update(pool, func(p kernel.Path) kernel.Path {
+		before, after := t.update(pool, func(p kernel.Path) kernel.Path {
 			p, wait = p.WithTrial(rand.Float64())
 			return p
 		})
+		if after.Confirmed() && !before.Confirmed() && t.deps.OnConfirmed != nil {
+			t.deps.OnConfirmed(pool)
+		}
 		if !t.Lost(pool) || !clock.Sleep(t.ctx, wait) {
 			return
 		}
@@ -152,7 +195,7 @@
 func (t *Tracker) tryEndpoint(pool string) {
 	now := t.now()
 	path := t.Path(pool)
-	endpoints := slices.DeleteFunc(slices.Clone(t.deps.Endpoints(pool)), func(e model.Endpoint) bool { return !e.Accepts(now) })
+	endpoints := t.accepting(pool)
 	untried := slices.DeleteFunc(slices.Clone(endpoints), func(e model.Endpoint) bool { return path.TriedLately(now, e.Incarnation()) })
 	if len(untried) > 0 {
 		endpoints = untried
--- a/relay/paths.go
+++ b/relay/paths.go
@@ -16,10 +16,10 @@
 		Endpoints: func(pool string) []model.Endpoint { return r.Registry().Endpoints(pool) },
 		Connect:   func(ctx context.Context, e model.Endpoint) error { return r.deps.Connect(ctx, e.Address) },
 		OnLost: func(pool string, path kernel.Path, err error) {
-			r.batchers.leavePool(pool)
 			r.metrics.CountEvent("PathLost")
 			r.log.Info().Str("Pool", pool).Int("Unreached", path.Unreached()).Err(err).Msg("no endpoint of the pool is reached")
 		},
+		OnConfirmed: r.leavePool,
 		OnBack: func(e model.Endpoint, since time.Time) {
 			r.metrics.CountEvent("PathBack")
 			r.log.Info().Str("Pool", e.Pool).Str("Endpoint", e.Incarnation()).Dur("After", r.now().Sub(since)).Msg("the pool is reached again")
@@ -28,6 +28,11 @@
 	}, r.now)
 }
 
+// leavePool ends the batching of a pool that this node does not reach.
+func (r *Relay) leavePool(pool string) {
+	r.batchers.leavePool(pool)
+}
+
 // RecordDial records whether a connection to an endpoint, begun at beganAt, could be opened.
 func (r *Relay) RecordDial(address string, beganAt time.Time, err error) {
 	if e, listed := r.Registry().FindByAddress(address); listed {
--- a/relay/takeover.go
+++ b/relay/takeover.go
@@ -242,7 +242,7 @@
 
 // unreached reports whether this node does not reach the pool's workers. It does not batch then.
 func (b *batcher) unreached() bool {
-	return b.relay.paths.Lost(b.pool)
+	return b.relay.paths.Path(b.pool).Confirmed()
 }
 
 // abandon ends the batching on this node, which does not reach the pool's workers. The senders of all groups send them to
