Use the room of endpoints with refusal caps

Cause: a sender's window grew again 0.3 s after each refusal, ran into the next one, and sent nothing for 1.1 s each time. Nodes that may not send asked others at random for one that may: of 400, eight at random seldom hold one.

Change: a window stays below the size that was refused for 10 s, and for up to 40 s if it is refused there again. A sender whose only request is refused again and again waits longer, up to 9 s, so that their number follows the room. Below half of what was accepted, sends do not wait for an answer. Nodes that may not send ask the senders, whom they know by the hash.

Why it holds: a sender still sends nothing for 1.1 s after a refusal, so the bound on refusals is what it was; refusals become rarer, and the pauses with them.

--- a/kernel/refusalcap.go
+++ b/kernel/refusalcap.go
@@ -1,7 +1,9 @@
 package kernel
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"basilstall.example/basilstall/model"
@@ -12,10 +14,16 @@
 	// request of it: a second, and what requests may be delayed on their way.
 	refusalPause = 1100 * time.Millisecond
 	// acceptanceDelay is how long after a request a node sends the next one to an endpoint with a refusal cap if it has no
-	// answer yet: a refusal comes within a few round trips.
+	// answer yet, and half as many under way as the endpoint has accepted: a refusal comes within a few round trips.
 	acceptanceDelay = 30 * time.Millisecond
 	// windowGrowthInterval is the minimum time between two increases of a refusal window.
 	windowGrowthInterval = 300 * time.Millisecond
+	// minCeilingTime and maxCeilingTime bound how long a window stays below the size at which a request was refused. The time doubles
+	// with each refusal at the same size, so that an endpoint that takes the same all the time refuses little.
+	minCeilingTime = 10 * time.Second
+	maxCeilingTime = 40 * time.Second
+	// maxRefusalBackoff bounds the pause of a sender whose only request is refused again and again: others use the room.
+	maxRefusalBackoff = 8 * refusalPause
 	// maxRefusalSenders bounds the senders to an endpoint: with more, each would have fewer requests under way than it takes to
 	// keep the endpoint busy.
 	maxRefusalSenders = 8
@@ -60,13 +68,20 @@
 
 // RefusalWindow bounds the requests that one node has under way at an endpoint with a refusal cap: the endpoint ends if it
 // has to refuse more requests a second, from all nodes together, than it states. The window starts with one request, grows
-// while the endpoint accepts as many as it allows, and after a refusal nothing is sent for a while. So each sender causes
-// one refusal a second at most, and there are no more senders than refusals. It is immutable.
+// while the endpoint accepts as many as it allows, and after a refusal nothing is sent for a while, and for longer not as many
+// as were refused. So each sender causes one refusal a second at most, and there are no more senders than refusals. It is immutable.
 type RefusalWindow struct {
 	// size is how many requests may be under way; 0 stands for one.
 	size        int
 	grownAt     time.Time
 	pausedUntil time.Time
+	// ceiling is the greatest size until ceilingUntil, after a request was refused above it; 0 for none. ceilingTime is how long that
+	// lasts.
+	ceiling      int
+	ceilingUntil time.Time
+	ceilingTime  time.Duration
+	// refusedAlone counts the refusals of an only request since one was accepted.
+	refusedAlone int
 	// sentAt is when the last request was sent; answered is true if the endpoint has answered one since.
 	sentAt   time.Time
 	answered bool
@@ -84,6 +99,20 @@
 	return max(1, senders)
 }
 
+// RefusalSenderNames returns the names of the nodes that may send to an incarnation of an endpoint with a refusal cap, of all announced
+// ones.
+func RefusalSenderNames(stated model.RateCap, slots int, incarnation string, announced []Peer) []string {
+	ranked := slices.Clone(announced)
+	slices.SortFunc(ranked, func(a, b Peer) int {
+		return cmp.Compare(rendezvousScore(incarnation, b.Name), rendezvousScore(incarnation, a.Name))
+	})
+	var out []string
+	for _, p := range ranked[:min(len(ranked), RefusalSenders(stated, slots))] {
+		out = append(out, p.Name)
+	}
+	return out
+}
+
 // Admits reports whether a node may send one more request to the endpoint, where inFlight of its requests are under way.
 func (w RefusalWindow) Admits(now time.Time, stated model.RateCap, slots int, role RefusalRole, inFlight int) bool {
 	if !stated.Stated {
@@ -93,7 +122,7 @@
 	if role.rank >= senders || now.Before(w.pausedUntil) {
 		return false
 	}
-	if inFlight > 0 && !w.answered && now.Sub(w.sentAt) < acceptanceDelay {
+	if inFlight > 0 && 2*inFlight >= w.size && !w.answered && now.Sub(w.sentAt) < acceptanceDelay {
 		return false
 	}
 	limit := max(1, w.size)
@@ -116,8 +145,9 @@
 // WithAccepted returns the window after the endpoint has answered a request that it accepted, while inFlight requests, that
 // one included, were under way.
 func (w RefusalWindow) WithAccepted(now time.Time, inFlight int) RefusalWindow {
-	w.answered = true
-	if inFlight >= max(1, w.size) && now.Sub(w.grownAt) >= windowGrowthInterval {
+	w.answered, w.refusedAlone = true, 0
+	atCeiling := w.ceiling > 0 && max(1, w.size) >= w.ceiling && now.Before(w.ceilingUntil)
+	if inFlight >= max(1, w.size) && !atCeiling && now.Sub(w.grownAt) >= windowGrowthInterval {
 		w.size = max(1, w.size) + 1
 		w.grownAt = now
 	}
@@ -130,7 +160,18 @@
 	w.answered = true
 	w.size = max(1, min(w.size, inFlight)-1)
 	w.grownAt = now
-	w.pausedUntil = now.Add(refusalPause)
+	if w.size == w.ceiling {
+		w.ceilingTime = min(2*w.ceilingTime, maxCeilingTime)
+	} else {
+		w.ceilingTime = minCeilingTime
+	}
+	w.ceiling, w.ceilingUntil = w.size, now.Add(w.ceilingTime)
+	pause := refusalPause
+	if inFlight <= 1 {
+		pause = min(refusalPause<<min(w.refusedAlone, 4), maxRefusalBackoff)
+		w.refusedAlone++
+	}
+	w.pausedUntil = now.Add(pause)
 	return w
 }
 
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -208,6 +208,13 @@
 	p.state(incarnation).inFlight--
 }
 
+// slotsOf returns how many requests an endpoint processes at a time, as far as it is known.
+func (p *pool) slotsOf(e model.Endpoint) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state(e.Incarnation()).slots(e)
+}
+
 func (p *pool) recordSuccess(incarnation string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/ratecaps.go
+++ b/relay/ratecaps.go
@@ -67,6 +67,26 @@
 	return slices.ContainsFunc(r.Registry().Endpoints(pool), func(e model.Endpoint) bool { return r.refusalCaps.HasCap(e.Incarnation()) })
 }
 
+// refusalSenders returns those of some nodes that may send to an endpoint of a pool, if endpoints state refusal caps and this node
+// reaches the pool. Otherwise it returns all of them.
+func (r *Relay) refusalSenders(pool string, nodes []kernel.Peer) []kernel.Peer {
+	if !r.hasRefusalCaps(pool) || r.paths.Lost(pool) {
+		return nodes
+	}
+	announced := r.announcedSenders(pool)
+	senders := map[string]bool{}
+	for _, e := range r.Registry().Endpoints(pool) {
+		stated := r.refusalCaps.FractionalView(e.Incarnation()).Cap
+		if !stated.Stated || !e.TakesWork() {
+			continue
+		}
+		for _, name := range kernel.RefusalSenderNames(stated, r.pool(pool).slotsOf(e), e.Incarnation(), announced) {
+			senders[name] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(nodes), func(p kernel.Peer) bool { return !senders[p.Name] })
+}
+
 // barred reports whether this node may send nothing to the endpoints of a pool now because they state refusal caps. Another
 // node may.
 func (r *Relay) barred(pool string) bool {
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -55,7 +55,7 @@
 	asked := slices.Clone(j.excludedNodes)
 	refusal := kernel.RefuseUnreachable(j.admission.Pool)
 	for range kernel.MaxHelpersAsked {
-		node := r.helpers.Pick(r.now(), j.admission.Pool, j.possibleHelpers(asked))
+		node := r.helpers.Pick(r.now(), j.admission.Pool, r.refusalSenders(j.admission.Pool, j.possibleHelpers(asked)))
 		if node == "" || ctx.Err() != nil {
 			break
 		}
