--- a/binding/agent.go
+++ b/binding/agent.go
@@ -178,13 +178,18 @@
 func (a *Agent) sendNeeded() {
 	now := a.now()
 	versions, allRecord := a.Versions(), a.deps.AllNodesRecord()
+	needed := map[string]bool{}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for key, r := range a.unsent {
+		pool := r.Binding.Pool
+		if _, known := needed[pool]; !known {
+			needed[pool] = kernel.NeedsBindingRecord(now, versions, pool, allRecord)
+		}
 		switch {
 		case !now.Before(r.ExpiresAt):
 			delete(a.unsent, key)
-		case kernel.NeedsBindingRecord(now, versions, r.Binding.Pool, allRecord):
+		case needed[pool]:
 			delete(a.unsent, key)
 			a.queueLocked(r)
 		}
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -42,7 +42,13 @@
 
 func newFleet(t *testing.T, nodes int) *fleet {
 	t.Helper()
-	platform, err := standin.NewStandin(sample.Bilbao())
+	return newFleetOf(t, sample.Bilbao(), nodes)
+}
+
+// newFleetOf starts nodes that use a stand-in with a configuration.
+func newFleetOf(t *testing.T, setup standin.Config, nodes int) *fleet {
+	t.Helper()
+	platform, err := standin.NewStandin(setup)
 	must.NoError(t, err)
 	f := &fleet{t: t, platform: platform}
 	t.Cleanup(func() {
--- a/standin/config.go
+++ b/standin/config.go
@@ -31,6 +31,8 @@
 		// Endpoints is the number of endpoints, which are spread evenly over FailureDomains.
 		Endpoints      int      `yaml:"Endpoints"      validate:"gte=1,lte=1000"`
 		FailureDomains []string `yaml:"FailureDomains" validate:"required,min=1"`
+		// Versions are the software versions of the endpoints, in turn; none if it is empty.
+		Versions []string `yaml:"Versions"`
 		// Host is the address on which the endpoints listen; if empty, each gets its own loopback address.
 		Host string `yaml:"Host"`
 		// FirstPort is the first endpoint's port, and each further endpoint has the next one; 0 takes any free ports.
@@ -62,6 +64,14 @@
 	}
 )
 
+// versionOf returns the software version of an endpoint, counted from 0; empty if none is configured.
+func (p PoolConfig) versionOf(endpoint int) string {
+	if len(p.Versions) == 0 {
+		return ""
+	}
+	return p.Versions[endpoint%len(p.Versions)]
+}
+
 // ReadConfig reads a configuration file; unknown keys are errors.
 func ReadConfig(file string) (Config, error) {
 	var c Config
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -21,6 +21,7 @@
 	name     string
 	pool     PoolConfig
 	domain   string
+	version  string
 	listener *faultListener
 	server   *http.Server
 	faults   *faultSet
@@ -42,9 +43,9 @@
 	previousCall model.StageCall
 }
 
-func newEndpoint(name string, pool PoolConfig, domain string, listener *faultListener, f *faultSet, j *Journal) *endpoint {
+func newEndpoint(name string, pool PoolConfig, domain, version string, listener *faultListener, f *faultSet, j *Journal) *endpoint {
 	e := &endpoint{
-		name: name, pool: pool, domain: domain, listener: listener, faults: f, journal: j,
+		name: name, pool: pool, domain: domain, version: version, listener: listener, faults: f, journal: j,
 		slots: make(chan struct{}, pool.Slots), cache: newPrefixCache(),
 	}
 	e.engine = newEngineState(e)
@@ -69,7 +70,7 @@
 func (e *endpoint) toModel() model.Endpoint {
 	return model.Endpoint{
 		Name: e.name, Pool: e.pool.Name, Address: e.listener.Addr().String(),
-		FailureDomain: e.domain, State: model.Live,
+		FailureDomain: e.domain, State: model.Live, Version: e.version,
 	}
 }
 
@@ -240,6 +241,6 @@
 func (e *endpoint) recordRun(call model.StageCall) {
 	e.journal.addRun(Run{
 		Endpoint: e.name, Stage: call.Stage, Request: call.Request, Attempt: call.Attempt,
-		Key: call.Key, Operation: call.Operation, Customer: call.Customer, At: time.Now(),
+		Key: call.Key, Operation: call.Operation, Customer: call.Customer, Version: e.version, From: call.From, At: time.Now(),
 	})
 }
--- a/standin/journal.go
+++ b/standin/journal.go
@@ -18,7 +18,10 @@
 		Key       string `json:",omitempty"`
 		Operation string `json:",omitempty"`
 		Customer  string
-		At        time.Time
+		// Version is the software version of the endpoint, and From the index of the first token that it was asked for.
+		Version string `json:",omitempty"`
+		From    int    `json:",omitempty"`
+		At      time.Time
 	}
 
 	// OrderRecord is an order that an engine received, to load or evict an adapter.
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -175,7 +175,7 @@
 		}
 		name := fmt.Sprintf("%s-%d", pool.Name, i+1)
 		domain := pool.FailureDomains[i%len(pool.FailureDomains)]
-		s.endpoints = append(s.endpoints, newEndpoint(name, pool, domain, listener, s.faults, s.Journal))
+		s.endpoints = append(s.endpoints, newEndpoint(name, pool, domain, pool.versionOf(i), listener, s.faults, s.Journal))
 	}
 	return nil
 }
