Streams of a moment ago are known: records reach another node before the first event

What callers saw: where a node was killed some milliseconds after its streams began, or right after nodes had learned of each other, up to 23 of 24 streams that came back were refused as unknown, beside other load (platform TestReturningCallerOfKilledNode..., TestReturningCallerGetsAnotherEngine..., failing in 6 of 8 runs at a load of 12 on five cores; no stream was joined).

Causes: the ranking of the registrars was kept for half a second, also where it knew no other node; records waited for the answers to earlier ones; a node whose list showed a second version, but whose rows did not yet, recorded nothing; and nothing made sure that another node had a record before the caller had an event.

Change: the ranking is dropped when other nodes become known; records are sent to both registrars at once, without waiting for earlier ones, after 2 ms for what comes along; a listed engine of another version is enough to record, and nobody infers then; the first event waits up to 50 ms until another node has the record, which it usually has while the prompt is read. Rows that have not been proven for a minute let no stream begin unrecorded, and routes whose streams outlast the rows infer nothing.

--- a/binding/agent.go
+++ b/binding/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +79,7 @@
 		// announceFailedAt is when the last announcement of a version for a stream failed.
 		announceFailedAt time.Time
 		// outgoing are records that wait to be sent to the registrars.
-		outgoing []kernel.BindingRecord
+		outgoing []outgoingRecord
 		// unsent are records of this node's streams that no other node needed when they began. They are sent once others do.
 		unsent map[kernel.StreamKey]kernel.BindingRecord
 
@@ -86,6 +87,12 @@
 		cachedRegistrars kernel.Registrars
 		registrarsAt     time.Time
 	}
+
+	// outgoingRecord is a record that waits to be sent. held is closed once another node has it, or none can be told.
+	outgoingRecord struct {
+		kernel.BindingRecord
+		held chan struct{}
+	}
 )
 
 // NewAgent returns an agent. Its background work ends with ctx.
@@ -139,39 +146,45 @@
 	return a.cachedRegistrars
 }
 
-// forgetRegistrars has the registrars ranked anew, as one does not answer.
-func (a *Agent) forgetRegistrars() {
+// ForgetRegistrars has the registrars ranked anew, as one does not answer or other nodes are known.
+func (a *Agent) ForgetRegistrars() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.registrarsAt = time.Time{}
 }
 
-// Record records what a stream of this node is bound to unless an engine at another version brings its first event. needed is
-// true if other nodes cannot conclude it.
-func (a *Agent) Record(r kernel.BindingRecord, needed bool) {
+// Record records what a stream of this node is bound to unless an engine at another version brings its first event. inferable is
+// true if other nodes may conclude it while its pool has one version. The channel is closed once another node has the record, or none
+// can be told; it is nil if none needs it.
+func (a *Agent) Record(r kernel.BindingRecord, inferable bool) <-chan struct{} {
 	if r.Key == "" {
-		return
+		return nil
 	}
 	a.add(r)
+	now, versions, allRecord := a.now(), a.Versions(), a.deps.AllNodesRecord()
 	a.mu.Lock()
-	if needed {
+	defer a.mu.Unlock()
+	if !inferable || kernel.NeedsBindingRecord(now, versions, a.listed, r.Binding.Pool, allRecord) {
 		delete(a.unsent, r.Key)
-		a.queueLocked(r)
-	} else if len(a.unsent) < maxQueuedRecords {
+		return a.queueLocked(r)
+	}
+	if len(a.unsent) < maxQueuedRecords {
 		a.unsent[r.Key] = r
 	}
-	a.mu.Unlock()
+	return nil
 }
 
-// queueLocked queues a record for the registrars.
-func (a *Agent) queueLocked(r kernel.BindingRecord) {
+// queueLocked queues a record for the registrars. It returns nil if there is no room for it.
+func (a *Agent) queueLocked(r kernel.BindingRecord) <-chan struct{} {
 	if len(a.outgoing) >= maxQueuedRecords {
 		a.metrics.CountEvent("BindingDropped")
-		return
+		return nil
 	}
-	a.outgoing = append(a.outgoing, r)
+	held := make(chan struct{})
+	a.outgoing = append(a.outgoing, outgoingRecord{BindingRecord: r, held: held})
 	a.metrics.CountEvent("BindingRecorded")
 	a.outbox.wake()
+	return held
 }
 
 // sendNeeded queues the records of streams that other nodes could conclude when they began, and cannot any more.
@@ -184,7 +197,7 @@
 	for key, r := range a.unsent {
 		pool := r.Binding.Pool
 		if _, known := needed[pool]; !known {
-			needed[pool] = kernel.NeedsBindingRecord(now, versions, pool, allRecord)
+			needed[pool] = kernel.NeedsBindingRecord(now, versions, a.listed, pool, allRecord)
 		}
 		switch {
 		case !now.Before(r.ExpiresAt):
@@ -206,43 +219,82 @@
 	}
 }
 
-// flush sends the waiting records to the registrars. Rounds follow while one does not answer, as it may have been lost.
+// flush sends the waiting records to the registrars, in the background: the next ones do not wait for the answers.
 func (a *Agent) flush() {
 	a.mu.Lock()
-	records := a.outgoing
+	outgoing := a.outgoing
 	a.outgoing = nil
 	a.mu.Unlock()
-	if len(records) == 0 {
+	if len(outgoing) == 0 {
 		return
 	}
+	records := make([]kernel.BindingRecord, 0, len(outgoing))
+	for _, r := range outgoing {
+		records = append(records, r.BindingRecord)
+	}
+	held := sync.OnceFunc(func() {
+		for _, r := range outgoing {
+			close(r.held)
+		}
+	})
+	go func() {
+		defer held()
+		a.deliver(records, held)
+	}()
+}
+
+// deliver sends records to both registrars at once. Rounds follow while one does not answer, as it may have been lost. It calls held
+// once another node has them.
+func (a *Agent) deliver(records []kernel.BindingRecord, held func()) {
 	sent := map[string]bool{}
 	for range sendRounds {
 		primary, secondary := a.registrars().Of(a.name)
-		stored := a.sendOnce(sent, primary, peer.BindStreams{Store: true}, records)
-		kept := a.sendOnce(sent, secondary, peer.BindStreams{Storer: primary}, records)
-		if stored && kept {
+		messages := map[string]peer.BindStreams{}
+		if primary != "" && !sent[primary] {
+			messages[primary] = peer.BindStreams{Store: true}
+		}
+		if secondary != "" && !sent[secondary] {
+			messages[secondary] = peer.BindStreams{Storer: primary}
+		}
+		if a.send(sent, messages, records, held) {
 			return
 		}
-		a.forgetRegistrars()
+		a.ForgetRegistrars()
 	}
 	a.metrics.CountEvent("RegistrarNotInformed")
 }
 
-// sendOnce sends records to a registrar that has not got them yet, and reports whether it has them. There may be no registrar.
-func (a *Agent) sendOnce(sent map[string]bool, registrar string, message peer.BindStreams, records []kernel.BindingRecord) bool {
-	switch {
-	case registrar == "" || sent[registrar]:
-		return true
-	case registrar == a.name:
+// send sends records to several registrars at once and adds those that have them to sent. It reports whether all have.
+func (a *Agent) send(sent map[string]bool, messages map[string]peer.BindStreams, records []kernel.BindingRecord, held func()) bool {
+	var mu sync.Mutex
+	var sends sync.WaitGroup
+	all := true
+	for registrar, message := range messages {
+		sends.Go(func() {
+			ok := a.sendTo(registrar, message, records)
+			if ok && registrar != a.name {
+				held()
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			sent[registrar] = ok
+			all = all && ok
+		})
+	}
+	sends.Wait()
+	return all
+}
+
+// sendTo sends records to a registrar, which may be this node, and reports whether it has them.
+func (a *Agent) sendTo(registrar string, message peer.BindStreams, records []kernel.BindingRecord) bool {
+	if registrar == a.name {
 		a.keep(message, records)
-		sent[registrar] = true
 		return true
 	}
 	message.Records = a.encode(records)
 	ctx, cancel := context.WithTimeout(a.ctx, registrarTimeout)
 	defer cancel()
-	sent[registrar] = a.deps.Call(ctx, registrar, peer.KindBindStreams, message, &peer.Empty{}) == nil
-	return sent[registrar]
+	return a.deps.Call(ctx, registrar, peer.KindBindStreams, message, &peer.Empty{}) == nil
 }
 
 // keep queues records that this node is to store, or to store if their storer is lost.
@@ -311,8 +363,12 @@
 // the list was last proven current.
 func (a *Agent) SetListed(provenAt time.Time, listed []kernel.Binding) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
+	changed := !slices.Equal(a.listed, listed)
 	a.listed, a.listProvenAt = listed, provenAt
+	a.mu.Unlock()
+	if changed {
+		a.sendNeeded()
+	}
 }
 
 // ListedVersions returns the versions of a registry's endpoints that take work, of the pools with resumable streams.
--- a/binding/find.go
+++ b/binding/find.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -129,7 +128,7 @@
 func (a *Agent) listsOnly(only kernel.Binding) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !slices.ContainsFunc(a.listed, func(b kernel.Binding) bool { return b.Pool == only.Pool && b != only })
+	return kernel.ListsOnly(a.listed, only)
 }
 
 // lookUp asks the store, first for the versions of the pool and then for records.
--- a/binding/outbox.go
+++ b/binding/outbox.go
@@ -8,6 +8,9 @@
 	"basilstall.example/basilstall/kernel"
 )
 
+// coalesceTime is how long a call waits for more to come. It is short beside the time that an engine takes to its first event.
+const coalesceTime = 2 * time.Millisecond
+
 // outbox calls a function in the background after it was woken, as often as a pacer allows.
 type outbox struct {
 	woken chan struct{}
@@ -22,6 +25,10 @@
 			case <-ctx.Done():
 				return
 			}
+			// Requests come in bursts: what follows at once goes along.
+			if !clock.Sleep(ctx, coalesceTime) {
+				return
+			}
 			send()
 			var wait time.Duration
 			if pacer, wait = pacer.With(now(), interval()); wait > 0 && !clock.Sleep(ctx, wait) {
--- a/binding/versions.go
+++ b/binding/versions.go
@@ -70,7 +70,7 @@
 
 // Announce makes sure that streams of a pool may begin at a version: it writes the version's row unless there is one.
 func (a *Agent) Announce(ctx context.Context, b kernel.Binding) error {
-	if a.Versions().MayBegin(b) {
+	if a.Versions().MayBegin(a.now(), b) {
 		return nil
 	}
 	a.mu.Lock()
@@ -95,7 +95,7 @@
 		return err
 	}
 	a.ApplyVersions(time.Time{}, rows)
-	if versions := a.Versions(); !versions.MayBegin(b) {
+	if versions := a.Versions(); !versions.Lists(b) {
 		return a.writeVersion(ctx, versions.Announcement(b))
 	}
 	return nil
--- a/kernel/bindingregistrars.go
+++ b/kernel/bindingregistrars.go
@@ -18,7 +18,7 @@
 	// minBindingStoreFlush is the minimum interval between the writes of a registrar to the store. With more registrars it grows
 	// so that all of them together make at most registrarWrites a second.
 	minBindingStoreFlush = 250 * time.Millisecond
-	registrarWrites      = 40
+	registrarWrites      = 80
 )
 
 // Pacer decides when the next of a series of messages may be sent: at most a burst at once, and one an interval on average. It
--- a/kernel/poolversions.go
+++ b/kernel/poolversions.go
@@ -112,12 +112,19 @@
 	return bindings[0], true
 }
 
-// MayBegin reports whether a node that has read these rows may begin streams at a version that may be resumed.
-func (v PoolVersions) MayBegin(b Binding) bool {
+// Lists reports whether there is a row that lets streams begin at a version.
+func (v PoolVersions) Lists(b Binding) bool {
 	retiring, known := v.retiring[b]
 	return known && !retiring
 }
 
+// MayBegin reports whether a node that has read these rows may begin streams at a version that may be resumed. A copy that is out of
+// date may lack that the row was retired and removed since.
+func (v PoolVersions) MayBegin(now time.Time, b Binding) bool {
+	trusted := v.provenAt.IsZero() || now.Sub(v.provenAt) <= versionRowTrust
+	return trusted && v.Lists(b)
+}
+
 // Fresh reports whether the rows were lately shown to be current.
 func (v PoolVersions) Fresh(now time.Time) bool {
 	return !v.provenAt.IsZero() && now.Sub(v.provenAt) <= versionsFreshFor
--- a/kernel/resumption.go
+++ b/kernel/resumption.go
@@ -70,22 +70,29 @@
 	return f.ID
 }
 
+// ListsOnly reports whether no listed engine of a pool has another version than the given one. An engine is listed before there is a row
+// of its version.
+func ListsOnly(listed []Binding, only Binding) bool {
+	return !slices.ContainsFunc(listed, func(b Binding) bool { return b.Pool == only.Pool && b != only })
+}
+
 // NeedsBindingRecord reports whether what a stream of a pool is bound to has to be recorded because other nodes could not conclude it
-// from the versions of the pool. On a route that leads to several pools it always has to be.
-func NeedsBindingRecord(now time.Time, versions PoolVersions, pool string, allNodesRecord bool) bool {
-	_, only := versions.Only(pool)
-	return !only || !versions.Fresh(now) || !allNodesRecord
+// from the versions of the pool. On a route that does not allow that (see AllowsInference) it always has to be.
+func NeedsBindingRecord(now time.Time, versions PoolVersions, listed []Binding, pool string, allNodesRecord bool) bool {
+	only, ok := versions.Only(pool)
+	return !ok || !ListsOnly(listed, only) || !versions.Fresh(now) || !allNodesRecord
 }
 
-// MayInferBinding reports whether what a stream is bound to may be concluded from the versions of the pool that its route
+// MayInferBinding reports whether what a stream is bound to may be concluded now from the versions of the pool that its route
 // leads to: the route has led there for as long as a stream lasts, and all nodes keep to what the rows of versions state.
 func MayInferBinding(now time.Time, history RouteHistory, route model.Route, allNodesRecord bool) bool {
-	return allNodesRecord && LeadsToOnePool(route) && !history.Changed(now, route)
+	return allNodesRecord && AllowsInference(route) && !history.Changed(now, route)
 }
 
-// LeadsToOnePool reports whether all requests of a route go to one pool.
-func LeadsToOnePool(route model.Route) bool {
-	return len(route.Split) == 1
+// AllowsInference reports whether what a stream of a route is bound to may be concluded from the versions of a pool at all: the route
+// leads to one pool, and its streams end before the rows of their versions are removed.
+func AllowsInference(route model.Route) bool {
+	return len(route.Split) == 1 && route.Timeout <= MaxStreamLife
 }
 
 // AdmitResumed decides on a request that resumes a stream, after what was found out of its binding. It is refused unless the
--- a/kernel/versionpublisher.go
+++ b/kernel/versionpublisher.go
@@ -95,7 +95,7 @@
 func (p *VersionPublisher) wanted(listed []Binding, listIsFresh bool, rows PoolVersions) map[Binding]VersionAction {
 	wanted := map[Binding]VersionAction{}
 	for _, b := range listed {
-		if !rows.MayBegin(b) {
+		if !rows.Lists(b) {
 			wanted[b] = AnnounceVersion
 		}
 	}
--- a/relay/nodes.go
+++ b/relay/nodes.go
@@ -16,6 +16,7 @@
 func (r *Relay) SetNodes(nodes []Node, announced []string) {
 	r.nodes.Store(&nodes)
 	r.nodesKnown.Store(true)
+	r.bindings.ForgetRegistrars()
 	r.helpers.Retain(func(name string) bool {
 		return slices.ContainsFunc(nodes, func(n Node) bool { return n.Name == name })
 	})
--- a/relay/resumption.go
+++ b/relay/resumption.go
@@ -12,8 +12,13 @@
 	"basilstall.example/basilstall/model"
 )
 
-// announceTimeout bounds the wait of a stream until it may begin at a version at which none has begun before.
-const announceTimeout = 300 * time.Millisecond
+const (
+	// maxBindingWait bounds how long the first event of a stream waits until another node knows what the stream is bound to. It is
+	// short beside any objective.
+	maxBindingWait = 50 * time.Millisecond
+	// announceTimeout bounds the wait of a stream until it may begin at a version at which none has begun before.
+	announceTimeout = 300 * time.Millisecond
+)
 
 // newBindings returns the agent that keeps what streams are bound to.
 func (r *Relay) newBindings() *binding.Agent {
@@ -86,9 +91,9 @@
 	if j.admission.Bound || j.unannounced || !isResumable(j.admission.Route) {
 		return endpoints
 	}
-	versions := j.relay.bindings.Versions()
+	now, versions := j.relay.now(), j.relay.bindings.Versions()
 	unknown := func(e model.Endpoint) bool {
-		return !versions.MayBegin(kernel.Binding{Pool: e.Pool, Version: e.Version})
+		return !versions.MayBegin(now, kernel.Binding{Pool: e.Pool, Version: e.Version})
 	}
 	if !slices.ContainsFunc(endpoints, unknown) {
 		return endpoints
@@ -113,7 +118,7 @@
 	announced, failed := false, false
 	for _, version := range kernel.VersionsOf(j.admission.Endpoints(r.Registry())) {
 		b := kernel.Binding{Pool: j.admission.Pool, Version: version}
-		if r.bindings.Versions().MayBegin(b) {
+		if r.bindings.Versions().MayBegin(r.now(), b) {
 			continue
 		}
 		if r.bindings.Announce(ctx, b) == nil {
@@ -137,14 +142,30 @@
 	}
 	j.recorded, j.isRecorded = b, true
 	r := j.relay
-	needed := j.unannounced || !kernel.LeadsToOnePool(j.admission.Route) || kernel.NeedsBindingRecord(r.now(), r.bindings.Versions(), b.Pool, r.allNodesBind())
-	r.bindings.Record(j.bindingRecord(b), needed)
+	j.bindingHeld = r.bindings.Record(j.bindingRecord(b), !j.unannounced && kernel.AllowsInference(j.admission.Route))
+}
+
+// awaitBinding waits, for a short time at most, until another node has the record of what the stream is about to be bound to. Usually it
+// has long before the first event.
+func (j *job) awaitBinding(ctx context.Context) {
+	if j.bindingHeld == nil {
+		return
+	}
+	timeout := time.NewTimer(maxBindingWait)
+	defer timeout.Stop()
+	select {
+	case <-j.bindingHeld:
+	case <-timeout.C:
+		j.relay.metrics.CountEvent("BindingNotHeld")
+	case <-ctx.Done():
+	}
+	j.bindingHeld = nil
 }
 
 // keepBinding keeps what a stream is bound to that another node has sent and recorded, in case its caller comes back here.
 func (j *job) keepBinding(b kernel.Binding) {
 	if isResumable(j.admission.Route) {
-		j.relay.bindings.Record(j.bindingRecord(b), false)
+		j.relay.bindings.Record(j.bindingRecord(b), true)
 	}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -161,6 +161,7 @@
 			return
 		}
 		firstSeen = true
+		j.awaitBinding(ctx)
 		j.bind(kernel.Binding{Pool: p.name, Version: e.Version})
 		p.recordFirstEvent(e.Incarnation(), tokens, r.now().Sub(startedAt))
 		j.handleFirstEvent(run)
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -71,6 +71,8 @@
 		streamKey  kernel.StreamKey
 		recorded   kernel.Binding
 		isRecorded bool
+		// bindingHeld is closed once another node has the record; nil if none needs it.
+		bindingHeld <-chan struct{}
 		// unannounced is true if the stream may begin at versions that could not be announced to other nodes.
 		unannounced bool
 		// lastEventID is the ID of the last event that the caller of a relayed stream already has.
