Do not announce versions without end where the rows are out of date

Found by reading: where a node's rows had not been proven for a minute and the store answered a read of them, a resumable stream asked for the announcement of its version again and again, until the stack of the process was full. Callers would have seen a node crash. The announcement counts only if the stream may begin then; otherwise it begins unannounced and is recorded. relay TestStreamBeginsWhereRowsAreOutOfDate overflows the stack without the change.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -55,7 +55,8 @@
 		FreeRoom: func(context.Context, relay.Call) (int64, model.Statement, error) {
 			return 18_000_000, model.Statement{}, nil
 		},
-		Connect: func(context.Context, string) error { return nil },
+		Connect:      func(context.Context, string) error { return nil },
+		ReadVersions: func(context.Context) ([]kernel.VersionChange, error) { return nil, nil },
 	}
 	deps := relay.Dependencies{
 		Forward: func(ctx context.Context, s relay.Send) (*model.ForwardReply, error) { return b.deps.Forward(ctx, s) },
@@ -68,7 +69,7 @@
 		Connect:         func(ctx context.Context, address string) error { return b.deps.Connect(ctx, address) },
 		StoreQuarantine: func(context.Context, kernel.QuarantineChange) error { return nil },
 		PublishRateCap:  func(context.Context, string, model.RateCap) error { return nil },
-		ReadVersions:    func(context.Context) ([]kernel.VersionChange, error) { return nil, nil },
+		ReadVersions:    func(ctx context.Context) ([]kernel.VersionChange, error) { return b.deps.ReadVersions(ctx) },
 		WriteVersion:    func(context.Context, kernel.VersionWrite) error { return nil },
 		WriteBindings:   func(context.Context, string, []peer.StreamBinding, []string) error { return nil },
 		ReadBindings:    func(context.Context) (map[string][]peer.StreamBinding, error) { return nil, nil },
--- a/relay/resumption.go
+++ b/relay/resumption.go
@@ -121,7 +121,8 @@
 		if r.bindings.Versions().MayBegin(r.now(), b) {
 			continue
 		}
-		if r.bindings.Announce(ctx, b) == nil {
+		// The rows may be too old for this node to rely on them, whatever was written.
+		if r.bindings.Announce(ctx, b) == nil && r.bindings.Versions().MayBegin(r.now(), b) {
 			announced = true
 		} else {
 			failed = true
