Do not take the end of the connection to another node for that of an answer

What callers saw: a stream that another node passed on ended as complete after two or three of five events, where that node was killed between two events; a unary answer could be cut off the same way.

Cause: the body of a relayed answer returned the error of the connection as it was. The end of a connection is io.EOF, which readers of a body take for its end.

Change: any error of the connection is errRelayBroken. A resumable stream goes on at another node, any other one breaks off.

--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -253,7 +253,8 @@
 		}
 		frame, err := b.stream.Next()
 		if err != nil {
-			return 0, err
+			// Readers take io.EOF for the end of the answer, but this is that of the connection.
+			return 0, errors.Wrap(errRelayBroken, err.Error())
 		}
 		switch frame.Kind {
 		case peer.KindRelayData:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -55,6 +55,8 @@
 	{7, "refusal caps,endpoints stall,store fails,store compacts", 12 * time.Second, "none: endpoints that state refusal caps, without faults of nodes"},
 	{74019, poisonSeedFaults, 10 * time.Second, "two poison requests at one crash: it counts against only one of them, and the other needs a further crash"},
 	{4015, "reader cut off,endpoint leaves", 12 * time.Second, "an endpoint that was listed and removed between two reads of the list stayed in use"},
+	{120001, "", 10 * time.Second, "a stream that another node passed on looked complete as that node was killed between two events"},
+	{120034, "", 10 * time.Second, "the same"},
 	{9005, "routes added,routing changes,kill,store link", 12 * time.Second, "a node received every version of a large routing that it had missed, more than it reads at once"},
 }
 
