--- a/kernel/resumption.go
+++ b/kernel/resumption.go
@@ -102,7 +102,7 @@
 	case f.Source == BindingUnanswered:
 		return a, model.NewRefusal(model.NotRun, model.StreamUnknown, ClampRetryAfter(bindingUnknownRetry), "it is not known now at which version the stream began")
 	case !f.Known():
-		return a, model.NewRefusal(model.NotRun, model.StreamUnknown, 0, "it is not known at which version the stream began: it can only begin anew, without Last-Event-Id")
+		return a, model.NewRefusal(model.NotRun, model.StreamUnknown, 0, "it is not known at which version the stream began: it can only begin anew")
 	}
 	return a.WithBinding(f.Binding)
 }
@@ -111,7 +111,7 @@
 // any more.
 func (a Admission) WithBinding(b Binding) (Admission, *model.Refusal) {
 	if !slices.ContainsFunc(a.Route.Split, func(w model.WeightedPool) bool { return w.Pool == b.Pool }) {
-		return a, model.NewRefusal(model.NotRun, model.VersionGone, 0, fmt.Sprintf("the stream began at pool %s, which the route does not lead to any more: it can only begin anew, without Last-Event-Id", b.Pool))
+		return a, model.NewRefusal(model.NotRun, model.VersionGone, 0, fmt.Sprintf("the stream began at pool %s, which the route does not lead to any more: it can only begin anew", b.Pool))
 	}
 	a.Pool, a.Binding, a.Bound = b.Pool, b, true
 	return a, nil
