--- a/binding/agent.go
+++ b/binding/agent.go
@@ -88,7 +88,8 @@
 		registrarsAt     time.Time
 	}
 
-	// outgoingRecord is a record that waits to be sent. held is closed once another node has it, or none can be told.
+	// outgoingRecord is a record that waits to be sent. held is closed once another node has acknowledged it, or once all attempts to
+	// send it have failed.
 	outgoingRecord struct {
 		kernel.BindingRecord
 		held chan struct{}
@@ -154,8 +155,8 @@
 }
 
 // Record records what a stream of this node is bound to unless an engine at another version brings its first event. inferable is
-// true if other nodes may conclude it while its pool has one version. The channel is closed once another node has the record, or none
-// can be told; it is nil if none needs it.
+// true if other nodes may infer it while its pool has one version. The returned channel is closed once another node has acknowledged
+// the record or all attempts to send it have failed; it is nil if the record is not sent.
 func (a *Agent) Record(r kernel.BindingRecord, inferable bool) <-chan struct{} {
 	if r.Key == "" {
 		return nil
--- a/kernel/binding.go
+++ b/kernel/binding.go
@@ -37,7 +37,8 @@
 		// Order is the time in milliseconds between the receipt of the attempt that began the stream and the choice of the
 		// engine: of several records of a stream, the one with the highest order holds.
 		Order int64
-		// RecordedAt is when the engine was chosen, as far as this node knows. ExpiresAt is when the stream has ended.
+		// RecordedAt is when the engine was chosen; at other nodes it is late by the transfer of the record. The record is
+		// dropped at ExpiresAt, when its stream can no longer be resumed.
 		RecordedAt time.Time
 		ExpiresAt  time.Time
 	}
