Read the contention that endpoints state with their load

Endpoints of two new customers state a fourth figure in X-Server-Load: how long work takes on their machine, in percent. A load with four figures was dropped whole, so nodes knew no load of these endpoints at all.

Ruled out: taking the figure as part of the rate of calls (it is no limit); refusing the load for a bad fourth figure (the first three hold by themselves).

--- a/model/endpoint.go
+++ b/model/endpoint.go
@@ -67,6 +67,9 @@
 		Running int
 		Queued  int
 		Slots   int
+		// Contention is how long work takes at this moment on the endpoint's machine, which it shares with others, relative
+		// to usual: 1 is usual, 2 twice as long. It changes many times a second. It is 0 if the endpoint does not state it.
+		Contention float64 `json:",omitempty"`
 		// Leaving is true if the endpoint reports that it accepts no new work.
 		Leaving bool
 		// ColdFor is how much longer the endpoint is cold.
--- a/model/statement.go
+++ b/model/statement.go
@@ -19,6 +19,8 @@
 	PauseFor time.Duration
 	// Whole is true if the answer is known to be complete and the endpoint's own.
 	Whole bool
+	// InvalidContention is the contention as the endpoint stated it, if it is invalid; the rest of the load holds.
+	InvalidContention string
 }
 
 // Statement returns what the load states. whole is true if the answer that it came with is complete.
--- a/relay/log.go
+++ b/relay/log.go
@@ -16,6 +16,8 @@
 	logSamplePeriod = time.Second
 	// lateAnswerLogBurst is the maximum number of lines on late answers in each logSamplePeriod.
 	lateAnswerLogBurst = 50
+	// invalidLogBurst is the maximum number of lines on invalid statements of endpoints in each logSamplePeriod.
+	invalidLogBurst = 1
 )
 
 func sampled(log zerolog.Logger, burst uint32) zerolog.Logger {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,8 @@
 		// answersLog and lateAnswersLog write samples to log.
 		answersLog     zerolog.Logger
 		lateAnswersLog zerolog.Logger
+		// invalidLog writes a sample of the lines on invalid statements of endpoints.
+		invalidLog zerolog.Logger
 		metrics        *metric.Set
 		peers          *peer.Client
 
@@ -122,6 +124,7 @@
 		log:            log,
 		answersLog:     sampled(log, answerLogBurst),
 		lateAnswersLog: sampled(log, lateAnswerLogBurst),
+		invalidLog:     sampled(log, invalidLogBurst),
 		metrics:        metrics,
 		peers:          peer.NewClient(options.Name, ""),
 		pools:          map[string]*pool{},
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -93,6 +93,11 @@
 	if stated.RefusalCap.Stated || stated.Whole {
 		r.refusalCaps.RecordAnswer(sentAt, e, stated.RefusalCap)
 	}
+	if stated.InvalidContention != "" {
+		r.metrics.CountEvent("InvalidContention")
+		r.invalidLog.Warn().Str("Endpoint", e.Incarnation()).Str("Pool", e.Pool).Str("Contention", stated.InvalidContention).
+			Msg("endpoint states an invalid contention; the rest of its load holds")
+	}
 	now := r.now()
 	if _, changes := r.Registry().WithStatement(sentAt, now, e, stated); !changes {
 		return
