Record which pools have endpoints that state their contention

Placement by expected time and shares of customers are to apply only where a deployment calls for them, so that others are served as before. Endpoints that state a contention share their machines with others; what they can serve is not known from their slots.

Weighed: a setting of the platform (there is none that tells these deployments from earlier ones); the number of customers (says nothing of room). Also reserves the kinds of messages between nodes that the parts use.

--- a/peer/message.go
+++ b/peer/message.go
@@ -48,6 +48,10 @@
 	KindFindStream
 	KindSpreadQuarantine
 	KindAskParts
+	KindPlace
+	KindPlaceReports
+	KindAdmit
+	KindAdmitEnd
 )
 
 type (
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,6 +67,8 @@
 		// bindings holds what resumable streams are bound to, and routeHistory which routes have lately led to other pools.
 		bindings     *binding.Agent
 		routeHistory atomic.Pointer[kernel.RouteHistory]
+		// contention holds which pools have endpoints that state their contention.
+		contention *contentionRecord
 		// suspects holds the nodes that did not answer.
 		suspects *suspects
 		// remoteGroups holds the groups of other nodes that this one batches.
@@ -128,6 +130,7 @@
 		metrics:        metrics,
 		peers:          peer.NewClient(options.Name, ""),
 		pools:          map[string]*pool{},
+		contention:     newContentionRecord(),
 	}
 	r.peers.SetSilenceTimeout(peerSilenceTimeout)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -93,6 +93,7 @@
 	if stated.RefusalCap.Stated || stated.Whole {
 		r.refusalCaps.RecordAnswer(sentAt, e, stated.RefusalCap)
 	}
+	r.contention.record(r.now(), e.Pool, stated)
 	if stated.InvalidContention != "" {
 		r.metrics.CountEvent("InvalidContention")
 		r.invalidLog.Warn().Str("Endpoint", e.Incarnation()).Str("Pool", e.Pool).Str("Contention", stated.InvalidContention).
