--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,8 +49,8 @@
 		lateAnswersLog zerolog.Logger
 		// invalidLog writes a sample of the lines on invalid statements of endpoints.
 		invalidLog zerolog.Logger
-		metrics        *metric.Set
-		peers          *peer.Client
+		metrics    *metric.Set
+		peers      *peer.Client
 
 		// registryMu serializes updates of the registry, which follow from changes of several tables of the store.
 		registryMu sync.Mutex
