Model loads that engines state only with the first event

Cause: the model of the tests let engines state their load also at the end of a stream, where they have no header to do so.

--- a/placement/model_test.go
+++ b/placement/model_test.go
@@ -260,12 +260,15 @@
 	p.unread = max(1, p.unread)
 }
 
-// send reports what became of a prompt, with the engine's load of a while ago.
+// send reports what became of a prompt. The first event comes with the engine's load of a while ago.
 func (m *placingModel) send(p *modelPrompt, kind placement.ReportKind) {
 	e := p.engine
 	index := max(0, len(e.past)-1-int(loadAge/modelTick))
 	load := model.Load{Running: len(e.running), Queued: len(e.queue), Slots: modelSlots, Contention: e.past[index]}
-	report := placement.Report{ID: p.id, Kind: kind, Incarnation: e.endpoint.Incarnation(), Elapsed: m.now.Sub(p.arrivedAt), Load: &load, LoadAgo: reportDelay}
+	report := placement.Report{ID: p.id, Kind: kind, Incarnation: e.endpoint.Incarnation()}
+	if kind == placement.FirstEvent {
+		report.Elapsed, report.Load, report.LoadAgo = m.now.Sub(p.arrivedAt), &load, reportDelay
+	}
 	m.due = append(m.due, delayedReport{at: m.now.Add(reportDelay), Report: report, prompt: p})
 }
 
@@ -320,8 +323,8 @@
 	}
 	m.report = func(r placement.Report, p *modelPrompt) {
 		c := state(p.id.Node, p.engine)
-		c.Load, c.LoadAt = *r.Load, m.now
 		if r.Kind == placement.FirstEvent {
+			c.Load, c.LoadAt = *r.Load, m.now
 			c.PendingPrefillTokens -= p.prompt.TokensIn
 		} else {
 			c.InFlight--
