Place streams by the placer of their pool

Cause: nodes choose engines by their own prompts only.

Ruled out: suspecting a node at the first reply that is later than 40 ms, as a suspected node also loses its batches; it is probed first, and not asked for 250 ms. Caching what engines hold at a second node, which doubles the messages; each node tells a new placer its last 32 prompts instead.

Without a reply, or if the node's own rules exclude the placed engines, kernel.PickEngine chooses as before. Nodes announce in their rows that they place streams, as older builds close a connection on which they get a call of an unknown kind. Applies only to pools whose endpoints state their contention, without rate caps, refusal caps or cold limits.

Measured: go test ./placement ./relay ./peer passes. In ./scenario, TestEncodingsForCallersOperatorsAndEndpointsStay fails as it does without this change (Contention of a load is not in http.json).

--- a/placement/report.go
+++ b/placement/report.go
@@ -92,16 +92,22 @@
 }
 
 // recordFirstEvent records that the engine has read a prompt, and those placed before it, and learns from the time that
-// this took.
+// this took. Reports that are received twice count once.
 func (t *Table) recordFirstEvent(now time.Time, placed *entry, elapsed time.Duration) {
 	e := placed.engine
 	for i, p := range e.pending {
 		if p == placed {
 			e.backlog, e.backlogAt = min(t.backlogOf(now, e, e.slowness(now)), e.pendingTokens(i+1)), now
 			e.pending = append(e.pending[:i], e.pending[i+1:]...)
-			break
+			t.learn(now, placed, elapsed)
+			return
 		}
 	}
+}
+
+// learn learns from the time to a first event.
+func (t *Table) learn(now time.Time, placed *entry, elapsed time.Duration) {
+	e := placed.engine
 	if elapsed <= 0 || placed.waits {
 		return
 	}
--- a/relay/batchpeer.go
+++ b/relay/batchpeer.go
@@ -91,6 +91,9 @@
 		peer.KindCallerWait:  r.handleCallerWait,
 		peer.KindTakeOver:    r.handleTakeOver,
 		peer.KindCapPermit:   r.handleCapPermit,
+
+		peer.KindPlace:        r.handlePlace,
+		peer.KindPlaceReports: r.handlePlaceReports,
 	}
 	maps.Copy(handlers, r.quarantine.Handlers())
 	maps.Copy(handlers, r.bindings.Handlers())
--- a/relay/log.go
+++ b/relay/log.go
@@ -56,6 +56,9 @@
 	if o.Through != "" {
 		line = line.Str("Through", o.Through)
 	}
+	if o.Placer != "" {
+		line = line.Str("Placer", o.Placer)
+	}
 	if o.For != "" {
 		line = line.Str("For", o.For)
 	}
--- /dev/null
+++ b/relay/placing.go
@@ -0,0 +1,420 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
+	"basilstall.example/basilstall/placement"
+)
+
+const (
+	// placeTimeout bounds the request for a placement, a query of about a millisecond. Without a reply in time, the node
+	// chooses an engine itself.
+	placeTimeout = 40 * time.Millisecond
+	// placePause is how long a node that did not reply in time is not asked again. Otherwise each request would wait for
+	// it while its process does not run.
+	placePause = 250 * time.Millisecond
+	// maxPlacersAsked is how many nodes are asked for one attempt if some are leaving or not reached.
+	maxPlacersAsked = 3
+	// placeReportInterval is how often reports are sent that no request for a placement has carried.
+	placeReportInterval = 100 * time.Millisecond
+	// maxPlaceReports bounds the reports that wait. The oldest are dropped: the placer learns of its reservations' ends by
+	// their deadlines.
+	maxPlaceReports = 1024
+	// heldPrompts is how many of the last prompts of a group a node reports to a new placer: those of a dozen seconds. 60
+	// nodes then know of the shared parts that were read lately.
+	heldPrompts = 32
+)
+
+var errPlacerSilent = errors.New("relay: the placer does not answer")
+
+type (
+	// placing holds what this node needs to ask placers, and to report to them. It is safe for concurrent use.
+	placing struct {
+		relay *Relay
+		mu    sync.Mutex
+		// lastNumber is the number of the last attempt. It starts with the time, so that it is unique after a restart.
+		lastNumber uint64
+		groups     map[placeGroup]*groupReports
+		pools      map[string]poolGroups
+		// pausedUntil holds the nodes that did not reply in time.
+		pausedUntil map[string]time.Time
+	}
+
+	// groupReports holds the reports that wait for the placer of a group.
+	groupReports struct {
+		placer  string
+		waiting []peer.PlaceReport
+		// held are the last prompts that this node has sent to engines of the group.
+		held   []peer.PlaceReport
+		usedAt time.Time
+	}
+
+	// poolGroups holds the sizes of the groups of a pool according to a registry.
+	poolGroups struct {
+		registry *kernel.Registry
+		sizes    []int
+	}
+
+	// placedAttempt is an attempt at a stream that a placer knows of. A nil one stands for an attempt without a placer; its
+	// methods do nothing.
+	placedAttempt struct {
+		placing *placing
+		group   placeGroup
+		message peer.Place
+		// placer is the node that has chosen; empty if none has.
+		placer       string
+		incarnations []string
+		sentTo       string
+		firstSeen    bool
+	}
+)
+
+func newPlacing(r *Relay) *placing {
+	return &placing{relay: r, lastNumber: uint64(r.startedAt.UnixNano()), groups: map[placeGroup]*groupReports{}, pools: map[string]poolGroups{}, pausedUntil: map[string]time.Time{}}
+}
+
+// placedByPlacer reports whether a placer chooses the engine for the request. Limits that only the sending node knows are
+// not passed to placers, so that with such limits in force the node chooses itself.
+func (j *job) placedByPlacer(p *pool) bool {
+	r := j.relay
+	if j.trial || j.forNode != "" || !r.statesContention(p.name) || r.hasRefusalCaps(p.name) {
+		return false
+	}
+	engines, limits := r.Registry().Endpoints(p.name), r.sendLimits(p.name)
+	if limits.cold.Senders > 0 && kernel.AnyCold(r.now(), engines) {
+		return false
+	}
+	return r.rateCaps.Len() == 0 || !slices.ContainsFunc(engines, func(e model.Endpoint) bool { return r.rateCaps.HasCap(e.Incarnation()) })
+}
+
+// askPlacer asks the placer of the request's group for an engine. It returns nil if no placer is to be asked.
+func (j *job) askPlacer(ctx context.Context, p *pool, resumed bool) *placedAttempt {
+	if !j.placedByPlacer(p) {
+		return nil
+	}
+	s, now := j.relay.placing, j.relay.now()
+	attempt := &placedAttempt{placing: s, message: j.placeMessage(now, p, resumed)}
+	attempt.group = s.groupFor(p.name, kernel.AffinityKey(j.forward.Prompt), attempt.message.Number)
+	attempt.message.Group, attempt.message.Groups = attempt.group.group, attempt.group.groups
+	attempt.ask(ctx)
+	j.placer = attempt.placer
+	return attempt
+}
+
+// placeMessage returns the message that asks for an engine, without the group.
+func (j *job) placeMessage(now time.Time, p *pool, resumed bool) peer.Place {
+	due := j.forward.FirstAttemptAt().Add(j.admission.Route.Objective)
+	if resumed {
+		// The caller waits for the next event of a stream that has begun.
+		due = now
+	}
+	m := peer.Place{
+		Pool: p.name, Node: j.relay.options.Name, Number: j.relay.placing.nextNumber(), Tokens: j.forward.Prompt.TokensIn,
+		DueIn: due.Sub(now), DeadlineIn: j.admission.Deadline.Sub(now), Excluded: j.excluded,
+	}
+	for _, part := range placement.NewParts(j.forward.Prompt) {
+		m.PartKeys, m.PartTokens = append(m.PartKeys, part.Key), append(m.PartTokens, part.Tokens)
+	}
+	allowed := j.allowedEndpoints()
+	if len(allowed) == len(j.relay.Registry().Endpoints(p.name)) {
+		return m
+	}
+	for _, e := range allowed {
+		if !slices.Contains(m.Versions, e.Version) {
+			m.Versions = append(m.Versions, e.Version)
+		}
+		if !slices.Contains(m.Regions, e.Region) {
+			m.Regions = append(m.Regions, e.Region)
+		}
+	}
+	return m
+}
+
+func (s *placing) nextNumber() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastNumber++
+	return s.lastNumber
+}
+
+// groupFor returns the group that gets the prompts of an affinity key. Prompts without a key are spread by their numbers.
+func (s *placing) groupFor(pool, key string, number uint64) placeGroup {
+	registry := s.relay.registry.Load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	groups := s.pools[pool]
+	if groups.registry != registry {
+		engines := registry.Endpoints(pool)
+		groups = poolGroups{registry: registry, sizes: make([]int, placement.Groups(len(engines)))}
+		for _, e := range engines {
+			groups.sizes[placement.GroupOf(e.Incarnation(), len(groups.sizes))]++
+		}
+		s.pools[pool] = groups
+	}
+	if key == "" {
+		key = strconv.FormatUint(number, 10)
+	}
+	return placeGroup{pool: pool, group: placement.GroupFor(key, groups.sizes), groups: len(groups.sizes)}
+}
+
+// placers returns the nodes that may place for a group, in the order in which they are asked: those that are reachable and
+// of a build that places streams.
+func (s *placing) placers(group placeGroup) []string {
+	r := s.relay
+	places := map[string]bool{r.options.Name: true}
+	for _, n := range *r.nodes.Load() {
+		places[n.Name] = places[n.Name] || n.Places
+	}
+	peers := slices.DeleteFunc(r.Reachable(), func(p kernel.Peer) bool { return !places[p.Name] })
+	subject := "place/" + group.pool
+	if group.groups > 1 {
+		subject += "/" + strconv.Itoa(group.group)
+	}
+	return kernel.NodesByHash(subject, peers)
+}
+
+// ask asks the placers of the group in turn, until one replies, for placeTimeout in total.
+func (a *placedAttempt) ask(ctx context.Context) {
+	r := a.placing.relay
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	for _, node := range firstNodes(a.placing.placers(a.group), maxPlacersAsked) {
+		if a.placing.paused(node) {
+			return
+		}
+		a.message.Reports = a.placing.take(a.group, node)
+		var reply peer.PlaceReply
+		var err error
+		if node == r.options.Name {
+			reply = r.placers.place(a.message)
+		} else {
+			err = r.callNode(ctx, node, peer.KindPlace, a.message, &reply)
+		}
+		if err == nil && !reply.Leaving {
+			a.placer, a.incarnations = node, reply.Incarnations
+			return
+		}
+		a.placing.giveBack(a.group, a.message.Reports)
+		if err != nil {
+			r.metrics.CountEvent("PlacementUnanswered")
+		}
+		if ctx.Err() != nil {
+			a.placing.pause(node)
+			return
+		}
+	}
+}
+
+func firstNodes(nodes []string, n int) []string {
+	return nodes[:min(n, len(nodes))]
+}
+
+// paused reports whether a node did not reply in time lately.
+func (s *placing) paused(node string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relay.now().Before(s.pausedUntil[node])
+}
+
+// pause records that a node did not reply in time, and finds out whether it replies at all. If not, it is suspected, and
+// the next node by hash becomes the placer.
+func (s *placing) pause(node string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until := s.pausedUntil[node]
+	s.pausedUntil[node] = s.relay.now().Add(placePause)
+	if s.relay.now().Before(until) {
+		return
+	}
+	go func() {
+		if !s.relay.probe(node) && s.relay.ctx.Err() == nil {
+			s.relay.Suspect(node, errPlacerSilent)
+		}
+	}()
+}
+
+// reportsOf returns the reports of a group. The caller holds s.mu.
+func (s *placing) reportsOf(group placeGroup) *groupReports {
+	g := s.groups[group]
+	if g == nil {
+		g = &groupReports{}
+		s.groups[group] = g
+	}
+	g.usedAt = s.relay.now()
+	return g
+}
+
+// take returns the reports that wait for the placer of a group. A new placer also gets the last prompts, as it does not
+// know what the engines have cached.
+func (s *placing) take(group placeGroup, placer string) []peer.PlaceReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.reportsOf(group)
+	reports := g.waiting
+	g.waiting = nil
+	if g.placer != placer {
+		g.placer = placer
+		reports = append(reports, g.held...)
+	}
+	return reports
+}
+
+// giveBack keeps reports that were not received for the next message.
+func (s *placing) giveBack(group placeGroup, reports []peer.PlaceReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.reportsOf(group)
+	g.waiting = append(reports, g.waiting...)
+	g.waiting = g.waiting[max(0, len(g.waiting)-maxPlaceReports):]
+}
+
+// add adds a report, which the next message to the placer of the group carries.
+func (s *placing) add(group placeGroup, report peer.PlaceReport) {
+	s.giveBack(group, nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.reportsOf(group)
+	g.waiting = append(g.waiting, report)
+}
+
+// hold records that a prompt was sent to an engine.
+func (s *placing) hold(group placeGroup, report peer.PlaceReport) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.reportsOf(group)
+	g.held = append(g.held, report)
+	g.held = g.held[max(0, len(g.held)-heldPrompts):]
+}
+
+// flush sends the reports that wait, and forgets groups that were not used lately.
+func (s *placing) flush() {
+	now := s.relay.now()
+	s.mu.Lock()
+	var due []placeGroup
+	for group, g := range s.groups {
+		switch {
+		case len(g.waiting) > 0:
+			due = append(due, group)
+		case now.Sub(g.usedAt) > placerRetention:
+			delete(s.groups, group)
+		}
+	}
+	s.mu.Unlock()
+	for _, group := range due {
+		s.send(group)
+	}
+}
+
+// send sends the reports that wait for the placer of a group.
+func (s *placing) send(group placeGroup) {
+	r := s.relay
+	node := s.knownPlacer(group)
+	if node == "" || s.paused(node) {
+		return
+	}
+	m := peer.PlaceReports{Pool: group.pool, Group: group.group, Groups: group.groups, Node: r.options.Name, Reports: s.take(group, node)}
+	if node == r.options.Name {
+		r.placers.report(m)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, notifyTimeout)
+		defer cancel()
+		var empty peer.Empty
+		if r.callNode(ctx, node, peer.KindPlaceReports, m, &empty) != nil {
+			r.metrics.CountEvent("PlaceReportsLost")
+		}
+	}()
+}
+
+// knownPlacer returns the node that was last asked to place for a group if it is reachable, or else the first by hash; it is
+// empty if there is none.
+func (s *placing) knownPlacer(group placeGroup) string {
+	s.mu.Lock()
+	node := s.reportsOf(group).placer
+	s.mu.Unlock()
+	if node != "" && (node == s.relay.options.Name || s.relay.isReachable(node)) {
+		return node
+	}
+	nodes := s.placers(group)
+	if len(nodes) == 0 {
+		return ""
+	}
+	return nodes[0]
+}
+
+// run sends reports until the relay is closed.
+func (s *placing) run() {
+	ticker := time.NewTicker(placeReportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.flush()
+			s.relay.placers.dropUnused(s.relay.now())
+		case <-s.relay.ctx.Done():
+			return
+		}
+	}
+}
+
+// choose chooses the first engine of the placement that the rules of this node allow, or else one as without a placer.
+func (a *placedAttempt) choose(now time.Time, p *pool, limits sendLimits, allowed []model.Endpoint, j *job) (choice, bool) {
+	if a != nil && len(a.incarnations) > 0 {
+		if c, ok := p.pickPlaced(now, allowed, limits, j.forward.Prompt, j.excluded, a.incarnations); ok {
+			return c, true
+		}
+		j.relay.metrics.CountEvent("PlacementOverruled")
+		j.placer = ""
+	}
+	return p.pickEngine(now, allowed, limits, j.forward.Prompt, j.affinityKey(), j.excluded)
+}
+
+// recordSent records the engine that the request is sent to.
+func (a *placedAttempt) recordSent(e model.Endpoint) {
+	if a == nil {
+		return
+	}
+	a.sentTo = e.Incarnation()
+	a.placing.hold(a.group, peer.PlaceReport{Kind: uint8(placement.Held), Incarnation: a.sentTo, PartKeys: a.message.PartKeys, PartTokens: a.message.PartTokens})
+	if len(a.incarnations) > 0 && a.incarnations[0] == a.sentTo {
+		a.placing.relay.metrics.CountEvent("PlacedByPlacer")
+		return
+	}
+	a.report(peer.PlaceReport{Kind: uint8(placement.Sent)})
+}
+
+// recordFirstEvent records the first event, after the time elapsed since the request was sent, and the load that the
+// engine reported; nil if it reported none.
+func (a *placedAttempt) recordFirstEvent(elapsed time.Duration, load *peer.PlaceLoad) {
+	if a == nil || a.firstSeen {
+		return
+	}
+	a.firstSeen = true
+	a.report(peer.PlaceReport{Kind: uint8(placement.FirstEvent), Elapsed: elapsed, Load: load})
+}
+
+// end records that the attempt has ended, or was not made.
+func (a *placedAttempt) end(load *peer.PlaceLoad) {
+	switch {
+	case a == nil:
+	case a.firstSeen:
+		a.report(peer.PlaceReport{Kind: uint8(placement.Ended)})
+	default:
+		a.report(peer.PlaceReport{Kind: uint8(placement.Failed), Load: load})
+	}
+}
+
+func (a *placedAttempt) report(report peer.PlaceReport) {
+	report.Number, report.Incarnation = a.message.Number, a.sentTo
+	a.placing.add(a.group, report)
+}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -8,6 +8,7 @@
 
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
 )
 
 const (
@@ -126,6 +127,20 @@
 	return p.reserve(now, limits, usable[i], prompt.TokensIn), true
 }
 
+// pickPlaced reserves the first of the placed incarnations that this node may send to.
+func (p *pool) pickPlaced(now time.Time, listed []model.Endpoint, limits sendLimits, prompt model.Prompt, excluded, placed []string) (choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable := kernel.Usable(now, p.candidates(now, listed, limits), excluded)
+	for _, incarnation := range placed {
+		i := slices.IndexFunc(usable, func(c kernel.Candidate) bool { return c.Endpoint.Incarnation() == incarnation })
+		if i >= 0 {
+			return p.reserve(now, limits, usable[i], prompt.TokensIn), true
+		}
+	}
+	return choice{}, false
+}
+
 // reserve counts a request, and the prompt tokens that its engine has to read, as in flight at an endpoint. If the
 // endpoint is ejected, the request is its probe.
 func (p *pool) reserve(now time.Time, limits sendLimits, c kernel.Candidate, prefillTokens int) choice {
@@ -249,6 +264,17 @@
 	s.loadAt = now
 }
 
+// reportedLoad returns the load that an endpoint has reported since a time, as a placer gets it; nil if none.
+func (p *pool) reportedLoad(now, since time.Time, incarnation string) *peer.PlaceLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.states[incarnation]
+	if s == nil || s.loadAt.Before(since) {
+		return nil
+	}
+	return &peer.PlaceLoad{Running: s.load.Running, Queued: s.load.Queued, Slots: s.load.Slots, Contention: s.load.Contention, Ago: now.Sub(s.loadAt)}
+}
+
 // recordRequest counts a request towards the retry budget.
 func (p *pool) recordRequest(now time.Time) {
 	p.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -91,6 +91,9 @@
 		rateCaps *ratecap.Limiter
 		// refusalCaps holds the refusal caps that endpoints state.
 		refusalCaps *ratecap.Limiter
+		// placers holds the tables by which this node places streams for all nodes, placing what it needs to ask other nodes.
+		placers *placers
+		placing *placing
 
 		// stopsAt is when a leaving node will stop; nil while it is not leaving.
 		stopsAt     atomic.Pointer[time.Time]
@@ -112,6 +115,9 @@
 		Unreached []string `json:",omitempty"`
 		// Binds is true if the node keeps streams at the version that began them. Nodes of older builds do not.
 		Binds bool `json:",omitempty"`
+		// Places is true if the node places streams for other nodes. Nodes of older builds close connections on which they
+		// are asked to.
+		Places bool `json:",omitempty"`
 	}
 )
 
@@ -158,6 +164,9 @@
 	r.bindings = r.newBindings()
 	r.rateCaps = r.newRateCapLimiter()
 	r.refusalCaps = r.newRefusalCapLimiter()
+	r.placers = newPlacers(r)
+	r.placing = newPlacing(r)
+	go r.placing.run()
 	go func() {
 		ticker := time.NewTicker(sweepInterval)
 		defer ticker.Stop()
@@ -351,6 +360,7 @@
 	}
 	outcome.Stages = j.stageTimings
 	outcome.Through = j.throughNode
+	outcome.Placer = j.placer
 	outcome.Late = j.forward.Waited+outcome.FirstEventTime > j.admission.Route.Objective
 	if outcome.Refusal != nil && outcome.Refusal.Reason == model.StageLate && len(j.stageTimings) == 0 {
 		outcome.Estimates = j.estimates
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -137,16 +137,18 @@
 		return j.attemptStreamThroughNode(ctx, state, run)
 	}
 	tokens := j.forward.Prompt.TokensIn
+	placed := j.askPlacer(ctx, p, state.headerSent)
 	e, ok := j.chooseEndpoint(ctx, p, func(now time.Time, limits sendLimits) (choice, bool) {
-		return p.pickEngine(now, j.allowedEndpoints(), limits, j.forward.Prompt, j.affinityKey(), j.excluded)
+		return placed.choose(now, p, limits, j.allowedEndpoints(), j)
 	}, func(e model.Endpoint) {
 		p.dropPendingPrefill(e.Incarnation(), tokens)
 		p.release(e.Incarnation())
 	})
-	if !ok && j.announceVersions(ctx) {
-		return j.attemptStream(ctx, p, state, run)
-	}
 	if !ok {
+		placed.end(nil)
+		if j.announceVersions(ctx) {
+			return j.attemptStream(ctx, p, state, run)
+		}
 		if j.otherNodeMaySend(p) {
 			return j.attemptStreamThroughNode(ctx, state, run)
 		}
@@ -154,7 +156,9 @@
 	}
 	defer p.release(e.Incarnation())
 	j.recordAttempt(e)
+	placed.recordSent(e)
 	startedAt := r.now()
+	defer func() { placed.end(p.reportedLoad(r.now(), startedAt, e.Incarnation())) }()
 	firstSeen := false
 	onFirstEvent := func() {
 		if firstSeen {
@@ -164,6 +168,7 @@
 		j.awaitBinding(ctx)
 		j.bind(kernel.Binding{Pool: p.name, Version: e.Version})
 		p.recordFirstEvent(e.Incarnation(), tokens, r.now().Sub(startedAt))
+		placed.recordFirstEvent(r.now().Sub(startedAt), p.reportedLoad(r.now(), startedAt, e.Incarnation()))
 		j.handleFirstEvent(run)
 	}
 	send := j.newSend(e, j.attempts > 1)
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -77,6 +77,8 @@
 		unannounced bool
 		// lastEventID is the ID of the last event that the caller of a relayed stream already has.
 		lastEventID string
+		// placer is the node that has chosen the engine of the last attempt; empty if this one has.
+		placer string
 		// onSend is called before each attempt at an endpoint, with the number of attempts; nil for none.
 		onSend func(attempts int)
 		// firstSentAt is the time of the first attempt; zero before it. cut is true once an endpoint broke off its answer.
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -119,6 +119,8 @@
 		Attempts int
 		// Through is the node that sent the request in place of this one; empty if this one did.
 		Through string
+		// Placer is the node that chose the engine of the last attempt at a stream; empty if the sending node did.
+		Placer string
 		// For is the node that got the request from its caller; empty if this one did.
 		For string
 		// FirstEventTime is how long after its arrival the request got the first event of its stream; 0 if there was
--- a/scenario/encodings_test.go
+++ b/scenario/encodings_test.go
@@ -62,6 +62,9 @@
 		"Hello":               peer.Hello{},
 		"HelloReply":          peer.HelloReply{},
 		"Hold":                peer.StoreQuarantine{},
+		"Place":               peer.Place{},
+		"PlaceReply":          peer.PlaceReply{},
+		"PlaceReports":        peer.PlaceReports{},
 		"ProbeReply":          peer.ProbeReply{},
 		"RatePermit":          peer.RatePermit{},
 		"RatePermitReply":     peer.RatePermitReply{},
@@ -149,7 +152,7 @@
 		peer.KindRelease, peer.KindProbe, peer.KindFeed, peer.KindCallerWait, peer.KindTakeOver, peer.KindCrash,
 		peer.KindTrial, peer.KindClear, peer.KindStoreQuarantine, peer.KindCapPermit, peer.KindRatePermit,
 		peer.KindRelay, peer.KindRelayRequest, peer.KindRelaySent, peer.KindRelayHead, peer.KindRelayData, peer.KindRelayEnd, peer.KindRelayStage, peer.KindRelayToken, peer.KindRelayStageEnd,
-		peer.KindBindStreams, peer.KindFindStream, peer.KindSpreadQuarantine, peer.KindAskParts,
+		peer.KindBindStreams, peer.KindFindStream, peer.KindSpreadQuarantine, peer.KindAskParts, peer.KindPlace, peer.KindPlaceReports,
 	}
 }
 
