Prefer engines with free slots, and keep the order of placers

Cause: the wait for a slot of a full engine is short on average (20 ms with 96 slots), so that a full engine could be preferred to reading a part again and then refuse the request. The order of 400 nodes by hash was computed for each request and each batch of reports. A node without routing that is asked to place would have ended with a nil table. Change: engines with 90 % of their slots in use go after others, as where nodes choose. The order is kept for 200 ms; nodes that are not reachable are skipped at once.

--- a/placement/table.go
+++ b/placement/table.go
@@ -24,6 +24,9 @@
 	// runningCost is the cost of each running request of an engine, in nanoseconds. It is a small part of a decode step,
 	// so that it decides only between engines that are otherwise equal.
 	runningCost = float64(200 * time.Microsecond)
+	// maxSlotShare is the share of an engine's slots in use from which other engines are preferred. Nodes that choose
+	// themselves use the same share.
+	maxSlotShare = 0.9
 	// loadTTL is how long a load report counts towards the running requests.
 	loadTTL = 2 * time.Second
 	// defaultStreamTime is the assumed duration of a stream while none has ended.
@@ -70,11 +73,9 @@
 		Expected    time.Duration
 	}
 
-	// Placement holds the best engines for a prompt, in order. OnTime is true if the first event of the first one is
-	// expected to be on time.
+	// Placement holds the best engines for a prompt, in order.
 	Placement struct {
 		Choices []Choice
-		OnTime  bool
 	}
 
 	// Table holds what a placer knows of the engines of a pool or group, and chooses engines for prompts. The methods
@@ -137,7 +138,8 @@
 		engine   *engine
 		expected float64
 		cost     float64
-		late     bool
+		// late is true if the first event would be late, or if the engine is nearly full.
+		late bool
 	}
 )
 
@@ -202,7 +204,7 @@
 	if found == 0 {
 		return Placement{}, false
 	}
-	p := Placement{Choices: make([]Choice, 0, found), OnTime: !best[0].late}
+	p := Placement{Choices: make([]Choice, 0, found)}
 	for _, c := range best[:found] {
 		p.Choices = append(p.Choices, Choice{Incarnation: c.engine.incarnation, Expected: time.Duration(c.expected)})
 	}
@@ -248,6 +250,7 @@
 	uncached := e.uncachedTokens(r)
 	running := e.running(now)
 	expected := t.reading.expected(t.backlogOf(now, e, slowness)+uncached, slowness) + t.slotWait(e, running)
+	nearlyFull := e.slotCount() > 0 && running >= maxSlotShare*float64(e.slotCount())
 	reread := 0.0
 	if len(r.Parts) > 1 && !isHome {
 		reread = max(0, uncached-float64(r.Parts[len(r.Parts)-1].Tokens))
@@ -256,7 +259,7 @@
 		engine:   e,
 		expected: expected,
 		cost:     expected + (othersWeight*slowness*uncached+rereadWeight*reread)*t.reading.perToken + runningCost*running,
-		late:     expected > timeLeft,
+		late:     expected > timeLeft || nearlyFull,
 	}
 }
 
@@ -337,12 +340,18 @@
 	return max(float64(e.active), fresh*float64(e.load.Running+e.load.Queued))
 }
 
-// slotWait returns how long, in nanoseconds, a prompt waits for a slot of an engine.
-func (t *Table) slotWait(e *engine, running float64) float64 {
-	slots := e.slots
+// slotCount returns how many requests the engine runs at a time, by its last report or else its entry or the routing; 0 if
+// that is not known.
+func (e *engine) slotCount() int {
 	if e.load.Slots > 0 {
-		slots = e.load.Slots
+		return e.load.Slots
 	}
+	return e.slots
+}
+
+// slotWait returns how long, in nanoseconds, a prompt waits for a slot of an engine.
+func (t *Table) slotWait(e *engine, running float64) float64 {
+	slots := e.slotCount()
 	if slots == 0 || running < float64(slots) {
 		return 0
 	}
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -74,16 +74,25 @@
 	defer t.mu.Unlock()
 	if registry != t.registry || routing != t.routing {
 		t.registry, t.routing = registry, routing
-		traits, _ := routing.Pool(group.pool)
-		if traits.Engine == nil {
-			traits.Engine = &model.EngineTraits{}
-		}
-		t.table.SetEngines(group.members(*registry), *traits.Engine)
+		t.table.SetEngines(group.members(*registry), engineTraits(routing, group.pool))
 	}
 	t.usedAt = r.now()
 	change(t.usedAt, t.table)
 }
 
+// engineTraits returns the traits of the engines of a pool; they are zero if the routing does not state them, or if this
+// node, which may have just started, has none yet.
+func engineTraits(routing *kernel.RouteTable, pool string) model.EngineTraits {
+	if routing == nil {
+		return model.EngineTraits{}
+	}
+	traits, _ := routing.Pool(pool)
+	if traits.Engine == nil {
+		return model.EngineTraits{}
+	}
+	return *traits.Engine
+}
+
 // dropUnused drops the tables that were not used lately.
 func (s *placers) dropUnused(now time.Time) {
 	s.mu.Lock()
--- a/relay/placing.go
+++ b/relay/placing.go
@@ -26,6 +26,9 @@
 	maxPlacersAsked = 3
 	// placeReportInterval is how often reports are sent that no request for a placement has carried.
 	placeReportInterval = 100 * time.Millisecond
+	// placerOrderTTL is how long the order of the nodes that may place for a group is kept. With 400 nodes, its computation
+	// takes longer than a placement.
+	placerOrderTTL = 200 * time.Millisecond
 	// maxPlaceReports bounds the reports that wait. The oldest are dropped: the placer learns of its reservations' ends by
 	// their deadlines.
 	maxPlaceReports = 1024
@@ -54,6 +57,9 @@
 
 	// groupReports holds the reports that wait for the placer of a group.
 	groupReports struct {
+		// order holds the nodes that may place for the group, as of orderAt.
+		order   []string
+		orderAt time.Time
 		placer  string
 		waiting []peer.PlaceReport
 		// held are the last prompts that this node has sent to engines of the group.
@@ -200,9 +206,34 @@
 	return placeGroup{pool: pool, group: placement.GroupFor(key, groups.sizes), groups: len(groups.sizes)}
 }
 
-// placers returns the nodes that may place for a group, in the order in which they are asked: those that are reachable and
-// of a build that places streams.
+// placers returns up to maxPlacersAsked nodes that may place for a group, in the order in which they are asked.
 func (s *placing) placers(group placeGroup) []string {
+	now := s.relay.now()
+	s.mu.Lock()
+	g := s.reportsOf(group)
+	order := g.order
+	current := !g.orderAt.IsZero() && now.Sub(g.orderAt) < placerOrderTTL
+	s.mu.Unlock()
+	if !current {
+		order = s.orderPlacers(group)
+		s.mu.Lock()
+		g.order, g.orderAt = order, now
+		s.mu.Unlock()
+	}
+	var reachable []string
+	for _, node := range order {
+		if len(reachable) == maxPlacersAsked {
+			break
+		}
+		if node == s.relay.options.Name || s.relay.isReachable(node) {
+			reachable = append(reachable, node)
+		}
+	}
+	return reachable
+}
+
+// orderPlacers returns, in the order of their hashes, the nodes that are reachable and of a build that places streams.
+func (s *placing) orderPlacers(group placeGroup) []string {
 	r := s.relay
 	places := map[string]bool{r.options.Name: true}
 	for _, n := range *r.nodes.Load() {
@@ -221,7 +252,7 @@
 	r := a.placing.relay
 	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
-	for _, node := range firstNodes(a.placing.placers(a.group), maxPlacersAsked) {
+	for _, node := range a.placing.placers(a.group) {
 		if a.placing.paused(node) {
 			return
 		}
@@ -251,10 +282,6 @@
 	}
 }
 
-func firstNodes(nodes []string, n int) []string {
-	return nodes[:min(n, len(nodes))]
-}
-
 // paused reports whether a node did not reply in time lately.
 func (s *placing) paused(node string) bool {
 	s.mu.Lock()
