--- a/relay/placer.go
+++ b/relay/placer.go
@@ -127,6 +127,10 @@
 		if !ok {
 			return
 		}
+		if m.OnlyAsk {
+			reply.Expected = []time.Duration{placed.Choices[0].Expected}
+			return
+		}
 		for _, c := range placed.Choices {
 			reply.Incarnations = append(reply.Incarnations, c.Incarnation)
 			reply.Expected = append(reply.Expected, c.Expected)
