Do not pause a placer for a request that has ended

Cause: a caller that went away while its node asked the placer counted as a placer that did not answer in time, so that the node did not ask it for 250 ms. Change: only the end of placeTimeout counts. Reports that wait are bounded where they are added. Measured: go test ./relay and the tests of placement in ./platform pass.

--- a/relay/placing.go
+++ b/relay/placing.go
@@ -250,7 +250,7 @@
 // ask asks the placers of the group in turn, until one replies, for placeTimeout in total.
 func (a *placedAttempt) ask(ctx context.Context) {
 	r := a.placing.relay
-	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
 	defer cancel()
 	for _, node := range a.placing.placers(a.group) {
 		if a.placing.paused(node) {
@@ -262,7 +262,7 @@
 		if node == r.options.Name {
 			reply = r.placers.place(a.message)
 		} else {
-			err = r.callNode(ctx, node, peer.KindPlace, a.message, &reply)
+			err = r.callNode(callCtx, node, peer.KindPlace, a.message, &reply)
 		}
 		if err == nil && !reply.Leaving {
 			a.placer, a.incarnations = node, reply.Incarnations
@@ -272,10 +272,14 @@
 			return
 		}
 		a.placing.giveBack(a.group, a.message.Reports)
+		if ctx.Err() != nil {
+			// The request has ended. The placer is not at fault.
+			return
+		}
 		if err != nil {
 			r.metrics.CountEvent("PlacementUnanswered")
 		}
-		if ctx.Err() != nil {
+		if callCtx.Err() != nil {
 			a.placing.pause(node)
 			return
 		}
@@ -343,11 +347,11 @@
 
 // add adds a report, which the next message to the placer of the group carries.
 func (s *placing) add(group placeGroup, report peer.PlaceReport) {
-	s.giveBack(group, nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := s.reportsOf(group)
 	g.waiting = append(g.waiting, report)
+	g.waiting = g.waiting[max(0, len(g.waiting)-maxPlaceReports):]
 }
 
 // hold records that a prompt was sent to an engine.
