Order groups of an overloaded batch queue by customers' shares

Cause: under overload a rank only counts as 0.2 s later, so groups of low ranks are made while requests of higher ones are refused, and a customer that floods takes the calls of all others. Ruled out: mixing groups with and without shares in one order, which would change the places of those without. Change: kernel/batchshare.go. Shared groups are ordered among their own places: on time, within the share, rank, results of earlier stages, due time. Estimates count what this order puts before a group. Queues without shared groups are as before. Measured: the existing tests of package kernel pass.

--- a/kernel/batch.go
+++ b/kernel/batch.go
@@ -75,6 +75,8 @@
 		overloadedAt time.Time
 		// coldShare limits the calls to cold workers.
 		coldShare ColdShare
+		// shares has the state of the order by customers' shares.
+		shares queueShares
 	}
 
 	worker struct {
@@ -123,6 +125,8 @@
 		// never share a call, so that a group that crashes workers does not repeatedly fail the same other
 		// groups.
 		suspect bool
+		// beyondShare is true if the group's flow had used its share when the groups were last sorted.
+		beyondShare bool
 	}
 
 	heldResult struct {
@@ -144,6 +148,7 @@
 		running:          map[uint64]PieceBatch{},
 		results:          map[string]heldResult{},
 		holdTime:         2 * traits.CallTime,
+		shares:           newQueueShares(),
 	}
 }
 
@@ -256,6 +261,7 @@
 		delete(q.groups, id)
 	}
 	ended = append(ended, q.endStarved(now)...)
+	q.shares.expire(now)
 	maps.DeleteFunc(q.unlistedCalledAt, func(_ string, calledAt time.Time) bool { return now.Sub(calledAt) >= unlistedRetention })
 	for handle, r := range q.results {
 		if now.After(r.expiresAt) {
--- a/kernel/batchorder.go
+++ b/kernel/batchorder.go
@@ -37,6 +37,8 @@
 		q.byRank = true
 		slices.SortFunc(out, compare)
 	}
+	q.classifyShared(now, out)
+	q.orderShared(earliestFinish, out, nil)
 	return out
 }
 
@@ -83,6 +85,7 @@
 	slices.SortStableFunc(out, func(a, b *waitingGroup) int {
 		return q.compareGroups(earliestFinish, a, b, delay(a), delay(b))
 	})
+	q.orderShared(earliestFinish, out, delay)
 	return out
 }
 
--- /dev/null
+++ b/kernel/batchshare.go
@@ -0,0 +1,304 @@
+package kernel
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/share"
+)
+
+const (
+	// demandRetention is how long the stages of requests are remembered whose pieces count as demand: longer than the time
+	// from the estimate at a request's arrival until the pieces of its last stage are sent.
+	demandRetention = 2 * time.Second
+	// retryDemandPeriod is how long after its first attempt a retried request is not counted again. The ledger averages
+	// over the same time; counted at each retry, callers that do not wait would raise their demand.
+	retryDemandPeriod = time.Second
+	// promisedCapacity is the part of the capacity that is divided. The estimate of the capacity is not exact; if more than
+	// the real one were divided, the lowest ranks within their shares would wait for all others. The rest goes to groups
+	// beyond their shares.
+	promisedCapacity = 0.9
+	// crowdedMeasureTime is how long pieces must have queued until the work that was served shows the capacity: the time
+	// over which the ledger averages.
+	crowdedMeasureTime = time.Second
+	// capacityWeight is the weight of the newest value in the moving average of the capacity; maxCapacityError bounds the
+	// ratio of this average to the capacity by the pool's traits.
+	capacityWeight   = 0.1
+	maxCapacityError = 2.0
+	// minLeftover bounds the estimated wait of groups beyond their shares: the part of the capacity that shares leave
+	// unused is not below it.
+	minLeftover = 1 - promisedCapacity
+	// maxShareWait is the longest estimated wait; a flow without any share waits forever.
+	maxShareWait = time.Minute
+)
+
+type (
+	// ShareStanding is how a customer's share decides about a group. Rates are in seconds of an endpoint per second.
+	ShareStanding struct {
+		// Applies is true if the queue is ordered by shares at present.
+		Applies bool
+		// Share is the rate that the customer's share allows, Use the one at which it was served lately.
+		Share float64
+		Use   float64
+		// Beyond is true if the share leaves no capacity for the group's rank now.
+		Beyond bool
+	}
+
+	// queueShares is the state of a BatchQueue for the order by customers' shares. It changes in place.
+	queueShares struct {
+		ledger *share.Ledger
+		// countedAt is when the pieces of a stage of a request were counted as demand.
+		countedAt map[stageOfRequest]time.Time
+		// capacity is the moving average of the work that the pool does in a second, in seconds of an endpoint.
+		// crowdedSince is since when pieces have queued without a break; zero if none do.
+		capacity     float64
+		crowdedSince time.Time
+	}
+
+	stageOfRequest struct {
+		request string
+		stage   int
+	}
+
+	// groupOrder compares groups, as for slices.SortFunc. Groups that are due before earliestFinish are late.
+	groupOrder func(earliestFinish time.Time, a, b *waitingGroup) int
+)
+
+func newQueueShares() queueShares {
+	return queueShares{ledger: share.NewLedger(), countedAt: map[stageOfRequest]time.Time{}}
+}
+
+// expire forgets which stages were counted as demand long ago.
+func (s *queueShares) expire(now time.Time) {
+	maps.DeleteFunc(s.countedAt, func(_ stageOfRequest, at time.Time) bool { return now.Sub(at) > demandRetention })
+}
+
+// ShareStanding returns how the share of a group's customer decides about the group.
+func (q *BatchQueue) ShareStanding(now time.Time, group PieceGroup) ShareStanding {
+	if !q.ordersByShare(group) {
+		return ShareStanding{}
+	}
+	standing := q.shares.ledger.Standing(group.flow())
+	return ShareStanding{Applies: true, Share: standing.Share, Use: standing.Use, Beyond: standing.Limited && q.shortfall(now, group, standing) >= 0}
+}
+
+// flow returns the flow that a group belongs to in the ledger.
+func (p PieceGroup) flow() share.Flow {
+	return share.Flow{Customer: p.Customer, Rank: p.Rank}
+}
+
+// ordersByShare reports whether a group is ordered by shares at present.
+func (q *BatchQueue) ordersByShare(group PieceGroup) bool {
+	return group.Shared && q.byRank && q.policy.Uses(WaitPerRequest)
+}
+
+// work returns the work that pieces with results of a size take, in seconds of an endpoint: the time in its slots, or the
+// time that the results take all of its room if that is longer.
+func (q *BatchQueue) work(pieces int, resultBytes int64) float64 {
+	inSlots := float64(pieces) / float64(max(1, q.traits.MaxBatch)) * q.callTime(q.traits.MaxBatch).Seconds() / float64(max(1, q.traits.Slots))
+	if q.traits.Room <= 0 {
+		return inSlots
+	}
+	inRoom := float64(pieces) * float64(resultBytes) / (roomMargin * float64(q.traits.Room)) * q.holdTime.Seconds()
+	return max(inSlots, inRoom)
+}
+
+// recordDemand counts the pieces of a shared group as demand of its customer, once for each stage of a request.
+func (q *BatchQueue) recordDemand(now time.Time, group PieceGroup) {
+	if !group.Shared || len(group.Pieces) == 0 || q.groups[group.ID] != nil {
+		return
+	}
+	key := stageOfRequest{group.Pieces[0].Request, group.Pieces[0].Stage}
+	if _, counted := q.shares.countedAt[key]; counted {
+		return
+	}
+	q.shares.countedAt[key] = now
+	if group.Waited > 0 && group.Waited < retryDemandPeriod {
+		return
+	}
+	q.shares.ledger.Request(group.flow(), group.Weight, q.work(len(group.Pieces), group.ResultBytes))
+}
+
+// recordServed counts a number of pieces of a group as served, or as not served if the number is negative.
+func (q *BatchQueue) recordServed(g *waitingGroup, pieces int) {
+	if g.Shared {
+		q.shares.ledger.Serve(g.flow(), q.work(pieces, g.ResultBytes))
+	}
+}
+
+// recordNotServed records that the pieces of a call were not made, and took no capacity.
+func (q *BatchQueue) recordNotServed(batch PieceBatch) {
+	for _, id := range batch.groups {
+		if g := q.groups[id]; g != nil {
+			q.recordServed(g, -1)
+		}
+	}
+}
+
+// updateShares divides the capacity among the customers. Where pieces have queued for a while, the work done shows the
+// capacity; else it follows from the traits of the pool.
+func (q *BatchQueue) updateShares(now time.Time) {
+	s := &q.shares
+	stated := q.concurrency(now) / float64(max(1, q.traits.Slots))
+	if s.capacity == 0 {
+		s.capacity = stated
+	}
+	if q.backlog(now) <= maxLateBacklog {
+		s.crowdedSince = time.Time{}
+	} else if s.crowdedSince.IsZero() {
+		s.crowdedSince = now
+	}
+	target := stated
+	if !s.crowdedSince.IsZero() && now.Sub(s.crowdedSince) >= crowdedMeasureTime {
+		target = s.ledger.Served()
+	}
+	s.capacity += capacityWeight * (target - s.capacity)
+	s.capacity = min(max(s.capacity, stated/maxCapacityError), stated*maxCapacityError)
+	s.ledger.Update(now, promisedCapacity*s.capacity)
+}
+
+// classifyShared decides which shared groups are within their customers' shares. A flow that requests less than its rate is
+// within its share with all of its groups, any other with as many as its credit allows, the first in its own order.
+func (q *BatchQueue) classifyShared(now time.Time, groups []*waitingGroup) {
+	if !q.byRank || !anyShared(groups) {
+		return
+	}
+	q.updateShares(now)
+	earliestFinish := now.Add(q.callTime(1))
+	own := slices.DeleteFunc(slices.Clone(groups), func(g *waitingGroup) bool { return !g.Shared })
+	slices.SortFunc(own, func(a, b *waitingGroup) int { return q.compareInFlow(earliestFinish, a, b, 0, 0) })
+	type flowState struct {
+		limited bool
+		credit  float64
+	}
+	flows := map[share.Flow]*flowState{}
+	for _, g := range own {
+		f := flows[g.flow()]
+		if f == nil {
+			standing := q.shares.ledger.Standing(g.flow())
+			f = &flowState{limited: standing.Limited, credit: standing.Credit}
+			flows[g.flow()] = f
+		}
+		g.beyondShare = f.limited && f.credit <= 0
+		f.credit -= q.work(len(g.waiting), g.ResultBytes)
+	}
+}
+
+func anyShared(groups []*waitingGroup) bool {
+	return slices.ContainsFunc(groups, func(g *waitingGroup) bool { return g.Shared })
+}
+
+// orderShared orders the shared groups by their customers' shares within the places that they have among all groups.
+// Groups that are not shared keep theirs. Delay returns by how much later a group counts as due; nil for none.
+func (q *BatchQueue) orderShared(earliestFinish time.Time, groups []*waitingGroup, delay func(*waitingGroup) time.Duration) {
+	if !q.byRank || !anyShared(groups) {
+		return
+	}
+	shared := slices.DeleteFunc(slices.Clone(groups), func(g *waitingGroup) bool { return !g.Shared })
+	slices.SortFunc(shared, func(a, b *waitingGroup) int {
+		if delay == nil {
+			return q.compareShared(earliestFinish, a, b, 0, 0)
+		}
+		return q.compareShared(earliestFinish, a, b, delay(a), delay(b))
+	})
+	for i, g := range groups {
+		if g.Shared {
+			groups[i] = shared[0]
+			shared = shared[1:]
+		}
+	}
+}
+
+// compareShared orders shared groups: those that can be on time first, then those within their shares, then as within one
+// flow.
+func (q *BatchQueue) compareShared(earliestFinish time.Time, a, b *waitingGroup, delayA, delayB time.Duration) int {
+	if lateA, lateB := earliestFinish.After(a.Due), earliestFinish.After(b.Due); lateA != lateB && q.policy.Uses(LateLast) {
+		return trueLast(lateA, lateB)
+	}
+	if a.beyondShare != b.beyondShare {
+		return trueLast(a.beyondShare, b.beyondShare)
+	}
+	return q.compareInFlow(earliestFinish, a, b, delayA, delayB)
+}
+
+// compareInFlow orders shared groups: those that can be on time first, then by rank. Of the same rank, groups with results
+// of earlier stages come first, as these would be lost; then the order is by due time, which counts from the first attempt.
+func (q *BatchQueue) compareInFlow(earliestFinish time.Time, a, b *waitingGroup, delayA, delayB time.Duration) int {
+	if lateA, lateB := earliestFinish.After(a.Due), earliestFinish.After(b.Due); lateA != lateB && q.policy.Uses(LateLast) {
+		return trueLast(lateA, lateB)
+	}
+	if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
+		return c
+	}
+	if beginsA, beginsB := len(a.Inputs) == 0, len(b.Inputs) == 0; beginsA != beginsB {
+		return trueLast(beginsA, beginsB)
+	}
+	if c := a.Due.Add(delayA).Compare(b.Due.Add(delayB)); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
+
+// trueLast compares two different values.
+func trueLast(a, _ bool) int {
+	if a {
+		return 1
+	}
+	return -1
+}
+
+// compareToday orders groups without regard to shares.
+func (q *BatchQueue) compareToday(earliestFinish time.Time, a, b *waitingGroup) int {
+	return q.compareGroups(earliestFinish, a, b, 0, 0)
+}
+
+// compareForEstimate orders a waiting group and a new, shared one. Groups that are not shared have their place by due time.
+func (q *BatchQueue) compareForEstimate(earliestFinish time.Time, waiting, own *waitingGroup) int {
+	if !waiting.Shared {
+		return q.compareGroups(earliestFinish, waiting, own, 0, 0)
+	}
+	return q.compareShared(earliestFinish, waiting, own, 0, 0)
+}
+
+// shortfall returns the work that the share of a group's flow must have capacity for before the group is within it, in
+// seconds of an endpoint; it is within the share if the shortfall is negative.
+func (q *BatchQueue) shortfall(now time.Time, group PieceGroup, standing share.Standing) float64 {
+	own := &waitingGroup{PieceGroup: group}
+	earliestFinish := now.Add(q.callTime(1))
+	ahead := 0.0
+	for _, g := range q.groups {
+		if g.Shared && g.ID != group.ID && g.Customer == group.Customer && g.Rank == group.Rank && q.compareInFlow(earliestFinish, g, own, 0, 0) < 0 {
+			ahead += q.work(len(g.waiting), g.ResultBytes)
+		}
+	}
+	return ahead - standing.Credit
+}
+
+// estimateSharedWait estimates how long the pieces of a shared group wait. Beyond its share, the group waits until the share
+// has capacity for it, or for what the shares of all customers leave, whichever comes first.
+func (q *BatchQueue) estimateSharedWait(now time.Time, group PieceGroup) time.Duration {
+	standing := q.shares.ledger.Standing(group.flow())
+	within := q.waitInOrder(now, &waitingGroup{PieceGroup: group}, q.compareForEstimate)
+	if !standing.Limited {
+		return within
+	}
+	shortfall := q.shortfall(now, group, standing)
+	if shortfall < 0 {
+		return within
+	}
+	byShare := maxShareWait
+	if standing.Rate > 0 {
+		byShare = secondsUpTo(shortfall/standing.Rate, maxShareWait)
+	}
+	leftover := max(minLeftover, 1-q.shares.ledger.Promised()/q.shares.capacity)
+	beyond := q.waitInOrder(now, &waitingGroup{PieceGroup: group, beyondShare: true}, q.compareForEstimate)
+	return max(within, min(byShare, secondsUpTo(beyond.Seconds()/leftover, maxShareWait)))
+}
+
+// secondsUpTo converts seconds to a duration of at most limit.
+func secondsUpTo(seconds float64, limit time.Duration) time.Duration {
+	return time.Duration(math.Min(seconds, limit.Seconds()) * float64(time.Second))
+}
--- a/kernel/batchwait.go
+++ b/kernel/batchwait.go
@@ -10,7 +10,12 @@
 // EstimateWait estimates how long the pieces of a group added now would wait for the start of their call, given
 // the work ahead of them and the free room. If the group is late only because of this wait, the queue counts as
 // overloaded.
+//
+// While the order by shares is in force, only the work that it puts before the group counts, and a group beyond its
+// customer's share waits until the share has capacity for it. The first call for a stage of a request also counts its
+// pieces as demand of the customer.
 func (q *BatchQueue) EstimateWait(now time.Time, group PieceGroup) time.Duration {
+	q.recordDemand(now, group)
 	wait := q.estimateWait(now, group)
 	finishAlone := now.Add(q.callTime(len(group.Pieces)))
 	if !finishAlone.After(group.Due) && finishAlone.Add(wait).After(group.Due) {
@@ -23,8 +28,17 @@
 	if wait, none := q.waitForWorker(now); none {
 		return wait
 	}
+	if q.ordersByShare(group) {
+		return q.estimateSharedWait(now, group)
+	}
+	return q.waitInOrder(now, &waitingGroup{PieceGroup: group}, q.compareToday)
+}
+
+// waitInOrder estimates how long the pieces of a group wait if all groups that compare puts before it are made first.
+func (q *BatchQueue) waitInOrder(now time.Time, own *waitingGroup, compare groupOrder) time.Duration {
+	group := own.PieceGroup
 	total, free := q.roomTotals(now)
-	ahead, aheadBytes := q.workAhead(now, group, free)
+	ahead, aheadBytes := q.workAhead(now, own, free, compare)
 	full := q.callTime(q.traits.MaxBatch)
 	calls := q.concurrency(now)
 	// When all endpoints are busy, the next one becomes free after half of the mean interval between calls.
@@ -64,10 +78,10 @@
 // workAhead returns how many pieces are made before those of a group, and how many bytes of results need room
 // before the group's last one has it. Late work comes after all work that is not late. Smaller results overtake
 // larger ones that wait for room, so larger results count only as far as there is room for them.
-func (q *BatchQueue) workAhead(now time.Time, group PieceGroup, free float64) (pieces int, bytes int64) {
+func (q *BatchQueue) workAhead(now time.Time, own *waitingGroup, free float64, compare groupOrder) (pieces int, bytes int64) {
+	group := own.PieceGroup
 	bytes = int64(len(group.Pieces)) * group.ResultBytes
 	earliestFinish := now.Add(q.callTime(1))
-	own := &waitingGroup{PieceGroup: group}
 	roomForLarger := free
 	for _, g := range q.groups {
 		if !q.policy.Uses(WaitPerRequest) {
@@ -77,7 +91,7 @@
 			}
 			continue
 		}
-		if q.compareGroups(earliestFinish, g, own, 0, 0) > 0 {
+		if compare(earliestFinish, g, own) > 0 {
 			continue
 		}
 		waiting := len(g.waiting)
--- a/kernel/pieces.go
+++ b/kernel/pieces.go
@@ -25,6 +25,13 @@
 		LocalityWait time.Duration
 		// Rank is the request's priority; 0 is the highest.
 		Rank int
+		// Shared is true if the group is ordered by customers' shares while the queue is overloaded. Customer is then the
+		// name of the request's customer, empty if it has none, and Weight the customer's weight; below 1 it counts as 1.
+		Shared   bool
+		Customer string
+		Weight   float64
+		// Waited is how long the caller had waited since its first attempt when it sent this one; zero for a first attempt.
+		Waited time.Duration
 		// FirstSentAt is when the sender first sent the group to any batcher; if zero, Add sets it to the present
 		// time.
 		FirstSentAt time.Time
