Notice overload by demand and let small customers go first

Cause: in a model of a pool whose room binds, groups of small customers starved: groups of a flood within its credit were nearer to their due times. Demand was not decayed while the queue was not overloaded, and the measured capacity fell back to the stated one in each short break. The order by shares began only once a group would be late, when the queue was full of groups of the largest customers. Ruled out: a margin on the estimates of limited flows (1.3 to 2.5: as many late). Change: flows that ask for no more than their rates go before those that do; the ledger decays with each record; shares apply from the time that demand exceeds the capacity while pieces queue.

--- a/kernel/batch.go
+++ b/kernel/batch.go
@@ -75,6 +75,8 @@
 		overloadedAt time.Time
 		// coldShare limits the calls to cold workers.
 		coldShare ColdShare
+		// byShare is true if the most recent ordering of the groups put the shared ones in the order by shares.
+		byShare bool
 		// shares has the state of the order by customers' shares.
 		shares queueShares
 	}
@@ -125,8 +127,8 @@
 		// never share a call, so that a group that crashes workers does not repeatedly fail the same other
 		// groups.
 		suspect bool
-		// beyondShare is true if the group's flow had used its share when the groups were last sorted.
-		beyondShare bool
+		// shareClass is how a shared group stood to its customer's share when the groups were last sorted.
+		shareClass shareClass
 	}
 
 	heldResult struct {
--- a/kernel/batchcall.go
+++ b/kernel/batchcall.go
@@ -101,7 +101,7 @@
 	for i, p := range batch.Pieces {
 		w.usedRoom += batch.bytes[i]
 		g := q.groups[batch.groups[i]]
-		q.recordServed(g, 1)
+		q.recordServed(now, g, 1)
 		g.attempts[p.Number]++
 		g.runningCalls[p.Number]++
 		g.waited = now.Sub(g.addedAt)
--- a/kernel/batchend.go
+++ b/kernel/batchend.go
@@ -9,7 +9,7 @@
 
 // Refused records that an endpoint refused a call without running it, and requeues its pieces.
 func (q *BatchQueue) Refused(now time.Time, batch PieceBatch) []GroupOutcome {
-	q.recordNotServed(batch)
+	q.recordNotServed(now, batch)
 	w := q.finishCall(batch, nil)
 	if w != nil {
 		w.pausedUntil = now.Add(max(refusalBackoff, w.refusalPause))
@@ -41,7 +41,7 @@
 
 // Unreachable records that a call's endpoint could not be connected to, and requeues its pieces.
 func (q *BatchQueue) Unreachable(now time.Time, batch PieceBatch) []GroupOutcome {
-	q.recordNotServed(batch)
+	q.recordNotServed(now, batch)
 	if w := q.finishCall(batch, nil); w != nil {
 		w.health = w.health.WithUnreachable(now)
 		q.lastStart = time.Time{}
--- a/kernel/batchshare.go
+++ b/kernel/batchshare.go
@@ -22,10 +22,12 @@
 	// beyond their shares.
 	promisedCapacity = 0.9
 	// crowdedMeasureTime is how long pieces must have queued until the work that was served shows the capacity: the time
-	// over which the ledger averages.
+	// over which the ledger averages. maxCrowdedBreak is the longest break in which they may not have queued.
 	crowdedMeasureTime = time.Second
-	// capacityWeight is the weight of the newest value in the moving average of the capacity; maxCapacityError bounds the
-	// ratio of this average to the capacity by the pool's traits.
+	maxCrowdedBreak    = 300 * time.Millisecond
+	// capacityInterval is how often the capacity is measured, capacityWeight the weight of the newest value in its moving
+	// average. maxCapacityError bounds the ratio of this average to the capacity by the pool's traits.
+	capacityInterval = 50 * time.Millisecond
 	capacityWeight   = 0.1
 	maxCapacityError = 2.0
 	// minLeftover bounds the estimated wait of groups beyond their shares: the part of the capacity that shares leave
@@ -35,7 +37,21 @@
 	maxShareWait = time.Minute
 )
 
+// The classes of shared groups, in the order in which they are made.
+const (
+	// withinFlow is the class of groups whose flows request no more than their rates. All of these can be made on time, so
+	// they go before those of flows that lose a part in any case.
+	withinFlow shareClass = iota
+	// withinCredit is the class of groups of other flows, as many as their shares have capacity for.
+	withinCredit
+	// beyondShare is the class of all other groups.
+	beyondShare
+)
+
 type (
+	// shareClass is how a group stands to its customer's share.
+	shareClass uint8
+
 	// ShareStanding is how a customer's share decides about a group. Rates are in seconds of an endpoint per second.
 	ShareStanding struct {
 		// Applies is true if the queue is ordered by shares at present.
@@ -53,9 +69,15 @@
 		// countedAt is when the pieces of a stage of a request were counted as demand.
 		countedAt map[stageOfRequest]time.Time
 		// capacity is the moving average of the work that the pool does in a second, in seconds of an endpoint.
-		// crowdedSince is since when pieces have queued without a break; zero if none do.
-		capacity     float64
+		// It was last updated at measuredAt.
+		capacity   float64
+		measuredAt time.Time
+		// crowdedSince is since when pieces have queued without a longer break than maxCrowdedBreak, crowdedAt when they
+		// last did; zero if they do not.
 		crowdedSince time.Time
+		crowdedAt    time.Time
+		// exceededAt is when customers last asked for more than the capacity while pieces queued.
+		exceededAt time.Time
 	}
 
 	stageOfRequest struct {
@@ -92,7 +114,7 @@
 
 // ordersByShare reports whether a group is ordered by shares at present.
 func (q *BatchQueue) ordersByShare(group PieceGroup) bool {
-	return group.Shared && q.byRank && q.policy.Uses(WaitPerRequest)
+	return group.Shared && q.byShare && q.policy.Uses(WaitPerRequest)
 }
 
 // work returns the work that pieces with results of a size take, in seconds of an endpoint: the time in its slots, or the
@@ -119,21 +141,21 @@
 	if group.Waited > 0 && group.Waited < retryDemandPeriod {
 		return
 	}
-	q.shares.ledger.Request(group.flow(), group.Weight, q.work(len(group.Pieces), group.ResultBytes))
+	q.shares.ledger.Request(now, group.flow(), group.Weight, q.work(len(group.Pieces), group.ResultBytes))
 }
 
 // recordServed counts a number of pieces of a group as served, or as not served if the number is negative.
-func (q *BatchQueue) recordServed(g *waitingGroup, pieces int) {
+func (q *BatchQueue) recordServed(now time.Time, g *waitingGroup, pieces int) {
 	if g.Shared {
-		q.shares.ledger.Serve(g.flow(), q.work(pieces, g.ResultBytes))
+		q.shares.ledger.Serve(now, g.flow(), q.work(pieces, g.ResultBytes))
 	}
 }
 
 // recordNotServed records that the pieces of a call were not made, and took no capacity.
-func (q *BatchQueue) recordNotServed(batch PieceBatch) {
+func (q *BatchQueue) recordNotServed(now time.Time, batch PieceBatch) {
 	for _, id := range batch.groups {
 		if g := q.groups[id]; g != nil {
-			q.recordServed(g, -1)
+			q.recordServed(now, g, -1)
 		}
 	}
 }
@@ -142,14 +164,22 @@
 // capacity; else it follows from the traits of the pool.
 func (q *BatchQueue) updateShares(now time.Time) {
 	s := &q.shares
+	if now.Sub(s.measuredAt) < capacityInterval {
+		return
+	}
+	s.measuredAt = now
 	stated := q.concurrency(now) / float64(max(1, q.traits.Slots))
 	if s.capacity == 0 {
 		s.capacity = stated
 	}
-	if q.backlog(now) <= maxLateBacklog {
+	switch {
+	case q.backlog(now) > maxLateBacklog:
+		s.crowdedAt = now
+		if s.crowdedSince.IsZero() {
+			s.crowdedSince = now
+		}
+	case now.Sub(s.crowdedAt) > maxCrowdedBreak:
 		s.crowdedSince = time.Time{}
-	} else if s.crowdedSince.IsZero() {
-		s.crowdedSince = now
 	}
 	target := stated
 	if !s.crowdedSince.IsZero() && now.Sub(s.crowdedSince) >= crowdedMeasureTime {
@@ -160,13 +190,28 @@
 	s.ledger.Update(now, promisedCapacity*s.capacity)
 }
 
+// usesShares reports whether shared groups are ordered by shares: while ranks count, and from the time that customers ask for
+// more than the capacity and pieces queue. Until the first group would be late, the queue fills with groups of the customers
+// that ask most.
+func (q *BatchQueue) usesShares(now time.Time) bool {
+	s := &q.shares
+	if s.ledger.Requested() > s.capacity && q.backlog(now) > maxLateBacklog {
+		s.exceededAt = now
+	}
+	return q.byRank || (!s.exceededAt.IsZero() && now.Sub(s.exceededAt) < overloadHoldCalls*q.callTime(q.traits.MaxBatch))
+}
+
 // classifyShared decides which shared groups are within their customers' shares. A flow that requests less than its rate is
 // within its share with all of its groups, any other with as many as its credit allows, the first in its own order.
 func (q *BatchQueue) classifyShared(now time.Time, groups []*waitingGroup) {
-	if !q.byRank || !anyShared(groups) {
+	q.byShare = false
+	if !anyShared(groups) {
 		return
 	}
 	q.updateShares(now)
+	if q.byShare = q.usesShares(now); !q.byShare {
+		return
+	}
 	earliestFinish := now.Add(q.callTime(1))
 	own := slices.DeleteFunc(slices.Clone(groups), func(g *waitingGroup) bool { return !g.Shared })
 	slices.SortFunc(own, func(a, b *waitingGroup) int { return q.compareInFlow(earliestFinish, a, b, 0, 0) })
@@ -182,7 +227,14 @@
 			f = &flowState{limited: standing.Limited, credit: standing.Credit}
 			flows[g.flow()] = f
 		}
-		g.beyondShare = f.limited && f.credit <= 0
+		switch {
+		case !f.limited:
+			g.shareClass = withinFlow
+		case f.credit > 0:
+			g.shareClass = withinCredit
+		default:
+			g.shareClass = beyondShare
+		}
 		f.credit -= q.work(len(g.waiting), g.ResultBytes)
 	}
 }
@@ -194,7 +246,7 @@
 // orderShared orders the shared groups by their customers' shares within the places that they have among all groups.
 // Groups that are not shared keep theirs. Delay returns by how much later a group counts as due; nil for none.
 func (q *BatchQueue) orderShared(earliestFinish time.Time, groups []*waitingGroup, delay func(*waitingGroup) time.Duration) {
-	if !q.byRank || !anyShared(groups) {
+	if !q.byShare || !anyShared(groups) {
 		return
 	}
 	shared := slices.DeleteFunc(slices.Clone(groups), func(g *waitingGroup) bool { return !g.Shared })
@@ -218,8 +270,8 @@
 	if lateA, lateB := earliestFinish.After(a.Due), earliestFinish.After(b.Due); lateA != lateB && q.policy.Uses(LateLast) {
 		return trueLast(lateA, lateB)
 	}
-	if a.beyondShare != b.beyondShare {
-		return trueLast(a.beyondShare, b.beyondShare)
+	if c := cmp.Compare(a.shareClass, b.shareClass); c != 0 {
+		return c
 	}
 	return q.compareInFlow(earliestFinish, a, b, delayA, delayB)
 }
@@ -281,10 +333,10 @@
 // has capacity for it, or for what the shares of all customers leave, whichever comes first.
 func (q *BatchQueue) estimateSharedWait(now time.Time, group PieceGroup) time.Duration {
 	standing := q.shares.ledger.Standing(group.flow())
-	within := q.waitInOrder(now, &waitingGroup{PieceGroup: group}, q.compareForEstimate)
 	if !standing.Limited {
-		return within
+		return q.waitInOrder(now, &waitingGroup{PieceGroup: group, shareClass: withinFlow}, q.compareForEstimate)
 	}
+	within := q.waitInOrder(now, &waitingGroup{PieceGroup: group, shareClass: withinCredit}, q.compareForEstimate)
 	shortfall := q.shortfall(now, group, standing)
 	if shortfall < 0 {
 		return within
@@ -294,7 +346,7 @@
 		byShare = secondsUpTo(shortfall/standing.Rate, maxShareWait)
 	}
 	leftover := max(minLeftover, 1-q.shares.ledger.Promised()/q.shares.capacity)
-	beyond := q.waitInOrder(now, &waitingGroup{PieceGroup: group, beyondShare: true}, q.compareForEstimate)
+	beyond := q.waitInOrder(now, &waitingGroup{PieceGroup: group, shareClass: beyondShare}, q.compareForEstimate)
 	return max(within, min(byShare, secondsUpTo(beyond.Seconds()/leftover, maxShareWait)))
 }
 
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -54,8 +54,11 @@
 	// guarded by its owner.
 	Ledger struct {
 		customers map[string]*customerAccount
-		// served is all work served lately, decayed over ledgerWindow as of dividedAt.
+		// served is all work served lately, decayed over ledgerWindow as of decayedAt.
 		served    float64
+		decayedAt time.Time
+		// capacity was divided last at dividedAt.
+		capacity  float64
 		dividedAt time.Time
 		// scratch and demands are reused by Update.
 		scratch []*customerAccount
@@ -73,7 +76,7 @@
 
 	rankAccount struct {
 		rank int
-		// requested is the work requested lately, decayed over ledgerWindow as of dividedAt.
+		// requested is the work requested lately, decayed over ledgerWindow as of Ledger.decayedAt.
 		requested float64
 		rate      float64
 		limited   bool
@@ -87,7 +90,8 @@
 }
 
 // Request records that a flow requested work. Weight is the customer's.
-func (l *Ledger) Request(f Flow, weight, work float64) {
+func (l *Ledger) Request(now time.Time, f Flow, weight, work float64) {
+	l.decay(now)
 	customer := l.customers[f.Customer]
 	if customer == nil {
 		customer = &customerAccount{}
@@ -102,7 +106,8 @@
 }
 
 // Serve records that work of a flow was started, or that it was not done after all if work is negative.
-func (l *Ledger) Serve(f Flow, work float64) {
+func (l *Ledger) Serve(now time.Time, f Flow, work float64) {
+	l.decay(now)
 	l.served = max(0, l.served+work)
 	customer := l.customers[f.Customer]
 	if customer == nil {
@@ -126,7 +131,8 @@
 		return
 	}
 	l.dividedAt = now
-	l.decay(elapsed, capacity)
+	l.capacity = capacity
+	l.decay(now)
 	l.scratch, l.demands = l.scratch[:0], l.demands[:0]
 	for _, customer := range l.customers {
 		l.scratch = append(l.scratch, customer)
@@ -156,6 +162,15 @@
 	return l.served / ledgerWindow.Seconds()
 }
 
+// Requested returns the rate at which all flows requested work lately.
+func (l *Ledger) Requested() float64 {
+	total := 0.0
+	for _, customer := range l.customers {
+		total += customer.requested()
+	}
+	return total / ledgerWindow.Seconds()
+}
+
 // Promised returns the rate that the flows may use in total.
 func (l *Ledger) Promised() float64 {
 	total := 0.0
@@ -170,8 +185,14 @@
 	return len(l.customers)
 }
 
-// decay reduces all sums by the time that has passed and drops the flows that are idle.
-func (l *Ledger) decay(elapsed time.Duration, capacity float64) {
+// decay reduces all sums by the time that has passed, and drops the flows that are idle, unless it was done within
+// ledgerInterval.
+func (l *Ledger) decay(now time.Time) {
+	elapsed := now.Sub(l.decayedAt)
+	if elapsed < ledgerInterval {
+		return
+	}
+	l.decayedAt = now
 	left := math.Exp(-elapsed.Seconds() / ledgerWindow.Seconds())
 	l.served *= left
 	for name, customer := range l.customers {
@@ -179,7 +200,7 @@
 		for i := range customer.ranks {
 			customer.ranks[i].requested *= left
 		}
-		customer.ranks = slices.DeleteFunc(customer.ranks, func(a rankAccount) bool { return a.requested < idleRate*capacity })
+		customer.ranks = slices.DeleteFunc(customer.ranks, func(a rankAccount) bool { return a.requested < idleRate*l.capacity })
 		if len(customer.ranks) == 0 {
 			delete(l.customers, name)
 		}
--- a/share/ledger_test.go
+++ b/share/ledger_test.go
@@ -17,10 +17,10 @@
 func record(l *share.Ledger, now time.Time, length time.Duration, capacity float64, requested, served map[share.Flow]float64) time.Time {
 	for end := now.Add(length); now.Before(end); now = now.Add(ledgerStep) {
 		for f, rate := range requested {
-			l.Request(f, 1, rate*ledgerStep.Seconds())
+			l.Request(now, f, 1, rate*ledgerStep.Seconds())
 		}
 		for f, rate := range served {
-			l.Serve(f, rate*ledgerStep.Seconds())
+			l.Serve(now, f, rate*ledgerStep.Seconds())
 		}
 		l.Update(now, capacity)
 	}
@@ -68,12 +68,12 @@
 			served := 0.0
 			for step := range 6100 {
 				for _, f := range flows {
-					l.Request(f, 1, 20*ledgerStep.Seconds())
+					l.Request(now, f, 1, 20*ledgerStep.Seconds())
 				}
 				l.Update(now, 10)
 				// In the first second, the flow is not known to request more than its share.
 				if step >= 100 && l.Standing(flows[0]).Credit > 0 {
-					l.Serve(flows[0], group)
+					l.Serve(now, flows[0], group)
 					served += group
 				}
 				now = now.Add(ledgerStep)
@@ -101,7 +101,7 @@
 	l := share.NewLedger()
 	now := time.Unix(1000, 0)
 	for i := range 740 {
-		l.Request(share.Flow{Customer: fmt.Sprint("customer-", i), Rank: 10 + i%3}, 1, 0.1)
+		l.Request(now, share.Flow{Customer: fmt.Sprint("customer-", i), Rank: 10 + i%3}, 1, 0.1)
 	}
 	l.Update(now, 10)
 	must.EqOp(t, 740, l.Customers())
@@ -116,7 +116,7 @@
 	now := time.Unix(1000, 0)
 	for b.Loop() {
 		for i := range 740 {
-			l.Request(share.Flow{Customer: fmt.Sprint("customer-", i), Rank: 10 + i%3}, 1, 0.1)
+			l.Request(now, share.Flow{Customer: fmt.Sprint("customer-", i), Rank: 10 + i%3}, 1, 0.1)
 		}
 		now = now.Add(time.Second)
 		l.Update(now, 10)
