Send customers' shares with groups, and tell when a share has capacity

Cause: batchers did not know the customers of groups, refused requests came back together, and their log lines did not say what decided. Ruled out: a fixed spread of retries, which takes the last chance to be on time from some. Change: peer.Batch carries the customer and the wait since the first attempt, the reply share and use; retries are spread by the request's ID up to the last time at which they can be on time; events RefusedBeyondShare and RefusedNoRoom. Applies where statesContention holds for the pool of engines. Reports of a queue that is ordered by shares are not reused for other requests.

--- a/kernel/batch.go
+++ b/kernel/batch.go
@@ -221,7 +221,11 @@
 	finish := now.Add(wait + q.callTime(len(group.Pieces)))
 	late := finish.After(group.Due) && q.backlog(now) > maxLateBacklog
 	if late || finish.After(group.Until) {
-		return false, ClampRetryAfter(max(wait, q.callTime(q.traits.MaxBatch)))
+		retry := ClampRetryAfter(max(wait, q.callTime(q.traits.MaxBatch)))
+		if q.ordersByShare(group) {
+			retry = SpreadRetryAfter(group.Pieces[0].Request, retry, group.Due.Sub(now)-q.callTime(len(group.Pieces)))
+		}
+		return false, retry
 	}
 	if group.FirstSentAt.IsZero() {
 		group.FirstSentAt = now
--- a/kernel/batchshare.go
+++ b/kernel/batchshare.go
@@ -114,7 +114,7 @@
 
 // ordersByShare reports whether a group is ordered by shares at present.
 func (q *BatchQueue) ordersByShare(group PieceGroup) bool {
-	return group.Shared && q.byShare && q.policy.Uses(WaitPerRequest)
+	return group.Shared && q.byShare && len(group.Pieces) > 0 && q.policy.Uses(WaitPerRequest)
 }
 
 // work returns the work that pieces with results of a size take, in seconds of an endpoint: the time in its slots, or the
--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"basilstall.example/basilstall/model"
 )
 
@@ -21,6 +23,9 @@
 	planMargin = 1.15
 	// firstEventMargin is subtracted from the objective for the way back to the caller and timer lag.
 	firstEventMargin = 15 * time.Millisecond
+	// retrySpread is the part of a retry delay over which retries are spread where shares decide. Requests that are refused
+	// together would otherwise come back together.
+	retrySpread = 0.5
 )
 
 type (
@@ -43,6 +48,8 @@
 		Traits    model.PieceTraits
 		Wait      time.Duration
 		RoomTaken float64
+		// Shares is how the customer's share decides about the pieces.
+		Shares ShareStanding
 	}
 )
 
@@ -133,7 +140,35 @@
 	late := now.Add(time.Duration(planMargin * float64(plan.Expected))).After(f.FirstAttemptAt().Add(a.Route.Objective))
 	pastDeadline := now.Add(plan.Expected).After(a.Deadline)
 	if pastDeadline || (late && totalWait > lateRefusalWait) {
-		return model.NewRefusal(model.NotRun, model.StageLate, ClampRetryAfter(totalWait), "the stages would be late")
+		return refuseLateStages(now, f, a, plan, estimates, totalWait)
 	}
 	return nil
 }
+
+// refuseLateStages returns the refusal of a request whose stages would be late because of the given wait. Where shares
+// decide, the wait is the time until the customer's share has capacity for the request.
+func refuseLateStages(now time.Time, f model.Forward, a Admission, plan StagePlan, estimates []PoolEstimate, wait time.Duration) *model.Refusal {
+	applies, beyond := false, false
+	for _, e := range estimates {
+		applies, beyond = applies || e.Shares.Applies, beyond || e.Shares.Beyond
+	}
+	if !applies {
+		return model.NewRefusal(model.NotRun, model.StageLate, ClampRetryAfter(wait), "the stages would be late")
+	}
+	latest := f.FirstAttemptAt().Add(a.Route.Objective - time.Duration(planMargin*float64(plan.Expected-wait)))
+	retry := SpreadRetryAfter(f.ID, ClampRetryAfter(wait), latest.Sub(now))
+	if beyond {
+		return model.NewRefusal(model.NotRun, model.StageLate, retry, "the stages would be late: the customer's share is in use")
+	}
+	return model.NewRefusal(model.NotRun, model.StageLate, retry, "the stages would be late: no room within the customer's share")
+}
+
+// SpreadRetryAfter extends a retry delay by up to retrySpread of it, depending on the request's ID. The extended delay is not
+// longer than latest, after which a retry would be late, unless the delay itself is.
+func SpreadRetryAfter(id string, delay, latest time.Duration) time.Duration {
+	spread := time.Duration(retrySpread * float64(delay))
+	if latest >= delay {
+		spread = min(spread, latest-delay)
+	}
+	return ClampRetryAfter(delay + time.Duration(float64(xxhash.Sum64String(id)>>11)/(1<<53)*float64(spread)))
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -180,6 +180,12 @@
 		Domain       string
 		LocalityWait time.Duration
 		Rank         int
+		// Shared is true if the group is ordered by customers' shares. Waited is the time from the caller's first attempt to
+		// this one.
+		Shared   bool          `msgpack:",omitempty"`
+		Customer string        `msgpack:",omitempty"`
+		Weight   float64       `msgpack:",omitempty"`
+		Waited   time.Duration `msgpack:",omitempty"`
 		// AskedAgo is the time since the sender first requested the pieces from any node.
 		AskedAgo time.Duration
 		// DueIn is the time until the results are needed, UntilIn the time until they become useless.
@@ -200,6 +206,8 @@
 		Wait time.Duration
 		// RoomTaken is the share of the pool's room for results that is taken.
 		RoomTaken float64
+		// Shares is how the customer's share decides about the group; nil if the queue is not ordered by shares.
+		Shares *kernel.ShareStanding `msgpack:",omitempty"`
 		// Leaving is true if the node no longer batches because it is leaving. The sender then tries another node.
 		Leaving bool
 		// Unreached is true if the node does not batch because it reaches no worker. The sender then tries another node.
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -41,9 +41,14 @@
 		// localityWait is how long the pieces wait for an endpoint in domain.
 		localityWait time.Duration
 		rank         int
-		firstSentAt  time.Time
-		due          time.Time
-		until        time.Time
+		// shared is true if the order by customers' shares applies to the request. waited is how long its caller has
+		// waited since its first attempt.
+		shared      bool
+		customer    string
+		waited      time.Duration
+		firstSentAt time.Time
+		due         time.Time
+		until       time.Time
 		// excluded names the nodes that did not answer, are leaving, or named another batcher.
 		excluded []string
 	}
@@ -141,9 +146,12 @@
 func (result batchResult) stageResult(req batchRequest) stageResult {
 	pool := req.pool
 	if result.refused {
-		return stageResult{refusal: model.NewRefusal(model.NotRun, model.StageLate, kernel.ClampRetryAfter(result.retryAfter), "pool "+pool+" has no time for the pieces")}
+		refused := stageResult{refusal: model.NewRefusal(model.NotRun, model.StageLate, kernel.ClampRetryAfter(result.retryAfter), "pool "+pool+" has no time for the pieces")}
+		refused.timing.Shares = result.report.shares
+		return refused
 	}
 	stage := stageResult{results: result.outcome.Made}
+	stage.timing.Shares = result.report.shares
 	stage.inputsFreed = result.outcome.InputsFreed
 	stage.timing.Waited = result.outcome.Waited
 	stage.timing.Estimate = result.report.wait
@@ -173,13 +181,13 @@
 		if b == nil {
 			continue
 		}
-		if report, fresh := b.recentReport(); fresh && (!report.queued() || !r.options.Policy.Uses(kernel.WaitPerRequest)) {
+		if report, fresh := b.recentReport(); fresh && (!report.perRequest(req) || !r.options.Policy.Uses(kernel.WaitPerRequest)) {
 			out[i].Wait, out[i].RoomTaken = report.wait, report.roomTaken
 			continue
 		}
 		calls.Go(func() {
 			report := r.requestQueueReport(ctx, b, req)
-			out[i].Wait, out[i].RoomTaken = report.wait, report.roomTaken
+			out[i].Wait, out[i].RoomTaken, out[i].Shares = report.wait, report.roomTaken, report.shares
 		})
 	}
 	calls.Wait()
@@ -203,7 +211,7 @@
 		b.forgetBatcher(node)
 		return queueReport{}
 	}
-	report := queueReport{wait: reply.Wait, roomTaken: reply.RoomTaken}
+	report := reportOf(reply)
 	b.recordReport(report)
 	return report
 }
@@ -225,6 +233,9 @@
 		Domain:       req.domain,
 		LocalityWait: req.localityWait,
 		Rank:         req.rank,
+		Shared:       req.shared,
+		Customer:     req.customer,
+		Waited:       req.waited,
 		FirstSentAt:  req.firstSentAt,
 		Due:          req.due,
 		Until:        req.until,
--- a/relay/batcher.go
+++ b/relay/batcher.go
@@ -33,6 +33,8 @@
 		wait time.Duration
 		// roomTaken is the share of the workers' memory for results that is taken, from 0 to 1.
 		roomTaken float64
+		// shares is how the customer's share decides about the pieces that the batcher was asked about.
+		shares kernel.ShareStanding
 	}
 
 	// batcher runs the calls of a kernel.BatchQueue while this node batches for the pool, and otherwise knows
@@ -108,6 +110,11 @@
 	return kernel.PoolEstimate{Wait: q.wait}.Queued()
 }
 
+// perRequest reports whether the wait of a request may differ from that in the report: pieces wait, or shares decide.
+func (q queueReport) perRequest(req batchRequest) bool {
+	return q.queued() || (req.shared && q.shares.Applies)
+}
+
 // recentReport returns the newest report of the pool's batcher, and whether it is recent enough to be used.
 func (b *batcher) recentReport() (queueReport, bool) {
 	b.mu.Lock()
@@ -131,7 +138,7 @@
 
 func (b *batcher) reportForLocked(group kernel.PieceGroup) queueReport {
 	now := b.relay.now()
-	return queueReport{wait: b.queue.EstimateWait(now, group), roomTaken: b.queue.RoomTaken(now)}
+	return queueReport{wait: b.queue.EstimateWait(now, group), roomTaken: b.queue.RoomTaken(now), shares: b.queue.ShareStanding(now, group)}
 }
 
 // runGroup adds a group of this or another node to the queue and waits for its outcome. If another node
--- a/relay/batchpeer.go
+++ b/relay/batchpeer.go
@@ -37,7 +37,7 @@
 		moved:      reply.Moved,
 		movedTo:    reply.MovedTo,
 		retryAfter: reply.RetryAfter,
-		report:     queueReport{wait: reply.Wait, roomTaken: reply.RoomTaken},
+		report:     reportOf(reply),
 	}, nil
 }
 
@@ -58,6 +58,9 @@
 		Domain:       req.domain,
 		LocalityWait: req.localityWait,
 		Rank:         req.rank,
+		Shared:       req.shared,
+		Customer:     req.customer,
+		Waited:       req.waited,
 		AskedAgo:     now.Sub(req.firstSentAt),
 		DueIn:        req.due.Sub(now),
 		UntilIn:      req.until.Sub(now),
@@ -69,6 +72,23 @@
 	return message
 }
 
+// reportOf returns the queue report in a batcher's reply.
+func reportOf(reply peer.BatchReply) queueReport {
+	report := queueReport{wait: reply.Wait, roomTaken: reply.RoomTaken}
+	if reply.Shares != nil {
+		report.shares = *reply.Shares
+	}
+	return report
+}
+
+// sharesMessage returns the shares in a queue report for a reply; nil if the queue is not ordered by shares.
+func (q queueReport) sharesMessage() *kernel.ShareStanding {
+	if !q.shares.Applies {
+		return nil
+	}
+	return &q.shares
+}
+
 // cancelGroup cancels a group at another node after its request was abandoned.
 func (r *Relay) cancelGroup(address string, m peer.Batch) {
 	go func() {
@@ -115,6 +135,10 @@
 		Domain:       m.Domain,
 		LocalityWait: m.LocalityWait,
 		Rank:         m.Rank,
+		Shared:       m.Shared,
+		Customer:     m.Customer,
+		Weight:       m.Weight,
+		Waited:       m.Waited,
 		FirstSentAt:  now.Add(-m.AskedAgo),
 		Due:          now.Add(m.DueIn),
 		Until:        now.Add(m.UntilIn),
@@ -130,7 +154,7 @@
 	}
 	if m.OnlyAsk {
 		report := b.reportFor(group)
-		return peer.BatchReply{Wait: report.wait, RoomTaken: report.roomTaken}, nil
+		return peer.BatchReply{Wait: report.wait, RoomTaken: report.roomTaken, Shares: report.sharesMessage()}, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -146,6 +170,7 @@
 		RetryAfter: result.retryAfter,
 		Wait:       result.report.wait,
 		RoomTaken:  result.report.roomTaken,
+		Shares:     result.report.sharesMessage(),
 	}, nil
 }
 
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -160,7 +160,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return kernel.PoolEstimate{Traits: b.traits, Wait: b.report.wait, RoomTaken: b.report.roomTaken}
+	return kernel.PoolEstimate{Traits: b.traits, Wait: b.report.wait, RoomTaken: b.report.roomTaken, Shares: b.report.shares}
 }
 
 func (s *batcherSet) expireGroups() {
--- a/relay/log.go
+++ b/relay/log.go
@@ -89,8 +89,8 @@
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
 func (timings stageTimingArray) MarshalZerologArray(a *zerolog.Array) {
 	for _, t := range timings {
-		a.Dict(zerolog.Dict().Int("Stage", t.Stage).Str("Pool", t.Pool).Str("Batcher", t.Batcher).
-			Dur("Elapsed", t.Elapsed).Dur("Waited", t.Waited).Dur("Estimate", t.Estimate).Str("Fault", string(t.Fault)))
+		a.Dict(withShares(zerolog.Dict().Int("Stage", t.Stage).Str("Pool", t.Pool).Str("Batcher", t.Batcher).
+			Dur("Elapsed", t.Elapsed).Dur("Waited", t.Waited).Dur("Estimate", t.Estimate).Str("Fault", string(t.Fault)), t.Shares))
 	}
 }
 
@@ -100,10 +100,18 @@
 // MarshalZerologArray implements zerolog.LogArrayMarshaler.
 func (estimates stageEstimateArray) MarshalZerologArray(a *zerolog.Array) {
 	for _, e := range estimates {
-		a.Dict(zerolog.Dict().Str("Pool", e.Pool).Dur("Wait", e.Wait).Float64("RoomTaken", e.RoomTaken))
+		a.Dict(withShares(zerolog.Dict().Str("Pool", e.Pool).Dur("Wait", e.Wait).Float64("RoomTaken", e.RoomTaken), e.Shares))
 	}
 }
 
+// withShares adds the share and the use of a customer, in seconds of an endpoint per second, if its share decided.
+func withShares(line *zerolog.Event, s kernel.ShareStanding) *zerolog.Event {
+	if !s.Applies {
+		return line
+	}
+	return line.Float64("Share", s.Share).Float64("Use", s.Use).Bool("BeyondShare", s.Beyond)
+}
+
 // logFailedAttempt logs an attempt that brought no answer.
 func (r *Relay) logFailedAttempt(f model.Forward, e model.Endpoint, attempt int, reason model.Reason, err error) {
 	r.log.Info().Str("Request", f.ID).Str("Digest", string(f.Digest)).Str("Endpoint", e.Incarnation()).Str("Pool", e.Pool).Int("Attempt", attempt).
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -355,6 +355,7 @@
 	if outcome.Refusal != nil && outcome.Refusal.Reason == model.StageLate && len(j.stageTimings) == 0 {
 		outcome.Estimates = j.estimates
 	}
+	j.countShareRefusal(outcome)
 	switch {
 	case outcome.Refusal != nil:
 		if outcome.Refusal.Verdict == model.NotRun && outcome.Refusal.RetryAfter > 0 && j.throughNode == "" {
@@ -366,6 +367,27 @@
 	return outcome
 }
 
+// countShareRefusal counts a request that was refused for lack of time in a queue that is ordered by shares: because its
+// customer had used its share, or because not even that left room.
+func (j *job) countShareRefusal(outcome Outcome) {
+	if outcome.Refusal == nil || outcome.Refusal.Reason != model.StageLate {
+		return
+	}
+	applies, beyond := false, false
+	for _, e := range outcome.Estimates {
+		applies, beyond = applies || e.Shares.Applies, beyond || e.Shares.Beyond
+	}
+	for _, t := range j.stageTimings {
+		applies, beyond = applies || t.Shares.Applies, beyond || t.Shares.Beyond
+	}
+	switch {
+	case beyond:
+		j.relay.metrics.CountEvent("RefusedBeyondShare")
+	case applies:
+		j.relay.metrics.CountEvent("RefusedNoRoom")
+	}
+}
+
 // answeredSince returns when a request was sent that an endpoint has answered from the beginning to the end; zero if none
 // has. Such an answer shows that no part of its prompt crashes endpoints.
 func (j *job) answeredSince(outcome Outcome) time.Time {
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -92,6 +92,11 @@
 		held:         map[int][]kernel.ResultRef{},
 	}
 	firstEvent := p.estimateFirstEventTime()
+	waitKnown := r.statesContention(j.admission.Pool) && run.anyReportedQueue() && r.options.Policy.Uses(kernel.ObjectiveFromFirstAttempt)
+	if waitKnown {
+		// The batchers count a retry as one with its first attempt, and estimate its wait by when that was due.
+		j.forward = j.forward.WithWaited(r.previousWait(ctx, j.forward, j.admission))
+	}
 	run.plan = kernel.PlanStages(j.forward, j.admission, r.batchers.poolTraits(run.stages), firstEvent)
 	if len(run.plan.FinalStages) == 0 {
 		return run, nil
@@ -105,10 +110,10 @@
 	estimates := r.estimateWaits(ctx, run.stages, requests)
 	for i, estimate := range estimates {
 		if kernel.PieceCount(j.forward, i) > 0 {
-			j.estimates = append(j.estimates, StageEstimate{Pool: run.stages[i].Pool, Wait: estimate.Wait, RoomTaken: estimate.RoomTaken})
+			j.estimates = append(j.estimates, StageEstimate{Pool: run.stages[i].Pool, Wait: estimate.Wait, RoomTaken: estimate.RoomTaken, Shares: estimate.Shares})
 		}
 	}
-	if anyQueued(estimates) && r.options.Policy.Uses(kernel.ObjectiveFromFirstAttempt) {
+	if !waitKnown && anyQueued(estimates) && r.options.Policy.Uses(kernel.ObjectiveFromFirstAttempt) {
 		j.forward = j.forward.WithWaited(r.previousWait(ctx, j.forward, j.admission))
 	}
 	run.plan = kernel.PlanStages(j.forward, j.admission, estimates, firstEvent)
@@ -123,6 +128,16 @@
 	return s.relay.batchers.queueName(pool, region)
 }
 
+// anyReportedQueue reports whether one of the pools had a queue, or was ordered by shares, by the last report of its batcher.
+func (s *stageRun) anyReportedQueue() bool {
+	for i := range s.stages {
+		if last := s.relay.batchers.lastEstimate(s.queueName(i)); last.Queued() || last.Shares.Applies {
+			return true
+		}
+	}
+	return false
+}
+
 // anyQueued reports whether one of the pools has a queue. Without a queue, how long a request has waited before makes
 // no difference.
 func anyQueued(estimates []kernel.PoolEstimate) bool {
@@ -200,6 +215,9 @@
 		due:         run.plan.Due[stage],
 		until:       run.plan.Until[stage],
 		rank:        j.admission.Rank,
+		shared:      j.relay.statesContention(j.admission.Pool),
+		customer:    j.admission.Customer,
+		waited:      j.forward.Waited,
 	}
 	var inputBytes int64
 	piece := model.Piece{Request: j.forward.ID, Digest: j.forward.Digest, Stage: stage, Deadline: run.plan.Until[stage]}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -143,6 +143,8 @@
 		Wait time.Duration
 		// RoomTaken is the share of the workers' memory for results that is taken, from 0 to 1.
 		RoomTaken float64
+		// Shares is how the share of the request's customer decided.
+		Shares kernel.ShareStanding
 	}
 
 	// StageTiming is how long a stage took and how it ended. Waited is how long its pieces waited for a call, Estimate
@@ -155,5 +157,7 @@
 		Waited   time.Duration
 		Estimate time.Duration
 		Fault    model.PieceFault
+		// Shares is how the share of the request's customer decided when the pieces arrived.
+		Shares kernel.ShareStanding
 	}
 )
