--- a/kernel/batch.go
+++ b/kernel/batch.go
@@ -230,8 +230,13 @@
 	if group.FirstSentAt.IsZero() {
 		group.FirstSentAt = now
 	}
+	class := withinFlow
+	if q.ordersByShare(group) {
+		class = q.classOf(now, group, q.shares.ledger.Standing(group.flow()))
+	}
 	q.groups[group.ID] = &waitingGroup{
 		PieceGroup:   group,
+		shareClass:   class,
 		addedAt:      now,
 		waiting:      slices.Clone(group.Pieces),
 		attempts:     map[int]int{},
--- a/kernel/batchorder.go
+++ b/kernel/batchorder.go
@@ -37,8 +37,7 @@
 		q.byRank = true
 		slices.SortFunc(out, compare)
 	}
-	q.classifyShared(now, out)
-	q.orderShared(earliestFinish, out, nil)
+	q.arrangeShared(now, out)
 	return out
 }
 
@@ -85,7 +84,7 @@
 	slices.SortStableFunc(out, func(a, b *waitingGroup) int {
 		return q.compareGroups(earliestFinish, a, b, delay(a), delay(b))
 	})
-	q.orderShared(earliestFinish, out, delay)
+	q.delayShared(earliestFinish, out, delay)
 	return out
 }
 
--- a/kernel/batchshare.go
+++ b/kernel/batchshare.go
@@ -33,6 +33,9 @@
 	// minLeftover bounds the estimated wait of groups beyond their shares: the part of the capacity that shares leave
 	// unused is not below it.
 	minLeftover = 1 - promisedCapacity
+	// reclassifyInterval is how often groups are classified while no worker is free: the estimates of waits follow from the
+	// classes. With a thousand groups, it takes about as long as to sort them.
+	reclassifyInterval = 5 * time.Millisecond
 	// maxShareWait is the longest estimated wait; a flow without any share waits forever.
 	maxShareWait = time.Minute
 )
@@ -76,6 +79,8 @@
 		// last did; zero if they do not.
 		crowdedSince time.Time
 		crowdedAt    time.Time
+		// classifiedAt is when the groups were last classified.
+		classifiedAt time.Time
 		// exceededAt is when customers last asked for more than the capacity while pieces queued.
 		exceededAt time.Time
 	}
@@ -104,7 +109,7 @@
 		return ShareStanding{}
 	}
 	standing := q.shares.ledger.Standing(group.flow())
-	return ShareStanding{Applies: true, Share: standing.Share, Use: standing.Use, Beyond: standing.Limited && q.shortfall(now, group, standing) >= 0}
+	return ShareStanding{Applies: true, Share: standing.Share, Use: standing.Use, Beyond: q.classOf(now, group, standing) == beyondShare}
 }
 
 // flow returns the flow that a group belongs to in the ledger.
@@ -201,41 +206,64 @@
 	return q.byRank || (!s.exceededAt.IsZero() && now.Sub(s.exceededAt) < overloadHoldCalls*q.callTime(q.traits.MaxBatch))
 }
 
-// classifyShared decides which shared groups are within their customers' shares. A flow that requests less than its rate is
-// within its share with all of its groups, any other with as many as its credit allows, the first in its own order.
-func (q *BatchQueue) classifyShared(now time.Time, groups []*waitingGroup) {
-	q.byShare = false
+// arrangeShared orders the shared groups by shares, within the places that they have among all groups, if shares are in
+// force. It also decides whether they are.
+func (q *BatchQueue) arrangeShared(now time.Time, groups []*waitingGroup) {
 	if !anyShared(groups) {
+		q.byShare = false
 		return
 	}
+	s := &q.shares
+	if q.countFreeWorkers(now) == 0 && now.Sub(s.classifiedAt) < reclassifyInterval {
+		return
+	}
+	s.classifiedAt = now
 	q.updateShares(now)
 	if q.byShare = q.usesShares(now); !q.byShare {
 		return
 	}
 	earliestFinish := now.Add(q.callTime(1))
-	own := slices.DeleteFunc(slices.Clone(groups), func(g *waitingGroup) bool { return !g.Shared })
-	slices.SortFunc(own, func(a, b *waitingGroup) int { return q.compareInFlow(earliestFinish, a, b, 0, 0) })
-	type flowState struct {
-		limited bool
-		credit  float64
-	}
-	flows := map[share.Flow]*flowState{}
-	for _, g := range own {
+	shared := slices.DeleteFunc(slices.Clone(groups), func(g *waitingGroup) bool { return !g.Shared })
+	slices.SortFunc(shared, func(a, b *waitingGroup) int { return q.compareInFlow(earliestFinish, a, b, 0, 0) })
+	q.classify(shared)
+	// Sorted by class, the groups are in the order of compareShared: they are in that of compareInFlow, where those that are
+	// late come last.
+	var classes [2 * (beyondShare + 1)][]*waitingGroup
+	for _, g := range shared {
+		class := g.shareClass
+		if q.policy.Uses(LateLast) && earliestFinish.After(g.Due) {
+			class += beyondShare + 1
+		}
+		classes[class] = append(classes[class], g)
+	}
+	fillSharedPlaces(groups, slices.Concat(classes[:]...))
+}
+
+// classify decides which of the shared groups, in the order of compareInFlow, are within their customers' shares. A flow that
+// requests no more than its rate is within its share with all of its groups, any other with as many as its credit allows.
+func (q *BatchQueue) classify(groups []*waitingGroup) {
+	flows := map[share.Flow]*share.Standing{}
+	for _, g := range groups {
 		f := flows[g.flow()]
 		if f == nil {
 			standing := q.shares.ledger.Standing(g.flow())
-			f = &flowState{limited: standing.Limited, credit: standing.Credit}
+			f = &standing
 			flows[g.flow()] = f
 		}
-		switch {
-		case !f.limited:
-			g.shareClass = withinFlow
-		case f.credit > 0:
-			g.shareClass = withinCredit
-		default:
-			g.shareClass = beyondShare
-		}
-		f.credit -= q.work(len(g.waiting), g.ResultBytes)
+		g.shareClass = classFor(*f, -f.Credit)
+		f.Credit -= q.work(len(g.waiting), g.ResultBytes)
+	}
+}
+
+// classFor returns the class of a group of a flow with the given shortfall.
+func classFor(standing share.Standing, shortfall float64) shareClass {
+	switch {
+	case !standing.Limited:
+		return withinFlow
+	case shortfall < 0:
+		return withinCredit
+	default:
+		return beyondShare
 	}
 }
 
@@ -243,23 +271,23 @@
 	return slices.ContainsFunc(groups, func(g *waitingGroup) bool { return g.Shared })
 }
 
-// orderShared orders the shared groups by their customers' shares within the places that they have among all groups.
-// Groups that are not shared keep theirs. Delay returns by how much later a group counts as due; nil for none.
-func (q *BatchQueue) orderShared(earliestFinish time.Time, groups []*waitingGroup, delay func(*waitingGroup) time.Duration) {
+// delayShared orders the shared groups among their places, after delay has changed by how much later they count as due.
+func (q *BatchQueue) delayShared(earliestFinish time.Time, groups []*waitingGroup, delay func(*waitingGroup) time.Duration) {
 	if !q.byShare || !anyShared(groups) {
 		return
 	}
 	shared := slices.DeleteFunc(slices.Clone(groups), func(g *waitingGroup) bool { return !g.Shared })
-	slices.SortFunc(shared, func(a, b *waitingGroup) int {
-		if delay == nil {
-			return q.compareShared(earliestFinish, a, b, 0, 0)
-		}
-		return q.compareShared(earliestFinish, a, b, delay(a), delay(b))
-	})
+	slices.SortFunc(shared, func(a, b *waitingGroup) int { return q.compareShared(earliestFinish, a, b, delay(a), delay(b)) })
+	fillSharedPlaces(groups, shared)
+}
+
+// fillSharedPlaces puts the shared groups, in their order, into the places of shared groups. All other groups keep theirs.
+func fillSharedPlaces(groups, shared []*waitingGroup) {
+	next := 0
 	for i, g := range groups {
 		if g.Shared {
-			groups[i] = shared[0]
-			shared = shared[1:]
+			groups[i] = shared[next]
+			next++
 		}
 	}
 }
@@ -276,8 +304,8 @@
 	return q.compareInFlow(earliestFinish, a, b, delayA, delayB)
 }
 
-// compareInFlow orders shared groups: those that can be on time first, then by rank. Of the same rank, groups with results
-// of earlier stages come first, as these would be lost; then the order is by due time, which counts from the first attempt.
+// compareInFlow orders shared groups: those that can be on time first, then by rank. Of the same rank, groups that hold
+// results come first, then the order is by due time, which counts from the first attempt.
 func (q *BatchQueue) compareInFlow(earliestFinish time.Time, a, b *waitingGroup, delayA, delayB time.Duration) int {
 	if lateA, lateB := earliestFinish.After(a.Due), earliestFinish.After(b.Due); lateA != lateB && q.policy.Uses(LateLast) {
 		return trueLast(lateA, lateB)
@@ -285,8 +313,8 @@
 	if c := cmp.Compare(a.Rank, b.Rank); c != 0 {
 		return c
 	}
-	if beginsA, beginsB := len(a.Inputs) == 0, len(b.Inputs) == 0; beginsA != beginsB {
-		return trueLast(beginsA, beginsB)
+	if heldA, heldB := a.holdsResults(), b.holdsResults(); heldA != heldB {
+		return trueLast(heldB, heldA)
 	}
 	if c := a.Due.Add(delayA).Compare(b.Due.Add(delayB)); c != 0 {
 		return c
@@ -294,6 +322,12 @@
 	return cmp.Compare(a.ID, b.ID)
 }
 
+// holdsResults reports whether results occupy room for a group: those of earlier stages, or of its own pieces. They would be
+// made in vain if the group were ended.
+func (g *waitingGroup) holdsResults() bool {
+	return len(g.Inputs) > 0 || len(g.attempts) > 0
+}
+
 // trueLast compares two different values.
 func trueLast(a, _ bool) int {
 	if a {
@@ -318,6 +352,9 @@
 // shortfall returns the work that the share of a group's flow must have capacity for before the group is within it, in
 // seconds of an endpoint; it is within the share if the shortfall is negative.
 func (q *BatchQueue) shortfall(now time.Time, group PieceGroup, standing share.Standing) float64 {
+	if !standing.Limited {
+		return 0
+	}
 	own := &waitingGroup{PieceGroup: group}
 	earliestFinish := now.Add(q.callTime(1))
 	ahead := 0.0
@@ -329,16 +366,19 @@
 	return ahead - standing.Credit
 }
 
+// classOf returns the class of a group that is added now.
+func (q *BatchQueue) classOf(now time.Time, group PieceGroup, standing share.Standing) shareClass {
+	return classFor(standing, q.shortfall(now, group, standing))
+}
+
 // estimateSharedWait estimates how long the pieces of a shared group wait. Beyond its share, the group waits until the share
 // has capacity for it, or for what the shares of all customers leave, whichever comes first.
 func (q *BatchQueue) estimateSharedWait(now time.Time, group PieceGroup) time.Duration {
 	standing := q.shares.ledger.Standing(group.flow())
-	if !standing.Limited {
-		return q.waitInOrder(now, &waitingGroup{PieceGroup: group, shareClass: withinFlow}, q.compareForEstimate)
-	}
-	within := q.waitInOrder(now, &waitingGroup{PieceGroup: group, shareClass: withinCredit}, q.compareForEstimate)
 	shortfall := q.shortfall(now, group, standing)
-	if shortfall < 0 {
+	class := classFor(standing, shortfall)
+	within := q.waitInOrder(now, &waitingGroup{PieceGroup: group, shareClass: min(class, withinCredit)}, q.compareForEstimate)
+	if class != beyondShare {
 		return within
 	}
 	byShare := maxShareWait
@@ -346,7 +386,7 @@
 		byShare = secondsUpTo(shortfall/standing.Rate, maxShareWait)
 	}
 	leftover := max(minLeftover, 1-q.shares.ledger.Promised()/q.shares.capacity)
-	beyond := q.waitInOrder(now, &waitingGroup{PieceGroup: group, shareClass: beyondShare}, q.compareForEstimate)
+	beyond := q.waitInOrder(now, &waitingGroup{PieceGroup: group, shareClass: class}, q.compareForEstimate)
 	return max(within, min(byShare, secondsUpTo(beyond.Seconds()/leftover, maxShareWait)))
 }
 
--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -139,12 +139,23 @@
 	}
 	late := now.Add(time.Duration(planMargin * float64(plan.Expected))).After(f.FirstAttemptAt().Add(a.Route.Objective))
 	pastDeadline := now.Add(plan.Expected).After(a.Deadline)
-	if pastDeadline || (late && totalWait > lateRefusalWait) {
+	if pastDeadline || (late && totalWait > maxLateWait(estimates)) {
 		return refuseLateStages(now, f, a, plan, estimates, totalWait)
 	}
 	return nil
 }
 
+// maxLateWait returns the sum of the waits up to which a late request is admitted. Beyond its customer's share, a request that
+// would be late takes calls from others of the same customer.
+func maxLateWait(estimates []PoolEstimate) time.Duration {
+	for _, e := range estimates {
+		if e.Shares.Beyond {
+			return minQueueWait
+		}
+	}
+	return lateRefusalWait
+}
+
 // refuseLateStages returns the refusal of a request whose stages would be late because of the given wait. Where shares
 // decide, the wait is the time until the customer's share has capacity for the request.
 func refuseLateStages(now time.Time, f model.Forward, a Admission, plan StagePlan, estimates []PoolEstimate, wait time.Duration) *model.Refusal {
