Refuse callers that retry earlier than told while a share is in use

Cause: a caller that retries at once asks more often than one that waits as told, and takes the capacity that the other was told of. Ruled out: a due time that counts from the early retry, by which a late request would look on time. Change: the node that remembers refused requests also knows when their callers were told to retry; an earlier retry is refused with the time that is left, where a rank of the customer asks for more than its share. The recorded encodings of peer messages get the new fields. Measured: tests of kernel (early retries), relay (shares through the handler of batch messages) and TestEncodingsBetweenNodesStay pass.

--- a/kernel/batchshare.go
+++ b/kernel/batchshare.go
@@ -62,6 +62,8 @@
 		// Share is the rate that the customer's share allows, Use the one at which it was served lately.
 		Share float64
 		Use   float64
+		// Limited is true if the group's rank asks for more than the share leaves for it.
+		Limited bool
 		// Beyond is true if the share leaves no capacity for the group's rank now.
 		Beyond bool
 	}
@@ -109,7 +111,7 @@
 		return ShareStanding{}
 	}
 	standing := q.shares.ledger.Standing(group.flow())
-	return ShareStanding{Applies: true, Share: standing.Share, Use: standing.Use, Beyond: q.classOf(now, group, standing) == beyondShare}
+	return ShareStanding{Applies: true, Share: standing.Share, Use: standing.Use, Limited: standing.Limited, Beyond: q.classOf(now, group, standing) == beyondShare}
 }
 
 // flow returns the flow that a group belongs to in the ledger.
--- a/kernel/returning.go
+++ b/kernel/returning.go
@@ -15,6 +15,8 @@
 	// maxRefusedRequests bounds the requests that are remembered, some 100 bytes each. When it is reached and none
 	// has expired, all are dropped, and their retries count as new requests.
 	maxRefusedRequests = 20000
+	// earlyRetrySlack is by how much a caller may retry earlier than told: timers and clocks of callers are not exact.
+	earlyRetrySlack = 20 * time.Millisecond
 )
 
 // RefusedRequests remembers requests that were refused, to tell a caller's retry from a new request: the latency
@@ -23,11 +25,13 @@
 type RefusedRequests struct {
 	// firstAttemptAt is when the first attempt of a request was received, by identity.
 	firstAttemptAt map[string]time.Time
+	// retryAt is when the caller of a request was told to retry, by identity.
+	retryAt map[string]time.Time
 }
 
 // NewRefusedRequests returns an empty RefusedRequests.
 func NewRefusedRequests() *RefusedRequests {
-	return &RefusedRequests{firstAttemptAt: map[string]time.Time{}}
+	return &RefusedRequests{firstAttemptAt: map[string]time.Time{}, retryAt: map[string]time.Time{}}
 }
 
 // RequestIdentity returns what the attempts of a request have in common although each has an ID of its own: the
@@ -56,11 +60,29 @@
 	r.firstAttemptAt[identity] = now.Add(-waited)
 }
 
+// ExpectRetry records when the caller of a refused request was told to retry.
+func (r *RefusedRequests) ExpectRetry(now time.Time, identity string, after time.Duration) {
+	if _, known := r.firstAttemptAt[identity]; known {
+		r.retryAt[identity] = now.Add(after)
+	}
+}
+
+// EarlyBy returns how much earlier than told the caller of a request retries now; zero if it does not. It has to be called
+// before TakeWaited.
+func (r *RefusedRequests) EarlyBy(now time.Time, identity string) time.Duration {
+	early := r.retryAt[identity].Sub(now)
+	if early <= earlyRetrySlack {
+		return 0
+	}
+	return early
+}
+
 // TakeWaited returns how long the caller of a request has waited since its first attempt; zero for a new request. It
 // removes the request: a later one with the same identity is new.
 func (r *RefusedRequests) TakeWaited(now time.Time, identity string) time.Duration {
 	firstAttempt, known := r.firstAttemptAt[identity]
 	delete(r.firstAttemptAt, identity)
+	delete(r.retryAt, identity)
 	if !known || now.Sub(firstAttempt) > refusalRetention {
 		return 0
 	}
@@ -72,9 +94,11 @@
 	for identity, firstAttempt := range r.firstAttemptAt {
 		if now.Sub(firstAttempt) > refusalRetention {
 			delete(r.firstAttemptAt, identity)
+			delete(r.retryAt, identity)
 		}
 	}
 	if len(r.firstAttemptAt) >= maxRefusedRequests {
 		r.firstAttemptAt = map[string]time.Time{}
+		r.retryAt = map[string]time.Time{}
 	}
 }
--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -174,6 +175,15 @@
 	return model.NewRefusal(model.NotRun, model.StageLate, retry, "the stages would be late: no room within the customer's share")
 }
 
+// RefuseEarlyRetry refuses a request whose caller retries earlier than told, by earlyBy, while a rank of its customer asks for
+// more than its share. The capacity that becomes available until then belongs to callers that wait as told.
+func RefuseEarlyRetry(estimates []PoolEstimate, earlyBy time.Duration) *model.Refusal {
+	if earlyBy <= 0 || !slices.ContainsFunc(estimates, func(e PoolEstimate) bool { return e.Shares.Limited }) {
+		return nil
+	}
+	return model.NewRefusal(model.NotRun, model.StageLate, ClampRetryAfter(earlyBy), "retried earlier than told: the customer's share is in use")
+}
+
 // SpreadRetryAfter extends a retry delay by up to retrySpread of it, depending on the request's ID. The extended delay is not
 // longer than latest, after which a retry would be late, unless the delay itself is.
 func SpreadRetryAfter(id string, delay, latest time.Duration) time.Duration {
--- a/peer/message.go
+++ b/peer/message.go
@@ -266,11 +266,15 @@
 		Identity string
 		Refused  bool
 		Waited   time.Duration
+		// RetryAfter is the time after which the caller was told to retry.
+		RetryAfter time.Duration `msgpack:",omitempty"`
 	}
 
-	// CallerWaitReply is the reply to CallerWait. Waited is zero for an unknown request.
+	// CallerWaitReply is the reply to CallerWait. Waited is zero for an unknown request. EarlyBy is how much earlier than told
+	// the caller retries; zero if it does not.
 	CallerWaitReply struct {
-		Waited time.Duration
+		Waited  time.Duration
+		EarlyBy time.Duration `msgpack:",omitempty"`
 	}
 
 	// Feed requests the changes of the store's tables from another node.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -359,7 +359,7 @@
 	switch {
 	case outcome.Refusal != nil:
 		if outcome.Refusal.Verdict == model.NotRun && outcome.Refusal.RetryAfter > 0 && j.throughNode == "" {
-			r.recordRefused(j.forward, j.admission)
+			r.recordRefused(j.forward, j.admission, outcome.Refusal.RetryAfter)
 		}
 	case outcome.Complete:
 		r.quarantine.RecordAnswer(j.forward.Digests(), j.answeredSince(outcome))
--- a/relay/returning.go
+++ b/relay/returning.go
@@ -22,53 +22,59 @@
 	return &refusedRequests{requests: kernel.NewRefusedRequests()}
 }
 
-func (s *refusedRequests) add(now time.Time, identity string, waited time.Duration) {
+func (s *refusedRequests) add(now time.Time, m peer.CallerWait) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.requests.Add(now, identity, waited)
+	s.requests.Add(now, m.Identity, m.Waited)
+	s.requests.ExpectRetry(now, m.Identity, m.RetryAfter)
 }
 
-func (s *refusedRequests) takeWaited(now time.Time, identity string) time.Duration {
+func (s *refusedRequests) take(now time.Time, identity string) peer.CallerWaitReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.requests.TakeWaited(now, identity)
+	early := s.requests.EarlyBy(now, identity)
+	return peer.CallerWaitReply{Waited: s.requests.TakeWaited(now, identity), EarlyBy: early}
 }
 
-// previousWait returns how long the caller of a request has already waited since its first attempt. It is zero for a
-// new request, and if the node that keeps the refused requests gives no answer within queueReportTimeout.
-func (r *Relay) previousWait(ctx context.Context, f model.Forward, a kernel.Admission) time.Duration {
+// previousWait returns how long the caller of a request has already waited since its first attempt, and whether it retries
+// earlier than told. It is zero for a new request, and if the node that keeps the refused requests gives no answer within
+// queueReportTimeout.
+func (r *Relay) previousWait(ctx context.Context, f model.Forward, a kernel.Admission) peer.CallerWaitReply {
 	identity := kernel.RequestIdentity(a.Customer, f.Prompt)
 	if identity == "" {
-		return 0
+		return peer.CallerWaitReply{}
 	}
 	coordinator := r.refusedRequestsCoordinator(a.Route.Stages)
 	if coordinator == r.options.Name {
-		return r.refusedRequests.takeWaited(r.now(), identity)
+		return r.refusedRequests.take(r.now(), identity)
 	}
 	ctx, cancel := context.WithTimeout(ctx, queueReportTimeout)
 	defer cancel()
 	var reply peer.CallerWaitReply
 	if r.peers.Call(ctx, r.addressOf(coordinator), peer.KindCallerWait, peer.CallerWait{Identity: identity}, &reply) != nil {
 		r.metrics.CountEvent("ReturnUnknown")
-		return 0
+		return peer.CallerWaitReply{}
 	}
 	if reply.Waited > 0 {
 		r.metrics.CountEvent("CallerReturned")
 	}
-	return reply.Waited
+	if reply.EarlyBy > 0 {
+		r.metrics.CountEvent("CallerReturnedEarly")
+	}
+	return reply
 }
 
 // recordRefused records a refused request with stages at the node that keeps the refused requests, as its caller may
-// retry it.
-func (r *Relay) recordRefused(f model.Forward, a kernel.Admission) {
+// retry it after the given time.
+func (r *Relay) recordRefused(f model.Forward, a kernel.Admission, retryAfter time.Duration) {
 	identity := kernel.RequestIdentity(a.Customer, f.Prompt)
 	if identity == "" || len(a.Route.Stages) == 0 {
 		return
 	}
-	waited := f.Waited + r.now().Sub(f.ReceivedAt)
+	message := peer.CallerWait{Identity: identity, Refused: true, Waited: f.Waited + r.now().Sub(f.ReceivedAt), RetryAfter: retryAfter}
 	coordinator := r.refusedRequestsCoordinator(a.Route.Stages)
 	if coordinator == r.options.Name {
-		r.refusedRequests.add(r.now(), identity, waited)
+		r.refusedRequests.add(r.now(), message)
 		return
 	}
 	address := r.addressOf(coordinator)
@@ -76,7 +82,7 @@
 		ctx, cancel := context.WithTimeout(r.ctx, notifyTimeout)
 		defer cancel()
 		var reply peer.CallerWaitReply
-		if r.peers.Call(ctx, address, peer.KindCallerWait, peer.CallerWait{Identity: identity, Refused: true, Waited: waited}, &reply) != nil {
+		if r.peers.Call(ctx, address, peer.KindCallerWait, message, &reply) != nil {
 			r.metrics.CountEvent("ReturnNotNoted")
 		}
 	}()
@@ -94,8 +100,8 @@
 		return nil, err
 	}
 	if message.Refused {
-		r.refusedRequests.add(r.now(), message.Identity, message.Waited)
+		r.refusedRequests.add(r.now(), message)
 		return peer.CallerWaitReply{}, nil
 	}
-	return peer.CallerWaitReply{Waited: r.refusedRequests.takeWaited(r.now(), message.Identity)}, nil
+	return r.refusedRequests.take(r.now(), message.Identity), nil
 }
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -95,7 +95,7 @@
 	waitKnown := r.statesContention(j.admission.Pool) && run.anyReportedQueue() && r.options.Policy.Uses(kernel.ObjectiveFromFirstAttempt)
 	if waitKnown {
 		// The batchers count a retry as one with its first attempt, and estimate its wait by when that was due.
-		j.forward = j.forward.WithWaited(r.previousWait(ctx, j.forward, j.admission))
+		j.applyPreviousWait(ctx)
 	}
 	run.plan = kernel.PlanStages(j.forward, j.admission, r.batchers.poolTraits(run.stages), firstEvent)
 	if len(run.plan.FinalStages) == 0 {
@@ -114,10 +114,20 @@
 		}
 	}
 	if !waitKnown && anyQueued(estimates) && r.options.Policy.Uses(kernel.ObjectiveFromFirstAttempt) {
-		j.forward = j.forward.WithWaited(r.previousWait(ctx, j.forward, j.admission))
+		j.applyPreviousWait(ctx)
 	}
 	run.plan = kernel.PlanStages(j.forward, j.admission, estimates, firstEvent)
-	return run, kernel.AdmitStages(r.now(), j.forward, j.admission, run.plan, estimates)
+	if refusal := kernel.AdmitStages(r.now(), j.forward, j.admission, run.plan, estimates); refusal != nil {
+		return run, refusal
+	}
+	return run, kernel.RefuseEarlyRetry(estimates, j.earlyBy)
+}
+
+// applyPreviousWait has the objective of a retried request count from its first attempt.
+func (j *job) applyPreviousWait(ctx context.Context) {
+	previous := j.relay.previousWait(ctx, j.forward, j.admission)
+	j.forward = j.forward.WithWaited(previous.Waited)
+	j.earlyBy = previous.EarlyBy
 }
 
 // queueName returns the name of the queue of a stage's pieces: the pool's queue in a region that may serve the request.
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -87,6 +87,8 @@
 		stageTimings []StageTiming
 		// estimates are the estimates for the stages' pools at the arrival of the request.
 		estimates []StageEstimate
+		// earlyBy is how much earlier than told the caller retried the request; zero if it did not.
+		earlyBy time.Duration
 	}
 
 	// unaryResult is the result of one attempt at a unary request.
