Leave time for retries in the queues of customers beyond their shares

Cause: in the model, retries with less time left overtook admitted requests of their customer and rank, which became late. Change: a shortfall counts all groups of the flow that can be on time; a first attempt of a limited flow needs twice its wait.

--- a/kernel/batchshare.go
+++ b/kernel/batchshare.go
@@ -352,16 +352,16 @@
 }
 
 // shortfall returns the work that the share of a group's flow must have capacity for before the group is within it, in
-// seconds of an endpoint; it is within the share if the shortfall is negative.
+// seconds of an endpoint; it is within the share if the shortfall is negative. All of the flow's groups that can be on time
+// count, also those that are due later: overtaken by the new group, they would be late.
 func (q *BatchQueue) shortfall(now time.Time, group PieceGroup, standing share.Standing) float64 {
 	if !standing.Limited {
 		return 0
 	}
-	own := &waitingGroup{PieceGroup: group}
 	earliestFinish := now.Add(q.callTime(1))
 	ahead := 0.0
 	for _, g := range q.groups {
-		if g.Shared && g.ID != group.ID && g.Customer == group.Customer && g.Rank == group.Rank && q.compareInFlow(earliestFinish, g, own, 0, 0) < 0 {
+		if g.Shared && g.ID != group.ID && g.Customer == group.Customer && g.Rank == group.Rank && !earliestFinish.After(g.Due) {
 			ahead += q.work(len(g.waiting), g.ResultBytes)
 		}
 	}
--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -24,6 +24,10 @@
 	planMargin = 1.15
 	// firstEventMargin is subtracted from the objective for the way back to the caller and timer lag.
 	firstEventMargin = 15 * time.Millisecond
+	// limitedWaitFactor is by how much the wait of a first attempt is extended before it is compared with the objective where
+	// a rank asks for more than its customer's share. Retries have less time left: queues that are full with first attempts
+	// would leave none of them on time.
+	limitedWaitFactor = 2
 	// retrySpread is the part of a retry delay over which retries are spread where shares decide. Requests that are refused
 	// together would otherwise come back together.
 	retrySpread = 0.5
@@ -138,7 +142,8 @@
 			totalWait += e.Wait
 		}
 	}
-	late := now.Add(time.Duration(planMargin * float64(plan.Expected))).After(f.FirstAttemptAt().Add(a.Route.Objective))
+	expected := plan.Expected + reserveForRetries(f, estimates, totalWait)
+	late := now.Add(time.Duration(planMargin * float64(expected))).After(f.FirstAttemptAt().Add(a.Route.Objective))
 	pastDeadline := now.Add(plan.Expected).After(a.Deadline)
 	if pastDeadline || (late && totalWait > maxLateWait(estimates)) {
 		return refuseLateStages(now, f, a, plan, estimates, totalWait)
@@ -146,6 +151,14 @@
 	return nil
 }
 
+// reserveForRetries returns the time that a first attempt must leave to retries of its customer and rank.
+func reserveForRetries(f model.Forward, estimates []PoolEstimate, wait time.Duration) time.Duration {
+	if f.Waited > 0 || !slices.ContainsFunc(estimates, func(e PoolEstimate) bool { return e.Shares.Limited }) {
+		return 0
+	}
+	return (limitedWaitFactor - 1) * wait
+}
+
 // maxLateWait returns the sum of the waits up to which a late request is admitted. Beyond its customer's share, a request that
 // would be late takes calls from others of the same customer.
 func maxLateWait(estimates []PoolEstimate) time.Duration {
