--- a/kernel/batch.go
+++ b/kernel/batch.go
@@ -75,6 +75,10 @@
 		overloadedAt time.Time
 		// coldShare limits the calls to cold workers.
 		coldShare ColdShare
+		// byShare is true if the most recent ordering of the groups put the shared ones in the order by shares.
+		byShare bool
+		// shares has the state of the order by customers' shares.
+		shares queueShares
 	}
 
 	worker struct {
@@ -123,6 +127,8 @@
 		// never share a call, so that a group that crashes workers does not repeatedly fail the same other
 		// groups.
 		suspect bool
+		// shareClass is how a shared group stood to its customer's share when the groups were last sorted.
+		shareClass shareClass
 	}
 
 	heldResult struct {
@@ -144,6 +150,7 @@
 		running:          map[uint64]PieceBatch{},
 		results:          map[string]heldResult{},
 		holdTime:         2 * traits.CallTime,
+		shares:           newQueueShares(),
 	}
 }
 
@@ -214,13 +221,22 @@
 	finish := now.Add(wait + q.callTime(len(group.Pieces)))
 	late := finish.After(group.Due) && q.backlog(now) > maxLateBacklog
 	if late || finish.After(group.Until) {
-		return false, ClampRetryAfter(max(wait, q.callTime(q.traits.MaxBatch)))
+		retry := ClampRetryAfter(max(wait, q.callTime(q.traits.MaxBatch)))
+		if q.ordersByShare(group) {
+			retry = SpreadRetryAfter(group.Pieces[0].Request, retry, group.Due.Sub(now)-q.callTime(len(group.Pieces)))
+		}
+		return false, retry
 	}
 	if group.FirstSentAt.IsZero() {
 		group.FirstSentAt = now
 	}
+	class := withinFlow
+	if q.ordersByShare(group) {
+		class = q.classOf(now, group, q.shares.ledger.Standing(group.flow()))
+	}
 	q.groups[group.ID] = &waitingGroup{
 		PieceGroup:   group,
+		shareClass:   class,
 		addedAt:      now,
 		waiting:      slices.Clone(group.Pieces),
 		attempts:     map[int]int{},
@@ -256,6 +272,7 @@
 		delete(q.groups, id)
 	}
 	ended = append(ended, q.endStarved(now)...)
+	q.shares.expire(now)
 	maps.DeleteFunc(q.unlistedCalledAt, func(_ string, calledAt time.Time) bool { return now.Sub(calledAt) >= unlistedRetention })
 	for handle, r := range q.results {
 		if now.After(r.expiresAt) {
--- a/kernel/batchorder.go
+++ b/kernel/batchorder.go
@@ -37,6 +37,7 @@
 		q.byRank = true
 		slices.SortFunc(out, compare)
 	}
+	q.arrangeShared(now, out)
 	return out
 }
 
@@ -83,6 +84,7 @@
 	slices.SortStableFunc(out, func(a, b *waitingGroup) int {
 		return q.compareGroups(earliestFinish, a, b, delay(a), delay(b))
 	})
+	q.delayShared(earliestFinish, out, delay)
 	return out
 }
 
--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -1,8 +1,11 @@
 package kernel
 
 import (
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"basilstall.example/basilstall/model"
 )
 
@@ -21,6 +24,13 @@
 	planMargin = 1.15
 	// firstEventMargin is subtracted from the objective for the way back to the caller and timer lag.
 	firstEventMargin = 15 * time.Millisecond
+	// limitedWaitFactor is by how much the wait of a first attempt is extended before it is compared with the objective where
+	// a rank asks for more than its customer's share. Retries have less time left: queues that are full with first attempts
+	// would leave none of them on time.
+	limitedWaitFactor = 2
+	// retrySpread is the part of a retry delay over which retries are spread where shares decide. Requests that are refused
+	// together would otherwise come back together.
+	retrySpread = 0.5
 )
 
 type (
@@ -43,6 +53,8 @@
 		Traits    model.PieceTraits
 		Wait      time.Duration
 		RoomTaken float64
+		// Shares is how the customer's share decides about the pieces.
+		Shares ShareStanding
 	}
 )
 
@@ -130,10 +142,67 @@
 			totalWait += e.Wait
 		}
 	}
-	late := now.Add(time.Duration(planMargin * float64(plan.Expected))).After(f.FirstAttemptAt().Add(a.Route.Objective))
+	expected := plan.Expected + reserveForRetries(f, estimates, totalWait)
+	late := now.Add(time.Duration(planMargin * float64(expected))).After(f.FirstAttemptAt().Add(a.Route.Objective))
 	pastDeadline := now.Add(plan.Expected).After(a.Deadline)
-	if pastDeadline || (late && totalWait > lateRefusalWait) {
-		return model.NewRefusal(model.NotRun, model.StageLate, ClampRetryAfter(totalWait), "the stages would be late")
+	if pastDeadline || (late && totalWait > maxLateWait(estimates)) {
+		return refuseLateStages(now, f, a, plan, estimates, totalWait)
 	}
 	return nil
 }
+
+// reserveForRetries returns the time that a first attempt must leave to retries of its customer and rank.
+func reserveForRetries(f model.Forward, estimates []PoolEstimate, wait time.Duration) time.Duration {
+	if f.Waited > 0 || !slices.ContainsFunc(estimates, func(e PoolEstimate) bool { return e.Shares.Limited }) {
+		return 0
+	}
+	return (limitedWaitFactor - 1) * wait
+}
+
+// maxLateWait returns the sum of the waits up to which a late request is admitted. Beyond its customer's share, a request that
+// would be late takes calls from others of the same customer.
+func maxLateWait(estimates []PoolEstimate) time.Duration {
+	for _, e := range estimates {
+		if e.Shares.Beyond {
+			return minQueueWait
+		}
+	}
+	return lateRefusalWait
+}
+
+// refuseLateStages returns the refusal of a request whose stages would be late because of the given wait. Where shares
+// decide, the wait is the time until the customer's share has capacity for the request.
+func refuseLateStages(now time.Time, f model.Forward, a Admission, plan StagePlan, estimates []PoolEstimate, wait time.Duration) *model.Refusal {
+	applies, beyond := false, false
+	for _, e := range estimates {
+		applies, beyond = applies || e.Shares.Applies, beyond || e.Shares.Beyond
+	}
+	if !applies {
+		return model.NewRefusal(model.NotRun, model.StageLate, ClampRetryAfter(wait), "the stages would be late")
+	}
+	latest := f.FirstAttemptAt().Add(a.Route.Objective - time.Duration(planMargin*float64(plan.Expected-wait)))
+	retry := SpreadRetryAfter(f.ID, ClampRetryAfter(wait), latest.Sub(now))
+	if beyond {
+		return model.NewRefusal(model.NotRun, model.StageLate, retry, "the stages would be late: the customer's share is in use")
+	}
+	return model.NewRefusal(model.NotRun, model.StageLate, retry, "the stages would be late: no room within the customer's share")
+}
+
+// RefuseEarlyRetry refuses a request whose caller retries earlier than told, by earlyBy, while a rank of its customer asks for
+// more than its share. The capacity that becomes available until then belongs to callers that wait as told.
+func RefuseEarlyRetry(estimates []PoolEstimate, earlyBy time.Duration) *model.Refusal {
+	if earlyBy <= 0 || !slices.ContainsFunc(estimates, func(e PoolEstimate) bool { return e.Shares.Limited }) {
+		return nil
+	}
+	return model.NewRefusal(model.NotRun, model.StageLate, ClampRetryAfter(earlyBy), "retried earlier than told: the customer's share is in use")
+}
+
+// SpreadRetryAfter extends a retry delay by up to retrySpread of it, depending on the request's ID. The extended delay is not
+// longer than latest, after which a retry would be late, unless the delay itself is.
+func SpreadRetryAfter(id string, delay, latest time.Duration) time.Duration {
+	spread := time.Duration(retrySpread * float64(delay))
+	if latest >= delay {
+		spread = min(spread, latest-delay)
+	}
+	return ClampRetryAfter(delay + time.Duration(float64(xxhash.Sum64String(id)>>11)/(1<<53)*float64(spread)))
+}
