Let higher ranks have all of a customer's share in a short burst

A rank kept a quarter of its demand at each moment, so in a burst of six seconds requests of rank 10 were refused while those of rank 12 of the same customer were served.

Ruled out: no floor (a kind of request would starve in a long overload); a floor over a second (what there was).

The floor holds over ten seconds.

--- a/share/ledger.go
+++ b/share/ledger.go
@@ -16,8 +16,11 @@
 	// creditTime is how long a flow saves up capacity that it does not use, about a call. Credit of a second would let all
 	// flows that begin together delay lower ranks by as much.
 	creditTime = 250 * time.Millisecond
-	// minRankPart is the part of its demand that a rank keeps while its customer's share allows it.
+	// minRankPart is the part of its demand that a rank gets over floorWindow, as far as its customer's share allows it.
 	minRankPart = 0.25
+	// floorWindow is the time over which a rank keeps minRankPart of its demand. In a shorter burst, higher ranks may get
+	// all of the share: callers notice a kind of request that fails for long, and need the urgent ones most in a burst.
+	floorWindow = 10 * time.Second
 	// maxFloorPart bounds the part of a customer's share that is divided regardless of rank. Without the bound, a customer
 	// with a share below minRankPart of its demand would have no priorities.
 	maxFloorPart = 0.75
@@ -49,9 +52,9 @@
 	}
 
 	// Ledger measures the work that customers request of one pool and are served, and divides the capacity among those
-	// that ask, by weighted max-min. A customer's part is divided by rank: each rank keeps minRankPart of its demand as
-	// far as maxFloorPart of the share allows it, and the rest goes to the highest ranks. It changes in place and is
-	// guarded by its owner.
+	// that ask, by weighted max-min. A customer's part goes to its highest ranks; a rank that had less than minRankPart of
+	// its demand over floorWindow gets that before them, as far as maxFloorPart of the share allows it. It changes in
+	// place and is guarded by its owner.
 	Ledger struct {
 		customers map[string]*customerAccount
 		// served is all work served lately, decayed over ledgerWindow as of decayedAt.
@@ -78,7 +81,10 @@
 		rank int
 		// requested is the work requested lately, decayed over ledgerWindow as of Ledger.decayedAt.
 		requested float64
-		rate      float64
+		// asked and done are the work requested and served over floorWindow, decayed likewise.
+		asked float64
+		done  float64
+		rate  float64
 		limited   bool
 		credit    float64
 	}
@@ -103,6 +109,7 @@
 		customer.ranks = slices.Insert(customer.ranks, at, rankAccount{rank: f.Rank})
 	}
 	customer.ranks[at].requested += work
+	customer.ranks[at].asked += work
 }
 
 // Serve records that work of a flow was started, or that it was not done after all if work is negative.
@@ -115,6 +122,7 @@
 	}
 	customer.served = max(0, customer.served+work)
 	if account := customer.find(f.Rank); account != nil {
+		account.done = max(0, account.done+work)
 		// Work beyond the rate, done while others left capacity, counts against the flow for a window at most. A single
 		// group that exceeds the window counts in full.
 		account.credit = max(account.credit, -account.rate*ledgerWindow.Seconds()) - work
@@ -139,7 +147,7 @@
 		l.demands = append(l.demands, Demand{Amount: customer.requested(), Weight: customer.weight})
 	}
 	for i, part := range Divide(capacity*ledgerWindow.Seconds(), l.demands) {
-		l.scratch[i].divide(elapsed, l.demands[i].Amount, part)
+		l.scratch[i].divide(elapsed, part)
 	}
 }
 
@@ -194,11 +202,14 @@
 	}
 	l.decayedAt = now
 	left := math.Exp(-elapsed.Seconds() / ledgerWindow.Seconds())
+	leftOfFloor := math.Exp(-elapsed.Seconds() / floorWindow.Seconds())
 	l.served *= left
 	for name, customer := range l.customers {
 		customer.served *= left
 		for i := range customer.ranks {
 			customer.ranks[i].requested *= left
+			customer.ranks[i].asked *= leftOfFloor
+			customer.ranks[i].done *= leftOfFloor
 		}
 		customer.ranks = slices.DeleteFunc(customer.ranks, func(a rankAccount) bool { return a.requested < idleRate*l.capacity })
 		if len(customer.ranks) == 0 {
@@ -207,18 +218,24 @@
 	}
 }
 
-// divide divides a customer's part of a window among its ranks.
-func (c *customerAccount) divide(elapsed time.Duration, requested, part float64) {
+// divide divides a customer's part of a window among its ranks: first to those that had less than minRankPart of their
+// demand over floorWindow, as much as they keep, then the rest by rank.
+func (c *customerAccount) divide(elapsed time.Duration, part float64) {
 	c.share = part / ledgerWindow.Seconds()
-	floor := 0.0
-	if requested > 0 {
-		floor = min(minRankPart, maxFloorPart*part/requested)
+	floors := 0.0
+	for _, account := range c.ranks {
+		floors += account.floor()
+	}
+	scale := 1.0
+	if floors > maxFloorPart*part {
+		scale = maxFloorPart * part / floors
 	}
-	rest := part - floor*requested
+	rest := part - scale*floors
 	for i := range c.ranks {
 		account := &c.ranks[i]
-		own := min(account.requested, floor*account.requested+max(0, rest))
-		rest -= own - floor*account.requested
+		floor := scale * account.floor()
+		own := min(account.requested, floor+max(0, rest))
+		rest -= own - floor
 		account.rate = own / ledgerWindow.Seconds()
 		account.limited = own < account.requested*(1-roundingSlack)
 		most := account.rate * creditTime.Seconds()
@@ -230,6 +247,14 @@
 	}
 }
 
+// floor returns the work in a window that the rank gets before higher ranks of its customer.
+func (a rankAccount) floor() float64 {
+	if a.done >= minRankPart*a.asked {
+		return 0
+	}
+	return minRankPart * a.requested
+}
+
 // requested returns the work that a customer requested lately, in all ranks.
 func (c *customerAccount) requested() float64 {
 	total := 0.0
--- a/share/ledger_test.go
+++ b/share/ledger_test.go
@@ -122,3 +122,28 @@
 		l.Update(now, 10)
 	}
 }
+
+// A short burst of a high rank takes the share of a low one, which keeps a quarter of its demand when it lasts. Guards
+// against urgent requests that are refused beside less urgent ones, and against a kind of request that starves.
+func TestLedgerKeepsQuarterOverTime(t *testing.T) {
+	high, low := share.Flow{Customer: "c", Rank: 10}, share.Flow{Customer: "c", Rank: 12}
+	calm := map[share.Flow]float64{high: 3, low: 5}
+	burst := map[share.Flow]float64{high: 15, low: 5}
+	l := share.NewLedger()
+	now := record(l, time.Unix(1000, 0), 20*time.Second, 10, calm, calm)
+	for second := range 40 {
+		rates := map[share.Flow]float64{high: min(15, l.Standing(high).Rate), low: min(5, l.Standing(low).Rate)}
+		now = record(l, now, time.Second, 10, burst, rates)
+		if second == 3 {
+			must.InDelta(t, 0, l.Standing(low).Rate, 0.1)
+			must.InDelta(t, 10, l.Standing(high).Rate, 0.1)
+		}
+	}
+	served, seconds := 0.0, 20
+	for range seconds {
+		rates := map[share.Flow]float64{high: min(15, l.Standing(high).Rate), low: min(5, l.Standing(low).Rate)}
+		served += rates[low]
+		now = record(l, now, time.Second, 10, burst, rates)
+	}
+	must.GreaterEq(t, 0.2*5*float64(seconds), served)
+}
