--- a/share/ledger.go
+++ b/share/ledger.go
@@ -82,11 +82,11 @@
 		// requested is the work requested lately, decayed over ledgerWindow as of Ledger.decayedAt.
 		requested float64
 		// asked and done are the work requested and served over floorWindow, decayed likewise.
-		asked float64
-		done  float64
-		rate  float64
-		limited   bool
-		credit    float64
+		asked   float64
+		done    float64
+		rate    float64
+		limited bool
+		credit  float64
 	}
 )
 
