Add a gate that divides the slots of a unary pool among customers

Cause: without it, a customer that asks for 300 requests a second of a pool that serves 100 leaves the others late. Change: share.Gate serves customers by weighted start-time fair queueing, and the requests of one customer by rank, then by due time. It refuses at once what the share of the customer cannot start in time, and assigns endpoints, so that no slot is idle while a request waits. Ruled out: kernel.FairQueue, which orders the requests of a customer by deadline only and would make share import kernel.

--- /dev/null
+++ b/share/doc.go
@@ -0,0 +1,2 @@
+// Package share divides the capacity of pools among customers.
+package share
--- /dev/null
+++ b/share/gate.go
@@ -0,0 +1,527 @@
+package share
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// GateQuiet is how long after requests last waited a pool still counts as overloaded.
+	GateQuiet = 2 * time.Second
+	// gateExtra is how many requests more than it has slots an endpoint gets, so that a slot is not idle while the message
+	// about the end of a request and the next request are on their way.
+	gateExtra = 1
+	// gateRefusalPause is how long an endpoint that has refused a request gets none beyond its slots. Some endpoints have
+	// no queue.
+	gateRefusalPause = 10 * time.Second
+	// gateFaultPause is how long an endpoint gets no request after no connection to it could be opened.
+	gateFaultPause = time.Second
+	// gateSilence is how long a node may report nothing before the slots of its requests are freed: three of its regular
+	// reports.
+	gateSilence = 1500 * time.Millisecond
+	// gateRateWindow is the time over which the rate of work is measured. gateRateWeight is the weight of a measurement.
+	gateRateWindow = 250 * time.Millisecond
+	gateRateWeight = 0.3
+	// minGateSpeed and maxGateSpeed bound the measured work that a slot does in a second. Callers that leave, and
+	// messages that are lost, must not make the estimate useless.
+	minGateSpeed, maxGateSpeed = 0.1, 4
+	// gateStretchWeight is the weight of one request in the mean ratio of time in a slot to expected work.
+	gateStretchWeight = 0.1
+	// initialGateStretch is that ratio before the first measurement: the extra request of an endpoint with two slots
+	// makes it 1.5.
+	initialGateStretch                   = 1.5
+	minGateStretch, maxGateStretch       = 0.5, 8
+	defaultGateWork                      = 100 * time.Millisecond
+	gateLevelInterval, gateSweepInterval = 50 * time.Millisecond, time.Second
+	// minGateRetry is the least time to retry, maxGateSpread the longest time over which the retries of one customer are
+	// spread.
+	minGateRetry, maxGateSpread = 150 * time.Millisecond, 3 * time.Second
+)
+
+// The states of requests.
+const (
+	// GateQueued: the request waits for a slot. Gate.Advance returns the decision.
+	GateQueued GateState = iota
+	// GateAdmitted: the request holds a slot and may be sent.
+	GateAdmitted
+	// GateRefused: the request cannot be served in time. It holds no slot.
+	GateRefused
+)
+
+// The results of requests that were admitted.
+const (
+	// GateServed: the endpoint ran the request.
+	GateServed GateResult = iota
+	// GateUnsent: the request was withdrawn before an endpoint ran it.
+	GateUnsent
+	// GateNoRoom: the endpoint refused the request for lack of capacity.
+	GateNoRoom
+	// GateUnreachable: no connection to the endpoint could be opened.
+	GateUnreachable
+)
+
+type (
+	// GateState is the state of a request at a Gate.
+	GateState int
+
+	// GateResult is how a request that was admitted ended.
+	GateResult int
+
+	// GateKey identifies a request. Numbers of one node increase with each request.
+	GateKey struct {
+		Node   string
+		Number uint64
+	}
+
+	// GateEndpoint is an endpoint that accepts requests. Slots is 0 if it is unknown.
+	GateEndpoint struct {
+		Incarnation string
+		Slots       int
+	}
+
+	// GateAsk is a request that needs a slot.
+	GateAsk struct {
+		Key      GateKey
+		Customer string
+		// Weight is the weight of the customer; 0 counts as 1.
+		Weight float64
+		// Rank is served before higher ones of the same customer.
+		Rank int
+		// Due is when the answer is needed. The slot is freed at Deadline at the latest.
+		Due, Deadline time.Time
+		// Work is the time that an endpoint needs for the request; 0 if it is unknown.
+		Work time.Duration
+		// Spread, from 0 to 1, distributes the times at which refused requests are retried.
+		Spread float64
+	}
+
+	// GateEnd is the end of a request that was admitted, or that its node gave up.
+	GateEnd struct {
+		Key    GateKey
+		Result GateResult
+		// Incarnation is the endpoint that got the request last; empty if none did. Slots is the number of its slots that it
+		// reported; 0 if it did not.
+		Incarnation string
+		Slots       int
+	}
+
+	// GateDecision is what a Gate has decided on a request.
+	GateDecision struct {
+		Key   GateKey
+		State GateState
+		// Incarnation is the endpoint for which an admitted request was counted.
+		Incarnation string
+		// Share is the work per second that the customer may use, Use what it was given in about the last second.
+		Share, Use float64
+		// Over is true if the customer asks for more than its share.
+		Over bool
+		// RetryAfter is when the customer's share may have capacity for a refused request.
+		RetryAfter time.Duration
+	}
+
+	// Gate divides the slots of a pool of unary endpoints among customers while more is asked for than they can serve.
+	// Customers are served by weighted start-time fair queueing, the requests of one customer by rank, then by due time.
+	// Work is measured in seconds of endpoints. Invariants: an endpoint has at most gateExtra more requests than slots; no
+	// request waits while an endpoint has room. A Gate changes in place and is not safe for concurrent use.
+	Gate struct {
+		endpoints []*gateEndpoint
+		customers map[string]*gateCustomer
+		running   map[GateKey]*gateRequest
+		waiting   map[GateKey]*gateRequest
+		// heardAt is when each node last reported.
+		heardAt map[string]time.Time
+		decided []GateDecision
+		// virtualTime is the highest start tag of a request served.
+		virtualTime float64
+		// rate is the measured work per second of the whole pool; 0 before the first measurement.
+		rate   float64
+		window gateWindow
+		// stretch is the mean ratio of the time in a slot to the expected work, meanWork the mean expected work in seconds.
+		stretch, meanWork float64
+		// level is the work per second of a customer of weight 1 that asks for more than its share.
+		level            float64
+		levelAt, sweptAt time.Time
+		lastWaitedAt     time.Time
+		assignments      uint64
+		reportedSlots    map[string]int
+		listed           []GateEndpoint
+	}
+
+	gateEndpoint struct {
+		incarnation string
+		slots       int
+		running     int
+		// noExtraUntil is until when the endpoint gets no request beyond its slots, pausedUntil until when it gets none.
+		noExtraUntil, pausedUntil time.Time
+		// penalty is subtracted from the slots until noExtraUntil: other senders use them.
+		penalty int
+		// lastAssigned is the number of the last assignment, by which equal endpoints take turns.
+		lastAssigned uint64
+	}
+
+	gateRequest struct {
+		ask         GateAsk
+		work        float64
+		latestStart time.Time
+		admittedAt  time.Time
+		endpoint    *gateEndpoint
+		rank        *gateRank
+		index       int
+	}
+
+	// gateWindow measures the work that ends while requests wait.
+	gateWindow struct {
+		startedAt time.Time
+		work      float64
+		hadIdle   bool
+	}
+)
+
+// NewGate returns a gate without endpoints.
+func NewGate() *Gate {
+	return &Gate{
+		customers: map[string]*gateCustomer{}, running: map[GateKey]*gateRequest{}, waiting: map[GateKey]*gateRequest{},
+		heardAt: map[string]time.Time{}, stretch: initialGateStretch, meanWork: defaultGateWork.Seconds(), reportedSlots: map[string]int{},
+	}
+}
+
+// SetEndpoints sets the endpoints that accept requests. The requests of removed endpoints no longer hold slots.
+func (g *Gate) SetEndpoints(endpoints []GateEndpoint) {
+	if slices.Equal(endpoints, g.listed) {
+		return
+	}
+	g.listed = slices.Clone(endpoints)
+	before := g.endpoints
+	g.endpoints = make([]*gateEndpoint, 0, len(endpoints))
+	reported := map[string]int{}
+	for _, e := range endpoints {
+		state := &gateEndpoint{incarnation: e.Incarnation}
+		if i := slices.IndexFunc(before, func(old *gateEndpoint) bool { return old.incarnation == e.Incarnation }); i >= 0 {
+			state = before[i]
+		}
+		if known := g.reportedSlots[e.Incarnation]; known > 0 {
+			reported[e.Incarnation] = known
+		}
+		state.slots = e.Slots
+		g.endpoints = append(g.endpoints, state)
+	}
+	g.reportedSlots = reported
+	g.levelAt = time.Time{}
+}
+
+// Ask admits, queues or refuses a request. Only a request that waits is decided by a later Advance.
+func (g *Gate) Ask(now time.Time, ask GateAsk) GateDecision {
+	g.Hear(now, ask.Key.Node)
+	work := ask.Work.Seconds()
+	if work <= 0 {
+		work = g.meanWork
+	} else {
+		g.meanWork += gateStretchWeight * (work - g.meanWork)
+	}
+	c := g.customer(ask.Customer)
+	c.weight = max(ask.Weight, 0)
+	if c.weight == 0 {
+		c.weight = 1
+	}
+	rank := c.rank(ask.Rank)
+	rank.asked.add(now, work)
+	r := &gateRequest{ask: ask, work: work, rank: rank, latestStart: ask.Due.Add(-time.Duration(work * g.stretch * float64(time.Second)))}
+	g.updateLevel(now)
+	if e := g.freeEndpoint(now); e != nil && len(g.waiting) == 0 {
+		c.enqueue(g.virtualTime, r)
+		g.takeFrom(c, r)
+		return g.admit(now, r, e)
+	}
+	g.lastWaitedAt = now
+	if now.Add(g.estimateWait(now, c, r)).After(r.latestStart) {
+		return g.refusal(now, r)
+	}
+	c.enqueue(g.virtualTime, r)
+	g.waiting[ask.Key] = r
+	return g.decision(now, r, GateQueued)
+}
+
+// End frees the slot of a request that ended, or removes it if it still waits. An unknown request is ignored.
+func (g *Gate) End(now time.Time, end GateEnd) {
+	g.Hear(now, end.Key.Node)
+	g.recordEndpoint(now, end)
+	if r := g.waiting[end.Key]; r != nil {
+		g.remove(r)
+		return
+	}
+	r := g.running[end.Key]
+	if r == nil {
+		return
+	}
+	g.release(r)
+	if end.Result == GateServed {
+		g.window.work += r.work
+		ratio := now.Sub(r.admittedAt).Seconds() / r.work
+		g.stretch += gateStretchWeight * (min(max(ratio, minGateStretch), maxGateStretch) - g.stretch)
+	}
+}
+
+// Reconcile frees the slots of a node's requests that it no longer has open. Requests with numbers above last were
+// opened after the node wrote its report.
+func (g *Gate) Reconcile(now time.Time, node string, last uint64, open []uint64) {
+	g.Hear(now, node)
+	isOpen := make(map[uint64]bool, len(open))
+	for _, number := range open {
+		isOpen[number] = true
+	}
+	ended := func(key GateKey) bool { return key.Node == node && key.Number <= last && !isOpen[key.Number] }
+	for key, r := range g.running {
+		if ended(key) {
+			g.release(r)
+		}
+	}
+	for key, r := range g.waiting {
+		if ended(key) {
+			g.remove(r)
+		}
+	}
+}
+
+// Hear records that a node has reported, so that its requests keep their slots.
+func (g *Gate) Hear(now time.Time, node string) {
+	g.heardAt[node] = now
+}
+
+// Advance admits waiting requests while endpoints have room, and refuses those that can no longer be in time. It returns
+// the decisions since the last call.
+func (g *Gate) Advance(now time.Time) []GateDecision {
+	g.sweep(now)
+	for len(g.waiting) > 0 {
+		e := g.freeEndpoint(now)
+		if e == nil {
+			break
+		}
+		c := g.nextCustomer()
+		r := c.next(now)
+		delete(g.waiting, r.ask.Key)
+		if now.After(r.latestStart) {
+			c.dequeue(r)
+			g.decided = append(g.decided, g.refusal(now, r))
+			continue
+		}
+		g.takeFrom(c, r)
+		g.decided = append(g.decided, g.admit(now, r, e))
+	}
+	g.measure(now)
+	decided := g.decided
+	g.decided = nil
+	return decided
+}
+
+// Overloaded reports whether requests have waited within GateQuiet.
+func (g *Gate) Overloaded(now time.Time) bool {
+	return !g.lastWaitedAt.IsZero() && now.Sub(g.lastWaitedAt) < GateQuiet
+}
+
+// Idle reports whether no request holds a slot or waits.
+func (g *Gate) Idle() bool {
+	return len(g.running) == 0 && len(g.waiting) == 0
+}
+
+// Waiting returns the number of requests that wait.
+func (g *Gate) Waiting() int { return len(g.waiting) }
+
+// Running returns the number of requests that hold a slot.
+func (g *Gate) Running() int { return len(g.running) }
+
+// recordEndpoint records what the end of a request shows about its endpoint.
+func (g *Gate) recordEndpoint(now time.Time, end GateEnd) {
+	if end.Incarnation == "" {
+		return
+	}
+	if end.Slots > 0 && slices.ContainsFunc(g.endpoints, func(e *gateEndpoint) bool { return e.incarnation == end.Incarnation }) {
+		g.reportedSlots[end.Incarnation] = end.Slots
+	}
+	for _, e := range g.endpoints {
+		switch {
+		case e.incarnation != end.Incarnation:
+		case end.Result == GateUnreachable:
+			e.pausedUntil = now.Add(gateFaultPause)
+		case end.Result == GateNoRoom:
+			// The first refusal may be due to the extra request, a later one only to requests that this gate has not admitted.
+			if now.Before(e.noExtraUntil) {
+				e.penalty = min(e.penalty+1, g.slots(e)-1)
+			}
+			e.noExtraUntil = now.Add(gateRefusalPause)
+		}
+	}
+}
+
+// slots returns the slots of an endpoint. If it has not reported any, they are those of its entry, or else the most that
+// another endpoint of the pool has.
+func (g *Gate) slots(e *gateEndpoint) int {
+	if known := g.reportedSlots[e.incarnation]; known > 0 {
+		return known
+	}
+	if e.slots > 0 {
+		return e.slots
+	}
+	most := 1
+	for _, known := range g.reportedSlots {
+		most = max(most, known)
+	}
+	return most
+}
+
+// totalSlots returns the slots of all endpoints.
+func (g *Gate) totalSlots() int {
+	total := 0
+	for _, e := range g.endpoints {
+		total += g.slots(e)
+	}
+	return total
+}
+
+// freeEndpoint returns the endpoint with room that has the fewest requests relative to its slots; nil if none has room.
+func (g *Gate) freeEndpoint(now time.Time) *gateEndpoint {
+	var best *gateEndpoint
+	bestLoad := math.Inf(1)
+	for _, e := range g.endpoints {
+		slots := g.slots(e)
+		limit := slots + gateExtra
+		if now.Before(e.noExtraUntil) {
+			limit = max(1, slots-e.penalty)
+		} else {
+			e.penalty = 0
+		}
+		if e.running >= limit || now.Before(e.pausedUntil) {
+			continue
+		}
+		load := float64(e.running) / float64(slots)
+		if load < bestLoad || load == bestLoad && e.lastAssigned < best.lastAssigned {
+			best, bestLoad = e, load
+		}
+	}
+	return best
+}
+
+func (g *Gate) admit(now time.Time, r *gateRequest, e *gateEndpoint) GateDecision {
+	g.assignments++
+	e.running++
+	e.lastAssigned = g.assignments
+	r.endpoint, r.admittedAt = e, now
+	g.running[r.ask.Key] = r
+	r.rank.served.add(now, r.work)
+	return g.decision(now, r, GateAdmitted)
+}
+
+// release frees the slot of a running request.
+func (g *Gate) release(r *gateRequest) {
+	r.endpoint.running--
+	delete(g.running, r.ask.Key)
+}
+
+// remove removes a waiting request without a decision.
+func (g *Gate) remove(r *gateRequest) {
+	r.rank.customer.dequeue(r)
+	delete(g.waiting, r.ask.Key)
+}
+
+func (g *Gate) decision(now time.Time, r *gateRequest, state GateState) GateDecision {
+	c := r.rank.customer
+	d := GateDecision{Key: r.ask.Key, State: state, Share: g.share(c), Use: c.use(now)}
+	if r.endpoint != nil {
+		d.Incarnation = r.endpoint.incarnation
+	}
+	return d
+}
+
+// refusal refuses a request. Its retry is due when the work that waits now is done, plus a part of the time in which the
+// customer's share serves what the customer asks for in a second, so that its retries do not all come at once.
+func (g *Gate) refusal(now time.Time, r *gateRequest) GateDecision {
+	c := r.rank.customer
+	d := g.decision(now, r, GateRefused)
+	demand, share := c.demand(now), max(d.Share, 1e-6)
+	d.Over = demand > share
+	wait := time.Duration(min(c.waitingWork/share, maxGateSpread.Seconds()) * float64(time.Second))
+	spread := time.Duration(min(demand/share, maxGateSpread.Seconds()) * float64(time.Second))
+	d.RetryAfter = max(minGateRetry, wait) + time.Duration(min(max(r.ask.Spread, 0), 1)*float64(spread))
+	return d
+}
+
+// estimateWait returns how long a request that asks now will wait for a slot: until its customer's share has done the
+// work that the customer's order puts before it, and the pool has done that and what other customers are owed meanwhile.
+func (g *Gate) estimateWait(now time.Time, c *gateCustomer, r *gateRequest) time.Duration {
+	before, rate := c.workBefore(now, r, g.share(c))
+	if rate <= 0 {
+		return maxGateWait
+	}
+	pool := before
+	for _, other := range g.customers {
+		if other != c {
+			pool += min(other.waitingWork, (before+r.work)*other.weight/c.weight)
+		}
+	}
+	seconds := max(before/rate, (pool+r.work)/g.workRate())
+	return time.Duration(min(seconds, maxGateWait.Seconds()) * float64(time.Second))
+}
+
+// workRate returns the work that the pool does in a second.
+func (g *Gate) workRate() float64 {
+	total := float64(max(1, g.totalSlots()))
+	if g.rate == 0 {
+		return total
+	}
+	return min(max(g.rate, minGateSpeed*total), maxGateSpeed*total)
+}
+
+// measure measures the rate of work over windows in which requests waited all the time.
+func (g *Gate) measure(now time.Time) {
+	if len(g.waiting) == 0 {
+		g.window.hadIdle = true
+	} else {
+		g.lastWaitedAt = now
+	}
+	elapsed := now.Sub(g.window.startedAt)
+	if elapsed < gateRateWindow {
+		return
+	}
+	if !g.window.hadIdle && elapsed < 2*gateRateWindow {
+		g.rate = g.workRate() + gateRateWeight*(g.window.work/elapsed.Seconds()-g.workRate())
+	}
+	g.window = gateWindow{startedAt: now, hadIdle: len(g.waiting) == 0}
+}
+
+// sweep refuses waiting requests that are too late, frees slots at the deadlines and those of silent nodes, and forgets
+// idle customers and nodes.
+func (g *Gate) sweep(now time.Time) {
+	for key, r := range g.running {
+		if !now.Before(r.ask.Deadline) || now.Sub(g.heardAt[key.Node]) > gateSilence {
+			g.release(r)
+		}
+	}
+	for key, r := range g.waiting {
+		switch {
+		case now.Sub(g.heardAt[key.Node]) > gateSilence:
+			g.remove(r)
+		case now.After(r.latestStart):
+			g.remove(r)
+			g.decided = append(g.decided, g.refusal(now, r))
+		}
+	}
+	if now.Sub(g.sweptAt) < gateSweepInterval {
+		return
+	}
+	g.sweptAt = now
+	if g.Idle() {
+		for _, c := range g.customers {
+			g.virtualTime = max(g.virtualTime, c.startTag)
+		}
+	}
+	for name, c := range g.customers {
+		if c.forgettable(now, g.virtualTime) {
+			delete(g.customers, name)
+		}
+	}
+	for node, at := range g.heardAt {
+		if now.Sub(at) > 2*gateSilence {
+			delete(g.heardAt, node)
+		}
+	}
+}
