--- a/share/gate.go
+++ b/share/gate.go
@@ -47,6 +47,8 @@
 	GateAdmitted
 	// GateRefused: the request cannot be served in time. It holds no slot.
 	GateRefused
+	// GateDropped: the request waited and its node has given it up, or is lost.
+	GateDropped
 )
 
 // The results of requests that were admitted.
@@ -247,7 +249,7 @@
 	g.Hear(now, end.Key.Node)
 	g.recordEndpoint(now, end)
 	if r := g.waiting[end.Key]; r != nil {
-		g.remove(r)
+		g.drop(now, r)
 		return
 	}
 	r := g.running[end.Key]
@@ -278,7 +280,7 @@
 	}
 	for key, r := range g.waiting {
 		if ended(key) {
-			g.remove(r)
+			g.drop(now, r)
 		}
 	}
 }
@@ -423,6 +425,12 @@
 	delete(g.waiting, r.ask.Key)
 }
 
+// drop removes a waiting request that its node no longer needs.
+func (g *Gate) drop(now time.Time, r *gateRequest) {
+	g.remove(r)
+	g.decided = append(g.decided, g.decision(now, r, GateDropped))
+}
+
 func (g *Gate) decision(now time.Time, r *gateRequest, state GateState) GateDecision {
 	c := r.rank.customer
 	d := GateDecision{Key: r.ask.Key, State: state, Share: g.share(c), Use: c.use(now)}
@@ -499,7 +507,7 @@
 	for key, r := range g.waiting {
 		switch {
 		case now.Sub(g.heardAt[key.Node]) > gateSilence:
-			g.remove(r)
+			g.drop(now, r)
 		case now.After(r.latestStart):
 			g.remove(r)
 			g.decided = append(g.decided, g.refusal(now, r))
--- a/share/gate_test.go
+++ b/share/gate_test.go
@@ -164,11 +164,6 @@
 	}
 }
 
-// onTime returns the part of a customer's requests that were served on time.
-func (s *gateTrial) onTime(customer string) float64 {
-	return float64(s.served[customer]-s.late[customer]) / float64(max(1, s.total[customer]))
-}
-
 func (s *gateTrial) servedTotal() int {
 	sum := 0
 	for _, n := range s.served {
