Ask an admitter for slots while a unary pool is overloaded

Cause: in a pool of 100 requests a second, a customer that asks for 300 leaves others, who ask for 3 each, late. Change: one node for each pool, the first by hash of those that state they can, keeps a share.Gate. Nodes ask it while the pool shows signs of overload: a refusal for lack of room, a reported queue, or an answer far slower than usual from an endpoint without a free slot. It assigns the endpoint, and refuses with the new reason OverShare or with Overloaded. Only pools whose endpoints state contention are handled this way. If the admitter does not answer a report within 40 ms, the requests that wait there are sent without it. Ruled out: a time limit on each request alone, which would notice a frozen admitter only when requests are due.

--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -46,6 +46,7 @@
 	model.EndpointsCapped:      http.StatusServiceUnavailable,
 	model.NoHome:               http.StatusServiceUnavailable,
 	model.EndpointRefused:      http.StatusServiceUnavailable,
+	model.OverShare:            http.StatusServiceUnavailable,
 	model.StreamUnknown:        http.StatusServiceUnavailable,
 	model.VersionGone:          http.StatusServiceUnavailable,
 }
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -89,6 +89,8 @@
 	VersionGone Reason = "VersionGone"
 	// EndpointRefused: the endpoint did not run the request, and no other endpoint could be tried.
 	EndpointRefused Reason = "EndpointRefused"
+	// OverShare: the customer asks for more than its share of a pool, and the share cannot serve the request in time.
+	OverShare Reason = "OverShare"
 )
 
 // The reasons for retries of stage calls.
--- /dev/null
+++ b/relay/admission.go
@@ -0,0 +1,456 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"basilstall.example/basilstall/clock"
+	"basilstall.example/basilstall/endpoint"
+	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
+	"basilstall.example/basilstall/share"
+)
+
+const (
+	// admitEndInterval is how often the ends of requests are sent, and whether the admitter still answers is checked while
+	// requests wait there.
+	admitEndInterval = 25 * time.Millisecond
+	// admitOpenInterval is how often all open requests are reported, so that slots are freed whose ends were lost.
+	admitOpenInterval = 500 * time.Millisecond
+	// admitReplyTimeout is how long an admitter may not answer until its requests are sent without it.
+	admitReplyTimeout = 40 * time.Millisecond
+	// overloadMemory is how long after the last sign of overload a node asks the admitter.
+	overloadMemory = share.GateQuiet
+	// slowAnswerFactor is how much longer than usual an answer of an endpoint without a free slot takes under overload.
+	slowAnswerFactor = 2.5
+	// fasterWorkWeight and slowerWorkWeight are the weights of an answer in the expected work of a route. Answers that
+	// took longer probably include waiting.
+	fasterWorkWeight = 0.3
+	slowerWorkWeight = 0.02
+)
+
+type (
+	// admissions holds what this node asks the admitters of pools. It is safe for concurrent use.
+	admissions struct {
+		relay *Relay
+		// node identifies this process to admitters.
+		node string
+		mu   sync.Mutex
+		// lastNumber is the number of the last request that an admitter was asked for.
+		lastNumber uint64
+		pools      map[string]*poolAdmission
+	}
+
+	// poolAdmission is what this node knows of the overload of a pool. The lock of admissions guards it.
+	poolAdmission struct {
+		// askUntil is until when the admitter is asked.
+		askUntil time.Time
+		// work is the expected work by route, in seconds of an endpoint.
+		work map[string]float64
+		// links holds the admitters with which requests are open, by name.
+		links map[string]*admitterLink
+	}
+
+	// admitterLink holds the requests of a pool that are open at one admitter, and what it is to be told.
+	admitterLink struct {
+		pool, node string
+		open       map[uint64]*admissionTicket
+		ended      []peer.AdmitEnded
+		// heardAt is when the admitter last answered, reportedAt when the open requests were last reported.
+		heardAt, reportedAt time.Time
+		// silent is true while the admitter has not answered in time.
+		silent bool
+	}
+
+	// admissionTicket is a request that an admitter is asked for. Its result at the endpoint is recorded until it is closed.
+	admissionTicket struct {
+		admissions *admissions
+		// link is nil if this node is the admitter.
+		link   *admitterLink
+		pool   string
+		number uint64
+		// waiting is true until the admitter has decided. silent is closed if it does not answer.
+		waiting bool
+		silent  chan struct{}
+	}
+
+	// ShareFinding is what an admitter has found of a refused request's customer: the work per second, in seconds of
+	// endpoints, that it may use and was given.
+	ShareFinding struct {
+		Share, Use float64
+		// Over is true if the customer asks for more than its share.
+		Over bool
+	}
+)
+
+func newAdmissions(r *Relay) *admissions {
+	return &admissions{relay: r, node: fmt.Sprintf("%s@%d", r.options.Name, r.startedAt.UnixMilli()), pools: map[string]*poolAdmission{}}
+}
+
+func (a *admissions) pool(name string) *poolAdmission {
+	p := a.pools[name]
+	if p == nil {
+		p = &poolAdmission{work: map[string]float64{}, links: map[string]*admitterLink{}}
+		a.pools[name] = p
+	}
+	return p
+}
+
+// openTicket opens a ticket for a request if the pool is overloaded. It returns nil if no admitter is to be asked.
+func (a *admissions) openTicket(pool string) *admissionTicket {
+	now := a.relay.now()
+	if !a.relay.statesContention(pool) || !a.overloaded(now, pool) {
+		return nil
+	}
+	node := a.relay.admitterOf(pool)
+	if node == "" {
+		return nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.pool(pool)
+	ticket := &admissionTicket{admissions: a, pool: pool, waiting: true, silent: make(chan struct{})}
+	if node != a.relay.options.Name {
+		link := p.links[node]
+		if link != nil && link.silent {
+			return nil
+		}
+		if link == nil {
+			link = &admitterLink{pool: pool, node: node, open: map[uint64]*admissionTicket{}, reportedAt: now}
+			p.links[node] = link
+			go a.report(link)
+		}
+		ticket.link = link
+	}
+	a.lastNumber++
+	ticket.number = a.lastNumber
+	if ticket.link != nil {
+		ticket.link.open[ticket.number] = ticket
+	}
+	return ticket
+}
+
+// overloaded reports whether a pool has lately shown signs of overload.
+func (a *admissions) overloaded(now time.Time, pool string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.pools[pool]
+	return p != nil && now.Before(p.askUntil)
+}
+
+// extend has the admitter of a pool asked for some time from now on.
+func (a *admissions) extend(pool string, askFor time.Duration) {
+	if askFor <= 0 {
+		return
+	}
+	until := a.relay.now().Add(askFor)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.pool(pool)
+	if until.After(p.askUntil) {
+		p.askUntil = until
+	}
+}
+
+// expectedWork returns the time that an endpoint needs for a request of a route; 0 if it is unknown.
+func (a *admissions) expectedWork(pool, route string) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Duration(a.pool(pool).work[route] * float64(time.Second))
+}
+
+// recordAnswer records an endpoint's answer after elapsed: the work of the route, and signs of overload.
+func (a *admissions) recordAnswer(pool, route string, elapsed time.Duration, load *model.Load) {
+	if load == nil {
+		return
+	}
+	seconds := elapsed.Seconds() / max(load.Contention, 1)
+	a.mu.Lock()
+	p := a.pool(pool)
+	known := p.work[route]
+	switch {
+	case known == 0:
+		p.work[route] = seconds
+	case seconds < known:
+		p.work[route] += fasterWorkWeight * (seconds - known)
+	default:
+		p.work[route] += slowerWorkWeight * (seconds - known)
+	}
+	a.mu.Unlock()
+	if load.Queued > 0 || load.Running >= load.Slots && known > 0 && seconds > slowAnswerFactor*known {
+		a.extend(pool, overloadMemory)
+	}
+}
+
+// ask asks the admitter for the request of a ticket and waits for the decision. It returns false if the admitter does not
+// answer or declines; the ticket is closed then.
+func (t *admissionTicket) ask(ctx context.Context, m peer.Admit) (peer.AdmitReply, bool) {
+	a := t.admissions
+	if t.link == nil {
+		return t.askHere(ctx, m)
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(0, m.DueIn)+peerSilenceTimeout)
+	defer cancel()
+	a.mu.Lock()
+	m.Ended, t.link.ended = t.link.ended, nil
+	a.mu.Unlock()
+	var reply peer.AdmitReply
+	answered := make(chan error, 1)
+	go func() { answered <- a.relay.callNode(ctx, t.link.node, peer.KindAdmit, m, &reply) }()
+	select {
+	case err := <-answered:
+		if err != nil || reply.Declined {
+			t.close(share.GateUnsent, "", 0)
+			return peer.AdmitReply{}, false
+		}
+	case <-t.silent:
+		t.close(share.GateUnsent, "", 0)
+		return peer.AdmitReply{}, false
+	}
+	a.mu.Lock()
+	t.waiting = false
+	t.link.heardAt = a.relay.now()
+	if reply.State == share.GateRefused {
+		delete(t.link.open, t.number)
+	}
+	a.mu.Unlock()
+	return reply, true
+}
+
+// askHere asks the gate of this node.
+func (t *admissionTicket) askHere(ctx context.Context, m peer.Admit) (peer.AdmitReply, bool) {
+	r := t.admissions.relay
+	now := r.now()
+	decision, ok := r.admitters.ask(ctx, t.pool, share.GateAsk{
+		Key: share.GateKey{Node: m.Node, Number: m.Number}, Customer: m.Customer, Weight: m.Weight, Rank: m.Rank,
+		Due: now.Add(m.DueIn), Deadline: now.Add(m.DeadlineIn), Work: m.Work, Spread: requestSpread(m.Request),
+	}, nil)
+	return peer.AdmitReply{
+		State: decision.State, Incarnation: decision.Incarnation, Share: decision.Share, Use: decision.Use, Over: decision.Over,
+		RetryAfter: decision.RetryAfter, AskFor: r.admitters.askFor(t.pool),
+	}, ok
+}
+
+// record reports the result of one attempt that did not end the request.
+func (t *admissionTicket) record(result share.GateResult, incarnation string, slots int) {
+	t.tell(peer.AdmitEnded{Result: result, Incarnation: incarnation, Slots: slots})
+}
+
+// close reports the end of the request.
+func (t *admissionTicket) close(result share.GateResult, incarnation string, slots int) {
+	if t.link != nil {
+		t.admissions.mu.Lock()
+		t.waiting = false
+		delete(t.link.open, t.number)
+		t.admissions.mu.Unlock()
+	}
+	t.tell(peer.AdmitEnded{Number: t.number, Result: result, Incarnation: incarnation, Slots: slots})
+}
+
+// tell tells the admitter of an end, at once or with the next message.
+func (t *admissionTicket) tell(ended peer.AdmitEnded) {
+	a := t.admissions
+	if t.link == nil {
+		a.relay.admitters.end(t.pool, gateEnds(a.node, []peer.AdmitEnded{ended}))
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t.link.ended = append(t.link.ended, ended)
+}
+
+// report sends what an admitter is to be told until no request is open there.
+func (a *admissions) report(link *admitterLink) {
+	for clock.Sleep(a.relay.ctx, admitEndInterval) {
+		message, due, done := a.nextReport(link)
+		if done {
+			return
+		}
+		if due && !a.sendReport(link, message) {
+			a.drop(link)
+			return
+		}
+	}
+}
+
+// nextReport returns the next message to an admitter. due is false if it need not be sent yet, done is true if there is
+// nothing more to tell and the link is closed.
+func (a *admissions) nextReport(link *admitterLink) (message peer.AdmitEnd, due, done bool) {
+	now := a.relay.now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(link.open) == 0 && len(link.ended) == 0 {
+		delete(a.pools[link.pool].links, link.node)
+		return peer.AdmitEnd{}, false, true
+	}
+	message = peer.AdmitEnd{Pool: link.pool, Node: a.node, Ended: link.ended, Last: a.lastNumber}
+	if now.Sub(link.reportedAt) >= admitOpenInterval {
+		message.Complete = true
+		link.reportedAt = now
+		for number := range link.open {
+			message.Open = append(message.Open, number)
+		}
+		slices.Sort(message.Open)
+	}
+	unheard := now.Sub(link.heardAt) >= admitEndInterval && link.hasWaiting()
+	due = unheard || message.Complete || len(message.Ended) > 0
+	if due {
+		link.ended = nil
+	}
+	return message, due, false
+}
+
+func (l *admitterLink) hasWaiting() bool {
+	for _, ticket := range l.open {
+		if ticket.waiting {
+			return true
+		}
+	}
+	return false
+}
+
+// sendReport sends a message to an admitter. If the reply takes longer than admitReplyTimeout, the requests that wait there
+// are sent without it, and the admitter is not asked until it replies. It returns false if there was no reply.
+func (a *admissions) sendReport(link *admitterLink, message peer.AdmitEnd) bool {
+	late := time.AfterFunc(admitReplyTimeout, func() { a.silence(link) })
+	defer late.Stop()
+	ctx, cancel := context.WithTimeout(a.relay.ctx, 2*peerSilenceTimeout)
+	defer cancel()
+	var reply peer.AdmitEndReply
+	if a.relay.callNode(ctx, link.node, peer.KindAdmitEnd, message, &reply) != nil {
+		return false
+	}
+	a.mu.Lock()
+	link.silent = false
+	link.heardAt = a.relay.now()
+	a.mu.Unlock()
+	a.extend(link.pool, reply.AskFor)
+	return true
+}
+
+// silence records that an admitter does not answer: the requests that wait there are sent without it.
+func (a *admissions) silence(link *admitterLink) {
+	a.mu.Lock()
+	link.silent = true
+	for _, ticket := range link.open {
+		if ticket.waiting {
+			ticket.waiting = false
+			close(ticket.silent)
+		}
+	}
+	a.mu.Unlock()
+	a.relay.metrics.CountEvent("AdmitterSilent")
+}
+
+// drop closes the link to an admitter that is lost. It frees the slots of this node by itself.
+func (a *admissions) drop(link *admitterLink) {
+	a.silence(link)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.pools[link.pool].links, link.node)
+}
+
+// awaitAdmission asks the admitter of an overloaded pool whether the request may be sent, and waits for that. It returns
+// the outcome if the request is refused. Without an answer, the request is sent as in a pool that is not overloaded.
+func (j *job) awaitAdmission(ctx context.Context, p *pool) *Outcome {
+	r := j.relay
+	if j.sendsThroughNode(p) {
+		return nil
+	}
+	ticket := r.admissions.openTicket(p.name)
+	if ticket == nil {
+		return nil
+	}
+	r.metrics.CountEvent("AdmitterAsked")
+	now := r.now()
+	reply, ok := ticket.ask(ctx, peer.Admit{
+		Pool: p.name, Node: r.admissions.node, Number: ticket.number, Request: j.forward.ID, Customer: j.admission.Customer, Rank: j.admission.Rank,
+		DueIn: gateObjective(j.forward, j.admission).Sub(now), DeadlineIn: j.admission.Deadline.Sub(now),
+		Work: r.admissions.expectedWork(p.name, j.admission.Route.Name),
+	})
+	if ctx.Err() != nil {
+		if ok {
+			ticket.close(share.GateUnsent, "", 0)
+		}
+		outcome := j.refuseContextDone(ctx)
+		return &outcome
+	}
+	if !ok {
+		r.metrics.CountEvent("AdmitterNotUsed")
+		return nil
+	}
+	r.admissions.extend(p.name, reply.AskFor)
+	if reply.State == share.GateRefused {
+		return j.refuseOverShare(reply)
+	}
+	j.ticket, j.assigned = ticket, reply.Incarnation
+	return nil
+}
+
+// refuseOverShare refuses a request that its customer's share cannot serve in time.
+func (j *job) refuseOverShare(reply peer.AdmitReply) *Outcome {
+	reason, detail := model.Overloaded, "pool "+j.admission.Pool+" has no slot in time"
+	if reply.Over {
+		reason, detail = model.OverShare, "the customer asks for more than its share of pool "+j.admission.Pool
+	}
+	outcome := j.refuse(j.verdict(), reason, detail)
+	if outcome.Refusal.Verdict == model.NotRun {
+		outcome.Refusal.RetryAfter = kernel.ClampRetryAfter(reply.RetryAfter)
+	}
+	outcome.Share = &ShareFinding{Share: reply.Share, Use: reply.Use, Over: reply.Over}
+	return &outcome
+}
+
+// recordAdmitted records the result of one attempt at an endpoint, for the admitter and as a sign of overload.
+func (j *job) recordAdmitted(p *pool, res *unaryResult) {
+	r := j.relay
+	if !r.statesContention(p.name) {
+		return
+	}
+	switch {
+	case res.err != nil:
+		if j.ticket != nil && asFault(res.err).Kind == endpoint.Refused {
+			j.ticket.record(share.GateUnreachable, res.endpoint.Incarnation(), 0)
+		}
+	case res.reply.Misdirected:
+	case res.reply.NotRun:
+		r.admissions.extend(p.name, overloadMemory)
+		if j.ticket != nil {
+			j.ticket.record(share.GateNoRoom, res.endpoint.Incarnation(), p.slotsOf(res.endpoint))
+		}
+	default:
+		j.servedBy = res.endpoint
+		if res.reply.Status < http.StatusInternalServerError {
+			r.admissions.recordAnswer(p.name, j.admission.Route.Name, r.now().Sub(res.sentAt), res.reply.Statement.Load)
+		}
+	}
+}
+
+// endAdmission tells the admitter that the request has ended.
+func (j *job) endAdmission(p *pool) {
+	switch {
+	case j.ticket == nil:
+	case j.servedBy.Name == "":
+		j.ticket.close(share.GateUnsent, "", 0)
+	default:
+		j.ticket.close(share.GateServed, j.servedBy.Incarnation(), p.slotsOf(j.servedBy))
+	}
+}
+
+// pickUnary chooses an endpoint for one attempt: the one that the admitter has assigned if this node may send to it, or else
+// by load.
+func (j *job) pickUnary(now time.Time, p *pool, limits sendLimits) (choice, bool) {
+	listed := j.allowedEndpoints()
+	if assigned := j.assigned; assigned != "" {
+		j.assigned = ""
+		if c, ok := p.pickAssigned(now, listed, limits, assigned, j.excluded); ok {
+			return c, true
+		}
+	}
+	return p.pick(now, listed, limits, j.relay.options.Domain, j.excluded)
+}
--- a/relay/batchpeer.go
+++ b/relay/batchpeer.go
@@ -91,6 +91,8 @@
 		peer.KindCallerWait:  r.handleCallerWait,
 		peer.KindTakeOver:    r.handleTakeOver,
 		peer.KindCapPermit:   r.handleCapPermit,
+		peer.KindAdmit:       r.handleAdmit,
+		peer.KindAdmitEnd:    r.handleAdmitEnd,
 	}
 	maps.Copy(handlers, r.quarantine.Handlers())
 	maps.Copy(handlers, r.bindings.Handlers())
--- a/relay/log.go
+++ b/relay/log.go
@@ -65,6 +65,9 @@
 	if o.Late {
 		line = line.Bool("Late", true)
 	}
+	if o.Share != nil {
+		line = line.Dict("Share", zerolog.Dict().Float64("Share", o.Share.Share).Float64("Use", o.Share.Use).Bool("Over", o.Share.Over))
+	}
 	if len(o.Estimates) > 0 {
 		line = line.Array("Estimates", stageEstimateArray(o.Estimates))
 	}
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -110,6 +110,18 @@
 	return p.reserve(now, limits, usable[i], 0), true
 }
 
+// pickAssigned chooses the endpoint of an incarnation for a unary request and reserves it, if this node may send to it.
+func (p *pool) pickAssigned(now time.Time, listed []model.Endpoint, limits sendLimits, incarnation string, excluded []string) (choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable := kernel.Usable(now, p.candidates(now, listed, limits), excluded)
+	i := slices.IndexFunc(usable, func(c kernel.Candidate) bool { return c.Endpoint.Incarnation() == incarnation })
+	if i < 0 {
+		return choice{}, false
+	}
+	return p.reserve(now, limits, usable[i], 0), true
+}
+
 // pickEngine chooses one of the listed engines for a prompt and reserves it.
 func (p *pool) pickEngine(now time.Time, listed []model.Endpoint, limits sendLimits, prompt model.Prompt, key string, excluded []string) (choice, bool) {
 	p.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -69,6 +69,10 @@
 		routeHistory atomic.Pointer[kernel.RouteHistory]
 		// contention holds which pools have endpoints that state their contention.
 		contention *contentionRecord
+		// admitters holds the gates of the pools whose slots this node divides among customers, admissions what it asks other
+		// nodes, or itself, of such pools.
+		admitters  *admitters
+		admissions *admissions
 		// suspects holds the nodes that did not answer.
 		suspects *suspects
 		// remoteGroups holds the groups of other nodes that this one batches.
@@ -112,6 +116,8 @@
 		Unreached []string `json:",omitempty"`
 		// Binds is true if the node keeps streams at the version that began them. Nodes of older builds do not.
 		Binds bool `json:",omitempty"`
+		// Admits is true if the node can divide the slots of pools among customers. Nodes of older builds cannot.
+		Admits bool `json:",omitempty"`
 	}
 )
 
@@ -135,6 +141,8 @@
 	r.peers.SetSilenceTimeout(peerSilenceTimeout)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.batchers = newBatcherSet(r)
+	r.admitters = newAdmitters(r)
+	r.admissions = newAdmissions(r)
 	r.remoteGroups = newRemoteGroups()
 	r.paths = r.newPaths()
 	r.helpers = reach.NewHelpers()
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -87,11 +87,18 @@
 		stageTimings []StageTiming
 		// estimates are the estimates for the stages' pools at the arrival of the request.
 		estimates []StageEstimate
+		// ticket is the request at the admitter of its pool, and assigned the endpoint that the admitter assigned to the next
+		// attempt; nil and empty if no admitter was asked. servedBy is the last endpoint that answered.
+		ticket   *admissionTicket
+		assigned string
+		servedBy model.Endpoint
 	}
 
 	// unaryResult is the result of one attempt at a unary request.
 	unaryResult struct {
 		endpoint model.Endpoint
+		// sentAt is when the attempt began.
+		sentAt time.Time
 		// throughNode is true if another node was to send the request. node is its name, empty if none did, and attempts the
 		// number of attempts with those that it told of.
 		throughNode bool
@@ -108,6 +115,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := j.relay.pool(j.admission.Pool)
+	if outcome := j.awaitAdmission(ctx, p); outcome != nil {
+		return *outcome
+	}
+	defer j.endAdmission(p)
 	results := make(chan unaryResult, j.admission.Route.MaxAttempts+1)
 	if !j.startAttempt(ctx, p, results) {
 		return j.refuseNoEndpoint(j.verdict())
@@ -158,7 +169,7 @@
 	}
 	j.countRequest(p)
 	e, ok := j.chooseEndpoint(ctx, p, func(now time.Time, limits sendLimits) (choice, bool) {
-		return p.pick(now, j.allowedEndpoints(), limits, r.options.Domain, j.excluded)
+		return j.pickUnary(now, p, limits)
 	}, func(e model.Endpoint) { p.release(e.Incarnation()) })
 	if !ok {
 		return j.otherNodeMaySend(p) && j.startNodeAttempt(ctx, results)
@@ -167,7 +178,7 @@
 	send := j.newSend(e, j.attempts > 1)
 	go func() {
 		defer p.release(e.Incarnation())
-		res := unaryResult{endpoint: e}
+		res := unaryResult{endpoint: e, sentAt: r.now()}
 		defer r.recoverPanic(func() {
 			res.err = errPanic
 			results <- res
@@ -231,6 +242,7 @@
 	if res.throughNode {
 		return j.acceptNodeResult(res)
 	}
+	j.recordAdmitted(p, res)
 	if res.err != nil {
 		j.recordFault(p, res.endpoint, asFault(res.err))
 		return false
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -131,6 +131,8 @@
 		Estimates []StageEstimate
 		// Resumption is what was found out of the stream that the request resumes; nil for any other request.
 		Resumption *kernel.Finding
+		// Share is what the admitter of the pool found of the customer; nil unless it refused the request.
+		Share *ShareFinding
 		// Late is true if the wait for the first event, since the first attempt of the caller, exceeded the objective of
 		// the route.
 		Late bool
