Leave room at endpoints for requests of other senders

Cause: nodes of earlier builds, nodes that choose by themselves and a second admitter also send to the endpoints of a gate. Change: the ends of requests carry the load that the endpoint reported. What exceeds the requests that the gate admitted lowers the limit of the endpoint, to half of its slots at the least. Measured on a made-up clock: with two requests of others at each endpoint 4 requests are admitted at a time, and 12 again within a second after they end.

--- a/peer/admission.go
+++ b/peer/admission.go
@@ -53,6 +53,8 @@
 		// reported; 0 if it did not.
 		Incarnation string
 		Slots       int
+		// Load is how many requests it reported as running or waiting.
+		Load int
 	}
 
 	// AdmitEnd tells the admitter of a pool which requests ended. It is also sent while requests of the node wait, as its
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -205,11 +205,11 @@
 	select {
 	case err := <-answered:
 		if err != nil || reply.Declined {
-			t.close(share.GateUnsent, "", 0)
+			t.close(peer.AdmitEnded{Result: share.GateUnsent})
 			return peer.AdmitReply{}, false
 		}
 	case <-t.silent:
-		t.close(share.GateUnsent, "", 0)
+		t.close(peer.AdmitEnded{Result: share.GateUnsent})
 		return peer.AdmitReply{}, false
 	}
 	a.mu.Lock()
@@ -236,23 +236,19 @@
 	}, ok
 }
 
-// record reports the result of one attempt that did not end the request.
-func (t *admissionTicket) record(result share.GateResult, incarnation string, slots int) {
-	t.tell(peer.AdmitEnded{Result: result, Incarnation: incarnation, Slots: slots})
-}
-
 // close reports the end of the request.
-func (t *admissionTicket) close(result share.GateResult, incarnation string, slots int) {
+func (t *admissionTicket) close(ended peer.AdmitEnded) {
 	if t.link != nil {
 		t.admissions.mu.Lock()
 		t.waiting = false
 		delete(t.link.open, t.number)
 		t.admissions.mu.Unlock()
 	}
-	t.tell(peer.AdmitEnded{Number: t.number, Result: result, Incarnation: incarnation, Slots: slots})
+	ended.Number = t.number
+	t.tell(ended)
 }
 
-// tell tells the admitter of an end, at once or with the next message.
+// tell tells the admitter of the end of the request, or of an attempt, at once or with the next message.
 func (t *admissionTicket) tell(ended peer.AdmitEnded) {
 	a := t.admissions
 	if t.link == nil {
@@ -375,7 +371,7 @@
 	})
 	if ctx.Err() != nil {
 		if ok {
-			ticket.close(share.GateUnsent, "", 0)
+			ticket.close(peer.AdmitEnded{Result: share.GateUnsent})
 		}
 		outcome := j.refuseContextDone(ctx)
 		return &outcome
@@ -415,16 +411,19 @@
 	switch {
 	case res.err != nil:
 		if j.ticket != nil && asFault(res.err).Kind == endpoint.Refused {
-			j.ticket.record(share.GateUnreachable, res.endpoint.Incarnation(), 0)
+			j.ticket.tell(peer.AdmitEnded{Result: share.GateUnreachable, Incarnation: res.endpoint.Incarnation()})
 		}
 	case res.reply.Misdirected:
 	case res.reply.NotRun:
 		r.admissions.extend(p.name, overloadMemory)
 		if j.ticket != nil {
-			j.ticket.record(share.GateNoRoom, res.endpoint.Incarnation(), p.slotsOf(res.endpoint))
+			j.ticket.tell(peer.AdmitEnded{Result: share.GateNoRoom, Incarnation: res.endpoint.Incarnation(), Slots: p.slotsOf(res.endpoint)})
 		}
 	default:
-		j.servedBy = res.endpoint
+		j.answered = peer.AdmitEnded{Result: share.GateServed, Incarnation: res.endpoint.Incarnation()}
+		if load := res.reply.Statement.Load; load != nil {
+			j.answered.Slots, j.answered.Load = load.Slots, load.Running+load.Queued
+		}
 		if res.reply.Status < http.StatusInternalServerError {
 			r.admissions.recordAnswer(p.name, j.admission.Route.Name, r.now().Sub(res.sentAt), res.reply.Statement.Load)
 		}
@@ -432,14 +431,15 @@
 }
 
 // endAdmission tells the admitter that the request has ended.
-func (j *job) endAdmission(p *pool) {
-	switch {
-	case j.ticket == nil:
-	case j.servedBy.Name == "":
-		j.ticket.close(share.GateUnsent, "", 0)
-	default:
-		j.ticket.close(share.GateServed, j.servedBy.Incarnation(), p.slotsOf(j.servedBy))
+func (j *job) endAdmission() {
+	if j.ticket == nil {
+		return
+	}
+	ended := j.answered
+	if ended.Incarnation == "" {
+		ended.Result = share.GateUnsent
 	}
+	j.ticket.close(ended)
 }
 
 // pickUnary chooses an endpoint for one attempt: the one that the admitter has assigned if this node may send to it, or else
--- a/relay/admitter.go
+++ b/relay/admitter.go
@@ -234,7 +234,7 @@
 func gateEnds(node string, ended []peer.AdmitEnded) []share.GateEnd {
 	out := make([]share.GateEnd, 0, len(ended))
 	for _, e := range ended {
-		out = append(out, share.GateEnd{Key: share.GateKey{Node: node, Number: e.Number}, Result: e.Result, Incarnation: e.Incarnation, Slots: e.Slots})
+		out = append(out, share.GateEnd{Key: share.GateKey{Node: node, Number: e.Number}, Result: e.Result, Incarnation: e.Incarnation, Slots: e.Slots, Load: e.Load})
 	}
 	return out
 }
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -12,6 +12,7 @@
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/peer"
 )
 
 const (
@@ -88,10 +89,11 @@
 		// estimates are the estimates for the stages' pools at the arrival of the request.
 		estimates []StageEstimate
 		// ticket is the request at the admitter of its pool, and assigned the endpoint that the admitter assigned to the next
-		// attempt; nil and empty if no admitter was asked. servedBy is the last endpoint that answered.
+		// attempt; nil and empty if no admitter was asked. answered is what the last answer of an endpoint
+		// shows; its incarnation is empty before.
 		ticket   *admissionTicket
 		assigned string
-		servedBy model.Endpoint
+		answered peer.AdmitEnded
 	}
 
 	// unaryResult is the result of one attempt at a unary request.
@@ -118,7 +120,7 @@
 	if outcome := j.awaitAdmission(ctx, p); outcome != nil {
 		return *outcome
 	}
-	defer j.endAdmission(p)
+	defer j.endAdmission()
 	results := make(chan unaryResult, j.admission.Route.MaxAttempts+1)
 	if !j.startAttempt(ctx, p, results) {
 		return j.refuseNoEndpoint(j.verdict())
--- a/share/gate.go
+++ b/share/gate.go
@@ -15,6 +15,9 @@
 	// gateRefusalPause is how long an endpoint that has refused a request gets none beyond its slots. Some endpoints have
 	// no queue.
 	gateRefusalPause = 10 * time.Second
+	// foreignRiseWeight and foreignFallWeight are the weights of a report in the mean number of requests at an endpoint
+	// that others have sent. It falls faster because slots that nobody uses are worse than a request that waits.
+	foreignRiseWeight, foreignFallWeight = 0.3, 0.7
 	// gateFaultPause is how long an endpoint gets no request after no connection to it could be opened.
 	gateFaultPause = time.Second
 	// gateSilence is how long a node may report nothing before the slots of its requests are freed: three of its regular
@@ -106,6 +109,8 @@
 		// reported; 0 if it did not.
 		Incarnation string
 		Slots       int
+		// Load is how many requests the endpoint reported as running or waiting; 0 if it did not.
+		Load int
 	}
 
 	// GateDecision is what a Gate has decided on a request.
@@ -124,8 +129,8 @@
 
 	// Gate divides the slots of a pool of unary endpoints among customers while more is asked for than they can serve.
 	// Customers are served by weighted start-time fair queueing, the requests of one customer by rank, then by due time.
-	// Work is measured in seconds of endpoints. Invariants: an endpoint has at most gateExtra more requests than slots; no
-	// request waits while an endpoint has room. A Gate changes in place and is not safe for concurrent use.
+	// Work is measured in seconds of endpoints. Invariants: an endpoint gets at most gateExtra more requests than it has
+	// slots; no request waits while an endpoint has room. A Gate changes in place and is not safe for concurrent use.
 	Gate struct {
 		endpoints []*gateEndpoint
 		customers map[string]*gateCustomer
@@ -158,6 +163,9 @@
 		noExtraUntil, pausedUntil time.Time
 		// penalty is subtracted from the slots until noExtraUntil: other senders use them.
 		penalty int
+		// foreign is the mean number of requests at the endpoint that this gate has not admitted: those of nodes of earlier
+		// builds, of nodes that chose by themselves, and of another gate while nodes are cut off from each other.
+		foreign float64
 		// lastAssigned is the number of the last assignment, by which equal endpoints take turns.
 		lastAssigned uint64
 	}
@@ -341,6 +349,9 @@
 		g.reportedSlots[end.Incarnation] = end.Slots
 	}
 	for _, e := range g.endpoints {
+		if e.incarnation == end.Incarnation && end.Load > 0 {
+			e.recordLoad(end.Load)
+		}
 		switch {
 		case e.incarnation != end.Incarnation:
 		case end.Result == GateUnreachable:
@@ -388,10 +399,11 @@
 		slots := g.slots(e)
 		limit := slots + gateExtra
 		if now.Before(e.noExtraUntil) {
-			limit = max(1, slots-e.penalty)
+			limit = slots - e.penalty
 		} else {
 			e.penalty = 0
 		}
+		limit = max(limit-int(math.Round(e.foreign)), slots/2, 1)
 		if e.running >= limit || now.Before(e.pausedUntil) {
 			continue
 		}
@@ -403,6 +415,16 @@
 	return best
 }
 
+// recordLoad records how many requests the endpoint has, with the one that ends.
+func (e *gateEndpoint) recordLoad(load int) {
+	foreign := float64(max(0, load-e.running))
+	weight := foreignRiseWeight
+	if foreign < e.foreign {
+		weight = foreignFallWeight
+	}
+	e.foreign += weight * (foreign - e.foreign)
+}
+
 func (g *Gate) admit(now time.Time, r *gateRequest, e *gateEndpoint) GateDecision {
 	g.assignments++
 	e.running++
--- a/share/gate_test.go
+++ b/share/gate_test.go
@@ -34,6 +34,8 @@
 		ends map[time.Time][]share.GateEnd
 		// loseEnd decides whether a message about an end is lost; nil for never.
 		loseEnd func() bool
+		// foreign is how many requests that the gate has not admitted each endpoint reports.
+		foreign int
 		// idle is the time during which a slot was idle although a request waited.
 		idle                time.Duration
 		served, late, total map[string]int
@@ -121,7 +123,7 @@
 			}
 			if s.loseEnd == nil || !s.loseEnd() {
 				at := s.now.Add(endDelay)
-				s.ends[at] = append(s.ends[at], share.GateEnd{Key: r.key, Incarnation: name})
+				s.ends[at] = append(s.ends[at], share.GateEnd{Key: r.key, Incarnation: name, Load: len(e.queue) + 1 + s.foreign})
 			}
 		}
 	}
@@ -319,6 +321,18 @@
 	}
 }
 
+// Guards against a gate that fills up endpoints that other senders use too, and that goes on to leave them room.
+func TestGateLeavesRoomForOtherSenders(t *testing.T) {
+	s := newGateTrial(t)
+	flood := trialLoad{customer: "flood", perSecond: 300, nodes: []string{"node-0"}}
+	s.foreign = 2
+	s.run(3*time.Second, flood)
+	must.Eq(t, 4, s.gate.Running())
+	s.foreign = 0
+	s.run(time.Second, flood)
+	must.Eq(t, 12, s.gate.Running())
+}
+
 // Guards against retries that all come at the same time, and against refusals that do not say whose fault they are.
 func TestGateRefusalsSayWhenAndWhy(t *testing.T) {
 	s := newGateTrial(t)
