Admit customers within their shares whatever their estimates

A node that first saw answers of full endpoints estimated the work of a route at many times the usual, and as its requests were refused, it learned nothing else. Change: a customer that asks for no more than its share always waits for its turn, for as long as the work takes. Answers that waited at the endpoint do not count for the estimate. Admitters are determined every 100 ms, not for each request, and tell how much longer the pool counts as overloaded. On a made-up clock, with estimates five times too high, the new test fails without the change.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -24,6 +24,9 @@
 	admitOpenInterval = 500 * time.Millisecond
 	// admitReplyTimeout is how long an admitter may not answer until its requests are sent without it.
 	admitReplyTimeout = 40 * time.Millisecond
+	// admittersInterval is how often the nodes that may be the admitter of a pool are determined. With 400 nodes, that takes
+	// longer than a request otherwise does.
+	admittersInterval = 100 * time.Millisecond
 	// admitterTakeOver is how long an admitter may be silent until the next node by hash is asked: longer than the pause of a
 	// garbage collection, and short beside an objective, as endpoints fill up while each node chooses by itself.
 	admitterTakeOver = 200 * time.Millisecond
@@ -53,6 +56,9 @@
 	poolAdmission struct {
 		// askUntil is until when the admitter is asked.
 		askUntil time.Time
+		// nodes are the nodes that may be the admitter, in order, as of nodesAt.
+		nodes   []string
+		nodesAt time.Time
 		// work is the expected work by route, in seconds of an endpoint.
 		work map[string]float64
 		// links holds the admitters with which requests are open, by name.
@@ -110,11 +116,13 @@
 	if !a.relay.statesContention(pool) || !a.overloaded(now, pool) {
 		return nil
 	}
-	nodes := a.relay.admittersOf(pool)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.pool(pool)
-	node := p.answering(now, nodes)
+	if now.Sub(p.nodesAt) >= admittersInterval {
+		p.nodes, p.nodesAt = a.relay.admittersOf(pool), now
+	}
+	node := p.answering(now)
 	if node == "" {
 		return nil
 	}
@@ -136,8 +144,8 @@
 }
 
 // answering returns the first of the nodes that has not been silent for admitterTakeOver; empty if it is silent now.
-func (p *poolAdmission) answering(now time.Time, nodes []string) string {
-	for _, node := range nodes {
+func (p *poolAdmission) answering(now time.Time) string {
+	for _, node := range p.nodes {
 		link := p.links[node]
 		switch {
 		case link == nil || link.silentSince.IsZero():
@@ -178,14 +186,26 @@
 	return time.Duration(a.pool(pool).work[route] * float64(time.Second))
 }
 
-// recordAnswer records an endpoint's answer after elapsed: the work of the route, and signs of overload.
-func (a *admissions) recordAnswer(pool, route string, elapsed time.Duration, load *model.Load) {
+// recordAnswer records an endpoint's answer after elapsed: the work of the route, and signs of overload. maxQueued is how many
+// waiting requests the endpoint may report for the answer to show the work: others show how long they waited.
+func (a *admissions) recordAnswer(pool, route string, elapsed time.Duration, load *model.Load, maxQueued int) {
 	if load == nil {
 		return
 	}
 	seconds := elapsed.Seconds() / max(load.Contention, 1)
 	a.mu.Lock()
 	p := a.pool(pool)
+	known := p.work[route]
+	if load.Queued <= maxQueued {
+		p.recordWork(route, seconds)
+	}
+	a.mu.Unlock()
+	if load.Queued > 0 || load.Running >= load.Slots && known > 0 && seconds > slowAnswerFactor*known {
+		a.extend(pool, overloadMemory)
+	}
+}
+
+func (p *poolAdmission) recordWork(route string, seconds float64) {
 	known := p.work[route]
 	switch {
 	case known == 0:
@@ -195,10 +215,6 @@
 	default:
 		p.work[route] += slowerWorkWeight * (seconds - known)
 	}
-	a.mu.Unlock()
-	if load.Queued > 0 || load.Running >= load.Slots && known > 0 && seconds > slowAnswerFactor*known {
-		a.extend(pool, overloadMemory)
-	}
 }
 
 // ask asks the admitter for the request of a ticket and waits for the decision. It returns false if the admitter does not
@@ -364,7 +380,9 @@
 	a.silence(link)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.pools[link.pool].links, link.node)
+	p := a.pools[link.pool]
+	delete(p.links, link.node)
+	p.nodesAt = time.Time{}
 }
 
 // awaitAdmission asks the admitter of an overloaded pool whether the request may be sent, and waits for that. It returns
@@ -438,7 +456,11 @@
 	default:
 		j.answered = admitEnded(share.GateServed, res)
 		if res.reply.Status < http.StatusInternalServerError {
-			r.admissions.recordAnswer(p.name, j.admission.Route.Name, r.now().Sub(res.sentAt), res.reply.Statement.Load)
+			maxQueued := 0
+			if j.ticket != nil {
+				maxQueued = 1
+			}
+			r.admissions.recordAnswer(p.name, j.admission.Route.Name, r.now().Sub(res.sentAt), res.reply.Statement.Load, maxQueued)
 		}
 	}
 }
--- a/relay/admitter.go
+++ b/relay/admitter.go
@@ -108,10 +108,7 @@
 func (a *admitters) askFor(pool string) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.poolGate(pool).gate.Overloaded(a.relay.now()) {
-		return share.GateQuiet
-	}
-	return 0
+	return a.poolGate(pool).gate.OverloadedFor(a.relay.now())
 }
 
 func (a *admitters) poolGate(pool string) *poolGate {
--- a/share/gate.go
+++ b/share/gate.go
@@ -257,6 +257,10 @@
 	rank.asked.add(now, work)
 	r := &gateRequest{ask: ask, work: work, rank: rank, latestStart: ask.Due.Add(-g.timeInSlot(work))}
 	g.updateLevel(now)
+	if turn := now.Add(time.Duration(work * float64(time.Second))); c.demand(now) <= g.share(c) && r.latestStart.Before(turn) {
+		// Estimates may be too high after the endpoints were full. A customer within its share waits for its turn in any case.
+		r.latestStart = turn
+	}
 	if e := g.freeEndpoint(now); e != nil && len(g.waiting) == 0 {
 		g.enqueue(c, r)
 		g.takeFrom(c, r)
@@ -342,9 +346,10 @@
 	return decided
 }
 
-// Overloaded reports whether requests have waited within GateQuiet.
-func (g *Gate) Overloaded(now time.Time) bool {
-	return !g.lastWaitedAt.IsZero() && now.Sub(g.lastWaitedAt) < GateQuiet
+// OverloadedFor returns how much longer the pool counts as overloaded: until no request has waited for GateQuiet. It is 0 if
+// the pool is not overloaded.
+func (g *Gate) OverloadedFor(now time.Time) time.Duration {
+	return max(0, g.lastWaitedAt.Add(GateQuiet).Sub(now))
 }
 
 // Idle reports whether no request holds a slot or waits.
--- a/share/gate_test.go
+++ b/share/gate_test.go
@@ -34,6 +34,8 @@
 		ends map[time.Time][]share.GateEnd
 		// loseEnd decides whether a message about an end is lost; nil for never.
 		loseEnd func() bool
+		// work is the estimate for requests of node-1.
+		work time.Duration
 		// foreign is how many requests that the gate has not admitted each endpoint reports.
 		foreign int
 		// idle is the time during which a slot was idle although a request waited.
@@ -70,7 +72,7 @@
 	now := time.Unix(1000, 0)
 	trial := &gateTrial{
 		t: t, gate: share.NewGate(), startedAt: now, now: now, endpoints: map[string]*trialEndpoint{}, asked: map[share.GateKey]*trialRequest{},
-		ends: map[time.Time][]share.GateEnd{}, served: map[string]int{}, late: map[string]int{}, total: map[string]int{},
+		work: gateWork, ends: map[time.Time][]share.GateEnd{}, served: map[string]int{}, late: map[string]int{}, total: map[string]int{},
 	}
 	var listed []share.GateEndpoint
 	for i := range 4 {
@@ -88,8 +90,12 @@
 	r := &trialRequest{key: share.GateKey{Node: node, Number: s.last}, customer: customer, due: s.now.Add(gateObjective), left: gateWork}
 	s.asked[r.key] = r
 	s.total[customer]++
+	work := gateWork
+	if node == "node-1" {
+		work = s.work
+	}
 	s.apply(s.gate.Ask(s.now, share.GateAsk{
-		Key: r.key, Customer: customer, Rank: rank, Due: r.due, Deadline: s.now.Add(5 * gateObjective), Work: gateWork, Spread: float64(s.last%10) / 10,
+		Key: r.key, Customer: customer, Rank: rank, Due: r.due, Deadline: s.now.Add(5 * gateObjective), Work: work, Spread: float64(s.last%10) / 10,
 	}))
 	return r
 }
@@ -243,6 +249,16 @@
 	}
 }
 
+// Guards against estimates of work that are too high, as of a node that saw only full endpoints, and that have requests
+// refused although their customer is within its share.
+func TestGateServesWithinShareDespiteEstimates(t *testing.T) {
+	s := newGateTrial(t)
+	s.work = 5 * gateWork
+	flood := trialLoad{customer: "flood", perSecond: 300, nodes: []string{"node-0"}}
+	s.run(5*time.Second, flood, trialLoad{customer: "small", perSecond: 3, nodes: []string{"node-1"}})
+	must.GreaterEq(t, 95*s.total["small"]/100, s.served["small"])
+}
+
 // Guards against slots that are never freed: because the messages about ends are lost, until the node reports what it
 // has open, because the node is gone, or because nothing at all is heard before the deadline.
 func TestGateFreesSlotsWithoutEndMessages(t *testing.T) {
@@ -349,6 +365,6 @@
 	must.Eq(t, share.GateRefused, d.State)
 	must.True(t, d.Over)
 	must.Greater(t, 0, d.Use)
-	must.True(t, s.gate.Overloaded(s.now))
-	must.False(t, s.gate.Overloaded(s.now.Add(share.GateQuiet)))
+	must.Eq(t, share.GateQuiet, s.gate.OverloadedFor(s.now))
+	must.Eq(t, 0, s.gate.OverloadedFor(s.now.Add(share.GateQuiet)))
 }
