Remove a request and report its end in one step

Cause: between the two, the link to the admitter could be closed as idle, and the end would be lost. Change: both happen under one lock. The gate of this node and of others is asked by one function.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -222,7 +222,8 @@
 func (t *admissionTicket) ask(ctx context.Context, m peer.Admit) (peer.AdmitReply, bool) {
 	a := t.admissions
 	if t.link == nil {
-		return t.askHere(ctx, m)
+		reply := a.relay.admit(ctx, m)
+		return reply, !reply.Declined
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(0, m.DueIn)+peerSilenceTimeout)
 	defer cancel()
@@ -252,28 +253,8 @@
 	return reply, true
 }
 
-// askHere asks the gate of this node.
-func (t *admissionTicket) askHere(ctx context.Context, m peer.Admit) (peer.AdmitReply, bool) {
-	r := t.admissions.relay
-	now := r.now()
-	decision, ok := r.admitters.ask(ctx, t.pool, share.GateAsk{
-		Key: share.GateKey{Node: m.Node, Number: m.Number}, Customer: m.Customer, Weight: m.Weight, Rank: m.Rank,
-		Due: now.Add(m.DueIn), Deadline: now.Add(m.DeadlineIn), Work: m.Work, Spread: requestSpread(m.Request),
-	}, nil)
-	return peer.AdmitReply{
-		State: decision.State, Incarnation: decision.Incarnation, Share: decision.Share, Use: decision.Use, Over: decision.Over,
-		RetryAfter: decision.RetryAfter, AskFor: r.admitters.askFor(t.pool),
-	}, ok
-}
-
 // close reports the end of the request.
 func (t *admissionTicket) close(ended peer.AdmitEnded) {
-	if t.link != nil {
-		t.admissions.mu.Lock()
-		t.waiting = false
-		delete(t.link.open, t.number)
-		t.admissions.mu.Unlock()
-	}
 	ended.Number = t.number
 	t.tell(ended)
 }
@@ -287,6 +268,10 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if ended.Number != 0 {
+		t.waiting = false
+		delete(t.link.open, ended.Number)
+	}
 	t.link.ended = append(t.link.ended, ended)
 }
 
@@ -375,7 +360,7 @@
 	}
 }
 
-// drop closes the link to an admitter that is lost. It frees the slots of this node by itself.
+// drop closes the link to an admitter that is lost. If it still runs, it frees the slots of this node once it has heard nothing from it for some time.
 func (a *admissions) drop(link *admitterLink) {
 	a.silence(link)
 	a.mu.Lock()
--- a/relay/admitter.go
+++ b/relay/admitter.go
@@ -190,6 +190,11 @@
 		r.admitters.end(m.Pool, gateEnds(m.Node, m.Ended))
 		return peer.AdmitReply{Declined: true}, nil
 	}
+	return r.admit(ctx, m), nil
+}
+
+// admit asks the gate of this node for a request of this or another node.
+func (r *Relay) admit(ctx context.Context, m peer.Admit) peer.AdmitReply {
 	now := r.now()
 	ask := share.GateAsk{
 		Key: share.GateKey{Node: m.Node, Number: m.Number}, Customer: m.Customer, Weight: m.Weight, Rank: m.Rank,
@@ -197,12 +202,12 @@
 	}
 	decision, ok := r.admitters.ask(ctx, m.Pool, ask, gateEnds(m.Node, m.Ended))
 	if !ok {
-		return peer.AdmitReply{Declined: true}, nil
+		return peer.AdmitReply{Declined: true}
 	}
 	return peer.AdmitReply{
 		State: decision.State, Incarnation: decision.Incarnation, Share: decision.Share, Use: decision.Use, Over: decision.Over,
 		RetryAfter: decision.RetryAfter, AskFor: r.admitters.askFor(m.Pool),
-	}, nil
+	}
 }
 
 // handleAdmitEnd handles a peer.AdmitEnd.
