--- a/relay/batchpeer.go
+++ b/relay/batchpeer.go
@@ -114,6 +114,8 @@
 
 		peer.KindPlace:        r.handlePlace,
 		peer.KindPlaceReports: r.handlePlaceReports,
+		peer.KindAdmit:        r.handleAdmit,
+		peer.KindAdmitEnd:     r.handleAdmitEnd,
 	}
 	maps.Copy(handlers, r.quarantine.Handlers())
 	maps.Copy(handlers, r.bindings.Handlers())
