Count requests that are sent while the admitter is silent

A request was counted as AdmitterNotUsed only if it had waited for an answer; those sent after it, while the admitter was known to be silent, were not. TestFloodLeavesOtherCustomersTheirShares, which expects no more requests at an endpoint than the gate allows unless some went without it, saw four where three are allowed twice in four runs beside other load. Not shown to be the cause there.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -124,6 +124,7 @@
 	}
 	node := p.answering(now)
 	if node == "" {
+		a.relay.metrics.CountEvent("AdmitterNotUsed")
 		return nil
 	}
 	ticket := &admissionTicket{admissions: a, pool: pool, waiting: true, silent: make(chan struct{})}
