Count as demand of a pool what is sent there or refused because of it

Cause: a request is estimated at all of its pools on arrival. Counted there, requests that one pool refuses were demand of all others, which then limited customers for work that is never sent. Change: an estimate counts if pieces would wait for over 60 ms, and each group that is added.

--- a/kernel/batch.go
+++ b/kernel/batch.go
@@ -217,6 +217,7 @@
 	if len(q.workers) > 0 && q.countActiveWorkers() == 0 {
 		return false, ClampRetryAfter(evacuatedRetry)
 	}
+	q.recordDemand(now, group)
 	wait := q.EstimateWait(now, group)
 	finish := now.Add(wait + q.callTime(len(group.Pieces)))
 	late := finish.After(group.Due) && q.backlog(now) > maxLateBacklog
--- a/kernel/batchshare.go
+++ b/kernel/batchshare.go
@@ -135,7 +135,8 @@
 	return max(inSlots, inRoom)
 }
 
-// recordDemand counts the pieces of a shared group as demand of its customer, once for each stage of a request.
+// recordDemand counts the pieces of a shared group as demand of its customer, once for each stage of a request: when the group
+// is added, or when it is not and this queue is a cause. Requests that only other pools have no time for are no demand here.
 func (q *BatchQueue) recordDemand(now time.Time, group PieceGroup) {
 	if !group.Shared || len(group.Pieces) == 0 || q.groups[group.ID] != nil {
 		return
--- a/kernel/batchshare_test.go
+++ b/kernel/batchshare_test.go
@@ -657,3 +657,21 @@
 	}
 	must.Greater(t, 15, len(delays))
 }
+
+// Guards against demand that a pool counts of requests which only other pools have no time for: a customer would be limited
+// here for work that it does not send.
+func TestRequestsRefusedElsewhereAreNoDemand(t *testing.T) {
+	q, now := overloadedQueue(time.Unix(1000, 0))
+	q.SetEndpoints(workerEndpoints(20))
+	group := func(id uint64) kernel.PieceGroup {
+		return sharedGroup(id, "other", 9, 40, now.Add(900*time.Millisecond))
+	}
+	for id := range uint64(1000) {
+		must.Less(t, 60*time.Millisecond, q.EstimateWait(now, group(7000+id)))
+	}
+	now = now.Add(60 * time.Millisecond)
+	q.Next(now)
+	standing := q.ShareStanding(now, group(8000))
+	must.True(t, standing.Applies)
+	must.False(t, standing.Limited)
+}
--- a/kernel/batchwait.go
+++ b/kernel/batchwait.go
@@ -12,15 +12,17 @@
 // overloaded.
 //
 // While the order by shares is in force, only the work that it puts before the group counts, and a group beyond its
-// customer's share waits until the share has capacity for it. The first call for a stage of a request also counts its
-// pieces as demand of the customer.
+// customer's share waits until the share has capacity for it. Pieces that would wait in a queue count as demand of the customer,
+// as their request may be refused because of it.
 func (q *BatchQueue) EstimateWait(now time.Time, group PieceGroup) time.Duration {
-	q.recordDemand(now, group)
 	wait := q.estimateWait(now, group)
 	finishAlone := now.Add(q.callTime(len(group.Pieces)))
 	if !finishAlone.After(group.Due) && finishAlone.Add(wait).After(group.Due) {
 		q.overloadedAt = now
 	}
+	if wait > minQueueWait {
+		q.recordDemand(now, group)
+	}
 	return wait
 }
 
