Choose by expected time where the slowness of endpoints is known

Cause: two choices compare loads, so an endpoint that is three times as slow gets a fifth of the requests instead of a seventh. Ruled out: gossip of speeds (too old for contention that changes every 600 ms). Change: package pace learns speed and contention from responses; with Candidate.Slowness set, PickTwoChoices and PickPrefix compare expected times. Without it the choices are unchanged.

--- a/kernel/routing.go
+++ b/kernel/routing.go
@@ -17,6 +17,12 @@
 	// prefixLoadFactor is how far above the pool's mean the load of an endpoint that does not report its slots may
 	// rise before a prefix moves on to the next endpoint (bounded-load rendezvous hashing).
 	prefixLoadFactor = 1.25
+	// maxPrefixDelay is how many times the lowest expected time an endpoint may take to keep a prefix. Reading the prefix
+	// anew at another endpoint, which caches it from then on, costs less than the time lost at one beyond it.
+	maxPrefixDelay = 2.0
+	// recentReport is the age up to which a report shows the present state of an endpoint where contention changes every
+	// few hundred milliseconds.
+	recentReport = 500 * time.Millisecond
 )
 
 // Candidate is an endpoint that a call may be routed to.
@@ -28,6 +34,9 @@
 	Load   model.Load
 	LoadAt time.Time
 	Health Health
+	// Slowness is how long work is expected to take at the endpoint, relative to a usual endpoint of the pool. It is 0 for
+	// all candidates if the endpoints of the pool do not state their contention; then only the load decides.
+	Slowness float64
 }
 
 // Usable returns the candidates that may get a call: those that accept work now, are not ejected and not among the
@@ -85,21 +94,22 @@
 
 // PickTwoChoices returns the index of the less loaded of two random candidates. The first one is of the node's own
 // failure domain if there are any. The two numbers are uniform in [0, 1). It returns -1 if there are no candidates.
+//
+// If the slowness of the candidates is known, it returns the one with the lower expected time, and the second candidate
+// is one that has reported lately, if any has. Random choices keep nodes from all taking the endpoint that looks best.
 func PickTwoChoices(now time.Time, candidates []Candidate, domain string, first, second float64) int {
 	if len(candidates) == 0 {
 		return -1
 	}
-	var own []int
-	for i, c := range candidates {
-		if c.Endpoint.FailureDomain == domain {
-			own = append(own, i)
-		}
+	own := func(c *Candidate) bool { return c.Endpoint.FailureDomain == domain }
+	a, found := pickMatch(candidates, own, first)
+	if !found {
+		a = int(first * float64(len(candidates)))
 	}
-	a := int(first * float64(len(candidates)))
-	b := int(second * float64(len(candidates)))
-	if len(own) > 0 {
-		a = own[int(first*float64(len(own)))]
+	if candidates[a].Slowness > 0 {
+		return pickByExpectedTime(now, candidates, domain, a, second)
 	}
+	b := int(second * float64(len(candidates)))
 	if a == b {
 		b = (b + 1) % len(candidates)
 	}
@@ -109,9 +119,52 @@
 	return a
 }
 
+// pickByExpectedTime returns the index of the candidate with the lower expected time: first, or a random one of those
+// that have reported lately. second is uniform in [0, 1).
+func pickByExpectedTime(now time.Time, candidates []Candidate, domain string, first int, second float64) int {
+	recent := func(c *Candidate) bool { return c.reportedLately(now) }
+	b, found := pickMatch(candidates, recent, second)
+	if !found || b == first {
+		b = int(second * float64(len(candidates)))
+	}
+	if b == first {
+		b = (b + 1) % len(candidates)
+	}
+	usual := recentLoadPerSlot(now, candidates)
+	if candidates[b].expectedTime(now, domain, usual) < candidates[first].expectedTime(now, domain, usual) {
+		return b
+	}
+	return first
+}
+
+// pickMatch returns the index of a random candidate that matches, and false if none does. random is uniform in [0, 1).
+func pickMatch(candidates []Candidate, matches func(*Candidate) bool, random float64) (int, bool) {
+	count := 0
+	for i := range candidates {
+		if matches(&candidates[i]) {
+			count++
+		}
+	}
+	skip := int(random * float64(count))
+	for i := range candidates {
+		if !matches(&candidates[i]) {
+			continue
+		}
+		if skip == 0 {
+			return i, true
+		}
+		skip--
+	}
+	return -1, false
+}
+
 // PickPrefix returns the index of the candidate that a prompt's prefix hashes to, or the next one in the order of the
 // hashes if that one has no free slot: a cached prefix saves less time than waiting costs. If none has a free slot, it
 // returns the least loaded one. It returns -1 if there are no candidates.
+//
+// If the slowness of the candidates is known, one that is expected to take maxPrefixDelay times as long as the fastest
+// one that has a free slot is passed over as well, and the one with the lowest expected time is returned in place of the
+// least loaded one.
 func PickPrefix(now time.Time, candidates []Candidate, prefix string) int {
 	if len(candidates) == 0 {
 		return -1
@@ -123,13 +176,14 @@
 		total += loads[i]
 	}
 	mean := (total + 1) / float64(len(candidates))
+	limit := maxPrefixDelay * lowestExpectedTime(candidates, loads, mean)
 	best, least := -1, 0
 	var bestScore uint64
 	for i, c := range candidates {
-		if loadPerSlot(c, loads[i]) < loadPerSlot(candidates[least], loads[least]) {
+		if isLessLoaded(c, loads[i], candidates[least], loads[least]) {
 			least = i
 		}
-		if !hasCapacity(c, loads[i], mean) {
+		if !hasCapacity(c, loads[i], mean) || c.Slowness > 0 && c.timeAtLoad(loads[i]) > limit {
 			continue
 		}
 		score := rendezvousScore(prefix, c.Endpoint.Name)
@@ -143,6 +197,28 @@
 	return best
 }
 
+// lowestExpectedTime returns the lowest expected time of the candidates that have a free slot, or 0 if none has.
+func lowestExpectedTime(candidates []Candidate, loads []float64, mean float64) float64 {
+	lowest := 0.0
+	for i, c := range candidates {
+		if c.Slowness == 0 || !hasCapacity(c, loads[i], mean) {
+			continue
+		}
+		if t := c.timeAtLoad(loads[i]); lowest == 0 || t < lowest {
+			lowest = t
+		}
+	}
+	return lowest
+}
+
+// isLessLoaded reports whether a has less load per slot than b, or a lower expected time if the slowness of both is known.
+func isLessLoaded(a Candidate, loadA float64, b Candidate, loadB float64) bool {
+	if a.Slowness > 0 && b.Slowness > 0 {
+		return a.timeAtLoad(loadA) < b.timeAtLoad(loadB)
+	}
+	return loadPerSlot(a, loadA) < loadPerSlot(b, loadB)
+}
+
 func hasCapacity(c Candidate, load, mean float64) bool {
 	if c.Load.Slots > 0 {
 		return load+1 <= float64(c.Load.Slots)
@@ -170,3 +246,45 @@
 	}
 	return load
 }
+
+// reportedLately reports whether the last report of the endpoint shows its present state.
+func (c *Candidate) reportedLately(now time.Time) bool {
+	return !c.LoadAt.IsZero() && now.Sub(c.LoadAt) < recentReport
+}
+
+// recentLoadPerSlot returns the mean load per slot in the recent reports of the candidates; 0 if there are none.
+func recentLoadPerSlot(now time.Time, candidates []Candidate) float64 {
+	var load, slots int
+	for i := range candidates {
+		if c := &candidates[i]; c.reportedLately(now) {
+			load += c.Load.Running + c.Load.Queued
+			slots += c.slots()
+		}
+	}
+	return float64(load) / float64(max(1, slots))
+}
+
+// expectedTime returns the expected time of a further request at the endpoint, relative to that of a request alone at a
+// usual one. usualLoad is the load per slot that counts as far as the endpoint has not reported its own.
+func (c *Candidate) expectedTime(now time.Time, domain string, usualLoad float64) float64 {
+	fresh := 0.0
+	if age := now.Sub(c.LoadAt); age < loadReportTTL && !c.LoadAt.IsZero() {
+		fresh = 1 - float64(age)/float64(loadReportTTL)
+	}
+	unreported := usualLoad*float64(c.slots()) - float64(c.InFlight)
+	return c.timeAtLoad(estimatedLoad(now, *c, domain) + (1-fresh)*max(0, unreported))
+}
+
+// timeAtLoad returns the expected time of a request relative to that of a request alone at a usual endpoint. It rises
+// with each request at the endpoint, also while slots are free: the load may have changed since it was reported.
+func (c *Candidate) timeAtLoad(load float64) float64 {
+	return c.Slowness * (1 + load/float64(c.slots()))
+}
+
+// slots returns the number of slots that the endpoint has reported, or that of its entry in the list, or 1.
+func (c *Candidate) slots() int {
+	if c.Load.Slots > 0 {
+		return c.Load.Slots
+	}
+	return max(1, c.Endpoint.Slots)
+}
--- /dev/null
+++ b/pace/book.go
@@ -0,0 +1,253 @@
+package pace
+
+import (
+	"hash/maphash"
+	"math"
+	"slices"
+	"time"
+
+	"basilstall.example/basilstall/model"
+)
+
+const (
+	// learnTime is the time constant with which new responses replace earlier ones in the speed of an endpoint: after a
+	// change, the estimate has covered 95 % of it within 1.2 s if responses arrive several times a second.
+	learnTime = 400 * time.Millisecond
+	// maxGain bounds the weight of a single response, whose time includes waiting that the endpoint did not report.
+	maxGain = 0.5
+	// forgetTime is the time constant with which an estimate returns to that of the pool while the endpoint sends no
+	// responses. A slow endpoint that gets no requests is tried again after it.
+	forgetTime = 5 * time.Second
+	// reportTime is the time constant with which a reported contention loses its weight: contention changes every few
+	// hundred milliseconds.
+	reportTime = 500 * time.Millisecond
+	// meanTime is the time constant of the mean contention of an endpoint.
+	meanTime = 5 * time.Second
+	// retention is how long after its last response an endpoint is remembered. It bounds the size of a Book, also if
+	// endpoints restart all the time.
+	retention = 30 * time.Second
+	// summaryInterval is how often the median speed and the mean contention of the pool are computed.
+	summaryInterval = 250 * time.Millisecond
+	// kindCount is the number of kinds of requests whose usual times are kept apart; further kinds share them by hash.
+	kindCount = 64
+	// kindGain is the least weight of a response in the usual time of its kind. It is small, as a single slow endpoint
+	// must not change what is usual.
+	kindGain = 0.02
+	// maxRatio bounds estimates in both directions.
+	maxRatio = 1000.0
+)
+
+type (
+	// Book holds what a node has learned about the speeds and the contention of a pool's endpoints. It changes in place
+	// and is not safe for concurrent use. An incarnation is known by its identity only, so that nothing that was learned
+	// of an earlier process applies to it.
+	Book struct {
+		endpoints map[string]*entry
+		seed      maphash.Seed
+		kinds     [kindCount]kind
+		// medianSpeed and meanContention are those of the known endpoints as of summarizedAt. Each endpoint counts once,
+		// however many responses it sent.
+		medianSpeed    float64
+		meanContention float64
+		summarizedAt   time.Time
+		// speeds is reused by summarize.
+		speeds []float64
+	}
+
+	// Response is a successful response of an endpoint.
+	Response struct {
+		// Kind names requests that take about equally long, such as a stage or a route.
+		Kind string
+		// Elapsed is the time from sending the request to the response, or another time that is proportional to the
+		// slowness of the endpoint.
+		Elapsed time.Duration
+		// Waited is true if Elapsed may include waiting for a slot.
+		Waited bool
+		// Load is the load that came with the response.
+		Load model.Load
+	}
+
+	// Estimate is the expected slowness of an endpoint.
+	Estimate struct {
+		// Speed is how long work takes at the usual contention relative to the median of the pool: 2 is twice as long.
+		Speed float64
+		// Contention is the expected contention, see model.Load.
+		Contention float64
+	}
+
+	// entry is what is known of one incarnation of an endpoint.
+	entry struct {
+		// speed is the natural logarithm of the time that work takes without contention, relative to what is usual for
+		// its kind, as of speedAt; unknown while speedAt is zero.
+		speed   float64
+		speedAt time.Time
+		// contention is the last report, mean the mean of the reports, both as of contentionAt; unknown while that is zero.
+		contention   float64
+		mean         float64
+		contentionAt time.Time
+	}
+
+	// kind is the natural logarithm of the usual time of a kind of requests in seconds, from a number of responses.
+	kind struct {
+		usual     float64
+		responses int
+	}
+)
+
+// NewBook returns an empty book.
+func NewBook() *Book {
+	return &Book{endpoints: map[string]*entry{}, seed: maphash.MakeSeed(), meanContention: 1}
+}
+
+// Slowness is how long work takes relative to an endpoint of median speed at its usual contention. It is always positive.
+func (e Estimate) Slowness() float64 {
+	return e.Speed * e.Contention
+}
+
+// RecordContention records the contention that an endpoint has reported; 0 if it has reported none.
+func (b *Book) RecordContention(now time.Time, incarnation string, contention float64) {
+	if !(contention > 0) {
+		return
+	}
+	contention = clampRatio(contention)
+	e := b.entry(incarnation)
+	mean := b.meanOf(now, e)
+	gain := maxGain
+	if !e.contentionAt.IsZero() {
+		gain = min(maxGain, 1-decay(now.Sub(e.contentionAt), meanTime))
+	}
+	e.contention, e.contentionAt = contention, now
+	e.mean = mean + gain*(contention-mean)
+}
+
+// RecordResponse records the time of a response, and the contention that was reported with it.
+func (b *Book) RecordResponse(now time.Time, incarnation string, r Response) {
+	b.RecordContention(now, incarnation, r.Load.Contention)
+	seconds := r.serviceTime().Seconds()
+	if seconds <= 0 {
+		return
+	}
+	time := math.Log(seconds)
+	e := b.entry(incarnation)
+	speed := b.speedOf(now, e)
+	k := &b.kinds[maphash.String(b.seed, r.Kind)%kindCount]
+	if k.responses == 0 {
+		k.usual = time - speed
+	}
+	gain := maxGain
+	if !e.speedAt.IsZero() {
+		gain = min(maxGain, 1-decay(now.Sub(e.speedAt), learnTime))
+	}
+	deviation := time - k.usual - speed
+	k.responses++
+	k.usual += max(kindGain, 1/float64(k.responses+1)) * deviation
+	e.speed, e.speedAt = speed+gain*deviation, now
+}
+
+// Estimate returns the estimate for an endpoint. An unknown one has the median speed and the mean contention of the pool.
+func (b *Book) Estimate(now time.Time, incarnation string) Estimate {
+	b.summarize(now)
+	e := b.endpoints[incarnation]
+	if e == nil {
+		return Estimate{Speed: 1, Contention: b.meanContention}
+	}
+	contention := b.meanOf(now, e)
+	if !e.contentionAt.IsZero() {
+		contention += decay(now.Sub(e.contentionAt), reportTime) * (e.contention - contention)
+	}
+	return Estimate{Speed: clampRatio(math.Exp(b.speedOf(now, e) - b.medianSpeed)), Contention: contention}
+}
+
+// Forget drops what is known of an endpoint.
+func (b *Book) Forget(incarnation string) {
+	delete(b.endpoints, incarnation)
+}
+
+// Len returns the number of known endpoints.
+func (b *Book) Len() int {
+	return len(b.endpoints)
+}
+
+// serviceTime returns how long the request would have taken without contention and waiting. The requests that wait when
+// the response is sent are as many, on average, as waited before it.
+func (r Response) serviceTime() time.Duration {
+	time := float64(r.Elapsed)
+	if r.Waited {
+		time /= 1 + float64(r.Load.Queued)/float64(max(1, r.Load.Slots))
+	}
+	if r.Load.Contention > 0 {
+		time /= clampRatio(r.Load.Contention)
+	}
+	return toDuration(time)
+}
+
+func (b *Book) entry(incarnation string) *entry {
+	e := b.endpoints[incarnation]
+	if e == nil {
+		e = &entry{}
+		b.endpoints[incarnation] = e
+	}
+	return e
+}
+
+// speedOf returns the logarithm of an endpoint's speed, which approaches the pool's median with its age.
+func (b *Book) speedOf(now time.Time, e *entry) float64 {
+	if e.speedAt.IsZero() {
+		return b.medianSpeed
+	}
+	return b.medianSpeed + decay(now.Sub(e.speedAt), forgetTime)*(e.speed-b.medianSpeed)
+}
+
+// meanOf returns the mean contention of an endpoint, which approaches the pool's mean with its age.
+func (b *Book) meanOf(now time.Time, e *entry) float64 {
+	if e.contentionAt.IsZero() {
+		return b.meanContention
+	}
+	return b.meanContention + decay(now.Sub(e.contentionAt), forgetTime)*(e.mean-b.meanContention)
+}
+
+// summarize computes the median speed and the mean contention of the known endpoints, and drops those that have sent
+// no response for long.
+func (b *Book) summarize(now time.Time) {
+	if now.Sub(b.summarizedAt) < summaryInterval {
+		return
+	}
+	b.summarizedAt = now
+	b.speeds = b.speeds[:0]
+	var sum float64
+	reports := 0
+	for incarnation, e := range b.endpoints {
+		if now.Sub(e.speedAt) >= retention && now.Sub(e.contentionAt) >= retention {
+			delete(b.endpoints, incarnation)
+			continue
+		}
+		if !e.speedAt.IsZero() {
+			b.speeds = append(b.speeds, e.speed)
+		}
+		if !e.contentionAt.IsZero() {
+			sum += e.mean
+			reports++
+		}
+	}
+	b.medianSpeed, b.meanContention = 0, 1
+	if len(b.speeds) > 0 {
+		slices.Sort(b.speeds)
+		b.medianSpeed = b.speeds[len(b.speeds)/2]
+	}
+	if reports > 0 {
+		b.meanContention = sum / float64(reports)
+	}
+}
+
+// decay returns the weight of something of an age: 1 for the present, falling by e for each time constant.
+func decay(age, timeConstant time.Duration) float64 {
+	return math.Exp(-max(0, float64(age)) / float64(timeConstant))
+}
+
+func clampRatio(ratio float64) float64 {
+	return min(maxRatio, max(1/maxRatio, ratio))
+}
+
+func toDuration(nanoseconds float64) time.Duration {
+	return time.Duration(min(nanoseconds, math.MaxInt64/2))
+}
