Learn the speed of endpoints in dispatch, and exclude by incarnation

Cause: the own interface chose by load only. Endpoints already called for a stage were excluded by name while kernel.Usable compares incarnations, so an endpoint that reports its start was called again. Change: pools whose endpoints stated a contention within a minute choose by expected time; abandoned calls count as a lower bound of their time. Engines that lack an adapter and endpoints already called are excluded by incarnation. basilstall endpoints shows speed and contention; a gauge has the number of slow endpoints by pool.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -9,6 +9,7 @@
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/pace"
 )
 
 const (
@@ -36,7 +37,7 @@
 		callCount int
 		// notLoadedCount is how many of these calls found that the engine lacks the adapter.
 		notLoadedCount int
-		// excluded lists the endpoints that are chosen again only if no other may get a call.
+		// excluded lists the incarnations of the endpoints that are chosen again only if no other may get a call.
 		excluded []string
 		// boundTo is bound once a stream has its first token: what endpoints of two versions write does not fit together.
 		boundTo versionFilter
@@ -75,6 +76,12 @@
 	}
 }
 
+// kind names the calls that take about equally long.
+func (a *attempts) kind() string {
+	w := a.job.Work
+	return w.Request.Team + "/" + w.Request.Pipeline + "/" + w.Stage.Name
+}
+
 func (a *attempts) idempotent() bool {
 	return !a.job.Work.Stage.NonIdempotent
 }
@@ -209,7 +216,7 @@
 	call := a.prepareCall()
 	target := a.target(e)
 	running[attempt] = startedCall{endpoint: e, startedAt: startedAt}
-	a.excluded = append(a.excluded, e.name)
+	a.excluded = append(a.excluded, e.incarnation)
 	a.dispatcher.OnCall(a.pool.endpointOf(e))
 	go func() {
 		reply, err := a.dispatcher.Unary(ctx, target, call)
@@ -241,6 +248,7 @@
 		output, err := a.job.Plugin.ParseReply(a.job.Work, o.reply)
 		if err == nil {
 			a.pool.recordSuccess(now, o.endpoint, o.elapsed, &o.reply.Load)
+			a.pool.recordPace(now, o.endpoint, pace.Response{Kind: a.kind(), Elapsed: o.elapsed, Waited: true, Load: o.reply.Load})
 			a.stageOutput = output
 			a.endpointName = o.endpoint.name
 			a.abandon(running)
@@ -338,6 +346,7 @@
 		waited := now.Sub(call.startedAt)
 		a.busy += waited
 		a.pool.recordFailure(now, call.endpoint, waited > failureLatency)
+		a.pool.recordUnanswered(now, call.endpoint, a.kind(), waited)
 		a.dispatcher.metrics.CountEvent("ConnectionsRetired")
 		a.dispatcher.client.Retire(call.endpoint.address)
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/metric"
 	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/pace"
 )
 
 type (
@@ -100,6 +101,8 @@
 		Load model.Load
 		// Ejected is true if the endpoint was ejected and no call to it has succeeded since.
 		Ejected bool
+		// Pace is the estimate of its slowness; zero if the pool's endpoints do not state their contention.
+		Pace pace.Estimate `json:",omitzero"`
 	}
 )
 
@@ -325,6 +328,7 @@
 			return d.MayRequestPermit(now, e, calledAt)
 		}
 		d.pools[name] = p
+		d.metrics.GaugeSlowEndpoints(name, func() int { return p.slowCount(time.Now()) })
 	}
 	return p
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -7,6 +7,7 @@
 
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/pace"
 )
 
 const (
@@ -61,13 +62,19 @@
 		serviceTimes    kernel.Quantiles
 		firstTokenTimes kernel.Quantiles
 		tokenGaps       kernel.Quantiles
+		// paces holds what is known of the endpoints' speeds, contentionAt when one last stated its contention. Without such
+		// statements, endpoints are chosen by their loads only.
+		paces        *pace.Book
+		contentionAt time.Time
 	}
 
 	// endpointState is the state of an endpoint at one node.
 	endpointState struct {
-		// name and address never change: an endpoint with a new address gets a new endpointState.
-		name    string
-		address string
+		// name, address and incarnation never change: an endpoint that was restarted or has a new address gets a new
+		// endpointState.
+		name        string
+		address     string
+		incarnation string
 		// candidate holds what endpoints are chosen by, such as the load, the health and the calls in flight.
 		candidate kernel.Candidate
 		// standing is what the endpoint has stated of itself, or a peer has reported of it. The list is updated later.
@@ -115,6 +122,7 @@
 		limit:    kernel.NewConcurrencyLimit(initialLimitPerEndpoint, 1, maxLimitPerEndpoint),
 		queue:    kernel.NewFairQueue(),
 		budget:   kernel.NewRetryBudget(),
+		paces:    pace.NewBook(),
 	}
 }
 
@@ -130,7 +138,8 @@
 	p.endpoints = p.endpoints[:0:0]
 	for _, endpoint := range listed {
 		e := known[endpoint.Name]
-		if e == nil || e.address != endpoint.Address || e.candidate.Endpoint.Incarnation() != endpoint.Incarnation() {
+		if e == nil || e.address != endpoint.Address || e.incarnation != endpoint.Incarnation() {
+			p.forgetPace(e)
 			e = p.newEndpointState(endpoint)
 		}
 		if endpoint.Started.IsZero() {
@@ -156,7 +165,7 @@
 // newEndpointState returns the state of an endpoint that is newly listed. If the list has recently dropped the same
 // incarnation, its pacing and standing are kept.
 func (p *pool) newEndpointState(endpoint model.Endpoint) *endpointState {
-	e := &endpointState{name: endpoint.Name, address: endpoint.Address}
+	e := &endpointState{name: endpoint.Name, address: endpoint.Address, incarnation: endpoint.Incarnation()}
 	unlisted := p.unlisted[endpoint.Name]
 	if unlisted.address == endpoint.Address && unlisted.incarnation == endpoint.Incarnation() {
 		e.pacing, e.standing = unlisted.pacing, unlisted.standing
@@ -172,6 +181,7 @@
 		return age >= kernel.StandingRetention || age >= unlistedRetention && u.standing == kernel.Standing{}
 	})
 	for name, e := range removed {
+		p.forgetPace(e)
 		p.unlisted[name] = unlistedEndpoint{
 			address: e.address, incarnation: e.candidate.Endpoint.Incarnation(), pacing: e.pacing, standing: e.standing, unlistedAt: now,
 		}
@@ -275,6 +285,7 @@
 	defer p.mu.Unlock()
 	e.candidate.Load = load
 	e.candidate.LoadAt = now
+	p.learnPace(now, e, pace.Response{Load: load})
 }
 
 // recordCold records how long an endpoint stays cold, as stated in its answer to a call that started at startedAt. An
@@ -340,6 +351,7 @@
 func (p *pool) status() []EndpointStatus {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	out := make([]EndpointStatus, 0, len(p.endpoints))
 	for _, e := range p.endpoints {
 		out = append(out, EndpointStatus{
@@ -349,6 +361,7 @@
 			Faults:   e.faults,
 			Load:     e.candidate.Load,
 			Ejected:  e.candidate.Health.Ejected(),
+			Pace:     p.paceOf(now, e),
 		})
 	}
 	return out
--- a/dispatch/poolpick.go
+++ b/dispatch/poolpick.go
@@ -70,9 +70,9 @@
 	e.missingAdapters[adapter] = now
 }
 
-// enginesWithout returns the engines that have recently replied that they lack an adapter, and whether these are all
+// enginesWithout returns the incarnations of the engines that have recently replied that they lack an adapter, and whether these are all
 // engines that accept work.
-func (p *pool) enginesWithout(now time.Time, adapter string) (names []string, all bool) {
+func (p *pool) enginesWithout(now time.Time, adapter string) (incarnations []string, all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	acceptingWork := 0
@@ -83,12 +83,12 @@
 		acceptingWork++
 		reportedAt, known := e.missingAdapters[adapter]
 		if known && now.Sub(reportedAt) < missingAdapterTTL {
-			names = append(names, e.candidate.Endpoint.Name)
+			incarnations = append(incarnations, e.incarnation)
 		} else if known {
 			delete(e.missingAdapters, adapter)
 		}
 	}
-	return names, len(names) > 0 && len(names) == acceptingWork
+	return incarnations, len(incarnations) > 0 && len(incarnations) == acceptingWork
 }
 
 // loadsOnDemand reports whether the pool's engines load adapters on demand.
@@ -171,7 +171,7 @@
 	out := make([]kernel.Candidate, 0, len(p.endpoints))
 	for _, e := range p.endpoints {
 		if p.admitsCall(now, e, allowPermit) {
-			out = append(out, e.candidate)
+			out = append(out, p.candidateOf(now, e))
 		}
 	}
 	return out
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -11,6 +11,7 @@
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/pace"
 )
 
 const (
@@ -73,7 +74,7 @@
 	// A reused connection without progress may itself be at fault: the endpoint may get one more call, on a new
 	// connection.
 	if fault.Kind != endpoint.Silent || !fault.Reused {
-		a.excluded = append(a.excluded, e.name)
+		a.excluded = append(a.excluded, e.incarnation)
 	}
 	return nil
 }
@@ -114,7 +115,7 @@
 	call.From = a.stageOutput.Tokens
 	target := a.target(e)
 	target.Timeout = a.tokenTimeout(startedAt)
-	lastTokenAt := startedAt
+	lastTokenAt, firstTokenAt, tokensBefore := startedAt, startedAt, a.stageOutput.Tokens
 	var load *model.Load
 	version := a.pool.endpointOf(e).Version
 	a.dispatcher.OnCall(a.pool.endpointOf(e))
@@ -137,6 +138,9 @@
 		}
 		a.observeToken(startedAt, lastTokenAt, now)
 		lastTokenAt = now
+		if a.stageOutput.Tokens == tokensBefore {
+			firstTokenAt = now
+		}
 		if !a.boundTo.bound {
 			a.boundTo = versionFilter{bound: true, version: version}
 		}
@@ -154,6 +158,7 @@
 		a.dispatcher.OnConnection(a.pool.endpointOf(e), startedAt, nil)
 		a.pool.recordAcceptance(now, e, true)
 		a.pool.recordSuccess(now, e, now.Sub(startedAt), load)
+		a.recordStreamPace(now, e, lastTokenAt.Sub(firstTokenAt), a.stageOutput.Tokens-tokensBefore, load)
 		return nil
 	}
 	fault := asFault(err)
@@ -166,6 +171,15 @@
 	return fault
 }
 
+// recordStreamPace records what a stream tells of the speed of its endpoint: the time between two of its tokens, which
+// depends neither on the prompt nor on waiting. generation is the time from the first token to the last one.
+func (a *attempts) recordStreamPace(now time.Time, e *endpointState, generation time.Duration, tokens int, load *model.Load) {
+	if load == nil || tokens < 2 {
+		return
+	}
+	a.pool.recordPace(now, e, pace.Response{Kind: a.kind(), Elapsed: generation / time.Duration(tokens-1), Load: *load})
+}
+
 func (a *attempts) recordStreamFault(now time.Time, e *endpointState, fault *endpoint.Fault) {
 	if fault.Kind == endpoint.NotLoaded {
 		a.notLoadedCount++
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -84,6 +84,11 @@
 	s.set.GetOrCreateGauge("basilstall_"+name, read)
 }
 
+// GaugeSlowEndpoints registers the gauge of a pool's slow endpoints, whose number read returns.
+func (s *Set) GaugeSlowEndpoints(pool string, read func() int) {
+	s.set.GetOrCreateGauge(fmt.Sprintf(`basilstall_slow_endpoints{pool=%q}`, pool), func() float64 { return float64(read()) })
+}
+
 // WritePrometheus writes all metrics of the set, and those of the process.
 func (s *Set) WritePrometheus(w io.Writer) {
 	s.set.WritePrometheus(w)
--- a/pace/book.go
+++ b/pace/book.go
@@ -35,6 +35,9 @@
 	kindGain = 0.02
 	// maxRatio bounds estimates in both directions.
 	maxRatio = 1000.0
+	// slowFactor is how many times as long as usual work takes at an endpoint that counts as slow for operators, as for
+	// batches (package kernel).
+	slowFactor = 1.5
 )
 
 type (
@@ -123,25 +126,33 @@
 // RecordResponse records the time of a response, and the contention that was reported with it.
 func (b *Book) RecordResponse(now time.Time, incarnation string, r Response) {
 	b.RecordContention(now, incarnation, r.Load.Contention)
-	seconds := r.serviceTime().Seconds()
-	if seconds <= 0 {
+	if r.Elapsed <= 0 {
 		return
 	}
-	time := math.Log(seconds)
 	e := b.entry(incarnation)
-	speed := b.speedOf(now, e)
-	k := &b.kinds[maphash.String(b.seed, r.Kind)%kindCount]
+	service := r.serviceTime(r.Load.Contention)
+	k := b.kind(r.Kind)
 	if k.responses == 0 {
-		k.usual = time - speed
+		k.usual = service - b.speedOf(now, e)
 	}
-	gain := maxGain
-	if !e.speedAt.IsZero() {
-		gain = min(maxGain, 1-decay(now.Sub(e.speedAt), learnTime))
-	}
-	deviation := time - k.usual - speed
+	deviation := service - k.usual - b.speedOf(now, e)
 	k.responses++
 	k.usual += max(kindGain, 1/float64(k.responses+1)) * deviation
-	e.speed, e.speedAt = speed+gain*deviation, now
+	b.learn(now, e, deviation)
+}
+
+// RecordUnanswered records that a response had not arrived after r.Elapsed, when the request was given up. It counts only
+// if the endpoint is slower than it was estimated to be. Load is the last reported one.
+func (b *Book) RecordUnanswered(now time.Time, incarnation string, r Response) {
+	k := b.kind(r.Kind)
+	if r.Elapsed <= 0 || k.responses == 0 {
+		return
+	}
+	contention := b.Estimate(now, incarnation).Contention
+	e := b.entry(incarnation)
+	if deviation := r.serviceTime(contention) - k.usual - b.speedOf(now, e); deviation > 0 {
+		b.learn(now, e, deviation)
+	}
 }
 
 // Estimate returns the estimate for an endpoint. An unknown one has the median speed and the mean contention of the pool.
@@ -168,17 +179,41 @@
 	return len(b.endpoints)
 }
 
-// serviceTime returns how long the request would have taken without contention and waiting. The requests that wait when
-// the response is sent are as many, on average, as waited before it.
-func (r Response) serviceTime() time.Duration {
-	time := float64(r.Elapsed)
+// Slow returns the number of endpoints that take slowFactor times as long as usual, or longer.
+func (b *Book) Slow(now time.Time) int {
+	slow := 0
+	for incarnation := range b.endpoints {
+		if b.Estimate(now, incarnation).Slowness() >= slowFactor*b.meanContention {
+			slow++
+		}
+	}
+	return slow
+}
+
+// serviceTime returns the logarithm of how long the request would have taken, in seconds, without contention and waiting.
+// The requests that wait when the response is sent are as many, on average, as waited before it.
+func (r Response) serviceTime(contention float64) float64 {
+	service := r.Elapsed.Seconds()
 	if r.Waited {
-		time /= 1 + float64(r.Load.Queued)/float64(max(1, r.Load.Slots))
+		service /= 1 + float64(max(0, r.Load.Queued))/float64(max(1, r.Load.Slots))
+	}
+	if contention > 0 {
+		service /= clampRatio(contention)
 	}
-	if r.Load.Contention > 0 {
-		time /= clampRatio(r.Load.Contention)
+	return math.Log(service)
+}
+
+func (b *Book) kind(name string) *kind {
+	return &b.kinds[maphash.String(b.seed, name)%kindCount]
+}
+
+// learn changes the speed of an endpoint by a share of the deviation of a response from it.
+func (b *Book) learn(now time.Time, e *entry, deviation float64) {
+	gain := maxGain
+	if !e.speedAt.IsZero() {
+		gain = min(maxGain, 1-decay(now.Sub(e.speedAt), learnTime))
 	}
-	return toDuration(time)
+	e.speed, e.speedAt = b.speedOf(now, e)+gain*deviation, now
 }
 
 func (b *Book) entry(incarnation string) *entry {
@@ -247,7 +282,3 @@
 func clampRatio(ratio float64) float64 {
 	return min(maxRatio, max(1/maxRatio, ratio))
 }
-
-func toDuration(nanoseconds float64) time.Duration {
-	return time.Duration(min(nanoseconds, math.MaxInt64/2))
-}
