Choose unary endpoints by expected time on the platform; contention in stand-ins

Cause: unary requests were chosen by load only, also where endpoints state that they are slow at the moment. Change: relay's pool learns paces from unary responses and from those that were given up, only while the pool states contention. Stand-in endpoints state their contention with StatesContention, and FaultContend slows them and states it.

--- a/relay/pool.go
+++ b/relay/pool.go
@@ -8,6 +8,7 @@
 
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/pace"
 )
 
 const (
@@ -28,6 +29,9 @@
 		states map[string]*endpointState
 		// firstEventTimes are the times from an attempt to its stream's first event.
 		firstEventTimes kernel.Quantiles
+		// paces holds the speeds of the endpoints that serve unary requests. It is used only while they state their
+		// contention.
+		paces *pace.Book
 	}
 
 	// endpointState is what this node knows about one incarnation of an endpoint.
@@ -55,8 +59,9 @@
 	defer r.mu.Unlock()
 	p := r.pools[name]
 	if p == nil {
-		p = &pool{name: name, budget: kernel.NewFleetRetryBudget(r.options.RetryLimits, r.startedAt), states: map[string]*endpointState{}}
+		p = &pool{name: name, budget: kernel.NewFleetRetryBudget(r.options.RetryLimits, r.startedAt), states: map[string]*endpointState{}, paces: pace.NewBook()}
 		r.pools[name] = p
+		r.metrics.GaugeSlowEndpoints(name, func() int { return p.slowCount(r.now()) })
 	}
 	return p
 }
@@ -98,11 +103,17 @@
 	return slices.ContainsFunc(p.candidates(now, listed, limits), func(c kernel.Candidate) bool { return c.Endpoint.Accepts(now) })
 }
 
-// pick chooses one of the listed endpoints for a unary request and reserves it.
-func (p *pool) pick(now time.Time, listed []model.Endpoint, limits sendLimits, domain string, excluded []string) (choice, bool) {
+// pick chooses one of the listed endpoints for a unary request and reserves it. It compares expected times if the
+// endpoints of the pool state their contention, and loads otherwise.
+func (p *pool) pick(now time.Time, listed []model.Endpoint, limits sendLimits, domain string, excluded []string, statesContention bool) (choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usable := kernel.Usable(now, p.candidates(now, listed, limits), excluded)
+	if statesContention {
+		for i := range usable {
+			usable[i].Slowness = p.paces.Estimate(now, usable[i].Endpoint.Incarnation()).Slowness()
+		}
+	}
 	i := kernel.PickTwoChoices(now, usable, domain, rand.Float64(), rand.Float64())
 	if i < 0 {
 		return choice{}, false
@@ -249,6 +260,27 @@
 	s.loadAt = now
 }
 
+// recordPace records what a successful unary response tells of the speed of its endpoint.
+func (p *pool) recordPace(now time.Time, incarnation string, r pace.Response) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paces.RecordResponse(now, incarnation, r)
+}
+
+// recordUnanswered records that a unary request was given up after elapsed, when it had no response.
+func (p *pool) recordUnanswered(now time.Time, incarnation, kind string, elapsed time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paces.RecordUnanswered(now, incarnation, pace.Response{Kind: kind, Elapsed: elapsed, Waited: true, Load: p.state(incarnation).load})
+}
+
+// slowCount returns the number of slow endpoints of the pool.
+func (p *pool) slowCount(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paces.Slow(now)
+}
+
 // recordRequest counts a request towards the retry budget.
 func (p *pool) recordRequest(now time.Time) {
 	p.mu.Lock()
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -12,6 +12,7 @@
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/pace"
 )
 
 const (
@@ -100,6 +101,8 @@
 		reply       *model.ForwardReply
 		body        []byte
 		err         error
+		// elapsed is the time from sending the request to the end of the attempt.
+		elapsed time.Duration
 	}
 )
 
@@ -158,13 +161,14 @@
 	}
 	j.countRequest(p)
 	e, ok := j.chooseEndpoint(ctx, p, func(now time.Time, limits sendLimits) (choice, bool) {
-		return p.pick(now, j.allowedEndpoints(), limits, r.options.Domain, j.excluded)
+		return p.pick(now, j.allowedEndpoints(), limits, r.options.Domain, j.excluded, r.statesContention(p.name))
 	}, func(e model.Endpoint) { p.release(e.Incarnation()) })
 	if !ok {
 		return j.otherNodeMaySend(p) && j.startNodeAttempt(ctx, results)
 	}
 	j.recordAttempt(e)
 	send := j.newSend(e, j.attempts > 1)
+	route := j.admission.Route.Name
 	go func() {
 		defer p.release(e.Incarnation())
 		res := unaryResult{endpoint: e}
@@ -174,10 +178,15 @@
 		})
 		ctx, endCall := r.trackCall(ctx, e, j.forward.Digests())
 		defer endCall()
+		sentAt := r.now()
 		res.reply, res.err = r.forward(ctx, send)
 		if res.err == nil {
 			res.body, res.err = readAnswer(res.reply)
 		}
+		res.elapsed = r.now().Sub(sentAt)
+		if res.err != nil && ctx.Err() != nil && r.statesContention(p.name) {
+			p.recordUnanswered(r.now(), e.Incarnation(), route, res.elapsed)
+		}
 		if res.err == nil && r.endedEarly(res.reply, e) {
 			res.err = &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: errEndpointEnded}
 		}
@@ -251,9 +260,17 @@
 		return false
 	}
 	p.recordSuccess(res.endpoint.Incarnation())
+	j.recordPace(now, p, res)
 	return true
 }
 
+// recordPace records what a successful response tells of the speed of its endpoint.
+func (j *job) recordPace(now time.Time, p *pool, res *unaryResult) {
+	if load := res.reply.Statement.Load; load != nil && j.relay.statesContention(p.name) {
+		p.recordPace(now, res.endpoint.Incarnation(), pace.Response{Kind: j.admission.Route.Name, Elapsed: res.elapsed, Waited: true, Load: *load})
+	}
+}
+
 // writeAnswer writes a complete answer to the caller.
 func (j *job) writeAnswer(res unaryResult) Outcome {
 	header := res.reply.Header
--- a/standin/config.go
+++ b/standin/config.go
@@ -39,6 +39,8 @@
 		FirstPort int `yaml:"FirstPort"`
 		// Slots is the number of calls that an endpoint processes concurrently.
 		Slots int `yaml:"Slots" validate:"gte=1"`
+		// StatesContention makes the endpoints state their contention with their loads: 1 unless FaultContend is active.
+		StatesContention bool `yaml:"StatesContention"`
 		// ServiceTime is the processing time of a call; for an engine, the time to the first token.
 		ServiceTime time.Duration `yaml:"ServiceTime"`
 		// PromptTime is added to an engine's time to the first token for each KiB of the prompt. A cached prefix
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -87,6 +87,12 @@
 	if fault, stated := e.faults.trigger(e.target(), FaultRateCap); stated {
 		load.RateCap = model.NewRateCap(fault.PerSecond)
 	}
+	if e.pool.StatesContention {
+		load.Contention = 1
+	}
+	if fault, contends := e.faults.trigger(e.target(), FaultContend); contends {
+		load.Contention = fault.Factor
+	}
 	return load
 }
 
@@ -134,10 +140,12 @@
 	}
 }
 
-// simulateWork sleeps for d, extended by FaultSlow and FaultDelay. It reports false if ctx ended first.
+// simulateWork sleeps for d, extended by FaultSlow, FaultContend and FaultDelay. It reports false if ctx ended first.
 func (e *endpoint) simulateWork(ctx context.Context, d time.Duration) bool {
-	if slow, triggered := e.faults.trigger(e.target(), FaultSlow); triggered {
-		d = time.Duration(float64(d) * slow.Factor)
+	for _, kind := range []FaultKind{FaultSlow, FaultContend} {
+		if slow, triggered := e.faults.trigger(e.target(), kind); triggered {
+			d = time.Duration(float64(d) * slow.Factor)
+		}
 	}
 	if delay, triggered := e.faults.trigger(e.target(), FaultDelay); triggered {
 		d += delay.Delay
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -16,6 +16,8 @@
 	FaultDelay FaultKind = "Delay"
 	// FaultSlow multiplies service, prompt and token times by Factor.
 	FaultSlow FaultKind = "Slow"
+	// FaultContend multiplies them by Factor, too, and makes endpoints state Factor as their contention.
+	FaultContend FaultKind = "Contend"
 	// FaultError does the work and replies with status 500.
 	FaultError FaultKind = "Error"
 	// FaultRefuse replies with status 503 before any work; replies of endpoints have the verdict NotRun.
