Count endpoints that state no contention as usual; pass over slow engines first

Change: a response without contention counts as 1. PickPrefix compares with the best expected time of all candidates. The mean contention follows within 2 s.

--- a/kernel/routing.go
+++ b/kernel/routing.go
@@ -184,9 +184,9 @@
 // hashes if that one has no free slot: a cached prefix saves less time than waiting costs. If none has a free slot, it
 // returns the least loaded one. It returns -1 if there are no candidates.
 //
-// If the slowness of the candidates is known, one that is expected to take maxPrefixDelay times as long as the fastest
-// one that has a free slot is passed over as well, and the one with the lowest expected time is returned in place of the
-// least loaded one.
+// If the slowness of the candidates is known, one that is expected to take more than maxPrefixDelay times as long as the
+// best one is passed over as well, even if that one has no free slot. If none is left, the one with the lowest expected
+// time is returned in place of the least loaded one.
 func PickPrefix(now time.Time, candidates []Candidate, prefix string) int {
 	if len(candidates) == 0 {
 		return -1
@@ -198,7 +198,7 @@
 		total += loads[i]
 	}
 	mean := (total + 1) / float64(len(candidates))
-	limit := maxPrefixDelay * lowestExpectedTime(candidates, loads, mean)
+	limit := maxPrefixDelay * lowestExpectedTime(candidates, loads)
 	best, least := -1, 0
 	var bestScore uint64
 	for i, c := range candidates {
@@ -219,13 +219,10 @@
 	return best
 }
 
-// lowestExpectedTime returns the lowest expected time of the candidates that have a free slot, or 0 if none has.
-func lowestExpectedTime(candidates []Candidate, loads []float64, mean float64) float64 {
+// lowestExpectedTime returns the lowest expected time of the candidates, or 0 if their slowness is not known.
+func lowestExpectedTime(candidates []Candidate, loads []float64) float64 {
 	lowest := 0.0
 	for i, c := range candidates {
-		if c.Slowness == 0 || !hasCapacity(c, loads[i], mean) {
-			continue
-		}
 		if t := c.timeAtLoad(loads[i]); lowest == 0 || t < lowest {
 			lowest = t
 		}
--- a/pace/book.go
+++ b/pace/book.go
@@ -22,7 +22,7 @@
 	// hundred milliseconds.
 	reportTime = 500 * time.Millisecond
 	// meanTime is the time constant of the mean contention of an endpoint.
-	meanTime = 5 * time.Second
+	meanTime = 2 * time.Second
 	// retention is how long after its last response an endpoint is remembered. It bounds the size of a Book, also if
 	// endpoints restart all the time.
 	retention = 30 * time.Second
@@ -123,8 +123,12 @@
 	e.mean = mean + gain*(contention-mean)
 }
 
-// RecordResponse records the time of a response, and the contention that was reported with it.
+// RecordResponse records the time of a response, and the contention that was reported with it. An endpoint that reports
+// none counts as one with the usual contention; its speed then has all of its slowness.
 func (b *Book) RecordResponse(now time.Time, incarnation string, r Response) {
+	if !(r.Load.Contention > 0) {
+		r.Load.Contention = 1
+	}
 	b.RecordContention(now, incarnation, r.Load.Contention)
 	if r.Elapsed <= 0 {
 		return
