Use medians for unknown endpoints, and try those that have not reported

Cause: in a pool of two, a restarted endpoint counted with the mean contention, to which its slow predecessor contributed, and got no unary requests. Ruled out: the median alone, as an endpoint that has not reported its slots counted with one slot. Change: unknown endpoints have the medians of speed and contention, the usual number of slots, and 0.95 of the usual expected time.

--- a/kernel/routing.go
+++ b/kernel/routing.go
@@ -30,9 +30,12 @@
 	// at a usual endpoint. Otherwise, a node that knows only overloaded endpoints would take all others to be as loaded, and
 	// keep to those that it knows.
 	maxUsualTime = 3.0
+	// unreportedShare is the expected time at an endpoint that has not reported lately, as a share of the mean of the others.
+	// With 1, a restarted endpoint of a pool of two got no requests while the other one was not busy.
+	unreportedShare = 0.95
 	// freeSlotWeight is how much each request in a slot adds to the expected time, in times of a request per slot. The load
 	// may have risen since the report, so the less loaded of two endpoints with free slots is better. With 1, slow endpoints
-	// were left idle near saturation (0.55 instead of 0.87 on time in the model of three nodes at 0.95 of the capacity).
+	// were left idle near saturation: 0.55 instead of 0.87 on time in a trial of three nodes at 0.95 of the capacity.
 	freeSlotWeight = 0.25
 )
 
@@ -50,6 +53,13 @@
 	Slowness float64
 }
 
+// usualEndpoint is what is assumed of an endpoint that has not reported lately: the expected time of a request there,
+// slightly less than the mean of the others and at most maxUsualTime, or 0 if none has reported; and its slots.
+type usualEndpoint struct {
+	time  float64
+	slots int
+}
+
 // Usable returns the candidates that may get a call: those that accept work now, are not ejected and not among the
 // excluded incarnations. If fewer than the share minUsableShare of the others are healthy, those with the fewest ejections
 // are added up to that share.
@@ -135,7 +145,7 @@
 // which few endpoints are fast and free now, others ones to each node. random is uniform in [0, 1).
 func pickByExpectedTime(now time.Time, candidates []Candidate, domain string, first int, random float64) int {
 	recent := func(c *Candidate) bool { return c.reportedLately(now) }
-	usual := usualTime(now, candidates)
+	usual := newUsualEndpoint(now, candidates)
 	best, lowest := first, candidates[first].expectedTime(now, domain, usual)
 	for range recentChoices {
 		i, found := pickMatch(candidates, recent, random)
@@ -205,7 +215,7 @@
 		if isLessLoaded(c, loads[i], candidates[least], loads[least]) {
 			least = i
 		}
-		if !hasCapacity(c, loads[i], mean) || c.Slowness > 0 && c.timeAtLoad(loads[i]) > limit {
+		if !hasCapacity(c, loads[i], mean) || c.Slowness > 0 && c.timeAtLoad(loads[i], c.slots(1)) > limit {
 			continue
 		}
 		score := rendezvousScore(prefix, c.Endpoint.Name)
@@ -223,7 +233,7 @@
 func lowestExpectedTime(candidates []Candidate, loads []float64) float64 {
 	lowest := 0.0
 	for i, c := range candidates {
-		if t := c.timeAtLoad(loads[i]); lowest == 0 || t < lowest {
+		if t := c.timeAtLoad(loads[i], c.slots(1)); lowest == 0 || t < lowest {
 			lowest = t
 		}
 	}
@@ -233,7 +243,7 @@
 // isLessLoaded reports whether a has less load per slot than b, or a lower expected time if the slowness of both is known.
 func isLessLoaded(a Candidate, loadA float64, b Candidate, loadB float64) bool {
 	if a.Slowness > 0 && b.Slowness > 0 {
-		return a.timeAtLoad(loadA) < b.timeAtLoad(loadB)
+		return a.timeAtLoad(loadA, a.slots(1)) < b.timeAtLoad(loadB, b.slots(1))
 	}
 	return loadPerSlot(a, loadA) < loadPerSlot(b, loadB)
 }
@@ -271,43 +281,51 @@
 	return !c.LoadAt.IsZero() && now.Sub(c.LoadAt) < recentReport
 }
 
-// usualTime returns the mean expected time of the candidates that have reported lately, at most maxUsualTime; 0 if there
-// are none.
-func usualTime(now time.Time, candidates []Candidate) float64 {
+// newUsualEndpoint returns what is assumed of an endpoint that has not reported lately, from those that have.
+func newUsualEndpoint(now time.Time, candidates []Candidate) usualEndpoint {
 	var sum float64
-	count := 0
+	count, slots := 0, 0
 	for i := range candidates {
 		if c := &candidates[i]; c.reportedLately(now) {
-			sum += c.timeAtLoad(float64(c.Load.Running + c.Load.Queued))
+			sum += c.timeAtLoad(float64(c.Load.Running+c.Load.Queued), c.slots(1))
+			slots += c.slots(1)
 			count++
 		}
 	}
-	return min(maxUsualTime, sum/float64(max(1, count)))
+	if count == 0 {
+		return usualEndpoint{slots: 1}
+	}
+	return usualEndpoint{time: min(maxUsualTime, unreportedShare*sum/float64(count)), slots: max(1, slots/count)}
 }
 
 // expectedTime returns the expected time of a further request at the endpoint, relative to that of a request alone at a
 // usual one. As far as the endpoint has not reported its load lately, it is taken to be used by other nodes until a
 // request takes the usual time there: a slow endpoint that they avoid is idle.
-func (c *Candidate) expectedTime(now time.Time, domain string, usual float64) float64 {
+func (c *Candidate) expectedTime(now time.Time, domain string, usual usualEndpoint) float64 {
 	fresh := 0.0
 	if age := now.Sub(c.LoadAt); age < loadReportTTL && !c.LoadAt.IsZero() {
 		fresh = 1 - float64(age)/float64(loadReportTTL)
 	}
-	t := c.timeAtLoad(estimatedLoad(now, *c, domain))
-	return t + (1-fresh)*max(0, usual-t)
+	t := c.timeAtLoad(estimatedLoad(now, *c, domain), c.slots(usual.slots))
+	return t + (1-fresh)*max(0, usual.time-t)
 }
 
 // timeAtLoad returns the expected time of a request relative to that of a request alone at a usual endpoint. Reported
 // loads count the request that ended with the report, so a further request waits once load exceeds the slots.
-func (c *Candidate) timeAtLoad(load float64) float64 {
-	perSlot := load / float64(c.slots())
+func (c *Candidate) timeAtLoad(load float64, slots int) float64 {
+	perSlot := load / float64(slots)
 	return c.Slowness * (max(1, perSlot) + freeSlotWeight*perSlot)
 }
 
-// slots returns the number of slots that the endpoint has reported, or that of its entry in the list, or 1.
-func (c *Candidate) slots() int {
-	if c.Load.Slots > 0 {
+// slots returns the number of slots that the endpoint has reported, or that of its entry in the list, or unknown if
+// neither is known.
+func (c *Candidate) slots(unknown int) int {
+	switch {
+	case c.Load.Slots > 0:
 		return c.Load.Slots
+	case c.Endpoint.Slots > 0:
+		return c.Endpoint.Slots
+	default:
+		return unknown
 	}
-	return max(1, c.Endpoint.Slots)
 }
--- a/pace/book.go
+++ b/pace/book.go
@@ -26,7 +26,7 @@
 	// retention is how long after its last response an endpoint is remembered. It bounds the size of a Book, also if
 	// endpoints restart all the time.
 	retention = 30 * time.Second
-	// summaryInterval is how often the median speed and the mean contention of the pool are computed.
+	// summaryInterval is how often the medians of the pool are computed.
 	summaryInterval = 250 * time.Millisecond
 	// kindCount is the number of kinds of requests whose usual times are kept apart; further kinds share them by hash.
 	kindCount = 64
@@ -48,13 +48,13 @@
 		endpoints map[string]*entry
 		seed      maphash.Seed
 		kinds     [kindCount]kind
-		// medianSpeed and meanContention are those of the known endpoints as of summarizedAt. Each endpoint counts once,
+		// medianSpeed and medianContention are those of the known endpoints as of summarizedAt. Each endpoint counts once,
 		// however many responses it sent.
-		medianSpeed    float64
-		meanContention float64
-		summarizedAt   time.Time
-		// speeds is reused by summarize.
-		speeds []float64
+		medianSpeed      float64
+		medianContention float64
+		summarizedAt     time.Time
+		// speeds and contentions are reused by summarize.
+		speeds, contentions []float64
 	}
 
 	// Response is a successful response of an endpoint.
@@ -99,7 +99,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{endpoints: map[string]*entry{}, seed: maphash.MakeSeed(), meanContention: 1}
+	return &Book{endpoints: map[string]*entry{}, seed: maphash.MakeSeed(), medianContention: 1}
 }
 
 // Slowness is how long work takes relative to an endpoint of median speed at its usual contention. It is always positive.
@@ -159,12 +159,12 @@
 	}
 }
 
-// Estimate returns the estimate for an endpoint. An unknown one has the median speed and the mean contention of the pool.
+// Estimate returns the estimate for an endpoint. An unknown one has the medians of the pool.
 func (b *Book) Estimate(now time.Time, incarnation string) Estimate {
 	b.summarize(now)
 	e := b.endpoints[incarnation]
 	if e == nil {
-		return Estimate{Speed: 1, Contention: b.meanContention}
+		return Estimate{Speed: 1, Contention: b.medianContention}
 	}
 	contention := b.meanOf(now, e)
 	if !e.contentionAt.IsZero() {
@@ -187,7 +187,7 @@
 func (b *Book) Slow(now time.Time) int {
 	slow := 0
 	for incarnation := range b.endpoints {
-		if b.Estimate(now, incarnation).Slowness() >= slowFactor*b.meanContention {
+		if b.Estimate(now, incarnation).Slowness() >= slowFactor*b.medianContention {
 			slow++
 		}
 	}
@@ -237,24 +237,22 @@
 	return b.medianSpeed + decay(now.Sub(e.speedAt), forgetTime)*(e.speed-b.medianSpeed)
 }
 
-// meanOf returns the mean contention of an endpoint, which approaches the pool's mean with its age.
+// meanOf returns the mean contention of an endpoint, which approaches the pool's median with its age.
 func (b *Book) meanOf(now time.Time, e *entry) float64 {
 	if e.contentionAt.IsZero() {
-		return b.meanContention
+		return b.medianContention
 	}
-	return b.meanContention + decay(now.Sub(e.contentionAt), forgetTime)*(e.mean-b.meanContention)
+	return b.medianContention + decay(now.Sub(e.contentionAt), forgetTime)*(e.mean-b.medianContention)
 }
 
-// summarize computes the median speed and the mean contention of the known endpoints, and drops those that have sent
+// summarize computes the medians of the known endpoints, and drops those that have sent
 // no response for long.
 func (b *Book) summarize(now time.Time) {
 	if now.Sub(b.summarizedAt) < summaryInterval {
 		return
 	}
 	b.summarizedAt = now
-	b.speeds = b.speeds[:0]
-	var sum float64
-	reports := 0
+	b.speeds, b.contentions = b.speeds[:0], b.contentions[:0]
 	for incarnation, e := range b.endpoints {
 		if now.Sub(e.speedAt) >= retention && now.Sub(e.contentionAt) >= retention {
 			delete(b.endpoints, incarnation)
@@ -264,18 +262,20 @@
 			b.speeds = append(b.speeds, e.speed)
 		}
 		if !e.contentionAt.IsZero() {
-			sum += e.mean
-			reports++
+			b.contentions = append(b.contentions, e.mean)
 		}
 	}
-	b.medianSpeed, b.meanContention = 0, 1
-	if len(b.speeds) > 0 {
-		slices.Sort(b.speeds)
-		b.medianSpeed = b.speeds[len(b.speeds)/2]
-	}
-	if reports > 0 {
-		b.meanContention = sum / float64(reports)
+	b.medianSpeed, b.medianContention = median(b.speeds, 0), median(b.contentions, 1)
+}
+
+// median returns the median of values, which it sorts; the lower one of two, as an endpoint that is unknown must be tried
+// to become known. It returns fallback if there are none.
+func median(values []float64, fallback float64) float64 {
+	if len(values) == 0 {
+		return fallback
 	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
 }
 
 // decay returns the weight of something of an age: 1 for the present, falling by e for each time constant.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -90,6 +90,7 @@
 		for incarnation, s := range p.states {
 			if s.inFlight == 0 && !slices.ContainsFunc(listed, func(e model.Endpoint) bool { return e.Incarnation() == incarnation }) {
 				delete(p.states, incarnation)
+				p.paces.Forget(incarnation)
 			}
 		}
 	}
