Show the busiest customers of a node in its status

Cause: operators did not see whose requests fill a node or are refused. Change: kernel.CustomerUses measures use and refusals by customer over about ten seconds, at most 1,024 customers; basilstall status shows ten. Requests that another node ran count there.

--- a/cli/status.go
+++ b/cli/status.go
@@ -44,6 +44,9 @@
 	for _, e := range s.Evacuated {
 		fmt.Fprintf(p.stdout, "failure domain %s evacuated since %s\n", e.FailureDomain, e.Since.Format("15:04:05.000"))
 	}
+	for _, c := range s.Customers {
+		fmt.Fprintf(p.stdout, "customer %s keeps %.2f slots busy, %.1f requests/s, %.1f refusals/s\n", c.Customer, c.Busy, c.Requests, c.Refusals)
+	}
 	for _, m := range s.Members {
 		fmt.Fprintf(p.stdout, "  %-16s %-16s %s\n", m.Node, m.FailureDomain, m.State)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -48,6 +48,7 @@
 	dispatcher     *dispatch.Dispatcher
 	records        *records
 	rateLimiter    *rateLimiter
+	customers      *customerUses
 	fleet          *fleet
 	claims         *claimsState
 	// keys decides on requests with keys that this node owns. durableKeys does so for durable keys, whose rows in the
@@ -112,6 +113,7 @@
 		dispatcher:      dispatch.NewDispatcher(options.FailureDomain, options.Plain, metrics),
 		records:         newRecords(),
 		rateLimiter:     newRateLimiter(),
+		customers:       newCustomerUses(),
 		keys:            newKeyLedger(),
 		durableKeys:     newKeyLedger(),
 		committer:       newCommitter(store),
@@ -318,4 +320,7 @@
 		record.Detail = refusal.Detail
 	}
 	n.records.add(record)
+	if forwarded == "" {
+		n.customers.record(time.Now(), req.Account(), p.stages, refusal != nil)
+	}
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -119,6 +119,7 @@
 		EraFrom:       row.NewestEra().From,
 		Horizon:       row.Horizon,
 		Keys:          n.keys.len(),
+		Customers:     n.customers.busiest(time.Now()),
 	}
 	evacuations := n.dispatcher.Evacuations()
 	for _, domain := range evacuations.Domains() {
--- a/operator/message.go
+++ b/operator/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/table"
 )
@@ -35,6 +36,8 @@
 		Members []MemberStatus
 		// Evacuated lists the failure domains to whose endpoints no work is sent.
 		Evacuated []EvacuatedDomain
+		// Customers are the customers with the most requests and use at this node, at most ten.
+		Customers []kernel.CustomerUse `json:",omitempty"`
 	}
 
 	// EvacuatedDomain is an evacuated failure domain. Since is when it was evacuated, as far as the node knows.
