--- a/relay/admission.go
+++ b/relay/admission.go
@@ -482,5 +482,5 @@
 			return c, true
 		}
 	}
-	return p.pick(now, listed, limits, j.relay.options.Domain, j.excluded)
+	return p.pick(now, listed, limits, j.relay.options.Domain, j.excluded, j.relay.statesContention(p.name))
 }
