Make pieces near the engine that the placer expects to choose

The placer's estimate before the stages names the domain of the engine, and pieces prefer it. Weighed: placing the prompt before its stages (the loads of a second ago would decide), a cost for engines in other domains (parts read again cost more).

--- a/peer/placement.go
+++ b/peer/placement.go
@@ -36,9 +36,10 @@
 		// Leaving is true if the node no longer places streams because it is leaving. The sender then asks another node.
 		Leaving bool
 		// Incarnations are the best engines in order, with the expected times to the first event; empty if none may be
-		// chosen. The reply to a message with OnlyAsk has only the expected time at the first engine.
+		// chosen. The reply to a message with OnlyAsk has only the expected time at the first engine, and its failure domain.
 		Incarnations []string
 		Expected     []time.Duration
+		Domain       string
 	}
 
 	// PlaceReports reports what became of the placed attempts of the sender.
--- a/placement/table.go
+++ b/placement/table.go
@@ -67,9 +67,10 @@
 		Regions  []string
 	}
 
-	// Choice is an engine with the expected time to the first event.
+	// Choice is an engine with its failure domain and the expected time to the first event.
 	Choice struct {
 		Incarnation string
+		Domain      string
 		Expected    time.Duration
 	}
 
@@ -206,7 +207,7 @@
 	}
 	p := Placement{Choices: make([]Choice, 0, found)}
 	for _, c := range best[:found] {
-		p.Choices = append(p.Choices, Choice{Incarnation: c.engine.incarnation, Expected: time.Duration(c.expected)})
+		p.Choices = append(p.Choices, Choice{Incarnation: c.engine.incarnation, Domain: c.engine.endpoint.FailureDomain, Expected: time.Duration(c.expected)})
 	}
 	return p, true
 }
--- a/relay/placer.go
+++ b/relay/placer.go
@@ -129,6 +129,7 @@
 		}
 		if m.OnlyAsk {
 			reply.Expected = []time.Duration{placed.Choices[0].Expected}
+			reply.Domain = placed.Choices[0].Domain
 			return
 		}
 		for _, c := range placed.Choices {
--- a/relay/placing.go
+++ b/relay/placing.go
@@ -73,6 +73,13 @@
 		sizes    []int
 	}
 
+	// firstEventEstimate is what is expected of the engine of a stream before its stages. domain is its failure domain; empty
+	// if it is not known.
+	firstEventEstimate struct {
+		expected time.Duration
+		domain   string
+	}
+
 	// placedAttempt is an attempt at a stream that a placer knows of. A nil one stands for an attempt without a placer; its
 	// methods do nothing.
 	placedAttempt struct {
@@ -83,7 +90,9 @@
 		placer       string
 		incarnations []string
 		// expected is the expected time to the first event at the first of them; 0 if no placer has chosen.
-		expected  time.Duration
+		expected time.Duration
+		// domain is the failure domain of the first of them, if the placer was only asked.
+		domain    string
 		sentTo    string
 		firstSeen bool
 	}
@@ -118,27 +127,28 @@
 	return attempt
 }
 
-// estimateFirstEventTime returns how long the engine of a stream will take until the first event: by the placer's estimate
-// for the prompt, or else by the times of the pool. The result is sent to the channel.
-func (j *job) estimateFirstEventTime(ctx context.Context, p *pool) <-chan time.Duration {
-	estimate := make(chan time.Duration, 1)
+// estimateFirstEvent returns how long the engine of a stream will take until the first event, and where it is: by the
+// placer's estimate for the prompt, or else by the times of the pool. The result is sent to the channel.
+func (j *job) estimateFirstEvent(ctx context.Context, p *pool) <-chan firstEventEstimate {
+	estimates := make(chan firstEventEstimate, 1)
 	if !j.placedByPlacer(p) {
-		estimate <- p.estimateFirstEventTime()
-		return estimate
+		estimates <- firstEventEstimate{expected: p.estimateFirstEventTime()}
+		return estimates
 	}
 	attempt := j.newPlacedAttempt(p, false)
 	attempt.message.OnlyAsk = true
 	go func() {
-		expected := p.estimateFirstEventTime()
-		defer func() { estimate <- expected }()
+		estimate := firstEventEstimate{expected: p.estimateFirstEventTime()}
+		defer func() { estimates <- estimate }()
 		defer j.relay.recoverPanic(func() {})
 		attempt.ask(ctx)
 		if attempt.expected > 0 {
 			j.relay.metrics.CountEvent("FirstEventEstimated")
-			expected = time.Duration(expectedQuantile * float64(attempt.expected))
+			estimate.expected = time.Duration(expectedQuantile * float64(attempt.expected))
+			estimate.domain = attempt.domain
 		}
 	}()
-	return estimate
+	return estimates
 }
 
 // newPlacedAttempt returns an attempt for which no placer has been asked.
@@ -269,6 +279,7 @@
 			if len(reply.Expected) > 0 {
 				a.expected = reply.Expected[0]
 			}
+			a.domain = reply.Domain
 			return
 		}
 		a.placing.giveBack(a.group, a.message.Reports)
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -101,7 +101,7 @@
 	if len(run.plan.FinalStages) == 0 {
 		return run, nil
 	}
-	firstEventEstimate := j.estimateFirstEventTime(ctx, p)
+	engineEstimate := j.estimateFirstEvent(ctx, p)
 	requests := map[int]batchRequest{}
 	for i := range run.stages {
 		if kernel.PieceCount(j.forward, i) > 0 {
@@ -117,7 +117,11 @@
 	if !waitKnown && anyQueued(estimates) && r.options.Policy.Uses(kernel.ObjectiveFromFirstAttempt) {
 		j.applyPreviousWait(ctx)
 	}
-	run.plan = kernel.PlanStages(j.forward, j.admission, estimates, <-firstEventEstimate)
+	engine := <-engineEstimate
+	if engine.domain != "" {
+		run.prefixDomain = engine.domain
+	}
+	run.plan = kernel.PlanStages(j.forward, j.admission, estimates, engine.expected)
 	if refusal := kernel.AdmitStages(r.now(), j.forward, j.admission, run.plan, estimates); refusal != nil {
 		return run, refusal
 	}
