--- a/relay/placing.go
+++ b/relay/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -262,7 +263,7 @@
 		if node == r.options.Name {
 			reply = r.placers.place(a.message)
 		} else {
-			err = r.callNode(callCtx, node, peer.KindPlace, a.message, &reply)
+			err = r.peers.Call(callCtx, r.addressOf(node), peer.KindPlace, a.message, &reply)
 		}
 		if err == nil && !reply.Leaving {
 			a.placer, a.incarnations = node, reply.Incarnations
@@ -279,13 +280,21 @@
 		if err != nil {
 			r.metrics.CountEvent("PlacementUnanswered")
 		}
-		if callCtx.Err() != nil {
+		if callCtx.Err() != nil || isTimeout(err) {
 			a.placing.pause(node)
 			return
 		}
+		if err != nil {
+			r.Suspect(node, err)
+		}
 	}
 }
 
+// isTimeout reports whether a call failed because its time was over. The dialer reports this before the context is done.
+func isTimeout(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // paused reports whether a node did not reply in time lately.
 func (s *placing) paused(node string) bool {
 	s.mu.Lock()
