Ask the admitter before a request goes to a second endpoint

Change: in an overloaded pool, a hedge needs a slot of its own. Requests that are sent while the admitter is silent are counted as AdmitterNotUsed, so that the test tells them from requests that the gate admitted. Ruled out: no hedges in overloaded pools, because a silent endpoint would then cost requests that were served before.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -88,6 +88,12 @@
 		silent  chan struct{}
 	}
 
+	// hedgeSlot is a slot for a second attempt at a request that is running.
+	hedgeSlot struct {
+		ticket      *admissionTicket
+		incarnation string
+	}
+
 	// ShareFinding is what an admitter has found of a refused request's customer: the work per second, in seconds of
 	// endpoints, that it may use and was given.
 	ShareFinding struct {
@@ -124,6 +130,7 @@
 	}
 	node := p.answering(now)
 	if node == "" {
+		a.relay.metrics.CountEvent("AdmitterNotUsed")
 		return nil
 	}
 	ticket := &admissionTicket{admissions: a, pool: pool, waiting: true, silent: make(chan struct{})}
@@ -381,13 +388,7 @@
 	if ticket == nil {
 		return nil
 	}
-	r.metrics.CountEvent("AdmitterAsked")
-	now := r.now()
-	reply, ok := ticket.ask(ctx, peer.Admit{
-		Pool: p.name, Node: r.admissions.node, Number: ticket.number, Request: j.forward.ID, Customer: j.admission.Customer, Rank: j.admission.Rank,
-		DueIn: gateObjective(j.forward, j.admission).Sub(now), DeadlineIn: j.admission.Deadline.Sub(now),
-		Work: r.admissions.expectedWork(p.name, j.admission.Route.Name),
-	})
+	reply, ok := ticket.ask(ctx, j.admitMessage(ticket))
 	if ctx.Err() != nil {
 		if ok {
 			ticket.close(peer.AdmitEnded{Result: share.GateUnsent})
@@ -407,6 +408,44 @@
 	return nil
 }
 
+// admitMessage returns the message that asks an admitter for the request.
+func (j *job) admitMessage(ticket *admissionTicket) peer.Admit {
+	r := j.relay
+	r.metrics.CountEvent("AdmitterAsked")
+	now := r.now()
+	return peer.Admit{
+		Pool: ticket.pool, Node: r.admissions.node, Number: ticket.number, Request: j.forward.ID, Customer: j.admission.Customer, Rank: j.admission.Rank,
+		DueIn: gateObjective(j.forward, j.admission).Sub(now), DeadlineIn: j.admission.Deadline.Sub(now),
+		Work: r.admissions.expectedWork(ticket.pool, j.admission.Route.Name),
+	}
+}
+
+// askForHedge asks the admitter for a slot at a second endpoint, if the first one was admitted: in an overloaded pool, a
+// second attempt without a slot would take that of another request. The slot goes to slots unless the request ends first.
+// It returns false if the admitter need not be asked.
+func (j *job) askForHedge(ctx context.Context, p *pool, slots chan<- hedgeSlot) bool {
+	if j.ticket == nil || !j.mayHedge(p) {
+		return false
+	}
+	ticket := j.relay.admissions.openTicket(p.name)
+	if ticket == nil {
+		return false
+	}
+	message := j.admitMessage(ticket)
+	go func() {
+		reply, ok := ticket.ask(ctx, message)
+		if !ok || reply.State == share.GateRefused {
+			return
+		}
+		select {
+		case slots <- hedgeSlot{ticket: ticket, incarnation: reply.Incarnation}:
+		case <-ctx.Done():
+			ticket.close(peer.AdmitEnded{Result: share.GateUnsent})
+		}
+	}()
+	return true
+}
+
 // refuseOverShare refuses a request that its customer's share cannot serve in time.
 func (j *job) refuseOverShare(reply peer.AdmitReply) *Outcome {
 	reason, detail := model.Overloaded, "pool "+j.admission.Pool+" has no slot in time"
@@ -461,6 +500,9 @@
 
 // endAdmission tells the admitter that the request has ended.
 func (j *job) endAdmission() {
+	if j.hedgeTicket != nil {
+		j.hedgeTicket.close(peer.AdmitEnded{Result: share.GateUnsent})
+	}
 	if j.ticket == nil {
 		return
 	}
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -107,20 +107,23 @@
 	return p.takeRetry(j.relay.now(), j.relay.fleetSize())
 }
 
-// startHedge sends a safe request to one more endpoint while another one may be running it.
-func (j *job) startHedge(ctx context.Context, p *pool, results chan<- unaryResult) bool {
+// startHedge sends a safe request to one more endpoint while another one may be running it. It returns the number of
+// attempts that it started, 0 or 1.
+func (j *job) startHedge(ctx context.Context, p *pool, results chan<- unaryResult) int {
+	if !j.mayHedge(p) || !j.takeRetry(p, nil) || !j.startAttempt(ctx, p, results) {
+		return 0
+	}
+	j.relay.metrics.CountRetry(model.RetryHedge, p.name)
+	return 1
+}
+
+// mayHedge reports whether the request may be sent to a second endpoint while another one may be running it.
+func (j *job) mayHedge(p *pool) bool {
 	if j.atNode || j.throughNode != "" || j.sendsThroughNode(p) {
 		// The node that sends the request sends it to a second endpoint, too.
 		return false
 	}
-	if j.admission.Route.Kind != model.Safe || !j.relay.options.Policy.Uses(kernel.HedgedReads) || j.attempts >= j.admission.Route.MaxAttempts {
-		return false
-	}
-	if !j.takeRetry(p, nil) || !j.startAttempt(ctx, p, results) {
-		return false
-	}
-	j.relay.metrics.CountRetry(model.RetryHedge, p.name)
-	return true
+	return j.admission.Route.Kind == model.Safe && j.relay.options.Policy.Uses(kernel.HedgedReads) && j.attempts < j.admission.Route.MaxAttempts
 }
 
 // checkQuarantine returns a refusal if the request is held back, unless the next attempt is the one that is permitted as a
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -91,9 +91,11 @@
 		// ticket is the request at the admitter of its pool, and assigned the endpoint that the admitter assigned to the next
 		// attempt; nil and empty if no admitter was asked. answered is what the last answer of an endpoint
 		// shows; its incarnation is empty before.
-		ticket   *admissionTicket
-		assigned string
-		answered peer.AdmitEnded
+		// hedgeTicket is that of the second endpoint.
+		ticket      *admissionTicket
+		hedgeTicket *admissionTicket
+		assigned    string
+		answered    peer.AdmitEnded
 	}
 
 	// unaryResult is the result of one attempt at a unary request.
@@ -128,6 +130,7 @@
 	running := 1
 	hedgeTimer := time.NewTimer(time.Duration(hedgeDelayShare * float64(j.admission.Route.Objective)))
 	defer hedgeTimer.Stop()
+	hedgeSlots := make(chan hedgeSlot)
 	var failure *unaryResult
 	for {
 		select {
@@ -144,9 +147,12 @@
 				return j.finishFailed(ctx, failure, res)
 			}
 		case <-hedgeTimer.C:
-			if j.startHedge(ctx, p, results) {
-				running++
+			if !j.askForHedge(ctx, p, hedgeSlots) {
+				running += j.startHedge(ctx, p, results)
 			}
+		case slot := <-hedgeSlots:
+			j.hedgeTicket, j.assigned = slot.ticket, slot.incarnation
+			running += j.startHedge(ctx, p, results)
 		case <-ctx.Done():
 			return j.refuseContextDone(ctx)
 		}
