Add a ledger of the bytes that a node holds for slow readers

Cause: nothing counts or bounds what a node buffers for callers that do not read. Ruled out: a bound for each connection alone, which 1,000 callers exceed together; a minimum rate, which ends callers that read slowly but steadily. Change: package held counts reserved and unacknowledged bytes by connection, and names the connection to close.

--- /dev/null
+++ b/held/ledger.go
@@ -0,0 +1,273 @@
+package held
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// totalShare is the share of the memory limit of the process that all held bytes may take. A held byte can cost two:
+	// on the heap until garbage is collected, in the kernel with the overhead of socket buffers. Connections, routing and
+	// the runtime take the rest.
+	totalShare = 0.2
+	// defaultTotal is the bound on all held bytes of a process without a memory limit.
+	defaultTotal = 128 << 20
+	// connShare is the share of the total that one connection may take. At the smallest nodes, of 144 MB, it is still
+	// above the largest body and the largest answer together.
+	connShare = 0.5
+	// admissionShare is the share of the total from which new requests are refused. The rest is for the answers of
+	// requests that were admitted, which may have run.
+	admissionShare = 0.75
+	// stallTimeout is how long a caller may take no byte of an answer before it is disconnected.
+	stallTimeout = 5 * time.Second
+	// minStall is how long a connection must have made no progress before it may be closed to make room: more than the
+	// minimum TCP retransmission timeout of 200 ms, so that the loss of one segment does not make a connection slow.
+	minStall = 250 * time.Millisecond
+)
+
+// The results of Ledger.Reserve.
+const (
+	// Reserved: the bytes are counted.
+	Reserved Result = iota
+	// Full: the bound on all connections is reached.
+	Full
+	// ConnFull: the bound on the connection is reached, or the connection is closed.
+	ConnFull
+)
+
+type (
+	// ID identifies an entry of a ledger.
+	ID uint64
+
+	// Result is the result of a reservation.
+	Result int
+
+	// Use is what bytes are reserved for.
+	Use int
+
+	// Limits are the bounds of a ledger. Sizes are in bytes.
+	Limits struct {
+		// Total bounds the bytes of all connections, PerConn those of one, and Admission the total from which new requests
+		// are refused.
+		Total     int64
+		PerConn   int64
+		Admission int64
+		// StallTimeout is how long a caller may take no byte of an answer.
+		StallTimeout time.Duration
+		// MinStall is how long a connection must have made no progress before it may be closed to make room.
+		MinStall time.Duration
+	}
+
+	// Sending is the state of the sending side of a connection.
+	Sending struct {
+		// Written is the number of bytes that the kernel has taken since the connection was opened, and Queued how many of
+		// them the peer has not acknowledged yet.
+		Written int64
+		Queued  int64
+		// Writing is true while a write is blocked.
+		Writing bool
+	}
+
+	// Ledger counts the bytes that a node holds, by connection. It is not safe for concurrent use.
+	//
+	// The total is the sum over all entries of the reserved and the queued bytes. Closing is the part of it that belongs to
+	// entries which were chosen to be closed: it does not count towards the bounds, since it is about to be freed.
+	Ledger struct {
+		limits  Limits
+		lastID  ID
+		entries map[ID]*entry
+		total   int64
+		closing int64
+		peak    int64
+	}
+
+	// entry is a connection, or a request that came from another node.
+	entry struct {
+		// reserved is what the process holds, and queued what the kernel holds of what was written.
+		reserved int64
+		queued   int64
+		acked    int64
+		// sending is true while the peer has bytes to take, and receiving while the node waits for bytes of a request.
+		sending   bool
+		receiving bool
+		// progressAt is when the peer last took or sent bytes, or when it was first expected to.
+		progressAt time.Time
+		closing    bool
+	}
+)
+
+// What bytes are reserved for.
+const (
+	// ForRequest: the request has not been sent anywhere and can be refused.
+	ForRequest Use = iota
+	// ForAnswer: the request may have run.
+	ForAnswer
+)
+
+// NewLimits returns the limits of a process with a memory limit in bytes; 0 for none.
+func NewLimits(memoryLimit int64) Limits {
+	total := int64(defaultTotal)
+	if memoryLimit > 0 {
+		total = int64(totalShare * float64(memoryLimit))
+	}
+	return Limits{
+		Total:        total,
+		PerConn:      int64(connShare * float64(total)),
+		Admission:    int64(admissionShare * float64(total)),
+		StallTimeout: stallTimeout,
+		MinStall:     minStall,
+	}
+}
+
+// NewLedger returns a ledger without entries.
+func NewLedger(limits Limits) *Ledger {
+	return &Ledger{limits: limits, entries: map[ID]*entry{}}
+}
+
+// Open adds an entry that holds nothing.
+func (l *Ledger) Open() ID {
+	l.lastID++
+	l.entries[l.lastID] = &entry{}
+	return l.lastID
+}
+
+// Close removes an entry and all that it holds.
+func (l *Ledger) Close(id ID) {
+	e := l.entries[id]
+	if e == nil {
+		return
+	}
+	l.add(e, -e.reserved, -e.queued)
+	delete(l.entries, id)
+}
+
+// Admits reports whether a new request may be taken on.
+func (l *Ledger) Admits() bool {
+	return l.total-l.closing < l.limits.Admission
+}
+
+// Reserve counts n more bytes for an entry if the bounds allow it.
+func (l *Ledger) Reserve(id ID, n int64, use Use) Result {
+	e := l.entries[id]
+	if e == nil || e.closing || e.reserved+e.queued+n > l.limits.PerConn {
+		return ConnFull
+	}
+	bound := l.limits.Total
+	if use == ForRequest {
+		bound = l.limits.Admission
+	}
+	if l.total-l.closing+n > bound {
+		return Full
+	}
+	l.add(e, n, 0)
+	return Reserved
+}
+
+// Add counts n more bytes for an entry whatever the bounds are, or n fewer if n is negative. It reports whether the total is
+// within its bound.
+func (l *Ledger) Add(id ID, n int64) bool {
+	if e := l.entries[id]; e != nil {
+		l.add(e, max(n, -e.reserved), 0)
+	}
+	return l.total-l.closing <= l.limits.Total
+}
+
+// ObserveSending records the state of the sending side of a connection.
+func (l *Ledger) ObserveSending(now time.Time, id ID, s Sending) {
+	e := l.entries[id]
+	if e == nil {
+		return
+	}
+	sending := s.Writing || s.Queued > 0
+	acked := s.Written - s.Queued
+	if sending && (!e.sending || acked > e.acked) {
+		e.progressAt = now
+	}
+	e.sending = sending
+	e.acked = max(e.acked, acked)
+	l.add(e, 0, s.Queued-e.queued)
+}
+
+// ObserveReceiving records that bytes of a request came, or were first waited for; waiting is false if no more are expected.
+func (l *Ledger) ObserveReceiving(now time.Time, id ID, waiting bool) {
+	e := l.entries[id]
+	if e == nil {
+		return
+	}
+	e.receiving = waiting
+	if !e.sending {
+		e.progressAt = now
+	}
+}
+
+// Slowest returns the connection to close to make room: of those that hold bytes and have made no progress for MinStall,
+// the one that has made none for the longest time. ok is false if there is none.
+func (l *Ledger) Slowest(now time.Time) (id ID, ok bool) {
+	for candidate, e := range l.entries {
+		if e.closing || !e.sending && !e.receiving || e.reserved+e.queued == 0 || now.Sub(e.progressAt) < l.limits.MinStall {
+			continue
+		}
+		if !ok || l.slower(candidate, id) {
+			id, ok = candidate, true
+		}
+	}
+	return id, ok
+}
+
+// slower reports whether a has made no progress for longer than b. Of two that are equal it is the older one.
+func (l *Ledger) slower(a, b ID) bool {
+	if c := l.entries[a].progressAt.Compare(l.entries[b].progressAt); c != 0 {
+		return c < 0
+	}
+	return a < b
+}
+
+// Stalled returns the connections whose peer has taken no byte for StallTimeout, in the order in which they were opened.
+func (l *Ledger) Stalled(now time.Time) []ID {
+	var out []ID
+	for id, e := range l.entries {
+		if e.sending && !e.closing && now.Sub(e.progressAt) >= l.limits.StallTimeout {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// MarkClosing records that a connection is being closed. It returns the bytes that it holds.
+func (l *Ledger) MarkClosing(id ID) int64 {
+	e := l.entries[id]
+	if e == nil || e.closing {
+		return 0
+	}
+	e.closing = true
+	l.closing += e.reserved + e.queued
+	return e.reserved + e.queued
+}
+
+// Total returns the bytes that are held.
+func (l *Ledger) Total() int64 { return l.total }
+
+// Peak returns the maximum of Total so far.
+func (l *Ledger) Peak() int64 { return l.peak }
+
+// Sending returns the number of connections whose peers have bytes to take.
+func (l *Ledger) Sending() int {
+	n := 0
+	for _, e := range l.entries {
+		if e.sending {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Ledger) add(e *entry, reserved, queued int64) {
+	e.reserved += reserved
+	e.queued += queued
+	l.total += reserved + queued
+	if e.closing {
+		l.closing += reserved + queued
+	}
+	l.peak = max(l.peak, l.total)
+}
