--- /dev/null
+++ b/connlimit/body.go
@@ -0,0 +1,37 @@
+package connlimit
+
+import "io"
+
+// bodyReader counts what is read of the body of a request.
+type bodyReader struct {
+	body    io.Reader
+	request *Request
+}
+
+// Body returns a reader of the body of the request that counts what it reads. It fails with ErrFull if there is no room.
+func (r *Request) Body(body io.Reader) io.Reader {
+	r.observeReceiving(true)
+	return &bodyReader{body: body, request: r}
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	b.request.observeReceiving(err == nil)
+	if n > 0 {
+		if full := b.request.ReserveBody(int64(n)); full != nil {
+			b.request.observeReceiving(false)
+			return n, full
+		}
+	}
+	return n, err
+}
+
+func (r *Request) observeReceiving(waiting bool) {
+	now := r.tracker.now()
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	if !r.ended {
+		r.tracker.ledger.ObserveReceiving(now, r.id, waiting)
+	}
+}
