--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -45,6 +45,7 @@
 	model.EndpointsCold:        http.StatusServiceUnavailable,
 	model.EndpointsCapped:      http.StatusServiceUnavailable,
 	model.NoHome:               http.StatusServiceUnavailable,
+	model.NodeFull:             http.StatusServiceUnavailable,
 	model.EndpointRefused:      http.StatusServiceUnavailable,
 	model.StreamUnknown:        http.StatusServiceUnavailable,
 	model.VersionGone:          http.StatusServiceUnavailable,
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -87,6 +87,8 @@
 	StreamUnknown Reason = "StreamUnknown"
 	// VersionGone: no endpoint of the version at which the stream began takes work.
 	VersionGone Reason = "VersionGone"
+	// NodeFull: the node holds as many bytes of requests and answers as it may.
+	NodeFull Reason = "NodeFull"
 	// EndpointRefused: the endpoint did not run the request, and no other endpoint could be tried.
 	EndpointRefused Reason = "EndpointRefused"
 )
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -30,6 +30,11 @@
 		Leaving: r.Leaving(), PathLost: r.paths.Lost(offer.Pool), HasEndpoint: r.hasEndpoint(offer.Pool), Routing: r.View(),
 		HeldBytes: r.relayedBytes.Load(),
 	}, kernel.RelayOffer{Version: offer.Version, BodyBytes: offer.BodyBytes})
+	count, ok := r.holdRelayed(declined, offer.BodyBytes)
+	if declined == "" && !ok {
+		declined = model.Overloaded
+	}
+	defer count.End()
 	load := float64(r.InFlight()) / max(r.options.Capacity, 1)
 	if err := stream.Send(peer.KindRelay, peer.RelayReply{Declined: declined, Load: load}); err != nil || declined != "" {
 		return err
@@ -44,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	outcome := r.serveRelayed(ctx, request, r.relayedForward(request, content), stream)
+	outcome := r.serveRelayed(ctx, request, r.relayedForward(request, content), stream, count.HeldBytes)
 	return stream.Send(peer.KindRelayEnd, peer.RelayEnd{Complete: outcome.Complete, Refusal: outcome.Refusal, Attempts: outcome.Attempts})
 }
 
@@ -91,7 +96,7 @@
 }
 
 // serveRelayed runs a request of another node and passes its answer on over the stream.
-func (r *Relay) serveRelayed(ctx context.Context, m peer.RelayRequest, f model.Forward, stream *peer.Stream) Outcome {
+func (r *Relay) serveRelayed(ctx context.Context, m peer.RelayRequest, f model.Forward, stream *peer.Stream, count HeldBytes) Outcome {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	r.relayedRequests.Add(1)
@@ -108,7 +113,7 @@
 	outcome := Outcome{Refusal: refusal, Attempts: m.Attempts}
 	if refusal == nil {
 		job := &job{
-			relay: r, forward: f, admission: admission, responder: newStreamResponder(stream), startedAt: r.now(), trial: m.Trial,
+			relay: r, forward: f, admission: admission, responder: newStreamResponder(stream, count), startedAt: r.now(), trial: m.Trial,
 			forNode: m.Node, attempts: m.Attempts, excluded: m.Excluded, mayHaveRun: m.MayHaveRun, counted: m.Counted, lastEventID: m.LastEventID,
 			streamKey: m.StreamKey,
 			onSend:    func(attempts int) { r.notifySent(stream, attempts) },
@@ -140,10 +145,11 @@
 }
 
 // newStreamResponder returns a responder that passes an answer on to the node that has the caller.
-func newStreamResponder(stream *peer.Stream) Responder {
+func newStreamResponder(stream *peer.Stream, count HeldBytes) Responder {
 	var beginErr error
 	var binding *kernel.Binding
 	return Responder{
+		Held: count,
 		Bind: func(b kernel.Binding) { binding = &b },
 		Begin: func(status int, header http.Header) {
 			beginErr = stream.Send(peer.KindRelayHead, peer.RelayHead{Status: status, Header: header, Binding: binding})
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -218,7 +218,7 @@
 	}
 	j.mayHaveRun = true
 	if reply.Status != http.StatusOK || !reply.Authentic {
-		return j.writeFailure(reply, state)
+		return j.writeFailure(ctx, reply, state)
 	}
 	return j.writeReply(reply, state, func() { idleTimer.Reset(streamIdleTimeout) }, onFirstEvent)
 }
@@ -258,7 +258,7 @@
 	}
 	onFirstEvent()
 	j.sendHeader(reply, state)
-	if j.responder.Write(events) != nil {
+	if j.writeCounted(events) != nil {
 		return streamResult{callerGone: true}, true
 	}
 	return streamResult{}, false
@@ -297,8 +297,8 @@
 
 // writeFailure writes an engine's own failure to the caller, unless the caller already has events of another engine,
 // the engine did not sign the failure, or the stream can be retried at another engine.
-func (j *job) writeFailure(reply *model.ForwardReply, state *streamState) streamResult {
-	body, err := readAnswer(reply)
+func (j *job) writeFailure(ctx context.Context, reply *model.ForwardReply, state *streamState) streamResult {
+	body, err := j.readAnswer(ctx, reply)
 	if err != nil {
 		return streamResult{err: err}
 	}
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -313,7 +313,7 @@
 		sent := attempt.sendThroughNode(ctx, "")
 		res.node, res.attempts, res.reply, res.err = sent.node, sent.attempts, sent.reply, sent.err
 		if res.err == nil {
-			res.body, res.err = readAnswer(res.reply)
+			res.body, res.err = attempt.readAnswer(ctx, res.reply)
 		}
 		results <- res
 	}()
@@ -373,7 +373,7 @@
 	result := streamResult{err: sent.err}
 	if sent.err == nil {
 		j.mayHaveRun = true
-		result = j.writeRelayedReply(sent.reply, state)
+		result = j.writeRelayedReply(ctx, sent.reply, state)
 		sent.reply.Close()
 	}
 	j.recordNodeResult(sent.node, sent.attempts, result.err)
@@ -381,13 +381,13 @@
 }
 
 // writeRelayedReply writes the answer that another node passes on to the caller.
-func (j *job) writeRelayedReply(reply *model.ForwardReply, state *streamState) streamResult {
+func (j *job) writeRelayedReply(ctx context.Context, reply *model.ForwardReply, state *streamState) streamResult {
 	if reply.Status == http.StatusOK {
 		return j.writeReply(reply, state, func() {}, func() {})
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxUnaryBytes+1))
+	body, err := j.readBody(ctx, reply)
 	if err != nil {
-		return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}}
+		return streamResult{err: err}
 	}
 	if state.headerSent {
 		return streamResult{err: &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errRelayBroken}}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -176,7 +176,7 @@
 		defer endCall()
 		res.reply, res.err = r.forward(ctx, send)
 		if res.err == nil {
-			res.body, res.err = readAnswer(res.reply)
+			res.body, res.err = j.readAnswer(ctx, res.reply)
 		}
 		if res.err == nil && r.endedEarly(res.reply, e) {
 			res.err = &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: errEndpointEnded}
@@ -211,10 +211,18 @@
 	}
 }
 
-// readAnswer reads the whole body of a reply and closes the reply.
-func readAnswer(reply *model.ForwardReply) ([]byte, error) {
+// readAnswer reads the whole body of a reply and closes the reply. The body is counted until the request ends.
+func (j *job) readAnswer(ctx context.Context, reply *model.ForwardReply) ([]byte, error) {
 	defer reply.Close()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxUnaryBytes+1))
+	return j.readBody(ctx, reply)
+}
+
+func (j *job) readBody(ctx context.Context, reply *model.ForwardReply) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(j.countedBody(ctx, reply), maxUnaryBytes+1))
+	var full *model.Refusal
+	if errors.As(err, &full) {
+		return nil, full
+	}
 	if err != nil {
 		return nil, &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}
 	}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -57,6 +57,9 @@
 		WriteVersion  func(ctx context.Context, w kernel.VersionWrite) error
 		WriteBindings func(ctx context.Context, key string, records []peer.StreamBinding, remove []string) error
 		ReadBindings  func(ctx context.Context) (map[string][]peer.StreamBinding, error)
+		// HoldRelayed counts the body of a request that another node passes on, in bytes. It returns false if the node takes
+		// on no more; nil if such requests are not counted.
+		HoldRelayed func(bodyBytes int64) (HeldRequest, bool)
 		// CloseIdle closes the idle connections to an address.
 		CloseIdle func(address string)
 	}
@@ -104,10 +107,27 @@
 		Begin func(status int, header http.Header)
 		// Write sends a part of the body without buffering it.
 		Write func(p []byte) error
+		// Held counts what the node holds of the answer.
+		Held HeldBytes
 		// Bind is called before Begin with what a resumable stream is bound to; nil if nobody needs it.
 		Bind func(b kernel.Binding)
 	}
 
+	// HeldBytes counts the bytes of an answer that the node holds until its caller has taken them. The functions are nil if
+	// they are not counted.
+	HeldBytes struct {
+		// Reserve counts n bytes of a buffered answer until the request ends. It fails if the node holds as many as it may.
+		Reserve func(ctx context.Context, n int64) error
+		// Add counts n bytes that are being passed on, or that many fewer if n is negative.
+		Add func(n int64)
+	}
+
+	// HeldRequest counts the bytes of a request that another node has passed on. End frees them.
+	HeldRequest struct {
+		HeldBytes
+		End func()
+	}
+
 	// Outcome is how a request ended: with a refusal before Begin, or with an answer that is complete or was broken
 	// off.
 	Outcome struct {
