Send no further requests to endpoints that do not read

Cause: each request to an endpoint that reads slowly held its body until its deadline, and the next ones were sent as well. Ruled out: refusing by bytes in flight alone, which passes over endpoints that are at work on large requests; failing calls for pieces, which are small and would be queued for the same worker again. Change: held.Unread counts the bytes that an address has not taken, as the kernel tells them.

--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -55,6 +55,9 @@
 		MaxConnIdleTime time.Duration
 		// MaxIdleConns is the maximum number of idle connections to the address after the exchange.
 		MaxIdleConns int
+		// BoundUnread makes Send return a Withdrawn fault if the endpoint has not taken earlier requests and too many bytes of
+		// them are under way.
+		BoundUnread bool
 		// BeforeSend, if not nil, is called once a connection is open. If it returns an error, the request is not sent
 		// and Send returns that error unchanged.
 		BeforeSend func() error
@@ -99,6 +102,11 @@
 // Send sends the request and returns the reply. The context applies to the whole exchange, including the body of the
 // reply; when it ends, the connection is closed. The error is a *Fault or that of BeforeSend.
 func (x *Exchanger) Send(ctx context.Context, e Exchange) (*ExchangeReply, error) {
+	send, fault := x.beginSend(e)
+	if fault != nil {
+		return nil, fault
+	}
+	defer x.endSend(send)
 	conn, fault := x.getConn(ctx, e)
 	if fault != nil {
 		return nil, fault
@@ -111,6 +119,8 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, conn.close)
+	conn.written.Store(false)
+	send.conn.Store(conn)
 	reply, err := conn.roundTrip(e)
 	if err != nil {
 		stop()
@@ -173,6 +183,7 @@
 	send := func() {
 		c.maybeSent.Store(true)
 		_, err := c.conn.Write(encodeRequest(e))
+		c.written.Store(err == nil)
 		done <- err
 	}
 	if len(e.Body) <= maxInlineBody {
--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"basilstall.example/basilstall/held"
 	"basilstall.example/basilstall/model"
 )
 
@@ -44,10 +45,17 @@
 		// OnDial is called after each attempt to open a connection, with when it began and its error. It is not called for an
 		// attempt that was abandoned before it could tell anything of the endpoint.
 		OnDial func(address string, beganAt time.Time, err error)
+		// OnUnread is called when a request is not sent because the endpoint has not taken earlier ones.
+		OnUnread func(address string)
 
 		dialer net.Dialer
 		mu     sync.Mutex
 		idle   map[string][]*exchangeConn
+
+		// unreadMu guards unread, which counts the bytes that endpoints have not taken, and sends, the sends that it counts.
+		unreadMu sync.Mutex
+		unread   *held.Unread
+		sends    map[held.ID]*exchangeSend
 	}
 
 	// exchangeConn is a connection and its state.
@@ -64,6 +72,8 @@
 		used bool
 		// maybeSent is true once bytes of the current request may have been sent.
 		maybeSent atomic.Bool
+		// written is true once the kernel has taken the whole current request.
+		written   atomic.Bool
 		idleSince time.Time
 		// idleTimeout is how long the connection may stay idle.
 		idleTimeout time.Duration
@@ -73,7 +83,9 @@
 
 // NewExchanger returns an exchanger without connections.
 func NewExchanger(now func() time.Time) *Exchanger {
-	x := &Exchanger{Now: now, OnDial: func(string, time.Time, error) {}, idle: map[string][]*exchangeConn{}}
+	x := &Exchanger{Now: now, OnDial: func(string, time.Time, error) {}, OnUnread: func(string) {}, idle: map[string][]*exchangeConn{}}
+	x.sends = map[held.ID]*exchangeSend{}
+	x.LimitUnread(held.NewUnreadLimits(held.NewLimits(0)))
 	x.dialer = NewDialer()
 	return x
 }
