Bound what nodes hold for callers on the project's own interface

Cause: the write of a token to a caller that does not read blocked the stage, and its engine, until the deadline. Change: the server for callers uses the same tracker of connections, and refuses requests as NodeFull while it is full. The verdict is NotRun, or MayHaveRun for a request with a key that was not checked, as for other refusals before the key. connlimit.Report exports the gauges, events and log lines of both interfaces.

--- a/caller/requests.go
+++ b/caller/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,10 +11,15 @@
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
+	"basilstall.example/basilstall/connlimit"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 )
 
+// fullRetryAfter is the least time after which a caller may retry a request that the node had no memory for; the time that it
+// gets is up to twice that, so that not all come back at once. By then, connections that make no progress can be closed.
+const fullRetryAfter = 300 * time.Millisecond
+
 // parsedRequest is a validated request.
 type parsedRequest struct {
 	request  model.Request
@@ -25,23 +31,29 @@
 func (s *Server) postRequest(c echo.Context) error {
 	id := s.deps.NewID()
 	c.Response().Header().Set(HeaderRequest, id)
-	p, refusal := s.parse(c, id)
+	request, err := s.deps.Conns.Begin(c.Request().Context())
+	if err != nil {
+		return s.writeRefusal(c, id, s.refuseFull(c))
+	}
+	defer request.End()
+	p, refusal := s.parse(c, id, request)
 	if refusal != nil {
 		return s.writeRefusal(c, id, refusal)
 	}
 	if p.stream {
-		return s.serveStream(c, p)
+		return s.serveStream(c, p, request)
 	}
 	answer, refusal := s.deps.Serve(c.Request().Context(), p.request, p.pipeline, nil)
 	if refusal != nil {
 		return s.writeRefusal(c, id, refusal)
 	}
 	c.Response().Header().Set(HeaderVerdict, string(answer.Verdict))
+	request.Add(int64(len(answer.Output)))
 	return c.JSON(http.StatusOK, newAnswerBody(id, answer))
 }
 
 // parse authenticates the caller and validates the request.
-func (s *Server) parse(c echo.Context, id string) (parsedRequest, *model.Refusal) {
+func (s *Server) parse(c echo.Context, id string, counted *connlimit.Request) (parsedRequest, *model.Refusal) {
 	caller, ok := s.deps.Authenticate(bearerToken(c.Request()))
 	if !ok {
 		return parsedRequest{}, s.refusalBeforeKey(c, model.Unauthorized, "the token in Authorization: Bearer is not known")
@@ -50,7 +62,10 @@
 	if !ok {
 		return parsedRequest{}, s.refusalBeforeKey(c, model.UnknownPipeline, "team "+caller.Team+" has no pipeline "+c.Param("Pipeline"))
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, MaxBodyBytes))
+	data, err := io.ReadAll(counted.Body(http.MaxBytesReader(c.Response(), c.Request().Body, MaxBodyBytes)))
+	if errors.Is(err, connlimit.ErrFull) {
+		return parsedRequest{}, s.refuseFull(c)
+	}
 	if err != nil {
 		return parsedRequest{}, badRequest("the body cannot be read or is longer than " + strconv.Itoa(MaxBodyBytes) + " bytes")
 	}
@@ -112,6 +127,13 @@
 	return model.NewRefusal(verdict, reason, 0, detail)
 }
 
+// refuseFull returns the refusal of a request that the node has no memory for.
+func (s *Server) refuseFull(c echo.Context) *model.Refusal {
+	refusal := s.refusalBeforeKey(c, model.NodeFull, "the node holds too much for callers that read slowly")
+	refusal.RetryAfter = fullRetryAfter + rand.N(fullRetryAfter)
+	return refusal
+}
+
 func badRequest(detail string) *model.Refusal {
 	return model.NewRefusal(model.NotRun, model.BadRequest, 0, detail)
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -9,6 +9,9 @@
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
+	"basilstall.example/basilstall/clock"
+	"basilstall.example/basilstall/connlimit"
+	"basilstall.example/basilstall/held"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 )
@@ -36,6 +39,8 @@
 		Draining func() bool
 		// Ready reports whether the load balancer should send requests to this node, and the reason if not.
 		Ready func() (bool, string)
+		// Conns counts what the node holds for callers; nil for a tracker of the server's own, with the default limits.
+		Conns *connlimit.Tracker
 		// CountEvent counts an event by its name.
 		CountEvent func(event string)
 		// CountRefusal counts a refusal.
@@ -47,6 +52,8 @@
 		deps     Dependencies
 		listener net.Listener
 		server   *http.Server
+		// stop ends the tracking of connections.
+		stop context.CancelFunc
 	}
 )
 
@@ -56,7 +63,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "caller: unable to listen")
 	}
-	s := &Server{deps: deps, listener: listener}
+	if deps.Conns == nil {
+		deps.Conns = connlimit.NewTracker(held.NewLimits(0), clock.Now)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{deps: deps, listener: listener, stop: cancel}
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
@@ -64,8 +75,9 @@
 	e.POST(RequestsPath, s.postRequest)
 	e.GET("/healthz", s.getHealth)
 	e.GET("/readyz", s.getReady)
-	s.server = &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = s.server.Serve(listener) }()
+	s.server = &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, ConnContext: connlimit.WithConn}
+	go deps.Conns.Run(ctx)
+	go func() { _ = s.server.Serve(deps.Conns.Listen(listener)) }()
 	return s, nil
 }
 
@@ -81,6 +93,8 @@
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() {
+	s.stop()
+	s.deps.Conns.Close()
 	_ = s.server.Close()
 }
 
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"basilstall.example/basilstall/connlimit"
 	"basilstall.example/basilstall/model"
 )
 
@@ -21,7 +22,9 @@
 // that a request that is refused before any token gets a refusal with its own status code instead of a stream.
 type eventWriter struct {
 	response *echo.Response
-	nextID   int
+	// request counts the events that are being written.
+	request *connlimit.Request
+	nextID  int
 }
 
 func (w *eventWriter) write(event string, data any) {
@@ -34,14 +37,16 @@
 	if err != nil {
 		return
 	}
+	w.request.Add(int64(len(body)))
+	defer w.request.Add(-int64(len(body)))
 	_, _ = fmt.Fprintf(w.response, "id: %d\nevent: %s\ndata: %s\n\n", w.nextID, event, body)
 	w.response.Flush()
 	w.nextID++
 }
 
 // serveStream runs a request and writes its tokens and its answer or refusal as events.
-func (s *Server) serveStream(c echo.Context, p parsedRequest) error {
-	w := &eventWriter{response: c.Response()}
+func (s *Server) serveStream(c echo.Context, p parsedRequest, request *connlimit.Request) error {
+	w := &eventWriter{response: c.Response(), request: request}
 	emit := func(t model.Token) {
 		w.write(EventToken, TokenBody(t))
 	}
--- /dev/null
+++ b/connlimit/report.go
@@ -0,0 +1,21 @@
+package connlimit
+
+import (
+	"github.com/rs/zerolog"
+
+	"basilstall.example/basilstall/metric"
+)
+
+// Report exports what is held as gauges, and counts and logs the connections that are closed. It must be called before the
+// first connection is accepted.
+func (t *Tracker) Report(metrics *metric.Set, log zerolog.Logger) {
+	metrics.Gauge("held_bytes", func() float64 { return float64(t.HeldBytes()) })
+	metrics.Gauge("held_bytes_peak", func() float64 { return float64(t.PeakHeldBytes()) })
+	metrics.Gauge("caller_connections", func() float64 { return float64(t.Conns()) })
+	metrics.Gauge("caller_connections_unread", func() float64 { return float64(t.Sending()) })
+	t.OnClose = func(remote string, bytes int64, cause Cause) {
+		metrics.CountEvent(string(cause))
+		log.Info().Str("Remote", remote).Int64("Bytes", bytes).Int64("HeldBytes", t.HeldBytes()).Str("Cause", string(cause)).
+			Msg("connection of a caller that does not read closed")
+	}
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -8,6 +8,9 @@
 	"github.com/google/uuid"
 
 	"basilstall.example/basilstall/caller"
+	"basilstall.example/basilstall/clock"
+	"basilstall.example/basilstall/connlimit"
+	"basilstall.example/basilstall/held"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/operator"
@@ -23,11 +26,28 @@
 		NewID:        func() string { return n.options.Name + "." + uuid.NewString() },
 		Draining:     n.Draining,
 		Ready:        n.Ready,
+		Conns:        n.newConnTracker(),
 		CountEvent:   n.metrics.CountEvent,
-		CountRefusal: n.metrics.CountRefusal,
+		CountRefusal: n.countRefusal,
 	}
 }
 
+// countRefusal counts a refusal, and logs one for lack of memory.
+func (n *Node) countRefusal(r *model.Refusal) {
+	n.metrics.CountRefusal(r)
+	if r.Reason == model.NodeFull {
+		n.log.Info().Str("Verdict", string(r.Verdict)).Str("Reason", string(r.Reason)).Dur("RetryAfter", r.RetryAfter).
+			Int64("InFlight", n.inFlight.Load()).Msg("request refused")
+	}
+}
+
+// newConnTracker returns what counts the bytes that the node holds for callers. The node has no memory limit of its own.
+func (n *Node) newConnTracker() *connlimit.Tracker {
+	conns := connlimit.NewTracker(held.NewLimits(0), clock.Now)
+	conns.Report(n.metrics, n.log)
+	return conns
+}
+
 // operatorServerDependencies returns what the server for operators needs of the node.
 func (n *Node) operatorServerDependencies() operator.Dependencies {
 	return operator.Dependencies{
