Reserve whole answers and bound those that are expected (unfinished)

Cause: answers that were read in part waited for each other, and were lost after their requests had run. Change: the length of an answer is reserved before it is read, and unary requests are refused while the answers expected by their mean size exceed twice the bound. The kernel's send queue is counted in advance.

--- a/caller/requests.go
+++ b/caller/requests.go
@@ -62,7 +62,7 @@
 	if !ok {
 		return parsedRequest{}, s.refusalBeforeKey(c, model.UnknownPipeline, "team "+caller.Team+" has no pipeline "+c.Param("Pipeline"))
 	}
-	data, err := io.ReadAll(counted.Body(http.MaxBytesReader(c.Response(), c.Request().Body, MaxBodyBytes)))
+	data, err := io.ReadAll(counted.Body(c.Request().Context(), http.MaxBytesReader(c.Response(), c.Request().Body, MaxBodyBytes)))
 	if errors.Is(err, connlimit.ErrFull) {
 		return parsedRequest{}, s.refuseFull(c)
 	}
--- a/caller/slow_test.go
+++ b/caller/slow_test.go
@@ -23,7 +23,7 @@
 // Guards against a stream whose caller does not read and that goes on for as long as its deadline allows, against an end of
 // it that looks complete, and against refusals of other requests that have no status or time to retry.
 func TestStreamToCallerThatDoesNotReadEnds(t *testing.T) {
-	limits := held.Limits{Total: 3 << 20, PerConn: 2 << 20, Admission: 1 << 20, StallTimeout: 5 * time.Second, MinStall: time.Second}
+	limits := held.Limits{Total: 3 << 20, Answers: 3 << 20, PerConn: 2 << 20, Admission: 1 << 20, Expected: 12 << 20, StallTimeout: 5 * time.Second, MinStall: time.Second}
 	var elapsed, tokens atomic.Int64
 	conns := connlimit.NewTracker(limits, func() time.Time { return time.Unix(1000, elapsed.Load()) })
 	ended := make(chan struct{})
--- a/connlimit/body.go
+++ b/connlimit/body.go
@@ -1,17 +1,21 @@
 package connlimit
 
-import "io"
+import (
+	"context"
+	"io"
+)
 
 // bodyReader counts what is read of the body of a request.
 type bodyReader struct {
+	ctx     context.Context
 	body    io.Reader
 	request *Request
 }
 
 // Body returns a reader of the body of the request that counts what it reads. It fails with ErrFull if there is no room.
-func (r *Request) Body(body io.Reader) io.Reader {
+func (r *Request) Body(ctx context.Context, body io.Reader) io.Reader {
 	r.observeReceiving(true)
-	return &bodyReader{body: body, request: r}
+	return &bodyReader{ctx: ctx, body: body, request: r}
 }
 
 // Read implements io.Reader.
@@ -19,7 +23,7 @@
 	n, err := b.body.Read(p)
 	b.request.observeReceiving(err == nil)
 	if n > 0 {
-		if full := b.request.ReserveBody(int64(n)); full != nil {
+		if full := b.request.ReserveBody(b.ctx, int64(n)); full != nil {
 			b.request.observeReceiving(false)
 			return n, full
 		}
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -13,18 +13,17 @@
 )
 
 const (
-	// sendBufferBytes is the size of the kernel's send buffer of a connection, which it doubles for its overhead. It is enough
-	// for 64 MB/s at a round trip of 1 ms. Without it, the kernel holds some MB for each caller that does not read.
-	sendBufferBytes = 64 << 10
+	// maxBufferedWrite is the size of the largest write that is buffered. The bytes of a larger one, as of a whole answer, are
+	// held until it ends; a copy of them would be held as well.
+	maxBufferedWrite = 64 << 10
 	// maxPendingBytes bounds what is buffered of the writes to a connection before a write blocks. It is above the answer of a
-	// usual stream, and a whole event fits: an endpoint whose stream goes to a slow caller is read on, since it would end a
-	// stream that stays unread.
+	// usual stream: an endpoint whose stream goes to a slow caller is read on, since it would end a stream that stays unread.
 	maxPendingBytes = 1 << 20
 )
 
 type (
 	// Conn is a connection of a caller whose unacknowledged bytes are counted. Writes that the kernel does not take at once
-	// are buffered up to maxPendingBytes.
+	// are buffered, if they are small, up to maxPendingBytes.
 	Conn struct {
 		net.Conn
 		tracker *Tracker
@@ -71,7 +70,7 @@
 	if !ok {
 		return conn, nil
 	}
-	_ = tcp.SetWriteBuffer(sendBufferBytes)
+	_ = tcp.SetWriteBuffer(held.SendBufferBytes)
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return conn, nil
@@ -96,7 +95,7 @@
 	t.wakeLocked()
 }
 
-// Write implements net.Conn. It blocks only if more than maxPendingBytes would have to be buffered.
+// Write implements net.Conn. It blocks if p exceeds maxBufferedWrite, or if more than maxPendingBytes would have to be buffered.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
@@ -105,7 +104,7 @@
 		return n, err
 	}
 	rest := p[n:]
-	if len(rest) > maxPendingBytes {
+	if len(p) > maxBufferedWrite {
 		if err := c.awaitPending(0); err != nil {
 			return n, err
 		}
@@ -207,7 +206,7 @@
 	t := c.tracker
 	for {
 		t.mu.Lock()
-		part := c.pending[:min(len(c.pending), sendBufferBytes)]
+		part := c.pending[:min(len(c.pending), held.SendBufferBytes)]
 		t.mu.Unlock()
 		n, err := c.writePart(part, true)
 		c.recordWrite(n, err == nil)
--- a/connlimit/tracker.go
+++ b/connlimit/tracker.go
@@ -16,9 +16,9 @@
 	// sweepInterval is how often the state of connections with unacknowledged bytes is read. It is well below the time
 	// without progress after which a connection may be closed.
 	sweepInterval = 100 * time.Millisecond
-	// maxReserveWait is how long an answer waits for room. By then, every connection that makes no progress can be closed;
-	// it is well below the time after which an endpoint ends an answer that stays unread.
-	maxReserveWait = time.Second
+	// maxReserveWait is how long an answer waits for room. By then, the connections that make no progress can have been closed
+	// several times over; an endpoint would end an answer that stays unread for some seconds.
+	maxReserveWait = 2 * time.Second
 )
 
 // The causes for which connections are closed.
@@ -64,6 +64,8 @@
 		// reserved is the number of reserved bytes. It and ended are guarded by the mutex of the tracker.
 		reserved int64
 		ended    bool
+		// expected is true from Expect until a part of the answer is reserved.
+		expected bool
 	}
 
 	// connKey is the key of the connection in the context of a request.
@@ -236,19 +238,46 @@
 	t.room = make(chan struct{})
 }
 
+// Expect announces that the answer will be reserved. It returns ErrFull if so many answers are expected that this one might
+// find no room; the request should not be run then.
+func (r *Request) Expect() error {
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	if r.ended || r.expected {
+		return nil
+	}
+	if !r.tracker.ledger.Expect() {
+		return ErrFull
+	}
+	r.expected = true
+	return nil
+}
+
 // Reserve counts n bytes of an answer. If there is no room, it closes the slowest connection, or waits a short time. It
 // returns ErrFull if there is still none, or if the request has ended.
 func (r *Request) Reserve(ctx context.Context, n int64) error {
+	return r.reserve(ctx, n, held.ForAnswer)
+}
+
+// ReserveBody counts n bytes of the body of the request, which has not been sent anywhere. If there is no room, it closes the
+// slowest connection, or returns ErrFull.
+func (r *Request) ReserveBody(ctx context.Context, n int64) error {
+	return r.reserve(ctx, n, held.ForRequest)
+}
+
+func (r *Request) reserve(ctx context.Context, n int64, use held.Use) error {
 	var timeout <-chan time.Time
 	for {
-		result, room := r.tryReserve(n, held.ForAnswer)
+		result, room := r.tryReserve(n, use)
 		switch {
 		case result == held.Reserved:
 			return nil
 		case result == held.ConnFull:
 			return ErrFull
-		case r.tracker.makeRoom():
+		case result == held.Full && r.tracker.makeRoom():
 			continue
+		case result == held.Full && use == held.ForRequest:
+			return ErrFull
 		}
 		if timeout == nil {
 			timer := time.NewTimer(maxReserveWait)
@@ -277,20 +306,17 @@
 	if result == held.Reserved {
 		r.reserved += n
 	}
+	if use == held.ForAnswer {
+		r.answeredLocked(n)
+	}
 	return result, t.room
 }
 
-// ReserveBody counts n bytes of the body of the request, which has not been sent anywhere. It closes slow connections to make
-// room, but does not wait.
-func (r *Request) ReserveBody(n int64) error {
-	for {
-		result, _ := r.tryReserve(n, held.ForRequest)
-		if result == held.Reserved {
-			return nil
-		}
-		if result == held.ConnFull || !r.tracker.makeRoom() {
-			return ErrFull
-		}
+// answeredLocked records once that the answer of the request has come, and its size.
+func (r *Request) answeredLocked(n int64) {
+	if r.expected {
+		r.expected = false
+		r.tracker.ledger.Answered(n)
 	}
 }
 
@@ -320,6 +346,7 @@
 		return
 	}
 	r.ended = true
+	r.answeredLocked(0)
 	if r.detached {
 		t.ledger.Close(r.id)
 	} else {
--- a/connlimit/tracker_test.go
+++ b/connlimit/tracker_test.go
@@ -26,7 +26,7 @@
 )
 
 // limits has room for two buffered answers.
-var limits = held.Limits{Total: 9 << 20, PerConn: 5 << 20, Admission: 7 << 20, StallTimeout: 5 * time.Second, MinStall: 250 * time.Millisecond}
+var limits = held.Limits{Total: 9 << 20, Answers: 9 << 20, PerConn: 5 << 20, Admission: 7 << 20, Expected: 36 << 20, StallTimeout: 5 * time.Second, MinStall: 250 * time.Millisecond}
 
 // site is an HTTP server whose connections are tracked on a clock that the test moves.
 type site struct {
@@ -73,7 +73,7 @@
 		return
 	}
 	defer request.End()
-	if _, err := io.Copy(io.Discard, request.Body(r.Body)); err != nil {
+	if _, err := io.Copy(io.Discard, request.Body(r.Context(), r.Body)); err != nil {
 		w.WriteHeader(http.StatusInsufficientStorage)
 		return
 	}
@@ -261,7 +261,7 @@
 	s.advance(limits.MinStall)
 	must.NoError(t, other.Reserve(context.Background(), 1<<20-1))
 	request := s.tracker.BeginDetached()
-	must.NoError(t, request.ReserveBody(2<<20))
+	must.NoError(t, request.ReserveBody(context.Background(), 2<<20))
 	must.Eq(t, []connlimit.Cause{connlimit.NoRoom}, s.closeCauses())
 }
 
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -68,6 +68,8 @@
 		Status int
 		Header http.Header
 		Body   io.Reader
+		// Length is the length of the body in bytes; -1 if it is not known.
+		Length int64
 		// Unframed is true if the body has neither a length nor chunks: it ends with the connection.
 		Unframed bool
 
@@ -207,7 +209,7 @@
 			continue
 		}
 		c.limiter.remaining.Store(1 << 62)
-		reply := &ExchangeReply{Status: res.StatusCode, Header: res.Header, conn: c, notReusable: res.Close}
+		reply := &ExchangeReply{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, conn: c, notReusable: res.Close}
 		reply.Unframed = res.ContentLength < 0 && len(res.TransferEncoding) == 0
 		reply.idleTimeout = keepAliveTimeout(res.Header)
 		reply.Body = &replyBody{reply: reply, body: res.Body}
--- a/held/ledger.go
+++ b/held/ledger.go
@@ -18,19 +18,35 @@
 	// admissionShare is the share of the total from which new requests are refused. The rest is for the answers of
 	// requests that were admitted, which may have run.
 	admissionShare = 0.75
+	// answerShare is the share of the total up to which answers are buffered. The rest is for what cannot be refused: events
+	// under way, heads and refusals.
+	answerShare = 0.9
 	// stallTimeout is how long a caller may take no byte of an answer before it is disconnected.
 	stallTimeout = 5 * time.Second
 	// minStall is how long a connection must have made no progress before it may be closed to make room: more than the
 	// minimum TCP retransmission timeout of 200 ms, so that the loss of one segment does not make a connection slow.
 	minStall = 250 * time.Millisecond
+	// expectedShare bounds the answers that are still expected, as a multiple of the total. If no caller read its answer, room for
+	// the total would be made about every 350 ms, so that all of these answers would get room well within 2 s.
+	expectedShare = 2
+	// meanWeight is the weight of the newest answer in the mean size of answers.
+	meanWeight = 1.0 / 16
+	// maxQueued is the size of the send queue that the kernel may fill while an answer is written.
+	maxQueued = 2 * SendBufferBytes
 )
 
+// SendBufferBytes is the size of the kernel's send buffer of a connection, which it doubles for its overhead. It is enough for
+// 64 MB/s at a round trip of 1 ms. Without it, the kernel holds some MB for each caller that does not read.
+const SendBufferBytes = 64 << 10
+
 // The results of Ledger.Reserve.
 const (
 	// Reserved: the bytes are counted.
 	Reserved Result = iota
 	// Full: the bound on all connections is reached.
 	Full
+	// Freeing: there is room once the connections are gone that are being closed.
+	Freeing
 	// ConnFull: the bound on the connection is reached, or the connection is closed.
 	ConnFull
 )
@@ -47,11 +63,16 @@
 
 	// Limits are the bounds of a ledger. Sizes are in bytes.
 	Limits struct {
-		// Total bounds the bytes of all connections, PerConn those of one, and Admission the total from which new requests
-		// are refused.
+		// Total bounds the bytes of all connections, PerConn those of one. Answers is the total from which no more of an answer
+		// is buffered, and Admission that from which new requests are refused.
 		Total     int64
 		PerConn   int64
+		Answers   int64
 		Admission int64
+		// Expected bounds the sum of the answers that are still expected, by their mean size.
+		Expected int64
+		// MaxQueued is how much the kernel may queue for a connection while an answer is written. It is counted in advance.
+		MaxQueued int64
 		// StallTimeout is how long a caller may take no byte of an answer.
 		StallTimeout time.Duration
 		// MinStall is how long a connection must have made no progress before it may be closed to make room.
@@ -70,8 +91,8 @@
 
 	// Ledger counts the bytes that a node holds, by connection. It is not safe for concurrent use.
 	//
-	// The total is the sum over all entries of the reserved and the queued bytes. Closing is the part of it that belongs to
-	// entries which were chosen to be closed: it does not count towards the bounds, since it is about to be freed.
+	// The total is the sum of the costs of all entries. Closing is the part of it that belongs to entries which were chosen to
+	// be closed: no further connection is closed for it, since it is about to be freed.
 	Ledger struct {
 		limits  Limits
 		lastID  ID
@@ -79,6 +100,11 @@
 		total   int64
 		closing int64
 		peak    int64
+		// expected is the number of answers that are expected, and meanAnswer the mean cost of answers;
+		// answerSeen is false until there was one.
+		expected   int64
+		meanAnswer float64
+		answerSeen bool
 	}
 
 	// entry is a connection, or a request that came from another node.
@@ -113,7 +139,10 @@
 	return Limits{
 		Total:        total,
 		PerConn:      int64(connShare * float64(total)),
+		Answers:      int64(answerShare * float64(total)),
 		Admission:    int64(admissionShare * float64(total)),
+		Expected:     expectedShare * total,
+		MaxQueued:    maxQueued,
 		StallTimeout: stallTimeout,
 		MinStall:     minStall,
 	}
@@ -146,19 +175,47 @@
 	return l.total-l.closing < l.limits.Admission
 }
 
+// Expect counts an answer that will be buffered. It returns false if too many are expected already.
+func (l *Ledger) Expect() bool {
+	if float64(l.expected)*l.meanAnswer > float64(l.limits.Expected) {
+		return false
+	}
+	l.expected++
+	return true
+}
+
+// Answered records that an expected answer has come, or comes no more. n is its size in bytes; 0 if there is none.
+func (l *Ledger) Answered(n int64) {
+	l.expected--
+	cost := float64(l.cost(&entry{reserved: n}))
+	if !l.answerSeen {
+		l.answerSeen, l.meanAnswer = true, cost
+	}
+	l.meanAnswer += meanWeight * (cost - l.meanAnswer)
+}
+
 // Reserve counts n more bytes for an entry if the bounds allow it.
 func (l *Ledger) Reserve(id ID, n int64, use Use) Result {
 	e := l.entries[id]
-	if e == nil || e.closing || e.reserved+e.queued+n > l.limits.PerConn {
+	if e == nil || e.closing {
+		return ConnFull
+	}
+	grown := entry{reserved: e.reserved + n, queued: e.queued}
+	cost := l.cost(&grown)
+	if cost > l.limits.PerConn {
 		return ConnFull
 	}
-	bound := l.limits.Total
+	more := cost - l.cost(e)
+	bound := l.limits.Answers
 	if use == ForRequest {
 		bound = l.limits.Admission
 	}
-	if l.total-l.closing+n > bound {
+	if l.total-l.closing+more > bound {
 		return Full
 	}
+	if l.total+more > l.limits.Answers {
+		return Freeing
+	}
 	l.add(e, n, 0)
 	return Reserved
 }
@@ -204,7 +261,7 @@
 // the one that has made none for the longest time. ok is false if there is none.
 func (l *Ledger) Slowest(now time.Time) (id ID, ok bool) {
 	for candidate, e := range l.entries {
-		if e.closing || !e.sending && !e.receiving || e.reserved+e.queued == 0 || now.Sub(e.progressAt) < l.limits.MinStall {
+		if e.closing || !e.sending && !e.receiving || l.cost(e) == 0 || now.Sub(e.progressAt) < l.limits.MinStall {
 			continue
 		}
 		if !ok || l.slower(candidate, id) {
@@ -241,8 +298,8 @@
 		return 0
 	}
 	e.closing = true
-	l.closing += e.reserved + e.queued
-	return e.reserved + e.queued
+	l.closing += l.cost(e)
+	return l.cost(e)
 }
 
 // Total returns the bytes that are held.
@@ -262,12 +319,19 @@
 	return n
 }
 
+// cost returns the bytes that an entry counts for: what is reserved, and what the kernel holds or will hold of it.
+func (l *Ledger) cost(e *entry) int64 {
+	return e.reserved + max(e.queued, min(e.reserved, l.limits.MaxQueued))
+}
+
 func (l *Ledger) add(e *entry, reserved, queued int64) {
+	before := l.cost(e)
 	e.reserved += reserved
 	e.queued += queued
-	l.total += reserved + queued
+	more := l.cost(e) - before
+	l.total += more
 	if e.closing {
-		l.closing += reserved + queued
+		l.closing += more
 	}
 	l.peak = max(l.peak, l.total)
 }
--- a/held/ledger_test.go
+++ b/held/ledger_test.go
@@ -11,7 +11,7 @@
 
 var (
 	start  = time.Unix(1000, 0)
-	limits = held.Limits{Total: 100, PerConn: 60, Admission: 80, StallTimeout: 5 * time.Second, MinStall: 250 * time.Millisecond}
+	limits = held.Limits{Total: 100, Answers: 100, PerConn: 60, Admission: 80, Expected: 400, StallTimeout: 5 * time.Second, MinStall: 250 * time.Millisecond}
 )
 
 // Guards against bounds that are exceeded, or that leave no room for the answers of requests that may have run.
@@ -26,6 +26,7 @@
 		"answer above that":              {0, 60, 21, held.ForAnswer, held.Reserved},
 		"answer up to the total":         {0, 60, 40, held.ForAnswer, held.Reserved},
 		"answer above the total":         {0, 60, 41, held.ForAnswer, held.Full},
+		"answer up to the connection's":  {40, 0, 20, held.ForAnswer, held.Reserved},
 		"answer above the connection's":  {40, 0, 21, held.ForAnswer, held.ConnFull},
 		"body above the connection's":    {40, 0, 21, held.ForRequest, held.ConnFull},
 	} {
@@ -115,6 +116,7 @@
 	must.EqOp(t, 50, l.MarkClosing(a))
 	must.True(t, l.Admits())
 	must.EqOp(t, 90, l.Total())
+	must.EqOp(t, held.Freeing, l.Reserve(b, 20, held.ForAnswer))
 	l.Add(a, -20)
 	l.Close(a)
 	must.EqOp(t, 40, l.Total())
@@ -130,8 +132,50 @@
 	for _, tc := range []struct{ memory, total int64 }{{144e6, 28_800_000}, {536e6, 107_200_000}, {0, 128 << 20}} {
 		l := held.NewLimits(tc.memory)
 		must.EqOp(t, tc.total, l.Total)
-		must.Less(t, l.Total, l.Admission)
+		must.Less(t, l.Total, l.Answers)
+		must.Less(t, l.Answers, l.Admission)
 		// The largest body and the largest answer.
 		must.GreaterEq(t, 12<<20, l.PerConn)
 	}
 }
+
+// Guards against a bound that the kernel's buffers exceed as an answer is written.
+func TestSendQueueIsCountedInAdvance(t *testing.T) {
+	counted := limits
+	counted.MaxQueued = 10
+	l := held.NewLedger(counted)
+	id := l.Open()
+	must.EqOp(t, held.Reserved, l.Reserve(id, 4, held.ForAnswer))
+	must.EqOp(t, 8, l.Total())
+	must.EqOp(t, held.Reserved, l.Reserve(id, 46, held.ForAnswer))
+	must.EqOp(t, 60, l.Total())
+	must.EqOp(t, held.ConnFull, l.Reserve(id, 1, held.ForAnswer))
+	for _, queued := range []int64{0, 10} {
+		l.ObserveSending(start, id, held.Sending{Written: queued, Queued: queued})
+		must.EqOp(t, 60, l.Total())
+	}
+	l.Add(id, -50)
+	must.EqOp(t, 10, l.Total())
+	l.ObserveSending(start, id, held.Sending{Written: 10})
+	must.EqOp(t, 0, l.Total())
+}
+
+// Guards against taking on more requests than their answers find room for, which are then lost although they ran.
+func TestExpectedAnswersAreBounded(t *testing.T) {
+	l := held.NewLedger(limits)
+	for range 100 {
+		must.True(t, l.Expect())
+	}
+	l.Answered(50)
+	must.False(t, l.Expect())
+	for range 90 {
+		l.Answered(50)
+	}
+	must.False(t, l.Expect())
+	l.Answered(50)
+	must.True(t, l.Expect())
+	must.False(t, l.Expect())
+	// Answers that do not come make the others count for less.
+	l.Answered(0)
+	must.True(t, l.Expect())
+}
--- a/model/forward.go
+++ b/model/forward.go
@@ -68,6 +68,8 @@
 		// Header holds the fields that are returned to the caller.
 		Header http.Header
 		Body   io.Reader
+		// Length is the length of the body in bytes, as the header states it; 0 if it does not.
+		Length int64
 		// NotRun is true if the endpoint states that it did not and will not run the request.
 		NotRun bool
 		// Misdirected is true if another endpoint has the address now; it implies NotRun.
--- a/relay/heldbytes.go
+++ b/relay/heldbytes.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -25,18 +26,35 @@
 func (c *countedReader) Read(p []byte) (int, error) {
 	n, err := c.body.Read(p)
 	if n > 0 && c.reserve(c.ctx, int64(n)) != nil {
-		return n, model.NewRefusal(model.MayHaveRun, model.NodeFull, 0, "the node has no memory left for the answer")
+		return n, refuseFullAnswer()
 	}
 	return n, err
 }
 
-// countedBody returns the body of a reply, counted as held for the caller. The answer of an endpoint that did not run the
-// request is not: if it could not be read, it would no longer be known that the request has not run.
-func (j *job) countedBody(ctx context.Context, reply *model.ForwardReply) io.Reader {
-	if j.responder.Held.Reserve == nil || reply.NotRun {
-		return reply.Body
+// readCounted reads the body of a reply, up to limit bytes, and counts it as held for the caller. The answer of an endpoint that
+// did not run the request is not counted: if it could not be read, it would no longer be known that the request has not run.
+func (j *job) readCounted(ctx context.Context, reply *model.ForwardReply, limit int64) ([]byte, error) {
+	body := reply.Body
+	reserve := j.responder.Held.Reserve
+	var out bytes.Buffer
+	switch {
+	case reserve == nil || reply.NotRun:
+	case reply.Length <= 0 || reply.Length > limit:
+		body = &countedReader{ctx: ctx, body: reply.Body, reserve: reserve}
+	default:
+		// The whole answer is reserved before any of it is read: answers that are read in part would wait for each other.
+		if reserve(ctx, reply.Length) != nil {
+			return nil, refuseFullAnswer()
+		}
+		out.Grow(int(reply.Length) + bytes.MinRead)
 	}
-	return &countedReader{ctx: ctx, body: reply.Body, reserve: j.responder.Held.Reserve}
+	_, err := out.ReadFrom(io.LimitReader(body, limit))
+	return out.Bytes(), err
+}
+
+// refuseFullAnswer returns the refusal of a request whose answer the node has no memory for.
+func refuseFullAnswer() *model.Refusal {
+	return model.NewRefusal(model.MayHaveRun, model.NodeFull, 0, "the node has no memory left for the answer")
 }
 
 // writeCounted writes events to the caller. They are counted as held until the write ends.
@@ -48,11 +66,16 @@
 	return j.responder.Write(events)
 }
 
+// refuseFull returns the refusal of a request that the node takes no memory for.
+func refuseFull() *model.Refusal {
+	retryAfter := kernel.ClampRetryAfter(fullRetryAfter + rand.N(fullRetryAfter))
+	return model.NewRefusal(model.NotRun, model.NodeFull, retryAfter, "the node holds too much for callers that read slowly")
+}
+
 // RefuseFull returns the refusal of a request that the node takes no memory for, and logs and counts it. heldBytes is what the
 // node holds.
 func (r *Relay) RefuseFull(f model.Forward, heldBytes int64) *model.Refusal {
-	retryAfter := kernel.ClampRetryAfter(fullRetryAfter + rand.N(fullRetryAfter))
-	refusal := model.NewRefusal(model.NotRun, model.NodeFull, retryAfter, "the node holds too much for callers that read slowly")
+	refusal := refuseFull()
 	r.log.Info().Str("Request", f.ID).Int64("HeldBytes", heldBytes).Int64("InFlight", r.InFlight()).Msg("node holds as many bytes as it may")
 	r.refuseUnstarted(f, kernel.Admission{}, r.View(), nil, refusal)
 	return refusal
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -205,7 +206,16 @@
 	}
 	header := http.Header{}
 	maps.Copy(header, head.Header)
-	return &model.ForwardReply{Status: head.Status, Header: header, Body: &relayedBody{stream: stream}, Authentic: true}, nil
+	return &model.ForwardReply{Status: head.Status, Header: header, Body: &relayedBody{stream: stream}, Length: contentLength(header), Authentic: true}, nil
+}
+
+// contentLength returns the length that a header states, or 0 if it states none.
+func contentLength(h http.Header) int64 {
+	n, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
 }
 
 // relayFault returns the fault of a request that was sent to another node and got no answer.
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -105,6 +104,9 @@
 
 // serveUnary serves a request whose answer is written to the caller once it is complete.
 func (j *job) serveUnary(ctx context.Context) Outcome {
+	if expect := j.responder.Held.Expect; expect != nil && expect() != nil {
+		return Outcome{Refusal: refuseFull().WithVerdict(j.verdict()), Attempts: j.attempts}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := j.relay.pool(j.admission.Pool)
@@ -218,7 +220,7 @@
 }
 
 func (j *job) readBody(ctx context.Context, reply *model.ForwardReply) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(j.countedBody(ctx, reply), maxUnaryBytes+1))
+	body, err := j.readCounted(ctx, reply, maxUnaryBytes+1)
 	var full *model.Refusal
 	if errors.As(err, &full) {
 		return nil, full
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -116,6 +116,8 @@
 	// HeldBytes counts the bytes of an answer that the node holds until its caller has taken them. The functions are nil if
 	// they are not counted.
 	HeldBytes struct {
+		// Expect announces that the answer will be reserved. It fails if the answer might find no room.
+		Expect func() error
 		// Reserve counts n bytes of a buffered answer until the request ends. It fails if the node holds as many as it may.
 		Reserve func(ctx context.Context, n int64) error
 		// Add counts n bytes that are being passed on, or that many fewer if n is negative.
