Reserve the mean size of answers of unknown length

Cause: in a burst of 1,000 callers, 697 chunked answers were half read, all of them waited for room, and all were lost after 2 s (seen as refusals with status 502 in TestCallersThatDoNotReadCostOthersNothing). Ruled out: a longer wait, after which the endpoint ends the answer itself. Change: before an answer of unknown length is read, the mean size of answers is reserved, then twice as much each time. The mean is learned from whole answers. What is reserved for an answer that breaks off is freed.

--- a/connlimit/tracker.go
+++ b/connlimit/tracker.go
@@ -64,7 +64,7 @@
 		// reserved is the number of reserved bytes. It and ended are guarded by the mutex of the tracker.
 		reserved int64
 		ended    bool
-		// expected is true from Expect until a part of the answer is reserved.
+		// expected is true from Expect to Answered.
 		expected bool
 	}
 
@@ -306,20 +306,26 @@
 	if result == held.Reserved {
 		r.reserved += n
 	}
-	if use == held.ForAnswer {
-		r.answeredLocked(n)
-	}
 	return result, t.room
 }
 
-// answeredLocked records once that the answer of the request has come, and its size.
-func (r *Request) answeredLocked(n int64) {
+// Answered records that an answer of n bytes has come and was reserved.
+func (r *Request) Answered(n int64) {
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
 	if r.expected {
 		r.expected = false
 		r.tracker.ledger.Answered(n)
 	}
 }
 
+// MeanAnswer returns the mean size of answers in bytes.
+func (r *Request) MeanAnswer() int64 {
+	r.tracker.mu.Lock()
+	defer r.tracker.mu.Unlock()
+	return r.tracker.ledger.MeanAnswer()
+}
+
 // Add counts n bytes that are passed on at once, or that many fewer if n is negative. It never fails, but closes a slow
 // connection if there is no room.
 func (r *Request) Add(n int64) {
@@ -331,6 +337,9 @@
 	}
 	r.reserved += n
 	fits := t.ledger.Add(r.id, n)
+	if n < 0 {
+		t.wakeLocked()
+	}
 	t.mu.Unlock()
 	if !fits {
 		t.makeRoom()
@@ -346,7 +355,10 @@
 		return
 	}
 	r.ended = true
-	r.answeredLocked(0)
+	if r.expected {
+		r.expected = false
+		t.ledger.Unanswered()
+	}
 	if r.detached {
 		t.ledger.Close(r.id)
 	} else {
--- a/held/ledger.go
+++ b/held/ledger.go
@@ -100,8 +100,8 @@
 		total   int64
 		closing int64
 		peak    int64
-		// expected is the number of answers that are expected, and meanAnswer the mean cost of answers;
-		// answerSeen is false until there was one.
+		// expected is the number of answers that are expected, and meanAnswer the mean size of answers in bytes; answerSeen is
+		// false until there was one.
 		expected   int64
 		meanAnswer float64
 		answerSeen bool
@@ -177,23 +177,30 @@
 
 // Expect counts an answer that will be buffered. It returns false if too many are expected already.
 func (l *Ledger) Expect() bool {
-	if float64(l.expected)*l.meanAnswer > float64(l.limits.Expected) {
+	if l.expected*l.cost(&entry{reserved: int64(l.meanAnswer)}) > l.limits.Expected {
 		return false
 	}
 	l.expected++
 	return true
 }
 
-// Answered records that an expected answer has come, or comes no more. n is its size in bytes; 0 if there is none.
+// Answered records that an expected answer of n bytes has come.
 func (l *Ledger) Answered(n int64) {
 	l.expected--
-	cost := float64(l.cost(&entry{reserved: n}))
 	if !l.answerSeen {
-		l.answerSeen, l.meanAnswer = true, cost
+		l.answerSeen, l.meanAnswer = true, float64(n)
 	}
-	l.meanAnswer += meanWeight * (cost - l.meanAnswer)
+	l.meanAnswer += meanWeight * (float64(n) - l.meanAnswer)
 }
 
+// Unanswered records that an expected answer will not come.
+func (l *Ledger) Unanswered() {
+	l.expected--
+}
+
+// MeanAnswer returns the mean size of answers in bytes, with more weight on the latest ones.
+func (l *Ledger) MeanAnswer() int64 { return int64(l.meanAnswer) }
+
 // Reserve counts n more bytes for an entry if the bounds allow it.
 func (l *Ledger) Reserve(id ID, n int64, use Use) Result {
 	e := l.entries[id]
--- a/held/ledger_test.go
+++ b/held/ledger_test.go
@@ -175,7 +175,10 @@
 	l.Answered(50)
 	must.True(t, l.Expect())
 	must.False(t, l.Expect())
-	// Answers that do not come make the others count for less.
-	l.Answered(0)
+	l.Unanswered()
+	must.True(t, l.Expect())
+	must.EqOp(t, 50, l.MeanAnswer())
+	l.Answered(34)
+	must.EqOp(t, 49, l.MeanAnswer())
 	must.True(t, l.Expect())
 }
--- a/relay/heldbytes.go
+++ b/relay/heldbytes.go
@@ -15,41 +15,60 @@
 // gets is up to twice that, so that not all come back at once. By then, connections that make no progress can be closed.
 const fullRetryAfter = 300 * time.Millisecond
 
-// countedReader counts what is read of the body of an answer.
+// minAnswerStep is the least size, in bytes, that is reserved at a time for an answer of unknown length.
+const minAnswerStep = 16 << 10
+
+// countedReader reads the body of an answer of unknown length. It reserves the mean size of answers before it reads any of it,
+// and twice as much whenever that does not suffice: answers that are read in small parts would wait for each other.
 type countedReader struct {
-	ctx     context.Context
-	body    io.Reader
-	reserve func(ctx context.Context, n int64) error
+	ctx  context.Context
+	body io.Reader
+	held HeldBytes
+	// reserved is what was reserved, room how much may be read before more is reserved, and read what was read, in bytes.
+	reserved, room, read int64
 }
 
 // Read implements io.Reader. It fails with a *model.Refusal if the node may hold no more of the answer.
 func (c *countedReader) Read(p []byte) (int, error) {
-	n, err := c.body.Read(p)
-	if n > 0 && c.reserve(c.ctx, int64(n)) != nil {
-		return n, refuseFullAnswer()
+	if c.room == 0 {
+		step := max(c.reserved, c.held.MeanAnswer(), minAnswerStep)
+		if c.held.Reserve(c.ctx, step) != nil {
+			return 0, refuseFullAnswer()
+		}
+		c.reserved += step
+		c.room = step
 	}
+	n, err := c.body.Read(p[:min(int64(len(p)), c.room)])
+	c.room -= int64(n)
+	c.read += int64(n)
 	return n, err
 }
 
 // readCounted reads the body of a reply, up to limit bytes, and counts it as held for the caller. The answer of an endpoint that
 // did not run the request is not counted: if it could not be read, it would no longer be known that the request has not run.
 func (j *job) readCounted(ctx context.Context, reply *model.ForwardReply, limit int64) ([]byte, error) {
-	body := reply.Body
-	reserve := j.responder.Held.Reserve
+	held := j.responder.Held
+	if held.Reserve == nil || reply.NotRun {
+		return io.ReadAll(io.LimitReader(reply.Body, limit))
+	}
+	body := &countedReader{ctx: ctx, body: reply.Body, held: held}
 	var out bytes.Buffer
-	switch {
-	case reserve == nil || reply.NotRun:
-	case reply.Length <= 0 || reply.Length > limit:
-		body = &countedReader{ctx: ctx, body: reply.Body, reserve: reserve}
-	default:
-		// The whole answer is reserved before any of it is read: answers that are read in part would wait for each other.
-		if reserve(ctx, reply.Length) != nil {
+	if reply.Length > 0 && reply.Length < limit {
+		if held.Reserve(ctx, reply.Length) != nil {
 			return nil, refuseFullAnswer()
 		}
+		body.reserved = reply.Length
+		// The end of the body is read as well.
+		body.room = reply.Length + 1
 		out.Grow(int(reply.Length) + bytes.MinRead)
 	}
-	_, err := out.ReadFrom(io.LimitReader(body, limit))
-	return out.Bytes(), err
+	if _, err := out.ReadFrom(io.LimitReader(body, limit)); err != nil {
+		held.Add(-body.reserved)
+		return nil, err
+	}
+	held.Add(body.read - body.reserved)
+	held.Answered(body.read)
+	return out.Bytes(), nil
 }
 
 // refuseFullAnswer returns the refusal of a request whose answer the node has no memory for.
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -118,6 +118,10 @@
 	HeldBytes struct {
 		// Expect announces that the answer will be reserved. It fails if the answer might find no room.
 		Expect func() error
+		// Answered records that an answer of n bytes was reserved and read.
+		Answered func(n int64)
+		// MeanAnswer returns the mean size of answers in bytes.
+		MeanAnswer func() int64
 		// Reserve counts n bytes of a buffered answer until the request ends. It fails if the node holds as many as it may.
 		Reserve func(ctx context.Context, n int64) error
 		// Add counts n bytes that are being passed on, or that many fewer if n is negative.
