Order writes to callers with their reads for the race detector

Cause: writes through package unix have a synchronization variable of their own, so that tests whose server and client share a process were reported as races (caller TestEveryReasonHasStatus). Change: the writes go through package syscall, as those of package net do. Measured: go test -race ./connlimit ./caller passes.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -151,12 +151,13 @@
 	var writeErr error
 	err := c.raw.Write(func(fd uintptr) bool {
 		for {
-			n, writeErr = unix.Write(int(fd), p)
-			if writeErr != unix.EINTR {
+			// Unlike that of package unix, this write is ordered with the peer's read for the race detector.
+			n, writeErr = syscall.Write(int(fd), p)
+			if writeErr != syscall.EINTR {
 				break
 			}
 		}
-		if writeErr != unix.EAGAIN {
+		if writeErr != syscall.EAGAIN {
 			return true
 		}
 		c.recordWrite(0, true)
@@ -165,7 +166,7 @@
 	switch {
 	case err != nil:
 		return 0, err
-	case writeErr == unix.EAGAIN:
+	case writeErr == syscall.EAGAIN:
 		return 0, nil
 	case writeErr != nil:
 		return 0, os.NewSyscallError("write", writeErr)
