Count the kernel's send queue in advance for answers only

Cause: the body of a request counted up to 128 KB more than it takes, so that 75 requests with bodies of 160 KB filled a node of 144 MB. Change: the ledger counts bodies and answers apart; only answers are written to the connection. Measured: go test ./held ./connlimit ./caller passes.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -190,7 +190,7 @@
 	t := c.tracker
 	t.mu.Lock()
 	c.pending = append(c.pending, p...)
-	fits := t.ledger.Add(c.id, int64(len(p)))
+	fits := t.ledger.Add(c.id, int64(len(p)), held.ForAnswer)
 	if !c.draining {
 		c.draining = true
 		go c.drain()
@@ -216,7 +216,7 @@
 		if err != nil {
 			c.writeErr, freed = err, len(c.pending)
 		}
-		t.ledger.Add(c.id, -int64(freed))
+		t.ledger.Add(c.id, -int64(freed), held.ForAnswer)
 		c.pending = c.pending[freed:]
 		done := len(c.pending) == 0
 		if done {
--- a/connlimit/tracker.go
+++ b/connlimit/tracker.go
@@ -61,9 +61,9 @@
 		id      held.ID
 		// detached is true if the entry belongs to the request alone, and not to a connection.
 		detached bool
-		// reserved is the number of reserved bytes. It and ended are guarded by the mutex of the tracker.
-		reserved int64
-		ended    bool
+		// The other fields are guarded by the mutex of the tracker. body and answer are the numbers of reserved bytes.
+		body, answer int64
+		ended        bool
 		// expected is true from Expect to Answered.
 		expected bool
 	}
@@ -303,8 +303,12 @@
 		return held.ConnFull, nil
 	}
 	result = t.ledger.Reserve(r.id, n, use)
-	if result == held.Reserved {
-		r.reserved += n
+	switch {
+	case result != held.Reserved:
+	case use == held.ForRequest:
+		r.body += n
+	default:
+		r.answer += n
 	}
 	return result, t.room
 }
@@ -335,8 +339,8 @@
 		t.mu.Unlock()
 		return
 	}
-	r.reserved += n
-	fits := t.ledger.Add(r.id, n)
+	r.answer += n
+	fits := t.ledger.Add(r.id, n, held.ForAnswer)
 	if n < 0 {
 		t.wakeLocked()
 	}
@@ -362,9 +366,10 @@
 	if r.detached {
 		t.ledger.Close(r.id)
 	} else {
-		t.ledger.Add(r.id, -r.reserved)
+		t.ledger.Add(r.id, -r.body, held.ForRequest)
+		t.ledger.Add(r.id, -r.answer, held.ForAnswer)
 	}
-	if r.reserved > 0 {
+	if r.body+r.answer > 0 {
 		t.wakeLocked()
 	}
 }
--- a/held/ledger.go
+++ b/held/ledger.go
@@ -109,10 +109,12 @@
 
 	// entry is a connection, or a request that came from another node.
 	entry struct {
-		// reserved is what the process holds, and queued what the kernel holds of what was written.
-		reserved int64
-		queued   int64
-		acked    int64
+		// body and answer are what the process holds of the request and of its answer, and queued what the kernel holds of
+		// what was written.
+		body   int64
+		answer int64
+		queued int64
+		acked  int64
 		// sending is true while the peer has bytes to take, and receiving while the node waits for bytes of a request.
 		sending   bool
 		receiving bool
@@ -166,7 +168,7 @@
 	if e == nil {
 		return
 	}
-	l.add(e, -e.reserved, -e.queued)
+	l.change(e, 0, 0, 0)
 	delete(l.entries, id)
 }
 
@@ -177,7 +179,7 @@
 
 // Expect counts an answer that will be buffered. It returns false if too many are expected already.
 func (l *Ledger) Expect() bool {
-	if l.expected*l.cost(&entry{reserved: int64(l.meanAnswer)}) > l.limits.Expected {
+	if l.expected*l.cost(&entry{answer: int64(l.meanAnswer)}) > l.limits.Expected {
 		return false
 	}
 	l.expected++
@@ -207,31 +209,37 @@
 	if e == nil || e.closing {
 		return ConnFull
 	}
-	grown := entry{reserved: e.reserved + n, queued: e.queued}
-	cost := l.cost(&grown)
-	if cost > l.limits.PerConn {
-		return ConnFull
-	}
-	more := cost - l.cost(e)
-	bound := l.limits.Answers
+	grown, bound := *e, l.limits.Answers
 	if use == ForRequest {
+		grown.body += n
 		bound = l.limits.Admission
+	} else {
+		grown.answer += n
 	}
+	if l.cost(&grown) > l.limits.PerConn {
+		return ConnFull
+	}
+	more := l.cost(&grown) - l.cost(e)
 	if l.total-l.closing+more > bound {
 		return Full
 	}
 	if l.total+more > l.limits.Answers {
 		return Freeing
 	}
-	l.add(e, n, 0)
+	l.change(e, grown.body, grown.answer, grown.queued)
 	return Reserved
 }
 
 // Add counts n more bytes for an entry whatever the bounds are, or n fewer if n is negative. It reports whether the total is
 // within its bound.
-func (l *Ledger) Add(id ID, n int64) bool {
-	if e := l.entries[id]; e != nil {
-		l.add(e, max(n, -e.reserved), 0)
+func (l *Ledger) Add(id ID, n int64, use Use) bool {
+	e := l.entries[id]
+	switch {
+	case e == nil:
+	case use == ForRequest:
+		l.change(e, max(0, e.body+n), e.answer, e.queued)
+	default:
+		l.change(e, e.body, max(0, e.answer+n), e.queued)
 	}
 	return l.total-l.closing <= l.limits.Total
 }
@@ -249,7 +257,7 @@
 	}
 	e.sending = sending
 	e.acked = max(e.acked, acked)
-	l.add(e, 0, s.Queued-e.queued)
+	l.change(e, e.body, e.answer, s.Queued)
 }
 
 // ObserveReceiving records that bytes of a request came, or were first waited for; waiting is false if no more are expected.
@@ -328,13 +336,12 @@
 
 // cost returns the bytes that an entry counts for: what is reserved, and what the kernel holds or will hold of it.
 func (l *Ledger) cost(e *entry) int64 {
-	return e.reserved + max(e.queued, min(e.reserved, l.limits.MaxQueued))
+	return e.body + e.answer + max(e.queued, min(e.answer, l.limits.MaxQueued))
 }
 
-func (l *Ledger) add(e *entry, reserved, queued int64) {
+func (l *Ledger) change(e *entry, body, answer, queued int64) {
 	before := l.cost(e)
-	e.reserved += reserved
-	e.queued += queued
+	e.body, e.answer, e.queued = body, answer, queued
 	more := l.cost(e) - before
 	l.total += more
 	if e.closing {
--- a/held/ledger_test.go
+++ b/held/ledger_test.go
@@ -117,14 +117,14 @@
 	must.True(t, l.Admits())
 	must.EqOp(t, 90, l.Total())
 	must.EqOp(t, held.Freeing, l.Reserve(b, 20, held.ForAnswer))
-	l.Add(a, -20)
+	l.Add(a, -20, held.ForAnswer)
 	l.Close(a)
 	must.EqOp(t, 40, l.Total())
 	must.EqOp(t, 90, l.Peak())
 	must.EqOp(t, held.Reserved, l.Reserve(b, 20, held.ForAnswer))
 	must.EqOp(t, held.Full, l.Reserve(l.Open(), 41, held.ForAnswer))
-	must.False(t, l.Add(b, 41))
-	must.True(t, l.Add(b, -41))
+	must.False(t, l.Add(b, 41, held.ForAnswer))
+	must.True(t, l.Add(b, -41, held.ForAnswer))
 }
 
 // Guards against bounds that do not fit the memory of the smallest nodes.
@@ -154,10 +154,14 @@
 		l.ObserveSending(start, id, held.Sending{Written: queued, Queued: queued})
 		must.EqOp(t, 60, l.Total())
 	}
-	l.Add(id, -50)
+	l.Add(id, -50, held.ForAnswer)
 	must.EqOp(t, 10, l.Total())
 	l.ObserveSending(start, id, held.Sending{Written: 10})
 	must.EqOp(t, 0, l.Total())
+	must.EqOp(t, held.Reserved, l.Reserve(id, 20, held.ForRequest))
+	must.EqOp(t, 20, l.Total())
+	l.Add(id, -20, held.ForRequest)
+	must.EqOp(t, 0, l.Total())
 }
 
 // Guards against taking on more requests than their answers find room for, which are then lost although they ran.
