Close a connection of a slow caller once

Cause: two requests that made room at the same time could both choose a connection, which was counted and logged twice; a body on a connection that is not tracked could have been chosen. Change: MarkClosing tells whether it was first; bodies of requests without a connection are not observed. Measured: go test ./held ./connlimit ./caller passes.

--- a/connlimit/body.go
+++ b/connlimit/body.go
@@ -35,7 +35,7 @@
 	now := r.tracker.now()
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
-	if !r.ended {
+	if !r.ended && !r.detached {
 		r.tracker.ledger.ObserveReceiving(now, r.id, waiting)
 	}
 }
--- a/connlimit/tracker.go
+++ b/connlimit/tracker.go
@@ -220,13 +220,14 @@
 func (t *Tracker) closeConn(id held.ID, cause Cause) bool {
 	t.mu.Lock()
 	c := t.conns[id]
-	if c == nil {
-		t.mu.Unlock()
-		return false
+	bytes, ok := t.ledger.MarkClosing(id)
+	if ok {
+		t.wakeLocked()
 	}
-	bytes := t.ledger.MarkClosing(id)
-	t.wakeLocked()
 	t.mu.Unlock()
+	if c == nil || !ok {
+		return false
+	}
 	c.abort()
 	t.OnClose(c.RemoteAddr().String(), bytes, cause)
 	return true
--- a/held/ledger.go
+++ b/held/ledger.go
@@ -306,15 +306,16 @@
 	return out
 }
 
-// MarkClosing records that a connection is being closed. It returns the bytes that it holds.
-func (l *Ledger) MarkClosing(id ID) int64 {
+// MarkClosing records that a connection is being closed. It returns the bytes that it holds; ok is false if the connection is
+// being closed already.
+func (l *Ledger) MarkClosing(id ID) (bytes int64, ok bool) {
 	e := l.entries[id]
 	if e == nil || e.closing {
-		return 0
+		return 0, false
 	}
 	e.closing = true
 	l.closing += l.cost(e)
-	return l.cost(e)
+	return l.cost(e), true
 }
 
 // Total returns the bytes that are held.
