--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -55,6 +55,9 @@
 		MaxConnIdleTime time.Duration
 		// MaxIdleConns is the maximum number of idle connections to the address after the exchange.
 		MaxIdleConns int
+		// BoundUnread makes Send return a Withdrawn fault if the endpoint has not taken earlier requests and too many bytes of
+		// them are under way.
+		BoundUnread bool
 		// BeforeSend, if not nil, is called once a connection is open. If it returns an error, the request is not sent
 		// and Send returns that error unchanged.
 		BeforeSend func() error
@@ -65,6 +68,8 @@
 		Status int
 		Header http.Header
 		Body   io.Reader
+		// Length is the length of the body in bytes; -1 if it is not known.
+		Length int64
 		// Unframed is true if the body has neither a length nor chunks: it ends with the connection.
 		Unframed bool
 
@@ -99,6 +104,11 @@
 // Send sends the request and returns the reply. The context applies to the whole exchange, including the body of the
 // reply; when it ends, the connection is closed. The error is a *Fault or that of BeforeSend.
 func (x *Exchanger) Send(ctx context.Context, e Exchange) (*ExchangeReply, error) {
+	send, fault := x.beginSend(e)
+	if fault != nil {
+		return nil, fault
+	}
+	defer x.endSend(send)
 	conn, fault := x.getConn(ctx, e)
 	if fault != nil {
 		return nil, fault
@@ -111,6 +121,8 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, conn.close)
+	conn.written.Store(false)
+	send.conn.Store(conn)
 	reply, err := conn.roundTrip(e)
 	if err != nil {
 		stop()
@@ -173,6 +185,7 @@
 	send := func() {
 		c.maybeSent.Store(true)
 		_, err := c.conn.Write(encodeRequest(e))
+		c.written.Store(err == nil)
 		done <- err
 	}
 	if len(e.Body) <= maxInlineBody {
@@ -196,7 +209,7 @@
 			continue
 		}
 		c.limiter.remaining.Store(1 << 62)
-		reply := &ExchangeReply{Status: res.StatusCode, Header: res.Header, conn: c, notReusable: res.Close}
+		reply := &ExchangeReply{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, conn: c, notReusable: res.Close}
 		reply.Unframed = res.ContentLength < 0 && len(res.TransferEncoding) == 0
 		reply.idleTimeout = keepAliveTimeout(res.Header)
 		reply.Body = &replyBody{reply: reply, body: res.Body}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -123,6 +122,9 @@
 
 // serveUnary serves a request whose answer is written to the caller once it is complete.
 func (j *job) serveUnary(ctx context.Context) Outcome {
+	if expect := j.responder.Held.Expect; expect != nil && expect() != nil {
+		return Outcome{Refusal: refuseFull().WithVerdict(j.verdict()), Attempts: j.attempts}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := j.relay.pool(j.admission.Pool)
@@ -204,7 +206,7 @@
 		sentAt := r.now()
 		res.reply, res.err = r.forward(ctx, send)
 		if res.err == nil {
-			res.body, res.err = readAnswer(res.reply)
+			res.body, res.err = j.readAnswer(ctx, res.reply)
 		}
 		res.elapsed = r.now().Sub(sentAt)
 		if res.err != nil && ctx.Err() != nil && r.statesContention(p.name) {
@@ -243,10 +245,18 @@
 	}
 }
 
-// readAnswer reads the whole body of a reply and closes the reply.
-func readAnswer(reply *model.ForwardReply) ([]byte, error) {
+// readAnswer reads the whole body of a reply and closes the reply. The body is counted until the request ends.
+func (j *job) readAnswer(ctx context.Context, reply *model.ForwardReply) ([]byte, error) {
 	defer reply.Close()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxUnaryBytes+1))
+	return j.readBody(ctx, reply)
+}
+
+func (j *job) readBody(ctx context.Context, reply *model.ForwardReply) ([]byte, error) {
+	body, err := j.readCounted(ctx, reply, maxUnaryBytes+1)
+	var full *model.Refusal
+	if errors.As(err, &full) {
+		return nil, full
+	}
 	if err != nil {
 		return nil, &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}
 	}
