Soak: endpoints that state contentions and limit their slots, and floods

The soak did not exercise placement, the division of slots, and what they do while nodes are killed, frozen and cut off.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -68,6 +68,8 @@
 	{"refusals with pause", refuseWithPause},
 	{"poison parts", sendPoisonParts},
 	{"preferred node", preferNode},
+	{"contention", stateContention},
+	{"flood", flood},
 }
 
 func (c *cluster) randomNode(random *rand.Rand) *node {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -58,6 +58,7 @@
 	{6, "endpoints cut off,endpoints stall,kill,terminate,pause,store fails,reader cut off", 10 * time.Second, "none: nodes that reach no endpoint during faults of nodes and the store"},
 	{7, "refusal caps,endpoints stall,store fails,store compacts", 12 * time.Second, "none: endpoints that state refusal caps, without faults of nodes"},
 	{8, "poison parts,preferred node,kill,terminate,pause,store fails,reader cut off", 10 * time.Second, "none: parts of prompts that crash engines, and nodes that get nearly all requests, during faults of nodes and the store"},
+	{9, "contention,flood,kill,terminate,pause,store fails,reader cut off", 10 * time.Second, "none: endpoints that state contentions and limit their slots, and floods, during faults of nodes and the store"},
 	{74019, poisonSeedFaults, 10 * time.Second, "two poison requests at one crash: it counts against only one of them, and the other needs a further crash"},
 	{4015, "reader cut off,endpoint leaves", 12 * time.Second, "an endpoint that was listed and removed between two reads of the list stayed in use"},
 	{120001, earlierFaults, 10 * time.Second, "a stream that another node passed on looked complete as that node was killed between two events"},
