--- a/dispatch/pace_test.go
+++ b/dispatch/pace_test.go
@@ -21,7 +21,7 @@
 // sockets to half of the slots.
 func TestSlowEndpointsGetAtMostTheirProportion(t *testing.T) {
 	t.Parallel()
-	const nodes, workers, count, slowCount = 3, 4, 100, 4
+	const nodes, slowCount = 3, 4
 	for name, tc := range map[string]struct {
 		kind      model.StageKind
 		fault     standin.FaultKind
@@ -45,31 +45,15 @@
 				slow[e.Name] = true
 				s.InjectFault(standin.Fault{Target: "p/" + e.Name, Kind: tc.fault, Factor: 3})
 			}
-			calls, slowCalls := uint64(0), uint64(0)
-			var wg sync.WaitGroup
 			var dispatchers []*dispatch.Dispatcher
 			for node := range nodes {
 				d := dispatch.NewDispatcher(fmt.Sprint("domain-", node), false, metric.NewSet())
 				t.Cleanup(d.Close)
 				d.SetEndpoints(s.Endpoints())
 				dispatchers = append(dispatchers, d)
-				for range workers {
-					wg.Go(func() {
-						for range count {
-							_ = runStatedStage(t, d, tc.kind == model.Generate)
-						}
-					})
-				}
-			}
-			wg.Wait()
-			for _, d := range dispatchers {
-				for _, e := range d.Status() {
-					calls += e.Calls
-					if slow[e.Endpoint.Name] {
-						slowCalls += e.Calls
-					}
-				}
 			}
+			sendStages(t, dispatchers, tc.kind == model.Generate)
+			calls, slowCalls := countCalls(dispatchers, slow)
 			share := float64(slowCalls) / float64(calls)
 			t.Logf("%s: %.3f of %d calls to slow endpoints", name, share, calls)
 			must.LessEq(t, 1.0/7, share)
@@ -77,6 +61,37 @@
 	}
 }
 
+// sendStages runs 100 stages in each of four goroutines at each dispatcher, and waits for them.
+func sendStages(t *testing.T, dispatchers []*dispatch.Dispatcher, stream bool) {
+	const workers, count = 4, 100
+	var wg sync.WaitGroup
+	for _, d := range dispatchers {
+		for range workers {
+			wg.Go(func() {
+				for range count {
+					if err := runStatedStage(t, d, stream); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+	}
+	wg.Wait()
+}
+
+// countCalls returns the number of calls to all endpoints and to the slow ones.
+func countCalls(dispatchers []*dispatch.Dispatcher, slow map[string]bool) (calls, slowCalls uint64) {
+	for _, d := range dispatchers {
+		for _, e := range d.Status() {
+			calls += e.Calls
+			if slow[e.Endpoint.Name] {
+				slowCalls += e.Calls
+			}
+		}
+	}
+	return calls, slowCalls
+}
+
 // Guards against pools that are served in another way although no endpoint states its contention.
 func TestPaceIsUnknownWithoutStatedContention(t *testing.T) {
 	t.Parallel()
