--- a/dispatch/pace_test.go
+++ b/dispatch/pace_test.go
@@ -21,7 +21,7 @@
 // sockets to half of the slots.
 func TestSlowEndpointsGetAtMostTheirProportion(t *testing.T) {
 	t.Parallel()
-	const nodes, workers, count, slowCount = 3, 4, 100, 4
+	const nodes, slowCount = 3, 4
 	for name, tc := range map[string]struct {
 		kind      model.StageKind
 		fault     standin.FaultKind
@@ -45,16 +45,14 @@
 				slow[e.Name] = true
 				s.InjectFault(standin.Fault{Target: "p/" + e.Name, Kind: tc.fault, Factor: 3})
 			}
-			var running sync.WaitGroup
 			var dispatchers []*dispatch.Dispatcher
 			for node := range nodes {
 				d := dispatch.NewDispatcher(fmt.Sprint("domain-", node), false, metric.NewSet())
 				t.Cleanup(d.Close)
 				d.SetEndpoints(s.Endpoints())
 				dispatchers = append(dispatchers, d)
-				runStatedStages(t, d, tc.kind == model.Generate, workers, count, &running)
 			}
-			running.Wait()
+			sendStages(t, dispatchers, tc.kind == model.Generate)
 			calls, slowCalls := countCalls(dispatchers, slow)
 			share := float64(slowCalls) / float64(calls)
 			t.Logf("%s: %.3f of %d calls to slow endpoints", name, share, calls)
@@ -63,15 +61,22 @@
 	}
 }
 
-// runStatedStages starts workers that run count stages each.
-func runStatedStages(t *testing.T, d *dispatch.Dispatcher, stream bool, workers, count int, running *sync.WaitGroup) {
-	for range workers {
-		running.Go(func() {
-			for range count {
-				_ = runStatedStage(t, d, stream)
-			}
-		})
+// sendStages runs 100 stages in each of four goroutines at each dispatcher, and waits for them.
+func sendStages(t *testing.T, dispatchers []*dispatch.Dispatcher, stream bool) {
+	const workers, count = 4, 100
+	var wg sync.WaitGroup
+	for _, d := range dispatchers {
+		for range workers {
+			wg.Go(func() {
+				for range count {
+					if err := runStatedStage(t, d, stream); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
 	}
+	wg.Wait()
 }
 
 // countCalls returns the number of calls to all endpoints and to the slow ones.
