Placement: bound what callers and other nodes state

A review showed that three prompts of a billion stated tokens made the estimates of a whole pool useless, one pending made other customers' requests be refused for hours, and loads that are not a number made placement blind.

Sizes are bounded by the KV cache of an engine, parts by 64, a deadline by a minute; reads that are far too fast for their stated size teach nothing; a prompt without a first event counts for eleven seconds at most; implausible loads are ignored.

--- a/placement/cache.go
+++ b/placement/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +21,8 @@
 	// at once. A usual time in the model of the tests is 20 s.
 	maxUnusedTime = time.Minute
 	minUnusedTime = time.Second
+	// maxParts bounds the parts of a prompt that count. Callers state them.
+	maxParts = 64
 	// fullShare is the share of its capacity from which on a cache counts as full.
 	fullShare = 0.9
 )
@@ -51,11 +54,12 @@
 	}
 )
 
-// NewParts returns the parts of a prompt.
+// NewParts returns the parts of a prompt, the first maxParts of them.
 func NewParts(prompt model.Prompt) []Part {
-	parts := make([]Part, 0, len(prompt.Parts))
+	stated := prompt.Parts[:min(len(prompt.Parts), maxParts)]
+	parts := make([]Part, 0, len(stated))
 	key := uint64(0)
-	for _, p := range prompt.Parts {
+	for _, p := range stated {
 		// The odd factor makes the key depend on the order of the parts.
 		key = key*0x9e3779b97f4a7c15 + xxhash.Sum64String(p.ID)
 		parts = append(parts, Part{Key: key, Tokens: p.Tokens})
@@ -63,6 +67,19 @@
 	return parts
 }
 
+// bounded returns the number of tokens of a prompt and its parts, of which callers may state anything, within what an
+// engine can read: at least one token and at most capacity, and in the parts together no more than that.
+func bounded(tokens int, parts []Part, capacity int) (int, []Part) {
+	tokens = min(max(tokens, 1), capacity)
+	parts = slices.Clone(parts[:min(len(parts), maxParts)])
+	left := tokens
+	for i := range parts {
+		parts[i].Tokens = min(max(parts[i].Tokens, 0), left)
+		left -= parts[i].Tokens
+	}
+	return tokens, parts
+}
+
 func newPartCache(holders map[uint64]int) partCache {
 	return partCache{capacity: defaultKVCapacity, elements: map[uint64]*list.Element{}, holders: holders}
 }
--- a/placement/learn.go
+++ b/placement/learn.go
@@ -81,7 +81,12 @@
 
 // observe adds the time that an engine of usual speed without contention would have taken to read a number of tokens.
 func (m *readingModel) observe(tokens, elapsed float64) {
-	elapsed = min(elapsed, outlierFactor*m.expected(tokens, 1))
+	expected := m.expected(tokens, 1)
+	if m.weight >= minObservations && elapsed < expected/outlierFactor {
+		// The prompt was smaller than its caller stated. A few such sizes would outweigh all others.
+		return
+	}
+	elapsed = min(elapsed, outlierFactor*expected)
 	for _, sum := range []*float64{&m.weight, &m.x, &m.y, &m.xx, &m.xy} {
 		*sum *= observationDecay
 	}
--- a/placement/report.go
+++ b/placement/report.go
@@ -24,6 +24,9 @@
 	Held
 )
 
+// maxContention is the greatest contention that counts, as that of an engine itself.
+const maxContention = 1000
+
 // Report tells what became of a placed request.
 type Report struct {
 	ID   RequestID
@@ -42,11 +45,12 @@
 // Apply applies a report that was received at a time.
 func (t *Table) Apply(now time.Time, r Report) {
 	e := t.byIncarnation[r.Incarnation]
-	if e != nil && r.Load != nil {
-		e.recordLoad(now.Add(-r.LoadAgo), *r.Load)
+	if e != nil && r.Load != nil && isPlausible(*r.Load) {
+		e.recordLoad(now.Add(-min(max(r.LoadAgo, 0), loadTTL)), *r.Load)
 	}
 	if e != nil && r.Parts != nil {
-		e.cache.use(now, r.Parts)
+		_, parts := bounded(t.capacity, r.Parts, t.capacity)
+		e.cache.use(now, parts)
 	}
 	placed := t.entries[r.ID]
 	if placed == nil {
@@ -68,6 +72,11 @@
 	}
 }
 
+// isPlausible reports whether a load that another node passes on can be that of an engine.
+func isPlausible(load model.Load) bool {
+	return load.Running >= 0 && load.Queued >= 0 && load.Slots >= 0 && load.Contention >= 0 && load.Contention <= maxContention
+}
+
 // recordLoad records the load that the engine reported at a time.
 func (e *engine) recordLoad(at time.Time, load model.Load) {
 	if at.Before(e.loadAt) {
--- a/placement/table.go
+++ b/placement/table.go
@@ -39,10 +39,13 @@
 	// 100 ms. Later, the engine counts as slower than known, at most by maxOverdue.
 	overdueGrace = 150 * time.Millisecond
 	maxOverdue   = 8.0
-	// abandonGrace is how much longer than four times its expected time a prompt without a first event counts as
-	// pending. Its node may have stopped without a report.
-	abandonGrace  = time.Second
-	abandonFactor = 4
+	// abandonGrace is how much longer than four times its expected time, or than maxAbandonTime, a prompt without a first
+	// event counts as pending. Its node may have stopped without a report, and its size is what its caller states.
+	abandonGrace   = time.Second
+	abandonFactor  = 4
+	maxAbandonTime = 10 * time.Second
+	// maxDeadline is the longest time for which a request counts without a report on its end.
+	maxDeadline = time.Minute
 )
 
 type (
@@ -88,6 +91,8 @@
 		entries       map[RequestID]*entry
 		reading       readingModel
 		streamTime    time.Duration
+		// capacity is the KV cache of an engine in tokens, the size of the largest prompt that one takes.
+		capacity int
 		// holders counts, by key, the engines that have a part cached.
 		holders map[uint64]int
 		sweptAt time.Time
@@ -147,7 +152,7 @@
 // NewTable returns a table without engines.
 func NewTable() *Table {
 	return &Table{
-		byIncarnation: map[string]*engine{}, entries: map[RequestID]*entry{}, reading: newReadingModel(), streamTime: defaultStreamTime,
+		byIncarnation: map[string]*engine{}, entries: map[RequestID]*entry{}, reading: newReadingModel(), streamTime: defaultStreamTime, capacity: defaultKVCapacity,
 		holders: map[uint64]int{},
 	}
 }
@@ -155,6 +160,9 @@
 // SetEngines sets the engines and their traits; zero traits are unknown. What is known of incarnations that are no
 // longer listed is dropped.
 func (t *Table) SetEngines(listed []model.Endpoint, traits model.EngineTraits) {
+	if traits.KVCapacity > 0 {
+		t.capacity = traits.KVCapacity
+	}
 	former := t.byIncarnation
 	t.byIncarnation = make(map[string]*engine, len(listed))
 	t.engines = t.engines[:0]
@@ -169,9 +177,7 @@
 		if e.slots == 0 {
 			e.slots = traits.Slots
 		}
-		if traits.KVCapacity > 0 {
-			e.cache.capacity = traits.KVCapacity
-		}
+		e.cache.capacity = t.capacity
 		t.byIncarnation[incarnation] = e
 		t.engines = append(t.engines, e)
 	}
@@ -190,6 +196,7 @@
 // Place chooses engines for a prompt and counts the prompt as pending at the first of them. It returns false if no
 // engine may get it.
 func (t *Table) Place(now time.Time, r Request) (Placement, bool) {
+	r = t.bounded(now, r)
 	p, ok := t.Estimate(now, r)
 	if ok {
 		t.remove(r.ID)
@@ -200,6 +207,7 @@
 
 // Estimate returns the placement that a prompt would get now. It returns false if no engine may get it.
 func (t *Table) Estimate(now time.Time, r Request) (Placement, bool) {
+	r = t.bounded(now, r)
 	t.sweep(now)
 	best, found := t.search(now, r)
 	if found == 0 {
@@ -212,6 +220,15 @@
 	return p, true
 }
 
+// bounded returns a request whose size and deadline are within what the table counts with.
+func (t *Table) bounded(now time.Time, r Request) Request {
+	r.Tokens, r.Parts = bounded(r.Tokens, r.Parts, t.capacity)
+	if latest := now.Add(maxDeadline); r.Deadline.After(latest) {
+		r.Deadline = latest
+	}
+	return r
+}
+
 // search returns the best engines for a prompt in order, and their number.
 func (t *Table) search(now time.Time, r Request) (best [MaxChoices]candidate, found int) {
 	timeLeft := float64(r.Due.Sub(now))
@@ -422,7 +439,7 @@
 	}
 	logs := make([]float64, 0, len(t.engines))
 	for _, e := range t.engines {
-		for len(e.pending) > 0 && now.Sub(e.pending[0].placedAt) > abandonFactor*e.pending[0].expected+abandonGrace {
+		for len(e.pending) > 0 && now.Sub(e.pending[0].placedAt) > min(abandonFactor*e.pending[0].expected, maxAbandonTime)+abandonGrace {
 			e.withdraw(e.pending[0])
 		}
 		logs = append(logs, e.speed.log)
