Free the admitter's slot of a second attempt that ended or was not started

Cause: the ticket of a hedge was closed only at the end of the request, also if the budget of retries or the choice of an endpoint allowed no second attempt, or if that attempt had failed. The slot was idle meanwhile. Ruled out: taking the retry before asking the admitter. The retry would have to be given back if the admitter refuses or does not answer. Change: the ticket is closed when no attempt is started, and when the attempt ends without a retry; a retry takes over the slot. If the second endpoint answered, the answer is reported with its own ticket.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -500,9 +500,7 @@
 
 // endAdmission tells the admitter that the request has ended.
 func (j *job) endAdmission() {
-	if j.hedgeTicket != nil {
-		j.hedgeTicket.close(peer.AdmitEnded{Result: share.GateUnsent})
-	}
+	j.endHedge()
 	if j.ticket == nil {
 		return
 	}
@@ -513,6 +511,20 @@
 	j.ticket.close(ended)
 }
 
+// endHedge tells the admitter that the attempt at the second endpoint has ended, or was not started, with the answer of that
+// endpoint if it is the last one.
+func (j *job) endHedge() {
+	if j.hedgeTicket == nil {
+		return
+	}
+	ended := peer.AdmitEnded{Result: share.GateUnsent}
+	if j.hedgeEndpoint != "" && j.answered.Incarnation == j.hedgeEndpoint {
+		ended, j.answered = j.answered, peer.AdmitEnded{}
+	}
+	j.hedgeTicket.close(ended)
+	j.hedgeTicket, j.hedgeEndpoint = nil, ""
+}
+
 // pickUnary chooses an endpoint for one attempt: the one that the admitter has assigned if this node may send to it, or else
 // by load.
 func (j *job) pickUnary(now time.Time, p *pool, limits sendLimits) (choice, bool) {
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -74,6 +74,23 @@
 	return true
 }
 
+// retry sends the request to another endpoint after a failed attempt, if that is allowed. It returns the number of attempts that
+// it started, 0 or 1. A retry of the second attempt takes over its slot at the admitter.
+func (j *job) retry(ctx context.Context, p *pool, res unaryResult, results chan<- unaryResult) int {
+	wasHedge := j.hedgeTicket != nil && res.endpoint.Incarnation() == j.hedgeEndpoint
+	chosen := len(j.excluded)
+	if !j.allowRetry(ctx, p, res) || !j.startAttempt(ctx, p, results) {
+		if wasHedge {
+			j.endHedge()
+		}
+		return 0
+	}
+	if wasHedge && len(j.excluded) > chosen {
+		j.hedgeEndpoint = j.excluded[len(j.excluded)-1]
+	}
+	return 1
+}
+
 // triesOwnPath reports whether this node sends the request itself after no other node did so: it reaches the pool again, or
 // the endpoints may only be stalled. That happens once for each request.
 func (j *job) triesOwnPath(p *pool, refusal *model.Refusal) bool {
@@ -117,6 +134,20 @@
 	return 1
 }
 
+// startAdmittedHedge is startHedge with a slot of the admitter, which is freed if no attempt is started.
+func (j *job) startAdmittedHedge(ctx context.Context, p *pool, slot hedgeSlot, results chan<- unaryResult) int {
+	j.hedgeTicket, j.assigned = slot.ticket, slot.incarnation
+	chosen := len(j.excluded)
+	started := j.startHedge(ctx, p, results)
+	if started == 0 {
+		j.assigned = ""
+		j.endHedge()
+	} else if len(j.excluded) > chosen {
+		j.hedgeEndpoint = j.excluded[chosen]
+	}
+	return started
+}
+
 // mayHedge reports whether the request may be sent to a second endpoint while another one may be running it.
 func (j *job) mayHedge(p *pool) bool {
 	if j.atNode || j.throughNode != "" || j.sendsThroughNode(p) {
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -95,11 +95,13 @@
 		// ticket is the request at the admitter of its pool, and assigned the endpoint that the admitter assigned to the next
 		// attempt; nil and empty if no admitter was asked. answered is what the last answer of an endpoint
 		// shows; its incarnation is empty before.
-		// hedgeTicket is that of the second endpoint.
-		ticket      *admissionTicket
-		hedgeTicket *admissionTicket
-		assigned    string
-		answered    peer.AdmitEnded
+		// hedgeTicket is that of the second endpoint, and hedgeEndpoint the incarnation of the endpoint that the second attempt was
+		// sent to.
+		ticket        *admissionTicket
+		hedgeTicket   *admissionTicket
+		hedgeEndpoint string
+		assigned      string
+		answered      peer.AdmitEnded
 	}
 
 	// unaryResult is the result of one attempt at a unary request.
@@ -149,9 +151,7 @@
 				return j.writeAnswer(res)
 			}
 			failure = lastFailure(failure, res)
-			if j.allowRetry(ctx, p, res) && j.startAttempt(ctx, p, results) {
-				running++
-			}
+			running += j.retry(ctx, p, res, results)
 			if running == 0 {
 				return j.finishFailed(ctx, failure, res)
 			}
@@ -160,8 +160,7 @@
 				running += j.startHedge(ctx, p, results)
 			}
 		case slot := <-hedgeSlots:
-			j.hedgeTicket, j.assigned = slot.ticket, slot.incarnation
-			running += j.startHedge(ctx, p, results)
+			running += j.startAdmittedHedge(ctx, p, slot, results)
 		case <-ctx.Done():
 			return j.refuseContextDone(ctx)
 		}
