Gate: count running requests by listed endpoint, also after it returns

Cause: the limit on all running requests counted those of removed endpoints, so they took the places of others. An endpoint that returned after a pause began with no running requests while its earlier ones still ran. Change: only the limits of the listed endpoints apply; the limit of the pool follows from them. The state of a removed endpoint is kept by incarnation while its requests run, and used again when it returns.

--- a/share/gate.go
+++ b/share/gate.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -144,6 +145,8 @@
 	// slots; no request waits while an endpoint has room. A Gate changes in place and is not safe for concurrent use.
 	Gate struct {
 		endpoints []*gateEndpoint
+		// known holds the endpoints, and those that were removed while their requests run, by incarnation.
+		known     map[string]*gateEndpoint
 		customers map[string]*gateCustomer
 		running   map[GateKey]*gateRequest
 		waiting   map[GateKey]*gateRequest
@@ -210,24 +213,24 @@
 // NewGate returns a gate without endpoints.
 func NewGate() *Gate {
 	return &Gate{
-		customers: map[string]*gateCustomer{}, running: map[GateKey]*gateRequest{}, waiting: map[GateKey]*gateRequest{},
+		known: map[string]*gateEndpoint{}, customers: map[string]*gateCustomer{}, running: map[GateKey]*gateRequest{}, waiting: map[GateKey]*gateRequest{},
 		heardAt: map[string]time.Time{}, stretch: initialGateStretch, meanWork: defaultGateWork.Seconds(), reportedSlots: map[string]int{},
 	}
 }
 
-// SetEndpoints sets the endpoints that accept requests. The requests of removed endpoints no longer hold slots.
+// SetEndpoints sets the endpoints that accept requests. The requests of removed endpoints hold no slots of others, and count
+// again if their endpoint returns.
 func (g *Gate) SetEndpoints(endpoints []GateEndpoint) {
 	if slices.Equal(endpoints, g.listed) {
 		return
 	}
 	g.listed = slices.Clone(endpoints)
-	before := g.endpoints
 	g.endpoints = make([]*gateEndpoint, 0, len(endpoints))
 	reported := map[string]int{}
 	for _, e := range endpoints {
-		state := &gateEndpoint{incarnation: e.Incarnation}
-		if i := slices.IndexFunc(before, func(old *gateEndpoint) bool { return old.incarnation == e.Incarnation }); i >= 0 {
-			state = before[i]
+		state := g.known[e.Incarnation]
+		if state == nil {
+			state = &gateEndpoint{incarnation: e.Incarnation}
 		}
 		if known := g.reportedSlots[e.Incarnation]; known > 0 {
 			reported[e.Incarnation] = known
@@ -235,6 +238,10 @@
 		g.endpoints = append(g.endpoints, state)
 	}
 	g.reportedSlots = reported
+	maps.DeleteFunc(g.known, func(_ string, e *gateEndpoint) bool { return e.running == 0 })
+	for _, e := range g.endpoints {
+		g.known[e.incarnation] = e
+	}
 	g.updateSlots()
 	g.levelAt = time.Time{}
 }
@@ -434,9 +441,6 @@
 
 // freeEndpoint returns the endpoint with room that has the fewest requests relative to its slots; nil if none has room.
 func (g *Gate) freeEndpoint(now time.Time) *gateEndpoint {
-	if len(g.running) >= g.totalSlots+gateExtra*len(g.endpoints) {
-		return nil
-	}
 	var best *gateEndpoint
 	bestLoad := math.Inf(1)
 	for _, e := range g.endpoints {
--- a/share/gate_test.go
+++ b/share/gate_test.go
@@ -376,6 +376,63 @@
 	must.Eq(t, 12, s.gate.Running())
 }
 
+// listEndpoints returns endpoints of gateSlots slots.
+func listEndpoints(names ...string) []share.GateEndpoint {
+	var out []share.GateEndpoint
+	for _, name := range names {
+		out = append(out, share.GateEndpoint{Incarnation: name, Slots: gateSlots})
+	}
+	return out
+}
+
+// askMany asks for count requests, with numbers from first, and returns how many were admitted at each endpoint.
+func askMany(g *share.Gate, now time.Time, first uint64, count int) map[string]int {
+	admitted := map[string]int{}
+	for i := range count {
+		d := g.Ask(now, share.GateAsk{
+			Key: share.GateKey{Node: "node-0", Number: first + uint64(i)}, Customer: "customer", Due: now.Add(gateObjective), Deadline: now.Add(5 * gateObjective), Work: gateWork,
+		})
+		if d.State == share.GateAdmitted {
+			admitted[d.Incarnation]++
+		}
+	}
+	return admitted
+}
+
+// Guards against requests of removed endpoints that take the places of others, and against an endpoint that gets more than its
+// places when it returns while its requests still run.
+func TestGateFollowsEndpointsThatLeaveAndReturn(t *testing.T) {
+	const places = gateSlots + 1
+	for name, tc := range map[string]struct {
+		lists [][]string
+		// ended is how many of the requests at a end after the changes.
+		ended int
+		// want is how many requests are admitted at each endpoint then.
+		want map[string]int
+	}{
+		"a leaves and b joins":           {[][]string{{"b"}}, 0, map[string]int{"b": places}},
+		"a returns":                      {[][]string{{"b"}, {"a", "b"}}, 0, map[string]int{"b": places}},
+		"a returns after two changes":    {[][]string{{"b"}, {"c"}, {"a", "b"}}, 0, map[string]int{"b": places}},
+		"a returns and a request ends":   {[][]string{{"b"}, {"a", "b"}}, 1, map[string]int{"a": 1, "b": places}},
+		"a returns and all requests end": {[][]string{{"b"}, {"a", "b"}}, places, map[string]int{"a": places, "b": places}},
+		"another incarnation takes over": {[][]string{{"b"}, {"a2", "b"}}, 0, map[string]int{"a2": places, "b": places}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			g := share.NewGate()
+			g.SetEndpoints(listEndpoints("a"))
+			must.Eq(t, map[string]int{"a": places}, askMany(g, now, 1, places))
+			for _, names := range tc.lists {
+				g.SetEndpoints(listEndpoints(names...))
+			}
+			for n := range tc.ended {
+				g.End(now, share.GateEnd{Key: share.GateKey{Node: "node-0", Number: uint64(n) + 1}})
+			}
+			must.Eq(t, tc.want, askMany(g, now, 100, 4*places))
+		})
+	}
+}
+
 // Guards against retries that all come at the same time, and against refusals that do not say whose fault they are.
 func TestGateRefusalsSayWhenAndWhy(t *testing.T) {
 	s := newGateTrial(t)
