Keep the ends of requests whose message to the admitter failed

Cause: a question takes along the ends that were due. If its call failed, they were lost, and the slots stayed taken until the next report of open requests. An admitter without endpoints returned before it recorded the ends. Change: the ends are put back when the call fails or the admitter is silent. The admitter records ends before it looks for endpoints. Measured: go test ./relay passes; no test of its own.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -242,11 +242,15 @@
 	go func() { answered <- a.relay.callNode(ctx, t.link.node, peer.KindAdmit, m, &reply) }()
 	select {
 	case err := <-answered:
+		if err != nil {
+			t.restore(m.Ended)
+		}
 		if err != nil || reply.Declined {
 			t.close(peer.AdmitEnded{Result: share.GateUnsent})
 			return peer.AdmitReply{}, false
 		}
 	case <-t.silent:
+		t.restore(m.Ended)
 		t.close(peer.AdmitEnded{Result: share.GateUnsent})
 		return peer.AdmitReply{}, false
 	}
@@ -260,6 +264,14 @@
 	return reply, true
 }
 
+// restore puts back ends that were sent with a question whose call failed. The admitter ignores ends that it got twice.
+func (t *admissionTicket) restore(ended []peer.AdmitEnded) {
+	a := t.admissions
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t.link.ended = slices.Concat(ended, t.link.ended)
+}
+
 // close reports the end of the request.
 func (t *admissionTicket) close(ended peer.AdmitEnded) {
 	ended.Number = t.number
--- a/relay/admitter.go
+++ b/relay/admitter.go
@@ -67,11 +67,11 @@
 	now := a.relay.now()
 	a.mu.Lock()
 	p := a.poolGate(pool)
+	p.end(now, ended)
 	if !a.setEndpoints(now, p) {
 		a.mu.Unlock()
 		return share.GateDecision{}, false
 	}
-	p.end(now, ended)
 	p.deliver(p.gate.Advance(now))
 	decision := p.gate.Ask(now, ask)
 	var decided chan share.GateDecision
