Ignore the timer of a report that the admitter has answered

Cause: the timer could fire just as the reply arrived, and mark the admitter as silent after the reply had cleared that. Its requests were then sent without it until the next reply. Change: under the lock, the timer checks that its report is still unanswered. Measured: go test -race ./relay passes; no test of its own.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -347,7 +347,15 @@
 // sendReport sends a message to an admitter. If the reply takes longer than admitReplyTimeout, the requests that wait there
 // are sent without it, and the admitter is not asked until it replies. It returns false if there was no reply.
 func (a *admissions) sendReport(link *admitterLink, message peer.AdmitEnd) bool {
-	late := time.AfterFunc(admitReplyTimeout, func() { a.silence(link) })
+	// Stopping the timer does not wait for a call of silence that has begun. a.mu guards answered.
+	answered := false
+	late := time.AfterFunc(admitReplyTimeout, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if !answered {
+			a.silence(link)
+		}
+	})
 	defer late.Stop()
 	ctx, cancel := context.WithTimeout(a.relay.ctx, 2*peerSilenceTimeout)
 	defer cancel()
@@ -356,6 +364,7 @@
 		return false
 	}
 	a.mu.Lock()
+	answered = true
 	link.silentSince = time.Time{}
 	link.heardAt = a.relay.now()
 	a.mu.Unlock()
@@ -363,10 +372,8 @@
 	return true
 }
 
-// silence records that an admitter does not answer: the requests that wait there are sent without it.
+// silence records that an admitter does not answer: the requests that wait there are sent without it. The caller holds a.mu.
 func (a *admissions) silence(link *admitterLink) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	if link.silentSince.IsZero() {
 		link.silentSince = a.relay.now()
 		a.relay.metrics.CountEvent("AdmitterSilent")
@@ -381,9 +388,9 @@
 
 // drop closes the link to an admitter that is lost. If it still runs, it frees the slots of this node once it has heard nothing from it for some time.
 func (a *admissions) drop(link *admitterLink) {
-	a.silence(link)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.silence(link)
 	p := a.pools[link.pool]
 	delete(p.links, link.node)
 	p.nodesAt = time.Time{}
