Gate: refuse a request whose key is in use, and take unusable weights as 1

Cause: a repeated question replaced the request that waited or ran, whose slot no end freed any more. A weight that is NaN or infinite made start tags useless for all customers, and a negative one counted as 1 only by way of 0. Change: the second request is refused, the first one stays. Weights that are not positive and finite count as 1. Measured: TestGateRefusesKeyInUse and TestGateTakesUnusableWeightAsOne; both fail without the change. go test ./share passes.

--- a/share/gate.go
+++ b/share/gate.go
@@ -101,7 +101,7 @@
 	GateAsk struct {
 		Key      GateKey
 		Customer string
-		// Weight is the weight of the customer; 0 counts as 1.
+		// Weight is the weight of the customer. One that is not positive and finite counts as 1.
 		Weight float64
 		// Rank is served before higher ones of the same customer.
 		Rank int
@@ -246,9 +246,13 @@
 	g.levelAt = time.Time{}
 }
 
-// Ask admits, queues or refuses a request. Only a request that waits is decided by a later Advance.
+// Ask admits, queues or refuses a request. Only a request that waits is decided by a later Advance. A request whose key already
+// waits or holds a slot is refused, and the earlier one stays as it is.
 func (g *Gate) Ask(now time.Time, ask GateAsk) GateDecision {
 	g.Hear(now, ask.Key.Node)
+	if g.waiting[ask.Key] != nil || g.running[ask.Key] != nil {
+		return GateDecision{Key: ask.Key, State: GateRefused, RetryAfter: minGateRetry}
+	}
 	work := ask.Work.Seconds()
 	if work <= 0 {
 		work = g.meanWork
@@ -256,10 +260,7 @@
 		g.meanWork += meanWorkWeight * (work - g.meanWork)
 	}
 	c := g.customer(ask.Customer)
-	c.weight = max(ask.Weight, 0)
-	if c.weight == 0 {
-		c.weight = 1
-	}
+	c.weight = gateWeight(ask.Weight)
 	// The demand with this request would count a whole request of a customer that seldom asks as its rate.
 	demand := c.demand(now)
 	rank := c.rank(ask.Rank)
@@ -286,6 +287,14 @@
 	return g.decision(now, r, GateQueued)
 }
 
+// gateWeight returns a weight, or 1 for one that would make start tags meaningless.
+func gateWeight(weight float64) float64 {
+	if !(weight > 0) || math.IsInf(weight, 1) {
+		return 1
+	}
+	return weight
+}
+
 // End frees the slot of a request that ended, or removes it if it still waits. An unknown request is ignored.
 func (g *Gate) End(now time.Time, end GateEnd) {
 	g.Hear(now, end.Key.Node)
--- a/share/gate_test.go
+++ b/share/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -433,6 +434,58 @@
 	}
 }
 
+// Guards against a repeated question that takes a second slot, or replaces the request of which the end then frees none.
+func TestGateRefusesKeyInUse(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := share.NewGate()
+	g.SetEndpoints(listEndpoints("a"))
+	ask := func(number uint64) share.GateState {
+		key := share.GateKey{Node: "node-0", Number: number}
+		return g.Ask(now, share.GateAsk{Key: key, Customer: "customer", Due: now.Add(gateObjective), Deadline: now.Add(5 * gateObjective), Work: gateWork}).State
+	}
+	for number := range uint64(gateSlots + 1) {
+		must.Eq(t, share.GateAdmitted, ask(number))
+	}
+	must.Eq(t, share.GateQueued, ask(100))
+	must.Eq(t, share.GateRefused, ask(0))
+	must.Eq(t, share.GateRefused, ask(100))
+	must.Eq(t, gateSlots+1, g.Running())
+	must.Eq(t, 1, g.Waiting())
+	g.End(now, share.GateEnd{Key: share.GateKey{Node: "node-0", Number: 0}})
+	must.Eq(t, gateSlots, g.Running())
+}
+
+// Guards against weights that make the order of all customers meaningless: each one counts as 1, so two such customers are
+// served alike.
+func TestGateTakesUnusableWeightAsOne(t *testing.T) {
+	for _, weight := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 0} {
+		now := time.Unix(1000, 0)
+		g := share.NewGate()
+		g.SetEndpoints(listEndpoints("a"))
+		for number := range uint64(9) {
+			customer, w := "usual", 1.0
+			if number%2 > 0 {
+				customer, w = "unusual", weight
+			}
+			key := share.GateKey{Node: customer, Number: number}
+			g.Ask(now, share.GateAsk{Key: key, Customer: customer, Weight: w, Due: now.Add(time.Minute), Deadline: now.Add(time.Hour), Work: gateWork})
+		}
+		for number := range uint64(gateSlots + 1) {
+			g.End(now, share.GateEnd{Key: share.GateKey{Node: "usual", Number: number}})
+			g.End(now, share.GateEnd{Key: share.GateKey{Node: "unusual", Number: number}})
+		}
+		served := map[string]int{}
+		for range 2 {
+			for _, d := range g.Advance(now) {
+				must.Eq(t, share.GateAdmitted, d.State)
+				served[d.Key.Node]++
+			}
+		}
+		must.Eq(t, 3, served["usual"]+served["unusual"], must.Sprint(weight))
+		must.GreaterEq(t, 1, min(served["usual"], served["unusual"]), must.Sprint(weight))
+	}
+}
+
 // Guards against retries that all come at the same time, and against refusals that do not say whose fault they are.
 func TestGateRefusalsSayWhenAndWhy(t *testing.T) {
 	s := newGateTrial(t)
