Wait for buffered answers before connections are closed at shutdown

Up to 1 MB per connection is buffered after its handler has returned. To http.Server.Shutdown such a connection is idle, so it returned at once, and Tracker.Close dropped the rest of a complete answer. Waiting in Tracker.Close was ruled out: it must end at once, and has no context.

connlimit's new test passes: 960,000 bytes that are read only after Shutdown arrive whole. Without the wait it fails.

--- a/connlimit/tracker.go
+++ b/connlimit/tracker.go
@@ -19,6 +19,9 @@
 	// maxReserveWait is how long an answer waits for room. By then, the connections that make no progress can have been closed
 	// several times over; an endpoint would end an answer that stays unread for some seconds.
 	maxReserveWait = 2 * time.Second
+	// sentPollInterval is how often AwaitSent reads the state of connections: a small part of the 200 ms that a node on the
+	// platform has for its last answers.
+	sentPollInterval = 10 * time.Millisecond
 )
 
 // The causes for which connections are closed.
@@ -93,6 +96,20 @@
 
 // Sweep reads the state of all connections with unacknowledged bytes, and closes those that are stalled.
 func (t *Tracker) Sweep() {
+	t.observeActive()
+	now := t.now()
+	t.mu.Lock()
+	t.exhausted = false
+	stalled := t.ledger.Stalled(now)
+	t.wakeLocked()
+	t.mu.Unlock()
+	for _, id := range stalled {
+		t.closeConn(id, Stalled)
+	}
+}
+
+// observeActive reads the state of all connections with unacknowledged bytes.
+func (t *Tracker) observeActive() {
 	t.mu.Lock()
 	active := make([]*Conn, 0, len(t.active))
 	for _, c := range t.active {
@@ -102,15 +119,30 @@
 	for _, c := range active {
 		c.observe()
 	}
-	now := t.now()
+}
+
+// AwaitSent waits until all bytes that are buffered for callers are sent, and all that were written to connections which the
+// server has closed are acknowledged. It returns false if ctx ends before. Shutdown of an http.Server does not wait for
+// them: to the server, a connection is idle once its answer is buffered, and Close drops the rest of the answer.
+func (t *Tracker) AwaitSent(ctx context.Context) bool {
+	for t.observeActive(); t.unsent(); t.observeActive() {
+		if !clock.Sleep(ctx, sentPollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
+// unsent reports whether a connection has buffered bytes, or was closed by the server and has unacknowledged ones.
+func (t *Tracker) unsent() bool {
 	t.mu.Lock()
-	t.exhausted = false
-	stalled := t.ledger.Stalled(now)
-	t.wakeLocked()
-	t.mu.Unlock()
-	for _, id := range stalled {
-		t.closeConn(id, Stalled)
+	defer t.mu.Unlock()
+	for _, c := range t.conns {
+		if c.draining || c.lingering {
+			return true
+		}
 	}
+	return false
 }
 
 // Close makes connections close at once from now on, whether or not their callers have taken all bytes.
--- a/connlimit/tracker_test.go
+++ b/connlimit/tracker_test.go
@@ -23,6 +23,8 @@
 	answerBytes = 3 << 20
 	// smallBytes is the size of an answer that the connection buffers, so that its handler returns.
 	smallBytes = 512 << 10
+	// bufferedBytes is the size of an answer that nearly fills the buffer of a connection.
+	bufferedBytes = 960_000
 )
 
 // limits has room for two buffered answers.
@@ -32,6 +34,7 @@
 type site struct {
 	t       *testing.T
 	tracker *connlimit.Tracker
+	server  *http.Server
 	address string
 
 	mu     sync.Mutex
@@ -40,7 +43,7 @@
 }
 
 // newSite starts a server that answers with answerBytes bytes, which it reserves first. For /stream it streams them, and for
-// /small smallBytes bytes.
+// /small smallBytes and for /buffered bufferedBytes bytes.
 func newSite(t *testing.T) *site {
 	t.Helper()
 	s := &site{t: t, now: time.Unix(1000, 0)}
@@ -57,11 +60,11 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	s.address = listener.Addr().String()
-	server := &http.Server{Handler: http.HandlerFunc(s.serve), ConnContext: connlimit.WithConn}
-	go func() { _ = server.Serve(s.tracker.Listen(listener)) }()
+	s.server = &http.Server{Handler: http.HandlerFunc(s.serve), ConnContext: connlimit.WithConn}
+	go func() { _ = s.server.Serve(s.tracker.Listen(listener)) }()
 	t.Cleanup(func() {
 		s.tracker.Close()
-		_ = server.Close()
+		_ = s.server.Close()
 	})
 	return s
 }
@@ -79,8 +82,11 @@
 	}
 	answer := bytes.Repeat([]byte("x"), answerBytes)
 	if r.URL.Path != "/" {
-		if r.URL.Path == "/small" {
+		switch r.URL.Path {
+		case "/small":
 			answer = answer[:smallBytes]
+		case "/buffered":
+			answer = answer[:bufferedBytes]
 		}
 		for event := range slices.Chunk(answer, 1<<10) {
 			if _, err := w.Write(event); err != nil {
@@ -277,6 +283,27 @@
 	must.EqOp(t, 0, s.tracker.HeldBytes())
 }
 
+// Guards against a graceful shutdown that cuts an answer which is buffered after its handler has returned, and against one
+// that waits for a caller who does not read beyond its context.
+func TestShutdownSendsBufferedAnswers(t *testing.T) {
+	s := newSite(t)
+	conn := s.getBlocked("/buffered", "", 1)
+	must.NoError(t, s.server.Shutdown(context.Background()))
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	must.False(t, s.tracker.AwaitSent(ended))
+	sent := make(chan bool)
+	go func() {
+		sent <- s.tracker.AwaitSent(context.Background())
+		s.tracker.Close()
+	}()
+	n, err := readAnswer(conn)
+	must.NoError(t, err)
+	must.EqOp(t, bufferedBytes, n)
+	must.True(t, <-sent)
+	must.EqOp(t, 0, s.tracker.HeldBytes())
+}
+
 // slowReader reads in parts and calls before first each time. A part spans several updates of the receive window.
 type slowReader struct {
 	conn   net.Conn
--- a/node/drain.go
+++ b/node/drain.go
@@ -31,9 +31,9 @@
 }
 
 // Drain shuts the node down gracefully. It marks the node as leaving for peers, the platform's list and the balancer,
-// still serves requests for the drain delay, hands over its keys, waits for the requests in flight, and closes the
-// node. It returns how many requests were cut because they were still in flight when the drain limit had passed.
-// Further calls return 0 at once.
+// still serves requests for the drain delay, hands over its keys, waits for the requests in flight and until their
+// answers are sent, and closes the node. It returns how many requests were cut because they were still in flight when the
+// drain limit had passed. Further calls return 0 at once.
 func (n *Node) Drain(ctx context.Context) int {
 	if n.draining.Swap(true) {
 		return 0
@@ -51,6 +51,9 @@
 	n.awaitIdle(ctx)
 	n.sendOutcomes(ctx)
 	cut := int(n.inFlight.Load())
+	if !n.conns.AwaitSent(ctx) {
+		n.log.Warn().Int64("HeldBytes", n.conns.HeldBytes()).Msg("connections closed with unsent answers at the drain limit")
+	}
 	n.log.Info().Int("Cut", cut).Msg("drained")
 	n.Close()
 	return cut
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"basilstall.example/basilstall/caller"
 	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/config"
+	"basilstall.example/basilstall/connlimit"
 	"basilstall.example/basilstall/dispatch"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/list"
@@ -66,6 +67,8 @@
 	paths   *reach.Tracker
 	helpers *reach.Helpers
 	notices *notices
+	// conns counts what the node holds for callers.
+	conns *connlimit.Tracker
 	// coldRoles caches which cold endpoints this node may call.
 	coldRoles *coldRoleCache
 	// runningAtHandover lists the IDs of the keys whose requests were still running when this node handed its keys over.
@@ -163,6 +166,7 @@
 
 func (n *Node) listen() error {
 	var err error
+	n.conns = n.newConnTracker()
 	if n.callerServer, err = caller.NewServer(n.options.CallersListen, n.callerServerDependencies()); err != nil {
 		return err
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -26,7 +26,7 @@
 		NewID:        func() string { return n.options.Name + "." + uuid.NewString() },
 		Draining:     n.Draining,
 		Ready:        n.Ready,
-		Conns:        n.newConnTracker(),
+		Conns:        n.conns,
 		CountEvent:   n.metrics.CountEvent,
 		CountRefusal: n.countRefusal,
 	}
