--- a/connlimit/tracker.go
+++ b/connlimit/tracker.go
@@ -272,13 +272,17 @@
 }
 
 // Expect announces that the answer will be reserved. It returns ErrFull if so many answers are expected that this one might
-// find no room; the request should not be run then.
+// find no room; the request should not be run then. A further call judges by what is held and expected by then.
 func (r *Request) Expect() error {
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
-	if r.ended || r.expected {
+	if r.ended {
 		return nil
 	}
+	if r.expected {
+		r.expected = false
+		r.tracker.ledger.Unanswered()
+	}
 	if !r.tracker.ledger.Expect() {
 		return ErrFull
 	}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -132,6 +132,10 @@
 		return *outcome
 	}
 	defer j.endAdmission()
+	// More may be held now than before the wait.
+	if expect := j.responder.Held.Expect; expect != nil && expect() != nil {
+		return Outcome{Refusal: refuseFull().WithVerdict(j.verdict()), Attempts: j.attempts}
+	}
 	results := make(chan unaryResult, j.admission.Route.MaxAttempts+1)
 	if !j.startAttempt(ctx, p, results) {
 		return j.refuseNoEndpoint(j.verdict())
