Read the end of an answer without a further reservation

The reader of an answer of unknown length reserved as much again when the reserved bytes were used up, although only the end was left to read. It may now read one byte more than was reserved, as it already could for answers of known length.

--- a/relay/heldbytes.go
+++ b/relay/heldbytes.go
@@ -19,27 +19,26 @@
 const minAnswerStep = 16 << 10
 
 // countedReader reads the body of an answer of unknown length. It reserves the mean size of answers before it reads any of it,
-// and twice as much whenever that does not suffice: answers that are read in small parts would wait for each other.
+// and twice as much whenever that does not suffice: answers that are read in small parts would wait for each other. One byte more
+// than was reserved may be read, so that the end of an answer that just fits is seen without a further reservation.
 type countedReader struct {
 	ctx  context.Context
 	body io.Reader
 	held HeldBytes
-	// reserved is what was reserved, room how much may be read before more is reserved, and read what was read, in bytes.
-	reserved, room, read int64
+	// reserved is what was reserved, and read what was read, in bytes.
+	reserved, read int64
 }
 
 // Read implements io.Reader. It fails with a *model.Refusal if the node may hold no more of the answer.
 func (c *countedReader) Read(p []byte) (int, error) {
-	if c.room == 0 {
+	if c.reserved == 0 || c.read > c.reserved {
 		step := max(c.reserved, c.held.MeanAnswer(), minAnswerStep)
 		if c.held.Reserve(c.ctx, step) != nil {
 			return 0, refuseFullAnswer()
 		}
 		c.reserved += step
-		c.room = step
 	}
-	n, err := c.body.Read(p[:min(int64(len(p)), c.room)])
-	c.room -= int64(n)
+	n, err := c.body.Read(p[:min(int64(len(p)), c.reserved+1-c.read)])
 	c.read += int64(n)
 	return n, err
 }
@@ -58,8 +57,6 @@
 			return nil, refuseFullAnswer()
 		}
 		body.reserved = reply.Length
-		// The end of the body is read as well.
-		body.room = reply.Length + 1
 		out.Grow(int(reply.Length) + bytes.MinRead)
 	}
 	if _, err := out.ReadFrom(io.LimitReader(body, limit)); err != nil {
