Move the check of an expected answer out of serveUnary

The second check had raised the function's cognitive complexity to 22, above the bound of revive. No change of behaviour; the tests of relay pass.

--- a/relay/unary.go
+++ b/relay/unary.go
@@ -122,8 +122,8 @@
 
 // serveUnary serves a request whose answer is written to the caller once it is complete.
 func (j *job) serveUnary(ctx context.Context) Outcome {
-	if expect := j.responder.Held.Expect; expect != nil && expect() != nil {
-		return Outcome{Refusal: refuseFull().WithVerdict(j.verdict()), Attempts: j.attempts}
+	if !j.expectAnswer() {
+		return j.refuseUnexpected()
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -133,8 +133,8 @@
 	}
 	defer j.endAdmission()
 	// More may be held now than before the wait.
-	if expect := j.responder.Held.Expect; expect != nil && expect() != nil {
-		return Outcome{Refusal: refuseFull().WithVerdict(j.verdict()), Attempts: j.attempts}
+	if !j.expectAnswer() {
+		return j.refuseUnexpected()
 	}
 	results := make(chan unaryResult, j.admission.Route.MaxAttempts+1)
 	if !j.startAttempt(ctx, p, results) {
@@ -172,6 +172,17 @@
 	}
 }
 
+// expectAnswer announces the answer to what counts it. It returns false if the answer might find no room.
+func (j *job) expectAnswer() bool {
+	expect := j.responder.Held.Expect
+	return expect == nil || expect() == nil
+}
+
+// refuseUnexpected refuses a request whose answer might find no room.
+func (j *job) refuseUnexpected() Outcome {
+	return Outcome{Refusal: refuseFull().WithVerdict(j.verdict()), Attempts: j.attempts}
+}
+
 // lastFailure returns the newest answer of an endpoint that ran the request and failed: res if it is one, previous
 // otherwise.
 func lastFailure(previous *unaryResult, res unaryResult) *unaryResult {
