Ignore requests for groups that a pool cannot have

The number of groups in another node's message was used as it came: a huge one kept a lock of all placements of the node for ever. Groups are taken up to twice as many as this node counts; loads in reports count only for engines of the pool. Found in review, not seen to happen.

--- a/relay/placer.go
+++ b/relay/placer.go
@@ -52,6 +52,11 @@
 	return slices.DeleteFunc(slices.Clone(engines), func(e model.Endpoint) bool { return placement.GroupOf(e.Incarnation(), g.groups) != g.group })
 }
 
+// isPossible reports whether a pool with a number of engines, of which another node may know some more or fewer, has the group.
+func (g placeGroup) isPossible(engines int) bool {
+	return engines > 0 && g.group >= 0 && g.group < g.groups && g.groups <= 2*placement.Groups(engines)
+}
+
 // find returns the table of a group.
 func (s *placers) find(group placeGroup) *placerTable {
 	s.mu.Lock()
@@ -65,10 +70,14 @@
 	return t
 }
 
-// update runs change on the table of a group, which has the present engines.
+// update runs change on the table of a group, which has the present engines. It does nothing if the pool cannot have such a
+// group: its number comes from another node.
 func (s *placers) update(group placeGroup, change func(now time.Time, table *placement.Table)) {
 	r := s.relay
 	registry, routing := r.registry.Load(), r.View().Table
+	if !group.isPossible(len(registry.Endpoints(group.pool))) {
+		return
+	}
 	t := s.find(group)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -157,7 +166,9 @@
 		if m.Load != nil {
 			report.Load = &model.Load{Running: m.Load.Running, Queued: m.Load.Queued, Slots: m.Load.Slots, Contention: m.Load.Contention}
 			report.LoadAgo = m.Load.Ago
-			s.relay.contention.record(now, pool, model.Statement{Load: report.Load})
+			if e, listed := s.relay.Registry().Find(model.NameOfIncarnation(m.Incarnation)); listed && e.Pool == pool {
+				s.relay.contention.record(now, pool, model.Statement{Load: report.Load})
+			}
 		}
 		table.Apply(now, report)
 	}
