State what a repeated end of a request changes at the admitter

The comment said that it is ignored; the load or refusal of the endpoint that it reports is counted again. Comment only; go test ./relay passes.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -264,7 +264,8 @@
 	return reply, true
 }
 
-// restore puts back ends that were sent with a question whose call failed. The admitter ignores ends that it got twice.
+// restore puts back ends that were sent with a question whose call failed. If the admitter got them,
+// the repetition frees no slot, and counts only what it shows of the endpoint once more.
 func (t *admissionTicket) restore(ended []peer.AdmitEnded) {
 	a := t.admissions
 	a.mu.Lock()
