Bound expected answers again whatever is held

The bound that applied only from a quarter of the total on lost answers of requests that had run: 1,000 requests that arrive while nothing is held were all admitted, and their answers found no room within the 2 s that an answer waits. TestCallersThatDoNotReadCostOthersNothing failed in its case of 512 KB with 502, 'the node has no memory left for the answer', in the one run of it by itself, and in one beside race tests. The check after the wait for admission stays. Requests are still refused as NodeFull while hardly anything is held if many large answers are expected.

--- a/held/ledger.go
+++ b/held/ledger.go
@@ -29,10 +29,6 @@
 	// expectedShare bounds the answers that are still expected, as a multiple of the total. If no caller read its answer, room for
 	// the total would be made about every 350 ms, so that all of these answers would get room well within 2 s.
 	expectedShare = 2
-	// expectFromShare is the share of the total from which answers that are expected are bounded. Requests in flight mostly wait
-	// for endpoints: as long as callers read, answers are held only briefly, and few at a time. Above a quarter of the total,
-	// callers may not be reading; 0.65 of the total is still free for answers of requests that were admitted before.
-	expectFromShare = 0.25
 	// meanWeight is the weight of the newest answer in the mean size of answers.
 	meanWeight = 1.0 / 16
 	// maxQueued is the size of the send queue that the kernel may fill while an answer is written.
@@ -75,8 +71,6 @@
 		Admission int64
 		// Expected bounds the sum of the answers that are still expected, by their mean size.
 		Expected int64
-		// ExpectFrom is the total from which Expected applies.
-		ExpectFrom int64
 		// MaxQueued is how much the kernel may queue for a connection while an answer is written. It is counted in advance.
 		MaxQueued int64
 		// StallTimeout is how long a caller may take no byte of an answer.
@@ -150,7 +144,6 @@
 		Answers:      int64(answerShare * float64(total)),
 		Admission:    int64(admissionShare * float64(total)),
 		Expected:     expectedShare * total,
-		ExpectFrom:   int64(expectFromShare * float64(total)),
 		MaxQueued:    maxQueued,
 		StallTimeout: stallTimeout,
 		MinStall:     minStall,
@@ -184,10 +177,9 @@
 	return l.total-l.closing < l.limits.Admission
 }
 
-// Expect counts an answer that will be buffered. It returns false if too many are expected already, and so much is
-// held that callers may not be reading.
+// Expect counts an answer that will be buffered. It returns false if too many are expected already.
 func (l *Ledger) Expect() bool {
-	if l.total-l.closing >= l.limits.ExpectFrom && l.expected*l.cost(&entry{answer: int64(l.meanAnswer)}) > l.limits.Expected {
+	if l.expected*l.cost(&entry{answer: int64(l.meanAnswer)}) > l.limits.Expected {
 		return false
 	}
 	l.expected++
