Divide the capacity where the platform's settings say that customers compete

Endpoints of one new customer state no contention, so none of the new parts took effect there. Its settings name a set of rules for customers that compete; where they do, streams are placed by one node for all, and pieces and slots are divided among customers.

Ruled out: shares for all deployments with customers (earlier ones are to be served as before).

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -119,7 +119,7 @@
 // openTicket opens a ticket for a request if the pool is overloaded. It returns nil if no admitter is to be asked.
 func (a *admissions) openTicket(pool string) *admissionTicket {
 	now := a.relay.now()
-	if !a.relay.statesContention(pool) || !a.overloaded(now, pool) {
+	if !a.relay.dividesCapacity(pool) || !a.overloaded(now, pool) {
 		return nil
 	}
 	a.mu.Lock()
@@ -483,7 +483,7 @@
 // recordAdmitted records the result of one attempt at an endpoint, for the admitter and as a sign of overload.
 func (j *job) recordAdmitted(p *pool, res *unaryResult) {
 	r := j.relay
-	if !r.statesContention(p.name) {
+	if !r.dividesCapacity(p.name) {
 		return
 	}
 	switch {
--- a/relay/contention.go
+++ b/relay/contention.go
@@ -41,8 +41,13 @@
 	return known && now.Sub(at) < contentionRetention
 }
 
-// statesContention reports whether the endpoints of a pool state their contention. Placement by expected time and
-// customers' shares apply only to requests of such pools.
+// dividesCapacity reports whether the capacity that serves the requests to a pool is divided among customers: if the
+// settings say so, or if the pool's endpoints state their contention.
+func (r *Relay) dividesCapacity(pool string) bool {
+	return r.options.DividesCapacity || r.statesContention(pool)
+}
+
+// statesContention reports whether the endpoints of a pool state their contention.
 func (r *Relay) statesContention(pool string) bool {
 	return r.contention.stated(r.now(), pool)
 }
--- a/relay/placing.go
+++ b/relay/placing.go
@@ -107,7 +107,7 @@
 // not passed to placers, so that with such limits in force the node chooses itself.
 func (j *job) placedByPlacer(p *pool) bool {
 	r := j.relay
-	if j.trial || j.forNode != "" || !r.statesContention(p.name) || r.hasRefusalCaps(p.name) {
+	if j.trial || j.forNode != "" || !r.dividesCapacity(p.name) || r.hasRefusalCaps(p.name) {
 		return false
 	}
 	engines, limits := r.Registry().Endpoints(p.name), r.sendLimits(p.name)
@@ -273,7 +273,7 @@
 		if node == r.options.Name {
 			reply = r.placers.place(a.message)
 		} else {
-			err = r.peers.Call(callCtx, r.addressOf(node), peer.KindPlace, a.message, &reply)
+			reply, err = r.callPlacer(callCtx, node, a.message)
 		}
 		if err == nil && !reply.Leaving {
 			a.placer, a.incarnations = node, reply.Incarnations
@@ -306,6 +306,27 @@
 	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// callPlacer asks another node for a placement. It returns at the latest when ctx ends: a call may wait longer than that for
+// a connection that another call opens.
+func (r *Relay) callPlacer(ctx context.Context, node string, message peer.Place) (peer.PlaceReply, error) {
+	type result struct {
+		reply peer.PlaceReply
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		var out result
+		out.err = r.peers.Call(ctx, r.addressOf(node), peer.KindPlace, message, &out.reply)
+		done <- out
+	}()
+	select {
+	case out := <-done:
+		return out.reply, out.err
+	case <-ctx.Done():
+		return peer.PlaceReply{}, ctx.Err()
+	}
+}
+
 // paused reports whether a node did not reply in time lately.
 func (s *placing) paused(node string) bool {
 	s.mu.Lock()
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -27,6 +27,9 @@
 		RetryLimits kernel.FleetRetryLimits
 		// ColdLimits bounds what all nodes together send to cold endpoints.
 		ColdLimits kernel.ColdLimits
+		// DividesCapacity is true if the capacity of all pools is divided among customers, and not only that of pools whose
+		// endpoints state a contention.
+		DividesCapacity bool
 		// Policy selects the scheduling mechanisms in use.
 		Policy kernel.Policy
 	}
