--- a/kernel/batchshare.go
+++ b/kernel/batchshare.go
@@ -31,8 +31,8 @@
 	capacityWeight   = 0.1
 	maxCapacityError = 2.0
 	// minLeftover bounds the estimated wait of groups beyond their shares: the part of the capacity that shares leave
-	// unused counts as no less. With a tenth, requests with seconds of slack were refused that would have been on time.
-	minLeftover = 0.25
+	// unused is not below it.
+	minLeftover = 1 - promisedCapacity
 	// spareBacklog is the backlog, in full batches per endpoint, up to which groups beyond their shares get all of the
 	// capacity that is left: a part of a call. In the model of a burst, 0.2 leaves 1 % of the calls' places empty, and 0.5
 	// makes a quarter more groups late.
