--- a/relay/contention.go
+++ b/relay/contention.go
@@ -41,8 +41,10 @@
 	return known && now.Sub(at) < contentionRetention
 }
 
-// dividesCapacity reports whether the capacity that serves the requests to a pool is divided among customers: if the
-// settings say so, or if the pool's endpoints state their contention.
+// dividesCapacity reports whether one node chooses the endpoints of a pool for all, by what is pending from all customers, and
+// divides slots among them: if the settings say that customers compete, or if the pool's endpoints state their contention.
+// Pieces are divided among customers only in the latter case: where requests have seconds of slack, the waits that are
+// estimated beyond a share are too long.
 func (r *Relay) dividesCapacity(pool string) bool {
 	return r.options.DividesCapacity || r.statesContention(pool)
 }
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -92,7 +92,7 @@
 		held:         map[int][]kernel.ResultRef{},
 	}
 	firstEvent := p.estimateFirstEventTime()
-	waitKnown := r.dividesCapacity(j.admission.Pool) && run.anyReportedQueue() && r.options.Policy.Uses(kernel.ObjectiveFromFirstAttempt)
+	waitKnown := r.statesContention(j.admission.Pool) && run.anyReportedQueue() && r.options.Policy.Uses(kernel.ObjectiveFromFirstAttempt)
 	if waitKnown {
 		// The batchers count a retry as one with its first attempt, and estimate its wait by when that was due.
 		j.applyPreviousWait(ctx)
@@ -230,7 +230,7 @@
 		due:         run.plan.Due[stage],
 		until:       run.plan.Until[stage],
 		rank:        j.admission.Rank,
-		shared:      j.relay.dividesCapacity(j.admission.Pool),
+		shared:      j.relay.statesContention(j.admission.Pool),
 		customer:    j.admission.Customer,
 		waited:      j.forward.Waited,
 	}
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -27,8 +27,8 @@
 		RetryLimits kernel.FleetRetryLimits
 		// ColdLimits bounds what all nodes together send to cold endpoints.
 		ColdLimits kernel.ColdLimits
-		// DividesCapacity is true if the capacity of all pools is divided among customers, and not only that of pools whose
-		// endpoints state a contention.
+		// DividesCapacity is true if streams are placed, and slots divided among customers, in all pools, and not only in those
+		// whose endpoints state a contention.
 		DividesCapacity bool
 		// Policy selects the scheduling mechanisms in use.
 		Policy kernel.Policy
