--- a/kernel/batchshare.go
+++ b/kernel/batchshare.go
@@ -344,8 +344,8 @@
 	return -1
 }
 
-// compareToday orders groups without regard to shares.
-func (q *BatchQueue) compareToday(earliestFinish time.Time, a, b *waitingGroup) int {
+// compareWithoutShares orders groups without regard to shares.
+func (q *BatchQueue) compareWithoutShares(earliestFinish time.Time, a, b *waitingGroup) int {
 	return q.compareGroups(earliestFinish, a, b, 0, 0)
 }
 
--- a/kernel/batchshare_test.go
+++ b/kernel/batchshare_test.go
@@ -431,13 +431,13 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			today, now := playBursts(tc.pool, tc.customers, tc.seeds, noneShared), playBursts(tc.pool, tc.customers, tc.seeds, nil)
-			t.Logf("today: %+v", today)
+			plain, now := playBursts(tc.pool, tc.customers, tc.seeds, noneShared), playBursts(tc.pool, tc.customers, tc.seeds, nil)
+			t.Logf("without shares: %+v", plain)
 			t.Logf("by shares: %+v", now)
-			must.Less(t, today.withinShare/2, now.withinShare)
-			must.Less(t, today.all.late/2, now.all.late)
-			must.Greater(t, today.all.onTime, now.all.onTime)
-			must.Greater(t, 0.95*today.used, now.used)
+			must.Less(t, plain.withinShare/2, now.withinShare)
+			must.Less(t, plain.all.late/2, now.all.late)
+			must.Greater(t, plain.all.onTime, now.all.onTime)
+			must.Greater(t, 0.95*plain.used, now.used)
 			for i, rank := range now.byRank {
 				must.Greater(t, now.all.onTimePart()/4, rank.onTimePart(), must.Sprint("rank ", 10+i))
 			}
@@ -477,14 +477,14 @@
 				}
 				return flood, small, used, usedOnTime
 			}
-			floodToday, smallToday, usedToday, onTimeToday := play(noneShared)
+			floodPlain, smallPlain, usedPlain, onTimePlain := play(noneShared)
 			flood, small, used, onTime := play(nil)
-			t.Logf("today: flood %+v, small %+v, used %.3f, on time %.3f", floodToday, smallToday, usedToday, onTimeToday)
+			t.Logf("without shares: flood %+v, small %+v, used %.3f, on time %.3f", floodPlain, smallPlain, usedPlain, onTimePlain)
 			t.Logf("by shares: flood %+v, small %+v, used %.3f, on time %.3f", flood, small, used, onTime)
 			must.GreaterEq(t, 0.95, small.onTimePart())
-			must.GreaterEq(t, tc.used*usedToday, used)
+			must.GreaterEq(t, tc.used*usedPlain, used)
 			t.Run("target of the used capacity", func(t *testing.T) {
-				must.GreaterEq(t, 0.95*usedToday, used)
+				must.GreaterEq(t, 0.95*usedPlain, used)
 			})
 			must.GreaterEq(t, 0.8*used, onTime)
 		})
@@ -535,11 +535,11 @@
 func TestSharesBesideEarlierBuild(t *testing.T) {
 	t.Parallel()
 	half := func(id int) bool { return id%2 == 0 }
-	today, mixed := playBursts(smallResults, 16, 2, noneShared), playBursts(smallResults, 16, 2, half)
-	t.Logf("today: %+v", today)
+	plain, mixed := playBursts(smallResults, 16, 2, noneShared), playBursts(smallResults, 16, 2, half)
+	t.Logf("without shares: %+v", plain)
 	t.Logf("half by shares: %+v", mixed)
-	must.GreaterEq(t, today.all.onTime, mixed.all.onTime)
-	must.Less(t, today.withinShare, mixed.withinShare)
+	must.GreaterEq(t, plain.all.onTime, mixed.all.onTime)
+	must.Less(t, plain.withinShare, mixed.withinShare)
 }
 
 // overloadedQueue returns a queue in which customer "large" has asked for far more than the capacity in ranks 10 and 12 for a
--- a/kernel/batchwait.go
+++ b/kernel/batchwait.go
@@ -33,7 +33,7 @@
 	if q.ordersByShare(group) {
 		return q.estimateSharedWait(now, group)
 	}
-	return q.waitInOrder(now, &waitingGroup{PieceGroup: group}, q.compareToday)
+	return q.waitInOrder(now, &waitingGroup{PieceGroup: group}, q.compareWithoutShares)
 }
 
 // waitInOrder estimates how long the pieces of a group wait if all groups that compare puts before it are made first.
