--- a/connlimit/tracker_test.go
+++ b/connlimit/tracker_test.go
@@ -151,8 +151,10 @@
 	return conn
 }
 
-// awaitSettled waits until the number of held bytes does not change any more.
+// awaitSettled waits until the number of held bytes has not changed for 0.4 s: the kernel sends what is left of a closed window
+// after its least retransmission timeout of 200 ms.
 func (s *site) awaitSettled() {
+	const settledPolls = 80
 	before, same := int64(-1), 0
 	s.await("held bytes settled", func() bool {
 		s.tracker.Sweep()
@@ -161,7 +163,7 @@
 		} else {
 			before, same = now, 0
 		}
-		return same >= 10
+		return same >= settledPolls
 	})
 }
 
