--- a/connlimit/tracker.go
+++ b/connlimit/tracker.go
@@ -122,8 +122,8 @@
 }
 
 // AwaitSent waits until all bytes that are buffered for callers are sent, and all that were written to connections which the
-// server has closed are acknowledged. It returns false if ctx ends before. Shutdown of an http.Server does not wait for
-// them: to the server, a connection is idle once its answer is buffered, and Close drops the rest of the answer.
+// server has closed are acknowledged. It returns false if ctx ends first. It has to be called between http.Server.Shutdown
+// and Close: Shutdown counts a connection as idle once its response is buffered, and Close drops what is still buffered.
 func (t *Tracker) AwaitSent(ctx context.Context) bool {
 	for t.observeActive(); t.unsent(); t.observeActive() {
 		if !clock.Sleep(ctx, sentPollInterval) {
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -37,7 +37,8 @@
 		callCount int
 		// notLoadedCount is how many of these calls found that the engine lacks the adapter.
 		notLoadedCount int
-		// excluded lists the incarnations of the endpoints that are chosen again only if no other may get a call.
+		// excluded lists the incarnations that were called already. They are called again only if no other endpoint may be
+		// called.
 		excluded []string
 		// boundTo is bound once a stream has its first token: what endpoints of two versions write does not fit together.
 		boundTo versionFilter
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -62,8 +62,8 @@
 		serviceTimes    kernel.Quantiles
 		firstTokenTimes kernel.Quantiles
 		tokenGaps       kernel.Quantiles
-		// paces holds what is known of the endpoints' speeds, contentionAt when one last stated its contention. Without such
-		// statements, endpoints are chosen by their loads only.
+		// paces holds the learned speeds of the endpoints. They are used only while endpoints state their contention;
+		// contentionAt is when one last did.
 		paces        *pace.Book
 		contentionAt time.Time
 	}
--- a/dispatch/poolpace.go
+++ b/dispatch/poolpace.go
@@ -7,11 +7,12 @@
 	"basilstall.example/basilstall/pace"
 )
 
-// contentionRetention is how long after the last statement of a contention endpoints are chosen by expected time: longer
-// than the pauses between the replies that a node gets from a pool in use.
+// contentionRetention is how long a stated contention keeps the choice by expected time in use. It is longer than the pauses
+// between the replies that a node gets from a pool in use.
 const contentionRetention = time.Minute
 
-// comparesTimes reports whether endpoints are chosen by expected time, since one has lately stated its contention.
+// comparesTimes reports whether the choice of an endpoint compares expected times instead of loads. It does if an endpoint of
+// the pool has stated its contention within contentionRetention.
 func (p *pool) comparesTimes(now time.Time) bool {
 	return !p.contentionAt.IsZero() && now.Sub(p.contentionAt) < contentionRetention
 }
@@ -53,7 +54,7 @@
 	}
 }
 
-// candidateOf returns an endpoint as a candidate, with its slowness if endpoints are chosen by expected time.
+// candidateOf returns an endpoint as a candidate. Its slowness is set only if expected times are compared.
 func (p *pool) candidateOf(now time.Time, e *endpointState) kernel.Candidate {
 	c := e.candidate
 	if p.comparesTimes(now) {
