Registry: a change costs what it changes, not the list

Cause: WithChanges copied and indexed all entries for one that changed, Changes compared all of two registries, and both ran, with all that follows from a registry, at each answer about the list, twice a second, also where nothing had changed. 21.6 ms and 12.3 MB for one entry of 10,000, and 27 ms of each node and second without a change.

Ruled out: copying on a slower schedule (entries must be in force at once); own trees (a library of persistent maps does the same); a sorted persistent map for each pool (its readers want slices).

Change: entries and addresses lie in persistent maps (benbjohnson/immutable). A registry remembers which names its last update touched, so that Changes looks at these only. Where nothing changed the relay records the age of the list and nothing else, and batchers hear of their own pool only. The endpoint at an address, asked at each new connection, is found by an index.

Measured (go test ./kernel -bench Registry): one entry of 100, 1,000, 10,000 and 20,000 endpoints takes 6, 7, 12 and 12 us and 3.6, 4.6, 5.1 and 5.4 KB. The first 10,000 take 22 ms and 13 MB.

--- a/binding/agent.go
+++ b/binding/agent.go
@@ -372,6 +372,13 @@
 	}
 }
 
+// ConfirmListed records that the list was proven current and has not changed.
+func (a *Agent) ConfirmListed(provenAt time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.listProvenAt = provenAt
+}
+
 // ListedVersions returns the versions of a registry's endpoints that take work, of the pools with resumable streams.
 func ListedVersions(table *kernel.RouteTable, registry kernel.Registry) []kernel.Binding {
 	var out []kernel.Binding
--- a/kernel/bench_test.go
+++ b/kernel/bench_test.go
@@ -212,3 +212,25 @@
 		})
 	}
 }
+
+func BenchmarkRegistryChange(b *testing.B) {
+	for _, n := range []int{100, 1_000, 10_000, 20_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			listed := fleetEndpoints(n)
+			r := kernel.NewRegistry().WithChanges(testStart, testStart, listed, nil, nil)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r = r.WithChanges(testStart, testStart, listed[i%n:i%n+1], nil, nil)
+			}
+			benchSink = r
+		})
+	}
+}
+
+func BenchmarkRegistryStart(b *testing.B) {
+	listed := fleetEndpoints(10_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		benchSink = kernel.NewRegistry().WithChanges(testStart, testStart, listed, nil, nil)
+	}
+}
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -3,9 +3,10 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
+	"github.com/benbjohnson/immutable"
+
 	"basilstall.example/basilstall/model"
 )
 
@@ -22,16 +23,26 @@
 type (
 	// Registry is a node's view of the endpoints: the entries of the store's list, with those that lapsed while the
 	// store did not answer and may be listed again. An entry lapses, and leaves the list, if its endpoint has not
-	// renewed it for some heartbeat intervals. A Registry is immutable.
+	// renewed it for some heartbeat intervals. A Registry is immutable, and shares what is the same with the one that it
+	// was made from.
 	Registry struct {
-		entries map[string]registryEntry
+		entries *immutable.Map[string, registryEntry]
+		// byAddress holds the names of the endpoints that are listed at each address.
+		byAddress *immutable.Map[string, []string]
+		// lapsed holds the names of the entries that lapsed.
+		lapsed map[string]bool
 		// evacuations are the failure domains that get no work.
 		evacuations Evacuations
 		// standings holds what endpoints have stated of themselves to this node, by incarnation.
 		standings map[string]listedStanding
-		// byPool holds the endpoints of each pool in the order of their names, with the states that follow from
-		// entries, standings and evacuations.
-		byPool map[string][]model.Endpoint
+		// byPool holds the endpoints of each pool, with the states that follow from entries, standings and evacuations.
+		// Pools without endpoints have no list. The map is replaced whenever a list is.
+		byPool *map[string]*poolList
+		// revision identifies the entries. changed holds the names of those that differ from base, the revision that they
+		// were made from.
+		revision *registryRevision
+		base     *registryRevision
+		changed  []string
 		// provenAt is when the list was last proven current; storeRecoveredAt is when that first happened after the
 		// last outage of the store.
 		provenAt         time.Time
@@ -39,11 +50,17 @@
 	}
 
 	registryEntry struct {
-		endpoint model.Endpoint
+		// endpoint is shared and must not be changed.
+		endpoint *model.Endpoint
 		// lapsed is true for an entry that lapsed during an outage of the store and may be listed again.
 		lapsed bool
 	}
 
+	// registryRevision is an identity; the field makes different ones have different addresses.
+	registryRevision struct {
+		_ byte
+	}
+
 	listedStanding struct {
 		Standing
 		// unlistedSince is when the incarnation was first missing from the list; zero while it is listed.
@@ -53,7 +70,12 @@
 
 // NewRegistry returns a registry without endpoints.
 func NewRegistry() Registry {
-	return Registry{entries: map[string]registryEntry{}}
+	return Registry{
+		entries:   immutable.NewMap[string, registryEntry](nil),
+		byAddress: immutable.NewMap[string, []string](nil),
+		byPool:    &map[string]*poolList{},
+		revision:  &registryRevision{},
+	}
 }
 
 // WithChanges returns the registry after a read of the list that proves it current as of provenAt. listed are the
@@ -65,39 +87,171 @@
 	}
 	r.provenAt = provenAt
 	grace := !r.storeRecoveredAt.IsZero() && now.Sub(r.storeRecoveredAt) < relistGracePeriod
-	if len(listed)+len(removed)+len(unreadable) == 0 && (grace || !r.anyLapsed()) {
-		// Most answers contain no change, and copying a large list takes much processor time on a small host.
+	if len(listed)+len(removed)+len(unreadable) == 0 && (grace || len(r.lapsed) == 0) {
+		// Most answers contain no change.
 		return r
 	}
-	entries := maps.Clone(r.entries)
+	if r.entries.Len() == 0 {
+		return r.filled(now, listed)
+	}
+	before := r
+	names := slices.Concat(removed, unreadable)
+	for _, e := range listed {
+		names = append(names, e.Name)
+	}
 	for _, name := range removed {
-		e, known := entries[name]
-		if known && grace && r.effective(e.endpoint).State != model.Leaving {
-			e.lapsed = true
-			entries[name] = e
+		e, known := r.entries.Get(name)
+		if known && grace && r.effective(*e.endpoint).State != model.Leaving {
+			r = r.withEntry(name, registryEntry{endpoint: e.endpoint, lapsed: true})
 		} else {
-			delete(entries, name)
+			r = r.withoutEntry(name)
 		}
 	}
 	for _, name := range unreadable {
-		delete(entries, name)
+		r = r.withoutEntry(name)
 	}
 	for _, e := range listed {
-		if known, ok := entries[e.Name]; ok && known.endpoint.Started.After(e.Started) {
+		if known, ok := r.entries.Get(e.Name); ok && known.endpoint.Started.After(e.Started) {
 			continue
 		}
-		if e.ColdFor > 0 {
-			// The entry took an unknown time to arrive, so this end is too late rather than too early.
-			e.ColdUntil = now.Add(e.ColdFor)
-		}
-		entries[e.Name] = registryEntry{endpoint: e}
+		r = r.withEntry(e.Name, registryEntry{endpoint: received(now, e)})
 	}
 	if !grace {
-		maps.DeleteFunc(entries, func(_ string, e registryEntry) bool { return e.lapsed })
+		for name := range r.lapsed {
+			r = r.withoutEntry(name)
+			names = append(names, name)
+		}
 	}
-	r.entries = entries
 	r.standings = r.retainedStandings(now)
-	return r.indexed()
+	r.revision, r.base, r.changed = &registryRevision{}, before.revision, names
+	return r.withPools(before, names)
+}
+
+// received returns an entry that was read now. It took an unknown time to arrive, so the end of the time in which the
+// endpoint is cold is too late rather than too early.
+func received(now time.Time, e model.Endpoint) *model.Endpoint {
+	if e.ColdFor > 0 {
+		e.ColdUntil = now.Add(e.ColdFor)
+	}
+	return &e
+}
+
+// filled returns an empty registry with its first entries, each name once. It is made without the intermediate versions
+// that as many single changes would leave behind.
+func (r Registry) filled(now time.Time, listed []model.Endpoint) Registry {
+	entries := immutable.NewMapBuilder[string, registryEntry](nil)
+	addresses := make(map[string][]string, len(listed))
+	pools := map[string][]model.Endpoint{}
+	r.revision, r.base, r.changed = &registryRevision{}, r.revision, make([]string, 0, len(listed))
+	for _, e := range listed {
+		entry := received(now, e)
+		entries.Set(e.Name, registryEntry{endpoint: entry})
+		addresses[e.Address] = append(addresses[e.Address], e.Name)
+		pools[e.Pool] = append(pools[e.Pool], r.effective(*entry))
+		r.changed = append(r.changed, e.Name)
+	}
+	byAddress := immutable.NewMapBuilder[string, []string](nil)
+	for address, names := range addresses {
+		byAddress.Set(address, names)
+	}
+	r.entries, r.byAddress = entries.Map(), byAddress.Map()
+	byPool := make(map[string]*poolList, len(pools))
+	for pool, endpoints := range pools {
+		byPool[pool] = newPoolList(endpoints)
+	}
+	r.byPool = &byPool
+	r.standings = r.retainedStandings(now)
+	return r
+}
+
+// withEntry returns the registry with an entry added or replaced. The lists of the pools are left as they are.
+func (r Registry) withEntry(name string, e registryEntry) Registry {
+	if known, ok := r.entries.Get(name); ok && known.endpoint.Address != e.endpoint.Address {
+		r.byAddress = withoutName(r.byAddress, known.endpoint.Address, name)
+	}
+	names, _ := r.byAddress.Get(e.endpoint.Address)
+	if !slices.Contains(names, name) {
+		r.byAddress = r.byAddress.Set(e.endpoint.Address, append(slices.Clone(names), name))
+	}
+	r.entries = r.entries.Set(name, e)
+	if r.lapsed[name] != e.lapsed {
+		r.lapsed = maps.Clone(r.lapsed)
+		if r.lapsed == nil {
+			r.lapsed = map[string]bool{}
+		}
+		r.lapsed[name] = true
+		if !e.lapsed {
+			delete(r.lapsed, name)
+		}
+	}
+	return r
+}
+
+// withoutEntry returns the registry without an entry. The lists of the pools are left as they are.
+func (r Registry) withoutEntry(name string) Registry {
+	known, ok := r.entries.Get(name)
+	if !ok {
+		return r
+	}
+	r.byAddress = withoutName(r.byAddress, known.endpoint.Address, name)
+	r.entries = r.entries.Delete(name)
+	if r.lapsed[name] {
+		r.lapsed = maps.Clone(r.lapsed)
+		delete(r.lapsed, name)
+	}
+	return r
+}
+
+func withoutName(byAddress *immutable.Map[string, []string], address, name string) *immutable.Map[string, []string] {
+	names, _ := byAddress.Get(address)
+	if len(names) <= 1 {
+		return byAddress.Delete(address)
+	}
+	return byAddress.Set(address, slices.DeleteFunc(slices.Clone(names), func(other string) bool { return other == name }))
+}
+
+// withPools returns the registry with the lists of the pools as its entries with the given names say; before holds the
+// entries that the lists still follow.
+func (r Registry) withPools(before Registry, names []string) Registry {
+	changes := map[string]map[string]*model.Endpoint{}
+	sizes := map[string]int{}
+	change := func(pool, name string, e *model.Endpoint) {
+		if changes[pool] == nil {
+			changes[pool] = map[string]*model.Endpoint{}
+		}
+		changes[pool][name] = e
+	}
+	seen := make(map[string]bool, len(names))
+	for _, name := range names {
+		if seen[name] {
+			continue
+		}
+		seen[name] = true
+		old, known := before.entries.Get(name)
+		now, listed := r.entries.Get(name)
+		if known {
+			change(old.endpoint.Pool, name, nil)
+			sizes[old.endpoint.Pool]--
+		}
+		if listed {
+			e := r.effective(*now.endpoint)
+			change(e.Pool, name, &e)
+			sizes[e.Pool]++
+		}
+	}
+	byPool := maps.Clone(*r.byPool)
+	for pool, changed := range changes {
+		list := byPool[pool]
+		if list == nil {
+			list = newPoolList(nil)
+		}
+		byPool[pool] = list.with(changed, list.size+sizes[pool])
+		if byPool[pool].size == 0 {
+			delete(byPool, pool)
+		}
+	}
+	r.byPool = &byPool
+	return r
 }
 
 // retainedStandings returns the standings without those of incarnations that left the list long ago.
@@ -119,7 +273,7 @@
 
 // lists reports whether an incarnation is listed.
 func (r Registry) lists(incarnation string) bool {
-	entry, known := r.entries[model.NameOfIncarnation(incarnation)]
+	entry, known := r.entries.Get(model.NameOfIncarnation(incarnation))
 	return known && entry.endpoint.Incarnation() == incarnation
 }
 
@@ -138,21 +292,7 @@
 	}
 	before.Standing = standing
 	r.standings[incarnation] = before
-	return r.withReindexed(e), true
-}
-
-// withReindexed returns the registry with the entry of one endpoint replaced in byPool. Endpoints of a large pool may ask
-// for pauses many times a second, and indexing all pools takes much processor time on a small host.
-func (r Registry) withReindexed(e model.Endpoint) Registry {
-	known, listed := r.Find(e.Name)
-	i := slices.IndexFunc(r.byPool[known.Pool], func(other model.Endpoint) bool { return other.Name == e.Name })
-	if !listed || i < 0 {
-		return r
-	}
-	r.byPool = maps.Clone(r.byPool)
-	r.byPool[known.Pool] = slices.Clone(r.byPool[known.Pool])
-	r.byPool[known.Pool][i] = known
-	return r
+	return r.withPools(r, []string{e.Name}), true
 }
 
 // Standing returns what an incarnation of an endpoint has stated of itself to this node.
@@ -160,19 +300,10 @@
 	return r.standings[incarnation].Standing
 }
 
-func (r Registry) anyLapsed() bool {
-	for _, e := range r.entries {
-		if e.lapsed {
-			return true
-		}
-	}
-	return false
-}
-
 // WithEvacuations returns the registry with the evacuations replaced.
 func (r Registry) WithEvacuations(e Evacuations) Registry {
 	r.evacuations = e
-	return r.indexed()
+	return r.withPools(r, r.names())
 }
 
 // Evacuations returns the failure domains that get no work.
@@ -180,19 +311,6 @@
 	return r.evacuations
 }
 
-// indexed returns the registry with byPool rebuilt from entries and evacuations.
-func (r Registry) indexed() Registry {
-	r.byPool = map[string][]model.Endpoint{}
-	for _, entry := range r.entries {
-		e := r.effective(entry.endpoint)
-		r.byPool[e.Pool] = append(r.byPool[e.Pool], e)
-	}
-	for _, endpoints := range r.byPool {
-		slices.SortFunc(endpoints, func(a, b model.Endpoint) int { return strings.Compare(a.Name, b.Name) })
-	}
-	return r
-}
-
 // effective returns a listed endpoint with what its own answers and the evacuations add to its entry.
 func (r Registry) effective(e model.Endpoint) model.Endpoint {
 	standing := r.Standing(e.Incarnation())
@@ -212,12 +330,26 @@
 // Endpoints returns the endpoints of a pool in the order of their names, including those that take no work. The slice
 // is shared and must not be changed.
 func (r Registry) Endpoints(pool string) []model.Endpoint {
-	return r.byPool[pool]
+	list := (*r.byPool)[pool]
+	if list == nil {
+		return nil
+	}
+	return list.endpoints()
+}
+
+// SameEndpoints reports whether a registry that this one was made from has the same endpoints, in the same states.
+func (r Registry) SameEndpoints(before Registry) bool {
+	return r.byPool == before.byPool
+}
+
+// SamePool reports the same of one pool.
+func (r Registry) SamePool(before Registry, pool string) bool {
+	return (*r.byPool)[pool] == (*before.byPool)[pool]
 }
 
 // Pools returns the names of the pools that have endpoints, in no particular order.
 func (r Registry) Pools() []string {
-	return slices.Collect(maps.Keys(r.byPool))
+	return slices.Collect(maps.Keys(*r.byPool))
 }
 
 // Accepts reports whether this node may send new work to an incarnation of an endpoint now: it is listed and accepts work.
@@ -228,18 +360,20 @@
 
 // Find returns an endpoint by its name.
 func (r Registry) Find(name string) (model.Endpoint, bool) {
-	e, ok := r.entries[name]
+	e, ok := r.entries.Get(name)
 	if !ok {
 		return model.Endpoint{}, false
 	}
-	return r.effective(e.endpoint), true
+	return r.effective(*e.endpoint), true
 }
 
 // FindByAddress returns the endpoint that is listed at an address. Of several, the one that started last is returned.
 func (r Registry) FindByAddress(address string) (found model.Endpoint, ok bool) {
-	for _, entry := range r.entries {
-		if e := entry.endpoint; e.Address == address && (!ok || e.Started.After(found.Started)) {
-			found, ok = e, true
+	names, _ := r.byAddress.Get(address)
+	for _, name := range names {
+		entry, listed := r.entries.Get(name)
+		if listed && (!ok || entry.endpoint.Started.After(found.Started)) {
+			found, ok = *entry.endpoint, true
 		}
 	}
 	return found, ok
@@ -248,13 +382,13 @@
 // Superseded reports whether the process of an incarnation has started again since: neither its results nor its calls
 // in flight exist any more.
 func (r Registry) Superseded(incarnation string) bool {
-	e, known := r.entries[model.NameOfIncarnation(incarnation)]
+	e, known := r.entries.Get(model.NameOfIncarnation(incarnation))
 	return known && e.endpoint.Incarnation() != incarnation
 }
 
 // Len returns the number of known endpoints.
 func (r Registry) Len() int {
-	return len(r.entries)
+	return r.entries.Len()
 }
 
 // Age returns the time since the list was last proven current.
@@ -271,26 +405,58 @@
 	Message string
 }
 
-// Changes returns the differences from an earlier registry, in no particular order.
+// Changes returns the differences from an earlier registry, in no particular order. It costs what has changed if this
+// registry was made from that one by one call of WithChanges.
 func (r Registry) Changes(before Registry) []RegistryChange {
+	if r.revision == before.revision {
+		return nil
+	}
+	names := r.changed
+	if r.base != before.revision {
+		names = slices.Concat(r.names(), before.names())
+	}
 	var out []RegistryChange
-	for name, e := range r.entries {
-		old, known := before.entries[name]
-		switch {
-		case !known:
-			out = append(out, RegistryChange{Endpoint: e.endpoint, Message: "endpoint listed"})
-		case old.endpoint.Incarnation() != e.endpoint.Incarnation():
-			out = append(out, RegistryChange{Endpoint: e.endpoint, Before: old.endpoint, Message: "endpoint started again"})
-		case old.endpoint.State != e.endpoint.State:
-			out = append(out, RegistryChange{Endpoint: e.endpoint, Message: "endpoint changed its state"})
-		case e.lapsed && !old.lapsed:
-			out = append(out, RegistryChange{Endpoint: e.endpoint, Message: "endpoint lapsed while the store was away"})
+	seen := make(map[string]bool, len(names))
+	for _, name := range names {
+		if seen[name] {
+			continue
 		}
-	}
-	for name, old := range before.entries {
-		if _, still := r.entries[name]; !still {
-			out = append(out, RegistryChange{Endpoint: old.endpoint, Message: "endpoint gone"})
+		seen[name] = true
+		if c, changed := r.change(before, name); changed {
+			out = append(out, c)
 		}
 	}
 	return out
 }
+
+// change returns how the entry of a name differs from an earlier registry.
+func (r Registry) change(before Registry, name string) (RegistryChange, bool) {
+	old, known := before.entries.Get(name)
+	e, listed := r.entries.Get(name)
+	switch {
+	case !known && !listed:
+		return RegistryChange{}, false
+	case !known:
+		return RegistryChange{Endpoint: *e.endpoint, Message: "endpoint listed"}, true
+	case !listed:
+		return RegistryChange{Endpoint: *old.endpoint, Message: "endpoint gone"}, true
+	case old.endpoint.Incarnation() != e.endpoint.Incarnation():
+		return RegistryChange{Endpoint: *e.endpoint, Before: *old.endpoint, Message: "endpoint started again"}, true
+	case old.endpoint.State != e.endpoint.State:
+		return RegistryChange{Endpoint: *e.endpoint, Message: "endpoint changed its state"}, true
+	case e.lapsed && !old.lapsed:
+		return RegistryChange{Endpoint: *e.endpoint, Message: "endpoint lapsed while the store was away"}, true
+	default:
+		return RegistryChange{}, false
+	}
+}
+
+// names returns the names of all entries.
+func (r Registry) names() []string {
+	out := make([]string, 0, r.entries.Len())
+	for it := r.entries.Iterator(); !it.Done(); {
+		name, _, _ := it.Next()
+		out = append(out, name)
+	}
+	return out
+}
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -88,6 +88,15 @@
 	}
 }
 
+// updateEndpoints passes the endpoints of the pools that have changed to their batchers.
+func (s *batcherSet) updateEndpoints(before, registry kernel.Registry) {
+	for _, b := range s.all() {
+		if !registry.SamePool(before, b.pool) {
+			b.setEndpoints(registry)
+		}
+	}
+}
+
 // setPoolEndpoints passes the endpoints of a pool to its batchers.
 func (s *batcherSet) setPoolEndpoints(pool string, registry kernel.Registry) {
 	for _, b := range s.all() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -268,11 +268,16 @@
 	before := *r.registry.Load()
 	registry := change(before)
 	r.registry.Store(&registry)
+	if registry.SameEndpoints(before) {
+		now := r.now()
+		r.bindings.ConfirmListed(now.Add(-registry.Age(now)))
+		return
+	}
 	changes := registry.Changes(before)
 	r.logRegistryChanges(changes)
 	r.updateListedVersions(registry)
 	r.updatePaths(changes)
-	r.batchers.setEndpoints(registry)
+	r.batchers.updateEndpoints(before, registry)
 	r.cancelStaleCalls(changes)
 	r.quarantine.ApplyEndpointList(registry.Endpoints)
 }
