--- a/relay/log.go
+++ b/relay/log.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// maxChangeLines bounds the log lines on changes of endpoints that one answer about the list brings.
+	maxChangeLines = 100
 	// answerLogBurst is the maximum number of lines on complete answers in each logSamplePeriod. Refusals and failures
 	// are all logged; under load, only a sample of the successes is.
 	answerLogBurst  = 10
@@ -138,11 +140,19 @@
 		Dur("RegistryAge", r.Registry().Age(r.now())).Msg("stream goes on at another endpoint")
 }
 
-// logRegistryChanges logs each endpoint that was listed or removed, or whose state changed.
-func (r *Relay) logRegistryChanges(changes []kernel.RegistryChange) {
-	for _, change := range changes {
+// logRegistryChanges logs the endpoints that were listed or removed, or whose state changed: each on a line of its own up
+// to maxChangeLines, and the number of the others. The first list is logged as a number.
+func (r *Relay) logRegistryChanges(changes []kernel.RegistryChange, first bool) {
+	lines := maxChangeLines
+	if first {
+		lines = 0
+	}
+	for _, change := range changes[:min(lines, len(changes))] {
 		r.log.Info().Str("Endpoint", change.Endpoint.Incarnation()).Str("Pool", change.Endpoint.Pool).
 			Str("Address", change.Endpoint.Address).Str("State", string(change.Endpoint.State)).Str("Version", change.Endpoint.Version).
 			Msg(change.Message)
 	}
+	if more := len(changes) - lines; more > 0 {
+		r.log.Info().Int("Endpoints", more).Bool("First", first).Msg("more endpoints changed")
+	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -274,7 +274,7 @@
 		return
 	}
 	changes := registry.Changes(before)
-	r.logRegistryChanges(changes)
+	r.logRegistryChanges(changes, before.Len() == 0)
 	r.updateListedVersions(registry)
 	r.updatePaths(changes)
 	r.batchers.updateEndpoints(before, registry)
