Tests: nodes reach endpoints over links by how they dial, not by rewritten entries

Cause: the fleets of the tests on cut-off nodes, and the soak, gave the nodes of a failure domain the addresses of its links in the list that they read from the store. That holds only while each failure domain reads the list for itself.

The proxy that rewrote entries is gone.

--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -47,10 +47,11 @@
 		OnDial func(address string, beganAt time.Time, err error)
 		// OnUnread is called when a request is not sent because the endpoint has not taken earlier ones.
 		OnUnread func(address string)
+		// Dial opens a connection over TCP.
+		Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-		dialer net.Dialer
-		mu     sync.Mutex
-		idle   map[string][]*exchangeConn
+		mu   sync.Mutex
+		idle map[string][]*exchangeConn
 
 		// unreadMu guards unread, which counts the bytes that endpoints have not taken, and sends, the sends that it counts.
 		unreadMu sync.Mutex
@@ -86,7 +87,8 @@
 	x := &Exchanger{Now: now, OnDial: func(string, time.Time, error) {}, OnUnread: func(string) {}, idle: map[string][]*exchangeConn{}}
 	x.sends = map[held.ID]*exchangeSend{}
 	x.LimitUnread(held.NewUnreadLimits(held.NewLimits(0)))
-	x.dialer = NewDialer()
+	dialer := NewDialer()
+	x.Dial = dialer.DialContext
 	return x
 }
 
@@ -170,7 +172,7 @@
 	results := make(chan result)
 	begin := func() {
 		go func() {
-			conn, err := x.dialer.DialContext(ctx, "tcp", address)
+			conn, err := x.Dial(ctx, "tcp", address)
 			select {
 			case results <- result{conn, err}:
 			case <-ctx.Done():
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +20,8 @@
 )
 
 const (
+	// linksVariable is the environment variable of testnode with the URL at which it asks for the addresses of links.
+	linksVariable = "SOAK_LINKS"
 	// gracePeriod, drainPeriod and revocationPeriod are settings of the nodes: how long a terminated node has until it is
 	// killed, how long an endpoint that is leaving may still receive requests, and how long a revoked API
 	// key may still be accepted.
@@ -52,8 +55,9 @@
 		// outageMu is held during an outage of the whole store.
 		outageMu sync.Mutex
 		// links holds the links from nodes to endpoints. cutOffMu is held while some are cut.
-		links    *endpointLinks
-		cutOffMu sync.Mutex
+		links      *endpointLinks
+		linkServer *httptest.Server
+		cutOffMu   sync.Mutex
 		// evacuationMu is held while a failure domain is evacuated.
 		evacuationMu sync.Mutex
 
@@ -116,7 +120,7 @@
 		cluster *cluster
 		name    string
 		domain  string
-		// storeView is the store with the addresses of the links over which the node reaches endpoints.
+		// storeView is the store as the node sees it.
 		storeView *standin.StoreProxy
 		// storeProxy carries the node's connections to the store, peerProxy those of other nodes to this one.
 		storeProxy *proxy
@@ -169,6 +173,18 @@
 	return nil
 }
 
+// poolAt returns the pool of the endpoint at an address; empty if there has been none.
+func (c *cluster) poolAt(address string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.endpoints {
+		if e.proxy.address() == address {
+			return e.pool
+		}
+	}
+	return ""
+}
+
 // replaceCrashed handles the crash of an endpoint that a poison request caused, as the platform does: a replacement
 // starts after replacementDelay, and the entry of the crashed endpoint is removed after lapseDelay.
 func (c *cluster) replaceCrashed(e *endpoint) {
@@ -221,7 +237,7 @@
 // startNode creates the proxies, log and settings file of a node and starts its process.
 func (c *cluster) startNode(number int) error {
 	n := &node{cluster: c, name: fmt.Sprint("node-", number), domain: fmt.Sprint("domain-", number%failureDomainCount)}
-	n.storeView = standin.NewRewritingStoreProxy(c.store, func(value string) string { return c.links.rewrite(n.domain, value) })
+	n.storeView = standin.NewStoreProxy(c.store)
 	var err error
 	if n.storeProxy, err = newNarrowProxy(n.storeView.Address()); err != nil {
 		return err
@@ -268,8 +284,8 @@
 
 // start starts the process and reads the address on which it listens from its log.
 func (n *node) start() error {
-	process := exec.Command(n.cluster.binary, "edge")
-	process.Env = append(os.Environ(), standin.SettingsVariable+"="+n.settingsPath())
+	process := exec.Command(n.cluster.binary)
+	process.Env = append(os.Environ(), standin.SettingsVariable+"="+n.settingsPath(), linksVariable+"="+n.cluster.linkServer.URL)
 	process.Stderr = n.logFile
 	// The process must not outlive the test. A node that is left over from a killed test would keep calling the port of
 	// its store. An endpoint of another test may get this port and would report runs that no caller sent.
@@ -376,6 +392,7 @@
 		n.peerProxy.close()
 		_ = n.logFile.Close()
 	}
+	c.linkServer.Close()
 	c.links.close()
 	for _, e := range c.endpoints {
 		e.proxy.close()
--- a/soak/cutoff_test.go
+++ b/soak/cutoff_test.go
@@ -1,8 +1,9 @@
 package soak_test
 
 import (
-	"encoding/json"
+	"io"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -26,8 +27,8 @@
 	stallTime = 1200 * time.Millisecond
 )
 
-// endpointLinks holds the links over which the nodes of each failure domain reach endpoints. Nodes of a domain read the list
-// of endpoints from each other, so they share links.
+// endpointLinks holds the links over which the nodes of each failure domain reach endpoints. Nodes ask it for their
+// addresses over HTTP; see testnode.
 type endpointLinks struct {
 	mu sync.Mutex
 	// byDomain holds the links by failure domain and by the endpoint's address.
@@ -48,26 +49,19 @@
 	return &endpointLinks{byDomain: map[string]map[string]*links.CutLink{}, ended: map[string]bool{}, states: map[string]linkCut{}}
 }
 
-// rewrite replaces the address in an entry of the list of endpoints by that of the domain's link.
-func (l *endpointLinks) rewrite(domain, value string) string {
-	var entry map[string]any
-	if json.Unmarshal([]byte(value), &entry) != nil {
-		return value
-	}
-	address, hasAddress := entry["address"].(string)
-	pool, hasPool := entry["service"].(string)
-	// Invalid entries stay as they are.
-	if !hasAddress || !hasPool || !strings.HasPrefix(address, "127.0.0.1:") || strings.HasSuffix(address, ":1") || strings.HasSuffix(address, ":0") || strings.HasSuffix(address, ":http") {
-		return value
-	}
-	entry["address"] = l.link(domain, pool, address).Address()
-	out, err := json.Marshal(entry)
-	if err != nil {
-		return value
-	}
-	return string(out)
+// handler returns a handler that answers with the address of the link of a failure domain to an address, or that address
+// itself if it is not that of an endpoint of the cluster. poolAt returns the pool of the endpoint at an address.
+func (l *endpointLinks) handler(poolAt func(address string) string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		address := r.URL.Query().Get("address")
+		if pool := poolAt(address); pool != "" {
+			address = l.link(r.URL.Query().Get("domain"), pool, address).Address()
+		}
+		_, _ = io.WriteString(w, address)
+	})
 }
 
+// link returns the link of a failure domain to an endpoint.
 func (l *endpointLinks) link(domain, pool, address string) *links.CutLink {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -77,8 +78,8 @@
 )
 
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "basilstall")
-	out, err := exec.Command("go", "build", "-o", binary, "basilstall.example/basilstall").CombinedOutput()
+	binary := filepath.Join(t.TempDir(), "testnode")
+	out, err := exec.Command("go", "build", "-o", binary, "basilstall.example/basilstall/soak/testnode").CombinedOutput()
 	must.NoError(t, err, must.Sprint(string(out)))
 	for _, kept := range keptSeeds {
 		t.Run(fmt.Sprint("seed-", kept.seed), func(t *testing.T) {
@@ -104,6 +105,7 @@
 		endpoints: map[string]*endpoint{}, apiKeys: []string{validKey}, revokedAPIKeys: map[string]time.Time{}, evacuations: map[string][]period{},
 	}
 	defer c.close()
+	c.linkServer = httptest.NewServer(c.links.handler(c.poolAt))
 	c.store.SetRewrite(c.replaceNodeAddress)
 	for pool, count := range map[string]int{"plain": 3, "engines": 4, "workers": 2} {
 		for i := range count {
