One node reads the store for the fleet, the others follow it as a tree

Cause: one node of each failure domain read four tables (3.4 calls a second each) and answered all others of its domain twice a second, 200 of them before the fleet, each with an age up to half a second greater. At a start each node read all tables, 20 pages of endpoints among them, and wrote its row: 27 calls a node. The platform takes 200 writes a second of one part of a table.

Ruled out: a reader for each region (as many calls as regions, and no fewer at one); gossip (the greatest age grows with the fleet and each node hears everything several times); a part of the table of nodes for each failure domain (nodes of the build before read the unnamed part only); writing rows at random times (five seconds at 1,000 nodes, and nodes don't know how many there are).

Change: - SourceSelector: two designated readers for the fleet. In each failure domain the nodes are ordered by hash, each asks the one that comes before it by a power of four, the first asks the readers; one that knows nothing newer is skipped for the next one up. The order is kept until the nodes change. - A node that is asked waits up to 0.4 s until it knows more than the other one; FeedReply.Held keeps the proof's age right, so that it does not grow at each step. Nodes of the build before answer at once and are asked twice a second, as before. - A starting node reads only which nodes there are, and gets the tables from the node that it follows, which may be starting itself; after 4 s it reads them. One that would be the first reader looks twice. - Rows of nodes pass up the same way and are written by the reader, a hundred at a time; a node whose row does not appear in 3 s writes it.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -1,8 +1,10 @@
-// Package follow replicates tables of the platform's store to a node. In each failure domain one node reads the store.
-// The others ask that node or, if it has nothing newer, further ones, as kernel.SourceSelector decides. The store thus
-// gets few calls, also while it is unavailable, and a node that the store does not answer still gets the tables from
-// other nodes, with their age: the time since they were last proven current. An answer of the store proves that a table
-// was current when the request was sent.
+// Package follow replicates tables of the platform's store to a node. One node of the fleet reads the store. The others
+// follow it as a tree, as kernel.SourceSelector decides: each asks one node, which answers as soon as it knows more. The
+// store thus gets few calls, also while it is unavailable, and a node that the store does not answer still gets the
+// tables from other nodes, with their age: the time since they were last proven current. An answer of the store proves
+// that a table was current when the request was sent.
+//
+// A node that starts reads from the store which nodes there are, and gets all else from the node that it follows.
 package follow
 
 import (
@@ -52,6 +54,8 @@
 		// MaxAge is the greatest age at which the tables of another node are sufficient. Beyond it the store is asked
 		// as well.
 		MaxAge time.Duration
+		// Outbox holds the rows of nodes to write into the store or to pass on.
+		Outbox *Outbox
 	}
 
 	// Follower keeps this node's replicas of tables up to date.
@@ -68,12 +72,10 @@
 		// selectorMu guards selector.
 		selectorMu sync.Mutex
 		selector   *kernel.SourceSelector
-		// decideOnce guards the decision, made as soon as all tables are known, whether this node continues to read the
-		// store.
-		decideOnce sync.Once
-		// decided is true after that decision. Tables with IgnoreAge are read only then, and only by nodes that
-		// continue to read.
-		decided atomic.Bool
+		startedAt  time.Time
+		// settled is true once this node has looked twice which nodes there are. Only the goroutine that polls the other
+		// nodes uses it.
+		settled bool
 		// updates is signalled after each answer about the tables.
 		updates *broadcaster
 		// callTimeout is how long to wait for the answer of another node. Only the goroutine that polls the other nodes
@@ -99,7 +101,7 @@
 func NewFollower(ctx context.Context, options Options, store Store, r *relay.Relay, tables []Table, metrics *metric.Set, log zerolog.Logger) *Follower {
 	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), updates: newBroadcaster(), callTimeout: options.MaxAge}
 	f.selector = kernel.NewSourceSelector(options.Name, options.Domain, options.MaxAge)
-	f.readsStore.Store(true)
+	f.startedAt = clock.Now()
 	for _, t := range tables {
 		f.tables = append(f.tables, &followedTable{Table: t, replica: kernel.NewReplica()})
 	}
@@ -109,29 +111,43 @@
 		}()
 	}
 	go func() {
-		for pause := peerPollInterval; clock.Sleep(ctx, pause); {
+		for pause := time.Duration(0); clock.Sleep(ctx, pause); {
 			pause = f.pollPeers(ctx)
 		}
 	}()
+	go func() {
+		f.writeAnnounced(ctx)
+	}()
 	return f
 }
 
-// allTablesKnown reports whether all tables have been read, except those with IgnoreAge.
+// allTablesKnown reports whether all tables have been read, except optional ones.
 func (f *Follower) allTablesKnown() bool {
 	for _, t := range f.tables {
-		if t.IgnoreAge {
-			continue
+		if !t.Optional && !t.known() {
+			return false
 		}
-		t.mu.Lock()
-		_, known := t.replica.Version()
-		t.mu.Unlock()
-		if !known {
+	}
+	return true
+}
+
+// membershipKnown reports whether it is known which nodes there are.
+func (f *Follower) membershipKnown() bool {
+	for _, t := range f.tables {
+		if t.Membership && !t.known() {
 			return false
 		}
 	}
 	return true
 }
 
+func (t *followedTable) known() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, known := t.replica.Version()
+	return known
+}
+
 // oldestAge returns the greatest age of the tables, except those with IgnoreAge: the time since each was last proven
 // current.
 func (f *Follower) oldestAge() time.Duration {
@@ -173,6 +189,7 @@
 		f.clearDown()
 	}
 	if f.readsStore.Swap(reads) != reads {
+		f.updates.Broadcast()
 		f.log.Info().Bool("Reads", reads).Str("Why", reason).Msg("reading of the store changed")
 	}
 }
@@ -182,28 +199,47 @@
 	return f.readsStore.Load()
 }
 
-// isStale reports whether the store does not answer this node and its tables are incomplete or too old for other nodes.
-func (f *Follower) isStale() bool {
-	return f.storeLost() && (!f.allTablesKnown() || f.oldestAge() > f.options.MaxAge)
+// hasNews reports whether this node knows all tables, recently proven current, and more than the sender of a request
+// that arrived at askedAt, if that awaits news.
+func (f *Follower) hasNews(request peer.Feed, askedAt time.Time) bool {
+	age := f.oldestAge()
+	if !f.allTablesKnown() || age > f.options.MaxAge {
+		return false
+	}
+	if !request.AwaitsNews || request.ProvenAgo == 0 || age+newsMargin < request.ProvenAgo+clock.Now().Sub(askedAt) {
+		return true
+	}
+	for _, t := range f.tables {
+		t.mu.Lock()
+		changed := t.replica.ChangedSince(request.After[t.Name])
+		t.mu.Unlock()
+		if changed {
+			return true
+		}
+	}
+	return false
 }
 
-// HandleFeed answers another node's request for the changes of the tables. If the tables of this node are stale, it
-// first waits for newer ones, at most as long as the request allows.
+// HandleFeed answers another node's request for the changes of the tables. It first waits for news, at most as long as the
+// request allows.
 func (f *Follower) HandleFeed(ctx context.Context, body []byte) (any, error) {
+	askedAt := clock.Now()
 	var request peer.Feed
 	if err := peer.DecodeBody(body, &request); err != nil {
 		return nil, err
 	}
+	f.options.Outbox.Add(request.Announced)
 	if request.Node != "" && request.ProvenAgo > 0 && f.storeLost() && f.oldestAge() > request.ProvenAgo {
 		f.selectorMu.Lock()
 		f.selector.RecordFresherNode(clock.Now(), request.Node)
 		f.selectorMu.Unlock()
 	}
-	if request.Hold > 0 && f.isStale() {
-		f.updates.Await(ctx, min(request.Hold, sourceLongPollTime), func() bool { return !f.isStale() })
+	if request.Hold > 0 {
+		f.updates.Await(ctx, min(request.Hold, sourceLongPollTime), func() bool { return f.hasNews(request, askedAt) })
 	}
-	reply := peer.FeedReply{Tables: map[string]kernel.Delta{}, Lost: f.storeLost()}
+	reply := peer.FeedReply{Tables: map[string]kernel.Delta{}, Lost: f.storeLost(), Follows: true}
 	now := clock.Now()
+	reply.Held = now.Sub(askedAt)
 	for _, t := range f.tables {
 		t.mu.Lock()
 		if delta, known := t.replica.Since(now, request.After[t.Name]); known {
--- a/follow/nodes.go
+++ b/follow/nodes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,6 +27,10 @@
 	// worth a write that all nodes read.
 	unreachedCheckInterval = 500 * time.Millisecond
 	unreachedStability     = 2
+	// maxMembershipTime is how long a starting node waits to learn which nodes there are before it writes its row by
+	// itself, and maxAnnounceTime how long it waits for the row that it has passed on to appear in the table.
+	maxMembershipTime = time.Second
+	maxAnnounceTime   = 3 * time.Second
 )
 
 // Nodes writes this node's row of NodesTable and passes the rows of all nodes to the relay. The row of a failed node
@@ -33,7 +38,10 @@
 type Nodes struct {
 	// Write writes a row of NodesTable unconditionally.
 	Write func(ctx context.Context, key string, value []byte) error
+	// Follows reports whether this node gets the tables from another one, which can write its row with those of others.
+	Follows func() bool
 
+	outbox  *Outbox
 	own     relay.Node
 	relay   *relay.Relay
 	log     zerolog.Logger
@@ -42,25 +50,41 @@
 	rows map[string]relay.Node
 	// tableRead is true once the table has been read, even if it was empty. Only apply uses it.
 	tableRead bool
+	// known is closed once the table has been read, listed once this node's row is written again after that.
+	known, listed chan struct{}
+	listedOnce    sync.Once
 }
 
 // NewNodes returns a Nodes that writes the row of the node own with write.
 func NewNodes(own relay.Node, write func(context.Context, string, []byte) error, r *relay.Relay, metrics *metric.Set, log zerolog.Logger) *Nodes {
-	return &Nodes{Write: write, own: own, relay: r, log: log, metrics: metrics, rows: map[string]relay.Node{}}
+	return &Nodes{
+		Write: write, Follows: func() bool { return false },
+		outbox: NewOutbox(), own: own, relay: r, log: log, metrics: metrics, rows: map[string]relay.Node{},
+		known: make(chan struct{}), listed: make(chan struct{}),
+	}
+}
+
+// Outbox returns the rows of nodes that are to be written into the store or passed on.
+func (n *Nodes) Outbox() *Outbox {
+	return n.outbox
 }
 
 // Table returns NodesTable as a table to follow.
 func (n *Nodes) Table() Table {
-	return Table{Name: NodesTable, PollInterval: NodesPollInterval, Apply: n.apply}
+	return Table{Name: NodesTable, PollInterval: NodesPollInterval, IgnoreAge: true, Membership: true, Apply: n.apply}
 }
 
 func (n *Nodes) apply(_ time.Time, changes []kernel.Row) {
 	if len(changes) == 0 && n.tableRead {
 		return
 	}
+	first := !n.tableRead
 	n.tableRead = true
 	var announced []string
 	for _, row := range changes {
+		if row.Key == n.own.Address && !first {
+			n.listedOnce.Do(func() { close(n.listed) })
+		}
 		if row.Removed {
 			delete(n.rows, row.Key)
 			continue
@@ -80,12 +104,15 @@
 		nodes = append(nodes, node)
 	}
 	n.relay.SetNodes(nodes, announced)
+	if first {
+		close(n.known)
+	}
 }
 
 // Announce writes this node's row, again whenever the pools change that it does not reach, and once more, marked as leaving,
 // when the channel is closed. It retries failed writes and returns after the last one, or when ctx ends.
 func (n *Nodes) Announce(ctx context.Context, leaving <-chan struct{}) {
-	n.writeWithRetry(ctx, n.own)
+	n.announceStart(ctx)
 	ticker := time.NewTicker(unreachedCheckInterval)
 	defer ticker.Stop()
 	stable := 0
@@ -113,6 +140,35 @@
 	}
 }
 
+// announceStart has the row of this node written by the node that it follows, together with those of others: after a
+// simultaneous start the store could not take a write of each node at once. A node that follows none writes by itself,
+// and so does one whose row does not appear.
+func (n *Nodes) announceStart(ctx context.Context) {
+	await(ctx, n.known, maxMembershipTime)
+	value, err := json.Marshal(n.own)
+	if err == nil && n.Follows() {
+		n.outbox.Add(map[string][]byte{n.own.Address: value})
+		if await(ctx, n.listed, maxAnnounceTime) {
+			return
+		}
+		n.metrics.CountEvent("AnnouncedByItself")
+	}
+	n.writeWithRetry(ctx, n.own)
+}
+
+// await waits for a channel to be closed and reports whether it was before the timeout and the end of ctx.
+func await(ctx context.Context, done <-chan struct{}, timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // announceUnreached writes the pools that this node does not reach. A write that fails is tried again at the next check.
 func (n *Nodes) announceUnreached(ctx context.Context, unreached []string) {
 	node := n.own
--- a/follow/notices.go
+++ b/follow/notices.go
@@ -43,7 +43,7 @@
 
 // Table returns NoticesTable as a table to follow.
 func (n *Notices) Table() Table {
-	return Table{Name: NoticesTable, MaxWait: noticesMaxWait, IgnoreAge: true, Apply: n.apply}
+	return Table{Name: NoticesTable, MaxWait: noticesMaxWait, IgnoreAge: true, Optional: true, Apply: n.apply}
 }
 
 func (n *Notices) apply(provenAt time.Time, rows []kernel.Row) {
--- a/follow/read.go
+++ b/follow/read.go
@@ -14,8 +14,8 @@
 func (f *Follower) readLoop(ctx context.Context, t *followedTable) {
 	retryPause := minRetryPause
 	for ctx.Err() == nil {
-		if !f.readsStore.Load() || t.IgnoreAge && !f.decided.Load() {
-			clock.Sleep(ctx, roleCheckInterval)
+		if !f.readsStore.Load() && (!t.Membership || t.known()) {
+			f.updates.Await(ctx, roleCheckInterval, f.readsStore.Load)
 			continue
 		}
 		if f.waitForFirstTable(ctx, t) {
@@ -24,9 +24,6 @@
 		err := f.fetch(ctx, t)
 		f.recordResult(ctx, t, err)
 		pause := t.PollInterval
-		if err == nil && f.decideRole(ctx) {
-			continue
-		}
 		if err != nil {
 			pause = jittered(retryPause)
 			retryPause = min(2*retryPause, f.retryPauseLimit())
@@ -39,23 +36,6 @@
 	}
 }
 
-// decideRole waits until all tables are known, for roleCheckInterval at most, and then decides whether this node
-// continues to read the store. It reports whether this call made the decision, which is made only once. After a
-// simultaneous start, each node reads each table once and few continue to read.
-func (f *Follower) decideRole(ctx context.Context) bool {
-	decided := false
-	f.updates.Await(ctx, roleCheckInterval, f.allTablesKnown)
-	if f.allTablesKnown() {
-		f.decideOnce.Do(func() {
-			plan := f.plan()
-			f.setReadsStore(plan.ReadStore, plan.Reason)
-			f.decided.Store(true)
-			decided = true
-		})
-	}
-	return decided
-}
-
 // waitForFirstTable waits if the store answers requests neither for a table nor for the first table, and reports
 // whether it waited. Requests for one table are enough to find out whether the store is back.
 func (f *Follower) waitForFirstTable(ctx context.Context, t *followedTable) bool {
--- a/follow/source.go
+++ b/follow/source.go
@@ -13,40 +13,56 @@
 )
 
 const (
-	// peerPollInterval is the time between two requests to other nodes. It adds to the age of the tables.
+	// minPollInterval is the time between two requests to a node that waits for news before it answers, and
+	// peerPollInterval that to one of an older build, which does not.
+	minPollInterval  = 200 * time.Millisecond
 	peerPollInterval = 500 * time.Millisecond
+	// newsMargin is by how much the tables of a node have to be proven more recently than those of another one for that to
+	// be news. The time that a question takes makes the other's look older than they are.
+	newsMargin = 50 * time.Millisecond
 	// peerIdleTimeout is how long an asked node may send nothing. An answer that is still being received may take
 	// longer, in the end up to maxPeerTimeout: the time that 10 Mbit/s, the bandwidth of the slowest links of hosts,
 	// take for the largest message.
 	peerIdleTimeout = 400 * time.Millisecond
 	maxPeerTimeout  = 7 * time.Second
-	// maxSourceAttempts is how many nodes are asked one after the other. The last one may delay its answer by
-	// sourceLongPollTime while it waits for newer tables itself, and the next request follows after peerRetryInterval.
-	// All waiting nodes thus learn at once that the store is back.
+	// maxSourceAttempts is how many nodes are asked one after the other. Each may delay its answer by sourceLongPollTime
+	// while it waits for news itself, and the next request follows after peerRetryInterval. All waiting nodes thus learn
+	// at once that the store is back.
 	maxSourceAttempts  = 3
 	sourceLongPollTime = 400 * time.Millisecond
 	peerRetryInterval  = 100 * time.Millisecond
+	// settleTime is how long a starting node that is the first reader by the nodes that it knows waits before it looks
+	// again: nodes that start at the same time find each other only once some have announced themselves.
+	settleTime = 400 * time.Millisecond
+	// maxStartTime is how long a starting node waits for the tables from other nodes before it reads them from the store.
+	maxStartTime = 4 * time.Second
 )
 
 // pollPeers requests changes from other nodes if this node does not read the store itself or the store does not answer
 // it. It returns the pause before the next poll.
 func (f *Follower) pollPeers(ctx context.Context) time.Duration {
-	if !f.allTablesKnown() && !f.storeLost() {
-		// The first copy of each table comes from the store. Otherwise one node would have to send the whole tables to
-		// all others after a simultaneous start.
-		return peerPollInterval
+	if !f.membershipKnown() {
+		f.updates.Await(ctx, roleCheckInterval, f.membershipKnown)
+		return 0
 	}
 	plan := f.plan()
-	for attempt := 0; attempt < maxSourceAttempts && plan.Source != ""; attempt++ {
-		hold := time.Duration(0)
-		if plan.LongPoll || attempt == maxSourceAttempts-1 {
-			hold, attempt = sourceLongPollTime, maxSourceAttempts
+	if !f.allTablesKnown() {
+		if plan.ReadStore && !f.settled {
+			f.settled = true
+			plan = f.settle(ctx)
 		}
-		sufficient := f.querySource(ctx, plan.Source, hold)
+		f.setReadsStore(plan.ReadStore, plan.Reason)
+	}
+	for attempt := 0; attempt < maxSourceAttempts && plan.Source != ""; attempt++ {
+		sentAt := clock.Now()
+		sufficient, follows := f.querySource(ctx, plan.Source)
 		plan = f.plan()
 		if sufficient {
 			f.setReadsStore(plan.ReadStore, plan.Reason)
-			return peerPollInterval
+			if !follows {
+				return peerPollInterval
+			}
+			return max(0, minPollInterval-clock.Now().Sub(sentAt))
 		}
 	}
 	f.setReadsStore(plan.ReadStore, plan.Reason)
@@ -59,17 +75,39 @@
 	return jittered(peerRetryInterval)
 }
 
+// settle gives the nodes that start at the same time as this one the time to announce themselves, reads once more which
+// nodes there are, and returns the plan that follows.
+func (f *Follower) settle(ctx context.Context) kernel.SourcePlan {
+	clock.Sleep(ctx, jittered(settleTime))
+	for _, t := range f.tables {
+		if t.Membership {
+			f.recordResult(ctx, t, f.fetch(ctx, t))
+		}
+	}
+	return f.plan()
+}
+
 // plan returns where to get the tables from.
 func (f *Follower) plan() kernel.SourcePlan {
 	f.selectorMu.Lock()
 	defer f.selectorMu.Unlock()
-	return f.selector.Plan(clock.Now(), f.relay.Reachable(), f.storeLost())
+	plan := f.selector.Plan(clock.Now(), f.relay.Reachable(), f.storeLost())
+	if !f.allTablesKnown() && clock.Now().Sub(f.startedAt) > maxStartTime {
+		plan.ReadStore, plan.Reason = true, "no other node has sent the tables"
+	}
+	return plan
+}
+
+// Follows reports whether this node gets the tables from another one.
+func (f *Follower) Follows() bool {
+	plan := f.plan()
+	return !plan.ReadStore && plan.Source != ""
 }
 
-// querySource requests changes from a node and reports whether its answer is sufficient, so that no further node is
-// asked. The node may delay its answer by hold while it waits for newer tables.
-func (f *Follower) querySource(ctx context.Context, source string, hold time.Duration) bool {
-	answer, err := f.fetchFromNode(ctx, source, hold)
+// querySource requests changes from a node. It reports whether the answer is sufficient, so that no further node is
+// asked, and whether the node waits for news before it answers.
+func (f *Follower) querySource(ctx context.Context, source string) (sufficient, follows bool) {
+	answer, follows, err := f.fetchFromNode(ctx, source)
 	// A node whose answer is still being received has not failed, but another one may have the changes sooner.
 	answer.TimedOut = errors.Is(err, context.DeadlineExceeded)
 	answer.Failed = err != nil && !answer.TimedOut
@@ -80,7 +118,7 @@
 	}
 	f.selectorMu.Lock()
 	defer f.selectorMu.Unlock()
-	return f.selector.RecordAnswer(clock.Now(), source, answer)
+	return f.selector.RecordAnswer(clock.Now(), source, answer), follows
 }
 
 // probeStore reads a table from the store once if the selector chooses this node for a probe. It is called if no other
@@ -104,15 +142,24 @@
 }
 
 // fetchFromNode requests the changes of all tables from a node and applies them. It returns what the node reported
-// about the store and the age of its tables.
-func (f *Follower) fetchFromNode(ctx context.Context, node string, hold time.Duration) (kernel.SourceAnswer, error) {
+// about the store and the age of its tables, and whether it waits for news.
+func (f *Follower) fetchFromNode(ctx context.Context, node string) (_ kernel.SourceAnswer, follows bool, err error) {
+	const hold = sourceLongPollTime
 	ctx, cancel := context.WithTimeout(ctx, f.callTimeout+hold)
 	defer cancel()
-	// A slow answer may be one that many nodes wait for, or a large one on a slow link. Reading the store meanwhile
-	// lets this node learn in time which endpoints are leaving.
-	slowTimer := time.AfterFunc(peerIdleTimeout+hold, func() { f.setReadsStore(true, "the reader's answer is slow") })
-	defer slowTimer.Stop()
-	request := peer.Feed{After: map[string]uint64{}, Unpacks: true, Node: f.options.Name, Hold: hold}
+	if f.allTablesKnown() {
+		// A slow answer may be one that many nodes wait for, or a large one on a slow link. Reading the store meanwhile
+		// lets this node learn in time which endpoints are leaving.
+		slowTimer := time.AfterFunc(peerIdleTimeout+hold, func() { f.setReadsStore(true, "the answer of the node that is followed is slow") })
+		defer slowTimer.Stop()
+	}
+	announced := f.options.Outbox.Take()
+	defer func() {
+		if !follows {
+			f.options.Outbox.Add(announced)
+		}
+	}()
+	request := peer.Feed{After: map[string]uint64{}, Unpacks: true, Node: f.options.Name, Hold: hold, AwaitsNews: true, Announced: announced}
 	for _, t := range f.tables {
 		t.mu.Lock()
 		request.After[t.Name], _ = t.replica.Version()
@@ -125,15 +172,15 @@
 	var reply peer.FeedReply
 	if err := f.relay.CallWithIdleTimeout(ctx, peerIdleTimeout+hold, node, peer.KindFeed, request, &reply); err != nil {
 		f.recordFailure(node, "", err)
-		return kernel.SourceAnswer{}, err
+		return kernel.SourceAnswer{}, false, err
 	}
 	receivedAt := clock.Now()
 	answer := kernel.SourceAnswer{StoreLost: reply.Lost}
+	// The request arrived after it was sent, so the reply was made after this time.
+	repliedAt := sentAt.Add(reply.Held)
 	for _, t := range f.tables {
 		delta, ok := reply.Tables[t.Name]
-		if !ok && !t.IgnoreAge {
-			answer.Age = f.options.MaxAge + 1
-		}
+		answer.Starting = answer.Starting || !ok && !t.Optional
 		if !ok {
 			continue
 		}
@@ -143,11 +190,11 @@
 		startedAt := clock.Now()
 		size, err := unpack(reply, t.Name)
 		if err != nil {
-			return kernel.SourceAnswer{}, err
+			return kernel.SourceAnswer{}, false, err
 		}
 		t.mu.Lock()
 		if version, _ := t.replica.Version(); delta.Version >= version {
-			changes := t.replica.ApplyDelta(sentAt, delta)
+			changes := t.replica.ApplyDelta(repliedAt, delta)
 			t.Apply(t.replica.ProvenAt(), changes)
 		}
 		t.mu.Unlock()
@@ -157,5 +204,5 @@
 		})
 	}
 	f.updates.Broadcast()
-	return answer, nil
+	return answer, reply.Follows, nil
 }
--- a/follow/table.go
+++ b/follow/table.go
@@ -17,9 +17,13 @@
 		MaxWait      time.Duration
 		PollInterval time.Duration
 		// IgnoreAge is true if the contents of the table stay in effect however long ago they were proven current. The
-		// age of the table then does not count in the decision which nodes read the store, and a starting node gets the
-		// table from the nodes that do.
+		// age of the table then does not count in the decision which nodes read the store.
 		IgnoreAge bool
+		// Optional is true if a node serves requests before it knows the table.
+		Optional bool
+		// Membership is true for the table that each node reads from the store at its start, to find the nodes that it gets
+		// the others from.
+		Membership bool
 		// Apply is called with the rows that changed and the time at which the table was last proven current.
 		Apply func(provenAt time.Time, changes []kernel.Row)
 	}
@@ -30,6 +34,8 @@
 		ReadAll func(ctx context.Context, table string) (Answer, error)
 		// ReadChanges returns what changed after a version. If nothing did, it waits for the first change, up to maxWait.
 		ReadChanges func(ctx context.Context, table string, after uint64, maxWait time.Duration) (Answer, error)
+		// WriteNodes writes rows of NodesTable by their keys, at most MaxWrittenRows.
+		WriteNodes func(ctx context.Context, rows map[string][]byte) error
 	}
 
 	// Answer is the store's answer about a table.
--- a/kernel/reading.go
+++ b/kernel/reading.go
@@ -6,24 +6,34 @@
 )
 
 const (
-	// maxReaders is how many nodes of a failure domain may be designated to read a store that does not answer: one
-	// reads, and one more takes its place where the store turns away only the first.
+	// maxReaders is how many nodes of the fleet may be designated to read a store that does not answer: one reads, and one
+	// more takes its place where the store turns away only the first.
 	maxReaders = 2
+	// sourceFanOut is how many nodes of a failure domain follow the same node. It bounds what a node sends, whatever the
+	// size of the fleet; a change passes one more node for each power of it.
+	sourceFanOut = 4
 	// skipDuration is how long a node that knows no more than this one is skipped.
 	skipDuration = time.Second
+	// maxStartingAnswers bounds the questions to nodes that do not know all tables yet before the next source is asked.
+	maxStartingAnswers = 5
 	// fresherNodeTTL is how long a node that was found to know more counts as a source: the time in which it sends
 	// several requests to this node.
 	fresherNodeTTL = 1500 * time.Millisecond
+	// readersSubject and followersSubject are what nodes are ordered for by hash.
+	readersSubject   = "reader"
+	followersSubject = "reader of "
 )
 
 type (
 	// SourceSelector decides for one node where it gets the contents of the store from: the store itself or another
-	// node. In each failure domain the first nodes by hash are the designated readers. The first one always reads the
-	// store, and each further one does while the store does not answer those before it. All other nodes ask the
-	// readers of their failure domain and, where these know nothing newer, those of other failure domains. An
-	// unavailable store thus gets few calls, however many nodes there are. A store that answers some nodes but none
-	// of the designated readers is found by probes of the other nodes, on average one in each failure domain for each
-	// time that all of them have asked the readers in vain.
+	// node. The first nodes of the fleet by hash are the designated readers. The first one always reads the store, and
+	// each further one does while the store does not answer those before it. All other nodes follow the readers as a
+	// tree: in each failure domain the nodes are ordered by hash, the first one asks the readers, and each further one
+	// asks the node that comes before it by a power of sourceFanOut, or where that knows nothing newer the one that
+	// this one follows, and so on up to the readers, and at last readers-to-be of other failure domains. An unavailable
+	// store thus gets few calls, and each node sends little, however many nodes there are. A store that answers some nodes
+	// but none of the designated readers is found by probes of the other nodes, on average one in each failure domain for
+	// each time that all of them have asked the readers in vain.
 	// The methods change it in place and must not be called concurrently.
 	SourceSelector struct {
 		self, domain string
@@ -35,8 +45,13 @@
 		// until fresherNodeUntil.
 		fresherNode      string
 		fresherNodeUntil time.Time
-		// readers are the designated readers of the failure domain in the order of their hashes.
-		readers []string
+		// nodes are the nodes of the last plan. readers are the designated readers among them in the order of their
+		// hashes, and ancestors the nodes of the failure domain between this one and the readers, the nearest first.
+		nodes     []Peer
+		readers   []string
+		ancestors []string
+		// startingAnswers counts the answers in a row of nodes that do not know all tables yet.
+		startingAnswers int
 		// substitute is true while a probe has shown that the store answers this node, but not the readers.
 		substitute bool
 	}
@@ -61,6 +76,8 @@
 		// time since each was last proven current.
 		StoreLost bool
 		Age       time.Duration
+		// Starting is true if the node answered but does not know all tables yet.
+		Starting bool
 	}
 )
 
@@ -73,16 +90,16 @@
 // Plan returns where to get the contents of the store from. nodes are the reachable nodes, this one among them;
 // storeLost tells that this node reads the store and gets no answer.
 func (s *SourceSelector) Plan(now time.Time, nodes []Peer, storeLost bool) SourcePlan {
-	s.readers = designatedReaders(s.domain, nodes)
+	s.setNodes(nodes)
 	rank := slices.Index(s.readers, s.self)
 	if storeLost {
 		s.substitute = false
 	}
 	others := slices.DeleteFunc(slices.Clone(s.readers), func(name string) bool { return name == s.self })
-	available := slices.DeleteFunc(slices.Clone(others), func(name string) bool { return s.isSkipped(now, name) })
+	available := s.withoutSkipped(now, others)
 	switch {
 	case rank >= 0 && !slices.ContainsFunc(s.readers[:rank], func(name string) bool { return !s.isSkipped(now, name) }):
-		plan := SourcePlan{ReadStore: true, Reason: "this node reads for its failure domain"}
+		plan := SourcePlan{ReadStore: true, Reason: "this node reads for the fleet"}
 		if storeLost {
 			plan.Source = firstOf(s.fresherNodes(now), available)
 			return s.withFallback(now, plan, nodes, others)
@@ -90,13 +107,40 @@
 		return plan
 	case s.substitute:
 		return SourcePlan{ReadStore: true, Reason: "the store does not answer the readers", Source: firstOf(available)}
-	default:
+	case rank >= 0:
 		plan := s.withFallback(now, SourcePlan{Source: firstOf(available)}, nodes, others)
 		plan.Reason = plan.Source + " reads for this node"
 		return plan
+	default:
+		plan := s.withFallback(now, SourcePlan{Source: firstOf(s.withoutSkipped(now, s.ancestors), available)}, nodes, others)
+		plan.Reason = plan.Source + " reads for this node"
+		return plan
 	}
 }
 
+// setNodes sets the nodes and, if they have changed, who reads the store and whom this node follows.
+func (s *SourceSelector) setNodes(nodes []Peer) {
+	if slices.Equal(s.nodes, nodes) {
+		return
+	}
+	s.nodes = slices.Clone(nodes)
+	s.readers = designatedReaders(readersSubject, nodes)
+	s.ancestors = nil
+	// The first reader follows nobody, so that it has only readers and the heads of failure domains to answer.
+	domainNodes := slices.DeleteFunc(slices.Clone(nodes), func(n Peer) bool { return n.Domain != s.domain || n.Name == firstOf(s.readers) })
+	// A node that started again may be listed twice.
+	order := slices.Compact(NodesByHash(followersSubject+s.domain, domainNodes))
+	for i := slices.Index(order, s.self); i > 0; {
+		i = (i - 1) / sourceFanOut
+		s.ancestors = append(s.ancestors, order[i])
+	}
+}
+
+// withoutSkipped returns the names that are not skipped now.
+func (s *SourceSelector) withoutSkipped(now time.Time, names []string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return s.isSkipped(now, name) })
+}
+
 // withFallback returns the plan with a source: where it has none, a reader of another failure domain, or else the
 // first of others with a long poll.
 func (s *SourceSelector) withFallback(now time.Time, p SourcePlan, nodes []Peer, others []string) SourcePlan {
@@ -111,13 +155,19 @@
 
 // RecordAnswer records the outcome of a request to a node and reports whether its answer suffices. A recent answer
 // suffices even if the store does not answer that node, unless both nodes are designated readers: then this one has to
-// read the store in its place.
+// read the store in its place. So does that of a node that is itself starting, for maxStartingAnswers answers: after a
+// simultaneous start the tables pass from node to node, and the readers must not be asked for them by all.
 func (s *SourceSelector) RecordAnswer(now time.Time, source string, a SourceAnswer) bool {
 	if a.Failed {
 		return false
 	}
+	if a.Starting && s.startingAnswers < maxStartingAnswers {
+		s.startingAnswers++
+		return true
+	}
+	s.startingAnswers = 0
 	takesOver := a.StoreLost && slices.Contains(s.readers, s.self) && slices.Contains(s.readers, source)
-	if a.TimedOut || a.Age > s.maxAge || takesOver {
+	if a.Starting || a.TimedOut || a.Age > s.maxAge || takesOver {
 		s.skippedUntil[source] = now.Add(skipDuration)
 		return false
 	}
@@ -168,7 +218,7 @@
 	return []string{s.fresherNode}
 }
 
-// remoteReaders returns the designated readers of other failure domains that are not skipped.
+// remoteReaders returns the first nodes of other failure domains that are not skipped.
 func (s *SourceSelector) remoteReaders(now time.Time, nodes []Peer) []string {
 	byDomain := map[string][]Peer{}
 	for _, n := range nodes {
@@ -178,7 +228,7 @@
 	}
 	var remote []Peer
 	for domain, peers := range byDomain {
-		for _, name := range designatedReaders(domain, peers) {
+		for _, name := range designatedReaders(followersSubject+domain, peers) {
 			if !s.isSkipped(now, name) {
 				remote = append(remote, Peer{Name: name})
 			}
@@ -187,16 +237,10 @@
 	return NodesByHash("reader beyond "+s.domain, remote)
 }
 
-// designatedReaders returns the nodes of a failure domain that are to read the store, in the order of their hashes.
-func designatedReaders(domain string, nodes []Peer) []string {
-	var domainNodes []Peer
-	for _, n := range nodes {
-		if n.Domain == domain {
-			domainNodes = append(domainNodes, n)
-		}
-	}
+// designatedReaders returns the first nodes by their hashes for a subject.
+func designatedReaders(subject string, nodes []Peer) []string {
 	// A node that started again may be listed twice.
-	order := slices.Compact(NodesByHash("reader of "+domain, domainNodes))
+	order := slices.Compact(NodesByHash(subject, nodes))
 	return order[:min(maxReaders, len(order))]
 }
 
--- a/kernel/replica.go
+++ b/kernel/replica.go
@@ -186,6 +186,15 @@
 	return d, true
 }
 
+// ChangedSince reports whether a row has changed after a version.
+func (r *Replica) ChangedSince(version uint64) bool {
+	if !r.known {
+		return false
+	}
+	written, removed := len(r.versions)-1, len(r.removed)-1
+	return version < r.forgottenVersion || written >= 0 && r.versions[written].version > version || removed >= 0 && r.removed[removed].Version > version
+}
+
 // ApplyDelta applies another node's answer to a request that was sent at sentAt. The table is proven current as of
 // sentAt less the delta's age. The time of the answer does not count, since it may have been in transit for long.
 func (r *Replica) ApplyDelta(sentAt time.Time, d Delta) []Row {
--- a/peer/message.go
+++ b/peer/message.go
@@ -287,9 +287,12 @@
 		// proven current; zero if it does not know all tables.
 		Node      string
 		ProvenAgo time.Duration
-		// Hold is how long a node with stale tables, to which the store does not answer, may wait for newer ones before
-		// it replies.
-		Hold time.Duration
+		// Hold is how long a node with stale tables may wait for newer ones before it replies. If AwaitsNews is true, it
+		// also waits while it knows no more than the sender.
+		Hold       time.Duration
+		AwaitsNews bool `msgpack:",omitempty"`
+		// Announced holds rows of the table of nodes, by key, that the receiver writes into the store or passes on.
+		Announced map[string][]byte `msgpack:",omitempty"`
 	}
 
 	// FeedReply is the reply to Feed. Tables holds the changes of each table that the node knows, by name.
@@ -300,6 +303,10 @@
 		// Lost is true if the store does not answer the node. Its tables then come from other nodes or are getting
 		// stale.
 		Lost bool
+		// Held is how long the node waited before it replied. The ages in Tables are as of then.
+		Held time.Duration `msgpack:",omitempty"`
+		// Follows is true if the node waits for news and takes announcements. Nodes of older builds do not.
+		Follows bool `msgpack:",omitempty"`
 	}
 
 	// Crash reports to a pool's coordinator that the process of an endpoint ended while it worked on requests.
