Follow: split the request to a node and its reply; wait for changes of the table of nodes

The time that a node says it has held a reply is bounded by the time of the whole call. The table of nodes rarely changes, and a change is in force after a second at most: a call each 3 s in calm in place of each 1.5 s.

--- a/follow/nodes.go
+++ b/follow/nodes.go
@@ -19,9 +19,11 @@
 const (
 	// NodesTable is the table in which each node has a row.
 	NodesTable = "basilstall_nodes"
-	// NodesPollInterval is the time between two requests for changes of NodesTable. Nodes that are leaving or do not
-	// answer are detected by calls to them.
-	NodesPollInterval = 1500 * time.Millisecond
+	// nodesMaxWait is how long the store may delay its answer to a request for changes of NodesTable, and
+	// nodesPollInterval the time from that to the next request. Nodes that are leaving or do not answer are detected by
+	// calls to them.
+	nodesMaxWait      = 2 * time.Second
+	nodesPollInterval = time.Second
 	// unreachedCheckInterval is how often a node looks whether its row names the pools that it does not reach, and
 	// unreachedStability how often in a row they have to be the same before it writes them: a belief of a moment is not
 	// worth a write that all nodes read.
@@ -71,7 +73,7 @@
 
 // Table returns NodesTable as a table to follow.
 func (n *Nodes) Table() Table {
-	return Table{Name: NodesTable, PollInterval: NodesPollInterval, IgnoreAge: true, Membership: true, Apply: n.apply}
+	return Table{Name: NodesTable, MaxWait: nodesMaxWait, PollInterval: nodesPollInterval, IgnoreAge: true, Membership: true, Apply: n.apply}
 }
 
 func (n *Nodes) apply(_ time.Time, changes []kernel.Row) {
--- a/follow/source.go
+++ b/follow/source.go
@@ -159,7 +159,20 @@
 			f.options.Outbox.Add(announced)
 		}
 	}()
-	request := peer.Feed{After: map[string]uint64{}, Unpacks: true, Node: f.options.Name, Hold: hold, AwaitsNews: true, Announced: announced}
+	request := f.newRequest(announced)
+	sentAt := clock.Now()
+	var reply peer.FeedReply
+	if err := f.relay.CallWithIdleTimeout(ctx, peerIdleTimeout+hold, node, peer.KindFeed, request, &reply); err != nil {
+		f.recordFailure(node, "", err)
+		return kernel.SourceAnswer{}, false, err
+	}
+	answer, err := f.applyReply(node, sentAt, reply)
+	return answer, reply.Follows, err
+}
+
+// newRequest returns a request for what this node does not know.
+func (f *Follower) newRequest(announced map[string][]byte) peer.Feed {
+	request := peer.Feed{After: map[string]uint64{}, Unpacks: true, Node: f.options.Name, Hold: sourceLongPollTime, AwaitsNews: true, Announced: announced}
 	for _, t := range f.tables {
 		t.mu.Lock()
 		request.After[t.Name], _ = t.replica.Version()
@@ -168,16 +181,15 @@
 	if f.allTablesKnown() {
 		request.ProvenAgo = f.oldestAge()
 	}
-	sentAt := clock.Now()
-	var reply peer.FeedReply
-	if err := f.relay.CallWithIdleTimeout(ctx, peerIdleTimeout+hold, node, peer.KindFeed, request, &reply); err != nil {
-		f.recordFailure(node, "", err)
-		return kernel.SourceAnswer{}, false, err
-	}
+	return request
+}
+
+// applyReply applies a node's reply to a request that was sent at sentAt.
+func (f *Follower) applyReply(node string, sentAt time.Time, reply peer.FeedReply) (kernel.SourceAnswer, error) {
 	receivedAt := clock.Now()
 	answer := kernel.SourceAnswer{StoreLost: reply.Lost}
 	// The request arrived after it was sent, so the reply was made after this time.
-	repliedAt := sentAt.Add(reply.Held)
+	repliedAt := sentAt.Add(min(max(0, reply.Held), receivedAt.Sub(sentAt)))
 	for _, t := range f.tables {
 		delta, ok := reply.Tables[t.Name]
 		answer.Starting = answer.Starting || !ok && !t.Optional
@@ -190,7 +202,7 @@
 		startedAt := clock.Now()
 		size, err := unpack(reply, t.Name)
 		if err != nil {
-			return kernel.SourceAnswer{}, false, err
+			return kernel.SourceAnswer{}, err
 		}
 		t.mu.Lock()
 		if version, _ := t.replica.Version(); delta.Version >= version {
@@ -204,5 +216,5 @@
 		})
 	}
 	f.updates.Broadcast()
-	return answer, reply.Follows, nil
+	return answer, nil
 }
