Start: only a node that finds no other one looks twice before it reads the store

Change: a node that knows others and is the first of them reads at once. After a common first start some more read (about as many as there are record values among their hashes).

--- a/follow/source.go
+++ b/follow/source.go
@@ -31,8 +31,8 @@
 	maxSourceAttempts  = 3
 	sourceLongPollTime = 400 * time.Millisecond
 	peerRetryInterval  = 100 * time.Millisecond
-	// settleTime is how long a starting node that is the first reader by the nodes that it knows waits before it looks
-	// again: nodes that start at the same time find each other only once some have announced themselves.
+	// settleTime is how long a starting node that knows no other one waits before it looks again: nodes that start at the
+	// same time find each other only once some have announced themselves.
 	settleTime = 400 * time.Millisecond
 	// maxStartTime is how long a starting node waits for the tables from other nodes before it reads them from the store.
 	maxStartTime = 4 * time.Second
@@ -47,7 +47,7 @@
 	}
 	plan := f.plan()
 	if !f.allTablesKnown() {
-		if plan.ReadStore && !f.settled {
+		if plan.ReadStore && !f.settled && len(f.relay.Reachable()) == 1 {
 			f.settled = true
 			plan = f.settle(ctx)
 		}
