Revert "Prompts that share a large part go to a group of engines of a large pool"

Its size has to follow from the load of the pool. A node of 986 sees some three prompts in ten seconds and can't tell; estimates that differ between nodes place the same prompt at different engines.

--- a/kernel/placement.go
+++ b/kernel/placement.go
@@ -1,7 +1,6 @@
 package kernel
 
 import (
-	"math"
 	"time"
 
 	"basilstall.example/basilstall/model"
@@ -23,63 +22,38 @@
 	localityWaitShare = 1.0 / 6
 	// maxSlotShare is the share of an engine's slots in use from which other engines are preferred.
 	maxSlotShare = 0.9
-	// engineGroupSize is about how many engines of a larger pool share the prompts that have a part in common. Each
-	// engine reads that part once; without groups, all engines of the pool would.
-	engineGroupSize = 64
 )
 
-type (
-	// EngineCandidate is an engine that may get a prompt.
-	EngineCandidate struct {
-		Candidate
-		// PendingPrefillTokens is how many prompt tokens of this node's requests the engine has still to prefill.
-		PendingPrefillTokens int
-	}
-
-	// Affinity is what decides the engine for a prompt, so that the parts which it shares with others are cached there.
-	Affinity struct {
-		// Key is the ID of the last part that other requests share; empty if any engine will do.
-		Key string
-		// Group is the ID of the part before it, which prompts with other keys share; empty if there is none. Of a pool
-		// of more than engineGroupSize engines, about so many get the prompts of a group.
-		Group string
-	}
-)
+// EngineCandidate is an engine that may get a prompt.
+type EngineCandidate struct {
+	Candidate
+	// PendingPrefillTokens is how many prompt tokens of this node's requests the engine has still to prefill.
+	PendingPrefillTokens int
+}
 
-// AffinityOf returns the affinity of a prompt.
-func AffinityOf(p model.Prompt) Affinity {
-	switch n := len(p.Parts); n {
+// AffinityKey returns the ID of the part of a prompt that decides its engine: the last part that other requests
+// share. The parts before it are then cached with it.
+func AffinityKey(p model.Prompt) string {
+	switch len(p.Parts) {
 	case 0:
-		return Affinity{}
-	case 1, 2:
-		return Affinity{Key: p.Parts[0].ID}
+		return ""
+	case 1:
+		return p.Parts[0].ID
 	default:
-		return Affinity{Key: p.Parts[n-2].ID, Group: p.Parts[n-3].ID}
-	}
-}
-
-// includes reports whether an engine of a pool of the given size is of the affinity's group.
-func (a Affinity) includes(engine string, poolSize int) bool {
-	if a.Group == "" || poolSize <= engineGroupSize {
-		return true
+		return p.Parts[len(p.Parts)-2].ID
 	}
-	return rendezvousScore(a.Group, engine) >= math.MaxUint64-math.MaxUint64/uint64(poolSize)*engineGroupSize
 }
 
-// AffinityDomain returns the failure domain of the engine where all nodes place the prompts of an affinity, so that stages
+// AffinityDomain returns the failure domain of the engine where all nodes place the prompts of a key, so that stages
 // can make their results near it. It is empty if no engine takes work.
-func AffinityDomain(a Affinity, engines []model.Endpoint) string {
-	best, domain, inGroup := uint64(0), "", false
+func AffinityDomain(key string, engines []model.Endpoint) string {
+	best, domain := uint64(0), ""
 	for _, e := range engines {
 		if !e.TakesWork() {
 			continue
 		}
-		included := a.includes(e.Name, len(engines))
-		if inGroup && !included {
-			continue
-		}
-		if score := rendezvousScore(a.Key, e.Name); domain == "" || included != inGroup || score > best {
-			best, domain, inGroup = score, e.FailureDomain, included
+		if score := rendezvousScore(key, e.Name); domain == "" || score > best {
+			best, domain = score, e.FailureDomain
 		}
 	}
 	return domain
@@ -96,10 +70,10 @@
 }
 
 // PickEngine returns the index of the engine for a prompt, -1 if there is none. It takes the first engine in the
-// rendezvous order of the affinity's key, those of its group before all others, that has not much more to prefill than
-// the least loaded one and is not nearly full. The failure domain of the prompt's inputs does not count: moving them takes a few milliseconds, prefilling a
+// rendezvous order of the affinity key that has not much more to prefill than the least loaded one and is not nearly
+// full. The failure domain of the prompt's inputs does not count: moving them takes a few milliseconds, prefilling a
 // long prefix again takes a hundred.
-func PickEngine(now time.Time, engines []EngineCandidate, a Affinity) int {
+func PickEngine(now time.Time, engines []EngineCandidate, key string) int {
 	if len(engines) == 0 {
 		return -1
 	}
@@ -109,21 +83,17 @@
 			leastLoaded = i
 		}
 	}
-	if a.Key == "" {
+	if key == "" {
 		return leastLoaded
 	}
 	maxLoad := engines[leastLoaded].loadTokens(now) + maxExtraPrefillTokens
-	best, bestScore, inGroup := -1, uint64(0), false
+	best, bestScore := -1, uint64(0)
 	for i, e := range engines {
 		if e.loadTokens(now) > maxLoad || e.nearlyFull(now) {
 			continue
 		}
-		included := a.includes(e.Endpoint.Name, len(engines))
-		if inGroup && !included {
-			continue
-		}
-		if score := rendezvousScore(a.Key, e.Endpoint.Name); best < 0 || included != inGroup || score > bestScore {
-			best, bestScore, inGroup = i, score, included
+		if score := rendezvousScore(key, e.Endpoint.Name); best < 0 || score > bestScore {
+			best, bestScore = i, score
 		}
 	}
 	if best < 0 {
--- a/relay/placing.go
+++ b/relay/placing.go
@@ -156,7 +156,7 @@
 func (j *job) newPlacedAttempt(p *pool, resumed bool) *placedAttempt {
 	s := j.relay.placing
 	attempt := &placedAttempt{placing: s, message: j.placeMessage(j.relay.now(), p, resumed)}
-	attempt.group = s.groupFor(p.name, kernel.AffinityOf(j.forward.Prompt).Key, attempt.message.Number)
+	attempt.group = s.groupFor(p.name, kernel.AffinityKey(j.forward.Prompt), attempt.message.Number)
 	attempt.message.Group, attempt.message.Groups = attempt.group.group, attempt.group.groups
 	return attempt
 }
@@ -485,7 +485,7 @@
 		j.relay.metrics.CountEvent("PlacementOverruled")
 		j.placer = ""
 	}
-	return p.pickEngine(now, allowed, limits, j.forward.Prompt, j.affinity(), j.excluded)
+	return p.pickEngine(now, allowed, limits, j.forward.Prompt, j.affinityKey(), j.excluded)
 }
 
 // recordSent records the engine that the request is sent to.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -136,7 +136,7 @@
 }
 
 // pickEngine chooses one of the listed engines for a prompt and reserves it.
-func (p *pool) pickEngine(now time.Time, listed []model.Endpoint, limits sendLimits, prompt model.Prompt, affinity kernel.Affinity, excluded []string) (choice, bool) {
+func (p *pool) pickEngine(now time.Time, listed []model.Endpoint, limits sendLimits, prompt model.Prompt, key string, excluded []string) (choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usable := kernel.Usable(now, p.candidates(now, listed, limits), excluded)
@@ -144,7 +144,7 @@
 	for _, c := range usable {
 		engines = append(engines, kernel.EngineCandidate{Candidate: c, PendingPrefillTokens: p.state(c.Endpoint.Incarnation()).pendingPrefillTokens})
 	}
-	i := kernel.PickEngine(now, engines, affinity)
+	i := kernel.PickEngine(now, engines, key)
 	if i < 0 {
 		return choice{}, false
 	}
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -86,7 +86,7 @@
 		relay:        r,
 		stages:       j.admission.Route.Stages,
 		regions:      j.admission.Regions,
-		prefixDomain: kernel.AffinityDomain(kernel.AffinityOf(j.forward.Prompt), j.admission.Regions.AllowedEndpoints(r.Registry().Endpoints(p.name))),
+		prefixDomain: kernel.AffinityDomain(kernel.AffinityKey(j.forward.Prompt), j.admission.Regions.AllowedEndpoints(r.Registry().Endpoints(p.name))),
 		results:      map[int][]kernel.ResultRef{},
 		started:      map[int]bool{},
 		held:         map[int][]kernel.ResultRef{},
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -194,13 +194,13 @@
 	return e, result, true
 }
 
-// affinity returns what decides the engine of the prompt; it is empty if any engine will do.
-func (j *job) affinity() kernel.Affinity {
+// affinityKey returns the key that requests for the same engine have in common; it is empty if any engine will do.
+func (j *job) affinityKey() string {
 	// A trial goes to the least loaded engine, as the request may crash it.
 	if j.trial || !j.relay.options.Policy.Uses(kernel.PrefixAffinity) {
-		return kernel.Affinity{}
+		return ""
 	}
-	return kernel.AffinityOf(j.forward.Prompt)
+	return kernel.AffinityKey(j.forward.Prompt)
 }
 
 // relayEvents sends a request to an engine and writes the events of the answer to the caller. It calls onFirstEvent
