Choose among the engines of a large pool without copying what is known of them

Change: candidates that all may get a call are used as they are; the pending tokens lie in kernel.Candidate; an endpoint has a state once something was sent to it or a limit needs one; the question whether any accepts ends at the first.

TestPickEngineCopiesNoCandidates.

--- a/kernel/bench_test.go
+++ b/kernel/bench_test.go
@@ -234,3 +234,15 @@
 		benchSink = kernel.NewRegistry().WithChanges(testStart, testStart, listed, nil, nil)
 	}
 }
+
+func BenchmarkPickEngine(b *testing.B) {
+	for _, n := range []int{64, 790, 5_515} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			engines := engineCandidates(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				benchSink = kernel.PickEngine(testStart, kernel.Usable(testStart, engines, nil), "agreement-17")
+			}
+		})
+	}
+}
--- a/kernel/placement.go
+++ b/kernel/placement.go
@@ -24,13 +24,6 @@
 	maxSlotShare = 0.9
 )
 
-// EngineCandidate is an engine that may get a prompt.
-type EngineCandidate struct {
-	Candidate
-	// PendingPrefillTokens is how many prompt tokens of this node's requests the engine has still to prefill.
-	PendingPrefillTokens int
-}
-
 // AffinityKey returns the ID of the part of a prompt that decides its engine: the last part that other requests
 // share. The parts before it are then cached with it.
 func AffinityKey(p model.Prompt) string {
@@ -73,22 +66,24 @@
 // rendezvous order of the affinity key that has not much more to prefill than the least loaded one and is not nearly
 // full. The failure domain of the prompt's inputs does not count: moving them takes a few milliseconds, prefilling a
 // long prefix again takes a hundred.
-func PickEngine(now time.Time, engines []EngineCandidate, key string) int {
+func PickEngine(now time.Time, engines []Candidate, key string) int {
 	if len(engines) == 0 {
 		return -1
 	}
 	leastLoaded := 0
-	for i, e := range engines {
-		if e.loadTokens(now) < engines[leastLoaded].loadTokens(now) {
-			leastLoaded = i
+	leastTokens := engines[0].loadTokens(now)
+	for i := range engines {
+		if tokens := engines[i].loadTokens(now); tokens < leastTokens {
+			leastLoaded, leastTokens = i, tokens
 		}
 	}
 	if key == "" {
 		return leastLoaded
 	}
-	maxLoad := engines[leastLoaded].loadTokens(now) + maxExtraPrefillTokens
+	maxLoad := leastTokens + maxExtraPrefillTokens
 	best, bestScore := -1, uint64(0)
-	for i, e := range engines {
+	for i := range engines {
+		e := &engines[i]
 		if e.loadTokens(now) > maxLoad || e.nearlyFull(now) {
 			continue
 		}
@@ -103,13 +98,13 @@
 }
 
 // loadTokens returns the load of an engine in tokens of prefill.
-func (e EngineCandidate) loadTokens(now time.Time) float64 {
-	return float64(e.PendingPrefillTokens) + decodeLoadTokens*estimatedLoad(now, e.Candidate, e.Endpoint.FailureDomain)
+func (c *Candidate) loadTokens(now time.Time) float64 {
+	return float64(c.PendingPrefillTokens) + decodeLoadTokens*estimatedLoad(now, c, c.Endpoint.FailureDomain)
 }
 
-func (e EngineCandidate) nearlyFull(now time.Time) bool {
-	if e.Load.Slots == 0 {
+func (c *Candidate) nearlyFull(now time.Time) bool {
+	if c.Load.Slots == 0 {
 		return false
 	}
-	return estimatedLoad(now, e.Candidate, e.Endpoint.FailureDomain) >= maxSlotShare*float64(e.Load.Slots)
+	return estimatedLoad(now, c, c.Endpoint.FailureDomain) >= maxSlotShare*float64(c.Load.Slots)
 }
--- a/kernel/placement_test.go
+++ b/kernel/placement_test.go
@@ -12,12 +12,12 @@
 )
 
 // engineCandidates returns n live engines in three failure domains.
-func engineCandidates(n int) []kernel.EngineCandidate {
-	var out []kernel.EngineCandidate
+func engineCandidates(n int) []kernel.Candidate {
+	var out []kernel.Candidate
 	for i := range n {
-		out = append(out, kernel.EngineCandidate{Candidate: kernel.Candidate{Endpoint: model.Endpoint{
+		out = append(out, kernel.Candidate{Endpoint: model.Endpoint{
 			Name: fmt.Sprint("engine-", i), FailureDomain: fmt.Sprint("domain-", i%3), State: model.Live,
-		}}})
+		}})
 	}
 	return out
 }
@@ -75,3 +75,15 @@
 	must.EqOp(t, 100*time.Millisecond, kernel.LocalityWait(3_600_000, fullWait, 600*time.Millisecond), must.Sprint("at most a sixth of the slack"))
 	must.EqOp(t, 0, kernel.LocalityWait(3_600_000, fullWait, -time.Second), must.Sprint("already late"))
 }
+
+// The choice of an engine must not copy what is known of the engines: with 5,515 of them, each copy takes two megabytes for
+// each prompt.
+func TestPickEngineCopiesNoCandidates(t *testing.T) {
+	now := time.Unix(1000, 0)
+	all := engineCandidates(5_000)
+	must.Less(t, 1<<10, allocatedBytes(10, func(int) {
+		benchSink = kernel.PickEngine(now, kernel.Usable(now, all, nil), "key")
+	}))
+	all[3].Endpoint.State = model.Leaving
+	must.Len(t, len(all)-1, kernel.Usable(now, all, nil))
+}
--- a/kernel/routing.go
+++ b/kernel/routing.go
@@ -51,6 +51,8 @@
 	// Slowness is how long work is expected to take at the endpoint, relative to a usual endpoint of the pool. It is 0 for
 	// all candidates if the endpoints of the pool do not state their contention; then only the load decides.
 	Slowness float64
+	// PendingPrefillTokens is how many prompt tokens of this node's requests an engine has still to prefill.
+	PendingPrefillTokens int
 }
 
 // usualEndpoint is what is assumed of an endpoint that has not reported lately: the expected time of a request there,
@@ -62,8 +64,11 @@
 
 // Usable returns the candidates that may get a call: those that accept work now, are not ejected and not among the
 // excluded incarnations. If fewer than the share minUsableShare of the others are healthy, those with the fewest ejections
-// are added up to that share.
+// are added up to that share. Where all may get a call, the result is candidates itself: a large pool takes megabytes.
 func Usable(now time.Time, candidates []Candidate, excluded []string) []Candidate {
+	if allUsable(now, candidates, excluded) {
+		return candidates
+	}
 	eligible := make([]Candidate, 0, len(candidates))
 	healthy := make([]Candidate, 0, len(candidates))
 	for _, c := range candidates {
@@ -81,6 +86,21 @@
 	return withoutProbed(now, withLeastEjected(eligible, healthy))
 }
 
+func allUsable(now time.Time, candidates []Candidate, excluded []string) bool {
+	for i := range candidates {
+		if !candidates[i].isUsable(now, excluded) {
+			return false
+		}
+	}
+	return true
+}
+
+// isUsable reports whether an endpoint may get a call whatever the others are like.
+func (c *Candidate) isUsable(now time.Time, excluded []string) bool {
+	return c.Endpoint.Accepts(now) && !c.Endpoint.OnProbation(now) && c.Health.Usable(now) &&
+		(len(excluded) == 0 || !slices.Contains(excluded, c.Endpoint.Incarnation()))
+}
+
 // withoutProbed returns the candidates without those on probation that have a call in flight: its answer shows whether
 // the endpoint accepts requests again. If no other is left, it returns all.
 func withoutProbed(now time.Time, candidates []Candidate) []Candidate {
@@ -134,7 +154,7 @@
 	if a == b {
 		b = (b + 1) % len(candidates)
 	}
-	if estimatedLoad(now, candidates[b], domain) < estimatedLoad(now, candidates[a], domain) {
+	if estimatedLoad(now, &candidates[b], domain) < estimatedLoad(now, &candidates[a], domain) {
 		return b
 	}
 	return a
@@ -204,7 +224,7 @@
 	loads := make([]float64, len(candidates))
 	var total float64
 	for i, c := range candidates {
-		loads[i] = estimatedLoad(now, c, c.Endpoint.FailureDomain)
+		loads[i] = estimatedLoad(now, &c, c.Endpoint.FailureDomain)
 		total += loads[i]
 	}
 	mean := (total + 1) / float64(len(candidates))
@@ -262,7 +282,7 @@
 
 // estimatedLoad estimates the load of an endpoint as seen from a failure domain: the node's own calls in flight, and
 // the calls of other nodes according to the last report, weighted by its freshness.
-func estimatedLoad(now time.Time, c Candidate, domain string) float64 {
+func estimatedLoad(now time.Time, c *Candidate, domain string) float64 {
 	load := float64(c.InFlight)
 	age := now.Sub(c.LoadAt)
 	if age < loadReportTTL && !c.LoadAt.IsZero() {
@@ -306,7 +326,7 @@
 	if age := now.Sub(c.LoadAt); age < loadReportTTL && !c.LoadAt.IsZero() {
 		fresh = 1 - float64(age)/float64(loadReportTTL)
 	}
-	t := c.timeAtLoad(estimatedLoad(now, *c, domain), c.slots(usual.slots))
+	t := c.timeAtLoad(estimatedLoad(now, c, domain), c.slots(usual.slots))
 	return t + (1-fresh)*max(0, usual.time-t)
 }
 
--- a/placement/model_test.go
+++ b/placement/model_test.go
@@ -305,17 +305,17 @@
 
 // placeByNodes makes each node choose by what it knows of its own requests, as for pools without a placer.
 func (m *placingModel) placeByNodes() {
-	known := map[string]map[string]*kernel.EngineCandidate{}
-	state := func(node string, e *modelEngine) *kernel.EngineCandidate {
+	known := map[string]map[string]*kernel.Candidate{}
+	state := func(node string, e *modelEngine) *kernel.Candidate {
 		if known[node] == nil {
-			known[node] = map[string]*kernel.EngineCandidate{}
+			known[node] = map[string]*kernel.Candidate{}
 		}
 		if known[node][e.endpoint.Name] == nil {
-			known[node][e.endpoint.Name] = &kernel.EngineCandidate{Candidate: kernel.Candidate{Endpoint: e.endpoint}}
+			known[node][e.endpoint.Name] = &kernel.Candidate{Endpoint: e.endpoint}
 		}
 		return known[node][e.endpoint.Name]
 	}
-	candidates := make([]kernel.EngineCandidate, len(m.engines))
+	candidates := make([]kernel.Candidate, len(m.engines))
 	m.place = func(p *modelPrompt) *modelEngine {
 		for i, e := range m.engines {
 			candidates[i] = *state(p.id.Node, e)
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -62,8 +62,18 @@
 	}
 }
 
+// anyCaps reports whether an endpoint states a rate cap or a refusal cap.
+func (l sendLimits) anyCaps() bool {
+	return l.rateCaps.Len() > 0 || l.refusalCaps.Len() > 0
+}
+
+// limitsCold reports whether an endpoint is cold and few nodes may send to it.
+func (l sendLimits) limitsCold(now time.Time, e model.Endpoint) bool {
+	return l.cold.Senders > 0 && kernel.IsCold(now, e)
+}
+
 func (l sendLimits) admitsCold(now time.Time, e model.Endpoint, s *sendState) bool {
-	if l.cold.Senders == 0 || !kernel.IsCold(now, e) {
+	if !l.limitsCold(now, e) {
 		return true
 	}
 	if s.coldRole.Expired(now) {
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -76,16 +76,25 @@
 	return s
 }
 
-// candidates returns the listed endpoints that this node may send to now, with their state. It also drops the states of
-// endpoints that are no longer listed.
+// candidates returns the listed endpoints that this node may send to now, with their state: one without a state has
+// got nothing from this node, and gets a state only where limits need one. It also drops the states of endpoints that
+// are no longer listed.
 func (p *pool) candidates(now time.Time, listed []model.Endpoint, limits sendLimits) []kernel.Candidate {
 	out := make([]kernel.Candidate, 0, len(listed))
+	capped := limits.anyCaps()
 	for _, e := range listed {
-		s := p.state(e.Incarnation())
+		s := p.states[e.Incarnation()]
+		if s == nil {
+			if !capped && !limits.limitsCold(now, e) {
+				out = append(out, kernel.Candidate{Endpoint: e})
+				continue
+			}
+			s = p.state(e.Incarnation())
+		}
 		if admitted, _ := limits.admits(now, e, s); !admitted {
 			continue
 		}
-		out = append(out, kernel.Candidate{Endpoint: e, InFlight: s.inFlight, Load: s.load, LoadAt: s.loadAt, Health: s.health})
+		out = append(out, kernel.Candidate{Endpoint: e, InFlight: s.inFlight, Load: s.load, LoadAt: s.loadAt, Health: s.health, PendingPrefillTokens: s.pendingPrefillTokens})
 	}
 	if len(p.states) > 2*len(listed)+8 {
 		for incarnation, s := range p.states {
@@ -102,7 +111,13 @@
 func (p *pool) hasCandidate(now time.Time, listed []model.Endpoint, limits sendLimits) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.candidates(now, listed, limits), func(c kernel.Candidate) bool { return c.Endpoint.Accepts(now) })
+	return slices.ContainsFunc(listed, func(e model.Endpoint) bool {
+		if !e.Accepts(now) {
+			return false
+		}
+		admitted, _ := limits.admits(now, e, p.state(e.Incarnation()))
+		return admitted
+	})
 }
 
 // pick chooses one of the listed endpoints for a unary request and reserves it. It compares expected times if the
@@ -140,11 +155,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usable := kernel.Usable(now, p.candidates(now, listed, limits), excluded)
-	engines := make([]kernel.EngineCandidate, 0, len(usable))
-	for _, c := range usable {
-		engines = append(engines, kernel.EngineCandidate{Candidate: c, PendingPrefillTokens: p.state(c.Endpoint.Incarnation()).pendingPrefillTokens})
-	}
-	i := kernel.PickEngine(now, engines, key)
+	i := kernel.PickEngine(now, usable, key)
 	if i < 0 {
 		return choice{}, false
 	}
