--- a/kernel/reading.go
+++ b/kernel/reading.go
@@ -155,13 +155,14 @@
 
 // RecordAnswer records the outcome of a request to a node and reports whether its answer suffices. A recent answer
 // suffices even if the store does not answer that node, unless both nodes are designated readers: then this one has to
-// read the store in its place. So does that of a node that is itself starting, for maxStartingAnswers answers: after a
-// simultaneous start the tables pass from node to node, and the readers must not be asked for them by all.
+// read the store in its place. So does that of a node that is itself starting, and that the store answers, for
+// maxStartingAnswers answers: after a simultaneous start the tables pass from node to node, and the readers must not be
+// asked for them by all.
 func (s *SourceSelector) RecordAnswer(now time.Time, source string, a SourceAnswer) bool {
 	if a.Failed {
 		return false
 	}
-	if a.Starting && s.startingAnswers < maxStartingAnswers {
+	if a.Starting && !a.StoreLost && s.startingAnswers < maxStartingAnswers {
 		s.startingAnswers++
 		return true
 	}
--- a/kernel/reading_test.go
+++ b/kernel/reading_test.go
@@ -397,3 +397,24 @@
 	f.run(4*time.Second, func() { oldest = max(oldest, f.maxAge()) })
 	must.LessEq(t, calm+time.Second, oldest, must.Sprint(lost, " hangs"))
 }
+
+// After a simultaneous start the tables pass from node to node: one that has none yet is asked again before others are, but not
+// for good, and not if the store does not answer it.
+func TestStartingSourceIsAskedAgain(t *testing.T) {
+	f := newFollowerSim(1, 2, 20)
+	self := f.peers[3]
+	newSelector := func() (*kernel.SourceSelector, string) {
+		s := kernel.NewSourceSelector(self.Name, self.Domain, followerMaxAge)
+		return s, s.Plan(f.now, f.peers, false).Source
+	}
+	s, source := newSelector()
+	for range 5 {
+		must.True(t, s.RecordAnswer(f.now, source, kernel.SourceAnswer{Starting: true}))
+		must.EqOp(t, source, s.Plan(f.now, f.peers, false).Source)
+	}
+	must.False(t, s.RecordAnswer(f.now, source, kernel.SourceAnswer{Starting: true}))
+	must.NotEq(t, source, s.Plan(f.now, f.peers, false).Source)
+	s, source = newSelector()
+	must.False(t, s.RecordAnswer(f.now, source, kernel.SourceAnswer{Starting: true, StoreLost: true}))
+	must.NotEq(t, source, s.Plan(f.now, f.peers, false).Source)
+}
