Nodes: no race on the own row; the quarantine hears of the list at each answer

And since unchanged lists are skipped, an endpoint that had left the list before it was found to be silent was not proven to have ended.

Change: the key of the own row is a field of its own; the quarantine gets the list at each answer, as before.

The second has no test yet.

--- a/follow/nodes.go
+++ b/follow/nodes.go
@@ -43,6 +43,8 @@
 	// Follows reports whether this node gets the tables from another one, which can write its row with those of others.
 	Follows func() bool
 
+	// key is that of this node's row. It does not change.
+	key     string
 	outbox  *Outbox
 	own     relay.Node
 	relay   *relay.Relay
@@ -61,7 +63,7 @@
 func NewNodes(own relay.Node, write func(context.Context, string, []byte) error, r *relay.Relay, metrics *metric.Set, log zerolog.Logger) *Nodes {
 	return &Nodes{
 		Write: write, Follows: func() bool { return false },
-		outbox: NewOutbox(), own: own, relay: r, log: log, metrics: metrics, rows: map[string]relay.Node{},
+		key: own.Address, outbox: NewOutbox(), own: own, relay: r, log: log, metrics: metrics, rows: map[string]relay.Node{},
 		known: make(chan struct{}), listed: make(chan struct{}),
 	}
 }
@@ -84,7 +86,7 @@
 	n.tableRead = true
 	var announced []string
 	for _, row := range changes {
-		if row.Key == n.own.Address && !first {
+		if row.Key == n.key && !first {
 			n.listedOnce.Do(func() { close(n.listed) })
 		}
 		if row.Removed {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -275,6 +275,8 @@
 	if registry.SameEndpoints(before) {
 		now := r.now()
 		r.bindings.ConfirmListed(now.Add(-registry.Age(now)))
+		// An endpoint may have left the list before it was found to be silent.
+		r.quarantine.ApplyEndpointList(registry.Endpoints)
 		return
 	}
 	changes := registry.Changes(before)
