--- a/follow/follower.go
+++ b/follow/follower.go
@@ -199,8 +199,9 @@
 	return f.readsStore.Load()
 }
 
-// hasNews reports whether this node knows all tables, recently proven current, and more than the sender of a request
-// that arrived at askedAt, if that awaits news.
+// hasNews reports whether a request that was received at askedAt can be answered: all tables are known and not older than
+// MaxAge and, if the request sets AwaitsNews, a row has changed or the tables were proven current more recently than the
+// sender's.
 func (f *Follower) hasNews(request peer.Feed, askedAt time.Time) bool {
 	age := f.oldestAge()
 	if !f.allTablesKnown() || age > f.options.MaxAge {
@@ -220,8 +221,8 @@
 	return false
 }
 
-// HandleFeed answers another node's request for the changes of the tables. It first waits for news, at most as long as the
-// request allows.
+// HandleFeed handles a peer.Feed: it replies with the rows that changed after the sender's versions. It delays the reply
+// until hasNews, by at most request.Hold and sourceLongPollTime.
 func (f *Follower) HandleFeed(ctx context.Context, body []byte) (any, error) {
 	askedAt := clock.Now()
 	var request peer.Feed
--- a/follow/source.go
+++ b/follow/source.go
@@ -13,21 +13,20 @@
 )
 
 const (
-	// minPollInterval is the time between two requests to a node that waits for news before it answers, and
-	// peerPollInterval that to one of an older build, which does not.
+	// minPollInterval is the minimum time between two long polls of a node. peerPollInterval is the time between two
+	// requests to a node of an older build, which replies at once.
 	minPollInterval  = 200 * time.Millisecond
 	peerPollInterval = 500 * time.Millisecond
-	// newsMargin is by how much the tables of a node have to be proven more recently than those of another one for that to
-	// be news. The time that a question takes makes the other's look older than they are.
+	// newsMargin is the minimum difference in age for which a long poll is answered. A smaller one is due to the transit
+	// time of the request.
 	newsMargin = 50 * time.Millisecond
 	// peerIdleTimeout is how long an asked node may send nothing. An answer that is still being received may take
 	// longer, in the end up to maxPeerTimeout: the time that 10 Mbit/s, the bandwidth of the slowest links of hosts,
 	// take for the largest message.
 	peerIdleTimeout = 400 * time.Millisecond
 	maxPeerTimeout  = 7 * time.Second
-	// maxSourceAttempts is how many nodes are asked one after the other. Each may delay its answer by sourceLongPollTime
-	// while it waits for news itself, and the next request follows after peerRetryInterval. All waiting nodes thus learn
-	// at once that the store is back.
+	// maxSourceAttempts is the maximum number of nodes that are asked in one poll, each with a long poll of
+	// sourceLongPollTime. A poll without a sufficient answer is repeated after peerRetryInterval.
 	maxSourceAttempts  = 3
 	sourceLongPollTime = 400 * time.Millisecond
 	peerRetryInterval  = 100 * time.Millisecond
@@ -104,8 +103,8 @@
 	return !plan.ReadStore && plan.Source != ""
 }
 
-// querySource requests changes from a node. It reports whether the answer is sufficient, so that no further node is
-// asked, and whether the node waits for news before it answers.
+// querySource requests changes from a node. It returns whether the answer is sufficient, so that no other node has to be
+// asked, and whether the node supports long polls.
 func (f *Follower) querySource(ctx context.Context, source string) (sufficient, follows bool) {
 	answer, follows, err := f.fetchFromNode(ctx, source)
 	// A node whose answer is still being received has not failed, but another one may have the changes sooner.
