Quarantine: say why it hears of an unchanged list

The reason in was wrong: a connection that breaks after its endpoint left the list does not count at all (recordDisconnect), and one that breaks before is judged when it leaves. What depends on each answer are the listed versions of parts that were held since the last change, by which trials are permitted.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -275,7 +275,7 @@
 	if registry.SameEndpoints(before) {
 		now := r.now()
 		r.bindings.ConfirmListed(now.Add(-registry.Age(now)))
-		// An endpoint may have left the list before it was found to be silent.
+		// What is held back may have changed since, and trials depend on the listed versions.
 		r.quarantine.ApplyEndpointList(registry.Endpoints)
 		return
 	}
