--- a/follow/source.go
+++ b/follow/source.go
@@ -117,7 +117,11 @@
 	}
 	f.selectorMu.Lock()
 	defer f.selectorMu.Unlock()
-	return f.selector.RecordAnswer(clock.Now(), source, answer), follows
+	sufficient = f.selector.RecordAnswer(clock.Now(), source, answer)
+	if !sufficient && !answer.Failed {
+		f.metrics.CountEvent("SourceSkipped")
+	}
+	return sufficient, follows
 }
 
 // probeStore reads a table from the store once if the selector chooses this node for a probe. It is called if no other
