A request allocates nothing for each endpoint of its pool

Cause: the candidates of the pool were listed anew for each attempt, 2.1 MB with 5,000 engines, with a formatted incarnation for each: about one collection of a heap of 11 MB for each prompt.

Change: the list is reused under the lock of the pool; endpoints that this node never sent to are told by their names.

--- a/relay/pool.go
+++ b/relay/pool.go
@@ -28,6 +28,10 @@
 		budget *kernel.FleetRetryBudget
 		// states holds the states of endpoints by their incarnations.
 		states map[string]*endpointState
+		// knownNames holds the names of the endpoints with states. With it, no incarnation has to be formatted for the others.
+		knownNames map[string]bool
+		// candidateBuffer is reused by candidates: those of a large pool take megabytes.
+		candidateBuffer []kernel.Candidate
 		// firstEventTimes are the times from an attempt to its stream's first event.
 		firstEventTimes kernel.Quantiles
 		// paces holds the speeds of the endpoints that serve unary requests. It is used only while they state their
@@ -60,7 +64,7 @@
 	defer r.mu.Unlock()
 	p := r.pools[name]
 	if p == nil {
-		p = &pool{name: name, budget: kernel.NewFleetRetryBudget(r.options.RetryLimits, r.startedAt), states: map[string]*endpointState{}, paces: pace.NewBook()}
+		p = &pool{name: name, budget: kernel.NewFleetRetryBudget(r.options.RetryLimits, r.startedAt), states: map[string]*endpointState{}, knownNames: map[string]bool{}, paces: pace.NewBook()}
 		r.pools[name] = p
 		r.metrics.GaugeSlowEndpoints(name, func() int { return p.slowCount(r.now()) })
 	}
@@ -72,25 +76,26 @@
 	if s == nil {
 		s = &endpointState{}
 		p.states[incarnation] = s
+		p.knownNames[model.NameOfIncarnation(incarnation)] = true
 	}
 	return s
 }
 
 // candidates returns the listed endpoints that this node may send to now, with their state: one without a state has
 // got nothing from this node, and gets a state only where limits need one. It also drops the states of endpoints that
-// are no longer listed.
+// are no longer listed. The caller holds p.mu while it uses the result, which the next call overwrites.
 func (p *pool) candidates(now time.Time, listed []model.Endpoint, limits sendLimits) []kernel.Candidate {
-	out := make([]kernel.Candidate, 0, len(listed))
+	out := p.candidateBuffer[:0]
+	if cap(out) < len(listed) {
+		out = make([]kernel.Candidate, 0, len(listed))
+	}
 	capped := limits.anyCaps()
 	for _, e := range listed {
-		s := p.states[e.Incarnation()]
-		if s == nil {
-			if !capped && !limits.limitsCold(now, e) {
-				out = append(out, kernel.Candidate{Endpoint: e})
-				continue
-			}
-			s = p.state(e.Incarnation())
+		if !p.knownNames[e.Name] && !capped && !limits.limitsCold(now, e) {
+			out = append(out, kernel.Candidate{Endpoint: e})
+			continue
 		}
+		s := p.state(e.Incarnation())
 		if admitted, _ := limits.admits(now, e, s); !admitted {
 			continue
 		}
@@ -103,7 +108,12 @@
 				p.paces.Forget(incarnation)
 			}
 		}
+		clear(p.knownNames)
+		for incarnation := range p.states {
+			p.knownNames[model.NameOfIncarnation(incarnation)] = true
+		}
 	}
+	p.candidateBuffer = out
 	return out
 }
 
