--- a/relay/placing.go
+++ b/relay/placing.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -258,75 +257,6 @@
 	return r.orders.Of(subject, peers)
 }
 
-// ask asks the placers of the group in turn, until one replies, for placeTimeout in total.
-func (a *placedAttempt) ask(ctx context.Context) {
-	r := a.placing.relay
-	callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
-	for _, node := range a.placing.placers(a.group) {
-		if a.placing.paused(node) {
-			return
-		}
-		a.message.Reports = a.placing.take(a.group, node)
-		var reply peer.PlaceReply
-		var err error
-		if node == r.options.Name {
-			reply = r.placers.place(a.message)
-		} else {
-			reply, err = r.callPlacer(callCtx, node, a.message)
-		}
-		if err == nil && !reply.Leaving {
-			a.placer, a.incarnations = node, reply.Incarnations
-			if len(reply.Expected) > 0 {
-				a.expected = reply.Expected[0]
-			}
-			a.domain = reply.Domain
-			return
-		}
-		a.placing.giveBack(a.group, a.message.Reports)
-		if ctx.Err() != nil {
-			// The request has ended. The placer is not at fault.
-			return
-		}
-		if err != nil {
-			r.metrics.CountEvent("PlacementUnanswered")
-		}
-		if callCtx.Err() != nil || isTimeout(err) {
-			a.placing.pause(node)
-			return
-		}
-		if err != nil {
-			r.Suspect(node, err)
-		}
-	}
-}
-
-// isTimeout reports whether a call failed because its time was over. The dialer reports this before the context is done.
-func isTimeout(err error) bool {
-	return errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
-}
-
-// callPlacer asks another node for a placement. It returns at the latest when ctx ends: a call may wait longer than that for
-// a connection that another call opens.
-func (r *Relay) callPlacer(ctx context.Context, node string, message peer.Place) (peer.PlaceReply, error) {
-	type result struct {
-		reply peer.PlaceReply
-		err   error
-	}
-	done := make(chan result, 1)
-	go func() {
-		var out result
-		out.err = r.peers.Call(ctx, r.addressOf(node), peer.KindPlace, message, &out.reply)
-		done <- out
-	}()
-	select {
-	case out := <-done:
-		return out.reply, out.err
-	case <-ctx.Done():
-		return peer.PlaceReply{}, ctx.Err()
-	}
-}
-
 // paused reports whether a node did not reply in time lately.
 func (s *placing) paused(node string) bool {
 	s.mu.Lock()
@@ -351,100 +281,6 @@
 	}()
 }
 
-// reportsOf returns the reports of a group. The caller holds s.mu.
-func (s *placing) reportsOf(group placeGroup) *groupReports {
-	g := s.groups[group]
-	if g == nil {
-		g = &groupReports{}
-		s.groups[group] = g
-	}
-	g.usedAt = s.relay.now()
-	return g
-}
-
-// take returns the reports that wait for the placer of a group. A new placer also gets the last prompts, as it does not
-// know what the engines have cached.
-func (s *placing) take(group placeGroup, placer string) []peer.PlaceReport {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	g := s.reportsOf(group)
-	reports := g.waiting
-	g.waiting = nil
-	if g.placer != placer {
-		g.placer = placer
-		reports = append(reports, g.held...)
-	}
-	return reports
-}
-
-// giveBack keeps reports that were not received for the next message.
-func (s *placing) giveBack(group placeGroup, reports []peer.PlaceReport) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	g := s.reportsOf(group)
-	g.waiting = append(reports, g.waiting...)
-	g.waiting = g.waiting[max(0, len(g.waiting)-maxPlaceReports):]
-}
-
-// add adds a report, which the next message to the placer of the group carries.
-func (s *placing) add(group placeGroup, report peer.PlaceReport) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	g := s.reportsOf(group)
-	g.waiting = append(g.waiting, report)
-	g.waiting = g.waiting[max(0, len(g.waiting)-maxPlaceReports):]
-}
-
-// hold records that a prompt was sent to an engine.
-func (s *placing) hold(group placeGroup, report peer.PlaceReport) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	g := s.reportsOf(group)
-	g.held = append(g.held, report)
-	g.held = g.held[max(0, len(g.held)-heldPrompts):]
-}
-
-// flush sends the reports that wait, and forgets groups that were not used lately.
-func (s *placing) flush() {
-	now := s.relay.now()
-	s.mu.Lock()
-	var due []placeGroup
-	for group, g := range s.groups {
-		switch {
-		case len(g.waiting) > 0:
-			due = append(due, group)
-		case now.Sub(g.usedAt) > placerRetention:
-			delete(s.groups, group)
-		}
-	}
-	s.mu.Unlock()
-	for _, group := range due {
-		s.send(group)
-	}
-}
-
-// send sends the reports that wait for the placer of a group.
-func (s *placing) send(group placeGroup) {
-	r := s.relay
-	node := s.knownPlacer(group)
-	if node == "" || s.paused(node) {
-		return
-	}
-	m := peer.PlaceReports{Pool: group.pool, Group: group.group, Groups: group.groups, Node: r.options.Name, Reports: s.take(group, node)}
-	if node == r.options.Name {
-		r.placers.report(m)
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(r.ctx, notifyTimeout)
-		defer cancel()
-		var empty peer.Empty
-		if r.callNode(ctx, node, peer.KindPlaceReports, m, &empty) != nil {
-			r.metrics.CountEvent("PlaceReportsLost")
-		}
-	}()
-}
-
 // knownPlacer returns the node that was last asked to place for a group if it is reachable, or else the first by hash; it is
 // empty if there is none.
 func (s *placing) knownPlacer(group placeGroup) string {
@@ -475,55 +311,3 @@
 		}
 	}
 }
-
-// choose chooses the first engine of the placement that the rules of this node allow, or else one as without a placer.
-func (a *placedAttempt) choose(now time.Time, p *pool, limits sendLimits, allowed []model.Endpoint, j *job) (choice, bool) {
-	if a != nil && len(a.incarnations) > 0 {
-		if c, ok := p.pickPlaced(now, allowed, limits, j.forward.Prompt, j.excluded, a.incarnations); ok {
-			return c, true
-		}
-		j.relay.metrics.CountEvent("PlacementOverruled")
-		j.placer = ""
-	}
-	return p.pickEngine(now, allowed, limits, j.forward.Prompt, j.affinityKey(), j.excluded)
-}
-
-// recordSent records the engine that the request is sent to.
-func (a *placedAttempt) recordSent(e model.Endpoint) {
-	if a == nil {
-		return
-	}
-	a.sentTo = e.Incarnation()
-	a.placing.hold(a.group, peer.PlaceReport{Kind: uint8(placement.Held), Incarnation: a.sentTo, PartKeys: a.message.PartKeys, PartTokens: a.message.PartTokens})
-	if len(a.incarnations) > 0 && a.incarnations[0] == a.sentTo {
-		a.placing.relay.metrics.CountEvent("PlacedByPlacer")
-		return
-	}
-	a.report(peer.PlaceReport{Kind: uint8(placement.Sent)})
-}
-
-// recordFirstEvent records the first event, after the time elapsed since the request was sent, and the load that the
-// engine reported; nil if it reported none.
-func (a *placedAttempt) recordFirstEvent(elapsed time.Duration, load *peer.PlaceLoad) {
-	if a == nil || a.firstSeen {
-		return
-	}
-	a.firstSeen = true
-	a.report(peer.PlaceReport{Kind: uint8(placement.FirstEvent), Elapsed: elapsed, Load: load})
-}
-
-// end records that the attempt has ended, or was not made.
-func (a *placedAttempt) end(load *peer.PlaceLoad) {
-	switch {
-	case a == nil:
-	case a.firstSeen:
-		a.report(peer.PlaceReport{Kind: uint8(placement.Ended)})
-	default:
-		a.report(peer.PlaceReport{Kind: uint8(placement.Failed), Load: load})
-	}
-}
-
-func (a *placedAttempt) report(report peer.PlaceReport) {
-	report.Number, report.Incarnation = a.message.Number, a.sentTo
-	a.placing.add(a.group, report)
-}
