--- a/review/_cases/rantwice.go
+++ b/review/_cases/rantwice.go
@@ -10,14 +10,14 @@
 const (
 	// orderClients is the number of clients that post orders, each one after the other, and orderPause the pause between
 	// two orders of one.
-	orderClients = 12
-	orderPause   = 60 * time.Millisecond
+	orderClients = 16
+	orderPause   = 40 * time.Millisecond
 	// placeCount is the number of runners of the service.
 	placeCount = 3
 	// restartInterval is the time from one crash to the next, restartCount their number, and downTime how long nothing
 	// listens at the address of a crashed runner.
 	restartInterval = 4500 * time.Millisecond
-	restartCount    = 16
+	restartCount    = 20
 	downTime        = 20 * time.Millisecond
 	// doubledEvery is after how many answers a faulty runner sends one twice: a share of less than 0.03.
 	doubledEvery = 34
