A connection to an endpoint carries no request ID twice

Callers saw: one success, and an order that was carried out twice.

Cause: a reply was matched to its request by the echoed ID alone, and all attempts at a request have one ID. An order was sent to an entry that is gone, got 421 from the process that has its address now, and went out again, for that process, on the same connection. A second copy of the 421 was taken for the answer to the second attempt; a third endpoint then ran the order as well.

Evidence: the records of the case show a 421 and then a run at the same endpoint for each order that ran twice. The logs could not show it, as attempts at unary requests that were refused as not run had no line; they have one now, with the status. Ruled out: two nodes with one order (the case has one node per order), and a repeat after an attempt that may have run (each run follows a 421).

Change: a connection records the IDs that it carries, 512 at most, and is then closed.

--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -48,7 +48,8 @@
 		// Header holds all fields except Host and Content-Length.
 		Header http.Header
 		Body   []byte
-		// EchoField and EchoValue are the name and value of a header field that the reply must have; none if empty.
+		// EchoField and EchoValue are the name and value of a header field that the reply must have; none if empty. The value
+		// is the request's ID: a connection carries no ID twice.
 		EchoField string
 		EchoValue string
 		// MaxConnIdleTime is how long a connection may have been idle for this request to use it.
@@ -136,6 +137,7 @@
 
 func (c *exchangeConn) roundTrip(e Exchange) (*ExchangeReply, error) {
 	c.maybeSent.Store(false)
+	c.recordID(e)
 	c.limiter.remaining.Store(maxHeaderBytes)
 	writeDone := c.writeRequest(e)
 	for range maxStrayReplies + 1 {
@@ -239,7 +241,7 @@
 	conn := r.conn
 	r.conn = nil
 	open := r.cancelClose()
-	if open && r.complete && !r.notReusable && conn.reader.Buffered() == 0 {
+	if open && r.complete && !r.notReusable && conn.reader.Buffered() == 0 && len(conn.sentIDs) < maxConnRequests {
 		r.exchanger.putIdle(conn, r.idleTimeout)
 		return
 	}
--- a/endpoint/exchange_test.go
+++ b/endpoint/exchange_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -159,8 +161,8 @@
 func TestReplyWithoutLengthEndsWithItsConnection(t *testing.T) {
 	s := newScriptedServer(t, func(int, int) string { return "HTTP/1.1 200 OK\r\nX-Id: %\r\n\r\nok!close" })
 	x := endpoint.NewExchanger(time.Now)
-	for range 2 {
-		body, err := send(t, x, s.address, "1")
+	for _, id := range []string{"1", "2"} {
+		body, err := send(t, x, s.address, id)
 		must.NoError(t, err)
 		must.Eq(t, "ok!close", body)
 	}
@@ -178,18 +180,18 @@
 			if err != nil {
 				return
 			}
-			conns.Add(1)
+			id := strconv.FormatInt(conns.Add(1), 10)
 			// Answer without reading the body.
-			go func() { _, _ = io.WriteString(conn, strings.ReplaceAll(okReply, "%", "1")) }()
+			go func() { _, _ = io.WriteString(conn, strings.ReplaceAll(okReply, "%", id)) }()
 		}
 	}()
 	x := endpoint.NewExchanger(time.Now)
-	for range 2 {
+	for _, id := range []string{"1", "2"} {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		reply, err := x.Send(ctx, endpoint.Exchange{
 			MaxIdleConns: 8,
 			Address:      listener.Addr().String(), Method: http.MethodPost, URI: "/run", Host: "h", Header: http.Header{},
-			Body: make([]byte, 8<<20), EchoField: "X-Id", EchoValue: "1", MaxConnIdleTime: time.Hour,
+			Body: make([]byte, 8<<20), EchoField: "X-Id", EchoValue: id, MaxConnIdleTime: time.Hour,
 		})
 		must.NoError(t, err)
 		_, err = io.ReadAll(reply.Body)
@@ -266,13 +268,14 @@
 	for maxIdle, want := range map[int]int64{0: 6, 2: 4, 8: 3} {
 		s := newScriptedServer(t, func(int, int) string { return okReply })
 		x := endpoint.NewExchanger(time.Now)
-		for range 2 {
+		for round := range 2 {
 			var replies []*endpoint.ExchangeReply
-			for range 3 {
+			for i := range 3 {
+				id := fmt.Sprint(round, "-", i)
 				reply, err := x.Send(t.Context(), endpoint.Exchange{
 					MaxIdleConns: maxIdle,
-					Address:      s.address, Method: http.MethodPost, URI: "/run", Host: "h", Header: http.Header{"X-Id": {"1"}},
-					EchoField: "X-Id", EchoValue: "1", MaxConnIdleTime: time.Hour,
+					Address:      s.address, Method: http.MethodPost, URI: "/run", Host: "h", Header: http.Header{"X-Id": {id}},
+					EchoField: "X-Id", EchoValue: id, MaxConnIdleTime: time.Hour,
 				})
 				must.NoError(t, err)
 				_, err = io.ReadAll(reply.Body)
@@ -295,12 +298,12 @@
 	})
 	now := time.Now()
 	x := endpoint.NewExchanger(func() time.Time { return now })
-	for _, step := range []struct {
+	for i, step := range []struct {
 		idle  time.Duration
 		conns int64
 	}{{0, 1}, {2400 * time.Millisecond, 1}, {2600 * time.Millisecond, 2}} {
 		now = now.Add(step.idle)
-		_, err := send(t, x, s.address, "a")
+		_, err := send(t, x, s.address, strconv.Itoa(i))
 		must.NoError(t, err)
 		must.EqOp(t, step.conns, s.conns.Load())
 	}
@@ -313,8 +316,42 @@
 		return "HTTP/1.1 200 OK\r\nX-Id: %\r\nConnection: close\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok"
 	})
 	x := endpoint.NewExchanger(time.Now)
-	for range 2 {
-		_, err := send(t, x, s.address, "a")
+	for _, id := range []string{"1", "2"} {
+		_, err := send(t, x, s.address, id)
+		must.NoError(t, err)
+	}
+	must.EqOp(t, 2, s.conns.Load())
+}
+
+// A request does not go out on a connection that has carried its ID, and takes another idle one if there is one. Guards
+// against a second copy of the earlier reply, which has the same ID, being taken for the reply to this request.
+func TestConnectionCarriesNoIDTwice(t *testing.T) {
+	s := newScriptedServer(t, func(_, request int) string {
+		if request == 1 {
+			return "HTTP/1.1 421 Misdirected Request\r\nX-Id: %\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nno"
+		}
+		return okReply
+	})
+	x := endpoint.NewExchanger(time.Now)
+	repeated := 0
+	x.OnRepeatedID = func(string) { repeated++ }
+	for _, step := range []struct {
+		id    string
+		conns int64
+	}{{"1", 1}, {"1", 2}, {"2", 2}, {"1", 3}, {"2", 3}, {"3", 3}} {
+		_, err := send(t, x, s.address, step.id)
+		must.NoError(t, err)
+		must.EqOp(t, step.conns, s.conns.Load(), must.Sprint("connections after request ", step.id))
+	}
+	must.Positive(t, repeated)
+}
+
+// A connection is closed once it has carried as many requests as it records IDs of.
+func TestConnectionCarriesBoundedRequests(t *testing.T) {
+	s := newScriptedServer(t, func(int, int) string { return okReply })
+	x := endpoint.NewExchanger(time.Now)
+	for i := range 1000 {
+		_, err := send(t, x, s.address, strconv.Itoa(i))
 		must.NoError(t, err)
 	}
 	must.EqOp(t, 2, s.conns.Load())
--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"basilstall.example/basilstall/held"
@@ -31,6 +33,8 @@
 	userTimeout = 2500 * time.Millisecond
 	// keepAliveIdle is the time before the first TCP keep-alive probe and between probes.
 	keepAliveIdle = time.Second
+	// maxConnRequests is how many requests a connection carries, which bounds the record of their IDs.
+	maxConnRequests = 512
 	// keepAliveCount is how many probes may stay unanswered. With the time before the first one they take somewhat longer
 	// than userTimeout, which ends the connection whatever the count.
 	keepAliveCount = 2
@@ -45,6 +49,8 @@
 		// OnDial is called after each attempt to open a connection, with when it began and its error. It is not called for an
 		// attempt that was abandoned before it could tell anything of the endpoint.
 		OnDial func(address string, beganAt time.Time, err error)
+		// OnRepeatedID is called when a request does not use an idle connection because that has carried its ID before.
+		OnRepeatedID func(address string)
 		// OnUnread is called when a request is not sent because the endpoint has not taken earlier ones.
 		OnUnread func(address string)
 		// Dial opens a connection over TCP.
@@ -71,6 +77,9 @@
 		maxIdleConns int
 		// used is true once the connection has been put back as idle.
 		used bool
+		// sentIDs holds the hashes of the IDs of the requests that were sent on the connection, at most maxConnRequests. No ID
+		// is sent twice: of the replies to two requests with the same ID, the second one could be a copy of the first.
+		sentIDs []uint64
 		// maybeSent is true once bytes of the current request may have been sent.
 		maybeSent atomic.Bool
 		// written is true once the kernel has taken the whole current request.
@@ -84,7 +93,7 @@
 
 // NewExchanger returns an exchanger without connections.
 func NewExchanger(now func() time.Time) *Exchanger {
-	x := &Exchanger{Now: now, OnDial: func(string, time.Time, error) {}, OnUnread: func(string) {}, idle: map[string][]*exchangeConn{}}
+	x := &Exchanger{Now: now, OnDial: func(string, time.Time, error) {}, OnRepeatedID: func(string) {}, OnUnread: func(string) {}, idle: map[string][]*exchangeConn{}}
 	x.sends = map[held.ID]*exchangeSend{}
 	x.LimitUnread(held.NewUnreadLimits(held.NewLimits(0)))
 	dialer := NewDialer()
@@ -121,7 +130,7 @@
 func (x *Exchanger) getConn(ctx context.Context, e Exchange) (*exchangeConn, *Fault) {
 	now := x.Now()
 	for {
-		c := x.takeIdle(e.Address)
+		c := x.takeIdle(e)
 		if c == nil {
 			break
 		}
@@ -211,22 +220,47 @@
 	return nil
 }
 
-// takeIdle removes and returns the connection that has been idle for the shortest time, or nil.
-func (x *Exchanger) takeIdle(address string) *exchangeConn {
+// takeIdle removes and returns the connection that has been idle for the shortest time and has not carried the ID of the
+// request, or nil.
+func (x *Exchanger) takeIdle(e Exchange) *exchangeConn {
+	c, repeated := x.takeIdleWithoutID(e)
+	if repeated {
+		x.OnRepeatedID(e.Address)
+	}
+	return c
+}
+
+// takeIdleWithoutID is takeIdle. repeated is true if a connection was passed over because it had carried the ID.
+func (x *Exchanger) takeIdleWithoutID(e Exchange) (c *exchangeConn, repeated bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	conns := x.idle[address]
-	if len(conns) == 0 {
-		return nil
+	conns := x.idle[e.Address]
+	for i := len(conns) - 1; i >= 0; i-- {
+		c := conns[i]
+		if c.hasSent(e) {
+			repeated = true
+			continue
+		}
+		if conns = slices.Delete(conns, i, i+1); len(conns) == 0 {
+			delete(x.idle, e.Address)
+		} else {
+			x.idle[e.Address] = conns
+		}
+		return c, repeated
 	}
-	c := conns[len(conns)-1]
-	conns = conns[:len(conns)-1]
-	if len(conns) == 0 {
-		delete(x.idle, address)
-	} else {
-		x.idle[address] = conns
+	return nil, repeated
+}
+
+// hasSent reports whether a request with the same ID was sent on the connection.
+func (c *exchangeConn) hasSent(e Exchange) bool {
+	return e.EchoField != "" && slices.Contains(c.sentIDs, xxhash.Sum64String(e.EchoValue))
+}
+
+// recordID records the ID of a request that is about to be sent.
+func (c *exchangeConn) recordID(e Exchange) {
+	if e.EchoField != "" {
+		c.sentIDs = append(c.sentIDs, xxhash.Sum64String(e.EchoValue))
 	}
-	return c
 }
 
 // putIdle keeps a connection for the next exchange, for the given idle timeout. If that exceeds defaultIdleTimeout, the
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -329,7 +329,7 @@
 	case result.complete:
 		p.recordSuccess(e.Incarnation())
 	case result.reply != nil && result.reply.NotRun:
-		j.relay.logFailedAttempt(j.forward, e, j.attempts, model.RetryNotRun, nil)
+		j.relay.logFailedAttempt(j.forward, e, j.attempts, model.RetryNotRun, notRunError(result.reply.Status))
 	}
 }
 
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -294,6 +294,7 @@
 	}
 	p.recordLoad(now, res.endpoint.Incarnation(), res.reply.Statement.Load)
 	if res.reply.NotRun {
+		j.relay.logFailedAttempt(j.forward, res.endpoint, j.attempts, model.RetryNotRun, notRunError(res.reply.Status))
 		return false
 	}
 	j.mayHaveRun = true
@@ -312,6 +313,11 @@
 	return true
 }
 
+// notRunError says with which status an endpoint stated that it did not run a request.
+func notRunError(status int) error {
+	return errors.Errorf("relay: endpoint answered with status %d as not run", status)
+}
+
 // recordPace records what a successful response tells of the speed of its endpoint.
 func (j *job) recordPace(now time.Time, p *pool, res *unaryResult) {
 	if load := res.reply.Statement.Load; load != nil && j.relay.statesContention(p.name) {
