A leaving node accepts only what can end before it stops

Callers saw: connections closed without an answer, by a node that had accepted their requests after SIGTERM.

Cause: a leaving node took a unary request to need 2 s at most and a stream 5 s, whatever its route's timeout is and however long such requests are seen to take.

Ruled out: that requests on kept connections are never refused, and that the node stops too soon. The records show requests accepted until 2 s before the stop, and an end at 7.6 s of 8.

Change: package leaving records how long the requests of each route take, those under way included, and decides by twice the longest one, or by the deadline if too few were answered; never by less than before. It decides again right before a request is first sent. What still runs at the stop is answered instead of cut off: as not run if it was not sent, with 502 otherwise. The project's own interface does the same while it drains.

Tests: leaving TestAdmit (in place of that of kernel, whose cases it has) and times_test; platform TestLeavingNodeCutsOffNothing, 20 cases, each of which failed before; platform TestRunningRequestIsAnsweredAtStop; node TestDrainingNodeCutsOffNothing, which failed before with 20 of 20 requests cut off.

--- a/kernel/helpers.go
+++ b/kernel/helpers.go
@@ -181,7 +181,7 @@
 	}
 	switch refusal.Reason {
 	case model.EndpointsUnreachable, model.StaleRouting, model.NotReady, model.NoEndpoint, model.EndpointsPaused, model.EndpointsCold, model.EndpointsCapped,
-		model.EndpointsBrittle, model.VersionGone, model.NodeFull:
+		model.EndpointsBrittle, model.VersionGone, model.NodeFull, model.Draining:
 		return true
 	default:
 		return false
--- a/node/drain.go
+++ b/node/drain.go
@@ -9,6 +9,8 @@
 
 	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/leaving"
+	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/peer"
 	"basilstall.example/basilstall/table"
 )
@@ -32,12 +34,14 @@
 
 // Drain shuts the node down gracefully. It marks the node as leaving for peers, the platform's list and the balancer,
 // still serves requests for the drain delay, hands over its keys, waits for the requests in flight and until their
-// answers are sent, and closes the node. It returns how many requests were cut because they were still in flight when the
+// answers are sent, and closes the node. Requests that might not end by then are refused. It returns how many requests were cut because they were still in flight when the
 // drain limit had passed. Further calls return 0 at once.
 func (n *Node) Drain(ctx context.Context) int {
 	if n.draining.Swap(true) {
 		return 0
 	}
+	endsAt := time.Now().Add(n.options.DrainDelay + n.options.DrainLimit)
+	n.drainEndsAt.Store(&endsAt)
 	n.log.Info().Msg("draining")
 	ctx, cancel := context.WithTimeout(ctx, n.options.DrainDelay+n.options.DrainLimit)
 	defer cancel()
@@ -59,6 +63,15 @@
 	return cut
 }
 
+// admitWhileDraining refuses a request at a draining node that might be cut off at the drain limit.
+func (n *Node) admitWhileDraining(now time.Time, req model.Request, stream bool) *model.Refusal {
+	endsAt := n.drainEndsAt.Load()
+	if endsAt == nil {
+		return nil
+	}
+	return leaving.Admit(now, *endsAt, leaving.Request{Stream: stream, Deadline: req.Deadline, Seen: n.requestTimes.Seen(now, req.Pipeline)})
+}
+
 // awaitBalancer waits until no request has arrived for the drain delay. By then the balancer, however late, sends no
 // more requests, and none is about to arrive on a kept-alive connection. If requests keep arriving, as from callers
 // without a balancer, the wait ends after the drain delay and half the drain limit.
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"basilstall.example/basilstall/connlimit"
 	"basilstall.example/basilstall/dispatch"
 	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/list"
 	"basilstall.example/basilstall/metric"
 	"basilstall.example/basilstall/model"
@@ -33,6 +34,9 @@
 	"basilstall.example/basilstall/table"
 )
 
+// requestTimesInterval is how often pipelines without recent requests are forgotten.
+const requestTimesInterval = time.Minute
+
 // Node is one process of the fleet: it accepts callers' requests and calls endpoints to serve them.
 type Node struct {
 	options config.Options
@@ -82,7 +86,11 @@
 	// tableDown is true if the last call to the table failed.
 	tableDown atomic.Bool
 	draining  atomic.Bool
-	inFlight  atomic.Int64
+	// drainEndsAt is when a draining node stops; nil while it is not draining.
+	drainEndsAt atomic.Pointer[time.Time]
+	// requestTimes holds how long the requests of each pipeline take.
+	requestTimes *leaving.Times
+	inFlight     atomic.Int64
 	// lastArrival is when the last request of a caller arrived, in nanoseconds since the Unix epoch.
 	lastArrival atomic.Int64
 
@@ -115,6 +123,7 @@
 		peerServer:      peerServer,
 		dispatcher:      dispatch.NewDispatcher(options.FailureDomain, options.Plain, metrics),
 		records:         newRecords(),
+		requestTimes:    leaving.NewTimes(),
 		rateLimiter:     newRateLimiter(),
 		customers:       newCustomerUses(),
 		keys:            newKeyLedger(),
@@ -196,7 +205,7 @@
 }
 
 func (n *Node) startLoops() {
-	for _, loop := range []func(){n.pollSettings, n.sendHeartbeats, n.pollList, n.announceHost, n.maintainClaims, n.maintainGrants, n.maintainAdapters, n.followNotices} {
+	for _, loop := range []func(){n.pollSettings, n.sendHeartbeats, n.pollList, n.announceHost, n.maintainClaims, n.maintainGrants, n.maintainAdapters, n.followNotices, n.expireRequestTimes} {
 		n.loops.Add(1)
 		go func() {
 			defer n.loops.Done()
@@ -205,6 +214,10 @@
 	}
 }
 
+func (n *Node) expireRequestTimes() {
+	n.runPeriodically(requestTimesInterval, func(context.Context) { n.requestTimes.Expire(time.Now()) })
+}
+
 // runPeriodically calls work at once and then about once per period, with jitter, until the node stops.
 func (n *Node) runPeriodically(period time.Duration, work func(context.Context)) {
 	for {
--- a/node/runner.go
+++ b/node/runner.go
@@ -26,6 +26,9 @@
 // received a call.
 func (n *Node) runPipeline(ctx context.Context, req model.Request, pipeline model.Pipeline, emit func(model.Token)) (model.Answer, progress, *model.Refusal) {
 	var p progress
+	if refusal := n.admitWhileDraining(time.Now(), req, emit != nil); refusal != nil {
+		return model.Answer{}, p, refusal
+	}
 	if refusal := n.admit(ctx, time.Now(), req, pipeline); refusal != nil {
 		return model.Answer{}, p, refusal
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -12,6 +12,7 @@
 	"basilstall.example/basilstall/connlimit"
 	"basilstall.example/basilstall/held"
 	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/operator"
 	"basilstall.example/basilstall/peer"
@@ -70,6 +71,7 @@
 	defer n.inFlight.Add(-1)
 	began := time.Now()
 	n.lastArrival.Store(began.UnixNano())
+	number := n.requestTimes.Begin(began, began, req.Pipeline)
 	var answer model.Answer
 	var refusal *model.Refusal
 	if pipeline.NonIdempotent() {
@@ -79,6 +81,7 @@
 		answer, p, refusal = n.runPipeline(ctx, req, pipeline, emit)
 		n.recordRequest(req, began, answer, p, refusal, "")
 	}
+	n.requestTimes.End(time.Now(), req.Pipeline, number, leaving.End{Answered: refusal == nil, Sent: refusal == nil || refusal.Verdict != model.NotRun})
 	if refusal == nil {
 		n.metrics.ObserveAnswer(req.Pipeline, time.Since(began))
 	}
@@ -95,6 +98,10 @@
 		return model.Answer{}, model.NewRefusal(model.MayHaveRun, model.BadRequest, 0,
 			"this pipeline takes only keys of mode "+string(pipeline.Keys)+": Claims are UUIDv7, Durable any other form")
 	}
+	if refusal := n.admitWhileDraining(began, req, false); refusal != nil {
+		// An earlier request with the key may have run.
+		return model.Answer{}, refusal.WithVerdict(model.MayHaveRun)
+	}
 	answer, refusal := n.serveKeyed(ctx, keyedRequest{Request: req, key: key, pipeline: pipeline})
 	if answer.ID == req.ID && answer.RanOn == n.options.Name {
 		return answer, refusal
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 
 	"basilstall.example/basilstall/binding"
 	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/metric"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/peer"
@@ -102,6 +103,8 @@
 		placers *placers
 		placing *placing
 
+		// requestTimes holds how long the requests of each route take.
+		requestTimes *leaving.Times
 		// stopsAt is when a leaving node will stop; nil while it is not leaving.
 		stopsAt     atomic.Pointer[time.Time]
 		inFlight    atomic.Int64
@@ -147,6 +150,7 @@
 		pools:          map[string]*pool{},
 		orders:         kernel.NewNodeOrders(),
 		contention:     newContentionRecord(),
+		requestTimes:   leaving.NewTimes(),
 	}
 	r.peers.SetSilenceTimeout(peerSilenceTimeout)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
@@ -179,21 +183,25 @@
 	r.placers = newPlacers(r)
 	r.placing = newPlacing(r)
 	go r.placing.run()
-	go func() {
-		ticker := time.NewTicker(sweepInterval)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ticker.C:
-				r.batchers.expireGroups()
-			case <-r.ctx.Done():
-				return
-			}
-		}
-	}()
+	go r.sweep()
 	return r
 }
 
+// sweep ends groups of pieces and forgets the times of requests, as they expire.
+func (r *Relay) sweep() {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.batchers.expireGroups()
+			r.requestTimes.Expire(r.now())
+		case <-r.ctx.Done():
+			return
+		}
+	}
+}
+
 // Close stops the relay and cancels its calls.
 func (r *Relay) Close() {
 	r.cancel()
@@ -317,8 +325,8 @@
 	defer r.inFlight.Add(-1)
 	view := r.View()
 	admission, refusal := kernel.Admit(r.now(), view, r.options.MaxRoutingAge, f)
-	if stopsAt := r.stopsAt.Load(); refusal == nil && stopsAt != nil {
-		refusal = kernel.AdmitWhileLeaving(r.now(), *stopsAt, admission.Route)
+	if refusal == nil {
+		refusal = r.admitWhileLeaving(admission, leaving.AtReceipt)
 	}
 	var resumption *kernel.Finding
 	if refusal == nil {
@@ -358,6 +366,26 @@
 	return outcome
 }
 
+// admitWhileLeaving refuses a request at a leaving node that might be cut off when the node stops.
+func (r *Relay) admitWhileLeaving(a kernel.Admission, stage leaving.Stage) *model.Refusal {
+	stopsAt := r.stopsAt.Load()
+	if stopsAt == nil {
+		return nil
+	}
+	now := r.now()
+	return leaving.Admit(now, *stopsAt, leaving.Request{
+		Stream: a.Route.Kind == model.Stream, Deadline: a.Deadline, Stage: stage, Seen: r.requestTimes.Seen(now, a.Route.Name),
+	})
+}
+
+// requestEnd returns what the outcome of a request tells of its end.
+func requestEnd(o Outcome) leaving.End {
+	return leaving.End{
+		Answered: o.Complete && o.Status < http.StatusInternalServerError,
+		Sent:     o.Complete || o.Refusal == nil || o.Refusal.Verdict != model.NotRun,
+	}
+}
+
 // admitEndpoints refuses a request if no endpoint of a pool that it needs may get work from this node now.
 func (r *Relay) admitEndpoints(f model.Forward, a kernel.Admission) *model.Refusal {
 	if refusal := kernel.AdmitPools(r.now(), r.Registry(), f, a); refusal != nil {
@@ -368,6 +396,15 @@
 
 // serve runs an admitted request to its end.
 func (j *job) serve(ctx context.Context) Outcome {
+	r, route := j.relay, j.admission.Route.Name
+	j.number = r.requestTimes.Begin(r.now(), j.forward.ReceivedAt, route)
+	outcome := j.serveInTime(ctx)
+	r.requestTimes.End(r.now(), route, j.number, requestEnd(outcome))
+	return outcome
+}
+
+// serveInTime runs an admitted request until its end or its deadline.
+func (j *job) serveInTime(ctx context.Context) Outcome {
 	r := j.relay
 	ctx, cancel := context.WithTimeoutCause(ctx, j.admission.Deadline.Sub(r.now()), context.DeadlineExceeded)
 	defer cancel()
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/peer"
 )
@@ -106,6 +107,10 @@
 	if refusal == nil && m.Binding != nil {
 		admission, refusal = admission.WithBinding(*m.Binding)
 	}
+	if refusal == nil && m.Attempts == 0 {
+		// The node may have begun to leave since it took the offer.
+		refusal = r.admitWhileLeaving(admission, leaving.AtReceipt)
+	}
 	if refusal == nil {
 		refusal = r.admitEndpoints(f, admission)
 	}
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -5,6 +5,7 @@
 
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/model"
 	"github.com/go-faster/errors"
 )
@@ -184,6 +185,9 @@
 	chosenAt, permitUntil, onTrial := j.relay.now(), j.permitUntil, j.runsOnTrial(retry)
 	send.BeforeSend = func() error {
 		refusal := kernel.RecheckAdmission(j.relay.now(), j.relay.View(), j.relay.options.MaxRoutingAge, j.forward, j.admission)
+		if refusal == nil && !retry {
+			refusal = j.relay.admitWhileLeaving(j.admission, leaving.AtSend)
+		}
 		if refusal == nil && !onTrial {
 			refusal = j.relay.quarantine.Check(j.forward.Digests())
 		}
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -13,6 +13,7 @@
 
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/peer"
 )
@@ -188,6 +189,12 @@
 	if refusal := kernel.RecheckAdmission(j.relay.now(), j.relay.View(), j.relay.options.MaxRoutingAge, j.forward, j.admission); refusal != nil {
 		return refusal
 	}
+	if j.attempts == 0 {
+		if refusal := j.relay.admitWhileLeaving(j.admission, leaving.AtSend); refusal != nil {
+			return refusal
+		}
+		j.relay.requestTimes.RecordSent(j.relay.now(), j.admission.Route.Name, j.number)
+	}
 	if refusal := j.checkQuarantine(j.attempts > 0); refusal != nil {
 		return refusal.WithVerdict(j.verdict())
 	}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -10,6 +10,7 @@
 
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/pace"
 	"basilstall.example/basilstall/peer"
@@ -25,6 +26,9 @@
 	refusalRetryAfter = 150 * time.Millisecond
 )
 
+// ErrStopped is the cause with which the contexts of requests are cancelled that are still served as the node stops.
+var ErrStopped = errors.New("relay: the node has stopped")
+
 var (
 	errAnswerTooLong = errors.New("relay: answer exceeds the size limit")
 	errPanic         = errors.New("relay: panic while sending a request")
@@ -38,6 +42,8 @@
 		admission kernel.Admission
 		responder Responder
 		startedAt time.Time
+		// number identifies the request among those whose times are held.
+		number leaving.Number
 		// attempts is the number of endpoints that the request was sent to. Attempts that are known to have sent
 		// nothing are subtracted.
 		attempts int
@@ -253,6 +259,7 @@
 	j.attempts++
 	if j.firstSentAt.IsZero() {
 		j.firstSentAt = j.relay.now()
+		j.relay.requestTimes.RecordSent(j.firstSentAt, j.admission.Route.Name, j.number)
 	}
 	if j.onSend != nil {
 		j.onSend(j.attempts)
@@ -356,14 +363,18 @@
 	return j.refuse(model.MayHaveRun, model.StageFailed, "the endpoint failed")
 }
 
-// refuseContextDone refuses a request that has timed out or whose caller has disconnected.
+// refuseContextDone refuses a request that has timed out, whose caller has disconnected, or that is served by a node that
+// stops.
 func (j *job) refuseContextDone(ctx context.Context) Outcome {
 	verdict := j.verdict()
 	if j.attempts > 0 || j.atNode {
 		verdict = model.MayHaveRun
 	}
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		return j.refuse(verdict, model.StageTimeout, "the time is up")
+	case errors.Is(cause, ErrStopped):
+		return j.refuse(verdict, model.Draining, "the node has stopped")
 	}
 	return j.refuse(verdict, model.CallerGone, "the caller went away")
 }
