Bytes that are no answer end their connection and count against the endpoint

Callers saw: with an engine that sends comments or blank lines in place of events, or foreign answers without end, requests that ran into their deadlines one after the other while a sound engine beside it got nothing.

Causes: a block without a field counted as an event; bodies of replies to other requests and of refusals were read without a limit, or up to 8 MB; and an attempt that ended with its request, at the deadline or as the caller left, was not recorded, so the endpoint looked the least loaded.

Change: events have a line that is neither blank nor a comment; 256 KB without one, or of what is discarded, end the connection; the idle timeout counts events. An attempt that brought bytes but no answer ejects its endpoint at once and is counted and logged. A stream's refusal leaves its connection open. Streams, replies to transactions and states of the project's own interface are limited too.

Ruled out: counting silence in the same way, as queues are silent too.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -23,7 +23,9 @@
 const (
 	// maxReplyBytes is the maximum size of a unary reply.
 	maxReplyBytes = 4 << 20
-	idleTimeout   = 30 * time.Second
+	// maxStreamEventBytes is the maximum size of an event of a stream, with the white space before it.
+	maxStreamEventBytes = 256 << 10
+	idleTimeout         = 30 * time.Second
 	// maxIdleConnections is the maximum number of idle connections to one endpoint.
 	maxIdleConnections = 32
 )
@@ -114,8 +116,10 @@
 	if res.StatusCode != http.StatusOK {
 		return streamFault(res, call)
 	}
-	events := json.NewDecoder(res.Body)
+	body := &io.LimitedReader{R: res.Body}
+	events := json.NewDecoder(body)
 	for {
+		body.N = maxStreamEventBytes
 		var event model.TokenEvent
 		if err := events.Decode(&event); err != nil {
 			return c.newFault(ctx, target, trace, err)
--- a/endpoint/error.go
+++ b/endpoint/error.go
@@ -20,7 +20,8 @@
 	Silent FaultKind = "Silent"
 	// Status means that the endpoint answered with an error or an invalid reply.
 	Status FaultKind = "Status"
-	// Mismatch means that the reply belongs to another call, or that tokens of a stream are missing.
+	// Mismatch means that the reply belongs to another call, that what came until the context ended is no reply, or that
+	// tokens of a stream are missing.
 	Mismatch FaultKind = "Mismatch"
 	// NotLoaded means that the engine lacks the adapter and did not run the call.
 	NotLoaded FaultKind = "NotLoaded"
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -28,6 +28,11 @@
 	maxWriteLag = 2 * time.Millisecond
 	// maxStrayReplies is how many replies to earlier requests are skipped before a connection is closed.
 	maxStrayReplies = 2
+	// maxStrayBytes is how many bytes of replies to other requests, or of a body that is discarded, are read before a
+	// connection is closed.
+	maxStrayBytes = 256 << 10
+	// discardTimeout is how long the rest of a body that is discarded may take to come.
+	discardTimeout = 50 * time.Millisecond
 	// maxHeaderBytes is the maximum size of a reply's status line and header fields.
 	maxHeaderBytes = 64 << 10
 )
@@ -86,19 +91,25 @@
 		exchanger   *Exchanger
 	}
 
-	// headerLimiter limits how many bytes may be read from a connection until the end of a reply's header.
+	// headerLimiter limits how many bytes may be read from a connection until the end of a reply's header, or of a body that
+	// is discarded.
 	headerLimiter struct {
 		conn      net.Conn
 		remaining atomic.Int64
+		// received is true once bytes were read since the current request was sent.
+		received atomic.Bool
 	}
 )
 
 func (l *headerLimiter) Read(p []byte) (int, error) {
 	if l.remaining.Load() <= 0 {
-		return 0, errors.New("endpoint: the reply's head is too long")
+		return 0, errors.New("endpoint: the reply is too long")
 	}
 	n, err := l.conn.Read(p)
 	l.remaining.Add(-int64(n))
+	if n > 0 {
+		l.received.Store(true)
+	}
 	return n, err
 }
 
@@ -139,6 +150,8 @@
 	c.maybeSent.Store(false)
 	c.recordID(e)
 	c.limiter.remaining.Store(maxHeaderBytes)
+	c.limiter.received.Store(false)
+	strayBytes := int64(maxStrayBytes)
 	writeDone := c.writeRequest(e)
 	for range maxStrayReplies + 1 {
 		reply, err := c.readReply(e)
@@ -146,9 +159,12 @@
 			return nil, err
 		}
 		if e.EchoField != "" && reply.Header.Get(e.EchoField) != e.EchoValue {
+			c.limiter.remaining.Store(strayBytes)
 			if err := discardReply(reply); err != nil {
 				return nil, err
 			}
+			strayBytes = c.limiter.remaining.Load()
+			c.limiter.remaining.Store(maxHeaderBytes)
 			continue
 		}
 		reply.notReusable = reply.notReusable || !allWritten(writeDone)
@@ -248,6 +264,21 @@
 	conn.close()
 }
 
+// Discard ends the exchange without the body. The connection is kept for reuse if the body ends soon. Discard reports
+// whether it does.
+func (r *ExchangeReply) Discard() bool {
+	if r.conn == nil {
+		return r.complete
+	}
+	conn := r.conn.conn
+	_ = conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	r.conn.limiter.remaining.Store(maxStrayBytes)
+	_, err := io.Copy(io.Discard, r.Body)
+	_ = conn.SetReadDeadline(time.Time{})
+	r.Close()
+	return err == nil
+}
+
 func encodeRequest(e Exchange) []byte {
 	var b strings.Builder
 	b.Grow(512 + len(e.Body))
@@ -282,6 +313,9 @@
 		f.Verdict = model.NotRun
 	}
 	switch {
+	case ctx.Err() != nil && c.limiter.received.Load():
+		// What came so far is no reply to the request.
+		f.Kind = Mismatch
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		f.Kind = Cancelled
 	case ctx.Err() != nil:
--- a/engine/client.go
+++ b/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -19,6 +20,8 @@
 	StatePath = "/state"
 
 	stateTimeout = time.Second
+	// maxStateBytes is the maximum size of the state of an engine.
+	maxStateBytes = 1 << 20
 )
 
 // ErrStaleFencing is returned if an engine rejects an order because it knows a higher fencing number.
@@ -69,7 +72,7 @@
 		return state, errors.Wrap(err, "engine: unable to read the state")
 	}
 	defer res.Body.Close()
-	if err := json.NewDecoder(res.Body).Decode(&state); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxStateBytes)).Decode(&state); err != nil {
 		return state, errors.Wrap(err, "engine: unable to decode the state")
 	}
 	return state, nil
--- a/kernel/health.go
+++ b/kernel/health.go
@@ -37,9 +37,9 @@
 	return h
 }
 
-// WithUnreachable returns the health after a connection could not be opened. The endpoint is ejected at once:
-// whatever the cause, the next call would only wait as long for its failure.
-func (h Health) WithUnreachable(now time.Time) Health {
+// WithDecisiveFailure returns the health after a failure that the next call would most likely repeat, such as a connection
+// that could not be opened, or bytes that are no answer. The endpoint is ejected at once.
+func (h Health) WithDecisiveFailure(now time.Time) Health {
 	h.Failures = max(h.Failures, ejectionThreshold-1)
 	return h.WithFailure(now)
 }
--- a/model/forward.go
+++ b/model/forward.go
@@ -81,6 +81,8 @@
 		// Unframed is true if the body ends with the connection. It may then be the beginning of the answer of an endpoint that
 		// has crashed.
 		Unframed bool
+		// Endless is true if the body of a reply that is NotRun did not end soon.
+		Endless bool
 		// Statement is what the endpoint states of itself; empty if the reply is Misdirected.
 		Statement Statement
 		// Close ends the exchange. The connection is reused only if the body was read to its end.
--- a/relay/events.go
+++ b/relay/events.go
@@ -6,16 +6,21 @@
 	"github.com/go-faster/errors"
 )
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of one event of a stream, with the comments and blank lines before it.
+	maxEventBytes = 256 << 10
+)
 
 var errEventTooLong = errors.New("relay: stream event exceeds the size limit")
 
 // eventSplitter splits a stream of server-sent events into complete events, so that a caller never receives a part of
 // an event that another endpoint might then repeat.
 type eventSplitter struct {
-	// partial is the beginning of an event that is not complete yet.
+	// partial is the beginning of an event that is not complete yet. It may begin with comments and blank lines, which are
+	// passed on with the event.
 	partial []byte
+	// searched is the length of the blocks at the beginning of partial that are no events.
+	searched int
 	// lastID is the ID of the last complete event that has one.
 	lastID string
 	// count is the number of complete events.
@@ -27,24 +32,47 @@
 	e.partial = append(e.partial, p...)
 	end := 0
 	for {
-		n := eventEnd(e.partial[end:])
+		n := eventEnd(e.partial[e.searched:])
 		if n < 0 {
 			break
 		}
-		e.record(e.partial[end : end+n])
-		end += n
+		block := e.partial[e.searched : e.searched+n]
+		e.searched += n
+		if hasField(block) {
+			e.record(block)
+			end = e.searched
+		}
 	}
-	complete := bytes.Clone(e.partial[:end])
-	e.partial = append(e.partial[:0], e.partial[end:]...)
-	if len(e.partial) > maxEventBytes {
+	if len(e.partial)-end > maxEventBytes {
 		return nil, errEventTooLong
 	}
+	if end == 0 {
+		return nil, nil
+	}
+	complete := bytes.Clone(e.partial[:end])
+	e.partial = append(e.partial[:0], e.partial[end:]...)
+	e.searched -= end
 	return complete, nil
 }
 
-// atEventBoundary reports whether the stream so far ends with a complete event.
-func (e *eventSplitter) atEventBoundary() bool {
-	return len(e.partial) == 0
+// rest returns what has come after the last event, and whether the stream may end with it: whole lines of no event.
+func (e *eventSplitter) rest() (rest []byte, whole bool) {
+	return e.partial, len(e.partial) == 0 || bytes.HasSuffix(e.partial, []byte("\n")) && !hasField(e.partial)
+}
+
+// reset drops what has come after the last event, as another endpoint continues the stream.
+func (e *eventSplitter) reset() {
+	e.partial, e.searched = nil, 0
+}
+
+// hasField reports whether p has a line that is neither blank nor a comment.
+func hasField(p []byte) bool {
+	for line := range bytes.Lines(p) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // eventEnd returns the length of the first event in p, including the blank line that ends it, or -1.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -289,12 +289,12 @@
 	s.health = s.health.WithFailure(now)
 }
 
-// recordUnreachable records that no connection to an endpoint could be opened.
-func (p *pool) recordUnreachable(now time.Time, incarnation string) {
+// recordDecisiveFailure records that no connection to an endpoint could be opened, or that it sent bytes that are no answer.
+func (p *pool) recordDecisiveFailure(now time.Time, incarnation string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(incarnation)
-	s.health = s.health.WithUnreachable(now)
+	s.health = s.health.WithDecisiveFailure(now)
 }
 
 // recordLoad records the load that an endpoint has reported; nil if it has not.
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -23,10 +23,13 @@
 	if fault.Kind == endpoint.Cancelled || fault.Kind == endpoint.Withdrawn {
 		return
 	}
-	if fault.Kind == endpoint.Refused {
+	switch fault.Kind {
+	case endpoint.Refused:
 		j.unreached = append(j.unreached, e.Incarnation())
-		p.recordUnreachable(j.relay.now(), e.Incarnation())
-	} else {
+		p.recordDecisiveFailure(j.relay.now(), e.Incarnation())
+	case endpoint.Mismatch:
+		// Recorded by recordMismatch.
+	default:
 		p.recordFailure(j.relay.now(), e.Incarnation())
 	}
 	j.relay.logFailedAttempt(j.forward, e, j.attempts, fault.RetryReason(), fault)
@@ -36,6 +39,18 @@
 	}
 }
 
+// recordMismatch records an attempt that brought bytes but no answer. Unlike other faults it counts although the request is over,
+// at its deadline or because its caller left: an endpoint that sends such bytes until then would get request after request.
+func (r *Relay) recordMismatch(p *pool, e model.Endpoint, err error) {
+	var fault *endpoint.Fault
+	if !errors.As(err, &fault) || fault.Kind != endpoint.Mismatch {
+		return
+	}
+	p.recordDecisiveFailure(r.now(), e.Incarnation())
+	r.metrics.CountEvent("EndpointAnswerInvalid")
+	r.invalidLog.Warn().Str("Endpoint", e.Incarnation()).Str("Pool", e.Pool).Err(err).Msg("endpoint sends bytes that are no answer")
+}
+
 // allowRetry reports whether the request may be sent to another endpoint after a failed attempt, and counts the retry.
 func (j *job) allowRetry(ctx context.Context, p *pool, res unaryResult) bool {
 	if ctx.Err() != nil {
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -4,11 +4,15 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 )
 
+var errEndlessRefusal = &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.NotRun, Err: errors.New("relay: the endpoint's refusal did not end")}
+
 // forward sends a request to an endpoint, once.
 func (r *Relay) forward(ctx context.Context, send Send) (*model.ForwardReply, error) {
 	var reply *model.ForwardReply
@@ -22,6 +26,9 @@
 	if err == nil && !reply.Misdirected {
 		r.pool(send.Endpoint.Pool).recordAcceptance(r.now(), send.Endpoint.Incarnation(), !reply.NotRun || reply.InputsGone)
 	}
+	if err == nil && reply.Endless {
+		r.recordMismatch(r.pool(send.Endpoint.Pool), send.Endpoint, errEndlessRefusal)
+	}
 	return reply, err
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -16,12 +16,15 @@
 const (
 	// streamBufferBytes is the size of the buffer into which a stream is read.
 	streamBufferBytes = 4 << 10
-	// streamIdleTimeout is how long the engine of a resumable stream may send nothing before the stream is resumed at
+	// streamIdleTimeout is how long the engine of a resumable stream may send no event before the stream is resumed at
 	// another engine. It is far above any pause of a healthy engine.
 	streamIdleTimeout = 1500 * time.Millisecond
 )
 
-var errStreamIdle = errors.New("relay: the engine sent nothing within the idle timeout")
+var (
+	errStreamIdle = errors.New("relay: the engine sent no event within the idle timeout")
+	errNoEvent    = errors.New("relay: the engine sent no event but other bytes")
+)
 
 type (
 	// streamState is the state of a stream, which all its attempts share.
@@ -225,18 +228,21 @@
 	if reply.Status != http.StatusOK || !reply.Authentic {
 		return j.writeFailure(ctx, reply, state)
 	}
-	return j.writeReply(reply, state, func() { idleTimer.Reset(streamIdleTimeout) }, onFirstEvent)
+	return j.writeReply(reply, state, func() {
+		idleTimer.Reset(streamIdleTimeout)
+		onFirstEvent()
+	})
 }
 
-// writeReply writes the events of an answer to the caller until the answer ends. It calls onRead after each read.
-func (j *job) writeReply(reply *model.ForwardReply, state *streamState, onRead, onFirstEvent func()) streamResult {
-	state.splitter.partial = nil
+// writeReply writes the events of an answer to the caller until the answer ends. It calls onEvents before each write.
+func (j *job) writeReply(reply *model.ForwardReply, state *streamState, onEvents func()) streamResult {
+	state.splitter.reset()
+	eventsBefore := state.splitter.count
 	buffer := make([]byte, streamBufferBytes)
 	for {
 		n, err := reply.Body.Read(buffer)
 		if n > 0 {
-			onRead()
-			if result, done := j.writeEvents(reply, state, buffer[:n], onFirstEvent); done {
+			if result, done := j.writeEvents(reply, state, buffer[:n], onEvents); done {
 				return result
 			}
 		}
@@ -246,6 +252,9 @@
 		if err == io.EOF {
 			return j.finishStream(reply, state)
 		}
+		if rest, _ := state.splitter.rest(); err != nil && len(rest) > 0 && state.splitter.count == eventsBefore {
+			return streamResult{err: &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: errNoEvent}}
+		}
 		if err != nil {
 			return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}}
 		}
@@ -253,15 +262,15 @@
 }
 
 // writeEvents writes the events that p completes to the caller. done is true if the attempt has failed.
-func (j *job) writeEvents(reply *model.ForwardReply, state *streamState, p []byte, onFirstEvent func()) (result streamResult, done bool) {
+func (j *job) writeEvents(reply *model.ForwardReply, state *streamState, p []byte, onEvents func()) (result streamResult, done bool) {
 	events, err := state.splitter.add(p)
 	if err != nil {
-		return streamResult{err: err}, true
+		return streamResult{err: &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: err}}, true
 	}
 	if len(events) == 0 {
 		return streamResult{}, false
 	}
-	onFirstEvent()
+	onEvents()
 	j.sendHeader(reply, state)
 	if j.writeCounted(events) != nil {
 		return streamResult{callerGone: true}, true
@@ -293,10 +302,14 @@
 
 // finishStream returns the result of an attempt whose stream has ended: it is complete unless it ends within an event.
 func (j *job) finishStream(reply *model.ForwardReply, state *streamState) streamResult {
-	if !state.splitter.atEventBoundary() {
+	rest, whole := state.splitter.rest()
+	if !whole {
 		return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: io.ErrUnexpectedEOF}}
 	}
 	j.sendHeader(reply, state)
+	if len(rest) > 0 && j.writeCounted(rest) != nil {
+		return streamResult{callerGone: true}
+	}
 	return streamResult{complete: true}
 }
 
@@ -323,6 +336,7 @@
 }
 
 func (j *job) recordStreamResult(p *pool, e model.Endpoint, result streamResult) {
+	j.relay.recordMismatch(p, e, result.err)
 	switch {
 	case result.err != nil:
 		j.recordFault(p, e, asFault(result.err))
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -400,7 +400,7 @@
 // writeRelayedReply writes the answer that another node passes on to the caller.
 func (j *job) writeRelayedReply(ctx context.Context, reply *model.ForwardReply, state *streamState) streamResult {
 	if reply.Status == http.StatusOK {
-		return j.writeReply(reply, state, func() {}, func() {})
+		return j.writeReply(reply, state, func() {})
 	}
 	body, err := j.readBody(ctx, reply)
 	if err != nil {
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -30,8 +30,9 @@
 var ErrStopped = errors.New("relay: the node has stopped")
 
 var (
-	errAnswerTooLong = errors.New("relay: answer exceeds the size limit")
-	errPanic         = errors.New("relay: panic while sending a request")
+	errAnswerTooLong    = errors.New("relay: answer exceeds the size limit")
+	errAnswerUnfinished = errors.New("relay: answer was not complete by the deadline")
+	errPanic            = errors.New("relay: panic while sending a request")
 )
 
 type (
@@ -229,6 +230,7 @@
 			res.body, res.err = j.readAnswer(ctx, res.reply)
 		}
 		res.elapsed = r.now().Sub(sentAt)
+		r.recordMismatch(p, e, res.err)
 		if res.err != nil && ctx.Err() != nil && r.statesContention(p.name) {
 			p.recordUnanswered(r.now(), e.Incarnation(), route, res.elapsed)
 		}
@@ -275,16 +277,18 @@
 func (j *job) readBody(ctx context.Context, reply *model.ForwardReply) ([]byte, error) {
 	body, err := j.readCounted(ctx, reply, maxUnaryBytes+1)
 	var full *model.Refusal
-	if errors.As(err, &full) {
+	switch {
+	case errors.As(err, &full):
 		return nil, full
-	}
-	if err != nil {
+	case err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return nil, &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: errAnswerUnfinished}
+	case err != nil:
 		return nil, &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}
+	case len(body) > maxUnaryBytes:
+		return nil, &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: errAnswerTooLong}
+	default:
+		return body, nil
 	}
-	if len(body) > maxUnaryBytes {
-		return nil, &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errAnswerTooLong}
-	}
-	return body, nil
 }
 
 // acceptResult reports whether a result is an answer for the caller. It records what the result shows about the
--- a/table/store.go
+++ b/table/store.go
@@ -27,6 +27,8 @@
 	// maxRowsBytes bounds the size of a read, and maxReadTime its duration: the time that 10 Mbit/s take for that size.
 	maxRowsBytes = 64 << 20
 	maxReadTime  = 54 * time.Second
+	// maxCommitReplyBytes is the maximum size of the reply to a transaction.
+	maxCommitReplyBytes = 1 << 20
 )
 
 // Store reads and writes the rows of the table service. It is safe for concurrent use.
@@ -118,13 +120,13 @@
 	switch res.StatusCode {
 	case http.StatusOK:
 		var committed Committed
-		if err := json.NewDecoder(res.Body).Decode(&committed); err != nil {
+		if err := json.NewDecoder(io.LimitReader(res.Body, maxCommitReplyBytes)).Decode(&committed); err != nil {
 			return 0, errors.Wrap(ErrUnknown, err.Error())
 		}
 		return committed.Version, nil
 	case http.StatusConflict:
 		conflict := &Conflict{}
-		if err := json.NewDecoder(res.Body).Decode(conflict); err != nil {
+		if err := json.NewDecoder(io.LimitReader(res.Body, maxCommitReplyBytes)).Decode(conflict); err != nil {
 			return 0, errors.Wrap(ErrUnknown, err.Error())
 		}
 		return 0, conflict
