A status that promises "not run" reaches callers only where an endpoint states it

Callers saw: a 429 to a ticket that had run; they posted it again, and it ran twice.

Cause: what a reply is was decided in several places. The decoder took the signature from a 429, 408, 503 or 421 without X-Not-Executed; streams heeded that, and unary requests only for statuses below 300 and from 500 on, so a 429 or 408 passed as an answer.

Ruled out: a refusal by the node (the answers bear the endpoint's stamp), and repeats by the node (one run an attempt).

Change: kindOfReply decides for requests of all kinds whether a reply is an answer, a refusal, a failure or invalid. An invalid reply is a failed attempt that may have run: 502 for requests that must not be repeated, another endpoint for the others.

Test: platform TestPromisesRestOnStatements, status by statement by path; unary requests failed before, directly and through another node.

--- a/model/forward.go
+++ b/model/forward.go
@@ -170,3 +170,17 @@
 	// PieceFailed: the endpoint failed to process it, or the call failed.
 	PieceFailed PieceFault = "Failed"
 )
+
+// ClaimsNotRun reports whether callers conclude from the status of the reply that the request has not run, although the
+// endpoint does not state it.
+func (r *ForwardReply) ClaimsNotRun() bool {
+	if r.NotRun {
+		return false
+	}
+	switch r.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -221,11 +221,14 @@
 	}
 	defer reply.Close()
 	p.recordLoad(j.relay.now(), send.Endpoint.Incarnation(), reply.Statement.Load)
-	if reply.NotRun {
+	kind := kindOfReply(reply, model.Stream)
+	j.mayHaveRun = j.mayHaveRun || kind != refusalReply
+	switch kind {
+	case refusalReply:
 		return streamResult{reply: reply}
-	}
-	j.mayHaveRun = true
-	if reply.Status != http.StatusOK || !reply.Authentic {
+	case invalidReply:
+		return streamResult{err: invalidReplyFault(reply)}
+	case failureReply:
 		return j.writeFailure(ctx, reply, state)
 	}
 	return j.writeReply(reply, state, func() {
@@ -320,7 +323,7 @@
 	if err != nil {
 		return streamResult{err: err}
 	}
-	if state.headerSent || !reply.Authentic || reply.Status < http.StatusBadRequest {
+	if state.headerSent || reply.Status < http.StatusBadRequest {
 		return streamResult{err: &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.Errorf("relay: engine answered with status %d", reply.Status)}}
 	}
 	if j.admission.Route.Resumable && j.attempts < j.admission.Route.MaxAttempts {
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -189,8 +188,7 @@
 	return Outcome{Refusal: refuseFull().WithVerdict(j.verdict()), Attempts: j.attempts}
 }
 
-// lastFailure returns the newest answer of an endpoint that ran the request and failed: res if it is one, previous
-// otherwise.
+// lastFailure returns the newest failure of an endpoint that is for the caller: res if it is one, previous otherwise.
 func lastFailure(previous *unaryResult, res unaryResult) *unaryResult {
 	if res.err == nil && !res.reply.NotRun {
 		return &res
@@ -304,18 +302,17 @@
 		return false
 	}
 	p.recordLoad(now, res.endpoint.Incarnation(), res.reply.Statement.Load)
-	if res.reply.NotRun {
+	kind := kindOfReply(res.reply, j.admission.Route.Kind)
+	j.mayHaveRun = j.mayHaveRun || kind != refusalReply
+	switch kind {
+	case refusalReply:
 		j.relay.logFailedAttempt(j.forward, res.endpoint, j.attempts, model.RetryNotRun, notRunError(res.reply.Status))
 		return false
-	}
-	j.mayHaveRun = true
-	if !res.reply.Authentic && res.reply.Status < http.StatusMultipleChoices {
-		// A success that the endpoint did not sign is not accepted as its answer.
-		p.recordFailure(now, res.endpoint.Incarnation())
-		res.err = &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.New("relay: successful answer without the endpoint's signature")}
+	case invalidReply:
+		res.err = invalidReplyFault(res.reply)
+		j.recordFault(p, res.endpoint, asFault(res.err))
 		return false
-	}
-	if res.reply.Status >= http.StatusInternalServerError {
+	case failureReply:
 		p.recordFailure(now, res.endpoint.Incarnation())
 		return false
 	}
@@ -324,6 +321,15 @@
 	return true
 }
 
+// invalidReplyFault returns the fault of an endpoint whose reply may not reach the caller.
+func invalidReplyFault(reply *model.ForwardReply) *endpoint.Fault {
+	text := "without the endpoint's signature"
+	if reply.ClaimsNotRun() {
+		text = "without the endpoint's statement that the request has not run"
+	}
+	return &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.Errorf("relay: answer with status %d %s", reply.Status, text)}
+}
+
 // notRunError says with which status an endpoint stated that it did not run a request.
 func notRunError(status int) error {
 	return errors.Errorf("relay: endpoint answered with status %d as not run", status)
@@ -351,7 +357,7 @@
 	if ctx.Err() != nil {
 		return j.refuseContextDone(ctx)
 	}
-	if failure != nil && failure.reply.Authentic {
+	if failure != nil {
 		return j.writeAnswer(*failure)
 	}
 	var refusal *model.Refusal
