The listener for other nodes goes on after an error of accept

Nodes saw: a node that answered none of them any more, for good, after its descriptors had run out once; it served its callers on.

Cause: the loop that accepts connections ended at the first error, whichever it was.

Ruled out: that the listener is broken after such an error; net/http's server goes on after the same ones.

Change: it ends only once the server is closed. Otherwise it pauses for 5 ms, then twice as long each time up to a second, and the failure is counted and logged (PeerAcceptFailed).

Test: peer TestServerAcceptsAfterFailure, which fails with the loop ended as before.

--- a/node/node.go
+++ b/node/node.go
@@ -182,6 +182,10 @@
 	if n.operatorServer, err = operator.NewServer(n.options.OperatorsListen, n.options.OperatorsToken, n.operatorServerDependencies()); err != nil {
 		return err
 	}
+	n.peerServer.OnAcceptFailed = func(err error) {
+		n.metrics.CountEvent("PeerAcceptFailed")
+		n.log.Error().Err(err).Msg("no connection of a peer accepted")
+	}
 	n.peerServer.OnTokenRefused = func(remote string) {
 		n.metrics.CountEvent("PeerTokenRefused")
 		n.log.Warn().Str("Remote", remote).Msg("peer token refused")
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -302,3 +303,31 @@
 	must.Error(t, err)
 	<-ended
 }
+
+// A server goes on after it could not accept a connection. Guards against a node that answers no other one any more because its
+// descriptors had run out once.
+func TestServerAcceptsAfterFailure(t *testing.T) {
+	s, err := peer.NewServer("127.0.0.1:0", "secret")
+	must.NoError(t, err)
+	defer s.Close()
+	accept, failures, failed := s.Accept, 3, 0
+	s.Accept = func() (net.Conn, error) {
+		if failures > 0 {
+			failures--
+			return nil, syscall.EMFILE
+		}
+		return accept()
+	}
+	s.OnAcceptFailed = func(err error) {
+		must.ErrorIs(t, err, syscall.EMFILE)
+		failed++
+	}
+	s.Serve(kernel.Member{Node: "b"}, map[peer.Kind]peer.Handler{peer.KindSettings: func(context.Context, []byte) (any, error) {
+		return peer.SettingsReply{}, nil
+	}})
+	c := peer.NewClient("a", "secret")
+	defer c.Close()
+	var reply peer.SettingsReply
+	must.NoError(t, c.Call(t.Context(), s.Address(), peer.KindSettings, peer.SettingsPull{}, &reply))
+	must.EqOp(t, 3, failed)
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -10,9 +10,17 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/kernel"
 )
 
+const (
+	// minAcceptPause is the pause after a failure to accept a connection. It doubles with each further one, up to
+	// maxAcceptPause.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
 type (
 	// Handler handles one call: it decodes the body and returns the message of the reply. After an error, the server
 	// closes the connection.
@@ -27,6 +35,10 @@
 		CancelOnDisconnect map[Kind]bool
 		// StreamHandlers holds the handlers of the kinds that open streams. It must not be changed once the server runs.
 		StreamHandlers map[Kind]StreamHandler
+		// Accept waits for the next connection. It must not be changed once the server runs.
+		Accept func() (net.Conn, error)
+		// OnAcceptFailed is called when no connection could be accepted, with the error.
+		OnAcceptFailed func(err error)
 		// OnTokenRefused is called for each Hello with a wrong token, with the remote address.
 		OnTokenRefused func(remote string)
 
@@ -48,6 +60,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
+		Accept:         listener.Accept,
+		OnAcceptFailed: func(error) {},
 		OnTokenRefused: func(string) {},
 		token:          token,
 		listener:       listener,
@@ -67,11 +81,20 @@
 	s.member = member
 	s.Handlers = handlers
 	go func() {
+		pause := minAcceptPause
 		for {
-			conn, err := s.listener.Accept()
+			conn, err := s.Accept()
 			if err != nil {
-				return
+				if s.ctx.Err() != nil {
+					return
+				}
+				// Accepting goes on: a process that has no free descriptor has one again later.
+				s.OnAcceptFailed(err)
+				clock.Sleep(s.ctx, pause)
+				pause = min(2*pause, maxAcceptPause)
+				continue
 			}
+			pause = minAcceptPause
 			s.mu.Lock()
 			s.conns[conn] = struct{}{}
 			s.mu.Unlock()
