An endpoint that sends bytes that are no answer is passed over for longer than its requests take

Cause: the ejection of a second was shorter than the attempts. A caller that gives up sends its next request just before the node has recorded the failure, so that one goes there too, and when it fails the ejection is over again. A trace of the test shows requests 1 to 5 there, 1.5 s apart, and all others at the sound endpoint.

Change: it lasts 3 s, or twice as long as the attempt took if that is longer, then twice as long each time as before: a few requests each ten seconds.

Test: platform TestEndlessBytesCostFewRequests, its bounds unchanged; kernel TestDecisiveFailureEjects.

--- a/kernel/batchend.go
+++ b/kernel/batchend.go
@@ -43,7 +43,7 @@
 func (q *BatchQueue) Unreachable(now time.Time, batch PieceBatch) []GroupOutcome {
 	q.recordNotServed(now, batch)
 	if w := q.finishCall(batch, nil); w != nil {
-		w.health = w.health.WithDecisiveFailure(now)
+		w.health = w.health.WithDecisiveFailure(now, 0)
 		q.lastStart = time.Time{}
 	}
 	return q.requeuePieces(now, batch, nil, model.PieceFailed, false)
--- a/kernel/health.go
+++ b/kernel/health.go
@@ -38,10 +38,14 @@
 }
 
 // WithDecisiveFailure returns the health after a failure that the next call would most likely repeat, such as a connection
-// that could not be opened, or bytes that are no answer. The endpoint is ejected at once.
-func (h Health) WithDecisiveFailure(now time.Time) Health {
+// that could not be opened, or bytes that are no answer. The endpoint is ejected at once, and for at least the given time.
+func (h Health) WithDecisiveFailure(now time.Time, atLeast time.Duration) Health {
 	h.Failures = max(h.Failures, ejectionThreshold-1)
-	return h.WithFailure(now)
+	h = h.WithFailure(now)
+	if until := now.Add(min(atLeast, maxEjection)); until.After(h.EjectedUntil) {
+		h.EjectedUntil = until
+	}
+	return h
 }
 
 // WithSuccess returns the health after a successful call.
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -290,11 +290,12 @@
 }
 
 // recordDecisiveFailure records that no connection to an endpoint could be opened, or that it sent bytes that are no answer.
-func (p *pool) recordDecisiveFailure(now time.Time, incarnation string) {
+// It is passed over for at least the given time.
+func (p *pool) recordDecisiveFailure(now time.Time, incarnation string, atLeast time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.state(incarnation)
-	s.health = s.health.WithDecisiveFailure(now)
+	s.health = s.health.WithDecisiveFailure(now, atLeast)
 }
 
 // recordLoad records the load that an endpoint has reported; nil if it has not.
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
@@ -10,8 +11,13 @@
 	"github.com/go-faster/errors"
 )
 
-// maxUnreached is how many endpoints are tried for a request that none could be sent to.
-const maxUnreached = 3
+const (
+	// maxUnreached is how many endpoints are tried for a request that none could be sent to.
+	maxUnreached = 3
+	// minMismatchEjection is the shortest time for which an endpoint is passed over that sends bytes that are no answer: it
+	// gets a few requests each ten seconds.
+	minMismatchEjection = 3 * time.Second
+)
 
 var errWithdrawn = errors.New("relay: the endpoint may no longer get the request")
 
@@ -26,7 +32,7 @@
 	switch fault.Kind {
 	case endpoint.Refused:
 		j.unreached = append(j.unreached, e.Incarnation())
-		p.recordDecisiveFailure(j.relay.now(), e.Incarnation())
+		p.recordDecisiveFailure(j.relay.now(), e.Incarnation(), 0)
 	case endpoint.Mismatch:
 		// Recorded by recordMismatch.
 	default:
@@ -39,13 +45,15 @@
 	}
 }
 
-// recordMismatch records an attempt that brought bytes but no answer. Unlike other faults it counts although the request is over,
+// recordMismatch records an attempt that brought bytes but no answer, and was sent at sentAt. Unlike other faults it counts although the request is over,
 // at its deadline or because its caller left: an endpoint that sends such bytes until then would get request after request.
-func (r *Relay) recordMismatch(p *pool, e model.Endpoint, err error) {
+func (r *Relay) recordMismatch(p *pool, e model.Endpoint, sentAt time.Time, err error) {
 	if err == nil || asFault(err).Kind != endpoint.Mismatch {
 		return
 	}
-	p.recordDecisiveFailure(r.now(), e.Incarnation())
+	now := r.now()
+	// The next call must not begin before others that were sent meanwhile have failed, too.
+	p.recordDecisiveFailure(now, e.Incarnation(), max(minMismatchEjection, 2*now.Sub(sentAt)))
 	r.metrics.CountEvent("EndpointAnswerInvalid")
 	r.invalidLog.Warn().Str("Endpoint", e.Incarnation()).Str("Pool", e.Pool).Err(err).Msg("endpoint sends bytes that are no answer")
 }
--- a/relay/statements.go
+++ b/relay/statements.go
@@ -16,6 +16,7 @@
 // forward sends a request to an endpoint, once.
 func (r *Relay) forward(ctx context.Context, send Send) (*model.ForwardReply, error) {
 	var reply *model.ForwardReply
+	sentAt := r.now()
 	err := r.callEndpoint(send.Endpoint, func() (stated model.Statement, err error) {
 		reply, err = r.deps.Forward(ctx, send)
 		if err != nil {
@@ -27,7 +28,7 @@
 		r.pool(send.Endpoint.Pool).recordAcceptance(r.now(), send.Endpoint.Incarnation(), !reply.NotRun || reply.InputsGone)
 	}
 	if err == nil && reply.Endless {
-		r.recordMismatch(r.pool(send.Endpoint.Pool), send.Endpoint, errEndlessRefusal)
+		r.recordMismatch(r.pool(send.Endpoint.Pool), send.Endpoint, sentAt, errEndlessRefusal)
 	}
 	return reply, err
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -193,7 +193,7 @@
 	if !firstSeen {
 		p.dropPendingPrefill(e.Incarnation(), tokens)
 	}
-	j.recordStreamResult(p, e, result)
+	j.recordStreamResult(p, e, startedAt, result)
 	return e, result, true
 }
 
@@ -338,8 +338,8 @@
 	return streamResult{failureWritten: true}
 }
 
-func (j *job) recordStreamResult(p *pool, e model.Endpoint, result streamResult) {
-	j.relay.recordMismatch(p, e, result.err)
+func (j *job) recordStreamResult(p *pool, e model.Endpoint, sentAt time.Time, result streamResult) {
+	j.relay.recordMismatch(p, e, sentAt, result.err)
 	switch {
 	case result.err != nil:
 		j.recordFault(p, e, asFault(result.err))
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -228,7 +228,7 @@
 			res.body, res.err = j.readAnswer(ctx, res.reply)
 		}
 		res.elapsed = r.now().Sub(sentAt)
-		r.recordMismatch(p, e, res.err)
+		r.recordMismatch(p, e, sentAt, res.err)
 		if res.err != nil && ctx.Err() != nil && r.statesContention(p.name) {
 			p.recordUnanswered(r.now(), e.Incarnation(), route, res.elapsed)
 		}
