--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -31,7 +31,7 @@
 	// maxStrayBytes is how many bytes of replies to other requests, or of a body that is discarded, are read before a
 	// connection is closed.
 	maxStrayBytes = 256 << 10
-	// discardTimeout is how long the rest of a body that is discarded may take to come.
+	// discardTimeout bounds the time to read the rest of a body that is discarded.
 	discardTimeout = 50 * time.Millisecond
 	// maxHeaderBytes is the maximum size of a reply's status line and header fields.
 	maxHeaderBytes = 64 << 10
--- a/leaving/times_test.go
+++ b/leaving/times_test.go
@@ -47,7 +47,7 @@
 	must.Eq(t, 30*time.Millisecond, times.Seen(now, "r").Longest.Whole)
 }
 
-// What was seen long ago counts no more, and takes no memory.
+// Requests that ended more than three windows ago no longer count, and their route is removed.
 func TestRequestTimesExpire(t *testing.T) {
 	now := time.Unix(1000, 0)
 	times := leaving.NewTimes()
--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -19,8 +19,8 @@
 	"basilstall.example/basilstall/standin"
 )
 
-// A draining node refuses requests that may still be running at its drain limit. Guards against a node that accepts
-// requests for as long as its balancer sends them, and then cuts off those that take longer than the rest of the limit.
+// A draining node refuses requests that may still be running at its drain limit. Guards against accepting requests during the
+// drain that are cut off when the node closes.
 func TestDrainingNodeCutsOffNothing(t *testing.T) {
 	for _, pipeline := range []string{"renewal", "collection-ticket"} {
 		t.Run(pipeline, func(t *testing.T) {
--- a/relay/events.go
+++ b/relay/events.go
@@ -53,7 +53,8 @@
 	return complete, nil
 }
 
-// rest returns what has come after the last event, and whether the stream may end with it: whole lines of no event.
+// rest returns the bytes after the last event. whole is true if they are complete lines that belong to no event, so that the
+// stream may end there.
 func (e *eventSplitter) rest() (rest []byte, whole bool) {
 	return e.partial, len(e.partial) == 0 || bytes.HasSuffix(e.partial, []byte("\n")) && !hasField(e.partial)
 }
