Log how an endpoint delimited its answer and what its end was judged by

No line said whether an answer had a length, chunks or neither, why the node took its end for the end of the answer, or that a refusal came after events, so the hypotheses on streams that end too early could not be told apart.

The line that ends a request has Framing and Evidence, and a refusal after events Begun and Status. Answers that end with their connection have a sample of their own, 50 lines a second. Events count them by evidence, and refusals after the beginning of an answer. Decisions are unchanged: the condition for an answer that was broken off is the same, it returns its reason.

--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/model"
 )
 
@@ -76,8 +77,8 @@
 		Body   io.Reader
 		// Length is the length of the body in bytes; -1 if it is not known.
 		Length int64
-		// Unframed is true if the body has neither a length nor chunks: it ends with the connection.
-		Unframed bool
+		// Framing is how the body is delimited.
+		Framing ending.Framing
 
 		conn *exchangeConn
 		// cancelClose keeps the end of the context from closing the connection. It returns false if that has begun.
@@ -228,7 +229,7 @@
 		}
 		c.limiter.remaining.Store(1 << 62)
 		reply := &ExchangeReply{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, conn: c, notReusable: res.Close}
-		reply.Unframed = res.ContentLength < 0 && len(res.TransferEncoding) == 0
+		reply.Framing = ending.FramingOf(res.ContentLength, len(res.TransferEncoding) > 0)
 		reply.idleTimeout = keepAliveTimeout(res.Header)
 		reply.Body = &replyBody{reply: reply, body: res.Body}
 		return reply, nil
--- a/model/forward.go
+++ b/model/forward.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"basilstall.example/basilstall/ending"
 )
 
 type (
@@ -78,9 +80,8 @@
 		InputsGone bool
 		// Authentic is true if the reply carries the endpoint's signature.
 		Authentic bool
-		// Unframed is true if the body ends with the connection. It may then be the beginning of the answer of an endpoint that
-		// has crashed.
-		Unframed bool
+		// Framing is how the body is delimited; empty if another node passes the answer on.
+		Framing ending.Framing
 		// Endless is true if the body of a reply that is NotRun did not end soon.
 		Endless bool
 		// Statement is what the endpoint states of itself; empty if the reply is Misdirected.
--- a/relay/incarnations.go
+++ b/relay/incarnations.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 )
@@ -99,17 +100,20 @@
 	r.quarantine.RecordDisconnect(e, digests...)
 }
 
-// endedEarly reports whether an answer that ended with its connection may be the beginning of one only: nothing listens at
-// the endpoint's address any more, although the endpoint has not announced its end.
-func (r *Relay) endedEarly(reply *model.ForwardReply, e model.Endpoint) bool {
-	if !reply.Unframed || reply.NotRun {
-		return false
+// judgeEnd returns by what the end of an answer is judged. An answer that ended with its connection may be the beginning of one
+// only: nothing listens at the endpoint's address any more, although the endpoint has not announced its end.
+func (r *Relay) judgeEnd(reply *model.ForwardReply, e model.Endpoint) ending.Evidence {
+	if reply.Framing != ending.Connection || reply.NotRun {
+		return ending.Framed
 	}
 	current, listed := r.Registry().Find(e.Name)
 	if !listed || current.State == model.Leaving {
-		return false
+		return ending.Announced
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, peerSilenceTimeout)
 	defer cancel()
-	return errors.Is(r.deps.Connect(ctx, e.Address), syscall.ECONNREFUSED)
+	if errors.Is(r.deps.Connect(ctx, e.Address), syscall.ECONNREFUSED) {
+		return ending.NothingListens
+	}
+	return ending.StillListens
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 )
@@ -18,6 +19,8 @@
 	logSamplePeriod = time.Second
 	// lateAnswerLogBurst is the maximum number of lines on late answers in each logSamplePeriod.
 	lateAnswerLogBurst = 50
+	// unstatedLogBurst is the maximum number of lines on answers that ended with their connection in each logSamplePeriod.
+	unstatedLogBurst = 50
 	// invalidLogBurst is the maximum number of lines on invalid statements of endpoints in each logSamplePeriod.
 	invalidLogBurst = 1
 )
@@ -29,9 +32,12 @@
 // logOutcome logs how a request ended, and the routing and rank that it was admitted with.
 func (r *Relay) logOutcome(f model.Forward, a kernel.Admission, view kernel.RoutingView, o Outcome) {
 	now := r.now()
+	r.countEnding(o)
 	log := &r.log
 	switch {
 	case o.Refusal != nil || !o.Complete:
+	case o.Framing == ending.Connection:
+		log = &r.unstatedLog
 	case o.Late:
 		log = &r.lateAnswersLog
 	default:
@@ -52,7 +58,7 @@
 	if !f.Deadline.IsZero() {
 		line = line.Dur("Left", f.Deadline.Sub(f.ReceivedAt))
 	}
-	line = withServers(line, o)
+	line = withEnding(withServers(line, o), o)
 	if o.FirstEventTime > 0 {
 		line = line.Dur("First", o.FirstEventTime)
 	}
@@ -80,6 +86,17 @@
 	}
 }
 
+// countEnding counts answers that ended with their connection, by what their ends were judged by, and refusals after the
+// beginning of an answer.
+func (r *Relay) countEnding(o Outcome) {
+	if o.Framing == ending.Connection {
+		r.metrics.CountEvent("AnswerUnframed" + string(o.Evidence))
+	}
+	if o.Refusal != nil && o.Begun {
+		r.metrics.CountEvent("RefusedAfterBeginning")
+	}
+}
+
 // withServers adds the endpoint and the nodes that took part in serving a request to its line.
 func withServers(line *zerolog.Event, o Outcome) *zerolog.Event {
 	if o.Endpoint != "" {
@@ -97,6 +114,21 @@
 	return line
 }
 
+// withEnding adds how the endpoint's answer was delimited and what its end was judged by. Begun tells that a request was refused
+// after its answer had begun.
+func withEnding(line *zerolog.Event, o Outcome) *zerolog.Event {
+	if o.Framing != "" {
+		line = line.Str("Framing", string(o.Framing))
+	}
+	if o.Evidence != "" {
+		line = line.Str("Evidence", string(o.Evidence))
+	}
+	if o.Refusal != nil && o.Begun {
+		line = line.Bool("Begun", true).Int("Status", o.Status)
+	}
+	return line
+}
+
 // stageTimingArray marshals the timings of a request's stages.
 type stageTimingArray []StageTiming
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -48,6 +48,8 @@
 		// answersLog and lateAnswersLog write samples to log.
 		answersLog     zerolog.Logger
 		lateAnswersLog zerolog.Logger
+		// unstatedLog writes a sample of the lines on answers that ended with their connection.
+		unstatedLog zerolog.Logger
 		// invalidLog writes a sample of the lines on invalid statements of endpoints.
 		invalidLog zerolog.Logger
 		metrics    *metric.Set
@@ -144,6 +146,7 @@
 		log:            log,
 		answersLog:     sampled(log, answerLogBurst),
 		lateAnswersLog: sampled(log, lateAnswerLogBurst),
+		unstatedLog:    sampled(log, unstatedLogBurst),
 		invalidLog:     sampled(log, invalidLogBurst),
 		metrics:        metrics,
 		peers:          peer.NewClient(options.Name, ""),
@@ -345,11 +348,12 @@
 		return r.refuseUnstarted(f, admission, view, resumption, refusal)
 	}
 	job := &job{
-		relay: r, forward: f, admission: admission, responder: out, startedAt: r.now(), trial: trial,
+		relay: r, forward: f, admission: admission, responder: &answerWriter{Responder: out}, startedAt: r.now(), trial: trial,
 		streamKey: kernel.NewStreamKey(admission.Customer, kernel.StreamID(admission.Route, f)),
 	}
 	outcome := job.serve(ctx)
 	outcome.Resumption = resumption
+	outcome = outcome.withBegun(job.responder)
 	switch {
 	case outcome.Refusal != nil:
 		r.metrics.CountRefusal(outcome.Refusal)
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -118,12 +118,12 @@
 	outcome := Outcome{Refusal: refusal, Attempts: m.Attempts}
 	if refusal == nil {
 		job := &job{
-			relay: r, forward: f, admission: admission, responder: newStreamResponder(stream, count), startedAt: r.now(), trial: m.Trial,
+			relay: r, forward: f, admission: admission, responder: &answerWriter{Responder: newStreamResponder(stream, count)}, startedAt: r.now(), trial: m.Trial,
 			forNode: m.Node, attempts: m.Attempts, excluded: m.Excluded, mayHaveRun: m.MayHaveRun, counted: m.Counted, lastEventID: m.LastEventID,
 			streamKey: m.StreamKey,
 			onSend:    func(attempts int) { r.notifySent(stream, attempts) },
 		}
-		outcome = job.serve(ctx)
+		outcome = job.serve(ctx).withBegun(job.responder)
 		f = job.forward
 	}
 	if m.MayHaveRun && outcome.Refusal != nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
@@ -36,6 +37,9 @@
 		source model.Endpoint
 		// firstEventAt is when the first event was received.
 		firstEventAt time.Time
+		// framing is how the last answer was delimited, and evidence what its end was judged by.
+		framing  ending.Framing
+		evidence ending.Evidence
 	}
 
 	// streamResult is the result of one attempt at a stream.
@@ -108,7 +112,7 @@
 
 // streamOutcome returns the outcome of a stream that ends here, incomplete.
 func (j *job) streamOutcome(state *streamState, e model.Endpoint) Outcome {
-	outcome := Outcome{Status: state.status, Endpoint: e.Name, Attempts: j.attempts}
+	outcome := Outcome{Status: state.status, Endpoint: e.Name, Attempts: j.attempts, Framing: state.framing, Evidence: state.evidence}
 	if state.headerSent {
 		outcome.FirstEventTime = state.firstEventAt.Sub(j.forward.ReceivedAt)
 	}
@@ -240,6 +244,7 @@
 // writeReply writes the events of an answer to the caller until the answer ends. It calls onEvents before each write.
 func (j *job) writeReply(reply *model.ForwardReply, state *streamState, onEvents func()) streamResult {
 	state.splitter.reset()
+	state.framing = reply.Framing
 	eventsBefore := state.splitter.count
 	buffer := make([]byte, streamBufferBytes)
 	for {
@@ -249,11 +254,15 @@
 				return result
 			}
 		}
-		if err == io.EOF && j.relay.endedEarly(reply, state.source) {
-			err = errEndpointEnded
-		}
-		if err == io.EOF {
+		switch {
+		case err == io.EOF:
+			if state.evidence = j.relay.judgeEnd(reply, state.source); state.evidence == ending.NothingListens {
+				err = errEndpointEnded
+				break
+			}
 			return j.finishStream(reply, state)
+		case err != nil:
+			state.evidence = ending.ReadFailed
 		}
 		if rest, _ := state.splitter.rest(); err != nil && len(rest) > 0 && state.splitter.count == eventsBefore {
 			return streamResult{err: &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: errNoEvent}}
@@ -307,6 +316,7 @@
 func (j *job) finishStream(reply *model.ForwardReply, state *streamState) streamResult {
 	rest, whole := state.splitter.rest()
 	if !whole {
+		state.evidence = ending.WithinEvent
 		return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: io.ErrUnexpectedEOF}}
 	}
 	j.sendHeader(reply, state)
@@ -376,7 +386,7 @@
 // finishWithoutEngine ends a stream for which there is no engine, or no further one.
 func (j *job) finishWithoutEngine(state *streamState) Outcome {
 	if state.headerSent {
-		return Outcome{Status: state.status, Attempts: j.attempts}
+		return Outcome{Status: state.status, Attempts: j.attempts, Framing: state.framing, Evidence: state.evidence}
 	}
 	return j.refuseNoEndpoint(j.verdict())
 }
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/leaving"
@@ -40,7 +41,7 @@
 		relay     *Relay
 		forward   model.Forward
 		admission kernel.Admission
-		responder Responder
+		responder *answerWriter
 		startedAt time.Time
 		// number identifies the request among those whose times are held.
 		number leaving.Number
@@ -123,6 +124,8 @@
 		reply       *model.ForwardReply
 		body        []byte
 		err         error
+		// evidence is what the end of the answer was judged by.
+		evidence ending.Evidence
 		// elapsed is the time from sending the request to the end of the attempt.
 		elapsed time.Duration
 	}
@@ -232,8 +235,11 @@
 		if res.err != nil && ctx.Err() != nil && r.statesContention(p.name) {
 			p.recordUnanswered(r.now(), e.Incarnation(), route, res.elapsed)
 		}
-		if res.err == nil && r.endedEarly(res.reply, e) {
-			res.err = &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: errEndpointEnded}
+		if res.err == nil {
+			res.evidence = r.judgeEnd(res.reply, e)
+			if res.evidence == ending.NothingListens {
+				res.err = &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: errEndpointEnded}
+			}
 		}
 		results <- res
 	}()
@@ -348,7 +354,10 @@
 	header.Set("Content-Length", strconv.Itoa(len(res.body)))
 	j.responder.Begin(res.reply.Status, header)
 	err := j.responder.Write(res.body)
-	return Outcome{Status: res.reply.Status, Complete: err == nil, Endpoint: res.endpoint.Name, Attempts: j.attempts}
+	return Outcome{
+		Status: res.reply.Status, Complete: err == nil, Endpoint: res.endpoint.Name, Attempts: j.attempts,
+		Framing: res.reply.Framing, Evidence: res.evidence,
+	}
 }
 
 // finishFailed ends a request of which all attempts failed: with an endpoint's own signed failure if there is one, or
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/peer"
@@ -143,6 +144,12 @@
 		Refusal  *model.Refusal
 		Status   int
 		Complete bool
+		// Framing is how the last endpoint's answer was delimited, and Evidence what its end was judged by; empty without an
+		// answer.
+		Framing  ending.Framing
+		Evidence ending.Evidence
+		// Begun is true if the caller has got the beginning of an answer.
+		Begun bool
 		// Endpoint is the name of the endpoint that answered; Attempts is how many endpoints the request was sent to.
 		Endpoint string
 		Attempts int
