An abandoned dial with a wrapped connection no longer crashes the node

A dialer that wraps connections returns a value that is not nil beside its error; where the attempt had been abandoned meanwhile, as a connection takes over 200 ms and a second attempt succeeds, the node called Close on it.

The error decides instead of the value.

--- a/endpoint/dialer_test.go
+++ b/endpoint/dialer_test.go
@@ -1,7 +1,9 @@
 package endpoint_test
 
 import (
+	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,3 +53,27 @@
 	must.LessEq(t, partitionTimeout, probe)
 	must.Eq(t, probe, idle+time.Duration(option(unix.TCP_KEEPCNT))*interval, must.Sprint("the count of probes says the same"))
 }
+
+// failedConn is what a dialer returns beside its error if it wraps connections.
+type failedConn struct{ net.Conn }
+
+// Guards against a crash of the node when an abandoned attempt to connect returns a connection beside its error.
+func TestAbandonedDialWithWrappedConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	x := endpoint.NewExchanger(time.Now)
+	var dials atomic.Int64
+	abandoned := make(chan struct{})
+	x.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if dials.Add(1) == 1 {
+			<-ctx.Done()
+			defer time.AfterFunc(50*time.Millisecond, func() { close(abandoned) })
+			return failedConn{}, ctx.Err()
+		}
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, network, address)
+	}
+	must.NoError(t, x.Connect(context.Background(), listener.Addr().String()))
+	<-abandoned
+}
--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -185,7 +185,7 @@
 			select {
 			case results <- result{conn, err}:
 			case <-ctx.Done():
-				if conn != nil {
+				if err == nil {
 					_ = conn.Close()
 				}
 			}
