An answer whose endpoint states no end states no end to its caller either

Ruled out: better signs (asking the endpoint again, waiting for the list): each can show that an answer was broken off, none that it is whole. Sending each such request again: sound endpoints that never state an end would run everything twice.

Change: the reader of a reply returns io.EOF only at a stated end and ending.ErrUnstated at that of the connection. Package ending judges ends for all kinds of answers and says how the caller's answer ends: stated, with its connection and neither chunks nor length, without the last chunk, or with a reset. Nodes tell each other framing and Unstated; what older builds call complete counts as unstated. A refusal after the header becomes the cause of an answer that was broken off, in Relay and again in the only writer to callers.

TestReplyWithoutLengthEndsWithItsConnection asked for no error at the end of such a reply, which is the fault; it is TestReplyWithoutLengthStatesNoEnd now and asks for that very error, with the same body and connections.

--- a/connlimit/tracker.go
+++ b/connlimit/tracker.go
@@ -214,6 +214,18 @@
 	return t.BeginDetached(), nil
 }
 
+// Reset resets the connection of the request, so that the caller sees an error in place of an end. What was not sent yet is
+// dropped.
+func (r *Request) Reset() {
+	t := r.tracker
+	t.mu.Lock()
+	c := t.conns[r.id]
+	t.mu.Unlock()
+	if c != nil {
+		c.abort()
+	}
+}
+
 // BeginDetached begins a request that another node passes on.
 func (t *Tracker) BeginDetached() *Request {
 	t.mu.Lock()
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -70,7 +70,8 @@
 		BeforeSend func() error
 	}
 
-	// ExchangeReply is the reply to an exchange. Body ends with io.EOF only if it is complete.
+	// ExchangeReply is the reply to an exchange. Body ends with io.EOF only if it is complete, and with ending.ErrUnstated if it
+	// ends with its connection.
 	ExchangeReply struct {
 		Status int
 		Header http.Header
@@ -230,6 +231,9 @@
 		c.limiter.remaining.Store(1 << 62)
 		reply := &ExchangeReply{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, conn: c, notReusable: res.Close}
 		reply.Framing = ending.FramingOf(res.ContentLength, len(res.TransferEncoding) > 0)
+		if e.Method == http.MethodHead {
+			reply.Framing = ending.Length
+		}
 		reply.idleTimeout = keepAliveTimeout(res.Header)
 		reply.Body = &replyBody{reply: reply, body: res.Body}
 		return reply, nil
@@ -244,7 +248,11 @@
 
 func (b *replyBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
-	if err == io.EOF {
+	switch {
+	case err != io.EOF:
+	case b.reply.Framing == ending.Connection:
+		err = ending.ErrUnstated
+	default:
 		b.reply.complete = true
 	}
 	return n, err
@@ -277,7 +285,7 @@
 	_, err := io.Copy(io.Discard, r.Body)
 	_ = conn.SetReadDeadline(time.Time{})
 	r.Close()
-	return err == nil
+	return err == nil || errors.Is(err, ending.ErrUnstated)
 }
 
 func encodeRequest(e Exchange) []byte {
--- a/endpoint/exchange_test.go
+++ b/endpoint/exchange_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
 
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/model"
 )
@@ -158,12 +159,13 @@
 	}
 }
 
-func TestReplyWithoutLengthEndsWithItsConnection(t *testing.T) {
+// Guards against a reply that may be the beginning of one being taken for whole: the end of its connection is no end of it.
+func TestReplyWithoutLengthStatesNoEnd(t *testing.T) {
 	s := newScriptedServer(t, func(int, int) string { return "HTTP/1.1 200 OK\r\nX-Id: %\r\n\r\nok!close" })
 	x := endpoint.NewExchanger(time.Now)
 	for _, id := range []string{"1", "2"} {
 		body, err := send(t, x, s.address, id)
-		must.NoError(t, err)
+		must.ErrorIs(t, err, ending.ErrUnstated)
 		must.Eq(t, "ok!close", body)
 	}
 	must.Eq(t, 2, s.conns.Load())
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 )
@@ -78,6 +79,9 @@
 		Status   int
 		Header   map[string][]string
 		Endpoint string
+		// Framing is how the answer is delimited. It is empty from nodes of builds that do not tell: what they call complete need not
+		// have a stated end.
+		Framing ending.Framing
 		// Binding is what the stream is bound to. It is nil for other requests, and from nodes of builds that do not tell.
 		Binding *kernel.Binding
 	}
@@ -87,9 +91,12 @@
 		Data []byte
 	}
 
-	// RelayEnd ends the stream: the answer is Complete or was broken off, or there is none and the request was refused.
+	// RelayEnd ends the stream: the answer is Complete, may be so but is Unstated, or was broken off, or there is none and the
+	// request was refused. Nodes of older builds take an answer that is not Complete for broken off.
 	RelayEnd struct {
 		Complete bool
+		// Unstated is true if all that came was passed on, but the endpoint has not stated the end of its answer.
+		Unstated bool
 		Refusal  *model.Refusal
 		Attempts int
 	}
--- a/relay/heldbytes.go
+++ b/relay/heldbytes.go
@@ -7,6 +7,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 )
@@ -44,7 +47,8 @@
 }
 
 // readCounted reads the body of a reply, up to limit bytes, and counts it as held for the caller. The answer of an endpoint that
-// did not run the request is not counted: if it could not be read, it would no longer be known that the request has not run.
+// did not run the request is not counted: if it could not be read, it would no longer be known that the request has not run. The
+// error is ending.ErrUnstated beside a body whose end was not stated.
 func (j *job) readCounted(ctx context.Context, reply *model.ForwardReply, limit int64) ([]byte, error) {
 	held := j.responder.Held
 	if held.Reserve == nil || reply.NotRun {
@@ -59,13 +63,14 @@
 		body.reserved = reply.Length
 		out.Grow(int(reply.Length) + bytes.MinRead)
 	}
-	if _, err := out.ReadFrom(io.LimitReader(body, limit)); err != nil {
+	_, err := out.ReadFrom(io.LimitReader(body, limit))
+	if err != nil && !errors.Is(err, ending.ErrUnstated) {
 		held.Add(-body.reserved)
 		return nil, err
 	}
 	held.Add(body.read - body.reserved)
 	held.Answered(body.read)
-	return out.Bytes(), nil
+	return out.Bytes(), err
 }
 
 // refuseFullAnswer returns the refusal of a request whose answer the node has no memory for.
--- a/relay/heldbytes_test.go
+++ b/relay/heldbytes_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/relay"
 )
@@ -18,7 +19,7 @@
 func (b *testBed) serveHeld(held relay.HeldBytes) relay.Outcome {
 	f := model.Forward{ID: "id", Method: "POST", URI: "/get/1", Path: "/get/1", Host: "h", ReceivedAt: time.Now()}
 	return b.relay.Serve(context.Background(), f, relay.Responder{
-		Begin: func(int, http.Header) {},
+		Begin: func(int, http.Header, ending.Framing) {},
 		Write: func(p []byte) error { b.body.Write(p); return nil },
 		Held:  held,
 	})
--- a/relay/incarnations.go
+++ b/relay/incarnations.go
@@ -16,7 +16,7 @@
 // nothing of them, and waiting for their time-outs would delay the resumption of streams by seconds.
 var errEndpointRestarted = errors.New("relay: the endpoint has started again")
 
-// errEndpointEnded is the cause if an answer that ends with its connection is not complete.
+// errEndpointEnded is the cause if an answer that ends with its connection is known to be broken off.
 var errEndpointEnded = errors.New("relay: the endpoint's process ended with the connection")
 
 // callTracker holds the calls in flight by the incarnation of their endpoint.
@@ -100,20 +100,26 @@
 	r.quarantine.RecordDisconnect(e, digests...)
 }
 
-// judgeEnd returns by what the end of an answer is judged. An answer that ended with its connection may be the beginning of one
-// only: nothing listens at the endpoint's address any more, although the endpoint has not announced its end.
-func (r *Relay) judgeEnd(reply *model.ForwardReply, e model.Endpoint) ending.Evidence {
-	if reply.Framing != ending.Connection || reply.NotRun {
-		return ending.Framed
+// judgeEnd returns what is known of the end of an answer whose read ended with err (see ending.JudgeRead). The endpoint is asked
+// only where it has not stated the end; its name is empty if another node has passed the answer on.
+func (r *Relay) judgeEnd(err error, withinEvent bool, reply *model.ForwardReply, e model.Endpoint) ending.Judgement {
+	judgement := ending.JudgeRead(err, withinEvent)
+	switch {
+	case judgement.End != ending.Unstated || reply.NotRun:
+		return judgement
+	case e.Name == "":
+		judgement.Evidence = ending.OtherNode
+		return judgement
 	}
 	current, listed := r.Registry().Find(e.Name)
-	if !listed || current.State == model.Leaving {
-		return ending.Announced
+	state := ending.Endpoint{
+		Announced:    !listed || current.State == model.Leaving,
+		StartedAgain: listed && current.Incarnation() != e.Incarnation(),
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, peerSilenceTimeout)
-	defer cancel()
-	if errors.Is(r.deps.Connect(ctx, e.Address), syscall.ECONNREFUSED) {
-		return ending.NothingListens
+	if !state.Announced && !state.StartedAgain {
+		ctx, cancel := context.WithTimeout(r.ctx, peerSilenceTimeout)
+		defer cancel()
+		state.NothingListens = errors.Is(r.deps.Connect(ctx, e.Address), syscall.ECONNREFUSED)
 	}
-	return ending.StillListens
+	return ending.JudgeEndpoint(state)
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -19,7 +19,7 @@
 	logSamplePeriod = time.Second
 	// lateAnswerLogBurst is the maximum number of lines on late answers in each logSamplePeriod.
 	lateAnswerLogBurst = 50
-	// unstatedLogBurst is the maximum number of lines on answers that ended with their connection in each logSamplePeriod.
+	// unstatedLogBurst is the maximum number of lines on answers without a stated end in each logSamplePeriod.
 	unstatedLogBurst = 50
 	// invalidLogBurst is the maximum number of lines on invalid statements of endpoints in each logSamplePeriod.
 	invalidLogBurst = 1
@@ -36,7 +36,7 @@
 	log := &r.log
 	switch {
 	case o.Refusal != nil || !o.Complete:
-	case o.Framing == ending.Connection:
+	case o.End == ending.Unstated:
 		log = &r.unstatedLog
 	case o.Late:
 		log = &r.lateAnswersLog
@@ -86,13 +86,13 @@
 	}
 }
 
-// countEnding counts answers that ended with their connection, by what their ends were judged by, and refusals after the
+// countEnding counts answers that ended without a stated end, by what their ends were judged by, and refusals after the
 // beginning of an answer.
 func (r *Relay) countEnding(o Outcome) {
-	if o.Framing == ending.Connection {
-		r.metrics.CountEvent("AnswerUnframed" + string(o.Evidence))
+	if o.End == ending.Unstated || o.Framing == ending.Connection && o.End == ending.BrokenOff {
+		r.metrics.CountEvent("Answer" + string(o.End) + string(o.Evidence))
 	}
-	if o.Refusal != nil && o.Begun {
+	if o.Cause != nil {
 		r.metrics.CountEvent("RefusedAfterBeginning")
 	}
 }
@@ -114,8 +114,8 @@
 	return line
 }
 
-// withEnding adds how the endpoint's answer was delimited and what its end was judged by. Begun tells that a request was refused
-// after its answer had begun.
+// withEnding adds how the endpoint's answer was delimited, what is known of its end and by what, and the refusal that broke it
+// off.
 func withEnding(line *zerolog.Event, o Outcome) *zerolog.Event {
 	if o.Framing != "" {
 		line = line.Str("Framing", string(o.Framing))
@@ -123,8 +123,11 @@
 	if o.Evidence != "" {
 		line = line.Str("Evidence", string(o.Evidence))
 	}
-	if o.Refusal != nil && o.Begun {
-		line = line.Bool("Begun", true).Int("Status", o.Status)
+	if o.End != "" {
+		line = line.Str("End", string(o.End))
+	}
+	if o.Cause != nil {
+		line = line.Str("Cause", string(o.Cause.Reason)).Str("Verdict", string(o.Cause.Verdict)).Str("Detail", o.Cause.Detail)
 	}
 	return line
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"basilstall.example/basilstall/binding"
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/metric"
@@ -48,7 +49,7 @@
 		// answersLog and lateAnswersLog write samples to log.
 		answersLog     zerolog.Logger
 		lateAnswersLog zerolog.Logger
-		// unstatedLog writes a sample of the lines on answers that ended with their connection.
+		// unstatedLog writes a sample of the lines on answers without a stated end.
 		unstatedLog zerolog.Logger
 		// invalidLog writes a sample of the lines on invalid statements of endpoints.
 		invalidLog zerolog.Logger
@@ -353,7 +354,6 @@
 	}
 	outcome := job.serve(ctx)
 	outcome.Resumption = resumption
-	outcome = outcome.withBegun(job.responder)
 	switch {
 	case outcome.Refusal != nil:
 		r.metrics.CountRefusal(outcome.Refusal)
@@ -418,6 +418,7 @@
 	} else {
 		outcome = j.serveUnary(ctx)
 	}
+	outcome = outcome.afterBeginning(j.responder)
 	outcome.Stages = j.stageTimings
 	outcome.Through = j.throughNode
 	outcome.Placer = j.placer
@@ -431,7 +432,7 @@
 		if outcome.Refusal.Verdict == model.NotRun && outcome.Refusal.RetryAfter > 0 && j.throughNode == "" {
 			r.recordRefused(j.forward, j.admission, outcome.Refusal.RetryAfter)
 		}
-	case outcome.Complete:
+	case outcome.End == ending.Stated:
 		r.quarantine.RecordAnswer(j.forward.Digests(), j.answeredSince(outcome))
 	}
 	return outcome
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/model"
@@ -51,7 +52,9 @@
 		return err
 	}
 	outcome := r.serveRelayed(ctx, request, r.relayedForward(request, content), stream, count.HeldBytes)
-	return stream.Send(peer.KindRelayEnd, peer.RelayEnd{Complete: outcome.Complete, Refusal: outcome.Refusal, Attempts: outcome.Attempts})
+	return stream.Send(peer.KindRelayEnd, peer.RelayEnd{
+		Complete: outcome.End == ending.Stated, Unstated: outcome.End == ending.Unstated, Refusal: outcome.Refusal, Attempts: outcome.Attempts,
+	})
 }
 
 // RelayedRequests returns the number of requests that this node is serving for other nodes.
@@ -123,7 +126,7 @@
 			streamKey: m.StreamKey,
 			onSend:    func(attempts int) { r.notifySent(stream, attempts) },
 		}
-		outcome = job.serve(ctx).withBegun(job.responder)
+		outcome = job.serve(ctx)
 		f = job.forward
 	}
 	if m.MayHaveRun && outcome.Refusal != nil {
@@ -156,8 +159,8 @@
 	return Responder{
 		Held: count,
 		Bind: func(b kernel.Binding) { binding = &b },
-		Begin: func(status int, header http.Header) {
-			beginErr = stream.Send(peer.KindRelayHead, peer.RelayHead{Status: status, Header: header, Binding: binding})
+		Begin: func(status int, header http.Header, framing ending.Framing) {
+			beginErr = stream.Send(peer.KindRelayHead, peer.RelayHead{Status: status, Header: header, Framing: framing, Binding: binding})
 		},
 		Write: func(p []byte) error {
 			if beginErr != nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -37,14 +37,14 @@
 		source model.Endpoint
 		// firstEventAt is when the first event was received.
 		firstEventAt time.Time
-		// framing is how the last answer was delimited, and evidence what its end was judged by.
-		framing  ending.Framing
-		evidence ending.Evidence
+		// framing is how the last engine's answer was delimited, and ending what is known of its end.
+		framing ending.Framing
+		ending  ending.Judgement
 	}
 
 	// streamResult is the result of one attempt at a stream.
 	streamResult struct {
-		// complete is true if the stream ended between two events.
+		// complete is true if all that came of the stream was passed on and it is not known to be broken off.
 		complete bool
 		// callerGone is true if writing to the caller failed.
 		callerGone bool
@@ -112,7 +112,7 @@
 
 // streamOutcome returns the outcome of a stream that ends here, incomplete.
 func (j *job) streamOutcome(state *streamState, e model.Endpoint) Outcome {
-	outcome := Outcome{Status: state.status, Endpoint: e.Name, Attempts: j.attempts, Framing: state.framing, Evidence: state.evidence}
+	outcome := Outcome{Status: state.status, Endpoint: e.Name, Attempts: j.attempts, Framing: state.framing, End: state.ending.End, Evidence: state.ending.Evidence}
 	if state.headerSent {
 		outcome.FirstEventTime = state.firstEventAt.Sub(j.forward.ReceivedAt)
 	}
@@ -254,25 +254,40 @@
 				return result
 			}
 		}
-		switch {
-		case err == io.EOF:
-			if state.evidence = j.relay.judgeEnd(reply, state.source); state.evidence == ending.NothingListens {
-				err = errEndpointEnded
-				break
-			}
-			return j.finishStream(reply, state)
-		case err != nil:
-			state.evidence = ending.ReadFailed
-		}
-		if rest, _ := state.splitter.rest(); err != nil && len(rest) > 0 && state.splitter.count == eventsBefore {
-			return streamResult{err: &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: errNoEvent}}
-		}
 		if err != nil {
-			return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}}
+			return j.endAttempt(reply, state, state.splitter.count > eventsBefore, err)
 		}
 	}
 }
 
+// endAttempt returns the result of an attempt whose answer has ended with err, and ends the caller's answer if it may end here.
+func (j *job) endAttempt(reply *model.ForwardReply, state *streamState, anyEvent bool, err error) streamResult {
+	rest, betweenEvents := state.splitter.rest()
+	state.ending = j.relay.judgeEnd(err, !betweenEvents, reply, state.source)
+	switch state.ending.Evidence {
+	case ending.WithinEvent:
+		return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: io.ErrUnexpectedEOF}}
+	case ending.NothingListens, ending.StartedAgain:
+		err = errEndpointEnded
+	}
+	switch {
+	case state.ending.End != ending.BrokenOff:
+	case len(rest) > 0 && !anyEvent:
+		return streamResult{err: &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: errNoEvent}}
+	default:
+		return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}}
+	}
+	j.sendHeader(reply, state)
+	if !ending.MayEnd(j.responder.framing, state.ending.End) {
+		// The answer began with the promise to state its end, and only another engine can state it.
+		return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}}
+	}
+	if len(rest) > 0 && j.writeCounted(rest) != nil {
+		return streamResult{callerGone: true}
+	}
+	return streamResult{complete: true}
+}
+
 // writeEvents writes the events that p completes to the caller. done is true if the attempt has failed.
 func (j *job) writeEvents(reply *model.ForwardReply, state *streamState, p []byte, onEvents func()) (result streamResult, done bool) {
 	events, err := state.splitter.add(p)
@@ -309,27 +324,13 @@
 	state.status = reply.Status
 	state.firstEventAt = j.relay.now()
 	reply.Header.Del("Content-Length")
-	j.responder.Begin(reply.Status, reply.Header)
-}
-
-// finishStream returns the result of an attempt whose stream has ended: it is complete unless it ends within an event.
-func (j *job) finishStream(reply *model.ForwardReply, state *streamState) streamResult {
-	rest, whole := state.splitter.rest()
-	if !whole {
-		state.evidence = ending.WithinEvent
-		return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: io.ErrUnexpectedEOF}}
-	}
-	j.sendHeader(reply, state)
-	if len(rest) > 0 && j.writeCounted(rest) != nil {
-		return streamResult{callerGone: true}
-	}
-	return streamResult{complete: true}
+	j.responder.begin(reply.Status, reply.Header, reply.Framing.ForStream())
 }
 
 // writeFailure writes an engine's own failure to the caller, unless the caller already has events of another engine,
 // the engine did not sign the failure, or the stream can be retried at another engine.
 func (j *job) writeFailure(ctx context.Context, reply *model.ForwardReply, state *streamState) streamResult {
-	body, err := j.readAnswer(ctx, reply)
+	body, judgement, err := j.readAnswer(ctx, reply, state.source)
 	if err != nil {
 		return streamResult{err: err}
 	}
@@ -339,10 +340,14 @@
 	if j.admission.Route.Resumable && j.attempts < j.admission.Route.MaxAttempts {
 		return streamResult{err: &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.Errorf("relay: engine answered with status %d", reply.Status)}}
 	}
-	state.headerSent = true
-	state.status = reply.Status
-	j.responder.Begin(reply.Status, reply.Header)
-	if j.responder.Write(body) != nil {
+	return j.writeWholeFailure(reply, state, body, judgement)
+}
+
+// writeWholeFailure writes an engine's own failure to the caller.
+func (j *job) writeWholeFailure(reply *model.ForwardReply, state *streamState, body []byte, judgement ending.Judgement) streamResult {
+	state.headerSent, state.status = true, reply.Status
+	state.framing, state.ending = reply.Framing, judgement
+	if j.responder.writeWhole(reply, body, judgement.End) != nil {
 		return streamResult{callerGone: true}
 	}
 	return streamResult{failureWritten: true}
@@ -386,7 +391,7 @@
 // finishWithoutEngine ends a stream for which there is no engine, or no further one.
 func (j *job) finishWithoutEngine(state *streamState) Outcome {
 	if state.headerSent {
-		return Outcome{Status: state.status, Attempts: j.attempts, Framing: state.framing, Evidence: state.evidence}
+		return Outcome{Status: state.status, Attempts: j.attempts, Framing: state.framing, Evidence: state.ending.Evidence}
 	}
 	return j.refuseNoEndpoint(j.verdict())
 }
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/leaving"
@@ -45,8 +46,11 @@
 	relayedBody struct {
 		stream *peer.Stream
 		rest   []byte
-		// ended is set at the end of the answer; complete is true if it is whole.
-		ended, complete bool
+		// ended is set at the end of the answer, and then err is io.EOF if it is whole, or why it may not be. tellsEnd is true if
+		// the node tells whether the endpoint has stated the end.
+		ended    bool
+		err      error
+		tellsEnd bool
 	}
 )
 
@@ -213,7 +217,10 @@
 	}
 	header := http.Header{}
 	maps.Copy(header, head.Header)
-	return &model.ForwardReply{Status: head.Status, Header: header, Body: &relayedBody{stream: stream}, Length: contentLength(header), Authentic: true}, nil
+	return &model.ForwardReply{
+		Status: head.Status, Header: header, Body: &relayedBody{stream: stream, tellsEnd: head.Framing != ""}, Length: contentLength(header),
+		Authentic: true, Framing: head.Framing,
+	}, nil
 }
 
 // contentLength returns the length that a header states, or 0 if it states none.
@@ -272,11 +279,12 @@
 	return nil
 }
 
-// Read implements io.Reader. It returns io.EOF only at the end of a whole answer.
+// Read implements io.Reader. It returns io.EOF only at the end of a whole answer, and ending.ErrUnstated at one that was not
+// stated.
 func (b *relayedBody) Read(p []byte) (int, error) {
 	for len(b.rest) == 0 {
 		if b.ended {
-			return 0, b.end()
+			return 0, b.err
 		}
 		frame, err := b.stream.Next()
 		if err != nil {
@@ -295,7 +303,7 @@
 			if err := peer.DecodeBody(frame.Body, &end); err != nil {
 				return 0, err
 			}
-			b.ended, b.complete = true, end.Complete
+			b.ended, b.err = true, b.endError(end)
 		case peer.KindRelaySent:
 		default:
 			return 0, errRelayBroken
@@ -306,11 +314,16 @@
 	return n, nil
 }
 
-func (b *relayedBody) end() error {
-	if b.complete {
+// endError returns the error of reads after the end of the answer.
+func (b *relayedBody) endError(end peer.RelayEnd) error {
+	switch {
+	case end.Complete && b.tellsEnd:
 		return io.EOF
+	case end.Complete, end.Unstated:
+		return ending.ErrUnstated
+	default:
+		return errRelayBroken
 	}
-	return errRelayBroken
 }
 
 // startNodeAttempt has another node send the request, whose result goes to results. It returns false if this node got the
@@ -330,7 +343,7 @@
 		sent := attempt.sendThroughNode(ctx, "")
 		res.node, res.attempts, res.reply, res.err = sent.node, sent.attempts, sent.reply, sent.err
 		if res.err == nil {
-			res.body, res.err = attempt.readAnswer(ctx, res.reply)
+			res.body, res.ending, res.err = attempt.readAnswer(ctx, res.reply, model.Endpoint{})
 		}
 		results <- res
 	}()
@@ -382,6 +395,7 @@
 	}
 	run.releaseAll()
 	j.throughNodeOnly = true
+	state.source = model.Endpoint{}
 	lastEventID := ""
 	if state.headerSent {
 		lastEventID = state.splitter.lastID
@@ -402,17 +416,12 @@
 	if reply.Status == http.StatusOK {
 		return j.writeReply(reply, state, func() {})
 	}
-	body, err := j.readBody(ctx, reply)
+	body, judgement, err := j.readBody(ctx, reply, model.Endpoint{})
 	if err != nil {
 		return streamResult{err: err}
 	}
 	if state.headerSent {
 		return streamResult{err: &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errRelayBroken}}
 	}
-	state.headerSent, state.status = true, reply.Status
-	j.responder.Begin(reply.Status, reply.Header)
-	if j.responder.Write(body) != nil {
-		return streamResult{callerGone: true}
-	}
-	return streamResult{failureWritten: true}
+	return j.writeWholeFailure(reply, state, body, judgement)
 }
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strconv"
+	"io"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -124,8 +124,8 @@
 		reply       *model.ForwardReply
 		body        []byte
 		err         error
-		// evidence is what the end of the answer was judged by.
-		evidence ending.Evidence
+		// ending is what is known of the end of the answer.
+		ending ending.Judgement
 		// elapsed is the time from sending the request to the end of the attempt.
 		elapsed time.Duration
 	}
@@ -228,19 +228,13 @@
 		sentAt := r.now()
 		res.reply, res.err = r.forward(ctx, send)
 		if res.err == nil {
-			res.body, res.err = j.readAnswer(ctx, res.reply)
+			res.body, res.ending, res.err = j.readAnswer(ctx, res.reply, e)
 		}
 		res.elapsed = r.now().Sub(sentAt)
 		r.recordMismatch(p, e, sentAt, res.err)
 		if res.err != nil && ctx.Err() != nil && r.statesContention(p.name) {
 			p.recordUnanswered(r.now(), e.Incarnation(), route, res.elapsed)
 		}
-		if res.err == nil {
-			res.evidence = r.judgeEnd(res.reply, e)
-			if res.evidence == ending.NothingListens {
-				res.err = &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: errEndpointEnded}
-			}
-		}
 		results <- res
 	}()
 	return true
@@ -272,26 +266,34 @@
 	}
 }
 
-// readAnswer reads the whole body of a reply and closes the reply. The body is counted until the request ends.
-func (j *job) readAnswer(ctx context.Context, reply *model.ForwardReply) ([]byte, error) {
+// readAnswer reads the body of a reply of an endpoint to its end, which it judges, and closes the reply. The body is counted
+// until the request ends. The error is a *model.Refusal or an *endpoint.Fault, as for an answer that was broken off.
+func (j *job) readAnswer(ctx context.Context, reply *model.ForwardReply, e model.Endpoint) ([]byte, ending.Judgement, error) {
 	defer reply.Close()
-	return j.readBody(ctx, reply)
+	return j.readBody(ctx, reply, e)
 }
 
-func (j *job) readBody(ctx context.Context, reply *model.ForwardReply) ([]byte, error) {
+func (j *job) readBody(ctx context.Context, reply *model.ForwardReply, e model.Endpoint) ([]byte, ending.Judgement, error) {
 	body, err := j.readCounted(ctx, reply, maxUnaryBytes+1)
 	var full *model.Refusal
 	switch {
 	case errors.As(err, &full):
-		return nil, full
-	case err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
-		return nil, &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: errAnswerUnfinished}
-	case err != nil:
-		return nil, &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}
-	case len(body) > maxUnaryBytes:
-		return nil, &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: errAnswerTooLong}
+		return nil, ending.Judgement{}, full
+	case err == nil && len(body) > maxUnaryBytes:
+		return nil, ending.Judgement{}, &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: errAnswerTooLong}
+	case err == nil:
+		err = io.EOF
+	}
+	judgement := j.relay.judgeEnd(err, false, reply, e)
+	switch {
+	case judgement.End != ending.BrokenOff:
+		return body, judgement, nil
+	case judgement.Evidence != ending.ReadFailed:
+		return nil, judgement, &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: errEndpointEnded}
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return nil, judgement, &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: errAnswerUnfinished}
 	default:
-		return body, nil
+		return nil, judgement, &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}
 	}
 }
 
@@ -348,15 +350,12 @@
 	}
 }
 
-// writeAnswer writes a complete answer to the caller.
+// writeAnswer writes an answer all of which was read to the caller.
 func (j *job) writeAnswer(res unaryResult) Outcome {
-	header := res.reply.Header
-	header.Set("Content-Length", strconv.Itoa(len(res.body)))
-	j.responder.Begin(res.reply.Status, header)
-	err := j.responder.Write(res.body)
+	err := j.responder.writeWhole(res.reply, res.body, res.ending.End)
 	return Outcome{
 		Status: res.reply.Status, Complete: err == nil, Endpoint: res.endpoint.Name, Attempts: j.attempts,
-		Framing: res.reply.Framing, Evidence: res.evidence,
+		Framing: res.reply.Framing, End: res.ending.End, Evidence: res.ending.Evidence,
 	}
 }
 
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -107,8 +107,8 @@
 
 	// Responder sends an answer to a caller.
 	Responder struct {
-		// Begin sends the status and the header. It is called at most once.
-		Begin func(status int, header http.Header)
+		// Begin sends the status and the header of an answer that is delimited in the given way. It is called at most once.
+		Begin func(status int, header http.Header, framing ending.Framing)
 		// Write sends a part of the body without buffering it.
 		Write func(p []byte) error
 		// Held counts what the node holds of the answer.
@@ -141,15 +141,19 @@
 	// Outcome is how a request ended: with a refusal before Begin, or with an answer that is complete or was broken
 	// off.
 	Outcome struct {
-		Refusal  *model.Refusal
-		Status   int
+		// Refusal is nil once the answer has begun.
+		Refusal *model.Refusal
+		Status  int
+		// Complete is true if all that came of the answer was passed on and it is not known to be broken off. End tells whether its
+		// sender has stated that this is all of it.
 		Complete bool
+		End      ending.End
 		// Framing is how the last endpoint's answer was delimited, and Evidence what its end was judged by; empty without an
 		// answer.
 		Framing  ending.Framing
 		Evidence ending.Evidence
-		// Begun is true if the caller has got the beginning of an answer.
-		Begun bool
+		// Cause is the refusal that broke the answer off; nil if none did.
+		Cause *model.Refusal
 		// Endpoint is the name of the endpoint that answered; Attempts is how many endpoints the request was sent to.
 		Endpoint string
 		Attempts int
