A dial that ends with the time of its request is not taken for a refusal

Cause: a dialer gives up at the deadline of its context a moment before the context is done, so the attempt returned "i/o timeout" while the request still seemed to have time. It counted as an endpoint that refuses connections, which passes it over at once.

Ruled out: a dial that really takes too long (the dial timeout ends the attempt with an error of its own, unchanged).

An attempt that timed out waits for the end of its context or of the dial timeout, which tells the two apart.

--- a/endpoint/dialer_test.go
+++ b/endpoint/dialer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -77,3 +79,21 @@
 	must.NoError(t, x.Connect(context.Background(), listener.Addr().String()))
 	<-abandoned
 }
+
+// A dialer gives up at the deadline of its context, a moment before the context does. Guards against an endpoint that counts as
+// refusing connections, and is passed over, because the time of a request has ended.
+func TestDialThatEndsAtTheDeadlineOfTheRequestIsCancelled(t *testing.T) {
+	x := endpoint.NewExchanger(time.Now)
+	x.Dial = func(context.Context, string, string) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+	}
+	var recorded atomic.Int64
+	x.OnDial = func(string, time.Time, error) { recorded.Add(1) }
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := x.Send(ctx, endpoint.Exchange{Address: "127.0.0.1:1", Method: "GET", URI: "/", Host: "h"})
+	var fault *endpoint.Fault
+	must.True(t, errors.As(err, &fault))
+	must.EqOp(t, endpoint.Cancelled, fault.Kind)
+	must.EqOp(t, 0, recorded.Load(), must.Sprint("the endpoint had no time to answer"))
+}
--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
 	"basilstall.example/basilstall/held"
@@ -197,7 +198,9 @@
 	for {
 		select {
 		case r := <-results:
-			if r.err == nil || ctx.Err() == nil {
+			// A dialer gives up at the deadline of the context, a moment before the context is done.
+			var timeout net.Error
+			if r.err == nil || ctx.Err() == nil && !(errors.As(r.err, &timeout) && timeout.Timeout()) {
 				return r.conn, r.err
 			}
 		case <-ticker.C:
