An engine that answers with a failure is not taken for one without adapters

The client read the body of any answer as the state of the engine, whatever its status. A failure with a JSON body, as every server on echo sends, decoded as a state without adapters and without room for any: the node planned loads and evictions by it.

Ruled out: a cut answer, of which every prefix is refused already.

Only status 200 states a state. Answers without one are counted as EngineStateFailed; they were dropped silently.

Measured: TestOnlyWholeStateIsTakenForState failed in two cases before (statuses 500 and 404) and passes now.

--- a/engine/client.go
+++ b/engine/client.go
@@ -72,6 +72,9 @@
 		return state, errors.Wrap(err, "engine: unable to read the state")
 	}
 	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return state, errors.Errorf("engine: unable to read the state: %s", res.Status)
+	}
 	if err := json.NewDecoder(io.LimitReader(res.Body, maxStateBytes)).Decode(&state); err != nil {
 		return state, errors.Wrap(err, "engine: unable to decode the state")
 	}
--- /dev/null
+++ b/engine/ends_test.go
@@ -0,0 +1,36 @@
+package engine_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/engine"
+	"basilstall.example/basilstall/standin"
+)
+
+// Guards against an engine that counts as having no adapter loaded, so that one is ordered again, although it stated nothing of
+// the kind: its answer was cut, or says why it has no state to report.
+func TestOnlyWholeStateIsTakenForState(t *testing.T) {
+	const state = `{"Adapters":["m/a","m/b"],"Most":12,"Fencing":34}`
+	server, err := standin.NewAnswerServer()
+	must.NoError(t, err)
+	defer server.Close()
+	client := engine.NewClient()
+	defer client.Close()
+	read := func() error {
+		_, err := client.State(t.Context(), server.Address())
+		return err
+	}
+	must.Eq(t, nil, server.AcceptedPrefixes("HTTP/1.1 200 OK\r\n\r\n"+state, read))
+	must.NoError(t, read())
+	for name, answer := range map[string]string{
+		"failure":       "HTTP/1.1 500 Internal Server Error\r\n\r\n" + `{"Error":"the engine starts"}`,
+		"other process": "HTTP/1.1 404 Not Found\r\n\r\n" + `{"message":"Not Found"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			server.Set(answer)
+			must.Error(t, read())
+		})
+	}
+}
--- a/node/orders.go
+++ b/node/orders.go
@@ -241,7 +241,7 @@
 	}
 }
 
-// engineViews asks all endpoints concurrently for their states. Endpoints that do not answer are left out.
+// engineViews asks all endpoints concurrently for their states. Endpoints that do not answer with a state are left out and counted.
 func (n *Node) engineViews(ctx context.Context, endpoints []model.Endpoint) []kernel.EngineView {
 	reported := make([]kernel.EngineView, len(endpoints))
 	var wg sync.WaitGroup
@@ -250,9 +250,11 @@
 		go func() {
 			defer wg.Done()
 			state, err := n.orderController.client.State(ctx, e.Address)
-			if err == nil {
-				reported[i] = kernel.EngineView{Name: e.Name, Adapters: state.Adapters, MaxAdapters: state.Most}
+			if err != nil {
+				n.metrics.CountEvent("EngineStateFailed")
+				return
 			}
+			reported[i] = kernel.EngineView{Name: e.Name, Adapters: state.Adapters, MaxAdapters: state.Most}
 		}()
 	}
 	wg.Wait()
