Unary answers on the own interface have a length over HTTP/1.0

A caller of HTTP/1.0, and a proxy that uses HTTP/1.0 for the nodes behind it, got an answer over 2 KiB with neither a length nor chunks. The JSON value shows whether it is whole; a proxy doesn't look at it, and passes on the beginning with an end of its own if the node is lost within it.

Cause: net/http sets a length only where all of a short body is written before the handler returns, and HTTP/1.0 has no chunks.

Answers and refusals are encoded before they are written, with their length (writeJSON).

Held without a change, and tested: a refusal after tokens is the stream's own final event, also over HTTP/1.0; a panic after tokens ends the connection without a last chunk, a final event or text. Read in the code, not tested: echo's error handler writes nothing once a response has begun. The client takes no prefix of an answer, a refusal or a stream for whole.

Measured: TestServerStatesTheEndOfItsAnswers failed in "answer over HTTP/1.0" before (no length), passes now.

--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -1,10 +1,12 @@
 package caller
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
 	"basilstall.example/basilstall/model"
@@ -66,5 +68,17 @@
 	if !known {
 		status = http.StatusInternalServerError
 	}
-	return c.JSON(status, newRefusalBody(id, r))
+	return writeJSON(c, status, newRefusalBody(id, r))
+}
+
+// writeJSON writes a value with the length of its encoding. Without it, net/http states no end of a body over 2 KiB to a caller
+// of HTTP/1.0, and proxies that use HTTP/1.0 pass on the beginning of such a body as the whole of it.
+func writeJSON(c echo.Context, status int, value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "caller: unable to encode an answer")
+	}
+	body = append(body, '\n')
+	c.Response().Header().Set(echo.HeaderContentLength, strconv.Itoa(len(body)))
+	return c.JSONBlob(status, body)
 }
--- a/caller/requests.go
+++ b/caller/requests.go
@@ -49,7 +49,7 @@
 	}
 	c.Response().Header().Set(HeaderVerdict, string(answer.Verdict))
 	request.Add(int64(len(answer.Output)))
-	return c.JSON(http.StatusOK, newAnswerBody(id, answer))
+	return writeJSON(c, http.StatusOK, newAnswerBody(id, answer))
 }
 
 // parse authenticates the caller and validates the request.
