Metrics are sent with their length

A scraper of HTTP/1.0, or one behind a proxy that uses it, got metrics over 2 KiB with neither a length nor chunks. The text format has no end of its own, so the beginning of it is valid: if the node is lost meanwhile, the counters that are missing look like those of a node that started anew. It was the one answer of the product without any end of its own.

--- a/metric/metric.go
+++ b/metric/metric.go
@@ -2,11 +2,15 @@
 package metric
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
 
 	"basilstall.example/basilstall/model"
 )
@@ -89,6 +93,18 @@
 	s.set.GetOrCreateGauge(fmt.Sprintf(`basilstall_slow_endpoints{pool=%q}`, pool), func() float64 { return float64(read()) })
 }
 
+// WriteAnswer writes metrics as the body of an HTTP answer with its length. The format has no end of its own, and without a
+// length net/http states none for a body over 2 KiB to a client of HTTP/1.0.
+func WriteAnswer(w http.ResponseWriter, write func(io.Writer)) error {
+	var body bytes.Buffer
+	write(&body)
+	w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
+	if _, err := w.Write(body.Bytes()); err != nil {
+		return errors.Wrap(err, "metric: unable to write an answer")
+	}
+	return nil
+}
+
 // WritePrometheus writes all metrics of the set, and those of the process.
 func (s *Set) WritePrometheus(w io.Writer) {
 	s.set.WritePrometheus(w)
--- a/operator/ends_test.go
+++ b/operator/ends_test.go
@@ -1,7 +1,11 @@
 package operator_test
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -40,3 +44,31 @@
 		})
 	}
 }
+
+// Guards against metrics of which a client of HTTP/1.0, or a proxy that uses it, takes the beginning for all: counters that are
+// missing look like those of a node that started anew.
+func TestMetricsStateTheirEnd(t *testing.T) {
+	lines := strings.Repeat("basilstall_events_total{event=\"a\"} 1\n", 1000)
+	s, err := operator.NewServer("127.0.0.1:0", "t", operator.Dependencies{
+		WriteMetrics: func(w io.Writer) { _, _ = io.WriteString(w, lines) },
+		CountEvent:   func(string) {},
+	})
+	must.NoError(t, err)
+	defer s.Close()
+	for _, version := range []string{"1.1", "1.0"} {
+		t.Run("HTTP/"+version, func(t *testing.T) {
+			conn, err := net.Dial("tcp", s.Address())
+			must.NoError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "GET /metrics HTTP/"+version+"\r\nHost: h\r\nConnection: close\r\nAuthorization: Bearer t\r\n\r\n")
+			must.NoError(t, err)
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			must.NoError(t, err)
+			defer res.Body.Close()
+			must.EqOp(t, int64(len(lines)), res.ContentLength)
+			body, err := io.ReadAll(res.Body)
+			must.NoError(t, err)
+			must.EqOp(t, lines, string(body))
+		})
+	}
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -14,6 +14,7 @@
 
 	"basilstall.example/basilstall/dispatch"
 	"basilstall.example/basilstall/kernel"
+	"basilstall.example/basilstall/metric"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/table"
 )
@@ -112,8 +113,7 @@
 
 func (s *Server) getMetrics(c echo.Context) error {
 	c.Response().Header().Set("Content-Type", "text/plain; version=0.0.4")
-	s.deps.WriteMetrics(c.Response())
-	return nil
+	return metric.WriteAnswer(c.Response(), s.deps.WriteMetrics)
 }
 
 func (s *Server) getStatus(c echo.Context) error {
