Only the message that ends a stage ends a stage run by a member

A node that has a member run a stage took any frame but a token for the end of it. A frame of another kind decodes as an end with neither output nor refusal: callers would have got an empty output as a whole answer. Members of one version send no such frame; one of another version, or a stream that is out of step, may.

Cause: the reader told tokens from everything else.

Ruled out: a member that is lost within its answer: every prefix of tokens and an end, or a refusal, is an error without a verdict, which the node turns into MayHaveRun, as frames have their length in front.

Another kind is an error, on which the connection is closed, the request is refused with that text and NodeLostRequest is counted. ReceiveStage is exported for its test.

Measured: TestOnlyStageEndEndsStage failed in its three cases before and passes now, as do TestBeginningOfMembersAnswerEndsNoStage and TestCutOffNodeRunsStagesThroughMembers.

--- a/node/relayed.go
+++ b/node/relayed.go
@@ -112,7 +112,7 @@
 		stream.Close()
 		return dispatch.Result{}, errors.Wrap(errMemberDeclined, err.Error())
 	}
-	result, err := receiveStage(stream, job)
+	result, err := ReceiveStage(stream, job.Emit)
 	if !stop() || err != nil && !isRefusal(err) {
 		stream.Close()
 		if err != nil {
@@ -130,32 +130,36 @@
 	return errors.As(err, &refusal)
 }
 
-// receiveStage receives the tokens of a stage and its end.
-func receiveStage(stream *peer.Stream, job dispatch.Job) (dispatch.Result, error) {
+// ReceiveStage receives the tokens of a stage, which it passes to emit unless that is nil, and the end of the stage, of which
+// the refusal is returned as the error. A stage without its end is an error that is no refusal.
+func ReceiveStage(stream *peer.Stream, emit func(model.Token)) (dispatch.Result, error) {
 	for {
 		frame, err := stream.Next()
 		if err != nil {
 			return dispatch.Result{}, err
 		}
-		if frame.Kind == peer.KindRelayToken {
+		switch frame.Kind {
+		case peer.KindRelayToken:
 			var message peer.RelayToken
 			if err := peer.DecodeBody(frame.Body, &message); err != nil {
 				return dispatch.Result{}, err
 			}
-			if job.Emit != nil {
-				job.Emit(message.Token)
+			if emit != nil {
+				emit(message.Token)
 			}
-			continue
-		}
-		var end peer.RelayStageEnd
-		if err := peer.DecodeBody(frame.Body, &end); err != nil {
-			return dispatch.Result{}, err
-		}
-		result := dispatch.Result{Output: end.Output, Timing: end.Timing}
-		if end.Refusal != nil {
-			return result, end.Refusal
+		case peer.KindRelayStageEnd:
+			var end peer.RelayStageEnd
+			if err := peer.DecodeBody(frame.Body, &end); err != nil {
+				return dispatch.Result{}, err
+			}
+			result := dispatch.Result{Output: end.Output, Timing: end.Timing}
+			if end.Refusal != nil {
+				return result, end.Refusal
+			}
+			return result, nil
+		default:
+			return dispatch.Result{}, errors.Errorf("node: unexpected frame of kind %d in the answer to a stage", frame.Kind)
 		}
-		return result, nil
 	}
 }
 
