A stream begins with its first token after a stage that generated tokens

In a pipeline with two stages of the kind Generate, which settings allow, the output of the second lacked as many tokens as the first had generated; with equal limits it was empty. It was answered as whole, also to callers of streams, whose first index was not 0.

Cause: attempts count tokens in the output that they take over from the preceding stage, and a call asks for tokens from that count on, as a call that resumes a stream does. The number in the final event then matches.

Ruled out: a prefix of the engine's answer, see TestBeginningOfStreamIsNoOutput.

A stream begins with no tokens of its own. Items of the preceding stage stay.

--- a/dispatch/ends_test.go
+++ b/dispatch/ends_test.go
@@ -63,3 +63,23 @@
 		})
 	}
 }
+
+// Guards against a stage that begins its stream where the one of an earlier stage ended: its output lacks as many tokens as the
+// earlier stage generated, or all, and looks whole.
+func TestStreamBeginsWithItsFirstTokenAfterAnotherStream(t *testing.T) {
+	d := dispatch.NewDispatcher("domain-0", false, metric.NewSet())
+	defer d.Close()
+	d.SetEndpoints([]model.Endpoint{{Name: "a", Pool: "p", Address: newVersionedEngine(t, "v1", false), State: model.Live}})
+	for _, earlier := range []int{0, 3, versionedTokens} {
+		var indices []int
+		job := streamJob(1)
+		job.Work.Previous = model.StageOutput{Output: strings.Repeat("x", earlier), Tokens: earlier, Items: []string{"i"}}
+		job.Emit = func(token model.Token) { indices = append(indices, token.Index) }
+		result, err := d.Run(t.Context(), job)
+		must.NoError(t, err)
+		must.EqOp(t, strings.Repeat("v1 ", versionedTokens), result.Output.Output, must.Sprint("after ", earlier, " tokens"))
+		must.EqOp(t, versionedTokens, result.Output.Tokens)
+		must.Eq(t, []string{"i"}, result.Output.Items)
+		must.Eq(t, []int{0, 1, 2, 3, 4, 5, 6, 7}, indices)
+	}
+}
--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -32,6 +32,8 @@
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
 	var output strings.Builder
+	// The tokens of an earlier stage are none of this stream's.
+	a.stageOutput.Tokens = 0
 	for {
 		if err := a.checkRequest(); err != nil {
 			return err
--- a/dispatch/version_test.go
+++ b/dispatch/version_test.go
@@ -45,9 +45,9 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// streamStage runs a stage that streams tokens in pool p.
-func streamStage(t *testing.T, d *dispatch.Dispatcher, number int) (dispatch.Result, error) {
-	return d.Run(t.Context(), dispatch.Job{
+// streamJob returns a stage that streams tokens in pool p.
+func streamJob(number int) dispatch.Job {
+	return dispatch.Job{
 		Work: kernel.StageContext{
 			Request: model.Request{ID: fmt.Sprint("r", number), Deadline: time.Now().Add(time.Minute), Input: model.Input{Prefix: fmt.Sprint("prefix", number)}},
 			Stage:   model.Stage{Name: "s", Pool: "p", Kind: model.Generate},
@@ -56,7 +56,12 @@
 			Path: "/generate", Streams: true,
 			Prepare: func(kernel.StageContext) model.StageCall { return model.StageCall{MaxTokens: versionedTokens} },
 		},
-	})
+	}
+}
+
+// streamStage runs a stage that streams tokens in pool p.
+func streamStage(t *testing.T, d *dispatch.Dispatcher, number int) (dispatch.Result, error) {
+	return d.Run(t.Context(), streamJob(number))
 }
 
 // Two engines break streams off midway, one of each version: the streams went on at engines of the other version.
