Tests: no beginning of a header accepts an order or announces a host

These calls use the status alone. Every prefix of the header is an error, without a change: net/http needs the empty line behind the header.

--- a/engine/ends_test.go
+++ b/engine/ends_test.go
@@ -3,9 +3,11 @@
 import (
 	"testing"
 
+	"github.com/go-faster/errors"
 	"github.com/shoenig/test/must"
 
 	"basilstall.example/basilstall/engine"
+	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/standin"
 )
 
@@ -34,3 +36,29 @@
 		})
 	}
 }
+
+// Guards against an order that counts as accepted, or as rejected for its fencing number, by the beginning of a header. Engines
+// state it by the status, so the header has to be whole; what follows is not used.
+func TestBeginningOfHeaderAcceptsNoOrder(t *testing.T) {
+	server, err := standin.NewAnswerServer()
+	must.NoError(t, err)
+	defer server.Close()
+	client := engine.NewClient()
+	defer client.Close()
+	for name, answer := range map[string]string{
+		"accepted": "HTTP/1.1 200 OK\r\nDate: x\r\n\r\n",
+		"rejected": "HTTP/1.1 409 Conflict\r\nDate: x\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			order := func() error {
+				err := client.Order(t.Context(), server.Address(), kernel.Order{Engine: "e", Adapter: "m/a"}, 1)
+				if errors.Is(err, engine.ErrStaleFencing) {
+					return nil
+				}
+				return err
+			}
+			must.Eq(t, nil, server.AcceptedPrefixes(answer, order))
+			must.NoError(t, order())
+		})
+	}
+}
--- a/list/ends_test.go
+++ b/list/ends_test.go
@@ -6,6 +6,7 @@
 	"github.com/shoenig/test/must"
 
 	"basilstall.example/basilstall/list"
+	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/standin"
 )
 
@@ -26,3 +27,16 @@
 	must.NoError(t, err)
 	must.Len(t, 1, hosts.Endpoints)
 }
+
+// Guards against a host that counts as announced by the beginning of a header. The platform states it by the status, so the
+// header has to be whole; what follows is not used.
+func TestBeginningOfHeaderAnnouncesNoHost(t *testing.T) {
+	server, err := standin.NewAnswerServer()
+	must.NoError(t, err)
+	defer server.Close()
+	client := list.NewClient(server.Address())
+	defer client.Close()
+	announce := func() error { return client.Announce(t.Context(), model.Host{Name: "h-1"}) }
+	must.Eq(t, nil, server.AcceptedPrefixes("HTTP/1.1 200 OK\r\nDate: x\r\n\r\n", announce))
+	must.NoError(t, announce())
+}
