A reply without a version commits no transaction

A reply with status 200 and a JSON object of another kind counted as committed at version 0, which no transaction has and which means, in a condition, that the row does not exist.

Cause: a missing field decodes as zero.

Ruled out: the beginning of a reply, see TestBeginningOfCommitReplyIsUnknown.

The outcome is unknown then, as where the reply is lost: writers read the row again.

Measured: TestCommitReplyWithoutVersionIsUnknown failed in its four cases before; go test ./table passes now.

--- a/table/ends_test.go
+++ b/table/ends_test.go
@@ -81,3 +81,15 @@
 		})
 	}
 }
+
+// Guards against a transaction that counts as committed, at version 0, by an answer that states no version.
+func TestCommitReplyWithoutVersionIsUnknown(t *testing.T) {
+	server, store := newAnsweredStore(t)
+	for _, body := range []string{`{}`, `null`, `{"Version":0}`, `{"message":"OK"}`} {
+		t.Run(body, func(t *testing.T) {
+			server.Set(jsonHead + body)
+			_, err := store.Commit(t.Context(), table.Transaction{})
+			must.ErrorIs(t, err, table.ErrUnknown)
+		})
+	}
+}
--- a/table/store.go
+++ b/table/store.go
@@ -123,6 +123,9 @@
 		if err := json.NewDecoder(io.LimitReader(res.Body, maxCommitReplyBytes)).Decode(&committed); err != nil {
 			return 0, errors.Wrap(ErrUnknown, err.Error())
 		}
+		if committed.Version == 0 {
+			return 0, errors.Wrap(ErrUnknown, "the reply has no version")
+		}
 		return committed.Version, nil
 	case http.StatusConflict:
 		conflict := &Conflict{}
