Only a reply of its kind answers a call to a node

A node took any frame with the number of a call for its reply. A frame of another kind decodes as a reply in which nothing is set: no refusal, no rows, no record.

Ruled out: a reply that is cut, see TestBeginningOfReplyIsNoReply.

Such a frame closes the connection, and the call fails with the verdict MayHaveRun.

--- a/peer/clientconn.go
+++ b/peer/clientconn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/model"
 )
@@ -170,12 +172,12 @@
 	}
 	select {
 	case frame := <-reply:
-		return frame, nil
+		return c.checkReply(frame, kind)
 	case <-c.done:
 		// The reply may have been received just before the connection was closed.
 		select {
 		case frame := <-reply:
-			return frame, nil
+			return c.checkReply(frame, kind)
 		default:
 			return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: net.ErrClosed, Received: c.bytesRead.Load() - bytesBefore}
 		}
@@ -184,6 +186,16 @@
 	}
 }
 
+// checkReply returns the frame if it is a reply of the kind of its call. Otherwise it closes the connection, which is out of step:
+// the body of another kind decodes as a reply in which nothing is set. The error is a *CallError.
+func (c *clientConn) checkReply(frame Frame, kind Kind) (Frame, error) {
+	if frame.Kind == kind && frame.Reply {
+		return frame, nil
+	}
+	c.close()
+	return Frame{}, &CallError{Verdict: model.MayHaveRun, Err: errors.Errorf("a frame of kind %d in place of the reply of kind %d", frame.Kind, kind)}
+}
+
 func (c *clientConn) write(f Frame) error {
 	data, err := EncodeFrame(f)
 	if err != nil {
--- a/peer/ends_test.go
+++ b/peer/ends_test.go
@@ -175,3 +175,20 @@
 		must.Eq(t, want, kinds, must.Sprint("after ", length, " bytes"))
 	}
 }
+
+// Guards against a frame of another kind that is taken for the reply to a call: it decodes as a reply in which nothing is set,
+// such as one without a refusal.
+func TestOnlyReplyOfItsKindAnswersCall(t *testing.T) {
+	p := newCutPeer(t)
+	for name, answer := range map[string][]byte{
+		"another kind": encodeFrame(t, peer.KindFeed, 2, peer.Empty{}, false),
+		"ping":         encodeFrame(t, peer.KindPing, 2, peer.Empty{}, false),
+	} {
+		t.Run(name, func(t *testing.T) {
+			p.set(answer)
+			c := peer.NewClient("a", "secret")
+			defer c.Close()
+			must.EqOp(t, model.MayHaveRun, verdictOf(t, c, p.listener.Addr().String()))
+		})
+	}
+}
