An answer that ends with its connection is reset whenever the rest of it is dropped

Found by the review of the fix: callers of an answer with neither a length nor chunks got its beginning and then a plain end of the connection, where the node itself dropped the rest: 268,725 of 960,000 bytes as the node stopped with a slow caller, and the beginning of a stream as the process closed; by reading, also after a panic and when the process is killed. Only the one path that knew of the break reset the connection.

Cause: the reset was asked for at the end of a broken answer, and each other way of ending the connection looked like a whole one. Now the socket is set to end with a reset as such an answer begins, and set back only when all of it is written.

With it, from the same review: a node says to another one whether it takes an answer without a stated end, so that one of the build before gets what it got; a Content-Length that an older node has counted is removed; callers of HTTP/1.0 get streams ended by their own framing; the answer to HEAD states no length of an empty body; answers without a stated end count again for the quarantine of prompt parts, which held nothing back at engines without framing.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -46,6 +46,10 @@
 		// lingering is true from Close until all bytes are acknowledged.
 		lingering bool
 		closeOnce sync.Once
+		// undelimited is true once an answer has begun that ends with the connection, and finished once that answer is all
+		// written. Until then the socket is closed with a reset, also by the end of the process, so that the beginning of the answer
+		// can't be taken for all of it.
+		undelimited, finished bool
 	}
 
 	// listener accepts connections that a tracker counts.
@@ -222,14 +226,14 @@
 		if done {
 			c.pending, c.draining, c.writing = nil, false, false
 		}
-		lingering := c.lingering
+		endsNow := c.lingering && !c.resets()
 		c.drained.Broadcast()
 		t.mu.Unlock()
 		if !done {
 			continue
 		}
-		if lingering {
-			_ = c.tcp.CloseWrite()
+		if endsNow {
+			_ = c.closeWrite()
 		}
 		c.observe()
 		return
@@ -287,15 +291,15 @@
 // it is stalled: the kernel would keep the bytes for minutes, uncounted.
 func (c *Conn) Close() error {
 	c.tracker.mu.Lock()
-	draining := c.draining
+	draining, resets := c.draining, c.resets()
 	linger := !c.tracker.closed && c.writeErr == nil && (draining || c.queued() > 0)
 	c.lingering = c.lingering || linger
 	c.tracker.mu.Unlock()
 	if !linger {
 		return c.closeNow()
 	}
-	if !draining {
-		_ = c.tcp.CloseWrite()
+	if !draining && !resets {
+		_ = c.closeWrite()
 	}
 	// Ends the reads of the server.
 	err := c.tcp.SetReadDeadline(time.Unix(1, 0))
@@ -308,12 +312,53 @@
 	if err := c.awaitPending(0); err != nil {
 		return err
 	}
+	c.tracker.mu.Lock()
+	resets := c.resets()
+	c.tracker.mu.Unlock()
+	if resets {
+		return nil
+	}
+	return c.closeWrite()
+}
+
+// closeWrite ends what is sent to the peer as complete.
+func (c *Conn) closeWrite() error {
+	_ = c.tcp.SetLinger(-1)
 	return c.tcp.CloseWrite()
 }
 
+// resets reports whether the end of the connection must be a reset. The caller holds the mutex of the tracker.
+func (c *Conn) resets() bool {
+	return c.undelimited && !c.finished
+}
+
+// beginUndelimited records that an answer has begun that ends with the connection.
+func (c *Conn) beginUndelimited() {
+	c.tracker.mu.Lock()
+	c.undelimited, c.finished = true, false
+	c.tracker.mu.Unlock()
+	_ = c.tcp.SetLinger(0)
+}
+
+// finishUndelimited records that the answer that ends with the connection is all written.
+func (c *Conn) finishUndelimited() {
+	c.tracker.mu.Lock()
+	c.finished = true
+	c.tracker.mu.Unlock()
+}
+
+// closeNow closes the socket, with a reset if an answer that ends with it, or something that is buffered, was not sent.
 func (c *Conn) closeNow() error {
 	var err error
 	c.closeOnce.Do(func() {
+		c.tracker.mu.Lock()
+		resets := c.resets() || len(c.pending) > 0
+		c.tracker.mu.Unlock()
+		if resets {
+			_ = c.tcp.SetLinger(0)
+		} else {
+			_ = c.tcp.SetLinger(-1)
+		}
 		err = c.tcp.Close()
 		c.tracker.remove(c)
 	})
--- a/connlimit/tracker.go
+++ b/connlimit/tracker.go
@@ -214,16 +214,27 @@
 	return t.BeginDetached(), nil
 }
 
-// Reset resets the connection of the request, so that the caller sees an error in place of an end. What was not sent yet is
-// dropped.
-func (r *Request) Reset() {
+// BeginUndelimited records that the answer to the request has begun and ends with its connection. The connection then ends with
+// a reset, after what is buffered for the caller, unless FinishUndelimited is called.
+func (r *Request) BeginUndelimited() {
+	if c := r.conn(); c != nil {
+		c.beginUndelimited()
+	}
+}
+
+// FinishUndelimited records that all of the answer is written.
+func (r *Request) FinishUndelimited() {
+	if c := r.conn(); c != nil {
+		c.finishUndelimited()
+	}
+}
+
+// conn returns the connection of the request, or nil if it has none.
+func (r *Request) conn() *Conn {
 	t := r.tracker
 	t.mu.Lock()
-	c := t.conns[r.id]
-	t.mu.Unlock()
-	if c != nil {
-		c.abort()
-	}
+	defer t.mu.Unlock()
+	return t.conns[r.id]
 }
 
 // BeginDetached begins a request that another node passes on.
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -66,6 +66,8 @@
 		// StreamKey identifies the stream, and Binding is what it is bound to; nil before its first event.
 		StreamKey kernel.StreamKey
 		Binding   *kernel.Binding
+		// TakesUnstated is true if the sender knows RelayEnd.Unstated.
+		TakesUnstated bool
 	}
 
 	// RelaySent tells that the request is about to be sent to an endpoint. Attempts is the number of endpoints, this one
@@ -92,8 +94,9 @@
 	}
 
 	// RelayEnd ends the stream: the answer is Complete, may be so but is Unstated, or was broken off, or there is none and the
-	// request was refused. Nodes of older builds take an answer that is not Complete for broken off.
+	// request was refused.
 	RelayEnd struct {
+		// Complete is true beside Unstated for nodes of older builds, which take any other answer for broken off.
 		Complete bool
 		// Unstated is true if all that came was passed on, but the endpoint has not stated the end of its answer.
 		Unstated bool
--- a/relay/answerwriter.go
+++ b/relay/answerwriter.go
@@ -11,6 +11,8 @@
 // answerWriter writes the answer to a request to its caller.
 type answerWriter struct {
 	Responder
+	// method is that of the request.
+	method string
 	// status is the status that was sent, and framing how the answer is delimited; zero while it has not begun.
 	status  int
 	framing ending.Framing
@@ -18,8 +20,11 @@
 
 // begin sends the status and the header of an answer that is delimited in the given way. It is called at most once.
 func (w *answerWriter) begin(status int, header http.Header, framing ending.Framing) {
-	w.status, w.framing = status, framing
-	w.Begin(status, header, framing)
+	if framing != ending.Length {
+		header.Del("Content-Length")
+	}
+	w.status = status
+	w.framing = w.Begin(status, header, framing)
 }
 
 // begun reports whether the caller has got the beginning of an answer.
@@ -30,7 +35,11 @@
 // writeWhole writes an answer all of which was read. It has a length only if its sender has stated its end.
 func (w *answerWriter) writeWhole(reply *model.ForwardReply, body []byte, end ending.End) error {
 	framing := end.ForWhole()
-	if framing == ending.Length {
+	switch {
+	case w.method == http.MethodHead && reply.Length > 0:
+		// The length of the answer to GET, which has no part in this one.
+		reply.Header.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
+	case w.method != http.MethodHead && framing == ending.Length:
 		reply.Header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	w.begin(reply.Status, reply.Header, framing)
--- a/relay/heldbytes_test.go
+++ b/relay/heldbytes_test.go
@@ -19,7 +19,7 @@
 func (b *testBed) serveHeld(held relay.HeldBytes) relay.Outcome {
 	f := model.Forward{ID: "id", Method: "POST", URI: "/get/1", Path: "/get/1", Host: "h", ReceivedAt: time.Now()}
 	return b.relay.Serve(context.Background(), f, relay.Responder{
-		Begin: func(int, http.Header, ending.Framing) {},
+		Begin: func(_ int, _ http.Header, f ending.Framing) ending.Framing { return f },
 		Write: func(p []byte) error { b.body.Write(p); return nil },
 		Held:  held,
 	})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,7 +18,6 @@
 	"github.com/rs/zerolog"
 
 	"basilstall.example/basilstall/binding"
-	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/metric"
@@ -349,7 +348,7 @@
 		return r.refuseUnstarted(f, admission, view, resumption, refusal)
 	}
 	job := &job{
-		relay: r, forward: f, admission: admission, responder: &answerWriter{Responder: out}, startedAt: r.now(), trial: trial,
+		relay: r, forward: f, admission: admission, responder: &answerWriter{Responder: out, method: f.Method}, startedAt: r.now(), trial: trial,
 		streamKey: kernel.NewStreamKey(admission.Customer, kernel.StreamID(admission.Route, f)),
 	}
 	outcome := job.serve(ctx)
@@ -432,7 +431,7 @@
 		if outcome.Refusal.Verdict == model.NotRun && outcome.Refusal.RetryAfter > 0 && j.throughNode == "" {
 			r.recordRefused(j.forward, j.admission, outcome.Refusal.RetryAfter)
 		}
-	case outcome.End == ending.Stated:
+	case outcome.Complete:
 		r.quarantine.RecordAnswer(j.forward.Digests(), j.answeredSince(outcome))
 	}
 	return outcome
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -130,7 +130,7 @@
 func (b *testBed) serve(path string, pieces ...int) relay.Outcome {
 	f := model.Forward{ID: "id", Method: "POST", URI: path, Path: path, Host: "h", ReceivedAt: time.Now(), Pieces: pieces}
 	return b.relay.Serve(context.Background(), f, relay.Responder{
-		Begin: func(int, http.Header, ending.Framing) {},
+		Begin: func(_ int, _ http.Header, f ending.Framing) ending.Framing { return f },
 		Write: func(p []byte) error { b.body.Write(p); return nil },
 	})
 }
@@ -231,7 +231,7 @@
 	b.relay.SetNodes([]relay.Node{{Name: "other", Address: batcher.Address(), Capacity: 1000}}, nil)
 	now := time.Now()
 	f := model.Forward{ID: "id", Method: "POST", URI: "/gen/1", Path: "/gen/1", Host: "h", ReceivedAt: now, Deadline: now.Add(600 * time.Millisecond), Pieces: []int{1}}
-	outcome := b.relay.Serve(context.Background(), f, relay.Responder{Begin: func(int, http.Header, ending.Framing) {}, Write: func([]byte) error { return nil }})
+	outcome := b.relay.Serve(context.Background(), f, relay.Responder{Begin: func(_ int, _ http.Header, f ending.Framing) ending.Framing { return f }, Write: func([]byte) error { return nil }})
 	must.NotNil(t, outcome.Refusal)
 	must.SliceLen(t, 2, b.relay.Reachable(), must.Sprint("this node and the batcher are reachable"))
 }
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -53,7 +53,8 @@
 	}
 	outcome := r.serveRelayed(ctx, request, r.relayedForward(request, content), stream, count.HeldBytes)
 	return stream.Send(peer.KindRelayEnd, peer.RelayEnd{
-		Complete: outcome.End == ending.Stated, Unstated: outcome.End == ending.Unstated, Refusal: outcome.Refusal, Attempts: outcome.Attempts,
+		Complete: outcome.End == ending.Stated || outcome.End == ending.Unstated && !request.TakesUnstated, Unstated: outcome.End == ending.Unstated,
+		Refusal: outcome.Refusal, Attempts: outcome.Attempts,
 	})
 }
 
@@ -121,7 +122,7 @@
 	outcome := Outcome{Refusal: refusal, Attempts: m.Attempts}
 	if refusal == nil {
 		job := &job{
-			relay: r, forward: f, admission: admission, responder: &answerWriter{Responder: newStreamResponder(stream, count)}, startedAt: r.now(), trial: m.Trial,
+			relay: r, forward: f, admission: admission, responder: &answerWriter{Responder: newStreamResponder(stream, count), method: f.Method}, startedAt: r.now(), trial: m.Trial,
 			forNode: m.Node, attempts: m.Attempts, excluded: m.Excluded, mayHaveRun: m.MayHaveRun, counted: m.Counted, lastEventID: m.LastEventID,
 			streamKey: m.StreamKey,
 			onSend:    func(attempts int) { r.notifySent(stream, attempts) },
@@ -159,8 +160,9 @@
 	return Responder{
 		Held: count,
 		Bind: func(b kernel.Binding) { binding = &b },
-		Begin: func(status int, header http.Header, framing ending.Framing) {
+		Begin: func(status int, header http.Header, framing ending.Framing) ending.Framing {
 			beginErr = stream.Send(peer.KindRelayHead, peer.RelayHead{Status: status, Header: header, Framing: framing, Binding: binding})
+			return framing
 		},
 		Write: func(p []byte) error {
 			if beginErr != nil {
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -250,7 +250,7 @@
 		Digest: f.Digest, Key: f.Key, Prompt: f.Prompt, Pieces: f.Pieces, PieceKey: f.PieceKey,
 		ReceivedAgo: now.Sub(f.ReceivedAt), Waited: f.Waited, Route: j.admission.Route.Name, Customer: j.admission.Customer,
 		Attempts: j.attempts, Excluded: j.reachedEndpoints(), MayHaveRun: j.mayHaveRun, Counted: j.counted, Trial: j.trial, LastEventID: lastEventID,
-		StreamKey: j.streamKey,
+		StreamKey: j.streamKey, TakesUnstated: true,
 	}
 	if j.admission.Bound {
 		message.Binding = &j.admission.Binding
@@ -317,7 +317,7 @@
 // endError returns the error of reads after the end of the answer.
 func (b *relayedBody) endError(end peer.RelayEnd) error {
 	switch {
-	case end.Complete && b.tellsEnd:
+	case end.Complete && b.tellsEnd && !end.Unstated:
 		return io.EOF
 	case end.Complete, end.Unstated:
 		return ending.ErrUnstated
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -107,8 +107,9 @@
 
 	// Responder sends an answer to a caller.
 	Responder struct {
-		// Begin sends the status and the header of an answer that is delimited in the given way. It is called at most once.
-		Begin func(status int, header http.Header, framing ending.Framing)
+		// Begin sends the status and the header of an answer that is delimited in the given way, or in the one that it returns. It is
+		// called at most once.
+		Begin func(status int, header http.Header, framing ending.Framing) ending.Framing
 		// Write sends a part of the body without buffering it.
 		Write func(p []byte) error
 		// Held counts what the node holds of the answer.
