A stream that began in chunks does not blame an engine that states no end

Found by the review: where a resumed stream went on at a sound engine without framing, the unstated end counted as a connection that broke, which ejects the engine after three and reports a possible crash. It is a result of its own now: no fault of the engine, asked for at another engine where the route and the budget allow it, else broken off at the caller.

The events that count ends have names of their own (End...), as AnswerBrokenOff was counted twice where a caller had left, and answers that the node broke off are counted by the reason (BrokenOffBy...); a passed deadline in mid-stream is a Cause too. The evidence of an earlier attempt is no longer shown beside the framing of a later one.

--- a/relay/log.go
+++ b/relay/log.go
@@ -86,14 +86,14 @@
 	}
 }
 
-// countEnding counts answers that ended without a stated end, by what their ends were judged by, and refusals after the
-// beginning of an answer.
+// countEnding counts answers that ended without a stated end, by what their ends were judged by, and those that the node broke
+// off, by the reason.
 func (r *Relay) countEnding(o Outcome) {
-	if o.End == ending.Unstated || o.Framing == ending.Connection && o.End == ending.BrokenOff {
-		r.metrics.CountEvent("Answer" + string(o.End) + string(o.Evidence))
+	if o.Evidence != "" && (o.End == ending.Unstated || o.End == ending.BrokenOff) {
+		r.metrics.CountEvent("End" + string(o.End) + string(o.Evidence))
 	}
 	if o.Cause != nil {
-		r.metrics.CountEvent("RefusedAfterBeginning")
+		r.metrics.CountEvent("BrokenOffBy" + string(o.Cause.Reason))
 	}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -46,6 +46,8 @@
 	streamResult struct {
 		// complete is true if all that came of the stream was passed on and it is not known to be broken off.
 		complete bool
+		// unstated is true if the engine has not stated the end of an answer that is to state it. That is no fault of the engine.
+		unstated bool
 		// callerGone is true if writing to the caller failed.
 		callerGone bool
 		// failureWritten is true if the engine's own failure was written to the caller.
@@ -85,6 +87,7 @@
 			j.throughNodeOnly = false
 			var done bool
 			if run, outcome, done = j.prepareStream(ctx, p); done {
+				outcome.Framing, outcome.Evidence = state.framing, state.ending.Evidence
 				return outcome
 			}
 		case retry:
@@ -131,6 +134,7 @@
 	case ctx.Err() == nil:
 		return outcome, false
 	case state.headerSent:
+		outcome.Cause = j.refuseContextDone(ctx).Refusal
 		return outcome, true
 	default:
 		return j.refuseContextDone(ctx), true
@@ -244,7 +248,7 @@
 // writeReply writes the events of an answer to the caller until the answer ends. It calls onEvents before each write.
 func (j *job) writeReply(reply *model.ForwardReply, state *streamState, onEvents func()) streamResult {
 	state.splitter.reset()
-	state.framing = reply.Framing
+	state.framing, state.ending = reply.Framing, ending.Judgement{}
 	eventsBefore := state.splitter.count
 	buffer := make([]byte, streamBufferBytes)
 	for {
@@ -280,7 +284,7 @@
 	j.sendHeader(reply, state)
 	if !ending.MayEnd(j.responder.framing, state.ending.End) {
 		// The answer began with the promise to state its end, and only another engine can state it.
-		return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}}
+		return streamResult{unstated: true}
 	}
 	if len(rest) > 0 && j.writeCounted(rest) != nil {
 		return streamResult{callerGone: true}
@@ -323,7 +327,6 @@
 	state.headerSent = true
 	state.status = reply.Status
 	state.firstEventAt = j.relay.now()
-	reply.Header.Del("Content-Length")
 	j.responder.begin(reply.Status, reply.Header, reply.Framing.ForStream())
 }
 
@@ -358,7 +361,7 @@
 	switch {
 	case result.err != nil:
 		j.recordFault(p, e, asFault(result.err))
-	case result.complete:
+	case result.complete, result.unstated:
 		p.recordSuccess(e.Incarnation())
 	case result.reply != nil && result.reply.NotRun:
 		j.relay.logFailedAttempt(j.forward, e, j.attempts, model.RetryNotRun, notRunError(result.reply.Status))
