A missing entry is kept in use only on evidence that the store was away

Cause, shown by the test before: any time of more than 2.4 s without a proof of the list counted as an outage, and any removal that was read in the 2.2 s after it as a lapse, also one that was made after the store answered again.

Change: kernel.JudgeAbsence decides, from the time between the last proof with the entry and the first without it, from the reads of all nodes (ReadHistory: a removal whose version lies between reads 2.4 s apart at most was made while the store was in use), and from the other entries (an outage ends the renewal of all alike, so most of them are missing). A kept entry is kept for 2.2 s, or less where the drain bound less the usual time between proofs is shorter, and dropped as soon as another node tells of reads that bracket its removal. Nodes tell each other of reads with the questions that they ask anyway. The log line of a missing entry has the evidence and its age, EndpointMissing<Evidence> counts.

Two tests of the registry had lists of one and two entries, of which one lapsed: that is no evidence any more. They have two and three now; the one on the grace of each outage holds its exact end besides, and no longer asks that an entry is kept over a second outage, as the time since it was last listed counts.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -221,6 +221,28 @@
 	return false
 }
 
+// addReads adds the reads of tables that the sender of a request tells of.
+func (f *Follower) addReads(askedAt time.Time, request peer.Feed) {
+	for _, t := range f.tables {
+		t.mu.Lock()
+		if t.TellsReads && t.replica.AddReads(askedAt, request.Reads[t.Name]) {
+			t.Apply(t.replica.Proof(), nil)
+		}
+		t.mu.Unlock()
+	}
+}
+
+// aged returns spans with their ages as they are some time later.
+func aged(spans []kernel.ReadSpan, later time.Duration) []kernel.ReadSpan {
+	out := make([]kernel.ReadSpan, 0, len(spans))
+	for _, s := range spans {
+		s.FromAge += later
+		s.ToAge += later
+		out = append(out, s)
+	}
+	return out
+}
+
 // HandleFeed handles a peer.Feed: it replies with the rows that changed after the sender's versions. It delays the reply
 // until hasNews, by at most request.Hold and sourceLongPollTime.
 func (f *Follower) HandleFeed(ctx context.Context, body []byte) (any, error) {
@@ -230,6 +252,7 @@
 		return nil, err
 	}
 	f.options.Outbox.Add(request.Announced)
+	f.addReads(askedAt, request)
 	if request.Node != "" && request.ProvenAgo > 0 && f.storeLost() && f.oldestAge() > request.ProvenAgo {
 		f.selectorMu.Lock()
 		f.selector.RecordFresherNode(clock.Now(), request.Node)
@@ -244,6 +267,8 @@
 	for _, t := range f.tables {
 		t.mu.Lock()
 		if delta, known := t.replica.Since(now, request.After[t.Name]); known {
+			// The ages that the sender told are as of askedAt.
+			delta.Reads = t.replica.Proof().Reads.Lacking(now, aged(request.Reads[t.Name], now.Sub(askedAt)))
 			reply.Tables[t.Name] = delta
 		}
 		t.mu.Unlock()
--- a/follow/nodes.go
+++ b/follow/nodes.go
@@ -78,7 +78,7 @@
 	return Table{Name: NodesTable, MaxWait: nodesMaxWait, PollInterval: nodesPollInterval, IgnoreAge: true, Membership: true, Apply: n.apply}
 }
 
-func (n *Nodes) apply(_ time.Time, changes []kernel.Row) {
+func (n *Nodes) apply(_ kernel.TableProof, changes []kernel.Row) {
 	if len(changes) == 0 && n.tableRead {
 		return
 	}
--- a/follow/notices.go
+++ b/follow/notices.go
@@ -46,7 +46,7 @@
 	return Table{Name: NoticesTable, MaxWait: noticesMaxWait, IgnoreAge: true, Optional: true, Apply: n.apply}
 }
 
-func (n *Notices) apply(provenAt time.Time, rows []kernel.Row) {
+func (n *Notices) apply(proof kernel.TableProof, rows []kernel.Row) {
 	var change kernel.QuarantineChange
 	var versions []kernel.VersionChange
 	for _, row := range rows {
@@ -77,7 +77,7 @@
 		}
 		change.Hold = append(change.Hold, held)
 	}
-	n.relay.ApplyVersions(provenAt, versions)
+	n.relay.ApplyVersions(proof.At, versions)
 	if len(change.Hold)+len(change.Lift) > 0 {
 		n.relay.ApplyQuarantineChange(change)
 	}
--- a/follow/read.go
+++ b/follow/read.go
@@ -107,7 +107,7 @@
 	receivedAt := clock.Now()
 	t.mu.Lock()
 	changes := t.replica.Apply(startedAt, answer.Rows, answer.Version, whole)
-	t.Apply(t.replica.ProvenAt(), changes)
+	t.Apply(t.replica.Proof(), changes)
 	t.mu.Unlock()
 	f.recordAnswer(answerStats{
 		table: t.Name, source: fromStore, version: answer.Version, size: answer.Bytes,
--- a/follow/source.go
+++ b/follow/source.go
@@ -175,10 +175,13 @@
 
 // newRequest returns a request for what this node does not know.
 func (f *Follower) newRequest(announced map[string][]byte) peer.Feed {
-	request := peer.Feed{After: map[string]uint64{}, Unpacks: true, Node: f.options.Name, Hold: sourceLongPollTime, AwaitsNews: true, Announced: announced}
+	request := peer.Feed{After: map[string]uint64{}, Reads: map[string][]kernel.ReadSpan{}, Unpacks: true, Node: f.options.Name, Hold: sourceLongPollTime, AwaitsNews: true, Announced: announced}
 	for _, t := range f.tables {
 		t.mu.Lock()
 		request.After[t.Name], _ = t.replica.Version()
+		if t.TellsReads {
+			request.Reads[t.Name] = t.replica.Proof().Reads.Spans(clock.Now())
+		}
 		t.mu.Unlock()
 	}
 	if f.allTablesKnown() {
@@ -210,7 +213,7 @@
 		t.mu.Lock()
 		if version, _ := t.replica.Version(); delta.Version >= version {
 			changes := t.replica.ApplyDelta(repliedAt, delta)
-			t.Apply(t.replica.ProvenAt(), changes)
+			t.Apply(t.replica.Proof(), changes)
 		}
 		t.mu.Unlock()
 		f.recordAnswer(answerStats{
--- a/follow/table.go
+++ b/follow/table.go
@@ -24,8 +24,11 @@
 		// Membership is true for the table that each node reads from the store at its start, to find the nodes that it gets
 		// the others from.
 		Membership bool
-		// Apply is called with the rows that changed and the time at which the table was last proven current.
-		Apply func(provenAt time.Time, changes []kernel.Row)
+		// TellsReads is true if nodes tell each other when the table was read from the store. Apply is then also called
+		// when another node tells of reads that this one has not heard of.
+		TellsReads bool
+		// Apply is called with the rows that changed and what proves the table current.
+		Apply func(proof kernel.TableProof, changes []kernel.Row)
 	}
 
 	// Store holds the functions that read the platform's store.
--- a/kernel/lapse_test.go
+++ b/kernel/lapse_test.go
@@ -203,23 +203,29 @@
 		for name, cut := range lapseCuts(fleet.nodes) {
 			for _, reports := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%d nodes, %s, reports %t", fleet.nodes, name, reports), func(t *testing.T) {
-					for length := time.Second; length <= 8*time.Second; length += max(time.Second, fleet.step) {
-						for at := fleet.step; at <= length; at += fleet.step {
-							m := newLapseModel(fleet.nodes, 5)
-							m.cut, m.cutFrom, m.cutTo = cut, 5*time.Second, 5*time.Second+length
-							m.removeAt = m.cutFrom + at
-							if reports {
-								m.reportAt, m.removeAt = m.removeAt, m.removeAt+700*time.Millisecond
-							}
-							m.checkRemoval(t)
-						}
-					}
+					checkRemovalsInCuts(t, fleet.nodes, fleet.step, cut, reports)
 				})
 			}
 		}
 	}
 }
 
+// checkRemovalsInCuts checks cuts of 1 to 8 s with a removal every step of each.
+func checkRemovalsInCuts(t *testing.T, nodes int, step time.Duration, cut func(int) bool, reports bool) {
+	t.Helper()
+	for length := time.Second; length <= 8*time.Second; length += max(time.Second, step) {
+		for at := step; at <= length; at += step {
+			m := newLapseModel(nodes, 5)
+			m.cut, m.cutFrom, m.cutTo = cut, 5*time.Second, 5*time.Second+length
+			m.removeAt = m.cutFrom + at
+			if reports {
+				m.reportAt, m.removeAt = m.removeAt, m.removeAt+700*time.Millisecond
+			}
+			m.checkRemoval(t)
+		}
+	}
+}
+
 // checkRemoval fails the test if a node that has read that the entry of the endpoint that leaves is missing gives it work.
 func (m *lapseModel) checkRemoval(t *testing.T) {
 	t.Helper()
@@ -271,25 +277,67 @@
 	}
 }
 
+// An endpoint leaves while a node is cut off, and the store goes away before the cut ends. The node finds its entry missing
+// among those that lapsed. Once another node has told it that the list was read while that entry was removed, it gets no
+// more work.
+func TestRemovalBeforeOutageIsNoLapse(t *testing.T) {
+	for _, nodes := range []int{3, 400} {
+		cuts := lapseCuts(nodes)
+		delete(cuts, "all")
+		for name, cut := range cuts {
+			t.Run(fmt.Sprintf("%d nodes, %s", nodes, name), func(t *testing.T) {
+				m := newLapseModel(nodes, 5)
+				m.cut, m.cutFrom, m.cutTo = cut, 3*time.Second, 11*time.Second
+				m.awayFrom, m.awayTo, m.removeAt = 8*time.Second, 13*time.Second, 6*time.Second
+				for m.now < m.awayTo+time.Second {
+					m.step()
+				}
+				m.checkUnused(t)
+			})
+		}
+	}
+}
+
+// checkUnused fails the test if a node gives work to the endpoint that leaves.
+func (m *lapseModel) checkUnused(t *testing.T) {
+	t.Helper()
+	for m.now < m.awayTo+5*time.Second {
+		for i, n := range m.nodes {
+			if n.accepts(m.start.Add(m.now)) {
+				t.Fatalf("node %d, cut %t: %v after the outage the endpoint still gets work", i, m.cut(i), m.now-m.awayTo)
+			}
+		}
+		m.step()
+	}
+}
+
 func newLapseRegistry() kernel.Registry {
-	return kernel.NewRegistry()
+	return kernel.NewRegistry().WithDrainBound(drainBound)
 }
 
 // apply applies changes of the node's replica to its registry.
 func (n *lapseNode) apply(now time.Time, change func() []kernel.Row) {
-	listed, removed := decodeLapseRows(change())
-	var names []string
+	rows := change()
+	proof := n.replica.Proof()
+	listed, removed := decodeLapseRows(rows)
+	c := kernel.ListChange{ProvenAt: proof.At, Reads: proof.Reads, Listed: listed}
 	for _, row := range removed {
-		names = append(names, row.Key)
+		after, through := proof.RemovalSpan(row)
+		c.Removed = append(c.Removed, kernel.RemovedEntry{Name: row.Key, After: after, Through: through})
 	}
-	n.registry = n.registry.WithChanges(now, n.replica.ProvenAt(), listed, names, nil)
+	n.registry = n.registry.WithListChange(now, c)
 }
 
-// ask lets a node ask another one for changes.
+// ask lets a node ask another one for changes, and tell it of the reads that it knows of.
 func (m *lapseModel) ask(n, source *lapseNode) {
 	now := m.start.Add(m.now)
+	told := n.replica.Proof().Reads.Spans(now)
+	if source.replica.AddReads(now, told) {
+		source.apply(now, func() []kernel.Row { return nil })
+	}
 	after, _ := n.replica.Version()
 	if d, known := source.replica.Since(now, after); known && d.Version >= after {
+		d.Reads = source.replica.Proof().Reads.Lacking(now, told)
 		n.apply(now, func() []kernel.Row { return n.replica.ApplyDelta(now, d) })
 	}
 }
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -10,16 +10,6 @@
 	"basilstall.example/basilstall/model"
 )
 
-const (
-	// relistGracePeriod is how long after the store answers again an entry that lapsed during the outage is kept, so
-	// that its endpoint can be listed again: the platform promises that within about two seconds.
-	relistGracePeriod = 2200 * time.Millisecond
-	// outageThreshold is how long the list may go without being proven current before entries count as lapsed
-	// during an outage. An entry outlives three heartbeat intervals of more than a second, and the list is proven
-	// current every second, or every two where an answer is lost.
-	outageThreshold = 2400 * time.Millisecond
-)
-
 type (
 	// Registry is a node's view of the endpoints: the entries of the store's list, with those that lapsed while the
 	// store did not answer and may be listed again. An entry lapses, and leaves the list, if its endpoint has not
@@ -29,8 +19,8 @@
 		entries *immutable.Map[string, registryEntry]
 		// byAddress holds the names of the endpoints that are listed at each address.
 		byAddress *immutable.Map[string, []string]
-		// lapsed holds the names of the entries that lapsed.
-		lapsed map[string]bool
+		// lapsed holds what is known of the entries that lapsed, by name.
+		lapsed map[string]lapse
 		// evacuations are the failure domains that get no work.
 		evacuations Evacuations
 		// standings holds what endpoints have stated of themselves to this node, by incarnation.
@@ -43,10 +33,40 @@
 		revision *registryRevision
 		base     *registryRevision
 		changed  []string
-		// provenAt is when the list was last proven current; storeRecoveredAt is when that first happened after the
-		// last outage of the store.
-		provenAt         time.Time
-		storeRecoveredAt time.Time
+		// absences holds why the entries among changed that are missing from the list were kept or dropped.
+		absences map[string]Absence
+		// provenAt is when the list was last proven current, proofInterval the last ordinary time between two proofs.
+		provenAt      time.Time
+		proofInterval time.Duration
+		// drainBound is the time after a report that an endpoint leaves in which it may get work; zero for no bound.
+		drainBound time.Duration
+	}
+
+	// ListChange is what a read of the list of endpoints changes.
+	ListChange struct {
+		// ProvenAt is when the list was proven current, Reads the reads of the list by all nodes.
+		ProvenAt time.Time
+		Reads    ReadHistory
+		// Listed are the entries that were written, Removed those that were removed, and Unreadable the names of those
+		// that were overwritten by a value that names no endpoint.
+		Listed     []model.Endpoint
+		Removed    []RemovedEntry
+		Unreadable []string
+	}
+
+	// RemovedEntry is an entry that was removed between two versions of the store.
+	RemovedEntry struct {
+		Name           string
+		After, Through uint64
+	}
+
+	// Absence is a decision about an entry that is missing from the list, and the age of what decided it.
+	Absence struct {
+		AbsenceVerdict
+		// EvidenceAge is the time since the start of the read that showed the evidence, and UnlistedFor that since the
+		// list was last proven to hold the entry.
+		EvidenceAge time.Duration
+		UnlistedFor time.Duration
 	}
 
 	registryEntry struct {
@@ -56,6 +76,15 @@
 		lapsed bool
 	}
 
+	// lapse is what is known of an entry that lapsed.
+	lapse struct {
+		// removed tells between which versions the entry was removed. It is kept until keptUntil.
+		removed   RemovedEntry
+		keptUntil time.Time
+		// listedAt is when the list was last proven to hold the entry, missingAt when it was first proven to lack it.
+		listedAt, missingAt time.Time
+	}
+
 	// registryRevision is an identity; the field makes different ones have different addresses.
 	registryRevision struct {
 		_ byte
@@ -78,55 +107,140 @@
 	}
 }
 
-// WithChanges returns the registry after a read of the list that proves it current as of provenAt. listed are the
-// entries that were written, removed the names of those that were removed, and unreadable the names of those that were
-// overwritten by a value that names no endpoint. An older entry of a process that has started again since is ignored.
+// WithDrainBound returns the registry with a bound on the time after a report that an endpoint leaves in which it may get
+// work.
+func (r Registry) WithDrainBound(bound time.Duration) Registry {
+	r.drainBound = bound
+	return r
+}
+
+// WithChanges returns the registry after a read of the list of which only the names of the removed entries are known.
 func (r Registry) WithChanges(now, provenAt time.Time, listed []model.Endpoint, removed, unreadable []string) Registry {
-	if !r.provenAt.IsZero() && provenAt.Sub(r.provenAt) > outageThreshold {
-		r.storeRecoveredAt = now
+	change := ListChange{ProvenAt: provenAt, Listed: listed, Unreadable: unreadable}
+	for _, name := range removed {
+		change.Removed = append(change.Removed, RemovedEntry{Name: name})
 	}
-	r.provenAt = provenAt
-	grace := !r.storeRecoveredAt.IsZero() && now.Sub(r.storeRecoveredAt) < relistGracePeriod
-	if len(listed)+len(removed)+len(unreadable) == 0 && (grace || len(r.lapsed) == 0) {
+	return r.WithListChange(now, change)
+}
+
+// WithListChange returns the registry after a read of the list. An older entry of a process that has started again since is
+// ignored. Missing entries are kept or dropped as JudgeAbsence decides.
+func (r Registry) WithListChange(now time.Time, c ListChange) Registry {
+	before := r
+	unproven := time.Duration(0)
+	if !r.provenAt.IsZero() {
+		unproven = c.ProvenAt.Sub(r.provenAt)
+	}
+	if 0 < unproven && unproven <= outageThreshold {
+		r.proofInterval = unproven
+	}
+	r.provenAt = c.ProvenAt
+	if len(c.Listed)+len(c.Removed)+len(c.Unreadable) == 0 && !r.hasEndedLapse(now, c.Reads) {
 		// Most answers contain no change.
 		return r
 	}
 	if r.entries.Len() == 0 {
-		return r.filled(now, listed)
-	}
-	before := r
-	names := slices.Concat(removed, unreadable)
-	for _, e := range listed {
-		names = append(names, e.Name)
-	}
-	for _, name := range removed {
-		e, known := r.entries.Get(name)
-		if known && grace && r.effective(*e.endpoint).State != model.Leaving {
-			r = r.withEntry(name, registryEntry{endpoint: e.endpoint, lapsed: true})
-		} else {
-			r = r.withoutEntry(name)
+		return r.filled(now, c.Listed)
+	}
+	names := slices.Clone(c.Unreadable)
+	absences := map[string]Absence{}
+	evidence := before.outageEvidence(c, unproven)
+	for _, removed := range c.Removed {
+		names = append(names, removed.Name)
+		e, known := r.entries.Get(removed.Name)
+		if !known {
+			continue
 		}
+		l := lapse{removed: removed, listedAt: before.provenAt, missingAt: c.ProvenAt}
+		evidence.Leaving = r.effective(*e.endpoint).State == model.Leaving
+		evidence.ReadMeanwhile = l.readMeanwhile(c.Reads)
+		verdict := JudgeAbsence(evidence)
+		absences[removed.Name] = l.absence(now, verdict)
+		if verdict.Keep == 0 {
+			r = r.withoutEntry(removed.Name)
+			continue
+		}
+		l.keptUntil = now.Add(verdict.Keep)
+		r = r.withLapsedEntry(removed.Name, e.endpoint, l)
 	}
-	for _, name := range unreadable {
+	for _, name := range c.Unreadable {
 		r = r.withoutEntry(name)
 	}
-	for _, e := range listed {
+	for _, e := range c.Listed {
+		names = append(names, e.Name)
 		if known, ok := r.entries.Get(e.Name); ok && known.endpoint.Started.After(e.Started) {
 			continue
 		}
 		r = r.withEntry(e.Name, registryEntry{endpoint: received(now, e)})
 	}
-	if !grace {
-		for name := range r.lapsed {
-			r = r.withoutEntry(name)
-			names = append(names, name)
+	for name, l := range r.lapsed {
+		reason, ended := l.ended(now, c.Reads)
+		if !ended {
+			continue
 		}
+		absences[name] = l.absence(now, AbsenceVerdict{Reason: reason})
+		r = r.withoutEntry(name)
+		names = append(names, name)
 	}
 	r.standings = r.retainedStandings(now)
-	r.revision, r.base, r.changed = &registryRevision{}, before.revision, names
+	r.revision, r.base, r.changed, r.absences = &registryRevision{}, before.revision, names, absences
 	return r.withPools(before, names)
 }
 
+// outageEvidence returns the evidence of an outage of the store that is the same for all entries that a read shows to be
+// missing; before is the registry that the list was last proven to equal.
+func (r Registry) outageEvidence(c ListChange, unproven time.Duration) AbsenceEvidence {
+	e := AbsenceEvidence{Unproven: unproven, ProofInterval: r.proofInterval, Bound: r.drainBound}
+	if unproven <= outageThreshold || len(c.Removed) == 0 {
+		return e
+	}
+	isLive := func(entry registryEntry) bool {
+		return !entry.lapsed && r.effective(*entry.endpoint).State != model.Leaving
+	}
+	for it := r.entries.Iterator(); !it.Done(); {
+		if _, entry, _ := it.Next(); isLive(entry) {
+			e.Live++
+		}
+	}
+	for _, removed := range c.Removed {
+		if entry, known := r.entries.Get(removed.Name); known && isLive(entry) {
+			e.Missing++
+		}
+	}
+	return e
+}
+
+// hasEndedLapse reports whether an entry that lapsed is to be dropped now.
+func (r Registry) hasEndedLapse(now time.Time, reads ReadHistory) bool {
+	for _, l := range r.lapsed {
+		if _, ended := l.ended(now, reads); ended {
+			return true
+		}
+	}
+	return false
+}
+
+// ended returns why an entry that lapsed is to be dropped now, given the reads of the list that are known by now.
+func (l lapse) ended(now time.Time, reads ReadHistory) (AbsenceReason, bool) {
+	switch {
+	case l.readMeanwhile(reads):
+		return AbsenceReadMeanwhile, true
+	case !now.Before(l.keptUntil):
+		return AbsenceNotRelisted, true
+	default:
+		return "", false
+	}
+}
+
+// readMeanwhile reports whether the store was read while the entry was removed.
+func (l lapse) readMeanwhile(reads ReadHistory) bool {
+	return l.removed.Through > 0 && reads.InUse(l.removed.After, l.removed.Through)
+}
+
+func (l lapse) absence(now time.Time, v AbsenceVerdict) Absence {
+	return Absence{AbsenceVerdict: v, EvidenceAge: now.Sub(l.missingAt), UnlistedFor: now.Sub(l.listedAt)}
+}
+
 // received returns an entry that was read now. It took an unknown time to arrive, so the end of the time in which the
 // endpoint is cold is too late rather than too early.
 func received(now time.Time, e model.Endpoint) *model.Endpoint {
@@ -142,7 +256,7 @@
 	entries := immutable.NewMapBuilder[string, registryEntry](nil)
 	addresses := make(map[string][]string, len(listed))
 	pools := map[string][]model.Endpoint{}
-	r.revision, r.base, r.changed = &registryRevision{}, r.revision, make([]string, 0, len(listed))
+	r.revision, r.base, r.changed, r.absences = &registryRevision{}, r.revision, make([]string, 0, len(listed)), nil
 	for _, e := range listed {
 		entry := received(now, e)
 		entries.Set(e.Name, registryEntry{endpoint: entry})
@@ -174,15 +288,24 @@
 		r.byAddress = r.byAddress.Set(e.endpoint.Address, append(slices.Clone(names), name))
 	}
 	r.entries = r.entries.Set(name, e)
-	if r.lapsed[name] != e.lapsed {
+	return r.withoutLapse(name)
+}
+
+// withLapsedEntry returns the registry with an entry that lapsed. The lists of the pools are left as they are.
+func (r Registry) withLapsedEntry(name string, e *model.Endpoint, l lapse) Registry {
+	r = r.withEntry(name, registryEntry{endpoint: e, lapsed: true})
+	r.lapsed = maps.Clone(r.lapsed)
+	if r.lapsed == nil {
+		r.lapsed = map[string]lapse{}
+	}
+	r.lapsed[name] = l
+	return r
+}
+
+func (r Registry) withoutLapse(name string) Registry {
+	if _, lapsed := r.lapsed[name]; lapsed {
 		r.lapsed = maps.Clone(r.lapsed)
-		if r.lapsed == nil {
-			r.lapsed = map[string]bool{}
-		}
-		r.lapsed[name] = true
-		if !e.lapsed {
-			delete(r.lapsed, name)
-		}
+		delete(r.lapsed, name)
 	}
 	return r
 }
@@ -195,11 +318,7 @@
 	}
 	r.byAddress = withoutName(r.byAddress, known.endpoint.Address, name)
 	r.entries = r.entries.Delete(name)
-	if r.lapsed[name] {
-		r.lapsed = maps.Clone(r.lapsed)
-		delete(r.lapsed, name)
-	}
-	return r
+	return r.withoutLapse(name)
 }
 
 func withoutName(byAddress *immutable.Map[string, []string], address, name string) *immutable.Map[string, []string] {
@@ -403,6 +522,9 @@
 	Before model.Endpoint
 	// Message is the text of the change's log line.
 	Message string
+	// Absence tells why an entry that is missing from the list is kept or dropped, if HasAbsence is true.
+	Absence    Absence
+	HasAbsence bool
 }
 
 // Changes returns the differences from an earlier registry, in no particular order. It costs what has changed if this
@@ -423,6 +545,9 @@
 		}
 		seen[name] = true
 		if c, changed := r.change(before, name); changed {
+			if r.base == before.revision {
+				c.Absence, c.HasAbsence = r.absences[name]
+			}
 			out = append(out, c)
 		}
 	}
--- a/kernel/registry_test.go
+++ b/kernel/registry_test.go
@@ -67,26 +67,33 @@
 // outage is therefore measured between the proven times and not between the arrivals of answers.
 func TestRegistryMeasuresOutagesBetweenProvenTimes(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := kernel.NewRegistry().WithChanges(now, now, []model.Endpoint{listedEndpoint("a", model.Live)}, nil, nil)
+	r := kernel.NewRegistry().WithChanges(now, now, []model.Endpoint{listedEndpoint("a", model.Live), listedEndpoint("b", model.Live)}, nil, nil)
 	for i := range 4 {
 		r = r.WithChanges(now.Add(time.Duration(i)*time.Second), now, nil, nil, nil)
 	}
 	must.Eq(t, 3*time.Second, r.Age(now.Add(3*time.Second)))
-	r = r.WithChanges(now.Add(4*time.Second), now.Add(3500*time.Millisecond), nil, []string{"a"}, nil)
-	must.Eq(t, []string{"a"}, endpointNames(r))
+	r = r.WithChanges(now.Add(4*time.Second), now.Add(3500*time.Millisecond), nil, []string{"a", "b"}, nil)
+	must.Eq(t, []string{"a", "b"}, endpointNames(r))
 }
 
 func TestRegistryHasGracePeriodPerOutage(t *testing.T) {
 	now := time.Unix(1000, 0)
-	r := kernel.NewRegistry().WithChanges(now, now, []model.Endpoint{listedEndpoint("a", model.Live), listedEndpoint("b", model.Live)}, nil, nil)
-	r = r.WithChanges(now.Add(4*time.Second), now.Add(4*time.Second), []model.Endpoint{listedEndpoint("a", model.Live)}, []string{"b"}, nil)
-	must.Eq(t, []string{"a", "b"}, endpointNames(r))
-	r = r.WithChanges(now.Add(7*time.Second), now.Add(7*time.Second), []model.Endpoint{listedEndpoint("a", model.Live)}, nil, nil)
-	must.Eq(t, []string{"a", "b"}, endpointNames(r), must.Sprint("each outage has its own grace period"))
-	r = r.WithChanges(now.Add(7*time.Second+600*time.Millisecond), now.Add(7*time.Second+600*time.Millisecond), nil, nil, nil)
-	r = r.WithChanges(now.Add(8*time.Second+200*time.Millisecond), now.Add(8*time.Second+200*time.Millisecond), nil, nil, nil)
-	r = r.WithChanges(now.Add(9*time.Second+300*time.Millisecond), now.Add(9*time.Second+300*time.Millisecond), nil, nil, nil)
-	must.Eq(t, []string{"a"}, endpointNames(r))
+	a, b, c := listedEndpoint("a", model.Live), listedEndpoint("b", model.Live), listedEndpoint("c", model.Live)
+	r := kernel.NewRegistry().WithChanges(now, now, []model.Endpoint{a, b, c}, nil, nil)
+	apply := func(after time.Duration, listed []model.Endpoint, removed ...string) {
+		r = r.WithChanges(now.Add(after), now.Add(after), listed, removed, nil)
+	}
+	apply(4*time.Second, []model.Endpoint{a}, "b", "c")
+	must.Eq(t, []string{"a", "b", "c"}, endpointNames(r))
+	apply(4600*time.Millisecond, []model.Endpoint{b, c})
+	apply(7200*time.Millisecond, nil, "a", "b")
+	must.Eq(t, []string{"a", "b", "c"}, endpointNames(r), must.Sprint("each outage has its own grace period"))
+	apply(7800*time.Millisecond, []model.Endpoint{a})
+	apply(8400*time.Millisecond, nil)
+	apply(9300*time.Millisecond, nil)
+	must.Eq(t, []string{"a", "b", "c"}, endpointNames(r), must.Sprint("the grace period counts from the second outage"))
+	apply(9500*time.Millisecond, nil)
+	must.Eq(t, []string{"a", "c"}, endpointNames(r))
 }
 
 func TestRegistryChanges(t *testing.T) {
--- a/kernel/replica.go
+++ b/kernel/replica.go
@@ -30,6 +30,19 @@
 		Whole bool
 		// Age is the time since the start of the store call that proved the table current.
 		Age time.Duration
+		// Reads tells when the table was read from the store, if the receiver has missed reads.
+		Reads []ReadSpan `msgpack:",omitempty"`
+	}
+
+	// TableProof tells up to when a copy of a table is proven current, and what is known of the reads before.
+	TableProof struct {
+		// At is the start of the newest store call whose answer proved the copy current.
+		At time.Time
+		// Reads are the reads of the table by all nodes, as far as they are known.
+		Reads ReadHistory
+		// wholeAfter is the version up to which the table was known before the last changes, if they follow from the
+		// whole table; zero otherwise.
+		wholeAfter uint64
 	}
 
 	// rowVersion is the version at which a row was written.
@@ -52,6 +65,9 @@
 		version          uint64
 		forgottenVersion uint64
 		provenAt         time.Time
+		// reads are the reads of the table by all nodes; wholeAfter is that of TableProof.
+		reads      ReadHistory
+		wholeAfter uint64
 	}
 )
 
@@ -70,13 +86,41 @@
 	return r.provenAt
 }
 
+// Proof returns up to when the replica is proven current.
+func (r *Replica) Proof() TableProof {
+	return TableProof{At: r.provenAt, Reads: r.reads, wholeAfter: r.wholeAfter}
+}
+
+// AddReads adds what another node knows as of now of the reads of the table, and reports whether that was new.
+func (r *Replica) AddReads(now time.Time, spans []ReadSpan) bool {
+	if !r.known {
+		return false
+	}
+	after, added := r.reads.WithSpans(now, spans)
+	r.reads = after
+	return added
+}
+
+// RemovalSpan returns between which versions a removed row, one of the last changes, was removed. Only changes tell the
+// version itself; where a row is missing from the whole table, it may have been removed at any time since the version known
+// before.
+func (p TableProof) RemovalSpan(row Row) (after, through uint64) {
+	if p.wholeAfter > 0 {
+		return p.wholeAfter, row.Version
+	}
+	return row.Version - 1, row.Version
+}
+
 // Apply applies the store's answer to a call that began at startedAt. It returns the rows that changed, including the
 // removed ones, each key once.
 func (r *Replica) Apply(startedAt time.Time, rows []Row, version uint64, whole bool) []Row {
 	if r.known && version < r.version {
 		return nil
 	}
+	r.reads = r.reads.WithRead(startedAt, version)
+	r.wholeAfter = 0
 	if whole {
+		r.wholeAfter = r.version
 		rows = append(rows, r.missing(rows, version)...)
 		r.known = true
 		// Which rows were removed before is not known, and other replicas may still hold them.
@@ -198,5 +242,8 @@
 // ApplyDelta applies another node's answer to a request that was sent at sentAt. The table is proven current as of
 // sentAt less the delta's age. The time of the answer does not count, since it may have been in transit for long.
 func (r *Replica) ApplyDelta(sentAt time.Time, d Delta) []Row {
+	if !r.known || d.Version >= r.version {
+		r.reads, _ = r.reads.WithSpans(sentAt, d.Reads)
+	}
 	return r.Apply(sentAt.Add(-d.Age), d.Rows, d.Version, d.Whole)
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -291,6 +291,8 @@
 		// also waits while it knows no more than the sender.
 		Hold       time.Duration
 		AwaitsNews bool `msgpack:",omitempty"`
+		// Reads tells, for tables whose removals nodes date, when they were read from the store as far as the sender knows.
+		Reads map[string][]kernel.ReadSpan `msgpack:",omitempty"`
 		// Announced holds rows of the table of nodes, by key, that the receiver writes into the store or passes on.
 		Announced map[string][]byte `msgpack:",omitempty"`
 	}
--- a/relay/log.go
+++ b/relay/log.go
@@ -180,9 +180,18 @@
 		lines = 0
 	}
 	for _, change := range changes[:min(lines, len(changes))] {
-		r.log.Info().Str("Endpoint", change.Endpoint.Incarnation()).Str("Pool", change.Endpoint.Pool).
-			Str("Address", change.Endpoint.Address).Str("State", string(change.Endpoint.State)).Str("Version", change.Endpoint.Version).
-			Msg(change.Message)
+		line := r.log.Info().Str("Endpoint", change.Endpoint.Incarnation()).Str("Pool", change.Endpoint.Pool).
+			Str("Address", change.Endpoint.Address).Str("State", string(change.Endpoint.State)).Str("Version", change.Endpoint.Version)
+		if change.HasAbsence {
+			line = line.Str("Evidence", string(change.Absence.Reason)).Dur("EvidenceAge", change.Absence.EvidenceAge).
+				Dur("UnlistedFor", change.Absence.UnlistedFor).Dur("Keep", change.Absence.Keep)
+		}
+		line.Msg(change.Message)
+	}
+	for _, change := range changes {
+		if change.HasAbsence {
+			r.metrics.CountEvent("EndpointMissing" + string(change.Absence.Reason))
+		}
 	}
 	if more := len(changes) - lines; more > 0 {
 		r.log.Info().Int("Endpoints", more).Bool("First", first).Msg("more endpoints changed")
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -24,6 +24,9 @@
 		// MaxRoutingAge is the maximum age of the routing up to which API keys are trusted; 0 means that they are
 		// trusted regardless of its age.
 		MaxRoutingAge time.Duration
+		// MaxDrainDelay is the time after a report that an endpoint leaves in which it may get work; 0 means that it is
+		// not bounded.
+		MaxDrainDelay time.Duration
 		// RetryLimits bounds the retries of all nodes together for each pool.
 		RetryLimits kernel.FleetRetryLimits
 		// ColdLimits bounds what all nodes together send to cold endpoints.
