--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -47,6 +47,7 @@
 	{"store link", disturbStoreLink},
 	{"node link", disturbNodeLink},
 	{"reader cut off", cutOffReader},
+	{"removal behind a cut", removeBehindCut},
 	{"endpoint fails", failEndpoint},
 	{"endpoint link", disturbEndpointLink},
 	{"endpoints cut off", cutOffEndpoints},
@@ -194,6 +195,25 @@
 	n.recordDisturbance()
 }
 
+// removeBehindCut cuts most nodes, or all, off from a store that is in use, for longer than entries need to lapse in an outage,
+// and replaces an endpoint meanwhile.
+func removeBehindCut(c *cluster, random *rand.Rand, duration time.Duration) {
+	cut := slices.Clone(c.nodes)
+	random.Shuffle(len(cut), func(i, j int) { cut[i], cut[j] = cut[j], cut[i] })
+	cut = cut[:len(cut)-random.IntN(2)]
+	for _, n := range cut {
+		n.recordDisturbance()
+		n.storeProxy.setFault(linkBlockedToServer)
+	}
+	time.Sleep(duration / 2)
+	replaceEndpoint(c, random, duration/2)
+	time.Sleep(drainPeriod + time.Second)
+	for _, n := range cut {
+		n.storeProxy.setFault(linkOK)
+		n.recordDisturbance()
+	}
+}
+
 func disturbEndpointLink(c *cluster, random *rand.Rand, duration time.Duration) {
 	disturbLink(c.randomEndpoint(random).proxy, random, duration)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -61,6 +61,7 @@
 	{8, "poison parts,preferred node,kill,terminate,pause,store fails,reader cut off", 10 * time.Second, "none: parts of prompts that crash engines, and nodes that get nearly all requests, during faults of nodes and the store"},
 	{9, "contention,flood,kill,terminate,pause,store fails,reader cut off", 10 * time.Second, "none: endpoints that state contentions and limit their slots, and floods, during faults of nodes and the store"},
 	{74019, poisonSeedFaults, 10 * time.Second, "two poison requests at one crash: it counts against only one of them, and the other needs a further crash"},
+	{690000, "removal behind a cut,endpoint leaves,store fails,kill,pause", 10 * time.Second, "none: endpoints that are removed while most nodes are cut off from the store"},
 	{4015, "reader cut off,endpoint leaves", 12 * time.Second, "an endpoint that was listed and removed between two reads of the list stayed in use"},
 	{120001, earlierFaults, 10 * time.Second, "a stream that another node passed on looked complete as that node was killed between two events"},
 	{120034, earlierFaults, 10 * time.Second, "the same"},
