Lapsed entries stay within the drain bound at nodes with close proofs

What was seen: in the play with two outages nodes kept entries for 2,200 ms where the drain bound of 3 s less the 900 ms between two reads leaves 2,100.

Cause: the time in which an endpoint may have reported unseen before an outage was taken from the last two proofs. Those of a node that asks two others in turn may be nearly of the same time.

Ruled out: the longest of the last three times between proofs.

Change: that time is at least the interval at which the list is read.

Shown: kernel TestRegistryKeepsLapsedEntriesWithinDrainBound fails before.

--- a/kernel/absence.go
+++ b/kernel/absence.go
@@ -48,7 +48,7 @@
 		// Live is how many entries of endpoints that do not leave were listed at the last proof, and Missing how many of
 		// them are missing now. An outage ends the renewal of all entries alike.
 		Live, Missing int
-		// ProofInterval is the usual time between two proofs. In such a time before an outage the endpoint may have
+		// ProofInterval is the time between two proofs, or two reads of the list if that is longer. In such a time before an outage the endpoint may have
 		// reported that it leaves, without this node having seen it.
 		ProofInterval time.Duration
 		// Bound is the time after such a report in which the endpoint may get work; zero if there is no bound.
--- a/kernel/lapse_test.go
+++ b/kernel/lapse_test.go
@@ -312,7 +312,7 @@
 }
 
 func newLapseRegistry() kernel.Registry {
-	return kernel.NewRegistry().WithDrainBound(drainBound)
+	return kernel.NewRegistry().WithDrainBound(drainBound, lapseReadInterval)
 }
 
 // apply applies changes of the node's replica to its registry.
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -39,7 +39,9 @@
 		provenAt      time.Time
 		proofInterval time.Duration
 		// drainBound is the time after a report that an endpoint leaves in which it may get work; zero for no bound.
-		drainBound time.Duration
+		// readInterval is how often the list is read from the store.
+		drainBound   time.Duration
+		readInterval time.Duration
 	}
 
 	// ListChange is what a read of the list of endpoints changes.
@@ -108,9 +110,9 @@
 }
 
 // WithDrainBound returns the registry with a bound on the time after a report that an endpoint leaves in which it may get
-// work.
-func (r Registry) WithDrainBound(bound time.Duration) Registry {
-	r.drainBound = bound
+// work, where a node reads the list from the store at an interval.
+func (r Registry) WithDrainBound(bound, readInterval time.Duration) Registry {
+	r.drainBound, r.readInterval = bound, readInterval
 	return r
 }
 
@@ -190,7 +192,7 @@
 // outageEvidence returns the evidence of an outage of the store that is the same for all entries that a read shows to be
 // missing; before is the registry that the list was last proven to equal.
 func (r Registry) outageEvidence(c ListChange, unproven time.Duration) AbsenceEvidence {
-	e := AbsenceEvidence{Unproven: unproven, ProofInterval: r.proofInterval, Bound: r.drainBound}
+	e := AbsenceEvidence{Unproven: unproven, ProofInterval: max(r.proofInterval, r.readInterval), Bound: r.drainBound}
 	if unproven <= outageThreshold || len(c.Removed) == 0 {
 		return e
 	}
--- a/kernel/registry_test.go
+++ b/kernel/registry_test.go
@@ -96,6 +96,23 @@
 	must.Eq(t, []string{"a", "c"}, endpointNames(r))
 }
 
+// An endpoint may have reported that it leaves between the last proof of the list and the outage. Guards against entries that
+// are kept beyond the drain bound where the last two proofs, of different nodes, were nearly of the same time.
+func TestRegistryKeepsLapsedEntriesWithinDrainBound(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := kernel.NewRegistry().WithDrainBound(3*time.Second, 900*time.Millisecond).WithChanges(now, now, []model.Endpoint{listedEndpoint("a", model.Live), listedEndpoint("b", model.Live)}, nil, nil)
+	for _, interval := range []time.Duration{900, 50, 50} {
+		now = now.Add(interval * time.Millisecond)
+		r = r.WithChanges(now, now, nil, nil, nil)
+	}
+	now = now.Add(6 * time.Second)
+	r = r.WithChanges(now, now, nil, []string{"a", "b"}, nil)
+	r = r.WithChanges(now.Add(2050*time.Millisecond), now.Add(2050*time.Millisecond), nil, nil, nil)
+	must.Eq(t, []string{"a", "b"}, endpointNames(r))
+	r = r.WithChanges(now.Add(2100*time.Millisecond), now.Add(2100*time.Millisecond), nil, nil, nil)
+	must.SliceEmpty(t, endpointNames(r))
+}
+
 func TestRegistryChanges(t *testing.T) {
 	now := time.Unix(1000, 0)
 	before := kernel.NewRegistry().WithChanges(now, now, []model.Endpoint{listedEndpoint("a", model.Live), listedEndpoint("b", model.Live)}, nil, nil)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -175,7 +175,7 @@
 	r.suspects = newSuspects(r.ctx, r.probe, func(node string) {
 		r.log.Info().Str("Batcher", node).Msg("node answers again")
 	})
-	registry := kernel.NewRegistry().WithDrainBound(options.MaxDrainDelay)
+	registry := kernel.NewRegistry().WithDrainBound(options.MaxDrainDelay, options.ListReadInterval)
 	r.registry.Store(&registry)
 	r.view.Store(&kernel.RoutingView{})
 	r.nodes.Store(&[]Node{})
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -27,6 +27,8 @@
 		// MaxDrainDelay is the time after a report that an endpoint leaves in which it may get work; 0 means that it is
 		// not bounded.
 		MaxDrainDelay time.Duration
+		// ListReadInterval is how often the list of endpoints is read from the store by the node that reads it.
+		ListReadInterval time.Duration
 		// RetryLimits bounds the retries of all nodes together for each pool.
 		RetryLimits kernel.FleetRetryLimits
 		// ColdLimits bounds what all nodes together send to cold endpoints.
