Soak: answers without a stated end, and ends of their processes

Two kinds of faults, which overlap with the others: an endpoint sends some or all answers with neither a length nor chunks and sometimes closes them between two events or within one; or its process ends with such answers under way, in the ways of platform/endings_test.go. With them one of three endpoints sends unframed answers throughout, and every fourth call is of HTTP/1.0.

An answer that states its end is whole and had an endpoint that stated it; any other is the beginning of the whole one, in whole events and with nothing behind them, such as a refusal. Once the faults have ended, unframed answers that are whole are served as all others are: each node serves five in a row. The violations are written to the folder of the logs.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -59,7 +59,7 @@
 		n := cs.pickNode(random)
 		pause := time.Duration(random.ExpFloat64() * float64(meanRequestInterval))
 		if n.address() != "" {
-			s := cs.send(n, fmt.Sprintf("%s-%d", name, i), route, key)
+			s := cs.sendCall(n, standin.Call{ID: fmt.Sprintf("%s-%d", name, i), Route: route, APIKey: key, HTTP10: cs.cluster.unframed && i%4 == 3})
 			cs.takeUp(random, s)
 		}
 		select {
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -60,20 +61,8 @@
 
 // checkAnswer checks the answer that a caller received.
 func (c *cluster) checkAnswer(s *sentRequest, runs []endpointRun) {
-	if s.Status == http.StatusOK && s.Complete {
-		signed := false
-		for _, r := range runs {
-			signed = signed || s.Signature == r.run.Signature()
-		}
-		if !signed {
-			c.reportViolation("%s received a success response that no endpoint signed for it: %q", s.ID, s.Signature)
-		}
-		if unsigned(s.Answer.Body) != expectedBody(s) {
-			c.reportViolation("%s received a success response with a wrong body: %q", s.ID, s.Answer.Body)
-		}
-	}
-	if s.Status == http.StatusOK && !s.Complete && !strings.HasPrefix(expectedBody(s), unsigned(s.Answer.Body)) {
-		c.reportViolation("%s received a truncated answer that is not a prefix of the expected one: %q", s.ID, s.Answer.Body)
+	if s.Status == http.StatusOK {
+		c.checkSuccess(s, runs)
 	}
 	// Requests on get and res may run more than once, so that one which has run may still be answered with 503.
 	if s.Status == http.StatusServiceUnavailable && s.Route != "get" && s.Route != "res" && len(runs) > 0 {
@@ -84,6 +73,26 @@
 	}
 }
 
+// checkSuccess checks an answer of success: whole if it states its end, and otherwise the beginning of the whole one, in
+// whole events and with nothing behind them, such as the text of a refusal.
+func (c *cluster) checkSuccess(s *sentRequest, runs []endpointRun) {
+	signed := slices.ContainsFunc(runs, func(r endpointRun) bool { return s.Signature == r.run.Signature() })
+	if s.whole() && !signed {
+		c.reportViolation("%s received a success response that no endpoint signed for it: %q", s.ID, s.Signature)
+	}
+	body := unsigned(s.Answer.Body)
+	switch {
+	case s.Complete && body != expectedBody(s):
+		c.reportViolation("%s received a success response with a wrong body: %q", s.ID, s.Answer.Body)
+	case s.Complete && !endStated(s, runs):
+		c.reportViolation("%s received a success response that states its end, which no endpoint stated: %q", s.ID, s.Answer.Body)
+	case !strings.HasPrefix(expectedBody(s), body):
+		c.reportViolation("%s received a truncated answer that is not a prefix of the expected one: %q", s.ID, s.Answer.Body)
+	case s.Stream && eventID.ReplaceAllString(s.Answer.Body, "") != "":
+		c.reportViolation("%s received a truncated answer that ends within an event: %q", s.ID, s.Answer.Body)
+	}
+}
+
 // expectedBody returns the body of the complete answer to a request.
 func expectedBody(s *sentRequest) string {
 	if s.Route == "post" || s.Route == "get" || isAddedRoute(s.Route) {
@@ -141,9 +150,9 @@
 }
 
 // checkRecovery checks that every node serves five requests in a row within the timeout, including some on the newest
-// route. The IDs of the requests begin with phase.
-func (c *cluster) checkRecovery(cs *callers, phase string, timeout time.Duration) {
-	routes := []string{"get", "gen"}
+// route and on the further ones. The IDs of the requests begin with phase.
+func (c *cluster) checkRecovery(cs *callers, phase string, timeout time.Duration, further ...string) {
+	routes := append([]string{"get", "gen"}, further...)
 	if c.addedRoutes > 0 {
 		routes = append(routes, fmt.Sprint(addedRoutePrefix, c.addedRoutes-1))
 	}
@@ -157,7 +166,7 @@
 				break
 			}
 			s := cs.send(n, fmt.Sprintf("%s-%s-%d", phase, n.name, i), routes[i%len(routes)], validKey)
-			if s.Status == http.StatusOK && s.Complete {
+			if s.whole() {
 				served++
 				continue
 			}
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -62,6 +62,10 @@
 		evacuationMu sync.Mutex
 
 		callers *callers
+		// unframed is true if some endpoints send answers with neither a length nor chunks, drawn from seed, and some callers
+		// speak HTTP/1.0.
+		unframed bool
+		seed     uint64
 		// preferred is the node that gets nearly all requests; nil for none.
 		preferred atomic.Pointer[node]
 
@@ -86,6 +90,8 @@
 		engines int
 		// addedRoutes is the number of routes in the newest routing version that were added during the run.
 		addedRoutes int
+		// endedProcesses describe when and how faults ended the processes of endpoints.
+		endedProcesses []string
 		// violations describe the violated guarantees.
 		violations []string
 	}
@@ -156,21 +162,28 @@
 
 // startEndpointIn starts an endpoint in a failure domain and writes its entry to the endpoint list.
 func (c *cluster) startEndpointIn(domain, name, pool string) error {
-	e := &endpoint{Endpoint: standin.NewEndpoint(name), pool: pool, domain: domain}
+	p, err := newProxy("")
+	if err != nil {
+		return err
+	}
+	c.startEndpointBehind(p, domain, name, pool)
+	return nil
+}
+
+// startEndpointBehind starts an endpoint behind a proxy and writes its entry to the endpoint list.
+func (c *cluster) startEndpointBehind(p *proxy, domain, name, pool string) {
+	e := &endpoint{Endpoint: standin.NewEndpoint(name), pool: pool, domain: domain, proxy: p}
 	if pool == "engines" {
 		e.SetVersion(c.nextVersion())
 		e.SetPace(streamEvents, streamPause)
 	}
-	var err error
-	if e.proxy, err = newProxy(e.Address()); err != nil {
-		return err
-	}
+	e.SetUnframed(c.usualFraming(e))
+	p.setTarget(e.Address())
 	e.SetPoison(poisonMarker, func() { c.replaceCrashed(e) })
 	c.mu.Lock()
 	c.endpoints[name] = e
 	c.mu.Unlock()
 	c.writeEntry(e, false)
-	return nil
 }
 
 // poolAt returns the pool of the endpoint at an address; empty if there has been none.
@@ -188,10 +201,22 @@
 // replaceCrashed handles the crash of an endpoint that a poison request caused, as the platform does: a replacement
 // starts after replacementDelay, and the entry of the crashed endpoint is removed after lapseDelay.
 func (c *cluster) replaceCrashed(e *endpoint) {
+	c.endAddress(e)
+	c.mu.Lock()
+	e.unlistedAt = time.Now()
+	c.mu.Unlock()
+	c.replaceEnded(e)
+}
+
+// endAddress closes all connections to an endpoint. Nothing listens at its address from then on.
+func (c *cluster) endAddress(e *endpoint) {
 	e.proxy.close()
 	c.links.end(e.proxy.address())
+}
+
+// replaceEnded starts the replacement of an endpoint whose process has ended, and removes its entry.
+func (c *cluster) replaceEnded(e *endpoint) {
 	c.mu.Lock()
-	e.unlistedAt = time.Now()
 	c.sequence++
 	name := fmt.Sprintf("%s-%d", e.pool, c.sequence+100)
 	c.mu.Unlock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -70,6 +70,8 @@
 	{"preferred node", preferNode},
 	{"contention", stateContention},
 	{"flood", flood},
+	{unframedAnswers, answerUnframed},
+	{"unframed answers and ends", endUnframed},
 }
 
 func (c *cluster) randomNode(random *rand.Rand) *node {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -41,6 +41,10 @@
 const earlierFaults = poisonSeedFaults + ",endpoints cut off,refusal caps,endpoints stall,evacuation,cold endpoint,rate cap," +
 	"leaving answers,refusals with pause"
 
+// unframedSeedFaults are kinds of faults that overlap with unframed answers.
+const unframedSeedFaults = unframedAnswers + ",unframed answers and ends,kill,terminate,pause,node link,store fails,endpoint starts again," +
+	"endpoints stall"
+
 // keptSeeds are run each time. The cause is the failure that a seed once found. Seeds without one cover a combination
 // of faults.
 var keptSeeds = []struct {
@@ -60,6 +64,8 @@
 	{7, "refusal caps,endpoints stall,store fails,store compacts", 12 * time.Second, "none: endpoints that state refusal caps, without faults of nodes"},
 	{8, "poison parts,preferred node,kill,terminate,pause,store fails,reader cut off", 10 * time.Second, "none: parts of prompts that crash engines, and nodes that get nearly all requests, during faults of nodes and the store"},
 	{9, "contention,flood,kill,terminate,pause,store fails,reader cut off", 10 * time.Second, "none: endpoints that state contentions and limit their slots, and floods, during faults of nodes and the store"},
+	{12, unframedSeedFaults, 10 * time.Second, "an answer without a stated end reached callers as a whole one, also where it was broken off"},
+	{18, unframedSeedFaults, 10 * time.Second, "the same"},
 	{74019, poisonSeedFaults, 10 * time.Second, "two poison requests at one crash: it counts against only one of them, and the other needs a further crash"},
 	{4015, "reader cut off,endpoint leaves", 12 * time.Second, "an endpoint that was listed and removed between two reads of the list stayed in use"},
 	{120001, earlierFaults, 10 * time.Second, "a stream that another node passed on looked complete as that node was killed between two events"},
@@ -100,7 +106,9 @@
 // faults at the same times, as far as the scheduling of processes allows.
 func runSeed(t *testing.T, binary string, seed uint64, only string, duration time.Duration) {
 	random := rand.New(rand.NewPCG(seed, 0))
+	kinds := selectFaults(only)
 	c := &cluster{
+		seed: seed, unframed: slices.ContainsFunc(kinds, func(f fault) bool { return f.name == unframedAnswers }),
 		dir: t.TempDir(), binary: binary, store: standin.NewStore(), links: newEndpointLinks(),
 		endpoints: map[string]*endpoint{}, apiKeys: []string{validKey}, revokedAPIKeys: map[string]time.Time{}, evacuations: map[string][]period{},
 	}
@@ -125,7 +133,7 @@
 		callerRandom := rand.New(rand.NewPCG(seed, uint64(i+1)))
 		calling.Go(func() { cs.run(ctx, callerRandom, fmt.Sprintf("caller-%d", i)) })
 	}
-	injected := inject(c, random, selectFaults(only), duration)
+	injected := inject(c, random, kinds, duration)
 	cancel()
 	calling.Wait()
 	c.checkRecovery(cs, "after", recoveryTimeout)
@@ -133,8 +141,9 @@
 	c.checkPoisonParts(cs)
 	c.checkRecovery(cs, "beside", recoveryTimeout)
 	c.checkTakenUp(cs)
+	c.checkUnframedServed(cs)
 	c.check(cs)
-	t.Logf("seed %d: %d requests, faults %v", seed, len(cs.requests), injected)
+	t.Logf("seed %d: %d requests, faults %v, ended processes %q", seed, len(cs.requests), injected, c.endedProcesses)
 	if len(c.violations) > 0 {
 		c.saveLogs(t, seed)
 	}
@@ -184,12 +193,15 @@
 	}
 }
 
-// saveLogs writes the nodes' logs of a failed seed to the folder given by -logs, or prints their ends if it is not set.
+// saveLogs writes the violations and the nodes' logs of a failed seed to the folder given by -logs, or prints the ends of the logs
+// if it is not set.
 func (c *cluster) saveLogs(t *testing.T, seed uint64) {
 	if *logFolder == "" {
 		c.printLogs(t)
 		return
 	}
+	violations := filepath.Join(*logFolder, fmt.Sprintf("seed-%d-violations.txt", seed))
+	must.NoError(t, os.WriteFile(violations, []byte(strings.Join(c.violations, "\n")+"\n"), 0o600))
 	for _, n := range c.nodes {
 		text, err := os.ReadFile(filepath.Join(c.dir, n.name+".log"))
 		must.NoError(t, err)
--- a/soak/statements_test.go
+++ b/soak/statements_test.go
@@ -77,7 +77,7 @@
 		if known && request.sentAt.After(informed) && !c.disturbedBetween(request.nodeName, informed.Add(-rateCapLearnTime), run.StartedAt) {
 			c.reportViolation("%s was sent to %s %v after an answer had told %s that it leaves", run.ID, e.Name, request.sentAt.Sub(informed.Add(-rateCapLearnTime)), request.nodeName)
 		}
-		passedOn := request.Status == http.StatusOK && request.Complete && request.Signature == run.Signature()
+		passedOn := request.whole() && request.Signature == run.Signature()
 		if passedOn && (!known || c.disturbedBetween(request.nodeName, informed.Add(-rateCapLearnTime), run.StartedAt)) {
 			informedAt[request.nodeName] = run.StartedAt.Add(rateCapLearnTime)
 		}
--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -54,7 +54,7 @@
 	began := s
 	for i := range maxTakeUps {
 		last := lastEvent(s.Answer.Body)
-		if s.Route != "res" || s.Status != http.StatusOK || s.Complete || last == "" {
+		if s.Route != "res" || s.Status != http.StatusOK || s.whole() || last == "" {
 			return
 		}
 		n := cs.cluster.randomNode(random)
@@ -130,7 +130,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			answers[fmt.Sprintf("%d %.60q", resumed.Status, resumed.Answer.Body)]++
-			if resumed.Status == http.StatusOK && resumed.Complete {
+			if resumed.whole() {
 				wentOn++
 			}
 		})
