Soak: an answer known to be broken off is reset

An answer with neither chunks nor a length whose endpoint would have stated its end is known to be broken off if the end does not come; without a reset its caller sees what the end of a whole one looks like. The soak accepted both.

Such an answer may now end without an error only if its node was disturbed meanwhile.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -33,6 +33,7 @@
 		standin.Call
 		standin.Answer
 		sentAt   time.Time
+		endedAt  time.Time
 		nodeName string
 		// began is the attempt that brought the first event of the stream that this one takes up again; nil for any other.
 		began *sentRequest
@@ -115,5 +116,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	request.Answer = call.Send(ctx, cs.client, n.address())
+	request.endedAt = time.Now()
 	return request
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -90,6 +90,8 @@
 		c.reportViolation("%s received a truncated answer that is not a prefix of the expected one: %q", s.ID, s.Answer.Body)
 	case s.Stream && eventID.ReplaceAllString(s.Answer.Body, "") != "":
 		c.reportViolation("%s received a truncated answer that ends within an event: %q", s.ID, s.Answer.Body)
+	case s.Ended && !s.whole() && c.knownBrokenOff(s, runs):
+		c.reportViolation("%s received a truncated answer that ends without a reset, although its endpoint would have stated the end: %q", s.ID, s.Answer.Body)
 	}
 }
 
--- a/soak/unframed_test.go
+++ b/soak/unframed_test.go
@@ -160,6 +160,13 @@
 	return false
 }
 
+// knownBrokenOff reports whether the node knew that an answer was broken off, as no endpoint ended it without a statement, and
+// lived on to tell its caller.
+func (c *cluster) knownBrokenOff(s *sentRequest, runs []endpointRun) bool {
+	unframed := slices.ContainsFunc(runs, func(r endpointRun) bool { return r.run.Unframed })
+	return !unframed && !c.disturbedBetween(s.nodeName, s.sentAt.Add(-gracePeriod), s.endedAt)
+}
+
 // checkUnframedServed checks that whole answers with neither a length nor chunks are served once all faults have ended, as many
 // as of any other answers.
 func (c *cluster) checkUnframedServed(cs *callers) {
