--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -33,6 +33,7 @@
 		standin.Call
 		standin.Answer
 		sentAt   time.Time
+		endedAt  time.Time
 		nodeName string
 		// began is the attempt that brought the first event of the stream that this one takes up again; nil for any other.
 		began *sentRequest
@@ -59,7 +60,7 @@
 		n := cs.pickNode(random)
 		pause := time.Duration(random.ExpFloat64() * float64(meanRequestInterval))
 		if n.address() != "" {
-			s := cs.send(n, fmt.Sprintf("%s-%d", name, i), route, key)
+			s := cs.sendCall(n, standin.Call{ID: fmt.Sprintf("%s-%d", name, i), Route: route, APIKey: key, HTTP10: cs.cluster.unframed && i%4 == 3})
 			cs.takeUp(random, s)
 		}
 		select {
@@ -115,5 +116,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	request.Answer = call.Send(ctx, cs.client, n.address())
+	request.endedAt = time.Now()
 	return request
 }
