--- a/relay/endsthroughnode_test.go
+++ b/relay/endsthroughnode_test.go
@@ -18,6 +18,32 @@
 	"basilstall.example/basilstall/relay"
 )
 
+// helperThatEnds is another node that passes on an event of an answer with the given framing and ends it with end; it is lost if end is
+// nil.
+func helperThatEnds(t *testing.T, framing ending.Framing, end *peer.RelayEnd) *peer.Server {
+	t.Helper()
+	helper, err := peer.NewServer("127.0.0.1:0", "")
+	must.NoError(t, err)
+	t.Cleanup(helper.Close)
+	helper.StreamHandlers = map[peer.Kind]peer.StreamHandler{peer.KindRelay: func(_ context.Context, _ []byte, stream *peer.Stream) error {
+		if err := stream.Send(peer.KindRelay, peer.RelayReply{}); err != nil {
+			return err
+		}
+		var request peer.RelayRequest
+		if err := stream.Receive(peer.KindRelayRequest, &request); err != nil {
+			return err
+		}
+		_ = stream.Send(peer.KindRelayHead, peer.RelayHead{Status: http.StatusOK, Framing: framing})
+		_ = stream.Send(peer.KindRelayData, peer.RelayData{Data: []byte("id: 1\ndata: x\n\n")})
+		if end == nil {
+			return errors.New("the node ends")
+		}
+		return stream.Send(peer.KindRelayEnd, *end)
+	}}
+	helper.Serve(kernel.Member{Node: "helper"}, nil)
+	return helper
+}
+
 // Guards against an end that is stated or not otherwise than by the node that passes the answer on.
 func TestEndThroughNodeIsThatOfTheNode(t *testing.T) {
 	for name, tc := range map[string]struct {
@@ -36,25 +62,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newTestBed(t)
-			helper, err := peer.NewServer("127.0.0.1:0", "")
-			must.NoError(t, err)
-			t.Cleanup(helper.Close)
-			helper.StreamHandlers = map[peer.Kind]peer.StreamHandler{peer.KindRelay: func(_ context.Context, _ []byte, stream *peer.Stream) error {
-				if err := stream.Send(peer.KindRelay, peer.RelayReply{}); err != nil {
-					return err
-				}
-				var request peer.RelayRequest
-				if err := stream.Receive(peer.KindRelayRequest, &request); err != nil {
-					return err
-				}
-				_ = stream.Send(peer.KindRelayHead, peer.RelayHead{Status: http.StatusOK, Framing: tc.framing})
-				_ = stream.Send(peer.KindRelayData, peer.RelayData{Data: []byte("id: 1\ndata: x\n\n")})
-				if tc.end == nil {
-					return errors.New("the node ends")
-				}
-				return stream.Send(peer.KindRelayEnd, *tc.end)
-			}}
-			helper.Serve(kernel.Member{Node: "helper"}, nil)
+			helper := helperThatEnds(t, tc.framing, tc.end)
 			b.relay.SetNodes([]relay.Node{{Name: "helper", Address: helper.Address(), Capacity: 1}}, nil)
 			b.deps.Forward = func(context.Context, relay.Send) (*model.ForwardReply, error) {
 				return nil, &endpoint.Fault{Kind: endpoint.Refused, Verdict: model.NotRun, Err: errors.New("refused")}
