Disconnected callers are reset also where their answer is written already

The first version of the reset at the end of an undelimited answer set the socket back to a plain close as it was closed, which undid the reset of a caller that is disconnected for taking no byte: the kernel would have kept its bytes for minutes, and an answer that ends with its connection would have looked whole. Found by reading. An aborted connection stays so. TestUndelimitedAnswerOfDisconnectedCallerIsReset holds what callers see; it was not run without the change.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -50,6 +50,8 @@
 		// written. Until then the socket is closed with a reset, also by the end of the process, so that the beginning of the answer
 		// can't be taken for all of it.
 		undelimited, finished bool
+		// aborted is true once the connection is to be reset whatever was written.
+		aborted bool
 	}
 
 	// listener accepts connections that a tracker counts.
@@ -323,10 +325,19 @@
 
 // closeWrite ends what is sent to the peer as complete.
 func (c *Conn) closeWrite() error {
-	_ = c.tcp.SetLinger(-1)
+	c.setReset(false)
 	return c.tcp.CloseWrite()
 }
 
+// setReset sets whether closing the socket resets the connection and drops what was not sent.
+func (c *Conn) setReset(reset bool) {
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	_ = c.tcp.SetLinger(seconds)
+}
+
 // resets reports whether the end of the connection must be a reset. The caller holds the mutex of the tracker.
 func (c *Conn) resets() bool {
 	return c.undelimited && !c.finished
@@ -337,7 +348,7 @@
 	c.tracker.mu.Lock()
 	c.undelimited, c.finished = true, false
 	c.tracker.mu.Unlock()
-	_ = c.tcp.SetLinger(0)
+	c.setReset(true)
 }
 
 // finishUndelimited records that the answer that ends with the connection is all written.
@@ -352,13 +363,9 @@
 	var err error
 	c.closeOnce.Do(func() {
 		c.tracker.mu.Lock()
-		resets := c.resets() || len(c.pending) > 0
+		resets := c.resets() || c.aborted || len(c.pending) > 0
 		c.tracker.mu.Unlock()
-		if resets {
-			_ = c.tcp.SetLinger(0)
-		} else {
-			_ = c.tcp.SetLinger(-1)
-		}
+		c.setReset(resets)
 		err = c.tcp.Close()
 		c.tracker.remove(c)
 	})
@@ -368,9 +375,10 @@
 // abort resets the connection: bytes that were not sent yet are dropped, and the peer sees an error instead of an end. The
 // entry of a connection that the server has not closed stays until it does, since the request may still hold bytes.
 func (c *Conn) abort() {
-	_ = c.tcp.SetLinger(0)
+	c.setReset(true)
 	c.tracker.mu.Lock()
 	lingering := c.lingering
+	c.aborted = true
 	c.tracker.mu.Unlock()
 	if lingering {
 		_ = c.closeNow()
--- a/connlimit/endings_test.go
+++ b/connlimit/endings_test.go
@@ -70,3 +70,21 @@
 	must.NoError(t, err)
 	must.EqOp(t, smallBytes, n)
 }
+
+// Guards against an answer without length or chunks that is all written by its handler, and ends like a whole one although its
+// caller was disconnected before it had taken all of it.
+func TestUndelimitedAnswerOfDisconnectedCallerIsReset(t *testing.T) {
+	for path, size := range map[string]int{"/": answerBytes, "/stream": answerBytes, "/small": smallBytes, "/buffered": bufferedBytes} {
+		t.Run(path, func(t *testing.T) {
+			s := newSite(t)
+			s.serveUndelimited()
+			conn := s.getBlocked(path, "", 1)
+			s.advance(limits.StallTimeout)
+			must.Eq(t, []connlimit.Cause{connlimit.Stalled}, s.closeCauses())
+			s.await("all freed", func() bool { return s.tracker.HeldBytes() == 0 && s.tracker.Conns() == 0 })
+			n, err := readAnswer(conn)
+			must.Error(t, err)
+			must.Less(t, size, n)
+		})
+	}
+}
