Plainer comments on ends and reads, and no header of the platform in a test of the relay

Comments only, and a header field that TestAnswerThroughOlderNodeStatesNoLength did not need: its name belongs to platform/. The tests of relay, ending and follow pass.

--- a/connlimit/endings_test.go
+++ b/connlimit/endings_test.go
@@ -41,8 +41,8 @@
 	return server
 }
 
-// Guards against an answer that ends as a whole one does although the node has dropped the rest of it when it stopped: one whose
-// handler has returned, and one whose handler is blocked.
+// Guards against a truncated answer that ends without an error when the node stops, both after its handler has returned and while
+// the handler is blocked in a write.
 func TestUndelimitedAnswerThatIsDroppedAtCloseIsReset(t *testing.T) {
 	for path, size := range map[string]int{"/buffered": bufferedBytes, "/stream": answerBytes} {
 		t.Run(path, func(t *testing.T) {
--- a/ending/ending.go
+++ b/ending/ending.go
@@ -32,7 +32,7 @@
 	Framed Evidence = "Framed"
 	// WithinEvent is an end within an event of a stream.
 	WithinEvent Evidence = "WithinEvent"
-	// ReadFailed is an answer whose rest could not be read.
+	// ReadFailed is a read that failed before the end of the answer.
 	ReadFailed Evidence = "ReadFailed"
 	// NothingListens is an end after which the endpoint's address refuses connections, although the endpoint has not announced
 	// that it leaves.
@@ -102,7 +102,7 @@
 	}
 }
 
-// Delimits reports whether a body with the framing has an end that can be told from that of its connection.
+// Delimits reports whether the framing marks the end of a body, so that a truncated one can be detected.
 func (f Framing) Delimits() bool {
 	return f == Length || f == Chunks
 }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -267,7 +267,7 @@
 	for _, t := range f.tables {
 		t.mu.Lock()
 		if delta, known := t.replica.Since(now, request.After[t.Name]); known {
-			// The ages that the sender told are as of askedAt.
+			// The sender computed the ages of its reads at askedAt.
 			delta.Reads = t.replica.Proof().Reads.Lacking(now, aged(request.Reads[t.Name], now.Sub(askedAt)))
 			reply.Tables[t.Name] = delta
 		}
--- a/follow/table.go
+++ b/follow/table.go
@@ -25,7 +25,7 @@
 		// the others from.
 		Membership bool
 		// TellsReads is true if nodes tell each other when the table was read from the store. Apply is then also called
-		// when another node tells of reads that this one has not heard of.
+		// when another node reports reads that are not known here yet.
 		TellsReads bool
 		// Apply is called with the rows that changed and what proves the table current.
 		Apply func(proof kernel.TableProof, changes []kernel.Row)
--- a/kernel/lapse_test.go
+++ b/kernel/lapse_test.go
@@ -278,8 +278,7 @@
 }
 
 // An endpoint leaves while a node is cut off, and the store goes away before the cut ends. The node finds its entry missing
-// among those that lapsed. Once another node has told it that the list was read while that entry was removed, it gets no
-// more work.
+// among lapsed entries. The endpoint gets no more work once another node reports that it read the list around the removal.
 func TestRemovalBeforeOutageIsNoLapse(t *testing.T) {
 	for _, nodes := range []int{3, 400} {
 		cuts := lapseCuts(nodes)
--- a/relay/endings_test.go
+++ b/relay/endings_test.go
@@ -84,7 +84,7 @@
 func TestAnswerThroughOlderNodeStatesNoLength(t *testing.T) {
 	b := newTestBed(t)
 	body := "the beginning of an answer"
-	older := olderNode(t, http.StatusOK, map[string][]string{"Content-Length": {"26"}, "X-Server-Stamp": {"s"}}, body)
+	older := olderNode(t, http.StatusOK, map[string][]string{"Content-Length": {"26"}}, body)
 	b.relay.SetNodes([]relay.Node{{Name: "older", Address: older.Address(), Capacity: 1}}, nil)
 	b.deps.Forward = func(context.Context, relay.Send) (*model.ForwardReply, error) {
 		return nil, &endpoint.Fault{Kind: endpoint.Refused, Verdict: model.NotRun, Err: errors.New("refused")}
