--- /dev/null
+++ b/kernel/lostreaders_test.go
@@ -0,0 +1,50 @@
+package kernel_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"basilstall.example/basilstall/kernel"
+)
+
+// maxAgeInTouch is how old the routing may be at a node that may act on it, with the shortest bound of the platform's
+// deployments: 2 s, less 0.25 s for the request's way to its endpoint.
+const maxAgeInTouch = 1750 * time.Millisecond
+
+// The nodes that read the store for the fleet lose it, while all others could read it. The others must learn at once that
+// their reader is lost, and one of them must read in time: they went on by the routing that they had for up to 2 s, and asked
+// three nodes one after the other before one of them read.
+func TestLostReadersLeaveNobodyBehind(t *testing.T) {
+	for _, nodes := range []int{3, 8, 76, 400, 1000} {
+		for lost := range 4 {
+			if lost >= nodes {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d nodes, %d readers lost", nodes, lost), func(t *testing.T) {
+				f := newFollowerSim(uint64(nodes+lost), 3, (nodes+2)/3)
+				f.run(2*time.Second, noAction)
+				order := kernel.NodesByHash("reader", f.peers)[:lost]
+				isLost := func(node string) bool { return slices.Contains(order, node) }
+				f.storeAnswers = func(node string) bool { return !isLost(node) }
+				calls := f.totalStoreCalls()
+				oldest := time.Duration(0)
+				const duration = 3 * time.Second
+				f.run(duration, func() {
+					for _, n := range f.nodes {
+						if !isLost(n.Name) {
+							oldest = max(oldest, f.now.Sub(n.provenAt))
+						}
+					}
+				})
+				must.LessEq(t, maxAgeInTouch, oldest, must.Sprint("age of the oldest routing at a node that reaches the store"))
+				// Each lost reader asks as often as it may, and a few nodes read in their place.
+				perSecond := float64(f.totalStoreCalls()-calls) / duration.Seconds()
+				must.Less(t, 30, perSecond, must.Sprint("calls to the store a second"))
+			})
+		}
+	}
+}
