A large row is passed on before it is applied, and not read from the store beside

A replica is now unlocked while its rows are applied, so that waiting nodes are answered at once; they get the compressed value as it came. A node that waits for a slow answer reads the small tables only (Large, SourceSlow), which it does for endpoints that leave. Ruled out: a longer wait before it reads (endpoints that leave would be known late).

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -67,8 +67,10 @@
 		metrics *metric.Set
 		tables  []*followedTable
 		packer  *packer
-		// readsStore is true while this node reads the store.
+		// readsStore is true while this node reads the store, and sourceSlow while it waits for a slow answer of the node
+		// that it follows. It then reads the tables that are not Large.
 		readsStore atomic.Bool
+		sourceSlow atomic.Bool
 		// selectorMu guards selector.
 		selectorMu sync.Mutex
 		selector   *kernel.SourceSelector
@@ -88,7 +90,9 @@
 	// followedTable is a table and its replica.
 	followedTable struct {
 		Table
-		// mu guards replica and serialises calls of Apply.
+		// applyMu serialises calls of Apply, in the order in which the replica changed. It is acquired before mu.
+		applyMu sync.Mutex
+		// mu guards replica. It is not held during Apply, so that other nodes get a large row while it is being decoded.
 		mu      sync.Mutex
 		replica *kernel.Replica
 		// down is true while the store does not answer requests for this table.
@@ -194,6 +198,11 @@
 	}
 }
 
+// reads reports whether a table is to be read from the store.
+func (f *Follower) reads(t *followedTable) bool {
+	return f.readsStore.Load() || f.sourceSlow.Load() && !t.Large
+}
+
 // ReadsStore reports whether this node reads the store itself.
 func (f *Follower) ReadsStore() bool {
 	return f.readsStore.Load()
@@ -224,12 +233,29 @@
 // addReads adds the reads of tables that the sender of a request tells of.
 func (f *Follower) addReads(askedAt time.Time, request peer.Feed) {
 	for _, t := range f.tables {
-		t.mu.Lock()
-		if t.TellsReads && t.replica.AddReads(askedAt, request.Reads[t.Name]) {
-			t.Apply(t.replica.Proof(), nil)
+		if !t.TellsReads || len(request.Reads[t.Name]) == 0 {
+			continue
 		}
-		t.mu.Unlock()
+		f.change(t, func() ([]kernel.Row, bool) { return nil, t.replica.AddReads(askedAt, request.Reads[t.Name]) })
+	}
+}
+
+// change changes the replica of a table by update, which returns the changed rows and whether they are to be applied. Nodes
+// that wait for news can be answered before the rows are applied.
+func (f *Follower) change(t *followedTable, update func() (changes []kernel.Row, applies bool)) {
+	t.applyMu.Lock()
+	defer t.applyMu.Unlock()
+	t.mu.Lock()
+	changes, applies := update()
+	proof := t.replica.Proof()
+	t.mu.Unlock()
+	if !applies {
+		return
+	}
+	if len(changes) > 0 {
+		f.updates.Broadcast()
 	}
+	t.Apply(proof, changes)
 }
 
 // aged returns spans with their ages as they are some time later.
--- a/follow/pack.go
+++ b/follow/pack.go
@@ -75,16 +75,21 @@
 	if err != nil {
 		return nil, err
 	}
+	p.keep(key, packedValue{version: row.Version, data: data})
+	return data, nil
+}
+
+// keep keeps a compressed value. The mutex is held.
+func (p *packer) keep(key rowKey, value packedValue) {
 	if len(p.packed) >= maxPackedRows {
 		clear(p.packed)
 	}
-	p.packed[key] = packedValue{version: row.Version, data: data}
-	return data, nil
+	p.packed[key] = value
 }
 
-// unpack restores the compressed values of the rows of a table in a reply. It returns the size in bytes of the values
-// as they were received.
-func unpack(reply peer.FeedReply, table string) (int64, error) {
+// unpack restores the compressed values of the rows of a table in a reply, and keeps them for the nodes that follow this one.
+// It returns the size in bytes of the values as they were received.
+func (p *packer) unpack(reply peer.FeedReply, table string) (int64, error) {
 	size := int64(0)
 	rows := reply.Tables[table].Rows
 	for i, row := range rows {
@@ -99,6 +104,9 @@
 			return size, err
 		}
 		rows[i].Value = string(value)
+		p.mu.Lock()
+		p.keep(rowKey{table: table, key: row.Key}, packedValue{version: row.Version, data: data})
+		p.mu.Unlock()
 	}
 	return size, nil
 }
--- a/follow/read.go
+++ b/follow/read.go
@@ -8,14 +8,16 @@
 	"github.com/go-faster/errors"
 
 	"basilstall.example/basilstall/clock"
+	"basilstall.example/basilstall/kernel"
 )
 
 // readLoop reads a table from the store, while this node is to read it, until ctx ends.
 func (f *Follower) readLoop(ctx context.Context, t *followedTable) {
 	retryPause := minRetryPause
 	for ctx.Err() == nil {
-		if !f.readsStore.Load() && (!t.Membership || t.known()) {
-			f.updates.Await(ctx, roleCheckInterval, f.readsStore.Load)
+		reads := func() bool { return f.reads(t) }
+		if !reads() && (!t.Membership || t.known()) {
+			f.updates.Await(ctx, roleCheckInterval, reads)
 			continue
 		}
 		if f.waitForFirstTable(ctx, t) {
@@ -105,10 +107,9 @@
 // applyAnswer applies the store's answer to a request that was sent at startedAt.
 func (f *Follower) applyAnswer(t *followedTable, startedAt time.Time, answer Answer, whole bool) {
 	receivedAt := clock.Now()
-	t.mu.Lock()
-	changes := t.replica.Apply(startedAt, answer.Rows, answer.Version, whole)
-	t.Apply(t.replica.Proof(), changes)
-	t.mu.Unlock()
+	f.change(t, func() ([]kernel.Row, bool) {
+		return t.replica.Apply(startedAt, answer.Rows, answer.Version, whole), true
+	})
 	f.recordAnswer(answerStats{
 		table: t.Name, source: fromStore, version: answer.Version, size: answer.Bytes,
 		elapsed: receivedAt.Sub(startedAt), transfer: answer.Transfer, applied: clock.Now().Sub(receivedAt),
--- a/follow/source.go
+++ b/follow/source.go
@@ -153,7 +153,8 @@
 	if f.allTablesKnown() {
 		// A slow answer may be one that many nodes wait for, or a large one on a slow link. Reading the store meanwhile
 		// lets this node learn in time which endpoints are leaving.
-		slowTimer := time.AfterFunc(peerIdleTimeout+hold, func() { f.setReadsStore(true, "the answer of the node that is followed is slow") })
+		slowTimer := time.AfterFunc(peerIdleTimeout+hold, func() { f.setSourceSlow(true) })
+		defer f.setSourceSlow(false)
 		defer slowTimer.Stop()
 	}
 	announced := f.options.Outbox.Take()
@@ -173,6 +174,14 @@
 	return answer, reply.Follows, err
 }
 
+// setSourceSlow records whether this node waits for a slow answer of the node that it follows.
+func (f *Follower) setSourceSlow(slow bool) {
+	if f.sourceSlow.Swap(slow) != slow && slow {
+		f.metrics.CountEvent("SourceSlow")
+		f.updates.Broadcast()
+	}
+}
+
 // newRequest returns a request for what this node does not know.
 func (f *Follower) newRequest(announced map[string][]byte) peer.Feed {
 	request := peer.Feed{After: map[string]uint64{}, Reads: map[string][]kernel.ReadSpan{}, Unpacks: true, Node: f.options.Name, Hold: sourceLongPollTime, AwaitsNews: true, Announced: announced}
@@ -206,16 +215,16 @@
 			answer.Age = max(answer.Age, delta.Age)
 		}
 		startedAt := clock.Now()
-		size, err := unpack(reply, t.Name)
+		size, err := f.packer.unpack(reply, t.Name)
 		if err != nil {
 			return kernel.SourceAnswer{}, err
 		}
-		t.mu.Lock()
-		if version, _ := t.replica.Version(); delta.Version >= version {
-			changes := t.replica.ApplyDelta(repliedAt, delta)
-			t.Apply(t.replica.Proof(), changes)
-		}
-		t.mu.Unlock()
+		f.change(t, func() ([]kernel.Row, bool) {
+			if version, _ := t.replica.Version(); delta.Version < version {
+				return nil, false
+			}
+			return t.replica.ApplyDelta(repliedAt, delta), true
+		})
 		f.recordAnswer(answerStats{
 			table: t.Name, source: node, version: delta.Version, size: size,
 			elapsed: receivedAt.Sub(sentAt), applied: clock.Now().Sub(startedAt),
--- a/follow/table.go
+++ b/follow/table.go
@@ -21,6 +21,9 @@
 		IgnoreAge bool
 		// Optional is true if a node serves requests before it knows the table.
 		Optional bool
+		// Large is true if the table has rows that take long on a slow link. A node that is being sent one does not read it
+		// from the store as well: the store's answer is not compressed, and would hold up the other one.
+		Large bool
 		// Membership is true for the table that each node reads from the store at its start, to find the nodes that it gets
 		// the others from.
 		Membership bool
