Lost readers are told of at once, and the heads of domains find who the store answers

A reader now counts the store as lost 0.2 s after an answer is due, ends the long polls of those that do not know it yet (KnowsLost), and the next reader and the head of each failure domain ask the store at the same time; a head that gets no answer says so to those behind it. An empty answer proves the table current as of the end of the wait that the store was asked for, not as of its beginning. Ruled out: more readers in calm (calls), a shorter wait (calls).

The file of encodings has the new field.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -83,6 +83,9 @@
 		// callTimeout is how long to wait for the answer of another node. Only the goroutine that polls the other nodes
 		// uses it.
 		callTimeout time.Duration
+		// lostSources holds the nodes that have said in their last answer that the store does not answer them. Only the
+		// goroutine that polls the other nodes uses it.
+		lostSources map[string]bool
 		// failureLoggedAt is when a failed answer was last logged, in nanoseconds on the clock of clock.Now.
 		failureLoggedAt atomic.Int64
 	}
@@ -103,7 +106,7 @@
 // NewFollower starts a Follower, which runs until ctx ends. The first of the tables is the one that is read to find out
 // whether the store answers again.
 func NewFollower(ctx context.Context, options Options, store Store, r *relay.Relay, tables []Table, metrics *metric.Set, log zerolog.Logger) *Follower {
-	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), updates: newBroadcaster(), callTimeout: options.MaxAge}
+	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), updates: newBroadcaster(), callTimeout: options.MaxAge, lostSources: map[string]bool{}}
 	f.selector = kernel.NewSourceSelector(options.Name, options.Domain, options.MaxAge)
 	f.startedAt = clock.Now()
 	for _, t := range tables {
@@ -181,6 +184,16 @@
 	return false
 }
 
+// saysLost reports whether this node tells others that the store does not answer it.
+func (f *Follower) saysLost() bool {
+	if f.storeLost() {
+		return true
+	}
+	f.selectorMu.Lock()
+	defer f.selectorMu.Unlock()
+	return f.selector.ProbeFailed(clock.Now())
+}
+
 func (f *Follower) clearDown() {
 	for _, t := range f.tables {
 		t.down.Store(false)
@@ -270,7 +283,7 @@
 }
 
 // HandleFeed handles a peer.Feed: it replies with the rows that changed after the sender's versions. It delays the reply
-// until hasNews, by at most request.Hold and sourceLongPollTime.
+// until hasNews, or until the store is lost and the sender does not know it, by at most request.Hold and sourceLongPollTime.
 func (f *Follower) HandleFeed(ctx context.Context, body []byte) (any, error) {
 	askedAt := clock.Now()
 	var request peer.Feed
@@ -285,9 +298,11 @@
 		f.selectorMu.Unlock()
 	}
 	if request.Hold > 0 {
-		f.updates.Await(ctx, min(request.Hold, sourceLongPollTime), func() bool { return f.hasNews(request, askedAt) })
+		f.updates.Await(ctx, min(request.Hold, sourceLongPollTime), func() bool {
+			return f.hasNews(request, askedAt) || !request.KnowsLost && request.AwaitsNews && f.saysLost()
+		})
 	}
-	reply := peer.FeedReply{Tables: map[string]kernel.Delta{}, Lost: f.storeLost(), Follows: true}
+	reply := peer.FeedReply{Tables: map[string]kernel.Delta{}, Lost: f.saysLost(), Follows: true}
 	now := clock.Now()
 	reply.Held = now.Sub(askedAt)
 	for _, t := range f.tables {
--- a/follow/read.go
+++ b/follow/read.go
@@ -11,6 +11,10 @@
 	"basilstall.example/basilstall/kernel"
 )
 
+// storeOverdue is how long a node waits for the store to begin to answer, beyond the time that the store may wait for changes,
+// before other nodes are told that the store does not answer it. A healthy store answers in milliseconds.
+const storeOverdue = 200 * time.Millisecond
+
 // readLoop reads a table from the store, while this node is to read it, until ctx ends.
 func (f *Follower) readLoop(ctx context.Context, t *followedTable) {
 	retryPause := minRetryPause
@@ -23,7 +27,7 @@
 		if f.waitForFirstTable(ctx, t) {
 			continue
 		}
-		err := f.fetch(ctx, t)
+		err := f.fetch(ctx, t, t.MaxWait)
 		f.recordResult(ctx, t, err)
 		pause := t.PollInterval
 		if err != nil {
@@ -60,7 +64,8 @@
 	return time.Duration(float64(pause) * (1 - retryJitter + 2*retryJitter*rand.Float64()))
 }
 
-func (f *Follower) fetch(ctx context.Context, t *followedTable) error {
+// fetch reads what changed in a table, or the whole table at first. The store may wait up to maxWait for a change.
+func (f *Follower) fetch(ctx context.Context, t *followedTable, maxWait time.Duration) error {
 	startedAt := clock.Now()
 	t.mu.Lock()
 	after, known := t.replica.Version()
@@ -70,32 +75,49 @@
 		if err != nil {
 			return err
 		}
-		f.applyAnswer(t, startedAt, answer, true)
+		f.applyAnswer(t, startedAt, startedAt, answer, true)
 		return nil
 	}
-	maxWait := t.MaxWait
 	if t.down.Load() {
 		// The replica is old already: request an immediate answer.
 		maxWait = 0
 	}
-	answer, err := f.store.ReadChanges(ctx, t.Name, after, maxWait)
+	overdue := time.AfterFunc(maxWait+storeOverdue, func() { f.recordOverdue(t, startedAt) })
+	answer, err := f.store.ReadChanges(ctx, t.Name, after, maxWait, func() { overdue.Stop() })
+	overdue.Stop()
 	// The changes may contain a row many times, the whole table contains it once: if the changes are too large for an
 	// answer, the whole table is read.
 	if errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrTooLong) {
 		f.metrics.CountEvent(fullReadEvent(err))
 		f.log.Info().Str("Table", t.Name).Uint64("After", after).Err(err).Msg("reading the whole table")
 		if answer, err = f.store.ReadAll(ctx, t.Name); err == nil {
-			f.applyAnswer(t, startedAt, answer, true)
+			f.applyAnswer(t, startedAt, startedAt, answer, true)
 		}
 		return err
 	}
 	if err != nil {
 		return err
 	}
-	f.applyAnswer(t, startedAt, answer, false)
+	provenAt := startedAt
+	if len(answer.Rows) == 0 && clock.Now().Sub(startedAt) >= maxWait {
+		// The store has waited for a change, and there was none.
+		provenAt = startedAt.Add(maxWait)
+	}
+	f.applyAnswer(t, startedAt, provenAt, answer, false)
 	return nil
 }
 
+// recordOverdue records that the store has not begun to answer a call of this node in time. The call goes on, but others
+// are told of it, and one of them reads in place of this node.
+func (f *Follower) recordOverdue(t *followedTable, startedAt time.Time) {
+	if t.IgnoreAge || t.down.Swap(true) {
+		return
+	}
+	f.metrics.CountEvent("StoreOverdue")
+	f.log.Info().Str("Table", t.Name).Dur("Elapsed", clock.Now().Sub(startedAt)).Msg("answer of the store overdue")
+	f.updates.Broadcast()
+}
+
 // fullReadEvent returns the metrics event for the reason why the whole table is read.
 func fullReadEvent(err error) string {
 	if errors.Is(err, ErrTooLong) {
@@ -104,11 +126,11 @@
 	return "StoreHistoryGone"
 }
 
-// applyAnswer applies the store's answer to a request that was sent at startedAt.
-func (f *Follower) applyAnswer(t *followedTable, startedAt time.Time, answer Answer, whole bool) {
+// applyAnswer applies the store's answer to a request that was sent at startedAt. It proves the table current as of provenAt.
+func (f *Follower) applyAnswer(t *followedTable, startedAt, provenAt time.Time, answer Answer, whole bool) {
 	receivedAt := clock.Now()
 	f.change(t, func() ([]kernel.Row, bool) {
-		return t.replica.Apply(startedAt, answer.Rows, answer.Version, whole), true
+		return t.replica.Apply(provenAt, answer.Rows, answer.Version, whole), true
 	})
 	f.recordAnswer(answerStats{
 		table: t.Name, source: fromStore, version: answer.Version, size: answer.Bytes,
@@ -127,9 +149,7 @@
 		f.recordFailure(fromStore, t.Name, err)
 	}
 	wasDown := t.down.Swap(err != nil)
-	if err == nil {
-		f.updates.Broadcast()
-	}
+	f.updates.Broadcast()
 	if wasDown == (err != nil) {
 		return
 	}
--- a/follow/source.go
+++ b/follow/source.go
@@ -53,6 +53,7 @@
 		f.setReadsStore(plan.ReadStore, plan.Reason)
 	}
 	for attempt := 0; attempt < maxSourceAttempts && plan.Source != ""; attempt++ {
+		f.probeForReader(ctx)
 		sentAt := clock.Now()
 		sufficient, follows := f.querySource(ctx, plan.Source)
 		plan = f.plan()
@@ -80,7 +81,7 @@
 	clock.Sleep(ctx, jittered(settleTime))
 	for _, t := range f.tables {
 		if t.Membership {
-			f.recordResult(ctx, t, f.fetch(ctx, t))
+			f.recordResult(ctx, t, f.fetch(ctx, t, t.MaxWait))
 		}
 	}
 	return f.plan()
@@ -124,26 +125,49 @@
 	return sufficient, follows
 }
 
+// probeForReader reads a table from the store, beside the questions to other nodes, if the readers are lost and the selector
+// chooses this node to find out whether the store answers it.
+func (f *Follower) probeForReader(ctx context.Context) {
+	f.selectorMu.Lock()
+	probe := f.selector.ShouldProbeForReader(clock.Now())
+	f.selectorMu.Unlock()
+	if probe {
+		go f.readForProbe(ctx)
+	}
+}
+
 // probeStore reads a table from the store once if the selector chooses this node for a probe. It is called if no other
 // node had a sufficient answer.
 func (f *Follower) probeStore(ctx context.Context) {
 	f.selectorMu.Lock()
 	probe := f.selector.ShouldProbeStore(f.relay.Reachable(), rand.Float64())
 	f.selectorMu.Unlock()
-	if !probe {
-		return
+	if probe {
+		f.readForProbe(ctx)
 	}
+}
+
+// readForProbe reads the first table from the store, without a wait for changes, and reads on if the store answers.
+func (f *Follower) readForProbe(ctx context.Context) {
 	f.metrics.CountEvent("StoreTried")
-	err := f.fetch(ctx, f.tables[0])
-	f.selectorMu.Lock()
-	f.selector.RecordProbe(err == nil)
-	f.selectorMu.Unlock()
+	overdue := time.AfterFunc(storeOverdue, func() { f.recordProbe(false) })
+	defer overdue.Stop()
+	err := f.fetch(ctx, f.tables[0], 0)
+	overdue.Stop()
+	f.recordProbe(err == nil)
 	if err == nil {
 		plan := f.plan()
 		f.setReadsStore(plan.ReadStore, plan.Reason)
 	}
 }
 
+func (f *Follower) recordProbe(answered bool) {
+	f.selectorMu.Lock()
+	f.selector.RecordProbe(clock.Now(), answered)
+	f.selectorMu.Unlock()
+	f.updates.Broadcast()
+}
+
 // fetchFromNode requests the changes of all tables from a node and applies them. It returns what the node reported
 // about the store and the age of its tables, and whether it waits for news.
 func (f *Follower) fetchFromNode(ctx context.Context, node string) (_ kernel.SourceAnswer, follows bool, err error) {
@@ -164,12 +188,14 @@
 		}
 	}()
 	request := f.newRequest(announced)
+	request.KnowsLost = f.lostSources[node]
 	sentAt := clock.Now()
 	var reply peer.FeedReply
 	if err := f.relay.CallWithIdleTimeout(ctx, peerIdleTimeout+hold, node, peer.KindFeed, request, &reply); err != nil {
 		f.recordFailure(node, "", err)
 		return kernel.SourceAnswer{}, false, err
 	}
+	f.lostSources[node] = reply.Lost
 	answer, err := f.applyReply(node, sentAt, reply)
 	return answer, reply.Follows, err
 }
--- a/follow/table.go
+++ b/follow/table.go
@@ -38,8 +38,9 @@
 	Store struct {
 		// ReadAll returns all rows of a table, and the version up to which they are complete.
 		ReadAll func(ctx context.Context, table string) (Answer, error)
-		// ReadChanges returns what changed after a version. If nothing did, it waits for the first change, up to maxWait.
-		ReadChanges func(ctx context.Context, table string, after uint64, maxWait time.Duration) (Answer, error)
+		// ReadChanges returns what changed after a version. If nothing did, it waits for the first change, up to maxWait. It
+		// calls onHeader once the store has begun to answer.
+		ReadChanges func(ctx context.Context, table string, after uint64, maxWait time.Duration, onHeader func()) (Answer, error)
 		// WriteNodes writes rows of NodesTable by their keys, at most MaxWrittenRows.
 		WriteNodes func(ctx context.Context, rows map[string][]byte) error
 	}
--- a/kernel/lostreaders_test.go
+++ b/kernel/lostreaders_test.go
@@ -20,31 +20,35 @@
 // three nodes one after the other before one of them read.
 func TestLostReadersLeaveNobodyBehind(t *testing.T) {
 	for _, nodes := range []int{3, 8, 76, 400, 1000} {
-		for lost := range 4 {
-			if lost >= nodes {
-				continue
+		for _, lost := range []int{0, 1, 2, 3} {
+			for _, silent := range []bool{false, true} {
+				if lost < nodes && (nodes < 1000 || lost == 2) {
+					t.Run(fmt.Sprintf("%d nodes, %d readers lost, silent %t", nodes, lost, silent), func(t *testing.T) { testLostReaders(t, nodes, lost, silent) })
+				}
 			}
-			t.Run(fmt.Sprintf("%d nodes, %d readers lost", nodes, lost), func(t *testing.T) {
-				f := newFollowerSim(uint64(nodes+lost), 3, (nodes+2)/3)
-				f.run(2*time.Second, noAction)
-				order := kernel.NodesByHash("reader", f.peers)[:lost]
-				isLost := func(node string) bool { return slices.Contains(order, node) }
-				f.storeAnswers = func(node string) bool { return !isLost(node) }
-				calls := f.totalStoreCalls()
-				oldest := time.Duration(0)
-				const duration = 3 * time.Second
-				f.run(duration, func() {
-					for _, n := range f.nodes {
-						if !isLost(n.Name) {
-							oldest = max(oldest, f.now.Sub(n.provenAt))
-						}
-					}
-				})
-				must.LessEq(t, maxAgeInTouch, oldest, must.Sprint("age of the oldest routing at a node that reaches the store"))
-				// Each lost reader asks as often as it may, and a few nodes read in their place.
-				perSecond := float64(f.totalStoreCalls()-calls) / duration.Seconds()
-				must.Less(t, 30, perSecond, must.Sprint("calls to the store a second"))
-			})
 		}
 	}
 }
+
+func testLostReaders(t *testing.T, nodes, lost int, silent bool) {
+	const duration = 3 * time.Second
+	f := newFollowerSim(uint64(nodes+lost), 3, (nodes+2)/3)
+	f.run(2*time.Second, noAction)
+	order := kernel.NodesByHash("reader", f.peers)[:lost]
+	isLost := func(node string) bool { return slices.Contains(order, node) }
+	f.storeAnswers, f.storeSilent = func(node string) bool { return !isLost(node) }, silent
+	calls := f.totalStoreCalls()
+	oldest := time.Duration(0)
+	f.run(duration, func() {
+		for _, n := range f.nodes {
+			if !isLost(n.Name) {
+				oldest = max(oldest, f.now.Sub(n.provenAt))
+			}
+		}
+	})
+	perSecond := float64(f.totalStoreCalls()-calls) / duration.Seconds()
+	t.Logf("oldest routing %s, %.1f calls of the store a second", oldest, perSecond)
+	must.LessEq(t, maxAgeInTouch, oldest, must.Sprint("age of the oldest routing at a node that reaches the store"))
+	// Each lost reader asks as often as it may, and a few nodes read in their place.
+	must.Less(t, 30, perSecond, must.Sprint("calls to the store a second"))
+}
--- a/kernel/reading.go
+++ b/kernel/reading.go
@@ -14,6 +14,8 @@
 	sourceFanOut = 4
 	// skipDuration is how long a node that knows no more than this one is skipped.
 	skipDuration = time.Second
+	// probeInterval is the time between two probes of the head of a failure domain while the readers are lost.
+	probeInterval = 500 * time.Millisecond
 	// maxStartingAnswers bounds the questions to nodes that do not know all tables yet before the next source is asked.
 	maxStartingAnswers = 5
 	// fresherNodeTTL is how long a node that was found to know more counts as a source: the time in which it sends
@@ -54,6 +56,12 @@
 		startingAnswers int
 		// substitute is true while a probe has shown that the store answers this node, but not the readers.
 		substitute bool
+		// readerLostAt is when a reader last said that the store does not answer it, and probedAt when this node last probed
+		// the store for that reason.
+		readerLostAt time.Time
+		probedAt     time.Time
+		// probeFailedAt is when the store last did not answer a probe; zero if it has answered since.
+		probeFailedAt time.Time
 	}
 
 	// SourcePlan says where a node gets the contents of the store from.
@@ -154,8 +162,9 @@
 }
 
 // RecordAnswer records the outcome of a request to a node and reports whether its answer suffices. A recent answer
-// suffices even if the store does not answer that node, unless both nodes are designated readers: then this one has to
-// read the store in its place. So does that of a node that is itself starting, and that the store answers, for
+// suffices even if the store does not answer that node, unless that is a reader and this one is a reader, too, or the head
+// of its failure domain: then this one has to read the store in its place, or to find out whether it can. Nor does that of a node
+// further up its failure domain, which says so once it has found out that it can't. So does that of a node that is itself starting, and that the store answers, for
 // maxStartingAnswers answers: after a simultaneous start the tables pass from node to node, and the readers must not be
 // asked for them by all.
 func (s *SourceSelector) RecordAnswer(now time.Time, source string, a SourceAnswer) bool {
@@ -167,7 +176,11 @@
 		return true
 	}
 	s.startingAnswers = 0
-	takesOver := a.StoreLost && slices.Contains(s.readers, s.self) && slices.Contains(s.readers, source)
+	readerLost := a.StoreLost && slices.Contains(s.readers, source)
+	if readerLost {
+		s.readerLostAt = now
+	}
+	takesOver := readerLost && (slices.Contains(s.readers, s.self) || s.isHead()) || a.StoreLost && slices.Contains(s.ancestors, source)
 	if a.Starting || a.TimedOut || a.Age > s.maxAge || takesOver {
 		s.skippedUntil[source] = now.Add(skipDuration)
 		return false
@@ -184,6 +197,22 @@
 	s.fresherNode, s.fresherNodeUntil = node, now.Add(fresherNodeTTL)
 }
 
+// isHead reports whether this node asks the readers for its failure domain.
+func (s *SourceSelector) isHead() bool {
+	return len(s.ancestors) == 0
+}
+
+// ShouldProbeForReader reports whether the head of a failure domain asks the store once by itself, because a reader has just
+// said that the store does not answer it. All heads do so at the same time as the next reader: whoever of them the store
+// answers, the fleet knows one that it does within a round trip, and soon whether it answers nobody.
+func (s *SourceSelector) ShouldProbeForReader(now time.Time) bool {
+	if !s.isHead() || s.substitute || slices.Contains(s.readers, s.self) || s.readerLostAt.IsZero() || now.Sub(s.readerLostAt) > skipDuration || now.Sub(s.probedAt) < probeInterval {
+		return false
+	}
+	s.probedAt = now
+	return true
+}
+
 // ShouldProbeStore reports whether a node that got no sufficient answer from any source asks the store once by itself.
 // The draw is uniform in [0, 1): on average one node of a failure domain, of those that are not designated readers,
 // probes the store each time that all of them have asked in vain.
@@ -198,8 +227,17 @@
 }
 
 // RecordProbe records whether the store answered the probe.
-func (s *SourceSelector) RecordProbe(answered bool) {
+func (s *SourceSelector) RecordProbe(now time.Time, answered bool) {
 	s.substitute = answered
+	s.probeFailedAt = time.Time{}
+	if !answered {
+		s.probeFailedAt = now
+	}
+}
+
+// ProbeFailed reports whether the store has lately not answered a probe of this node, whose readers are lost.
+func (s *SourceSelector) ProbeFailed(now time.Time) bool {
+	return !s.probeFailedAt.IsZero() && now.Sub(s.probeFailedAt) <= skipDuration && now.Sub(s.readerLostAt) <= skipDuration
 }
 
 func (s *SourceSelector) isSkipped(now time.Time, name string) bool {
--- a/kernel/reading_test.go
+++ b/kernel/reading_test.go
@@ -23,6 +23,8 @@
 	followerStoreInterval = 900 * time.Millisecond
 	followerStoreRetry    = 300 * time.Millisecond
 	followerMaxAge        = 2 * time.Second
+	// followerOverdue is how long a node waits for an answer of the store before it takes the store for lost.
+	followerOverdue = 200 * time.Millisecond
 	// followerMaxKeyAge is how old the routing may be for API keys to be trusted.
 	followerMaxKeyAge = 4500 * time.Millisecond
 )
@@ -37,6 +39,8 @@
 		// storeAnswers tells whether the store answers a node, and suspended whether a node is.
 		storeAnswers func(node string) bool
 		suspended    func(node string) bool
+		// storeSilent is true if a node that the store does not answer notices that only after followerOverdue.
+		storeSilent bool
 		// storeCalls counts the calls to the store by the failure domain of the node that made them.
 		storeCalls map[string]int
 		// asked counts the questions to each node.
@@ -55,6 +59,10 @@
 		pendingSource           string
 		longPollEnd             time.Time
 		suspects                map[string]bool
+		// storeFailsAt is when the node notices that the store does not answer its call; zero if there is none.
+		storeFailsAt time.Time
+		// knownLost holds the nodes that have said in their last answer that the store does not answer them.
+		knownLost map[string]bool
 	}
 )
 
@@ -68,7 +76,7 @@
 			p := kernel.Peer{Name: fmt.Sprintf("node-%d-%d", d, n), Domain: fmt.Sprint("domain-", d), Capacity: 1}
 			f.peers = append(f.peers, p)
 			f.nodes[p.Name] = &followerNode{
-				Peer: p, selector: kernel.NewSourceSelector(p.Name, p.Domain, followerMaxAge), provenAt: f.now, suspects: map[string]bool{},
+				Peer: p, selector: kernel.NewSourceSelector(p.Name, p.Domain, followerMaxAge), provenAt: f.now, suspects: map[string]bool{}, knownLost: map[string]bool{},
 				nextPoll: f.now.Add(time.Duration(f.random.Int64N(int64(followerPollInterval)))),
 			}
 		}
@@ -92,6 +100,9 @@
 	if n.readsStore && !f.now.Before(n.nextStoreCall) {
 		f.readStore(n)
 	}
+	if !n.storeFailsAt.IsZero() && !f.now.Before(n.storeFailsAt) {
+		f.recordStoreFailure(n)
+	}
 	if n.pendingSource != "" {
 		f.awaitAnswer(n)
 		return
@@ -104,15 +115,30 @@
 // readStore reads the store, or records that it does not answer.
 func (f *followerSim) readStore(n *followerNode) {
 	f.storeCalls[n.Domain]++
-	n.storeDown = !f.storeAnswers(n.Name)
-	if n.storeDown {
-		n.nextStoreCall = f.now.Add(time.Duration(float64(followerStoreRetry) * (0.75 + f.random.Float64()/2)))
+	n.nextStoreCall = f.now.Add(time.Duration(float64(followerStoreRetry) * (0.75 + f.random.Float64()/2)))
+	if !f.storeAnswers(n.Name) {
+		n.storeFailsAt = f.now
+		if f.storeSilent {
+			n.storeFailsAt = f.now.Add(followerOverdue)
+			n.nextStoreCall = n.nextStoreCall.Add(followerOverdue)
+			return
+		}
+		f.recordStoreFailure(n)
 		return
 	}
+	n.storeDown, n.storeFailsAt = false, time.Time{}
 	n.provenAt = f.now
 	n.nextStoreCall = f.now.Add(followerStoreInterval)
 }
 
+// recordStoreFailure records that the store has not answered a node.
+func (f *followerSim) recordStoreFailure(n *followerNode) {
+	n.storeDown, n.storeFailsAt = true, time.Time{}
+	if !n.readsStore {
+		n.selector.RecordProbe(f.now, false)
+	}
+}
+
 // plan returns where a node gets its data from, given the nodes that it reaches.
 func (f *followerSim) plan(n *followerNode) kernel.SourcePlan {
 	var reachable []kernel.Peer
@@ -127,10 +153,14 @@
 // storeLost reports whether the node reads the store and gets no answer.
 func (n *followerNode) storeLost() bool { return n.readsStore && n.storeDown }
 
+// saysLost reports whether a node answers others that the store does not answer it.
+func (f *followerSim) saysLost(n *followerNode) bool { return n.storeLost() || n.selector.ProbeFailed(f.now) }
+
 // pollSources asks other nodes one after the other until an answer suffices; the last one may delay its answer.
 func (f *followerSim) pollSources(n *followerNode, attempts int) {
 	plan := f.plan(n)
 	for ; attempts < followerMaxAttempts && plan.Source != ""; attempts++ {
+		f.probeForReader(n)
 		source := f.nodes[plan.Source]
 		if f.suspended(source.Name) {
 			n.suspects[source.Name] = true
@@ -151,6 +181,16 @@
 	f.endFailedPoll(n, plan)
 }
 
+// probeForReader has the head of a failure domain ask the store while the readers are lost.
+func (f *followerSim) probeForReader(n *followerNode) {
+	if n.selector.ShouldProbeForReader(f.now) {
+		f.readStore(n)
+		if f.storeAnswers(n.Name) {
+			n.selector.RecordProbe(f.now, true)
+		}
+	}
+}
+
 // endFailedPoll ends a poll in which no answer sufficed.
 func (f *followerSim) endFailedPoll(n *followerNode, plan kernel.SourcePlan) {
 	pause := followerPollInterval
@@ -160,7 +200,7 @@
 	f.endPoll(n, plan, pause)
 	if !plan.ReadStore && n.selector.ShouldProbeStore(f.peers, f.random.Float64()) {
 		f.readStore(n)
-		n.selector.RecordProbe(!n.storeDown)
+		n.selector.RecordProbe(f.now, f.storeAnswers(n.Name))
 		f.endPoll(n, f.plan(n), pause)
 	}
 }
@@ -168,6 +208,9 @@
 // waits reports whether a node that is asked waits before it answers: for recent data that is newer than what the other
 // node has.
 func (f *followerSim) waits(n, source *followerNode) bool {
+	if f.saysLost(source) && !n.knownLost[source.Name] {
+		return false
+	}
 	return f.now.Sub(source.provenAt) > followerMaxAge || !source.provenAt.After(n.provenAt)
 }
 
@@ -205,7 +248,8 @@
 	if source.provenAt.After(n.provenAt) {
 		n.provenAt = source.provenAt
 	}
-	return n.selector.RecordAnswer(f.now, source.Name, kernel.SourceAnswer{StoreLost: source.storeLost(), Age: f.now.Sub(source.provenAt)})
+	n.knownLost[source.Name] = f.saysLost(source)
+	return n.selector.RecordAnswer(f.now, source.Name, kernel.SourceAnswer{StoreLost: f.saysLost(source), Age: f.now.Sub(source.provenAt)})
 }
 
 // endPoll applies a plan and sets the time of the next poll.
--- a/peer/message.go
+++ b/peer/message.go
@@ -291,6 +291,9 @@
 		// also waits while it knows no more than the sender.
 		Hold       time.Duration
 		AwaitsNews bool `msgpack:",omitempty"`
+		// KnowsLost is true if the receiver has already told the sender that the store does not answer it. A node whose
+		// store is lost otherwise replies at once.
+		KnowsLost bool `msgpack:",omitempty"`
 		// Reads tells, for tables whose removals nodes date, when they were read from the store as far as the sender knows.
 		Reads map[string][]kernel.ReadSpan `msgpack:",omitempty"`
 		// Announced holds rows of the table of nodes, by key, that the receiver writes into the store or passes on.
