No request is decided on by a routing that may be behind its bound

Where the routing was proven current longer ago than config_ms less 0.25 s, a request is refused at once as not run (StaleRouting, to come back in 0.5 s), and the node is not ready, so that callers go to others; also before it says that a route or a key is unknown. Not so in an outage: nodes tell each other of the calls that the store left without an answer, and with those of three nodes since the proof (all, where there are fewer) requests are served as before (package currency). Ruled out: the age alone (an outage of the store would end all service after 1.75 s); evidence of the two readers (a cut of these is no outage).

Lines of requests tell who proved the routing, and in case the verdict and the number of unanswered calls; event RoutingBehind counts.

--- a/cli/check.go
+++ b/cli/check.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return exitWith(ExitUsage, withFileName(name, err))
 	}
-	fmt.Fprintf(p.stdout, "%s: node %s in %s, store at %s, keys trusted for %s\n", name, s.Name, s.FailureDomain, s.StoreAddress, s.MaxRoutingAge)
+	fmt.Fprintf(p.stdout, "%s: node %s in %s, store at %s, keys trusted for %s, routes for %s\n", name, s.Name, s.FailureDomain, s.StoreAddress, s.MaxRoutingAge, s.MaxRouteAge)
 	return nil
 }
 
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -54,6 +54,8 @@
 		// MaxAge is the greatest age at which the tables of another node are sufficient. Beyond it the store is asked
 		// as well.
 		MaxAge time.Duration
+		// MaxRouteAge is the age of the first table up to which requests are decided on by it, unless the store answers nobody.
+		MaxRouteAge time.Duration
 		// Outbox holds the rows of nodes to write into the store or to pass on.
 		Outbox *Outbox
 	}
@@ -86,6 +88,9 @@
 		// lostSources holds the nodes that have said in their last answer that the store does not answer them. Only the
 		// goroutine that polls the other nodes uses it.
 		lostSources map[string]bool
+		// proofMu guards proof.
+		proofMu sync.Mutex
+		proof   relay.RoutingProof
 		// failureLoggedAt is when a failed answer was last logged, in nanoseconds on the clock of clock.Now.
 		failureLoggedAt atomic.Int64
 	}
@@ -292,6 +297,7 @@
 	}
 	f.options.Outbox.Add(request.Announced)
 	f.addReads(askedAt, request)
+	f.addAttempts(askedAt, request.Unanswered)
 	if request.Node != "" && request.ProvenAgo > 0 && f.storeLost() && f.oldestAge() > request.ProvenAgo {
 		f.selectorMu.Lock()
 		f.selector.RecordFresherNode(clock.Now(), request.Node)
@@ -299,12 +305,13 @@
 	}
 	if request.Hold > 0 {
 		f.updates.Await(ctx, min(request.Hold, sourceLongPollTime), func() bool {
-			return f.hasNews(request, askedAt) || !request.KnowsLost && request.AwaitsNews && f.saysLost()
+			return f.hasNews(request, askedAt) || request.AwaitsNews && (!request.KnowsLost && f.saysLost() || f.knowsOutage(askedAt, request.Unanswered))
 		})
 	}
 	reply := peer.FeedReply{Tables: map[string]kernel.Delta{}, Lost: f.saysLost(), Follows: true}
 	now := clock.Now()
 	reply.Held = now.Sub(askedAt)
+	reply.Unanswered = f.unanswered(now)
 	for _, t := range f.tables {
 		t.mu.Lock()
 		if delta, known := t.replica.Since(now, request.After[t.Name]); known {
--- a/follow/read.go
+++ b/follow/read.go
@@ -96,6 +96,7 @@
 		return err
 	}
 	if err != nil {
+		f.recordAttempt(t, startedAt)
 		return err
 	}
 	provenAt := startedAt
@@ -110,7 +111,11 @@
 // recordOverdue records that the store has not begun to answer a call of this node in time. The call goes on, but others
 // are told of it, and one of them reads in place of this node.
 func (f *Follower) recordOverdue(t *followedTable, startedAt time.Time) {
-	if t.IgnoreAge || t.down.Swap(true) {
+	if t.IgnoreAge {
+		return
+	}
+	f.recordAttempt(t, startedAt)
+	if t.down.Swap(true) {
 		return
 	}
 	f.metrics.CountEvent("StoreOverdue")
@@ -129,6 +134,7 @@
 // applyAnswer applies the store's answer to a request that was sent at startedAt. It proves the table current as of provenAt.
 func (f *Follower) applyAnswer(t *followedTable, startedAt, provenAt time.Time, answer Answer, whole bool) {
 	receivedAt := clock.Now()
+	f.recordProver(fromStore)
 	f.change(t, func() ([]kernel.Row, bool) {
 		return t.replica.Apply(provenAt, answer.Rows, answer.Version, whole), true
 	})
--- a/follow/source.go
+++ b/follow/source.go
@@ -222,6 +222,7 @@
 	if f.allTablesKnown() {
 		request.ProvenAgo = f.oldestAge()
 	}
+	request.Unanswered = f.unanswered(clock.Now())
 	return request
 }
 
@@ -231,6 +232,8 @@
 	answer := kernel.SourceAnswer{StoreLost: reply.Lost}
 	// The request arrived after it was sent, so the reply was made after this time.
 	repliedAt := sentAt.Add(min(max(0, reply.Held), receivedAt.Sub(sentAt)))
+	f.addAttempts(repliedAt, reply.Unanswered)
+	f.recordProver(node)
 	for _, t := range f.tables {
 		delta, ok := reply.Tables[t.Name]
 		answer.Starting = answer.Starting || !ok && !t.Optional
--- a/kernel/admit.go
+++ b/kernel/admit.go
@@ -36,12 +36,31 @@
 	Deadline time.Time
 }
 
-// Admit decides whether to accept a request, by its route, its customer's API key and its deadline. API keys are
-// trusted if the routing view is not older than maxAge.
-func Admit(now time.Time, view RoutingView, maxAge time.Duration, f model.Forward) (Admission, *model.Refusal) {
+// RoutingTrust tells how far a node trusts the routing that it knows.
+type RoutingTrust struct {
+	// MaxKeyAge is the maximum age of the routing up to which API keys are trusted.
+	MaxKeyAge time.Duration
+	// Behind is true if another node may know a newer routing, and this one has been unproven for too long to go by it.
+	Behind bool
+}
+
+// refuseBehind returns a refusal if no request may be decided on by the routing.
+func (t RoutingTrust) refuseBehind() *model.Refusal {
+	if !t.Behind {
+		return nil
+	}
+	return model.NewRefusal(model.NotRun, model.StaleRouting, notReadyRetryAfter, "the routing known here is too old, and another node may know a newer one")
+}
+
+// Admit decides whether to accept a request, by its route, its customer's API key and its deadline, as far as the routing is
+// trusted.
+func Admit(now time.Time, view RoutingView, trust RoutingTrust, f model.Forward) (Admission, *model.Refusal) {
 	if view.Table == nil {
 		return Admission{}, model.NewRefusal(model.NotRun, model.NotReady, notReadyRetryAfter, "no routing is known yet")
 	}
+	if refusal := trust.refuseBehind(); refusal != nil {
+		return Admission{}, refusal
+	}
 	route, ok := view.Table.Match(f.Host, f.Path)
 	if !ok {
 		return Admission{}, model.NewRefusal(model.NotRun, model.UnknownPipeline, 0, "no route matches")
@@ -62,7 +81,7 @@
 		if !known {
 			return Admission{}, model.NewRefusal(model.NotRun, model.Unauthorized, 0, "the API key is not known")
 		}
-		if !view.Fresh(now, maxAge) {
+		if !view.Fresh(now, trust.MaxKeyAge) {
 			return Admission{}, model.NewRefusal(model.NotRun, model.StaleRouting, notReadyRetryAfter, "the API keys known here are too old to trust")
 		}
 		a.Customer = holder.Name
@@ -80,10 +99,13 @@
 
 // RecheckAdmission decides again, right before a request is first sent: since it was admitted, the process may have
 // been suspended or the API key revoked.
-func RecheckAdmission(now time.Time, view RoutingView, maxAge time.Duration, f model.Forward, a Admission) *model.Refusal {
+func RecheckAdmission(now time.Time, view RoutingView, trust RoutingTrust, f model.Forward, a Admission) *model.Refusal {
 	if !now.Before(a.Deadline) {
 		return model.NewRefusal(model.NotRun, model.DeadlinePassed, 0, "the deadline has passed")
 	}
+	if refusal := trust.refuseBehind(); refusal != nil {
+		return refusal
+	}
 	if !a.Authenticated {
 		return nil
 	}
@@ -91,7 +113,7 @@
 	if !known || holder.Name != a.Customer {
 		return model.NewRefusal(model.NotRun, model.Unauthorized, 0, "the API key was taken away meanwhile")
 	}
-	if !view.Fresh(now, maxAge) {
+	if !view.Fresh(now, trust.MaxKeyAge) {
 		return model.NewRefusal(model.NotRun, model.StaleRouting, notReadyRetryAfter, "the API keys known here are too old to trust")
 	}
 	return nil
--- a/kernel/helpers.go
+++ b/kernel/helpers.go
@@ -162,8 +162,8 @@
 // AdmitRelayed admits a request for another node, which has admitted it on the given route and for the given customer.
 // Where this node's routing tells otherwise, one of the two is older, and the request is refused as not run: the
 // other node will know soon what holds.
-func AdmitRelayed(now time.Time, view RoutingView, maxAge time.Duration, f model.Forward, route, customer string) (Admission, *model.Refusal) {
-	a, refusal := Admit(now, view, maxAge, f)
+func AdmitRelayed(now time.Time, view RoutingView, trust RoutingTrust, f model.Forward, route, customer string) (Admission, *model.Refusal) {
+	a, refusal := Admit(now, view, trust, f)
 	if refusal != nil && refusal.Reason != model.Unauthorized && refusal.Reason != model.UnknownPipeline {
 		return a, refusal
 	}
--- a/kernel/reading_test.go
+++ b/kernel/reading_test.go
@@ -154,7 +154,9 @@
 func (n *followerNode) storeLost() bool { return n.readsStore && n.storeDown }
 
 // saysLost reports whether a node answers others that the store does not answer it.
-func (f *followerSim) saysLost(n *followerNode) bool { return n.storeLost() || n.selector.ProbeFailed(f.now) }
+func (f *followerSim) saysLost(n *followerNode) bool {
+	return n.storeLost() || n.selector.ProbeFailed(f.now)
+}
 
 // pollSources asks other nodes one after the other until an answer suffices; the last one may delay its answer.
 func (f *followerSim) pollSources(n *followerNode, attempts int) {
--- a/kernel/routes_test.go
+++ b/kernel/routes_test.go
@@ -16,6 +16,11 @@
 // trustLimit is how old the routing may be for requests to be admitted by it.
 const trustLimit = 4 * time.Second
 
+var (
+	trust       = kernel.RoutingTrust{MaxKeyAge: trustLimit}
+	behindTrust = kernel.RoutingTrust{MaxKeyAge: trustLimit, Behind: true}
+)
+
 // testRouting returns routing with two routes of nested prefixes, a public route and two customers.
 func testRouting(version uint64) model.Routing {
 	return model.Routing{
@@ -124,7 +129,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			at := now.Add(tc.age)
 			tc.f.ReceivedAt = at
-			a, refusal := kernel.Admit(at, tc.view, trustLimit, tc.f)
+			a, refusal := kernel.Admit(at, tc.view, trust, tc.f)
 			if tc.reason == "" {
 				must.Nil(t, refusal)
 				must.Eq(t, uint64(3), a.Version)
@@ -141,12 +146,12 @@
 	now := time.Unix(1000, 0)
 	view := kernel.RoutingView{}.With(now, kernel.NewRouteTable(testRouting(3)))
 	f := newForward("a.example", "/x/1", "key-a", now)
-	a, _ := kernel.Admit(now, view, trustLimit, f)
+	a, _ := kernel.Admit(now, view, trust, f)
 	must.Eq(t, now.Add(time.Second), a.Deadline)
 	f.Deadline = now.Add(300 * time.Millisecond)
-	a, _ = kernel.Admit(now, view, trustLimit, f)
+	a, _ = kernel.Admit(now, view, trust, f)
 	must.Eq(t, f.Deadline, a.Deadline)
-	_, refusal := kernel.Admit(f.Deadline, view, trustLimit, f)
+	_, refusal := kernel.Admit(f.Deadline, view, trust, f)
 	must.Eq(t, model.DeadlinePassed, refusal.Reason)
 }
 
@@ -155,16 +160,33 @@
 	view := kernel.RoutingView{}.With(now, kernel.NewRouteTable(testRouting(3)))
 	f := newForward("a.example", "/x/1", "key-b", now)
 	f.Deadline = time.Time{}
-	a, _ := kernel.Admit(now, view, trustLimit, f)
-	must.Nil(t, kernel.RecheckAdmission(now, view, trustLimit, f, a))
+	a, _ := kernel.Admit(now, view, trust, f)
+	must.Nil(t, kernel.RecheckAdmission(now, view, trust, f, a))
 
 	revoked := testRouting(4)
 	revoked.Customers[0].Keys = []string{"key-a"}
 	later := view.With(now, kernel.NewRouteTable(revoked))
-	must.Eq(t, model.Unauthorized, kernel.RecheckAdmission(now, later, trustLimit, f, a).Reason)
+	must.Eq(t, model.Unauthorized, kernel.RecheckAdmission(now, later, trust, f, a).Reason)
 
 	a.Deadline = now.Add(time.Hour)
 	afterTrustLimit := now.Add(trustLimit + time.Second)
-	must.Eq(t, model.StaleRouting, kernel.RecheckAdmission(afterTrustLimit, view, trustLimit, f, a).Reason)
-	must.Eq(t, model.DeadlinePassed, kernel.RecheckAdmission(a.Deadline, view, trustLimit, f, a).Reason)
+	must.Eq(t, model.StaleRouting, kernel.RecheckAdmission(afterTrustLimit, view, trust, f, a).Reason)
+	must.Eq(t, model.DeadlinePassed, kernel.RecheckAdmission(a.Deadline, view, trust, f, a).Reason)
+}
+
+// A node that may be behind decides on no request, also not that a route or a key is unknown: another node may know better.
+func TestNodeBehindDecidesOnNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	view := kernel.RoutingView{}.With(now, kernel.NewRouteTable(testRouting(3)))
+	for _, path := range []string{"/1", "/none"} {
+		f := newForward("b.example", path, "", now)
+		_, refusal := kernel.Admit(now, view, behindTrust, f)
+		must.Eq(t, model.StaleRouting, refusal.Reason)
+		must.Eq(t, model.NotRun, refusal.Verdict)
+		must.Positive(t, refusal.RetryAfter)
+	}
+	f := newForward("b.example", "/1", "", now)
+	a, refusal := kernel.Admit(now, view, trust, f)
+	must.Nil(t, refusal)
+	must.Eq(t, model.StaleRouting, kernel.RecheckAdmission(now, view, behindTrust, f, a).Reason)
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -294,6 +294,9 @@
 		// KnowsLost is true if the receiver has already told the sender that the store does not answer it. A node whose
 		// store is lost otherwise replies at once.
 		KnowsLost bool `msgpack:",omitempty"`
+		// Unanswered has the ages of the calls to the store that got no answer, by node, if they are newer than what the
+		// sender knows of the routing.
+		Unanswered map[string]time.Duration `msgpack:",omitempty"`
 		// Reads tells, for tables whose removals nodes date, when they were read from the store as far as the sender knows.
 		Reads map[string][]kernel.ReadSpan `msgpack:",omitempty"`
 		// Announced holds rows of the table of nodes, by key, that the receiver writes into the store or passes on.
@@ -310,6 +313,8 @@
 		Lost bool
 		// Held is how long the node waited before it replied. The ages in Tables are as of then.
 		Held time.Duration `msgpack:",omitempty"`
+		// Unanswered is that of Feed, as of the reply.
+		Unanswered map[string]time.Duration `msgpack:",omitempty"`
 		// Follows is true if the node waits for news and takes announcements. Nodes of older builds do not.
 		Follows bool `msgpack:",omitempty"`
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"basilstall.example/basilstall/binding"
+	"basilstall.example/basilstall/currency"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/metric"
@@ -59,10 +60,12 @@
 		registryMu sync.Mutex
 
 		// mu guards pools and updates of view.
-		mu       sync.Mutex
-		view     atomic.Pointer[kernel.RoutingView]
-		registry atomic.Pointer[kernel.Registry]
-		nodes    atomic.Pointer[[]Node]
+		mu   sync.Mutex
+		view atomic.Pointer[kernel.RoutingView]
+		// routingProof is what is known of the proofs of view.
+		routingProof atomic.Pointer[RoutingProof]
+		registry     atomic.Pointer[kernel.Registry]
+		nodes        atomic.Pointer[[]Node]
 		// reachable holds the result of Reachable, and orders those of orders of nodes by hash.
 		reachable atomic.Pointer[reachableNodes]
 		orders    *kernel.NodeOrders
@@ -178,6 +181,7 @@
 	registry := kernel.NewRegistry().WithDrainBound(options.MaxDrainDelay, options.ListReadInterval)
 	r.registry.Store(&registry)
 	r.view.Store(&kernel.RoutingView{})
+	r.routingProof.Store(&RoutingProof{})
 	r.nodes.Store(&[]Node{})
 	r.routeHistory.Store(&kernel.RouteHistory{})
 	r.bindings = r.newBindings()
@@ -232,6 +236,8 @@
 		return false, "no routing yet"
 	case r.Registry().Len() == 0:
 		return false, "no endpoints yet"
+	case r.Currency() == currency.Behind:
+		return false, "the routing is too old, and another node may know a newer one"
 	case r.options.MaxRoutingAge > 0 && !view.Fresh(r.now(), r.options.MaxRoutingAge):
 		return false, "the routing is too old"
 	default:
@@ -327,7 +333,7 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	view := r.View()
-	admission, refusal := kernel.Admit(r.now(), view, r.options.MaxRoutingAge, f)
+	admission, refusal := kernel.Admit(r.now(), view, r.trust(), f)
 	if refusal == nil {
 		refusal = r.admitWhileLeaving(admission, leaving.AtReceipt)
 	}
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -107,7 +107,7 @@
 	r.relayedRequests.Add(1)
 	defer r.relayedRequests.Add(-1)
 	view := r.View()
-	admission, refusal := kernel.AdmitRelayed(r.now(), view, r.options.MaxRoutingAge, f, m.Route, m.Customer)
+	admission, refusal := kernel.AdmitRelayed(r.now(), view, r.trust(), f, m.Route, m.Customer)
 	if refusal == nil && m.Binding != nil {
 		admission, refusal = admission.WithBinding(*m.Binding)
 	}
--- a/relay/resumption.go
+++ b/relay/resumption.go
@@ -67,7 +67,7 @@
 	})
 	a, refusal := kernel.AdmitResumed(a, found)
 	if refusal == nil {
-		refusal = kernel.RecheckAdmission(r.now(), r.View(), r.options.MaxRoutingAge, f, a)
+		refusal = kernel.RecheckAdmission(r.now(), r.View(), r.trust(), f, a)
 	}
 	r.metrics.CountEvent("StreamTakenUp" + string(found.Source))
 	line := r.log.Info().Str("Request", f.ID).Str("Route", a.Route.Name).Str("Resumes", f.Resumes).Str("LastEvent", f.LastEventID).
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -206,7 +206,7 @@
 	}
 	chosenAt, permitUntil, onTrial := j.relay.now(), j.permitUntil, j.runsOnTrial(retry)
 	send.BeforeSend = func() error {
-		refusal := kernel.RecheckAdmission(j.relay.now(), j.relay.View(), j.relay.options.MaxRoutingAge, j.forward, j.admission)
+		refusal := kernel.RecheckAdmission(j.relay.now(), j.relay.View(), j.relay.trust(), j.forward, j.admission)
 		if refusal == nil && !retry {
 			refusal = j.relay.admitWhileLeaving(j.admission, leaving.AtSend)
 		}
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -190,7 +190,7 @@
 
 // recheck returns a refusal if the request may not be sent any more.
 func (j *job) recheck() *model.Refusal {
-	if refusal := kernel.RecheckAdmission(j.relay.now(), j.relay.View(), j.relay.options.MaxRoutingAge, j.forward, j.admission); refusal != nil {
+	if refusal := kernel.RecheckAdmission(j.relay.now(), j.relay.View(), j.relay.trust(), j.forward, j.admission); refusal != nil {
 		return refusal
 	}
 	if j.attempts == 0 {
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -24,6 +24,9 @@
 		// MaxRoutingAge is the maximum age of the routing up to which API keys are trusted; 0 means that they are
 		// trusted regardless of its age.
 		MaxRoutingAge time.Duration
+		// MaxRouteAge is the maximum age of the routing up to which requests are decided on by it, unless the store answers
+		// nobody; 0 means any age.
+		MaxRouteAge time.Duration
 		// MaxDrainDelay is the time after a report that an endpoint leaves in which it may get work; 0 means that it is
 		// not bounded.
 		MaxDrainDelay time.Duration
