Waits of the store end before the proof of the routing is old

A wait now ends once the proof is as old as a whole wait (kernel.ReadWait). TestReadWaitEndsBeforeProofIsOld; a change costs at most one call more. The verdict is written for refusals only: at the end of an answered request the routing by which it was admitted may be old.

--- a/follow/read.go
+++ b/follow/read.go
@@ -27,7 +27,7 @@
 		if f.waitForFirstTable(ctx, t) {
 			continue
 		}
-		err := f.fetch(ctx, t, t.MaxWait)
+		err := f.fetch(ctx, t, f.readWait(t))
 		f.recordResult(ctx, t, err)
 		pause := t.PollInterval
 		if err != nil {
@@ -42,6 +42,16 @@
 	}
 }
 
+// readWait returns how long the store may wait before it answers the next request for changes of a table.
+func (f *Follower) readWait(t *followedTable) time.Duration {
+	if t.IgnoreAge {
+		return t.MaxWait
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return kernel.ReadWait(clock.Now(), t.replica.ProvenAt(), t.MaxWait)
+}
+
 // waitForFirstTable waits if the store answers requests neither for a table nor for the first table, and reports
 // whether it waited. Requests for one table are enough to find out whether the store is back.
 func (f *Follower) waitForFirstTable(ctx context.Context, t *followedTable) bool {
--- a/kernel/lostreaders_test.go
+++ b/kernel/lostreaders_test.go
@@ -15,6 +15,18 @@
 // deployments: 2 s, less 0.25 s for the request's way to its endpoint.
 const maxAgeInTouch = 1750 * time.Millisecond
 
+// A change in the middle of a wait must not let the proof of the routing get twice as old as in calm, nor may a node that begins
+// to read wait at first: nodes that were in touch refused requests, as behind, after each change.
+func TestReadWaitEndsBeforeProofIsOld(t *testing.T) {
+	const maxWait = 900 * time.Millisecond
+	now := time.Unix(1000, 0)
+	for age, want := range map[time.Duration]time.Duration{0: maxWait, 300 * time.Millisecond: 600 * time.Millisecond, maxWait: 0, 5 * time.Second: 0, -time.Second: maxWait} {
+		must.Eq(t, want, kernel.ReadWait(now, now.Add(-age), maxWait), must.Sprint("proof of ", age, " ago"))
+	}
+	must.Eq(t, 0, kernel.ReadWait(now, time.Time{}, maxWait), must.Sprint("no proof yet"))
+	must.Eq(t, 0, kernel.ReadWait(now, now, 0))
+}
+
 // The nodes that read the store for the fleet lose it, while all others could read it. The others must learn at once that
 // their reader is lost, and one of them must read in time: they went on by the routing that they had for up to 2 s, and asked
 // three nodes one after the other before one of them read.
--- a/kernel/reading.go
+++ b/kernel/reading.go
@@ -161,10 +161,10 @@
 	return p
 }
 
-// RecordAnswer records the outcome of a request to a node and reports whether its answer suffices. A recent answer
-// suffices even if the store does not answer that node, unless that is a reader and this one is a reader, too, or the head
-// of its failure domain: then this one has to read the store in its place, or to find out whether it can. Nor does that of a node
-// further up its failure domain, which says so once it has found out that it can't. So does that of a node that is itself starting, and that the store answers, for
+// RecordAnswer records the outcome of a request to a node and reports whether its answer suffices. A recent answer suffices
+// even if the store does not answer that node, with two exceptions: a reader has told another reader, or the head of a failure
+// domain, which then reads in its place or finds out whether it can; or a node further up the failure domain has told this one,
+// after it has found out that it can't. The answer of a node that is itself starting, and that the store answers, suffices for
 // maxStartingAnswers answers: after a simultaneous start the tables pass from node to node, and the readers must not be
 // asked for them by all.
 func (s *SourceSelector) RecordAnswer(now time.Time, source string, a SourceAnswer) bool {
@@ -293,6 +293,13 @@
 	return ""
 }
 
+// ReadWait returns how long the store may wait before it answers a request for changes of a table that was last proven current
+// at provenAt: until the proof is maxWait old. An answer with changes proves the table current only as of the request, since
+// they may have been made at any time of the wait; after a whole further wait the proof would be twice as old.
+func ReadWait(now, provenAt time.Time, maxWait time.Duration) time.Duration {
+	return min(maxWait, max(0, maxWait-now.Sub(provenAt)))
+}
+
 // CallTimeout returns how long to wait for the next answer of a reader, given the previous timeout and whether the
 // previous answer arrived completely in time. The base is the greatest age at which data is of use: after it another
 // node is asked, since this one may be cut off from all others. The timeout doubles up to the limit, so that an answer
--- a/relay/log.go
+++ b/relay/log.go
@@ -5,7 +5,6 @@
 
 	"github.com/rs/zerolog"
 
-	"basilstall.example/basilstall/currency"
 	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
@@ -47,8 +46,9 @@
 	line := log.Info().Str("Request", f.ID).Str("Digest", string(f.Digest)).Str("Route", a.Route.Name).Str("Customer", a.Customer).Int("Rank", a.Rank).
 		Uint64("Routing", view.Table.Version()).Dur("RoutingAge", now.Sub(view.ProvenAt)).Str("ProvenBy", r.routingProof.Load().By).
 		Dur("Elapsed", now.Sub(f.ReceivedAt)).Int("Attempts", o.Attempts)
-	if verdict := r.currencyAt(now, view); verdict != currency.Current {
-		line = line.Str("Currency", string(verdict)).Int("Unanswered", len(r.routingProof.Load().Attempts.Ages(now, view.ProvenAt)))
+	if o.Refusal != nil && o.Refusal.Reason == model.StaleRouting {
+		view = r.View()
+		line = line.Str("Currency", string(r.currencyAt(now, view))).Int("Unanswered", len(r.routingProof.Load().Attempts.Ages(now, view.ProvenAt)))
 	}
 	if f.Waited > 0 {
 		line = line.Dur("Waited", f.Waited)
