--- a/kernel/reading_test.go
+++ b/kernel/reading_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -141,11 +142,9 @@
 
 // plan returns where a node gets its data from, given the nodes that it reaches.
 func (f *followerSim) plan(n *followerNode) kernel.SourcePlan {
-	var reachable []kernel.Peer
-	for _, p := range f.peers {
-		if !n.suspects[p.Name] {
-			reachable = append(reachable, p)
-		}
+	reachable := f.peers
+	if len(n.suspects) > 0 {
+		reachable = slices.DeleteFunc(slices.Clone(f.peers), func(p kernel.Peer) bool { return n.suspects[p.Name] })
 	}
 	return n.selector.Plan(f.now, reachable, n.storeLost())
 }
