A late answer of a node is still received while another node is asked

Cause, traced: the answer of the followed node was cut off 2.4 s after the question though its bytes were arriving (SourceSkipped 1, no StoreOverdue, no ReaderFailed). The node then took itself for one without a source, read the store, and received the routing there from the first byte on. Ruled out: the reader was lost (no StoreOverdue or StoreFailed at it); the read of small tables of a slow source (the large table was among those read).

SourceLate counts them; SourceSkipped now counts only answers that knew too little. kernel.CallTimeout, which made the next call longer after one that was cut off, and its test go with their purpose: no answer is cut off any more while it arrives.

--- a/follow/follower.go
+++ b/follow/follower.go
@@ -70,7 +70,7 @@
 		tables  []*followedTable
 		packer  *packer
 		// readsStore is true while this node reads the store, and sourceSlow while it waits for a slow answer of the node
-		// that it follows. It then reads the tables that are not Large.
+		// that it follows. It then reads the tables that are not Large, and only these while a late answer is being received.
 		readsStore atomic.Bool
 		sourceSlow atomic.Bool
 		// selectorMu guards selector.
@@ -82,12 +82,7 @@
 		settled bool
 		// updates is signalled after each answer about the tables.
 		updates *broadcaster
-		// callTimeout is how long to wait for the answer of another node. Only the goroutine that polls the other nodes
-		// uses it.
-		callTimeout time.Duration
-		// lostSources holds the nodes that have said in their last answer that the store does not answer them. Only the
-		// goroutine that polls the other nodes uses it.
-		lostSources map[string]bool
+		calls   *sourceCalls
 		// proofMu guards proof.
 		proofMu sync.Mutex
 		proof   relay.RoutingProof
@@ -111,7 +106,7 @@
 // NewFollower starts a Follower, which runs until ctx ends. The first of the tables is the one that is read to find out
 // whether the store answers again.
 func NewFollower(ctx context.Context, options Options, store Store, r *relay.Relay, tables []Table, metrics *metric.Set, log zerolog.Logger) *Follower {
-	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), updates: newBroadcaster(), callTimeout: options.MaxAge, lostSources: map[string]bool{}}
+	f := &Follower{options: options, store: store, relay: r, log: log, metrics: metrics, packer: newPacker(), updates: newBroadcaster(), calls: newSourceCalls()}
 	f.selector = kernel.NewSourceSelector(options.Name, options.Domain, options.MaxAge)
 	f.startedAt = clock.Now()
 	for _, t := range tables {
@@ -218,7 +213,7 @@
 
 // reads reports whether a table is to be read from the store.
 func (f *Follower) reads(t *followedTable) bool {
-	return f.readsStore.Load() || f.sourceSlow.Load() && !t.Large
+	return f.readsStore.Load() && !(t.Large && f.calls.anyLate()) || f.sourceSlow.Load() && !t.Large
 }
 
 // ReadsStore reports whether this node reads the store itself.
--- a/follow/source.go
+++ b/follow/source.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/peer"
@@ -107,22 +105,20 @@
 // querySource requests changes from a node. It returns whether the answer is sufficient, so that no other node has to be
 // asked, and whether the node supports long polls.
 func (f *Follower) querySource(ctx context.Context, source string) (sufficient, follows bool) {
-	answer, follows, err := f.fetchFromNode(ctx, source)
-	// A node whose answer is still being received has not failed, but another one may have the changes sooner.
-	answer.TimedOut = errors.Is(err, context.DeadlineExceeded)
-	answer.Failed = err != nil && !answer.TimedOut
-	f.callTimeout = kernel.CallTimeout(f.callTimeout, f.options.MaxAge, maxPeerTimeout, !answer.TimedOut)
-	if answer.Failed {
-		f.metrics.CountEvent("ReaderFailed")
-		f.relay.Suspect(source, err)
-	}
+	result := f.fetchFromNode(ctx, source)
 	f.selectorMu.Lock()
-	defer f.selectorMu.Unlock()
-	sufficient = f.selector.RecordAnswer(clock.Now(), source, answer)
-	if !sufficient && !answer.Failed {
+	sufficient = f.selector.RecordAnswer(clock.Now(), source, result.answer)
+	f.selectorMu.Unlock()
+	switch {
+	case result.answer.Failed:
+		f.metrics.CountEvent("ReaderFailed")
+		f.relay.Suspect(source, result.err)
+	case result.answer.TimedOut:
+		f.metrics.CountEvent("SourceLate")
+	case !sufficient:
 		f.metrics.CountEvent("SourceSkipped")
 	}
-	return sufficient, follows
+	return sufficient, result.follows
 }
 
 // probeForReader reads a table from the store, beside the questions to other nodes, if the readers are lost and the selector
@@ -168,38 +164,6 @@
 	f.updates.Broadcast()
 }
 
-// fetchFromNode requests the changes of all tables from a node and applies them. It returns what the node reported
-// about the store and the age of its tables, and whether it waits for news.
-func (f *Follower) fetchFromNode(ctx context.Context, node string) (_ kernel.SourceAnswer, follows bool, err error) {
-	const hold = sourceLongPollTime
-	ctx, cancel := context.WithTimeout(ctx, f.callTimeout+hold)
-	defer cancel()
-	if f.allTablesKnown() {
-		// A slow answer may be one that many nodes wait for, or a large one on a slow link. Reading the store meanwhile
-		// lets this node learn in time which endpoints are leaving.
-		slowTimer := time.AfterFunc(peerIdleTimeout+hold, func() { f.setSourceSlow(true) })
-		defer f.setSourceSlow(false)
-		defer slowTimer.Stop()
-	}
-	announced := f.options.Outbox.Take()
-	defer func() {
-		if !follows {
-			f.options.Outbox.Add(announced)
-		}
-	}()
-	request := f.newRequest(announced)
-	request.KnowsLost = f.lostSources[node]
-	sentAt := clock.Now()
-	var reply peer.FeedReply
-	if err := f.relay.CallWithIdleTimeout(ctx, peerIdleTimeout+hold, node, peer.KindFeed, request, &reply); err != nil {
-		f.recordFailure(node, "", err)
-		return kernel.SourceAnswer{}, false, err
-	}
-	f.lostSources[node] = reply.Lost
-	answer, err := f.applyReply(node, sentAt, reply)
-	return answer, reply.Follows, err
-}
-
 // setSourceSlow records whether this node waits for a slow answer of the node that it follows.
 func (f *Follower) setSourceSlow(slow bool) {
 	if f.sourceSlow.Swap(slow) != slow && slow {
--- a/kernel/reading.go
+++ b/kernel/reading.go
@@ -299,14 +299,3 @@
 func ReadWait(now, provenAt time.Time, maxWait time.Duration) time.Duration {
 	return min(maxWait, max(0, maxWait-now.Sub(provenAt)))
 }
-
-// CallTimeout returns how long to wait for the next answer of a reader, given the previous timeout and whether the
-// previous answer arrived completely in time. The base is the greatest age at which data is of use: after it another
-// node is asked, since this one may be cut off from all others. The timeout doubles up to the limit, so that an answer
-// that is too large for its link at first arrives completely in the end.
-func CallTimeout(previous, base, limit time.Duration, inTime bool) time.Duration {
-	if inTime || previous <= 0 {
-		return base
-	}
-	return min(2*previous, limit)
-}
--- a/kernel/reading_test.go
+++ b/kernel/reading_test.go
@@ -379,21 +379,6 @@
 	must.Less(t, followerMaxKeyAge, oldest)
 }
 
-// The timeout of a call doubles up to its limit while answers do not arrive completely in time, and returns to the
-// base after one that does. An answer that is too large for its link at first arrives in the end.
-func TestCallTimeoutGrowsUntilAnswerInTime(t *testing.T) {
-	const base, limit = 2 * time.Second, 7 * time.Second
-	timeout := kernel.CallTimeout(0, base, limit, false)
-	must.EqOp(t, base, timeout)
-	for _, step := range []struct {
-		inTime bool
-		want   time.Duration
-	}{{false, 4 * time.Second}, {false, limit}, {false, limit}, {true, base}, {true, base}, {false, 4 * time.Second}} {
-		timeout = kernel.CallTimeout(timeout, base, limit, step.inTime)
-		must.EqOp(t, step.want, timeout)
-	}
-}
-
 // newCountedSim returns nodes that have found whom to follow, and counts from then on what they are asked.
 func newCountedSim(nodes int) *followerSim {
 	f := newFollowerSim(uint64(nodes), 5, nodes/5)
