--- a/follow/attempts.go
+++ b/follow/attempts.go
@@ -61,8 +61,8 @@
 	return f.attempts().Ages(now, f.routingProvenAt())
 }
 
-// knowsOutage reports whether this node knows that the store answers nobody, and the sender of a request, which told of the
-// attempts with these ages at askedAt, does not.
+// knowsOutage reports whether this node knows that the store answers no node, and the sender of a request does not. ages
+// are those of the attempts that the sender knew of at askedAt.
 func (f *Follower) knowsOutage(askedAt time.Time, ages map[string]time.Duration) bool {
 	now, provenAt, nodes := clock.Now(), f.routingProvenAt(), f.relay.KnownNodes()
 	shows := func(a currency.Attempts) bool { return a.ShowOutage(now, f.options.MaxRouteAge, provenAt, nodes) }
--- a/follow/follower.go
+++ b/follow/follower.go
@@ -253,8 +253,8 @@
 	}
 }
 
-// change changes the replica of a table by update, which returns the changed rows and whether they are to be applied. Nodes
-// that wait for news can be answered before the rows are applied.
+// change calls update, which changes the replica of a table and returns the changed rows and whether they are to be applied.
+// Nodes that wait for news are woken before the rows are applied here: a large row takes long to decode.
 func (f *Follower) change(t *followedTable, update func() (changes []kernel.Row, applies bool)) {
 	t.applyMu.Lock()
 	defer t.applyMu.Unlock()
--- a/follow/read.go
+++ b/follow/read.go
@@ -11,8 +11,8 @@
 	"basilstall.example/basilstall/kernel"
 )
 
-// storeOverdue is how long a node waits for the store to begin to answer, beyond the time that the store may wait for changes,
-// before other nodes are told that the store does not answer it. A healthy store answers in milliseconds.
+// storeOverdue is how late an answer of the store may begin before other nodes are told that the store does not answer this
+// one. It does not include the time that the store waits for changes. A healthy store answers in milliseconds.
 const storeOverdue = 200 * time.Millisecond
 
 // readLoop reads a table from the store, while this node is to read it, until ctx ends.
--- a/kernel/reading_test.go
+++ b/kernel/reading_test.go
@@ -300,7 +300,7 @@
 // interval. When each node that found its reader's data too old read the store itself,
 // repeatedly, and so did each node that took the place of a failing reader, a store that was silent for 6 s got
 // 5,096 calls from 195 nodes within 20 s, and 149 of them became readers within two seconds.
-func TestFewNodesReadUnavailableStore(t *testing.T) {
+func TestUnavailableStoreGetsFewCalls(t *testing.T) {
 	const outage = 6 * time.Second
 	for _, nodesPerDomain := range []int{8, 39} {
 		f := newFollowerSim(uint64(nodesPerDomain), 5, nodesPerDomain)
