Attempts after the head of a relayed stream count

The node that reaches no endpoint had another one send; that went on at a second endpoint after the head of the answer, was lost, and the first node took the stream up through a third as its second attempt.

Cause: relayedBody passed over RelaySent, and over the attempts of RelayEnd: attempts were counted up to the head only. Ruled out: the take-up at the sending node (it told of its second attempt).

Change: the body keeps the number that the node tells of, and attempts are recorded when it has been read. TestAttemptsAfterHeadOfRelayedStreamCount failed before (2 nodes sent it, 1 is allowed) and passes 20 of 20 with -race.

--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -37,7 +37,8 @@
 	nodeReply struct {
 		node  string
 		reply *model.ForwardReply
-		// attempts is the number of endpoints that the request was sent to, as far as it is known.
+		// attempts is the number of endpoints that the request had been sent to when the head of the answer was received, as far as
+		// it is known.
 		attempts int
 		err      error
 	}
@@ -51,9 +52,21 @@
 		ended    bool
 		err      error
 		tellsEnd bool
+		// attempts is the number of endpoints that the request was sent to after the head of the answer, or 0 if the node told of
+		// none: it goes on with a stream at a further endpoint.
+		attempts int
 	}
 )
 
+// attemptsMade returns the number of endpoints that the request was sent to, as far as it is known. The body of the answer is
+// not being read any more.
+func (n nodeReply) attemptsMade() int {
+	if n.reply == nil {
+		return n.attempts
+	}
+	return max(n.attempts, n.reply.Body.(*relayedBody).attempts)
+}
+
 // sendThroughNode has another node send the request to an endpoint, because this one does not reach the pool: each request
 // crosses from node to node once at most. Nodes are asked one after the other until one takes the request.
 func (j *job) sendThroughNode(ctx context.Context, lastEventID string) nodeReply {
@@ -303,8 +316,13 @@
 			if err := peer.DecodeBody(frame.Body, &end); err != nil {
 				return 0, err
 			}
-			b.ended, b.err = true, b.endError(end)
+			b.ended, b.err, b.attempts = true, b.endError(end), max(b.attempts, end.Attempts)
 		case peer.KindRelaySent:
+			var sent peer.RelaySent
+			if err := peer.DecodeBody(frame.Body, &sent); err != nil {
+				return 0, err
+			}
+			b.attempts = max(b.attempts, sent.Attempts)
 		default:
 			return 0, errRelayBroken
 		}
@@ -344,6 +362,7 @@
 		res.node, res.attempts, res.reply, res.err = sent.node, sent.attempts, sent.reply, sent.err
 		if res.err == nil {
 			res.body, res.ending, res.err = attempt.readAnswer(ctx, res.reply, model.Endpoint{})
+			res.attempts = sent.attemptsMade()
 		}
 		results <- res
 	}()
@@ -407,7 +426,7 @@
 		result = j.writeRelayedReply(ctx, sent.reply, state)
 		sent.reply.Close()
 	}
-	j.recordNodeResult(sent.node, sent.attempts, result.err)
+	j.recordNodeResult(sent.node, sent.attemptsMade(), result.err)
 	return model.Endpoint{}, result, true
 }
 
