--- a/follow/sourcecalls.go
+++ b/follow/sourcecalls.go
@@ -37,7 +37,7 @@
 }
 
 // begin begins a call to a node. It returns false if an earlier answer of the node is still being received, or those of
-// maxLateCalls others.
+// more than maxLateCalls others.
 func (c *sourceCalls) begin(node string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
