A node without the routing declines requests of other nodes

What callers saw: a process that was starting crashed and broke off what it had (soak: node-3 exited with status 2, and did not serve after the faults).

Cause: another node asked it to send a request when it knew the endpoints and their refusal caps, and not yet the routing. handleRelay looks for an endpoint before kernel.DeclineRelay sees that there is no routing, and with refusal caps stated that reads the pool from a nil table (stack in the node's log). Ruled out: the changes to the follower (none is on the stack).

Change: RouteTable.Pool and Pools of a nil table know no pool, as Version and CapacityShare do. The node answers NotReady. The other callers of Pool (nodes.go, room.go) are covered by it. TestNodeWithoutRoutingDeclinesRequestOfOtherNode crashed before in the same line, and passes 10 of 10 with -race.

--- a/kernel/routes.go
+++ b/kernel/routes.go
@@ -101,14 +101,20 @@
 	return t.routing.Limits
 }
 
-// Pool returns a pool by its name.
+// Pool returns a pool by its name. A nil table, that of a node that does not know the routing yet, has none.
 func (t *RouteTable) Pool(name string) (model.Pool, bool) {
+	if t == nil {
+		return model.Pool{}, false
+	}
 	p, ok := t.routing.Pools[name]
 	return p, ok
 }
 
-// Pools returns all pools.
+// Pools returns all pools, none of a nil table.
 func (t *RouteTable) Pools() map[string]model.Pool {
+	if t == nil {
+		return nil
+	}
 	return t.routing.Pools
 }
 
