--- a/follow/follower.go
+++ b/follow/follower.go
@@ -254,7 +254,7 @@
 }
 
 // change calls update, which changes the replica of a table and returns the changed rows and whether they are to be applied.
-// Nodes that wait for news are woken before the rows are applied here: a large row takes long to decode.
+// Long polls of other nodes are answered before the rows are applied, because a large row is slow to decode.
 func (f *Follower) change(t *followedTable, update func() (changes []kernel.Row, applies bool)) {
 	t.applyMu.Lock()
 	defer t.applyMu.Unlock()
--- a/follow/read.go
+++ b/follow/read.go
@@ -11,8 +11,8 @@
 	"basilstall.example/basilstall/kernel"
 )
 
-// storeOverdue is how late an answer of the store may begin before other nodes are told that the store does not answer this
-// one. It does not include the time that the store waits for changes. A healthy store answers in milliseconds.
+// storeOverdue is the time after which a call counts as overdue if the store has not begun to answer it, in addition to the
+// time that the store may wait for changes. A healthy store answers in milliseconds.
 const storeOverdue = 200 * time.Millisecond
 
 // readLoop reads a table from the store, while this node is to read it, until ctx ends.
@@ -118,8 +118,8 @@
 	return nil
 }
 
-// recordOverdue records that the store has not begun to answer a call of this node in time. The call goes on, but others
-// are told of it, and one of them reads in place of this node.
+// recordOverdue records that the store has not begun to answer a call of this node in time. The call is not
+// cancelled. Other nodes are notified, and one of them becomes a reader.
 func (f *Follower) recordOverdue(t *followedTable, startedAt time.Time) {
 	if t.IgnoreAge {
 		return
--- a/follow/sourcecalls.go
+++ b/follow/sourcecalls.go
@@ -24,7 +24,7 @@
 		lost map[string]bool
 	}
 
-	// sourceResult is the outcome of a call to another node. follows is true if the node waits for news.
+	// sourceResult is the outcome of a call to another node. follows is true if the node supports long polls.
 	sourceResult struct {
 		answer  kernel.SourceAnswer
 		follows bool
