--- a/kernel/reading.go
+++ b/kernel/reading.go
@@ -162,11 +162,10 @@
 }
 
 // RecordAnswer records the outcome of a request to a node and reports whether its answer suffices. A recent answer suffices
-// even if the store does not answer that node, with two exceptions. A reader without the store does not suffice for another
-// reader or for the head of a failure domain, which read the store themselves or probe it. A node without the store does not
-// suffice for the next nodes of its failure domain once its own probe has failed. The answer of a node that is itself starting, and that the store answers, suffices for
-// maxStartingAnswers answers: after a simultaneous start the tables pass from node to node, and the readers must not be
-// asked for them by all.
+// even if the store does not answer that node, with two exceptions: the node is a reader and this node is another one or the
+// head of its failure domain, or the node is an ancestor of this one. This node then asks the next source, probes the store or
+// reads it. The answer of a node that is itself starting, and that the store answers, suffices for maxStartingAnswers answers:
+// after a simultaneous start the tables pass from node to node, and the readers must not be asked for them by all.
 func (s *SourceSelector) RecordAnswer(now time.Time, source string, a SourceAnswer) bool {
 	if a.Failed {
 		return false
