Lines of streams say what ended their attempts and why no other engine went on

The line of a failed attempt said "use of closed network connection" whether the engine, a change of the list, the deadline or the node itself had ended it, and nothing said why a stream that had begun did not go on elsewhere.

Added: Silence, Begun and EndedBy of an attempt at a stream, Barred of an answer that was broken off, and a counter of each value of Barred.

--- a/relay/log.go
+++ b/relay/log.go
@@ -96,6 +96,9 @@
 	if o.Evidence != "" && (o.End == ending.Unstated || o.End == ending.BrokenOff) {
 		r.metrics.CountEvent("End" + string(o.End) + string(o.Evidence))
 	}
+	if o.Barred != "" {
+		r.metrics.CountEvent("StreamBarredBy" + o.Barred)
+	}
 	if o.Cause != nil {
 		r.metrics.CountEvent("BrokenOffBy" + string(o.Cause.Reason))
 	}
@@ -130,6 +133,9 @@
 	if o.End != "" {
 		line = line.Str("End", string(o.End))
 	}
+	if o.Barred != "" {
+		line = line.Str("Barred", o.Barred)
+	}
 	if o.Cause != nil {
 		line = line.Str("Cause", string(o.Cause.Reason)).Str("Verdict", string(o.Cause.Verdict)).Str("Detail", o.Cause.Detail)
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -40,6 +40,10 @@
 		// framing is how the last engine's answer was delimited, and ending what is known of its end.
 		framing ending.Framing
 		ending  ending.Judgement
+		// heardAt is when the last whole event was received, or the last attempt was begun.
+		heardAt time.Time
+		// barred is why the stream did not go on at another engine after its last attempt.
+		barred resumptionBar
 	}
 
 	// streamResult is the result of one attempt at a stream.
@@ -115,7 +119,10 @@
 
 // streamOutcome returns the outcome of a stream that ends here, incomplete.
 func (j *job) streamOutcome(state *streamState, e model.Endpoint) Outcome {
-	outcome := Outcome{Status: state.status, Endpoint: e.Name, Attempts: j.attempts, Framing: state.framing, End: state.ending.End, Evidence: state.ending.Evidence}
+	outcome := Outcome{
+		Status: state.status, Endpoint: e.Name, Attempts: j.attempts, Framing: state.framing, End: state.ending.End, Evidence: state.ending.Evidence,
+		Barred: string(state.barred),
+	}
 	if state.headerSent {
 		outcome.FirstEventTime = state.firstEventAt.Sub(j.forward.ReceivedAt)
 	}
@@ -197,7 +204,12 @@
 	}
 	state.source = e
 	j.recordBinding(e)
+	state.heardAt = startedAt
 	result := j.relayEvents(ctx, p, send, state, onFirstEvent)
+	if result.err != nil {
+		r.log.Info().Str("Request", j.forward.ID).Str("Endpoint", e.Incarnation()).Str("Pool", e.Pool).Dur("Silence", r.now().Sub(state.heardAt)).
+			Bool("Begun", state.headerSent).Str("EndedBy", endedBy(result.err)).Msg("attempt at a stream ended without its end")
+	}
 	if !firstSeen {
 		p.dropPendingPrefill(e.Incarnation(), tokens)
 	}
@@ -225,7 +237,7 @@
 	defer endCall()
 	reply, err := j.relay.forward(ctx, send)
 	if err != nil {
-		return streamResult{err: err}
+		return streamResult{err: withCause(ctx, err)}
 	}
 	defer reply.Close()
 	p.recordLoad(j.relay.now(), send.Endpoint.Incarnation(), reply.Statement.Load)
@@ -239,10 +251,25 @@
 	case failureReply:
 		return j.writeFailure(ctx, reply, state)
 	}
-	return j.writeReply(reply, state, func() {
+	result := j.writeReply(reply, state, func() {
+		state.heardAt = j.relay.now()
 		idleTimer.Reset(streamIdleTimeout)
 		onFirstEvent()
 	})
+	result.err = withCause(ctx, result.err)
+	return result
+}
+
+// withCause returns the fault of an attempt with what has cancelled it, if anything has: else it shows only that its connection
+// was closed.
+func withCause(ctx context.Context, err error) error {
+	var fault *endpoint.Fault
+	if ctx.Err() == nil || !errors.As(err, &fault) {
+		return err
+	}
+	out := *fault
+	out.Err = &cancelledError{cause: context.Cause(ctx), err: fault.Err}
+	return &out
 }
 
 // writeReply writes the events of an answer to the caller until the answer ends. It calls onEvents before each write.
@@ -394,7 +421,9 @@
 // finishWithoutEngine ends a stream for which there is no engine, or no further one.
 func (j *job) finishWithoutEngine(state *streamState) Outcome {
 	if state.headerSent {
-		return Outcome{Status: state.status, Attempts: j.attempts, Framing: state.framing, Evidence: state.ending.Evidence}
+		return Outcome{
+			Status: state.status, Attempts: j.attempts, Framing: state.framing, Evidence: state.ending.Evidence, Barred: string(barredByEngines),
+		}
 	}
 	return j.refuseNoEndpoint(j.verdict())
 }
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -163,6 +163,8 @@
 		Evidence ending.Evidence
 		// Cause is the refusal that broke the answer off; nil if none did.
 		Cause *model.Refusal
+		// Barred is why a stream that had begun did not go on at another engine; empty if it did or ended.
+		Barred string
 		// Endpoint is the name of the endpoint that answered; Attempts is how many endpoints the request was sent to.
 		Endpoint string
 		Attempts int
