A silent engine keeps its stream until another one has gone on

Callers of resumable streams got the beginning of an answer and a closed connection while their engine was sound: 1.5 s after the last event the node closed the connection to the engine, and only then looked whether another one could go on. Where the results of the stages were gone, no attempt or no budget was left, or the second engine refused, the answer ended there.

Ruled out: a longer timeout, which leaves the fault to longer silences and lets the streams of lost engines wait as long.

Each attempt now runs in a goroutine of its own and hands whole events to the one that serves the request. Package standby decides: after 1.5 s without an event a further attempt may begin beside the silent one, on the attempts and the budget of the route; the first to bring an event goes on, and the others are dropped before the caller has anything of theirs. A refused or failed second attempt changes nothing for the first.

--- a/peer/stream.go
+++ b/peer/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -44,6 +45,10 @@
 		writeMu *sync.Mutex
 		// idleSince is when the stream was last released; zero if it never was.
 		idleSince time.Time
+		// onSilence is called when nothing was received for streamSilenceTimeout, and when something is again; nil if the stream
+		// fails then. silent is true in between.
+		onSilence func(silent bool)
+		silent    bool
 		stopPings chan struct{}
 		closeOnce sync.Once
 	}
@@ -165,12 +170,28 @@
 	}
 }
 
-// read reads from the connection, and fails once the peer has been silent for too long.
+// OnSilence has a stream live on while its peer is silent: f is called when nothing was received for some time, and when
+// something is again. It holds until Release. Only the end that opened the stream may call it, before Next.
+func (s *Stream) OnSilence(f func(silent bool)) {
+	s.onSilence = f
+}
+
+// read reads from the connection. Once the peer has been silent for too long it fails, or tells so and reads on.
 func (s *Stream) read(p []byte) (int, error) {
-	if err := s.conn.SetReadDeadline(time.Now().Add(streamSilenceTimeout)); err != nil {
-		return 0, err
+	for {
+		if err := s.conn.SetReadDeadline(time.Now().Add(streamSilenceTimeout)); err != nil {
+			return 0, err
+		}
+		n, err := s.conn.Read(p)
+		silent := errors.Is(err, os.ErrDeadlineExceeded)
+		if s.onSilence != nil && silent != s.silent {
+			s.silent = silent
+			s.onSilence(silent)
+		}
+		if n > 0 || !silent || s.onSilence == nil {
+			return n, err
+		}
 	}
-	return s.conn.Read(p)
 }
 
 // startPings sends pings until the stream is released or closed.
@@ -203,6 +224,7 @@
 // Release ends a stream whose last frame was received, and keeps its connection for another one.
 func (s *Stream) Release() {
 	s.endPings()
+	s.onSilence, s.silent = nil, false
 	s.idleSince = time.Now()
 	c := s.client
 	c.mu.Lock()
--- a/relay/events.go
+++ b/relay/events.go
@@ -59,11 +59,6 @@
 	return e.partial, len(e.partial) == 0 || bytes.HasSuffix(e.partial, []byte("\n")) && !hasField(e.partial)
 }
 
-// reset drops what has come after the last event, as another endpoint continues the stream.
-func (e *eventSplitter) reset() {
-	e.partial, e.searched = nil, 0
-}
-
 // hasField reports whether p has a line that is neither blank nor a comment.
 func hasField(p []byte) bool {
 	for line := range bytes.Lines(p) {
--- a/relay/log.go
+++ b/relay/log.go
@@ -97,7 +97,7 @@
 		r.metrics.CountEvent("End" + string(o.End) + string(o.Evidence))
 	}
 	if o.Barred != "" {
-		r.metrics.CountEvent("StreamBarredBy" + o.Barred)
+		r.metrics.CountEvent("StreamBarredBy" + string(o.Barred))
 	}
 	if o.Cause != nil {
 		r.metrics.CountEvent("BrokenOffBy" + string(o.Cause.Reason))
@@ -134,7 +134,7 @@
 		line = line.Str("End", string(o.End))
 	}
 	if o.Barred != "" {
-		line = line.Str("Barred", o.Barred)
+		line = line.Str("Barred", string(o.Barred))
 	}
 	if o.Cause != nil {
 		line = line.Str("Cause", string(o.Cause.Reason)).Str("Verdict", string(o.Cause.Verdict)).Str("Detail", o.Cause.Detail)
@@ -178,6 +178,13 @@
 		Msg("attempt failed")
 }
 
+// logEndedAttempt logs an attempt at a stream that ended without the end of the stream. silence is for how long the engine had sent
+// no event, begun is true if the caller has events.
+func (r *Relay) logEndedAttempt(f model.Forward, e model.Endpoint, begun bool, silence time.Duration, err error) {
+	r.log.Info().Str("Request", f.ID).Str("Endpoint", e.Incarnation()).Str("Pool", e.Pool).Dur("Silence", silence).Bool("Begun", begun).
+		Str("EndedBy", endedBy(err)).Msg("attempt at a stream ended without its end")
+}
+
 // logResumed logs that a stream goes on at another endpoint within its answer.
 func (r *Relay) logResumed(f model.Forward, from, to model.Endpoint, lastEventID string) {
 	r.log.Info().Str("Request", f.ID).Str("Digest", string(f.Digest)).Str("Pool", to.Pool).Str("LastEvent", lastEventID).
--- a/relay/pool.go
+++ b/relay/pool.go
@@ -172,6 +172,13 @@
 	return p.reserve(now, limits, usable[i], prompt.TokensIn), true
 }
 
+// hasUsable reports whether this node may send to one of the listed endpoints.
+func (p *pool) hasUsable(now time.Time, listed []model.Endpoint, limits sendLimits, excluded []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(kernel.Usable(now, p.candidates(now, listed, limits), excluded)) > 0
+}
+
 // pickPlaced reserves the first of the placed incarnations that this node may send to.
 func (p *pool) pickPlaced(now time.Time, listed []model.Endpoint, limits sendLimits, prompt model.Prompt, excluded, placed []string) (choice, bool) {
 	p.mu.Lock()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,38 +10,41 @@
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
+	"basilstall.example/basilstall/standby"
 )
 
-const (
-	// streamBufferBytes is the size of the buffer into which a stream is read.
-	streamBufferBytes = 4 << 10
-	// streamIdleTimeout is how long the engine of a resumable stream may send no event before the stream is resumed at
-	// another engine. It is far above any pause of a healthy engine.
-	streamIdleTimeout = 1500 * time.Millisecond
-)
+// streamBufferBytes is the size of the buffer into which a stream is read.
+const streamBufferBytes = 4 << 10
 
-var (
-	errStreamIdle = errors.New("relay: the engine sent no event within the idle timeout")
-	errNoEvent    = errors.New("relay: the engine sent no event but other bytes")
-)
+// errNoEvent is the cause if an engine has sent bytes, but no event.
+var errNoEvent = errors.New("relay: the engine sent no event but other bytes")
 
 type (
-	// streamState is the state of a stream, which all its attempts share.
+	// streamState is the state of a stream, which all its attempts share. Only the goroutine that serves the request uses it.
 	streamState struct {
-		splitter   eventSplitter
 		headerSent bool
 		status     int
-		// source is the endpoint that the stream was last at; its name is empty if another node sent the request.
+		// lastID is the ID of the last event that the caller has; empty if it has none with an ID.
+		lastID string
+		// source is the endpoint of the attempt that the last event came from, or that ended last; its name is empty if another node
+		// sent the request.
 		source model.Endpoint
 		// firstEventAt is when the first event was received.
 		firstEventAt time.Time
-		// framing is how the last engine's answer was delimited, and ending what is known of its end.
+		// framing is how that engine's answer was delimited, and ending what is known of its end.
 		framing ending.Framing
 		ending  ending.Judgement
-		// heardAt is when the last whole event was received, or the last attempt was begun.
-		heardAt time.Time
 		// barred is why the stream did not go on at another engine after its last attempt.
-		barred resumptionBar
+		barred standby.Bar
+
+		// race decides on the attempts that run, running holds them by number, and lastNumber is that of the last one.
+		race       standby.Race
+		running    map[int]*streamAttempt
+		lastNumber int
+		// parts carries what the attempts receive.
+		parts chan streamPart
+		// nodeSilent gets a value when another node that is to send the request falls silent.
+		nodeSilent chan struct{}
 	}
 
 	// streamResult is the result of one attempt at a stream.
@@ -75,13 +76,14 @@
 			return outcome
 		}
 	}
-	state := streamState{splitter: eventSplitter{lastID: j.lastEventID}}
+	state := streamState{lastID: j.lastEventID, running: map[int]*streamAttempt{}, parts: make(chan streamPart), nodeSilent: make(chan struct{}, 1)}
+	defer j.endStream(p, &state)
 	for {
-		e, result, ok := j.attemptStream(ctx, p, &state, run)
-		if !ok {
+		if !j.startStreamAttempt(ctx, p, &state, run) {
 			return j.finishWithoutEngine(&state)
 		}
-		outcome, done := j.finalOutcome(ctx, &state, result, e)
+		a, result := j.awaitStream(ctx, p, &state, run)
+		outcome, done := j.finalOutcome(ctx, &state, result, a.endpoint)
 		if done {
 			return outcome
 		}
@@ -96,13 +98,87 @@
 			}
 		case retry:
 		case state.headerSent:
-			return j.streamOutcome(&state, e)
+			return j.streamOutcome(&state, a.endpoint)
 		default:
 			return j.refuseFailedStream(result)
 		}
 	}
 }
 
+// awaitStream passes on what the attempts receive until the stream has ended or no attempt runs. It returns the last one and its
+// result. A further attempt begins beside those that are silent.
+func (j *job) awaitStream(ctx context.Context, p *pool, state *streamState, run *stageRun) (*streamAttempt, streamResult) {
+	silence := time.NewTimer(state.race.DueIn(j.relay.now()))
+	defer silence.Stop()
+	for {
+		select {
+		case part := <-state.parts:
+			a := part.attempt
+			if state.running[a.number] != a {
+				continue
+			}
+			result := streamResult{callerGone: part.end == nil && !j.writeEvents(ctx, p, state, run, part)}
+			if part.end != nil {
+				result = j.endStreamAttempt(p, state, a, *part.end)
+			}
+			if result.complete || result.failureWritten || result.callerGone || len(state.running) == 0 {
+				return a, result
+			}
+		case <-state.nodeSilent:
+			j.startStandby(ctx, p, state, run)
+		case <-silence.C:
+			if state.race.DueIn(j.relay.now()) <= 0 {
+				j.startStandby(ctx, p, state, run)
+			}
+		}
+		silence.Reset(max(0, state.race.DueIn(j.relay.now())))
+	}
+}
+
+// startStandby begins a further attempt beside those that are silent, if that is allowed.
+func (j *job) startStandby(ctx context.Context, p *pool, state *streamState, run *stageRun) {
+	state.race = state.race.WithConsidered(j.relay.now())
+	for _, a := range state.running {
+		if a.node != nil && !a.node.silent.Load() {
+			// That node begins further attempts itself.
+			return
+		}
+	}
+	lost := j.forNode == "" && j.sendsThroughNode(p)
+	bar := j.barredStream(state, run.inputsReleased && !lost).Barred()
+	if bar == "" && !j.startAttemptBeside(ctx, p, state, run) {
+		bar = standby.ByEndpoints
+	}
+	if bar != "" {
+		j.relay.metrics.CountEvent("SilentStreamWaitsBy" + string(bar))
+		return
+	}
+	j.relay.metrics.CountRetry(model.RetrySilent, p.name)
+}
+
+// startAttemptBeside begins a further attempt beside those that run, on the retry budget. It returns false if there is no engine
+// to send to, or no budget.
+func (j *job) startAttemptBeside(ctx context.Context, p *pool, state *streamState, run *stageRun) bool {
+	if !j.throughNodeOnly && !j.sendsThroughNode(p) && !j.otherNodeMaySend(p) && !j.mayChooseEngine(p) {
+		return false
+	}
+	return j.takeRetry(p, nil) && j.startStreamAttempt(ctx, p, state, run)
+}
+
+// mayChooseEngine reports whether an engine of the pool may be chosen that the request was not sent to.
+func (j *job) mayChooseEngine(p *pool) bool {
+	return p.hasUsable(j.relay.now(), j.allowedEndpoints(), j.relay.sendLimits(p.name), j.excluded)
+}
+
+// barredStream returns what decides whether a further attempt at a stream may begin.
+func (j *job) barredStream(state *streamState, inputsGone bool) standby.Request {
+	return standby.Request{
+		Repeatable: j.admission.Route.Resumable, MayHaveRun: j.mayHaveRun || len(state.running) > 0, Trial: j.trial && len(state.running) > 0,
+		InputsGone: inputsGone, Begun: state.headerSent, Position: state.lastID != "" && j.admission.Bound,
+		Attempts: j.attempts, MaxAttempts: j.admission.Route.MaxAttempts,
+	}
+}
+
 // prepareStream runs the stages of a stream that this node sends. done is true if the request ends with the outcome.
 func (j *job) prepareStream(ctx context.Context, p *pool) (run *stageRun, outcome Outcome, done bool) {
 	j.countRequest(p)
@@ -121,7 +197,7 @@
 func (j *job) streamOutcome(state *streamState, e model.Endpoint) Outcome {
 	outcome := Outcome{
 		Status: state.status, Endpoint: e.Name, Attempts: j.attempts, Framing: state.framing, End: state.ending.End, Evidence: state.ending.Evidence,
-		Barred: string(state.barred),
+		Barred: state.barred,
 	}
 	if state.headerSent {
 		outcome.FirstEventTime = state.firstEventAt.Sub(j.forward.ReceivedAt)
@@ -129,7 +205,7 @@
 	return outcome
 }
 
-// finalOutcome returns the outcome of a stream after an attempt. done is false if another engine may be tried.
+// finalOutcome returns the outcome of a stream after its last attempt. done is false if another engine may be tried.
 func (j *job) finalOutcome(ctx context.Context, state *streamState, result streamResult, e model.Endpoint) (outcome Outcome, done bool) {
 	outcome = j.streamOutcome(state, e)
 	switch {
@@ -148,75 +224,6 @@
 	}
 }
 
-// attemptStream makes one attempt at an engine. It returns false if there was no engine to send to.
-func (j *job) attemptStream(ctx context.Context, p *pool, state *streamState, run *stageRun) (model.Endpoint, streamResult, bool) {
-	r := j.relay
-	if j.throughNodeOnly || j.sendsThroughNode(p) {
-		return j.attemptStreamThroughNode(ctx, state, run)
-	}
-	tokens := j.forward.Prompt.TokensIn
-	placed := j.askPlacer(ctx, p, state.headerSent)
-	e, ok := j.chooseEndpoint(ctx, p, func(now time.Time, limits sendLimits) (choice, bool) {
-		return placed.choose(now, p, limits, j.allowedEndpoints(), j)
-	}, func(e model.Endpoint) {
-		p.dropPendingPrefill(e.Incarnation(), tokens)
-		p.release(e.Incarnation())
-	})
-	if !ok {
-		placed.end(nil)
-		if j.announceVersions(ctx) {
-			return j.attemptStream(ctx, p, state, run)
-		}
-		if j.otherNodeMaySend(p) {
-			return j.attemptStreamThroughNode(ctx, state, run)
-		}
-		return e, streamResult{}, false
-	}
-	defer p.release(e.Incarnation())
-	j.recordAttempt(e)
-	placed.recordSent(e)
-	startedAt := r.now()
-	defer func() { placed.end(p.reportedLoad(r.now(), startedAt, e.Incarnation())) }()
-	firstSeen := false
-	onFirstEvent := func() {
-		if firstSeen {
-			return
-		}
-		firstSeen = true
-		j.awaitBinding(ctx)
-		j.bind(kernel.Binding{Pool: p.name, Version: e.Version})
-		p.recordFirstEvent(e.Incarnation(), tokens, r.now().Sub(startedAt))
-		placed.recordFirstEvent(r.now().Sub(startedAt), p.reportedLoad(r.now(), startedAt, e.Incarnation()))
-		j.handleFirstEvent(run)
-	}
-	send := j.newSend(e, j.attempts > 1)
-	send.Inputs = run.inputs
-	checkAdmission := send.BeforeSend
-	send.BeforeSend = func() error {
-		if run.inputsStale() {
-			return model.NewRefusal(j.verdict(), model.StageFailed, kernel.ClampRetryAfter(refusalRetryAfter), "an input went with its worker")
-		}
-		return checkAdmission()
-	}
-	send.LastEventID = state.splitter.lastID
-	if state.headerSent {
-		r.logResumed(j.forward, state.source, e, state.splitter.lastID)
-	}
-	state.source = e
-	j.recordBinding(e)
-	state.heardAt = startedAt
-	result := j.relayEvents(ctx, p, send, state, onFirstEvent)
-	if result.err != nil {
-		r.log.Info().Str("Request", j.forward.ID).Str("Endpoint", e.Incarnation()).Str("Pool", e.Pool).Dur("Silence", r.now().Sub(state.heardAt)).
-			Bool("Begun", state.headerSent).Str("EndedBy", endedBy(result.err)).Msg("attempt at a stream ended without its end")
-	}
-	if !firstSeen {
-		p.dropPendingPrefill(e.Incarnation(), tokens)
-	}
-	j.recordStreamResult(p, e, startedAt, result)
-	return e, result, true
-}
-
 // affinityKey returns the key that requests for the same engine have in common; it is empty if any engine will do.
 func (j *job) affinityKey() string {
 	// A trial goes to the least loaded engine, as the request may crash it.
@@ -226,127 +233,90 @@
 	return kernel.AffinityKey(j.forward.Prompt)
 }
 
-// relayEvents sends a request to an engine and writes the events of the answer to the caller. It calls onFirstEvent
-// before each write; calls after the first have no effect.
-func (j *job) relayEvents(ctx context.Context, p *pool, send Send, state *streamState, onFirstEvent func()) streamResult {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	idleTimer := j.startIdleTimer(cancel)
-	defer idleTimer.Stop()
-	ctx, endCall := j.relay.trackCall(ctx, send.Endpoint, j.forward.Digests())
-	defer endCall()
-	reply, err := j.relay.forward(ctx, send)
-	if err != nil {
-		return streamResult{err: withCause(ctx, err)}
-	}
-	defer reply.Close()
-	p.recordLoad(j.relay.now(), send.Endpoint.Incarnation(), reply.Statement.Load)
-	kind := kindOfReply(reply, model.Stream)
-	j.mayHaveRun = j.mayHaveRun || kind != refusalReply
-	switch kind {
-	case refusalReply:
-		return streamResult{reply: reply}
-	case invalidReply:
-		return streamResult{err: invalidReplyFault(reply)}
-	case failureReply:
-		return j.writeFailure(ctx, reply, state)
-	}
-	result := j.writeReply(reply, state, func() {
-		state.heardAt = j.relay.now()
-		idleTimer.Reset(streamIdleTimeout)
-		onFirstEvent()
-	})
-	result.err = withCause(ctx, result.err)
-	return result
-}
-
-// withCause returns the fault of an attempt with what has cancelled it, if anything has: else it shows only that its connection
-// was closed.
-func withCause(ctx context.Context, err error) error {
-	var fault *endpoint.Fault
-	if ctx.Err() == nil || !errors.As(err, &fault) {
-		return err
-	}
-	out := *fault
-	out.Err = &cancelledError{cause: context.Cause(ctx), err: fault.Err}
-	return &out
+// writeEvents writes the events that an attempt has received to the caller. Attempts that it has overtaken are dropped before.
+// It returns false if the caller is gone.
+func (j *job) writeEvents(ctx context.Context, p *pool, state *streamState, run *stageRun, part streamPart) bool {
+	a := part.attempt
+	a.heardAt = j.relay.now()
+	race, overtaken := state.race.WithHeard(a.heardAt, a.number)
+	state.race = race
+	for _, number := range overtaken {
+		j.dropAttempt(p, state, state.running[number], errOvertaken)
+	}
+	if !a.spoke {
+		a.spoke = true
+		j.recordSpeaker(ctx, p, state, run, a)
+	}
+	j.sendHeader(part.reply, state)
+	state.lastID = part.lastID
+	return j.writeCounted(part.events) == nil
 }
 
-// writeReply writes the events of an answer to the caller until the answer ends. It calls onEvents before each write.
-func (j *job) writeReply(reply *model.ForwardReply, state *streamState, onEvents func()) streamResult {
-	state.splitter.reset()
-	state.framing, state.ending = reply.Framing, ending.Judgement{}
-	eventsBefore := state.splitter.count
-	buffer := make([]byte, streamBufferBytes)
-	for {
-		n, err := reply.Body.Read(buffer)
-		if n > 0 {
-			if result, done := j.writeEvents(reply, state, buffer[:n], onEvents); done {
-				return result
-			}
-		}
-		if err != nil {
-			return j.endAttempt(reply, state, state.splitter.count > eventsBefore, err)
+// recordSpeaker records that an attempt has received its first event: the stream goes on there.
+func (j *job) recordSpeaker(ctx context.Context, p *pool, state *streamState, run *stageRun, a *streamAttempt) {
+	r, e := j.relay, a.endpoint
+	if state.headerSent {
+		r.logResumed(j.forward, state.source, e, state.lastID)
+	}
+	state.source, state.framing, state.ending = e, a.framing, ending.Judgement{}
+	if a.node != nil {
+		if a.binding != nil {
+			j.bind(*a.binding)
+			j.keepBinding(*a.binding)
 		}
+		return
 	}
+	// Another attempt may have been recorded since.
+	j.recordBinding(e)
+	j.awaitBinding(ctx)
+	j.bind(kernel.Binding{Pool: p.name, Version: e.Version})
+	elapsed := r.now().Sub(a.startedAt)
+	p.recordFirstEvent(e.Incarnation(), j.forward.Prompt.TokensIn, elapsed)
+	a.placed.recordFirstEvent(elapsed, p.reportedLoad(r.now(), a.startedAt, e.Incarnation()))
+	j.handleFirstEvent(run)
 }
 
-// endAttempt returns the result of an attempt whose answer has ended with err, and ends the caller's answer if it may end here.
-func (j *job) endAttempt(reply *model.ForwardReply, state *streamState, anyEvent bool, err error) streamResult {
-	rest, betweenEvents := state.splitter.rest()
-	state.ending = j.relay.judgeEnd(err, !betweenEvents, reply, state.source)
-	switch state.ending.Evidence {
-	case ending.WithinEvent:
-		return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: io.ErrUnexpectedEOF}}
-	case ending.NothingListens, ending.StartedAgain:
-		err = errEndpointEnded
+// endStreamAttempt records the end of an attempt, and ends the caller's answer with it if it may end here.
+func (j *job) endStreamAttempt(p *pool, state *streamState, a *streamAttempt, end attemptEnd) streamResult {
+	if a.answered && (len(state.running) == 1 || end.judgement.End == ending.Stated) {
+		state.source, state.framing, state.ending = a.endpoint, a.framing, end.judgement
+	}
+	state.race = state.race.WithEnded(a.number)
+	delete(state.running, a.number)
+	j.releaseAttempt(p, a)
+	result := j.resultOf(state, end)
+	if a.node != nil {
+		j.recordNodeResult(a.node.taker(), a.node.attemptsMade(), result.err)
+		return result
 	}
-	switch {
-	case state.ending.End != ending.BrokenOff:
-	case len(rest) > 0 && !anyEvent:
-		return streamResult{err: &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: errNoEvent}}
-	default:
-		return streamResult{err: &endpoint.Fault{Kind: endpoint.Cut, Verdict: model.MayHaveRun, Err: err}}
+	if result.err != nil {
+		j.relay.logEndedAttempt(j.forward, a.endpoint, state.headerSent, j.relay.now().Sub(a.heardAt), result.err)
 	}
-	j.sendHeader(reply, state)
-	if !ending.MayEnd(j.responder.framing, state.ending.End) {
+	j.recordStreamResult(p, a.endpoint, result)
+	return result
+}
+
+// resultOf returns the result of an attempt that has ended, and writes the rest of the answer to the caller if it may end here.
+func (j *job) resultOf(state *streamState, end attemptEnd) streamResult {
+	switch {
+	case end.err != nil:
+		return streamResult{err: end.err}
+	case end.refused:
+		return streamResult{reply: end.reply}
+	case end.failure:
+		return j.writeFailure(end, state)
+	}
+	j.sendHeader(end.reply, state)
+	if !ending.MayEnd(j.responder.framing, end.judgement.End) {
 		// The answer began with the promise to state its end, and only another engine can state it.
 		return streamResult{unstated: true}
 	}
-	if len(rest) > 0 && j.writeCounted(rest) != nil {
+	if len(end.rest) > 0 && j.writeCounted(end.rest) != nil {
 		return streamResult{callerGone: true}
 	}
 	return streamResult{complete: true}
 }
 
-// writeEvents writes the events that p completes to the caller. done is true if the attempt has failed.
-func (j *job) writeEvents(reply *model.ForwardReply, state *streamState, p []byte, onEvents func()) (result streamResult, done bool) {
-	events, err := state.splitter.add(p)
-	if err != nil {
-		return streamResult{err: &endpoint.Fault{Kind: endpoint.Mismatch, Verdict: model.MayHaveRun, Err: err}}, true
-	}
-	if len(events) == 0 {
-		return streamResult{}, false
-	}
-	onEvents()
-	j.sendHeader(reply, state)
-	if j.writeCounted(events) != nil {
-		return streamResult{callerGone: true}, true
-	}
-	return streamResult{}, false
-}
-
-// startIdleTimer returns a timer that cancels an idle attempt if the stream can be resumed at another engine; otherwise
-// the timer does nothing.
-func (j *job) startIdleTimer(cancel context.CancelCauseFunc) *time.Timer {
-	if !j.admission.Route.Resumable || j.attempts >= j.admission.Route.MaxAttempts {
-		timer := time.NewTimer(0)
-		timer.Stop()
-		return timer
-	}
-	return time.AfterFunc(streamIdleTimeout, func() { cancel(errStreamIdle) })
-}
-
 func (j *job) sendHeader(reply *model.ForwardReply, state *streamState) {
 	if state.headerSent {
 		return
@@ -357,34 +327,24 @@
 	j.responder.begin(reply.Status, reply.Header, reply.Framing.ForStream())
 }
 
-// writeFailure writes an engine's own failure to the caller, unless the caller already has events of another engine,
-// the engine did not sign the failure, or the stream can be retried at another engine.
-func (j *job) writeFailure(ctx context.Context, reply *model.ForwardReply, state *streamState) streamResult {
-	body, judgement, err := j.readAnswer(ctx, reply, state.source)
-	if err != nil {
-		return streamResult{err: err}
-	}
-	if state.headerSent || reply.Status < http.StatusBadRequest {
-		return streamResult{err: &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.Errorf("relay: engine answered with status %d", reply.Status)}}
-	}
-	if j.admission.Route.Resumable && j.attempts < j.admission.Route.MaxAttempts {
-		return streamResult{err: &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.Errorf("relay: engine answered with status %d", reply.Status)}}
-	}
-	return j.writeWholeFailure(reply, state, body, judgement)
-}
-
-// writeWholeFailure writes an engine's own failure to the caller.
-func (j *job) writeWholeFailure(reply *model.ForwardReply, state *streamState, body []byte, judgement ending.Judgement) streamResult {
-	state.headerSent, state.status = true, reply.Status
-	state.framing, state.ending = reply.Framing, judgement
-	if j.responder.writeWhole(reply, body, judgement.End) != nil {
+// writeFailure writes an engine's own failure to the caller, unless the caller already has events of another engine, the stream
+// may be retried at another engine, or one has it.
+func (j *job) writeFailure(end attemptEnd, state *streamState) streamResult {
+	fault := streamResult{err: &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errors.Errorf("relay: engine answered with status %d", end.reply.Status)}}
+	if state.headerSent || len(state.running) > 0 {
+		return fault
+	}
+	if !end.final && j.admission.Route.Resumable && j.attempts < j.admission.Route.MaxAttempts {
+		return fault
+	}
+	state.headerSent, state.status = true, end.reply.Status
+	if j.responder.writeWhole(end.reply, end.body, end.judgement.End) != nil {
 		return streamResult{callerGone: true}
 	}
 	return streamResult{failureWritten: true}
 }
 
-func (j *job) recordStreamResult(p *pool, e model.Endpoint, sentAt time.Time, result streamResult) {
-	j.relay.recordMismatch(p, e, sentAt, result.err)
+func (j *job) recordStreamResult(p *pool, e model.Endpoint, result streamResult) {
 	switch {
 	case result.err != nil:
 		j.recordFault(p, e, asFault(result.err))
@@ -422,7 +382,7 @@
 func (j *job) finishWithoutEngine(state *streamState) Outcome {
 	if state.headerSent {
 		return Outcome{
-			Status: state.status, Attempts: j.attempts, Framing: state.framing, Evidence: state.ending.Evidence, Barred: string(barredByEngines),
+			Status: state.status, Attempts: j.attempts, Framing: state.framing, Evidence: state.ending.Evidence, Barred: standby.ByEndpoints,
 		}
 	}
 	return j.refuseNoEndpoint(j.verdict())
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -55,6 +55,7 @@
 		// attempts is the number of endpoints that the request was sent to after the head of the answer, or 0 if the node told of
 		// none: it goes on with a stream at a further endpoint.
 		attempts int
+		watch    *nodeWatch
 	}
 )
 
@@ -100,6 +101,7 @@
 	if err != nil {
 		return nodeReply{err: err}
 	}
+	j.watch.watch(node, stream)
 	end := r.helpers.RecordAccepted(r.now(), node, j.admission.Pool, load)
 	stop := context.AfterFunc(ctx, stream.Close)
 	reply, attempts, err := j.exchangeThrough(ctx, stream, lastEventID)
@@ -179,6 +181,7 @@
 				return nil, attempts + 1, j.relayFault(ctx, err)
 			}
 			attempts = sent.Attempts
+			j.watch.recordAttempts(attempts)
 		case peer.KindRelayHead:
 			reply, err := j.relayedReply(frame, stream)
 			if err != nil {
@@ -231,7 +234,7 @@
 	header := http.Header{}
 	maps.Copy(header, head.Header)
 	return &model.ForwardReply{
-		Status: head.Status, Header: header, Body: &relayedBody{stream: stream, tellsEnd: head.Framing != ""}, Length: contentLength(header),
+		Status: head.Status, Header: header, Body: &relayedBody{stream: stream, tellsEnd: head.Framing != "", watch: j.watch}, Length: contentLength(header),
 		Authentic: true, Framing: head.Framing,
 	}, nil
 }
@@ -317,12 +320,14 @@
 				return 0, err
 			}
 			b.ended, b.err, b.attempts = true, b.endError(end), max(b.attempts, end.Attempts)
+			b.watch.recordAttempts(end.Attempts)
 		case peer.KindRelaySent:
 			var sent peer.RelaySent
 			if err := peer.DecodeBody(frame.Body, &sent); err != nil {
 				return 0, err
 			}
 			b.attempts = max(b.attempts, sent.Attempts)
+			b.watch.recordAttempts(sent.Attempts)
 		default:
 			return 0, errRelayBroken
 		}
@@ -406,41 +411,55 @@
 		Str("Through", node).Int("Attempt", j.attempts).Err(err).Msg("the node that sent the request did not answer")
 }
 
-// attemptStreamThroughNode makes one attempt at a stream through another node. It returns false if this node got the
-// request from another one. The results of stages that were run here are freed: the other node runs them anew.
-func (j *job) attemptStreamThroughNode(ctx context.Context, state *streamState, run *stageRun) (model.Endpoint, streamResult, bool) {
+// startStreamAtNode begins one attempt at a stream through another node. It returns false if this node got the request from
+// another one. The results of stages that were run here are freed: the other node runs them anew.
+func (j *job) startStreamAtNode(ctx context.Context, state *streamState, run *stageRun) bool {
 	if j.forNode != "" {
-		return model.Endpoint{}, streamResult{}, false
+		return false
+	}
+	if len(state.running) == 0 {
+		run.releaseAll()
 	}
-	run.releaseAll()
 	j.throughNodeOnly = true
-	state.source = model.Endpoint{}
 	lastEventID := ""
 	if state.headerSent {
-		lastEventID = state.splitter.lastID
+		lastEventID = state.lastID
 	}
-	sent := j.sendThroughNode(ctx, lastEventID)
-	result := streamResult{err: sent.err}
-	if sent.err == nil {
-		j.mayHaveRun = true
-		result = j.writeRelayedReply(ctx, sent.reply, state)
-		sent.reply.Close()
-	}
-	j.recordNodeResult(sent.node, sent.attemptsMade(), result.err)
-	return model.Endpoint{}, result, true
+	attempt := j.snapshot()
+	attempt.watch = newNodeWatch(j.attempts, state.nodeSilent)
+	a := &streamAttempt{node: attempt.watch}
+	j.runStreamAttempt(ctx, state, a, func(ctx context.Context) attemptEnd {
+		return attempt.exchangeStreamAtNode(ctx, state, a, lastEventID)
+	})
+	return true
 }
 
-// writeRelayedReply writes the answer that another node passes on to the caller.
-func (j *job) writeRelayedReply(ctx context.Context, reply *model.ForwardReply, state *streamState) streamResult {
-	if reply.Status == http.StatusOK {
-		return j.writeReply(reply, state, func() {})
+// exchangeStreamAtNode has another node send the request and passes on the events of the answer until it ends.
+func (j *job) exchangeStreamAtNode(ctx context.Context, state *streamState, a *streamAttempt, lastEventID string) attemptEnd {
+	sent := j.sendThroughNode(ctx, lastEventID)
+	j.watch.recordAttempts(sent.attempts)
+	if sent.err != nil {
+		return attemptEnd{err: sent.err}
 	}
-	body, judgement, err := j.readBody(ctx, reply, model.Endpoint{})
-	if err != nil {
-		return streamResult{err: err}
+	defer sent.reply.Close()
+	a.answered, a.framing = true, sent.reply.Framing
+	if j.admission.Bound {
+		a.binding = &j.admission.Binding
 	}
-	if state.headerSent {
-		return streamResult{err: &endpoint.Fault{Kind: endpoint.Status, Verdict: model.MayHaveRun, Err: errRelayBroken}}
+	if sent.reply.Status == http.StatusOK {
+		return j.readEvents(sent.reply, state, a, lastEventID)
+	}
+	body, judgement, err := j.readBody(ctx, sent.reply, model.Endpoint{})
+	return attemptEnd{err: err, reply: sent.reply, failure: true, final: true, body: body, judgement: judgement}
+}
+
+// recordDroppedNode records that nothing more is wanted of a node that was to send the request. overtaken is true if the request goes
+// on elsewhere, as the node was silent.
+func (j *job) recordDroppedNode(w *nodeWatch, overtaken bool) {
+	j.throughNode = w.taker()
+	j.attempts = max(j.attempts, w.attemptsMade())
+	if overtaken && j.throughNode != "" {
+		j.excludedNodes = append(j.excludedNodes, j.throughNode)
+		j.relay.metrics.CountEvent("NodeOvertaken")
 	}
-	return j.writeWholeFailure(reply, state, body, judgement)
 }
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -63,6 +63,8 @@
 		// those that were lost over it.
 		throughNode   string
 		excludedNodes []string
+		// watch is what an attempt through another node tells of it; nil for other attempts.
+		watch *nodeWatch
 		// atNode is true while another node may be sending the request.
 		atNode bool
 		// throughNodeOnly is true for a stream whose stages were not run here, or whose results were freed, because another
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -9,6 +9,7 @@
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/peer"
+	"basilstall.example/basilstall/standby"
 )
 
 type (
@@ -164,7 +165,7 @@
 		// Cause is the refusal that broke the answer off; nil if none did.
 		Cause *model.Refusal
 		// Barred is why a stream that had begun did not go on at another engine; empty if it did or ended.
-		Barred string
+		Barred standby.Bar
 		// Endpoint is the name of the endpoint that answered; Attempts is how many endpoints the request was sent to.
 		Endpoint string
 		Attempts int
