A reset while a request is written is no end of its answer

An endpoint answered a long upload at once, without a length, and reset the connection while the upload was being written. Callers got the part that had come as a whole answer (MIXED).

Cause: the kernel tells of a reset once. Where the write of the upload took the error, the read saw a plain end, which is the end of an answer without a length. Answers with a length or chunks state their ends and were safe; a status of 000 was refused before.

--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -39,8 +40,9 @@
 )
 
 var (
-	errStrayReply  = errors.New("endpoint: the reply belongs to another request")
-	errDialTimeout = errors.New("endpoint: no connection was opened in time")
+	errStrayReply        = errors.New("endpoint: the reply belongs to another request")
+	errDialTimeout       = errors.New("endpoint: no connection was opened in time")
+	errResetWhileWriting = errors.New("endpoint: the connection was reset while the request was written")
 )
 
 type (
@@ -154,7 +156,7 @@
 	c.limiter.remaining.Store(maxHeaderBytes)
 	c.limiter.received.Store(false)
 	strayBytes := int64(maxStrayBytes)
-	writeDone := c.writeRequest(e)
+	c.writeRequest(e)
 	for range maxStrayReplies + 1 {
 		reply, err := c.readReply(e)
 		if err != nil {
@@ -169,7 +171,7 @@
 			c.limiter.remaining.Store(maxHeaderBytes)
 			continue
 		}
-		reply.notReusable = reply.notReusable || !allWritten(writeDone)
+		reply.notReusable = reply.notReusable || !c.allWritten()
 		return reply, nil
 	}
 	return nil, errStrayReply
@@ -177,17 +179,25 @@
 
 // allWritten reports whether the whole request has been written. If not, the endpoint answered before it had read the
 // request, and would take the rest of it for the next request.
-func allWritten(writeDone <-chan error) bool {
+func (c *exchangeConn) allWritten() bool {
 	timer := time.NewTimer(maxWriteLag)
 	defer timer.Stop()
 	select {
-	case err := <-writeDone:
-		return err == nil
+	case <-c.writeEnded:
+		return c.writeErr == nil
 	case <-timer.C:
 		return false
 	}
 }
 
+// resetWhileWriting reports whether the write of the request has failed. The kernel tells of a reset once: if the write has taken
+// the error, the read sees a plain end. A write that still waits for the endpoint is ended; the connection can't be reused.
+func (c *exchangeConn) resetWhileWriting() bool {
+	_ = c.conn.SetWriteDeadline(time.Unix(1, 0))
+	<-c.writeEnded
+	return c.writeErr != nil && !errors.Is(c.writeErr, os.ErrDeadlineExceeded)
+}
+
 // discardReply reads a reply to an earlier request to its end. It fails if the reply ends with its connection.
 func discardReply(reply *ExchangeReply) error {
 	if reply.notReusable {
@@ -199,21 +209,21 @@
 	return nil
 }
 
-// writeRequest sends the request. The channel receives one error, nil if the whole request was written.
-func (c *exchangeConn) writeRequest(e Exchange) <-chan error {
-	done := make(chan error, 1)
+// writeRequest sends the request.
+func (c *exchangeConn) writeRequest(e Exchange) {
+	ended := make(chan struct{})
+	c.writeEnded = ended
 	send := func() {
+		defer close(ended)
 		c.maybeSent.Store(true)
-		_, err := c.conn.Write(encodeRequest(e))
-		c.written.Store(err == nil)
-		done <- err
+		_, c.writeErr = c.conn.Write(encodeRequest(e))
+		c.written.Store(c.writeErr == nil)
 	}
 	if len(e.Body) <= maxInlineBody {
 		send()
 	} else {
 		go send()
 	}
-	return done
 }
 
 func (c *exchangeConn) readReply(e Exchange) (*ExchangeReply, error) {
@@ -235,7 +245,7 @@
 			reply.Framing = ending.Length
 		}
 		reply.idleTimeout = keepAliveTimeout(res.Header)
-		reply.Body = &replyBody{reply: reply, body: res.Body}
+		reply.Body = &replyBody{reply: reply, conn: c, body: res.Body}
 		return reply, nil
 	}
 }
@@ -243,6 +253,7 @@
 // replyBody records whether a body was read to its end.
 type replyBody struct {
 	reply *ExchangeReply
+	conn  *exchangeConn
 	body  io.Reader
 }
 
@@ -250,6 +261,8 @@
 	n, err := b.body.Read(p)
 	switch {
 	case err != io.EOF:
+	case b.reply.Framing == ending.Connection && b.conn.resetWhileWriting():
+		err = errResetWhileWriting
 	case b.reply.Framing == ending.Connection:
 		err = ending.ErrUnstated
 	default:
--- a/endpoint/exchanger.go
+++ b/endpoint/exchanger.go
@@ -83,9 +83,12 @@
 		sentIDs []uint64
 		// maybeSent is true once bytes of the current request may have been sent.
 		maybeSent atomic.Bool
-		// written is true once the kernel has taken the whole current request.
-		written   atomic.Bool
-		idleSince time.Time
+		// written is true once the kernel has taken the whole current request. writeEnded is closed when its write has ended, with
+		// writeErr.
+		written    atomic.Bool
+		writeEnded <-chan struct{}
+		writeErr   error
+		idleSince  time.Time
 		// idleTimeout is how long the connection may stay idle.
 		idleTimeout time.Duration
 		closeOnce   sync.Once
