A silent node keeps the requests that it sends for another one

Callers of a node that reaches no endpoint got 502, or streams that broke off, as the node that sent their request was stalled for a second, or the network between the two: both ends of the exchange ended it after 900 ms without a byte.

Now the node that has the caller goes on to wait. The node that sends goes on with its work until the deadline of the request: a stalled node may take the answer later. A connection that ends still ends the exchange at once.

--- a/peer/stream.go
+++ b/peer/stream.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -49,8 +50,10 @@
 		// fails then. silent is true in between.
 		onSilence func(silent bool)
 		silent    bool
-		stopPings chan struct{}
-		closeOnce sync.Once
+		// silentUntil is until when the peer may be silent, in nanoseconds since the epoch, at the server's end.
+		silentUntil atomic.Int64
+		stopPings   chan struct{}
+		closeOnce   sync.Once
 	}
 
 	// StreamHandler handles a stream that a peer has opened with a message. The stream ends when it returns. Its context is
@@ -176,6 +179,16 @@
 	s.onSilence = f
 }
 
+// AllowSilence has a stream live on while its peer is silent, for some time from now on. Only the server's end may call it.
+func (s *Stream) AllowSilence(period time.Duration) {
+	s.silentUntil.Store(time.Now().Add(period).UnixNano())
+}
+
+// mayBeSilent reports whether the peer may be silent at a time.
+func (s *Stream) mayBeSilent(now time.Time) bool {
+	return now.UnixNano() < s.silentUntil.Load()
+}
+
 // read reads from the connection. Once the peer has been silent for too long it fails, or tells so and reads on.
 func (s *Stream) read(p []byte) (int, error) {
 	for {
@@ -329,10 +342,19 @@
 
 // read reads from the connection. During a stream, it fails once the peer has been silent for too long.
 func (r *streamReceiver) read(p []byte) (int, error) {
-	r.mu.Lock()
-	if r.stream != nil {
-		_ = r.conn.SetReadDeadline(time.Now().Add(streamSilenceTimeout))
+	for {
+		r.mu.Lock()
+		stream := r.stream
+		if stream != nil {
+			_ = r.conn.SetReadDeadline(time.Now().Add(streamSilenceTimeout))
+		}
+		r.mu.Unlock()
+		n, err := r.conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if stream == nil || !stream.mayBeSilent(time.Now()) {
+			return n, err
+		}
 	}
-	r.mu.Unlock()
-	return r.conn.Read(p)
 }
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -121,6 +121,8 @@
 	f = f.WithPartDigests(admission.Pool)
 	outcome := Outcome{Refusal: refusal, Attempts: m.Attempts}
 	if refusal == nil {
+		// That node may be stalled, and take the answer later.
+		stream.AllowSilence(admission.Deadline.Sub(r.now()))
 		job := &job{
 			relay: r, forward: f, admission: admission, responder: &answerWriter{Responder: newStreamResponder(stream, count), method: f.Method}, startedAt: r.now(), trial: m.Trial,
 			forNode: m.Node, attempts: m.Attempts, excluded: m.Excluded, mayHaveRun: m.MayHaveRun, counted: m.Counted, lastEventID: m.LastEventID,
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -17,6 +17,7 @@
 	"basilstall.example/basilstall/leaving"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/peer"
+	"basilstall.example/basilstall/standby"
 )
 
 const (
@@ -357,6 +358,8 @@
 	}
 	j.atNode = true
 	attempt := j.snapshot()
+	attempt.watch = newNodeWatch(j.attempts, j.nodeSilent)
+	j.watch = attempt.watch
 	go func() {
 		res := unaryResult{throughNode: true, attempts: attempt.attempts}
 		defer attempt.relay.recoverPanic(func() {
@@ -374,6 +377,25 @@
 	return true
 }
 
+// startBesideNode has a further node send a safe request while the one that has it is silent. It returns the number of attempts that
+// it started, 0 or 1.
+func (j *job) startBesideNode(ctx context.Context, p *pool, results chan<- unaryResult) int {
+	silent := j.watch.taker()
+	j.attempts = max(j.attempts, j.watch.attemptsMade())
+	request := standby.Request{
+		Repeatable: j.admission.Route.Kind == model.Safe, MayHaveRun: true, Trial: j.trial, Attempts: j.attempts, MaxAttempts: j.admission.Route.MaxAttempts,
+	}
+	if !j.watch.silent.Load() || request.Barred() != "" {
+		return 0
+	}
+	j.excludedNodes = append(j.excludedNodes, silent)
+	if !j.takeRetry(p, nil) || !j.startAttempt(ctx, p, results) {
+		return 0
+	}
+	j.relay.metrics.CountRetry(model.RetrySilent, p.name)
+	return 1
+}
+
 // snapshot returns a copy that does not change with the job.
 func (j *job) snapshot() *job {
 	out := *j
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -65,6 +65,8 @@
 		excludedNodes []string
 		// watch is what an attempt through another node tells of it; nil for other attempts.
 		watch *nodeWatch
+		// nodeSilent gets a value when another node that is to send a unary request falls silent.
+		nodeSilent chan struct{}
 		// atNode is true while another node may be sending the request.
 		atNode bool
 		// throughNodeOnly is true for a stream whose stages were not run here, or whose results were freed, because another
@@ -157,6 +159,7 @@
 	hedgeTimer := time.NewTimer(time.Duration(hedgeDelayShare * float64(j.admission.Route.Objective)))
 	defer hedgeTimer.Stop()
 	hedgeSlots := make(chan hedgeSlot)
+	j.nodeSilent = make(chan struct{}, 1)
 	var failure *unaryResult
 	for {
 		select {
@@ -174,6 +177,8 @@
 			if !j.askForHedge(ctx, p, hedgeSlots) {
 				running += j.startHedge(ctx, p, results)
 			}
+		case <-j.nodeSilent:
+			running += j.startBesideNode(ctx, p, results)
 		case slot := <-hedgeSlots:
 			running += j.startAdmittedHedge(ctx, p, slot, results)
 		case <-ctx.Done():
