Own interface: a silent engine keeps its stream until another call has gone on

Callers of the product's own interface got a stream refused as failed while its engine was sound: a call without a token within the pool's timeout was cancelled, and the stage failed where the calls after it were refused or silent, too.

The calls of a stage now run side by side, decided by package standby with the pool's timeouts: after a silence a further call asks for the missing tokens on the same budget and number of calls; the first to bring one goes on, and the others are cancelled before. Timeouts no longer end calls; the deadline does.

--- a/dispatch/stream.go
+++ b/dispatch/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,16 +23,20 @@
 	adapterPollInterval = 50 * time.Millisecond
 )
 
-var errMissingToken = errors.New("a token is missing")
+var (
+	errMissingToken = errors.New("a token is missing")
+	errOvertaken    = errors.New("the engine was silent, and another call has gone on")
+)
 
-// runStream makes calls until the last token has arrived. After a fault, the next call asks for the remaining tokens,
-// so that the caller gets each token exactly once.
+// runStream makes calls until the last token has arrived. After a fault, and beside calls that are silent, the next call asks for
+// the remaining tokens; the first call to bring one goes on, so that the caller gets each token exactly once.
 func (a *attempts) runStream(ctx context.Context) error {
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
-	var output strings.Builder
 	// The tokens of an earlier stage are none of this stream's.
 	a.stageOutput.Tokens = 0
+	s := &streamCalls{attempts: a, running: map[int]*streamCall{}, messages: make(chan streamMessage)}
+	defer s.end()
 	for {
 		if err := a.checkRequest(); err != nil {
 			return err
@@ -42,18 +45,17 @@
 		if !ok {
 			return a.newRefusal(model.AdapterNotLoaded, errors.New("the adapter is not loaded in time"))
 		}
-		e := a.chooseEndpoint(ctx, a.routingPrefix(), append(lacking, a.excluded...))
-		if e == nil {
+		if !s.start(ctx, lacking) {
 			return a.noEndpointRefusal(errors.New("no endpoint"))
 		}
-		err := a.streamCall(ctx, e, &output)
+		call, err := s.await(ctx)
 		if err == nil {
-			a.endpointName = e.name
-			a.stageOutput.Output = output.String()
+			a.endpointName = call.endpoint.name
+			a.stageOutput.Output = s.output.String()
 			a.reportAdapterDemand(false)
 			return nil
 		}
-		if refusal := a.handleStreamFault(ctx, e, asFault(err)); refusal != nil {
+		if refusal := a.handleStreamFault(ctx, call.endpoint, asFault(err)); refusal != nil {
 			return refusal
 		}
 	}
@@ -73,12 +75,16 @@
 	if a.stageOutput.Tokens > 0 {
 		a.dispatcher.metrics.CountRetry(model.RetryResume, a.pool.name)
 	}
-	// A reused connection without progress may itself be at fault: the endpoint may get one more call, on a new
-	// connection.
+	a.exclude(e, fault)
+	return nil
+}
+
+// exclude passes over an endpoint after a fault. A reused connection without progress may itself be at fault: the endpoint may get
+// one more call, on a new connection.
+func (a *attempts) exclude(e *endpointState, fault *endpoint.Fault) {
 	if fault.Kind != endpoint.Silent || !fault.Reused {
 		a.excluded = append(a.excluded, e.incarnation)
 	}
-	return nil
 }
 
 // awaitAdapter waits while all engines lack the adapter, until the latest start that can still meet the deadline. It
@@ -109,70 +115,6 @@
 	return s.Model + "/" + s.Adapter
 }
 
-// streamCall makes one call for the tokens that are still missing, and appends them to output.
-func (a *attempts) streamCall(ctx context.Context, e *endpointState, output *strings.Builder) error {
-	startedAt := time.Now()
-	a.callCount++
-	call := a.prepareCall()
-	call.From = a.stageOutput.Tokens
-	target := a.target(e)
-	target.Timeout = a.tokenTimeout(startedAt)
-	lastTokenAt, firstTokenAt, tokensBefore := startedAt, startedAt, a.stageOutput.Tokens
-	var load *model.Load
-	version := a.pool.endpointOf(e).Version
-	a.dispatcher.OnCall(a.pool.endpointOf(e))
-	err := a.dispatcher.client.Stream(ctx, target, call, func(event model.TokenEvent) error {
-		now := time.Now()
-		if event.Load != nil {
-			load = event.Load
-			a.recordStatement(startedAt, now, e, load, true)
-			a.pool.recordLoad(now, e, *load)
-		}
-		if event.Final {
-			return a.checkTokenCount(event)
-		}
-		if event.Index < a.stageOutput.Tokens {
-			a.dispatcher.metrics.CountEvent("TokenRepeated")
-			return nil
-		}
-		if event.Index > a.stageOutput.Tokens {
-			return errMissingToken
-		}
-		a.observeToken(startedAt, lastTokenAt, now)
-		lastTokenAt = now
-		if a.stageOutput.Tokens == tokensBefore {
-			firstTokenAt = now
-		}
-		if !a.boundTo.bound {
-			a.boundTo = versionFilter{bound: true, version: version}
-		}
-		a.stageOutput.Tokens++
-		output.WriteString(event.Text)
-		if a.job.Emit != nil {
-			a.job.Emit(model.Token{Index: event.Index, Text: event.Text})
-		}
-		return nil
-	})
-	now := time.Now()
-	a.busy += now.Sub(startedAt)
-	if err == nil {
-		a.mayHaveRun = true
-		a.dispatcher.OnConnection(a.pool.endpointOf(e), startedAt, nil)
-		a.pool.recordAcceptance(now, e, true)
-		a.pool.recordSuccess(now, e, now.Sub(startedAt), load)
-		a.recordStreamPace(now, e, lastTokenAt.Sub(firstTokenAt), a.stageOutput.Tokens-tokensBefore, load)
-		return nil
-	}
-	fault := asFault(err)
-	a.recordStatement(startedAt, now, e, fault.Load, false)
-	a.recordConnectFailure(e, startedAt, fault)
-	if fault.Kind == endpoint.Silent {
-		a.observeSilence(startedAt, lastTokenAt, now)
-	}
-	a.recordStreamFault(now, e, fault)
-	return fault
-}
-
 // recordStreamPace records what a stream tells of the speed of its endpoint: the time between two of its tokens, which
 // depends neither on the prompt nor on waiting. generation is the time from the first token to the last one.
 func (a *attempts) recordStreamPace(now time.Time, e *endpointState, generation time.Duration, tokens int, load *model.Load) {
@@ -212,14 +154,14 @@
 	a.pool.observe(&a.pool.tokenGaps, now.Sub(lastTokenAt))
 }
 
-// observeSilence records a timeout as an observation of its duration. If the whole pool became slower than the timeout,
+// observeSilence records the silence of a call that was overtaken as an observation of its duration. If the whole pool became slower than the timeout,
 // no other observation would ever raise the quantiles.
 func (a *attempts) observeSilence(startedAt, lastTokenAt, now time.Time) {
 	a.observeToken(startedAt, lastTokenAt, now)
 }
 
-// tokenTimeout returns the timeout for the first token and for each gap between tokens. Without a retry left in the
-// budget it is the time until the deadline, since no other call could follow.
+// tokenTimeout returns how long the first token, and each gap between tokens, may take until a further call is considered. Without
+// a retry left in the budget it is the time until the deadline, since no other call could begin.
 func (a *attempts) tokenTimeout(now time.Time) time.Duration {
 	first := a.pool.quantile(&a.pool.firstTokenTimes, timeoutQuantile, fallbackFirstToken)
 	gap := a.pool.quantile(&a.pool.tokenGaps, timeoutQuantile, fallbackTokenGap)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -108,7 +108,7 @@
 // awaitStream passes on what the attempts receive until the stream has ended or no attempt runs. It returns the last one and its
 // result. A further attempt begins beside those that are silent.
 func (j *job) awaitStream(ctx context.Context, p *pool, state *streamState, run *stageRun) (*streamAttempt, streamResult) {
-	silence := time.NewTimer(state.race.DueIn(j.relay.now()))
+	silence := time.NewTimer(state.race.DueIn(j.relay.now(), standby.SilentAfter))
 	defer silence.Stop()
 	for {
 		select {
@@ -127,11 +127,11 @@
 		case <-state.nodeSilent:
 			j.startStandby(ctx, p, state, run)
 		case <-silence.C:
-			if state.race.DueIn(j.relay.now()) <= 0 {
+			if state.race.DueIn(j.relay.now(), standby.SilentAfter) <= 0 {
 				j.startStandby(ctx, p, state, run)
 			}
 		}
-		silence.Reset(max(0, state.race.DueIn(j.relay.now())))
+		silence.Reset(max(0, state.race.DueIn(j.relay.now(), standby.SilentAfter)))
 	}
 }
 
--- a/standby/standby.go
+++ b/standby/standby.go
@@ -129,7 +129,8 @@
 	return now.Sub(r.heardAt)
 }
 
-// DueIn returns when a further attempt is to be considered because those that run are silent; it is negative if that is past.
-func (r Race) DueIn(now time.Time) time.Duration {
-	return SilentAfter - r.Silence(now)
+// DueIn returns when a further attempt is to be considered because those that run have been silent for the given time; it is
+// negative if that is past.
+func (r Race) DueIn(now time.Time, silentAfter time.Duration) time.Duration {
+	return silentAfter - r.Silence(now)
 }
--- a/standby/standby_test.go
+++ b/standby/standby_test.go
@@ -39,12 +39,12 @@
 // gets parts, and against one that is dropped for its silence.
 func TestRace(t *testing.T) {
 	r := standby.Race{}.WithBegun(start, 1)
-	must.EqOp(t, standby.SilentAfter, r.DueIn(start))
+	must.EqOp(t, standby.SilentAfter, r.DueIn(start, standby.SilentAfter))
 	r, overtaken := r.WithHeard(start.Add(time.Second), 1)
 	must.SliceEmpty(t, overtaken)
-	must.EqOp(t, standby.SilentAfter, r.DueIn(start.Add(time.Second)))
+	must.EqOp(t, standby.SilentAfter, r.DueIn(start.Add(time.Second), standby.SilentAfter))
 	silent := start.Add(time.Second + standby.SilentAfter)
-	must.EqOp(t, 0, r.DueIn(silent))
+	must.EqOp(t, 0, r.DueIn(silent, standby.SilentAfter))
 	must.EqOp(t, 1, r.WithConsidered(silent).Running())
 	both := r.WithBegun(silent, 2).WithBegun(silent, 3)
 	must.EqOp(t, 3, both.Running())
