The last call for a piece is not given up while its worker is silent

Requests with stages were refused although their worker was sound and went on a moment later: a call without an answer was given up after 2.5 times its usual time and 0.3 s, and after the third one the group had no attempt left.

A call is now given up only if each of its pieces was made, is in another call or may be called for again; else it lives on until its groups end.

TestSilentWorkerEndsNoRequest failed before (refused after three calls) and passes.

--- a/kernel/batchend.go
+++ b/kernel/batchend.go
@@ -130,8 +130,8 @@
 		if !isAttempt || (fault == model.PieceNoRoom && q.policy.Uses(LearnRoomFromRefusals)) {
 			g.attempts[p.Number]--
 		}
-		final := fault == model.PieceInputGone || fault == model.PieceLate || g.inputsFreed
-		if final || g.attempts[p.Number] >= maxPieceAttempts || !now.Add(q.callTime(1)).Before(g.Until) {
+		final := fault == model.PieceInputGone || fault == model.PieceLate
+		if final || !q.mayCallAgain(now, g, p.Number) {
 			ended = append(ended, g.outcome(fault))
 			delete(q.groups, g.ID)
 			continue
--- a/kernel/batchslow.go
+++ b/kernel/batchslow.go
@@ -47,6 +47,26 @@
 	return requeued
 }
 
+// MayGiveUp reports whether a call that is still running may be given up: each of its pieces was made, is in another call, may be
+// called for again, or is wanted no more. Else a silent worker may be all that a group has.
+func (q *BatchQueue) MayGiveUp(now time.Time, batch PieceBatch) bool {
+	for i, p := range batch.Pieces {
+		g := q.groups[batch.groups[i]]
+		if g == nil || g.hasResult(p.Number) || g.isWaiting(p.Number) || g.runningCalls[p.Number] > 1 {
+			continue
+		}
+		if !q.mayCallAgain(now, g, p.Number) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayCallAgain reports whether a piece of a group may be called for once more.
+func (q *BatchQueue) mayCallAgain(now time.Time, g *waitingGroup, number int) bool {
+	return !g.inputsFreed && g.attempts[number] < maxPieceAttempts && now.Add(q.callTime(1)).Before(g.Until)
+}
+
 // OverdueAfter returns how long after its start a call is overdue.
 func (q *BatchQueue) OverdueAfter(batch PieceBatch) time.Duration {
 	expected := q.Expected(batch)
--- a/relay/batcher.go
+++ b/relay/batcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
@@ -17,7 +18,7 @@
 	// startCallsInterval is the longest time until startCalls runs again while pieces wait: a fraction of the time that
 	// a piece waits for an endpoint in its failure domain.
 	startCallsInterval = 30 * time.Millisecond
-	// A call for pieces times out after callTimeoutFactor times its expected duration plus callGrace; its pieces
+	// A call for pieces may be given up after callTimeoutFactor times its expected duration plus callGrace; its pieces
 	// are then requested from another endpoint.
 	callTimeoutFactor = 2.5
 	callGrace         = 300 * time.Millisecond
@@ -26,6 +27,9 @@
 	queueReportMaxAge = 120 * time.Millisecond
 )
 
+// errCallOverdue is the cause with which a call for pieces is given up.
+var errCallOverdue = errors.New("relay: the call for pieces is overdue")
+
 type (
 	// queueReport is a batcher's report on its queue.
 	queueReport struct {
@@ -226,8 +230,9 @@
 		b.startCalls()
 	})
 	timeout := time.Duration(callTimeoutFactor*float64(expected)) + callGrace
-	ctx, cancel := context.WithTimeout(r.ctx, timeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	defer cancel(nil)
+	go b.giveUpWhenReplaced(ctx, batch, timeout, cancel)
 	ctx, endCall := r.trackCall(ctx, batch.Endpoint, batch.RequestDigests()...)
 	defer endCall()
 	overdue := time.AfterFunc(overdueAfter, func() { b.handleOverdue(batch) })
@@ -257,6 +262,20 @@
 	b.startCalls()
 }
 
+// giveUpWhenReplaced cancels a call that has no answer after its timeout, once its pieces don't depend on it.
+func (b *batcher) giveUpWhenReplaced(ctx context.Context, batch kernel.PieceBatch, timeout time.Duration, cancel context.CancelCauseFunc) {
+	for clock.Sleep(ctx, timeout) {
+		b.mu.Lock()
+		replaced := b.queue.MayGiveUp(b.relay.now(), batch)
+		b.mu.Unlock()
+		if replaced {
+			cancel(errCallOverdue)
+			return
+		}
+		b.relay.metrics.CountEvent("PieceCallWaits")
+	}
+}
+
 // checkCrash reports whether the worker's process ended during a call. If the connection broke, it has the
 // quarantine check this.
 func (b *batcher) checkCrash(batch kernel.PieceBatch, err error) bool {
