What callers make a node hold is bounded by its memory and descriptors

A process was ended for its memory by callers: heads of many short fields, bodies and chunks that the kernel held unread, hundreds of idle connections, requests whose answers nobody read, each of which took a connection to an endpoint.

Causes: a head was bounded by its bytes, not by what the maps of its fields cost (206 bytes for a field of 7), and heads were in no account; the receive buffers were the system's, up to some MB each; max_fds was read by nothing, and connections were not bounded.

Package crowd has one account of all connections, with shares of memory and descriptors, and decides which are kept: those that never brought a whole request go first, one with a request under way never. connlimit applies it to callers of both interfaces, operators, readiness and metrics; receive buffers are 32 KB; a new connection waits while all others have requests under way, and those that end one yield to it.

Ruled out: a bound on the number of fields, which callers inside the limits meet; a plain limit of connections, with which idle ones shut out all others.

--- a/caller/server.go
+++ b/caller/server.go
@@ -20,6 +20,9 @@
 	// RequestsPath is the route of requests to a pipeline.
 	RequestsPath      = "/v1/pipelines/:Pipeline/requests"
 	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is how long a connection may be idle, maxHeaderBytes the size of the head of a request.
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 64 << 10
 )
 
 type (
@@ -75,7 +78,10 @@
 	e.POST(RequestsPath, s.postRequest)
 	e.GET("/healthz", s.getHealth)
 	e.GET("/readyz", s.getReady)
-	s.server = &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout, ConnContext: connlimit.WithConn}
+	s.server = &http.Server{
+		Handler: e, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: connlimit.WithConn, ConnState: deps.Conns.ConnState,
+	}
 	go deps.Conns.Run(ctx)
 	go func() { _ = s.server.Serve(deps.Conns.Listen(listener)) }()
 	return s, nil
--- a/connlimit/body.go
+++ b/connlimit/body.go
@@ -22,6 +22,9 @@
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	b.request.observeReceiving(err == nil)
+	if err == io.EOF {
+		b.request.recordReceived()
+	}
 	if n > 0 {
 		if full := b.request.ReserveBody(b.ctx, int64(n)); full != nil {
 			b.request.observeReceiving(false)
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"basilstall.example/basilstall/crowd"
 	"basilstall.example/basilstall/held"
 )
 
@@ -50,6 +51,8 @@
 		// written. Until then the socket is closed with a reset, also by the end of the process, so that the beginning of the answer
 		// can't be taken for all of it.
 		undelimited, finished bool
+		// head is what was read of the head of a request.
+		head headScanner
 		// aborted is true once the connection is to be reset whatever was written.
 		aborted bool
 	}
@@ -66,8 +69,18 @@
 	return listener{Listener: l, tracker: t}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A connection for which there is no room is closed.
 func (l listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.accept()
+		if c, ok := conn.(*Conn); err == nil && ok && !l.tracker.admit(c) {
+			continue
+		}
+		return conn, err
+	}
+}
+
+func (l listener) accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -77,25 +90,19 @@
 		return conn, nil
 	}
 	_ = tcp.SetWriteBuffer(held.SendBufferBytes)
+	_ = tcp.SetReadBuffer(crowd.ReceiveBufferBytes)
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return conn, nil
 	}
-	return l.tracker.add(&Conn{Conn: conn, tracker: l.tracker, tcp: tcp, raw: raw, drained: sync.NewCond(&l.tracker.mu)}), nil
-}
-
-func (t *Tracker) add(c *Conn) *Conn {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c.id = t.ledger.Open()
-	t.conns[c.id] = c
-	return c
+	return &Conn{Conn: conn, tracker: l.tracker, tcp: tcp, raw: raw, drained: sync.NewCond(&l.tracker.mu)}, nil
 }
 
 func (t *Tracker) remove(c *Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ledger.Close(c.id)
+	t.callers.Close(crowd.ID(c.id))
 	delete(t.conns, c.id)
 	delete(t.active, c.id)
 	t.wakeLocked()
--- a/connlimit/tracker.go
+++ b/connlimit/tracker.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"basilstall.example/basilstall/clock"
+	"basilstall.example/basilstall/crowd"
 	"basilstall.example/basilstall/held"
 )
 
@@ -30,6 +31,12 @@
 	Stalled Cause = "SlowCallerClosed"
 	// NoRoom: the bound on all held bytes was reached, and no other connection had made no progress for longer.
 	NoRoom Cause = "SlowCallerClosedForRoom"
+	// NoConn: there were as many connections as there may be, and the closed one was needed least.
+	NoConn Cause = "CallerClosedForOthers"
+	// NoConnLeft: there were as many connections as there may be, all with requests under way.
+	NoConnLeft Cause = "CallerNotAccepted"
+	// NoHead: heads of requests took as much memory as they may, and that of the closed connection took most.
+	NoHead Cause = "CallerClosedForHead"
 )
 
 // ErrFull is the error of a reservation that would exceed the bound on the held bytes.
@@ -48,6 +55,10 @@
 
 		mu     sync.Mutex
 		ledger *held.Ledger
+		// callers holds the same connections, to decide which are kept.
+		callers *crowd.Ledger
+		// waitingAdmissions is the number of connections that wait for room.
+		waitingAdmissions int
 		// active holds the connections that have bytes which the peer has not acknowledged, conns all.
 		active map[held.ID]*Conn
 		conns  map[held.ID]*Conn
@@ -81,12 +92,18 @@
 		OnClose: func(string, int64, Cause) {},
 		now:     now,
 		ledger:  held.NewLedger(limits),
+		callers: crowd.NewLedger(crowd.NewLimits(0, 0)),
 		active:  map[held.ID]*Conn{},
 		conns:   map[held.ID]*Conn{},
 		room:    make(chan struct{}),
 	}
 }
 
+// LimitCallers sets what callers may make the node hold. It must be called before the first connection is accepted.
+func (t *Tracker) LimitCallers(limits crowd.Limits) {
+	t.callers = crowd.NewLedger(limits)
+}
+
 // Run closes connections whose callers do not read, until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
 	for clock.Sleep(ctx, sweepInterval) {
@@ -189,6 +206,13 @@
 	return len(t.conns)
 }
 
+// HeadBytes returns what the heads of requests take, beyond what each connection may.
+func (t *Tracker) HeadBytes() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.callers.HeadBytes()
+}
+
 // WithConn returns a context that names the connection of the requests in it. It is a ConnContext of an http.Server.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
@@ -209,6 +233,7 @@
 		}
 	}
 	if c, ok := ctx.Value(connKey{}).(*Conn); ok {
+		t.endHead(c)
 		return &Request{tracker: t, id: c.id}, nil
 	}
 	return t.BeginDetached(), nil
--- a/operator/server.go
+++ b/operator/server.go
@@ -12,14 +12,26 @@
 	"github.com/go-faster/errors"
 	"github.com/labstack/echo/v4"
 
+	"basilstall.example/basilstall/clock"
+	"basilstall.example/basilstall/connlimit"
+	"basilstall.example/basilstall/crowd"
 	"basilstall.example/basilstall/dispatch"
+	"basilstall.example/basilstall/held"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/metric"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/table"
 )
 
-const readHeaderTimeout = 10 * time.Second
+const (
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is how long a connection may be idle, maxHeaderBytes the size of the head of a request.
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// connLimits bounds the connections of operators and of what reads metrics.
+var connLimits = crowd.Limits{Conns: 64, HeadBytes: 4 << 20}
 
 type (
 	// Dependencies are the functions and the store through which a Server reaches its node and the settings.
@@ -47,6 +59,9 @@
 		token    string
 		listener net.Listener
 		server   *http.Server
+		// conns counts the connections, and stop ends that.
+		conns *connlimit.Tracker
+		stop  context.CancelFunc
 	}
 )
 
@@ -56,7 +71,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "operator: unable to listen")
 	}
-	s := &Server{deps: deps, token: token, listener: listener}
+	s := &Server{deps: deps, token: token, listener: listener, conns: connlimit.NewTracker(held.NewLimits(0), clock.Now)}
 	e := echo.New()
 	e.HideBanner = true
 	e.HidePort = true
@@ -72,8 +87,16 @@
 	v1.PUT("/settings/*", s.putDocument)
 	v1.POST("/check/*", s.checkDocument)
 	v1.GET("/history", s.getHistory)
-	s.server = &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = s.server.Serve(listener) }()
+	s.conns.LimitCallers(connLimits)
+	s.conns.OnClose = func(string, int64, connlimit.Cause) { deps.CountEvent("OperatorConnectionClosed") }
+	s.server = &http.Server{
+		Handler: e, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: connlimit.WithConn, ConnState: s.conns.ConnState,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	go s.conns.Run(ctx)
+	go func() { _ = s.server.Serve(s.conns.Listen(listener)) }()
 	return s, nil
 }
 
@@ -84,6 +107,8 @@
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() {
+	s.stop()
+	s.conns.Close()
 	_ = s.server.Close()
 }
 
