--- a/relay/nodewatch.go
+++ b/relay/nodewatch.go
@@ -11,8 +11,10 @@
 type nodeWatch struct {
 	// node is the name of the node that has taken the request; nil if none has.
 	node atomic.Pointer[string]
-	// attempts is the number of endpoints that the request was sent to, as far as it is known.
+	// attempts is the number of endpoints that the request was sent to, as far as it is known, and before that of those before the
+	// node got it.
 	attempts atomic.Int64
+	before   int
 	// silent is true while the node sends nothing at all. silences gets a value when that begins.
 	silent   atomic.Bool
 	silences chan<- struct{}
@@ -20,7 +22,7 @@
 
 // newNodeWatch returns the watch over a request that was sent to a number of endpoints before. silences has a buffer.
 func newNodeWatch(attempts int, silences chan<- struct{}) *nodeWatch {
-	w := &nodeWatch{silences: silences}
+	w := &nodeWatch{silences: silences, before: attempts}
 	w.attempts.Store(int64(attempts))
 	return w
 }
@@ -66,3 +68,11 @@
 func (w *nodeWatch) attemptsMade() int {
 	return int(w.attempts.Load())
 }
+
+// attemptsAssumed is attemptsMade, with one attempt at least of a node that has taken the request: it may not have told of it.
+func (w *nodeWatch) attemptsAssumed() int {
+	if w.taker() == "" {
+		return w.attemptsMade()
+	}
+	return max(w.attemptsMade(), w.before+1)
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -139,10 +139,14 @@
 func (j *job) startStandby(ctx context.Context, p *pool, state *streamState, run *stageRun) {
 	state.race = state.race.WithConsidered(j.relay.now())
 	for _, a := range state.running {
-		if a.node != nil && !a.node.silent.Load() {
+		if a.node == nil {
+			continue
+		}
+		if !a.node.silent.Load() {
 			// That node begins further attempts itself.
 			return
 		}
+		j.attempts = max(j.attempts, a.node.attemptsAssumed())
 	}
 	lost := j.forNode == "" && j.sendsThroughNode(p)
 	bar := j.barredStream(state, run.inputsReleased && !lost).Barred()
@@ -281,6 +285,7 @@
 	if a.answered && (len(state.running) == 1 || end.judgement.End == ending.Stated) {
 		state.source, state.framing, state.ending = a.endpoint, a.framing, end.judgement
 	}
+	j.mayHaveRun = j.mayHaveRun || a.answered && !end.refused
 	state.race = state.race.WithEnded(a.number)
 	delete(state.running, a.number)
 	j.releaseAttempt(p, a)
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -381,7 +381,7 @@
 // it started, 0 or 1.
 func (j *job) startBesideNode(ctx context.Context, p *pool, results chan<- unaryResult) int {
 	silent := j.watch.taker()
-	j.attempts = max(j.attempts, j.watch.attemptsMade())
+	j.attempts = max(j.attempts, j.watch.attemptsAssumed())
 	request := standby.Request{
 		Repeatable: j.admission.Route.Kind == model.Safe, MayHaveRun: true, Trial: j.trial, Attempts: j.attempts, MaxAttempts: j.admission.Route.MaxAttempts,
 	}
