A connection that waits for room misses none that ends a request

A new connection was refused after a second although another one had just ended its request: it had ended between the first try and the moment from which connections yield.

--- a/connlimit/callers.go
+++ b/connlimit/callers.go
@@ -48,15 +48,19 @@
 // to end, or to be closed as its caller does not read; further connections wait with the system meanwhile. It returns false if there is no
 // room; the connection is closed then.
 func (t *Tracker) admit(c *Conn) bool {
-	room, admitted := t.tryAdmit(c)
-	if admitted {
+	if _, admitted := t.tryAdmit(c); admitted {
 		return true
 	}
+	// From now on connections that end a request yield. Those that ended one before are found by the next try.
 	t.countWaiting(1)
 	defer t.countWaiting(-1)
 	timeout := time.NewTimer(maxAdmissionWait)
 	defer timeout.Stop()
 	for {
+		room, admitted := t.tryAdmit(c)
+		if admitted {
+			return true
+		}
 		t.makeRoom()
 		select {
 		case <-room:
@@ -65,9 +69,6 @@
 			_ = c.tcp.Close()
 			return false
 		}
-		if room, admitted = t.tryAdmit(c); admitted {
-			return true
-		}
 	}
 }
 
