Callers that are about to send their next request keep their connections

Sound callers were disconnected between two requests beside 1,000 callers that do not read, on a node of 144 MB: as many connections as there may be were open, and an idle one was closed for a new one, or one whose request had just ended. TestCallersThatDoNotReadCostOthersNothing (without the race detector, where it has 1,000 callers) failed with an end of the connection, and passes.

A connection that has brought a request yields only after 250 ms without another, or at the end of a request if it has sent the next already. Receive buffers are 16 KB, so that such a node holds 1,024 connections.

--- a/connlimit/callers.go
+++ b/connlimit/callers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 
 	"basilstall.example/basilstall/crowd"
 	"basilstall.example/basilstall/held"
@@ -154,7 +155,19 @@
 	}
 }
 
-// ConnState records when a connection waits for its next request. If another one waits for room, it is closed. It is a ConnState of an http.Server.
+// unread returns the number of bytes that the kernel has received and nobody has read.
+func (c *Conn) unread() int {
+	unread := 0
+	_ = c.raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
+			unread = n
+		}
+	})
+	return unread
+}
+
+// ConnState records when a connection waits for its next request. If another one waits for room and more has come of this one
+// already, it is closed. It is a ConnState of an http.Server.
 func (t *Tracker) ConnState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*Conn)
 	if !ok || state != http.StateIdle {
@@ -165,8 +178,8 @@
 	t.callers.Answered(t.now(), crowd.ID(c.id))
 	yields := t.waitingAdmissions > 0
 	t.mu.Unlock()
-	if yields {
-		// Further requests may have come already, so that the connection would have one under way at once.
+	if yields && c.unread() > 0 {
+		// It would have the next request under way at once.
 		t.evict(c, NoConn)
 	}
 }
--- a/connlimit/callers_test.go
+++ b/connlimit/callers_test.go
@@ -50,6 +50,7 @@
 		_, _ = io.WriteString(w, "answer")
 	})}
 	go func() { _ = server.Serve(s.tracker.Listen(listener)) }()
+	go s.tracker.Run(t.Context())
 	t.Cleanup(func() {
 		s.tracker.Close()
 		_ = server.Close()
--- a/crowd/crowd.go
+++ b/crowd/crowd.go
@@ -4,8 +4,8 @@
 
 const (
 	// ReceiveBufferBytes is the size of the kernel's receive buffer of a connection, which it doubles for its overhead. It is
-	// enough for 16 MB/s at a round trip of 2 ms. Without it, the kernel holds some MB that a caller has sent and nobody has read.
-	ReceiveBufferBytes = 32 << 10
+	// enough for 8 MB/s at a round trip of 2 ms. Without it, the kernel holds some MB that a caller has sent and nobody has read.
+	ReceiveBufferBytes = 16 << 10
 	// receiveShare is the share of the memory that the receive buffers of all connections may take.
 	receiveShare = 0.25
 	// descriptorShare is the share of the descriptors for callers. A request takes up to two more to endpoints, and the rest is for
@@ -17,6 +17,9 @@
 	headAllowance = 16 << 10
 	// fieldCost is what a header field costs in bytes beside its text, in the maps of the server and of the request.
 	fieldCost = 256
+	// yieldAfter is how long a connection that has brought a request must have brought nothing before it is closed for another one:
+	// its caller may be about to send the next.
+	yieldAfter = 250 * time.Millisecond
 	// defaultMemory and defaultDescriptors are the memory in bytes and the descriptors of a process without limits.
 	defaultMemory      = 1 << 30
 	defaultDescriptors = 4096
@@ -87,7 +90,7 @@
 // others have requests under way.
 func (l *Ledger) Admit(now time.Time, id ID) (evicted ID, evicts, admitted bool) {
 	if len(l.conns) >= l.limits.Conns {
-		if evicted, evicts = l.leastNeeded(); !evicts {
+		if evicted, evicts = l.leastNeeded(now); !evicts {
 			return 0, false, false
 		}
 		l.Close(evicted)
@@ -98,11 +101,11 @@
 
 // leastNeeded returns the connection to close for another one: one that never brought a whole request, then one that is idle,
 // then one whose request is not received; the one that has been so for the longest time.
-func (l *Ledger) leastNeeded() (ID, bool) {
+func (l *Ledger) leastNeeded(now time.Time) (ID, bool) {
 	var found ID
 	var best *conn
 	for id, c := range l.conns {
-		if c.state == serving {
+		if c.state == serving || c.served && now.Sub(c.since) < yieldAfter {
 			continue
 		}
 		if best == nil || c.rank() < best.rank() || c.rank() == best.rank() && c.since.Before(best.since) {
--- a/relay/nodewatch.go
+++ b/relay/nodewatch.go
@@ -11,8 +11,8 @@
 type nodeWatch struct {
 	// node is the name of the node that has taken the request; nil if none has.
 	node atomic.Pointer[string]
-	// attempts is the number of endpoints that the request was sent to, as far as it is known, and before that of those before the
-	// node got it.
+	// attempts is the number of endpoints that the request was sent to, as far as it is known. before is what it was when the
+	// watch began.
 	attempts atomic.Int64
 	before   int
 	// silent is true while the node sends nothing at all. silences gets a value when that begins.
--- a/relay/streamattempt.go
+++ b/relay/streamattempt.go
@@ -22,8 +22,8 @@
 )
 
 type (
-	// streamAttempt is one attempt at a stream. Its own goroutine exchanges the request and splits the answer into events; all
-	// other fields belong to the goroutine that serves the request.
+	// streamAttempt is one attempt at a stream. A goroutine of its own exchanges the request and splits the answer into events;
+	// the goroutine that serves the request uses the fields.
 	streamAttempt struct {
 		number int
 		// endpoint is the engine; its name is empty if another node sends the request.
