--- a/quarantine/ends.go
+++ b/quarantine/ends.go
@@ -177,9 +177,11 @@
 		a.mu.Lock()
 		digests := check.unreported
 		check.unreported, check.reportScheduled = nil, false
+		// Another proof may be recorded while the report is made.
+		reported := *check
 		a.mu.Unlock()
 		if len(digests) > 0 {
-			a.reportCrash(check, digests)
+			a.reportCrash(&reported, digests)
 		}
 	})
 }
