--- a/crowd/crowd.go
+++ b/crowd/crowd.go
@@ -8,8 +8,8 @@
 	ReceiveBufferBytes = 16 << 10
 	// receiveShare is the share of the memory that the receive buffers of all connections may take.
 	receiveShare = 0.25
-	// descriptorShare is the share of the descriptors for callers. A request takes up to two more to endpoints, and the rest is for
-	// idle connections to endpoints, the store and other nodes.
+	// descriptorShare is the share of the descriptors that connections of callers may take. Each of them may need two more for
+	// connections to endpoints while its request is served; the rest is for idle connections, the store and other nodes.
 	descriptorShare = 0.25
 	// headShare is the share of the memory that heads beyond headAllowance may take.
 	headShare = 1.0 / 16
--- a/relay/nodewatch.go
+++ b/relay/nodewatch.go
@@ -69,7 +69,8 @@
 	return int(w.attempts.Load())
 }
 
-// attemptsAssumed is attemptsMade, with one attempt at least of a node that has taken the request: it may not have told of it.
+// attemptsAssumed returns how many endpoints may have got the request. A node that has taken it counts for one at least, since the
+// message about its first attempt may be on its way.
 func (w *nodeWatch) attemptsAssumed() int {
 	if w.taker() == "" {
 		return w.attemptsMade()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -169,7 +169,7 @@
 	return j.takeRetry(p, nil) && j.startStreamAttempt(ctx, p, state, run)
 }
 
-// mayChooseEngine reports whether an engine of the pool may be chosen that the request was not sent to.
+// mayChooseEngine reports whether the pool has an engine that may get the request and has not been sent it yet.
 func (j *job) mayChooseEngine(p *pool) bool {
 	return p.hasUsable(j.relay.now(), j.allowedEndpoints(), j.relay.sendLimits(p.name), j.excluded)
 }
@@ -301,7 +301,8 @@
 	return result
 }
 
-// resultOf returns the result of an attempt that has ended, and writes the rest of the answer to the caller if it may end here.
+// resultOf returns the result of an attempt that has ended. If the caller's answer may end with it, resultOf writes what remains of
+// the answer.
 func (j *job) resultOf(state *streamState, end attemptEnd) streamResult {
 	switch {
 	case end.err != nil:
--- a/relay/streamattempt.go
+++ b/relay/streamattempt.go
@@ -39,8 +39,9 @@
 
 		// node is what is known of the other node that is to send the request; nil if this one does.
 		node *nodeWatch
-		// answered is true once there is the head of an answer, and framing how the answer is delimited; binding is what another node
-		// has bound the stream to, nil if it told of nothing. The goroutine of the attempt sets them before the first part.
+		// answered is true once the head of an answer was received, and framing is how that answer is delimited. binding is the
+		// pool and version to which another node has bound the stream; nil if it stated none. All three are set before the first part
+		// is sent.
 		answered bool
 		framing  ending.Framing
 		binding  *kernel.Binding
@@ -67,7 +68,7 @@
 		failure bool
 		final   bool
 		body    []byte
-		// rest is what came after the last event, and judgement what is known of the end.
+		// rest holds the bytes after the last whole event. judgement says whether the answer ended where its sender meant it to.
 		rest      []byte
 		judgement ending.Judgement
 	}
