Receive buffers of callers' connections are those of their listener

Uploads took up to seconds: 5.7 s for 900 KB and 44 to 480 ms for 72 KB on a kept connection over loopback, about 1 ms and 0.1 to 0.2 ms before the receive buffers were bounded.

Cause: the buffer was made smaller on the accepted connection, when its caller had been offered the system's window; what did not fit waited for the timers of the system.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -64,8 +64,16 @@
 	}
 )
 
-// Listen returns a listener whose connections are counted.
+// Listen returns a listener whose connections are counted. They inherit the size of their receive buffers from l: made smaller
+// later, what a caller was offered to send before would not fit, and would be sent again and again.
 func (t *Tracker) Listen(l net.Listener) net.Listener {
+	if tcp, ok := l.(*net.TCPListener); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) {
+				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, crowd.ReceiveBufferBytes)
+			})
+		}
+	}
 	return listener{Listener: l, tracker: t}
 }
 
@@ -90,7 +98,6 @@
 		return conn, nil
 	}
 	_ = tcp.SetWriteBuffer(held.SendBufferBytes)
-	_ = tcp.SetReadBuffer(crowd.ReceiveBufferBytes)
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return conn, nil
