Own interface: an answer with a status below 100 states nothing

An endpoint in trouble that answers with the status 000 and a body that says that the call has not run was believed: a call that must not be repeated would have been made again.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -178,7 +178,13 @@
 		req.GetBody = nil
 	}
 	req.Header.Set("Content-Type", "application/json")
-	return c.transport(target).RoundTrip(req)
+	res, err := c.transport(target).RoundTrip(req)
+	if err == nil && res.StatusCode < http.StatusContinue {
+		// net/http takes any number of three digits for a status.
+		_ = res.Body.Close()
+		return nil, errors.Errorf("endpoint: %d is no status of HTTP", res.StatusCode)
+	}
+	return res, err
 }
 
 func (c *Client) transport(target Target) *http.Transport {
--- a/endpoint/ends_test.go
+++ b/endpoint/ends_test.go
@@ -132,3 +132,25 @@
 		})
 	}
 }
+
+// A status below 100 is no answer. Guards against a reply with one that is taken for the result of a call, or for a statement that
+// the call did not run.
+func TestStatusBelow100IsNoReply(t *testing.T) {
+	client, server, target := newCutClient(t)
+	const identity = `{"Request":"r","Stage":"s","Attempt":1,`
+	for name, body := range map[string]string{
+		"result":  identity + `"Text":"the answer","Load":{"Running":1}}`,
+		"refusal": identity + `"Text":"","Verdict":"NotRun","Error":"no room","Load":{}}`,
+		"token":   identity + `"Index":0,"Text":"one"}` + "\n" + identity + `"Index":1,"Final":true,"Count":1}`,
+	} {
+		for _, status := range []string{"000", "099"} {
+			t.Run(name+", "+status, func(t *testing.T) {
+				server.Set("HTTP/1.1 " + status + " Trouble\r\n\r\n" + body)
+				_, err := client.Unary(t.Context(), target, cutCall)
+				must.EqOp(t, model.MayHaveRun, verdictOf(err))
+				err = client.Stream(t.Context(), target, cutCall, func(model.TokenEvent) error { return nil })
+				must.EqOp(t, model.MayHaveRun, verdictOf(err))
+			})
+		}
+	}
+}
