--- a/review/_cases-2/main.go
+++ b/review/_cases-2/main.go
@@ -22,11 +22,12 @@
 
 // cases holds the function of each case; it reports whether the rule was broken.
 var cases = map[string]func(w *world) (broken bool, err error){
-	"tenants": runTenants,
-	"pieces":  runPieces,
-	"foreign": runForeign,
-	"stages":  runStageOrder,
-	"open":    runSettingsChange,
+	"tenants":  runTenants,
+	"pieces":   runPieces,
+	"foreign":  runForeign,
+	"stages":   runStageOrder,
+	"open":     runSettingsChange,
+	"versions": runVersions,
 }
 
 func main() {
--- a/review/_cases-2/runner.go
+++ b/review/_cases-2/runner.go
@@ -26,8 +26,11 @@
 		// workTime is how long a request takes that is no stream, eventPause the time before each event of a stream.
 		workTime, eventPause time.Duration
 		events               int
-		rec                  *record
-		handles              atomic.Int64
+		// version is that of the runner's software; promptTime is how long it takes to the first event, beside eventPause.
+		version    string
+		promptTime time.Duration
+		rec        *record
+		handles    atomic.Int64
 
 		mu   sync.Mutex
 		runs []run
@@ -35,7 +38,7 @@
 )
 
 func newRunner(id, service, zone string, rec *record) (*runner, error) {
-	r := &runner{id: id, service: service, zone: zone, workTime: 20 * time.Millisecond, eventPause: 30 * time.Millisecond, events: 8, rec: rec}
+	r := &runner{id: id, service: service, zone: zone, version: "1", workTime: 20 * time.Millisecond, eventPause: 30 * time.Millisecond, events: 8, rec: rec}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -64,7 +67,7 @@
 // entry returns the entry of the runner in the store.
 func (r *runner) entry(state string, sequence int) map[string]any {
 	return map[string]any{
-		"service": r.service, "address": r.address, "zone": r.zone, "version": "1", "slots": 64, "state": state,
+		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": 64, "state": state,
 		"cold_remaining_ms": 0, "sequence": sequence,
 	}
 }
@@ -102,13 +105,18 @@
 func (r *runner) stream(w http.ResponseWriter, q *http.Request) {
 	first, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
+	select {
+	case <-time.After(r.promptTime):
+	case <-q.Context().Done():
+		return
+	}
 	for n := first + 1; n <= r.events; n++ {
 		select {
 		case <-time.After(r.eventPause):
 		case <-q.Context().Done():
 			return
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d of version %s\n\n", n, n, r.version)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
