Review: the loss of all nodes joins streams of two versions (ORDER)

A case takes the place of review/7. Streams of a service that has runners of two versions are also sent to a second runner; all nodes are killed, and the requesters take their streams up.

The store has the record of the second attempt, and not yet the later one of the first, as it was read at the kill. The first event waits for another node to have the record and not for the store.

The former case needed a frozen node besides a killed one.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -7,4 +7,4 @@
   echo "not built: run the build line of deploy/system.toml and review/build-2.sh"
   exit 2
 fi
-exec "$root/target/review-2/cases" versions . "$root"
+exec "$root/target/review-2/cases" blackout . "$root"
--- a/review/_cases-2/main.go
+++ b/review/_cases-2/main.go
@@ -28,6 +28,7 @@
 	"stages":   runStageOrder,
 	"open":     runSettingsChange,
 	"versions": runVersions,
+	"blackout": runBlackout,
 }
 
 func main() {
--- a/review/_cases-2/versions.go
+++ b/review/_cases-2/versions.go
@@ -45,6 +45,26 @@
 
 // runVersions breaks off streams of a service that has runners of two versions, and has their requesters take them up elsewhere.
 func runVersions(w *world) (broken bool, err error) {
+	key, err := w.startVersionedFleet()
+	if err != nil {
+		return false, err
+	}
+	joined := 0
+	for range streamRounds {
+		time.Sleep(settleTime)
+		inRound, err := w.breakOffStreams(key)
+		if err != nil {
+			return false, err
+		}
+		joined += inRound
+	}
+	w.rec.line("case", "%d streams with events of two versions in all, %d are allowed", joined, maxJoined)
+	return joined > maxJoined, nil
+}
+
+// startVersionedFleet starts three nodes and a service with runners of two versions and a route of resumable streams. It returns the key of
+// the requesters.
+func (w *world) startVersionedFleet() (key string, err error) {
 	t := tenant{Name: "bozi300", APIKeys: []string{"9dnn2ctnfzs989anu6ws"}, Priority: 1}
 	m := manifest(7, []tenant{t})
 	m["routes"] = append(m["routes"].([]map[string]any), map[string]any{
@@ -54,23 +74,13 @@
 	w.store.put("op", "config", m)
 	for _, version := range []string{"1", "1", "1", "2", "2", "2"} {
 		if err := w.addEngine(version); err != nil {
-			return false, err
+			return "", err
 		}
 	}
 	if err := w.startNodes(3); err != nil {
-		return false, err
+		return "", err
 	}
-	joined := 0
-	for range streamRounds {
-		time.Sleep(settleTime)
-		inRound, err := w.breakOffStreams(t.APIKeys[0])
-		if err != nil {
-			return false, err
-		}
-		joined += inRound
-	}
-	w.rec.line("case", "%d streams with events of two versions in all, %d are allowed", joined, maxJoined)
-	return joined > maxJoined, nil
+	return t.APIKeys[0], nil
 }
 
 // addEngine adds a runner of the model service at a version of its software.
