--- a/review/_cases-2/world.go
+++ b/review/_cases-2/world.go
@@ -42,11 +42,12 @@
 		nodes   []*node
 		// root is the root of the repository, dir a temporary folder.
 		root, dir string
-		// prefix is the beginning of the nodes' addresses.
-		prefix  string
-		trouble bool
-		program string
-		lastID  int
+		// prefix is the beginning of the nodes' addresses. No other run has it while prefixLock is open.
+		prefix     string
+		prefixLock net.Listener
+		trouble    bool
+		program    string
+		lastID     int
 	}
 
 	// node is a node and its process.
@@ -92,24 +93,30 @@
 	if w.store, err = newStore(); err != nil {
 		return nil, err
 	}
-	if w.prefix, err = freePrefix(); err != nil {
+	if w.prefix, w.prefixLock, err = lockPrefix(); err != nil {
 		return nil, err
 	}
 	w.rec.line("case", "disruption: %t", w.trouble)
 	return w, nil
 }
 
-// freePrefix returns a prefix of loopback addresses of which the first one has the nodes' ports free.
-func freePrefix() (string, error) {
+// lockPrefix returns a prefix of loopback addresses that no other run uses, as long as the listener is open, and of which the first one has
+// the nodes' port free.
+func lockPrefix() (string, net.Listener, error) {
 	for range 50 {
 		prefix := fmt.Sprintf("127.%d.", 16+rand.IntN(200))
+		lock, err := net.Listen("tcp", prefix+"255.1:"+strconv.Itoa(frontendPort))
+		if err != nil {
+			continue
+		}
 		listener, err := net.Listen("tcp", prefix+"0.1:"+strconv.Itoa(frontendPort))
 		if err == nil {
 			_ = listener.Close()
-			return prefix, nil
+			return prefix, lock, nil
 		}
+		_ = lock.Close()
 	}
-	return "", fmt.Errorf("no free loopback addresses")
+	return "", nil, fmt.Errorf("no free loopback addresses")
 }
 
 // close ends all processes of the case.
@@ -117,6 +124,7 @@
 	for _, n := range w.nodes {
 		n.kill()
 	}
+	_ = w.prefixLock.Close()
 	_ = os.RemoveAll(w.dir)
 	_ = w.rec.out.Close()
 }
