--- a/binding/agent.go
+++ b/binding/agent.go
@@ -24,6 +24,10 @@
 	sendRounds = 3
 	// maxQueuedRecords bounds the records that wait to be sent or stored.
 	maxQueuedRecords = 20_000
+	// overtakeTimeout bounds the storing of a record that overtakes another one, and overtakingCallTimeout the call to the registrar that
+	// stores it.
+	overtakeTimeout       = time.Second
+	overtakingCallTimeout = 400 * time.Millisecond
 	// registrarsTTL is how long the ranking of the registrars is used.
 	registrarsTTL = 500 * time.Millisecond
 	// sweepInterval is how often due changes of rows of versions, and expired records, are looked for.
@@ -45,8 +49,8 @@
 		WriteVersion func(ctx context.Context, w kernel.VersionWrite) error
 		// WriteRecords writes a row with records to the store and removes other rows.
 		WriteRecords func(ctx context.Context, key string, records []peer.StreamBinding, remove []string) error
-		// ReadRecords reads all rows with records in the store, by key.
-		ReadRecords func(ctx context.Context) (map[string][]peer.StreamBinding, error)
+		// ReadRecords reads the rows with records in the store whose keys have a prefix, by key.
+		ReadRecords func(ctx context.Context, prefix string) (map[string][]peer.StreamBinding, error)
 	}
 
 	// Agent keeps the bindings of one node's streams, and those of other nodes if it is a registrar. It is safe for concurrent
@@ -62,10 +66,13 @@
 		versions atomic.Pointer[kernel.PoolVersions]
 
 		outbox *outbox
-		stored *storedRecords
-		// readVersions and loadRecords are the calls of the store that several requests share.
-		readVersions *sharedCall
-		loadRecords  *sharedCall
+		// stored and overtaking are the records in the store: all, and those that overtake others. The latter have rows of their own.
+		stored     *storedRecords
+		overtaking *storedRecords
+		// readVersions, loadRecords and loadOvertaking are the calls of the store that several requests share.
+		readVersions   *sharedCall
+		loadRecords    *sharedCall
+		loadOvertaking *sharedCall
 
 		// mu guards the fields below.
 		mu sync.Mutex
@@ -78,8 +85,9 @@
 		listProvenAt time.Time
 		// announceFailedAt is when the last announcement of a version for a stream failed.
 		announceFailedAt time.Time
-		// outgoing are records that wait to be sent to the registrars.
+		// outgoing are records that wait to be sent to the registrars, and settled streams of which they have the record.
 		outgoing []outgoingRecord
+		settled  []kernel.StreamKey
 		// unsent are records of this node's streams that no other node needed when they began. They are sent once others do.
 		unsent map[kernel.StreamKey]kernel.BindingRecord
 
@@ -94,6 +102,17 @@
 		kernel.BindingRecord
 		held chan struct{}
 	}
+
+	// Receipt tells how far a record has got.
+	Receipt struct {
+		// Done is closed once another node has acknowledged the record, or the store one that overtakes another, or once all attempts have
+		// failed. It is nil if no other node needs the record.
+		Done <-chan struct{}
+		// Overtakes is true if another record of the stream may name another binding. The first event must not be passed on before the
+		// store has this one.
+		Overtakes bool
+		err       error
+	}
 )
 
 // NewAgent returns an agent. Its background work ends with ctx.
@@ -103,10 +122,12 @@
 		bindings: kernel.NewBindings(), publisher: kernel.NewVersionPublisher(), unsent: map[kernel.StreamKey]kernel.BindingRecord{},
 	}
 	a.versions.Store(&kernel.PoolVersions{})
-	a.stored = newStoredRecords(a)
+	a.stored = newStoredRecords(a, "")
+	a.overtaking = newStoredRecords(a, overtakingPrefix)
 	a.outbox = newOutbox(ctx, now, kernel.NewRegistrarPacer(), func() time.Duration { return a.registrars().FlushInterval() }, a.flush)
 	a.readVersions = newSharedCall(ctx, deps.ReadVersions)
 	a.loadRecords = newSharedCall(ctx, a.stored.load)
+	a.loadOvertaking = newSharedCall(ctx, a.overtaking.load)
 	metrics.Gauge("stream_bindings", func() float64 { return float64(a.Len()) })
 	go func() {
 		for clock.Sleep(ctx, sweepInterval) {
@@ -154,25 +175,102 @@
 	a.registrarsAt = time.Time{}
 }
 
+// Err returns why the store may not have a record that overtakes another one; nil if it has it. Done is closed.
+func (r *Receipt) Err() error {
+	return r.err
+}
+
 // Record records what a stream of this node is bound to unless an engine at another version brings its first event. inferable is
-// true if other nodes may infer it while its pool has one version. The returned channel is closed once another node has acknowledged
-// the record or all attempts to send it have failed; it is nil if the record is not sent.
-func (a *Agent) Record(r kernel.BindingRecord, inferable bool) <-chan struct{} {
+// true if other nodes may infer it while its pool has one version.
+func (a *Agent) Record(r kernel.BindingRecord, inferable bool) *Receipt {
 	if r.Key == "" {
-		return nil
+		return &Receipt{}
+	}
+	a.mu.Lock()
+	known, ok := a.bindings.Find(a.now(), r.Key)
+	a.mu.Unlock()
+	if ok && known.Binding != r.Binding {
+		return a.RecordOvertaking(r)
 	}
 	a.add(r)
-	now, versions, allRecord := a.now(), a.Versions(), a.deps.AllNodesRecord()
+	needed := !inferable || a.NeedsRecord(r.Binding.Pool)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !inferable || kernel.NeedsBindingRecord(now, versions, a.listed, r.Binding.Pool, allRecord) {
+	if needed {
 		delete(a.unsent, r.Key)
-		return a.queueLocked(r)
+		return &Receipt{Done: a.queueLocked(r)}
 	}
 	if len(a.unsent) < maxQueuedRecords {
 		a.unsent[r.Key] = r
 	}
-	return nil
+	return &Receipt{}
+}
+
+// RecordOvertaking does the same where another record of the stream may name another binding, in this node, another one or the store. It
+// has the store take the record: whoever finds the other one asks the store.
+func (a *Agent) RecordOvertaking(r kernel.BindingRecord) *Receipt {
+	if r.Key == "" {
+		return &Receipt{}
+	}
+	a.add(r)
+	a.mu.Lock()
+	delete(a.unsent, r.Key)
+	a.queueLocked(r)
+	a.mu.Unlock()
+	a.metrics.CountEvent("BindingOvertaken")
+	done := make(chan struct{})
+	receipt := &Receipt{Done: done, Overtakes: true}
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(a.ctx, overtakeTimeout)
+		defer cancel()
+		if receipt.err = a.storeOvertaking(ctx, r); receipt.err != nil {
+			a.metrics.CountEvent("BindingNotOvertaken")
+		}
+	}()
+	return receipt
+}
+
+// storeOvertaking returns once the store has the record, through the registrar that stores this node's records or, if that one does not
+// answer, by this node.
+func (a *Agent) storeOvertaking(ctx context.Context, r kernel.BindingRecord) error {
+	records := []kernel.BindingRecord{r}
+	if primary, _ := a.registrars().Of(a.name); primary != "" && primary != a.name {
+		callCtx, cancel := context.WithTimeout(ctx, overtakingCallTimeout)
+		defer cancel()
+		message := peer.BindStreams{Records: a.encode(records), Overtaking: true}
+		if a.deps.Call(callCtx, primary, peer.KindBindStreams, message, &peer.Empty{}) == nil {
+			return nil
+		}
+		a.ForgetRegistrars()
+	}
+	return a.overtaking.store(ctx, records)
+}
+
+// Settle records that the first event of a stream is passed on by the node that has its caller: the binding does not change any more.
+func (a *Agent) Settle(key kernel.StreamKey) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r, ok := a.bindings.Settle(a.now(), key)
+	if !ok {
+		return
+	}
+	if _, unsent := a.unsent[key]; unsent {
+		a.unsent[key] = r
+		return
+	}
+	if len(a.settled) < maxQueuedRecords {
+		a.settled = append(a.settled, key)
+		a.outbox.wake()
+	}
+}
+
+// NeedsRecord reports whether other nodes cannot conclude what streams of a pool are bound to from the versions of the pool.
+func (a *Agent) NeedsRecord(pool string) bool {
+	now, versions, allRecord := a.now(), a.Versions(), a.deps.AllNodesRecord()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return kernel.NeedsBindingRecord(now, versions, a.listed, pool, allRecord)
 }
 
 // queueLocked queues a record for the registrars. It returns nil if there is no room for it.
@@ -210,23 +308,24 @@
 	}
 }
 
-// add adds a record to those that this node keeps.
-func (a *Agent) add(r kernel.BindingRecord) {
+// add adds a record to those that this node keeps. It reports false if there is no room for it.
+func (a *Agent) add(r kernel.BindingRecord) bool {
 	a.mu.Lock()
 	added := a.bindings.Add(a.now(), r)
 	a.mu.Unlock()
 	if !added {
 		a.metrics.CountEvent("BindingDropped")
 	}
+	return added
 }
 
 // flush sends the waiting records to the registrars, in the background: the next ones do not wait for the answers.
 func (a *Agent) flush() {
 	a.mu.Lock()
-	outgoing := a.outgoing
-	a.outgoing = nil
+	outgoing, settled := a.outgoing, a.settled
+	a.outgoing, a.settled = nil, nil
 	a.mu.Unlock()
-	if len(outgoing) == 0 {
+	if len(outgoing)+len(settled) == 0 {
 		return
 	}
 	records := make([]kernel.BindingRecord, 0, len(outgoing))
@@ -240,22 +339,22 @@
 	})
 	go func() {
 		defer held()
-		a.deliver(records, held)
+		a.deliver(records, settled, held)
 	}()
 }
 
-// deliver sends records to both registrars at once. Rounds follow while one does not answer, as it may have been lost. It calls held
-// once another node has them.
-func (a *Agent) deliver(records []kernel.BindingRecord, held func()) {
+// deliver sends records and settled streams to both registrars at once. Rounds follow while one does not answer, as it may have been lost.
+// It calls held once another node has them.
+func (a *Agent) deliver(records []kernel.BindingRecord, settled []kernel.StreamKey, held func()) {
 	sent := map[string]bool{}
 	for range sendRounds {
 		primary, secondary := a.registrars().Of(a.name)
 		messages := map[string]peer.BindStreams{}
 		if primary != "" && !sent[primary] {
-			messages[primary] = peer.BindStreams{Store: true}
+			messages[primary] = peer.BindStreams{Store: true, Settled: settled}
 		}
 		if secondary != "" && !sent[secondary] {
-			messages[secondary] = peer.BindStreams{Storer: primary}
+			messages[secondary] = peer.BindStreams{Storer: primary, Settled: settled}
 		}
 		if a.send(sent, messages, records, held) {
 			return
@@ -303,7 +402,7 @@
 	a.stored.add(message.Store, message.Storer, records)
 }
 
-func (a *Agent) handleBind(_ context.Context, body []byte) (any, error) {
+func (a *Agent) handleBind(ctx context.Context, body []byte) (any, error) {
 	var message peer.BindStreams
 	if err := peer.DecodeBody(body, &message); err != nil {
 		return nil, err
@@ -312,6 +411,14 @@
 	for _, r := range records {
 		a.add(r)
 	}
+	if message.Overtaking {
+		return peer.Empty{}, a.overtaking.store(ctx, records)
+	}
+	a.mu.Lock()
+	for _, key := range message.Settled {
+		a.bindings.Settle(a.now(), key)
+	}
+	a.mu.Unlock()
 	a.keep(message, records)
 	return peer.Empty{}, nil
 }
@@ -320,7 +427,7 @@
 	now := a.now()
 	out := make([]peer.StreamBinding, 0, len(records))
 	for _, r := range records {
-		out = append(out, peer.StreamBinding{Key: r.Key, Binding: r.Binding, Order: r.Order, RecordedAgo: now.Sub(r.RecordedAt), Left: r.ExpiresAt.Sub(now)})
+		out = append(out, peer.StreamBinding{Key: r.Key, Binding: r.Binding, Order: r.Order, Settled: r.Settled, RecordedAgo: now.Sub(r.RecordedAt), Left: r.ExpiresAt.Sub(now)})
 	}
 	return out
 }
@@ -330,7 +437,7 @@
 	out := make([]kernel.BindingRecord, 0, len(records))
 	for _, r := range records {
 		left := min(r.Left, kernel.MaxStreamLife)
-		out = append(out, kernel.BindingRecord{Key: r.Key, Binding: r.Binding, Order: r.Order, RecordedAt: now.Add(-r.RecordedAgo), ExpiresAt: now.Add(left)})
+		out = append(out, kernel.BindingRecord{Key: r.Key, Binding: r.Binding, Order: r.Order, Settled: r.Settled, RecordedAt: now.Add(-r.RecordedAgo), ExpiresAt: now.Add(left)})
 	}
 	return out
 }
@@ -342,6 +449,7 @@
 	a.mu.Unlock()
 	a.sendNeeded()
 	a.stored.sweep()
+	a.overtaking.sweep()
 	a.publishVersions()
 }
 
@@ -357,7 +465,7 @@
 	if !ok {
 		return kernel.Finding{}, false
 	}
-	return kernel.Finding{Source: kernel.BindingRecorded, Binding: r.Binding, Age: now.Sub(r.RecordedAt)}, true
+	return kernel.Finding{Source: kernel.BindingRecorded, Binding: r.Binding, Settled: r.Settled, Order: r.Order, Age: now.Sub(r.RecordedAt)}, true
 }
 
 // SetListed sets the versions of the listed endpoints that take work, of pools with resumable streams, as of the time at which
--- a/binding/agent_test.go
+++ b/binding/agent_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -29,8 +30,11 @@
 	mu     sync.Mutex
 	agents map[string]*binding.Agent
 	peers  []kernel.Peer
-	// lost are the nodes that do not answer. storeLost is true while the store does not answer.
+	// lost are the nodes that do not answer. Those that are asleep do not answer either, but the others take them for reachable. alone
+	// is the node that reaches no other; empty for none. storeLost is true while the store does not answer.
 	lost      map[string]bool
+	asleep    map[string]bool
+	alone     string
 	storeLost bool
 	versions  map[string]kernel.VersionChange
 	records   map[string][]peer.StreamBinding
@@ -39,7 +43,7 @@
 }
 
 func newNetwork(t *testing.T, nodes int, versions ...string) *network {
-	n := &network{t: t, agents: map[string]*binding.Agent{}, lost: map[string]bool{}, versions: map[string]kernel.VersionChange{}, records: map[string][]peer.StreamBinding{}}
+	n := &network{t: t, agents: map[string]*binding.Agent{}, lost: map[string]bool{}, asleep: map[string]bool{}, versions: map[string]kernel.VersionChange{}, records: map[string][]peer.StreamBinding{}}
 	for i, v := range versions {
 		row := kernel.VersionRow{Pool: testPool, Version: v}
 		key := kernel.VersionKey(row.Binding())
@@ -59,7 +63,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n.t.Cleanup(cancel)
 	agent := binding.NewAgent(ctx, name, binding.Dependencies{
-		Peers:          n.reachable,
+		Peers:          func() []kernel.Peer { return n.reachableBy(name) },
 		AllNodesRecord: func() bool { return true },
 		Call:           n.call,
 		ReadVersions:   n.readVersions,
@@ -74,15 +78,15 @@
 	n.agents[name] = agent
 }
 
-func (n *network) reachable() []kernel.Peer {
+func (n *network) reachableBy(name string) []kernel.Peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(n.peers), func(p kernel.Peer) bool { return n.lost[p.Name] })
+	return slices.DeleteFunc(slices.Clone(n.peers), func(p kernel.Peer) bool { return n.lost[p.Name] || n.alone == name && p.Name != name })
 }
 
 func (n *network) call(ctx context.Context, node string, kind peer.Kind, message, reply any) error {
 	n.mu.Lock()
-	agent, lost := n.agents[node], n.lost[node]
+	agent, lost := n.agents[node], n.lost[node] || n.asleep[node]
 	n.mu.Unlock()
 	if lost || agent == nil {
 		return errLost
@@ -127,13 +131,15 @@
 	return nil
 }
 
-func (n *network) readRecords(context.Context) (map[string][]peer.StreamBinding, error) {
+func (n *network) readRecords(_ context.Context, prefix string) (map[string][]peer.StreamBinding, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.storeLost {
 		return nil, errLost
 	}
-	return maps.Clone(n.records), nil
+	records := maps.Clone(n.records)
+	maps.DeleteFunc(records, func(key string, _ []peer.StreamBinding) bool { return !strings.HasPrefix(key, prefix) })
+	return records, nil
 }
 
 func (n *network) stored() int {
@@ -175,6 +181,21 @@
 	return n.agents[node].Find(context.Background(), binding.Query{Key: kernel.StreamKey(key), Pool: testPool, MayInfer: true})
 }
 
+// awaitStored waits until so many records are stored, or until no registrar can be expected to store a further one.
+func (n *network) awaitStored(records int) {
+	for end := time.Now().Add(3 * time.Second); n.stored() < records && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// findAlone has a node that reaches no other find what a stream is bound to.
+func (n *network) findAlone(node, key string) kernel.Finding {
+	n.set(func() { n.alone = node })
+	n.agents[node].ForgetRegistrars()
+	defer n.set(func() { n.alone = "" })
+	return n.find(node, key)
+}
+
 // Each node finds what another one has recorded, also once that one and both registrars are lost.
 func TestRecordSurvivesNodes(t *testing.T) {
 	n := newNetwork(t, 5, "v1", "v2")
@@ -254,3 +275,58 @@
 	n.set(func() { n.storeLost = true })
 	must.EqOp(t, kernel.BindingUnanswered, n.find("node-0", "k").Source)
 }
+
+// overtakenRecord records a stream that is sent to an engine of each version, the first event being of the second one. The registrar
+// asleep misses the later record.
+func (n *network) overtakenRecord(node, asleep string) {
+	first, second := streamRecord("k", "v1", time.Minute), streamRecord("k", "v2", time.Minute)
+	second.Order = 1500
+	n.agents[node].Record(first, false)
+	n.await("the first record is stored", func() bool { return n.stored() > 0 && n.agents[asleep].Len() == 1 })
+	n.set(func() { n.asleep[asleep] = true })
+	n.agents[node].Record(second, false)
+	n.awaitStored(2)
+	n.set(func() { n.asleep[asleep] = false })
+}
+
+// A registrar was asleep as a stream was recorded anew, and the node that began the stream is lost. Guards against a stream that goes on by
+// the record that the registrar still has, at whichever node its caller comes back.
+func TestRecordOfRegistrarThatWasAsleepIsNotGoneBy(t *testing.T) {
+	for _, nodes := range []int{3, 5} {
+		for i := range 2 {
+			n := newNetwork(t, nodes, "v1", "v2")
+			registrars := kernel.NewRegistrars(n.peers).All()
+			asleep, first := registrars[i], n.without(registrars)
+			n.overtakenRecord(first, asleep)
+			n.set(func() { n.lost[first] = true })
+			for _, p := range n.peers {
+				if p.Name != first {
+					must.EqOp(t, "v2", n.find(p.Name, "k").Binding.Version, must.Sprint("at ", p.Name, ", asleep was ", asleep))
+				}
+			}
+		}
+	}
+}
+
+// The node to which the caller comes back reaches the store and no other node. Guards against a stream that goes on by a record that the
+// node had read in the store before it was overtaken.
+func TestNodeCutOffFromOthersReadsOvertakenRecordsAnew(t *testing.T) {
+	n := newNetwork(t, 3, "v1", "v2")
+	registrars := kernel.NewRegistrars(n.peers).All()
+	first := n.without(registrars)
+	for i, cut := range registrars {
+		key := fmt.Sprint("k", i)
+		one, two := streamRecord(key, "v1", time.Minute), streamRecord(key, "v2", time.Minute)
+		two.Order = 1500
+		stored := n.stored()
+		n.agents[first].Record(one, false)
+		n.await("the first record is stored", func() bool { return n.stored() > stored })
+		n.set(func() { n.asleep[cut] = true })
+		n.start(cut)
+		must.EqOp(t, "v1", n.findAlone(cut, key).Binding.Version)
+		n.agents[first].Record(two, false)
+		n.awaitStored(stored + 2)
+		must.EqOp(t, "v2", n.findAlone(cut, key).Binding.Version)
+		n.set(func() { n.asleep[cut] = false })
+	}
+}
--- a/binding/find.go
+++ b/binding/find.go
@@ -26,14 +26,18 @@
 	Pool string
 	// MayInfer is true if the binding may be concluded from the versions of the pool.
 	MayInfer bool
+	// OvertakingOnly is true if a record is known, and may have been overtaken.
+	OvertakingOnly bool
 }
 
 // Find finds out what a stream is bound to: from this node's records, those of the registrars, and the store. Where this node
-// knows only one version of the pool, the store is asked at the same time, since no record is needed then.
+// knows only one version of the pool, the store is asked at the same time, since no record is needed then. A record that is not settled
+// may have been overtaken by one that a node missed, which the store has.
 func (a *Agent) Find(ctx context.Context, q Query) kernel.Finding {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	if found, ok := a.findRecord(q.Key); ok {
+	found, _ := a.findRecord(q.Key)
+	if found.Settled {
 		return found
 	}
 	registrars := a.registrars()
@@ -44,8 +48,13 @@
 	} else {
 		inferred <- kernel.Finding{}
 	}
-	if found, ok := a.askRegistrars(ctx, registrars, q); ok {
+	found = found.Or(a.askRegistrars(ctx, registrars, q))
+	switch {
+	case found.Settled:
 		return found
+	case found.Known():
+		q.OvertakingOnly = true
+		return found.Confirmed(a.askStore(ctx, registrars, q))
 	}
 	if found := <-inferred; found.Known() {
 		return found
@@ -53,10 +62,11 @@
 	return a.askStore(ctx, registrars, q)
 }
 
-// askRegistrars asks all registrars at once for the record of a stream, and returns the first that is found.
-func (a *Agent) askRegistrars(ctx context.Context, registrars kernel.Registrars, q Query) (kernel.Finding, bool) {
+// askRegistrars asks all registrars at once for the record of a stream. It returns the first one that is settled, or else the one that
+// holds of all.
+func (a *Agent) askRegistrars(ctx context.Context, registrars kernel.Registrars, q Query) kernel.Finding {
 	if q.Key == "" {
-		return kernel.Finding{}, false
+		return kernel.Finding{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, registrarTimeout)
 	defer cancel()
@@ -72,12 +82,13 @@
 		asked.Wait()
 		close(answers)
 	}()
-	for found := range answers {
-		if found.Known() {
-			return found, true
+	var found kernel.Finding
+	for answer := range answers {
+		if found = found.Or(answer); found.Settled {
+			break
 		}
 	}
-	return kernel.Finding{}, false
+	return found
 }
 
 // ask asks one node what a stream is bound to.
@@ -98,7 +109,7 @@
 			break
 		}
 		askCtx, cancel := context.WithTimeout(ctx, askStoreTimeout)
-		found := a.ask(askCtx, name, peer.FindStream{Key: q.Key, Pool: q.Pool, AskStore: true, MayInfer: q.MayInfer})
+		found := a.ask(askCtx, name, peer.FindStream{Key: q.Key, Pool: q.Pool, AskStore: true, MayInfer: q.MayInfer, OvertakingOnly: q.OvertakingOnly})
 		cancel()
 		if found.Source != kernel.BindingUnanswered {
 			return found
@@ -114,10 +125,10 @@
 	}
 	found, ok := a.findRecord(message.Key)
 	switch {
-	case ok:
+	case found.Settled:
 	case message.AskStore:
-		found = a.lookUp(ctx, Query{Key: message.Key, Pool: message.Pool, MayInfer: message.MayInfer})
-	default:
+		found = a.lookUp(ctx, Query{Key: message.Key, Pool: message.Pool, MayInfer: message.MayInfer, OvertakingOnly: message.OvertakingOnly})
+	case !ok:
 		found = kernel.Finding{Source: kernel.BindingNotRecorded}
 	}
 	return peer.FindStreamReply{Finding: found}, nil
@@ -133,24 +144,27 @@
 
 // lookUp asks the store, first for the versions of the pool and then for records.
 func (a *Agent) lookUp(ctx context.Context, q Query) kernel.Finding {
-	if q.MayInfer {
+	if q.MayInfer && !q.OvertakingOnly {
 		askedAt := a.now()
 		rows, err := a.readVersions.Do(ctx)
 		if err != nil {
 			return kernel.Finding{Source: kernel.BindingUnanswered}
 		}
 		if only, ok := (kernel.PoolVersions{}).With(askedAt, rows).Only(q.Pool); ok && a.listsOnly(only) {
-			return kernel.Finding{Source: kernel.BindingOnlyVersion, Binding: only, Age: a.now().Sub(askedAt), Stored: true}
+			return kernel.Finding{Source: kernel.BindingOnlyVersion, Binding: only, Age: a.now().Sub(askedAt), Stored: true, Settled: true}
 		}
 	}
 	if q.Key == "" {
 		return kernel.Finding{Source: kernel.BindingNotRecorded}
 	}
-	if err := a.stored.ensureLoaded(ctx); err != nil {
+	if !q.OvertakingOnly && a.stored.ensureLoaded(ctx) != nil {
+		return kernel.Finding{Source: kernel.BindingUnanswered}
+	}
+	if _, err := a.loadOvertaking.Do(ctx); err != nil {
 		return kernel.Finding{Source: kernel.BindingUnanswered}
 	}
 	if found, ok := a.findRecord(q.Key); ok {
-		found.Stored = true
+		found.Stored, found.Settled = true, true
 		return found
 	}
 	return kernel.Finding{Source: kernel.BindingNotRecorded}
--- a/binding/stored.go
+++ b/binding/stored.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"basilstall.example/basilstall/clock"
 	"basilstall.example/basilstall/kernel"
 )
@@ -20,6 +23,13 @@
 	maxRemovalsPerWrite = 50
 	// removalInterval is the minimum interval between writes that only remove rows.
 	removalInterval = 30 * time.Second
+	// overtakingPrefix begins the keys of the rows of records that overtake others. Few streams have one.
+	overtakingPrefix = "overtaking/"
+)
+
+var (
+	errNotStored  = errors.New("binding: the store has not taken the record in time")
+	errUnreadable = errors.New("binding: a row of records can't be read, or there is no room for it")
 )
 
 type (
@@ -27,12 +37,13 @@
 	storedRecords struct {
 		agent  *Agent
 		outbox *outbox
-		// writer is unique to this process; the keys of its rows begin with it.
+		// prefix begins the keys of the rows, and is followed by writer, which is unique to this process.
+		prefix string
 		writer string
 
 		mu sync.Mutex
 		// waiting are records that this node is to write.
-		waiting []kernel.BindingRecord
+		waiting []waitingRecord
 		// backups are records that another registrar writes, or this node if that one is lost.
 		backups []backup
 		rows    int
@@ -42,6 +53,12 @@
 		loadedAt  time.Time
 	}
 
+	// waitingRecord is a record that is to be written. stored is closed once the store has it; nil if nobody waits for that.
+	waitingRecord struct {
+		kernel.BindingRecord
+		stored chan struct{}
+	}
+
 	// backup is a record that the node storer writes.
 	backup struct {
 		record   kernel.BindingRecord
@@ -50,8 +67,8 @@
 	}
 )
 
-func newStoredRecords(a *Agent) *storedRecords {
-	s := &storedRecords{agent: a, writer: fmt.Sprintf("%s/%x", a.name, a.now().UnixNano()), removeAt: map[string]time.Time{}}
+func newStoredRecords(a *Agent, prefix string) *storedRecords {
+	s := &storedRecords{agent: a, prefix: prefix, writer: fmt.Sprintf("%s/%x", a.name, a.now().UnixNano()), removeAt: map[string]time.Time{}}
 	s.outbox = newOutbox(a.ctx, a.now, kernel.NewStorePacer(), func() time.Duration { return a.registrars().StoreFlushInterval() }, s.write)
 	return s
 }
@@ -62,7 +79,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if store {
-		s.queueLocked(records)
+		s.queueLocked(waitingRecords(records, nil))
 		return
 	}
 	for _, r := range records {
@@ -72,8 +89,39 @@
 	}
 }
 
+// store writes records to the store, and returns once it has them.
+func (s *storedRecords) store(ctx context.Context, records []kernel.BindingRecord) error {
+	stored := make([]chan struct{}, len(records))
+	for i := range stored {
+		stored[i] = make(chan struct{})
+	}
+	s.mu.Lock()
+	s.queueLocked(waitingRecords(records, stored))
+	s.mu.Unlock()
+	for _, done := range stored {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return errNotStored
+		}
+	}
+	return nil
+}
+
+// waitingRecords returns records to be queued. stored is nil, or has a channel for each.
+func waitingRecords(records []kernel.BindingRecord, stored []chan struct{}) []waitingRecord {
+	out := make([]waitingRecord, len(records))
+	for i, r := range records {
+		out[i].BindingRecord = r
+		if stored != nil {
+			out[i].stored = stored[i]
+		}
+	}
+	return out
+}
+
 // queueLocked queues records to be written.
-func (s *storedRecords) queueLocked(records []kernel.BindingRecord) {
+func (s *storedRecords) queueLocked(records []waitingRecord) {
 	room := max(0, maxQueuedRecords-len(s.waiting))
 	if room < len(records) {
 		s.agent.metrics.CountEvent("BindingNotStored")
@@ -87,12 +135,16 @@
 func (s *storedRecords) write() {
 	now := s.agent.now()
 	s.mu.Lock()
-	s.waiting = slices.DeleteFunc(s.waiting, func(r kernel.BindingRecord) bool { return !now.Before(r.ExpiresAt) })
-	records := slices.Clone(s.waiting[:min(len(s.waiting), maxRecordsPerRow)])
-	s.waiting = s.waiting[len(records):]
+	s.waiting = slices.DeleteFunc(s.waiting, func(r waitingRecord) bool { return !now.Before(r.ExpiresAt) })
+	waiting := slices.Clone(s.waiting[:min(len(s.waiting), maxRecordsPerRow)])
+	s.waiting = s.waiting[len(waiting):]
+	records := make([]kernel.BindingRecord, len(waiting))
+	for i, r := range waiting {
+		records[i] = r.BindingRecord
+	}
 	remove := s.expiredLocked(now)
 	s.rows++
-	key := fmt.Sprintf("%s/%08x", s.writer, s.rows)
+	key := fmt.Sprintf("%s%s/%08x", s.prefix, s.writer, s.rows)
 	s.mu.Unlock()
 	if len(records)+len(remove) == 0 {
 		return
@@ -106,12 +158,17 @@
 		for _, removed := range remove {
 			delete(s.removeAt, removed)
 		}
+		for _, r := range waiting {
+			if r.stored != nil {
+				close(r.stored)
+			}
+		}
 	} else {
-		s.queueLocked(records)
+		s.queueLocked(waiting)
 	}
 	if len(records) > 0 {
 		// The store may have written the row without an answer.
-		s.removeAt[key] = lastExpiry(records)
+		s.removeAt[key] = s.removalTime(records)
 	}
 	more := len(s.waiting) > 0
 	s.mu.Unlock()
@@ -124,13 +181,17 @@
 	}
 }
 
-func lastExpiry(records []kernel.BindingRecord) time.Time {
+// removalTime returns when a row of records may be removed. Those that overtake others outlast them.
+func (s *storedRecords) removalTime(records []kernel.BindingRecord) time.Time {
 	latest := records[0].ExpiresAt
 	for _, r := range records {
 		if r.ExpiresAt.After(latest) {
 			latest = r.ExpiresAt
 		}
 	}
+	if s.prefix == overtakingPrefix {
+		return latest.Add(kernel.MaxStreamLife)
+	}
 	return latest
 }
 
@@ -160,7 +221,7 @@
 	due := 0
 	for due < len(s.backups) && now.Sub(s.backups[due].queuedAt) >= storerPatience {
 		if b := s.backups[due]; !slices.Contains(reachable, b.storer) {
-			s.queueLocked([]kernel.BindingRecord{b.record})
+			s.queueLocked([]waitingRecord{{BindingRecord: b.record}})
 		}
 		due++
 	}
@@ -182,28 +243,33 @@
 	return err
 }
 
-// load reads all records in the store. Rows that another process has written are removed by it, or by this node if they are
-// still there when their records have expired.
+// load reads the records in the store. Rows that another process has written are removed by it, or by this node if they are
+// still there when their records have expired. It fails if a record that overtakes others is not known then.
 func (s *storedRecords) load(ctx context.Context) ([]kernel.VersionChange, error) {
 	startedAt := s.agent.now()
-	rows, err := s.agent.deps.ReadRecords(ctx)
+	rows, err := s.agent.deps.ReadRecords(ctx, s.prefix)
 	if err != nil {
 		s.agent.metrics.CountEvent("BindingReadFailed")
 		return nil, err
 	}
 	s.agent.metrics.CountEvent("BindingsRead")
+	complete := true
 	for _, encoded := range rows {
+		complete = complete && len(encoded) > 0
 		for _, r := range s.agent.decode(encoded) {
-			s.agent.add(r)
+			complete = s.agent.add(r) && complete
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loadedAt = startedAt
 	for key := range rows {
-		if _, known := s.removeAt[key]; !known {
-			s.removeAt[key] = startedAt.Add(kernel.MaxStreamLife)
+		if _, known := s.removeAt[key]; !known && strings.HasPrefix(key, overtakingPrefix) == (s.prefix == overtakingPrefix) {
+			s.removeAt[key] = startedAt.Add(2 * kernel.MaxStreamLife)
 		}
 	}
+	if s.prefix == overtakingPrefix && !complete {
+		return nil, errUnreadable
+	}
 	return nil, nil
 }
--- a/kernel/binding.go
+++ b/kernel/binding.go
@@ -34,8 +34,10 @@
 	BindingRecord struct {
 		Key     StreamKey
 		Binding Binding
+		// Settled is true once the node that has the caller has passed on the first event: the binding does not change any more.
+		Settled bool
 		// Order is the time in milliseconds between the receipt of the attempt that began the stream and the choice of the
-		// engine: of several records of a stream, the one with the highest order holds.
+		// engine. Of several records of a stream that are settled, or of several that are not, the one with the highest order holds.
 		Order int64
 		// RecordedAt is when the engine was chosen; at other nodes it is late by the transfer of the record. The record is
 		// dropped at ExpiresAt, when its stream can no longer be resumed.
@@ -85,19 +87,43 @@
 	return len(b.records)
 }
 
-// Add adds a record unless a later one of the same stream is known. It reports false if there is no room for it.
+// Add adds a record unless one of the same stream is known that holds in place of it. It reports false if there is no room for it.
 func (b *Bindings) Add(now time.Time, r BindingRecord) bool {
 	known, exists := b.records[r.Key]
-	if exists && known.Order > r.Order && now.Before(known.ExpiresAt) {
+	switch {
+	case exists && now.Before(known.ExpiresAt):
+		b.records[r.Key] = known.with(r)
 		return true
-	}
-	if !exists && len(b.records) >= maxBindings && !b.makeRoom(now) {
+	case !exists && len(b.records) >= maxBindings && !b.makeRoom(now):
 		return false
 	}
 	b.records[r.Key] = r
 	return true
 }
 
+// with returns the record that holds of two of the same stream.
+func (r BindingRecord) with(other BindingRecord) BindingRecord {
+	holds, yields := other, r
+	if r.Settled != other.Settled && r.Settled || r.Settled == other.Settled && r.Order > other.Order {
+		holds, yields = r, other
+	}
+	if holds.Binding == yields.Binding && yields.ExpiresAt.After(holds.ExpiresAt) {
+		// A caller that has taken the stream up may do so again.
+		holds.ExpiresAt = yields.ExpiresAt
+	}
+	return holds
+}
+
+// Settle marks the record of a stream as settled, and returns it.
+func (b *Bindings) Settle(now time.Time, key StreamKey) (BindingRecord, bool) {
+	r, ok := b.Find(now, key)
+	if ok {
+		r.Settled = true
+		b.records[key] = r
+	}
+	return r, ok
+}
+
 // makeRoom drops expired records, and reports whether there is room then. Looking through all of them takes milliseconds.
 func (b *Bindings) makeRoom(now time.Time) bool {
 	if now.Sub(b.sweptAt) < fullSweepInterval {
--- a/kernel/binding_test.go
+++ b/kernel/binding_test.go
@@ -211,7 +211,7 @@
 func TestAdmitResumed(t *testing.T) {
 	route := model.Route{Kind: model.Stream, Resumable: true, Split: []model.WeightedPool{{Pool: "p"}, {Pool: "q"}}}
 	admission := kernel.Admission{Route: route, Pool: "q"}
-	known := kernel.Finding{Source: kernel.BindingRecorded, Binding: kernel.Binding{Pool: "p", Version: "v1"}}
+	known := kernel.Finding{Source: kernel.BindingRecorded, Settled: true, Binding: kernel.Binding{Pool: "p", Version: "v1"}}
 	a, refusal := kernel.AdmitResumed(admission, known)
 	must.Nil(t, refusal)
 	must.EqOp(t, "p", a.Pool)
@@ -225,7 +225,9 @@
 	must.Nil(t, kernel.AdmitPools(bindingStart, registry, model.Forward{}, a))
 	without := registry.WithChanges(bindingStart, bindingStart, nil, []string{"a"}, nil)
 	must.EqOp(t, model.VersionGone, kernel.AdmitPools(bindingStart, without, model.Forward{}, a).Reason)
-	for _, f := range []kernel.Finding{{}, {Source: kernel.BindingNotRecorded}, {Source: kernel.BindingUnanswered}} {
+	overtaken := known
+	overtaken.Settled = false
+	for _, f := range []kernel.Finding{{}, {Source: kernel.BindingNotRecorded}, {Source: kernel.BindingUnanswered}, overtaken} {
 		_, refusal = kernel.AdmitResumed(admission, f)
 		must.EqOp(t, model.StreamUnknown, refusal.Reason)
 		must.EqOp(t, model.NotRun, refusal.Verdict)
--- a/kernel/resumption.go
+++ b/kernel/resumption.go
@@ -41,6 +41,9 @@
 		// Node is the node that knew; empty if this one did. Stored is true if it had read it in the store.
 		Node   string
 		Stored bool
+		// Settled is true if the binding cannot have changed since it was recorded. Order is that of the record.
+		Settled bool
+		Order   int64
 		// Age is the time since the record was made, or since the store was asked for the versions of the pool.
 		Age time.Duration
 	}
@@ -52,11 +55,47 @@
 	}
 )
 
-// Known reports whether it is known what the stream is bound to.
+// Known reports whether it is known what the stream is, or was, bound to.
 func (f Finding) Known() bool {
 	return f.Source == BindingRecorded || f.Source == BindingOnlyVersion
 }
 
+// Or returns the one of two findings that holds. A record that is not settled may have been overtaken by one that neither has found.
+func (f Finding) Or(g Finding) Finding {
+	switch {
+	case f.Known() != g.Known():
+		if f.Known() {
+			return f
+		}
+		return g
+	case !f.Known():
+		if f.Source == BindingUnanswered {
+			return f
+		}
+		return g
+	case f.Settled != g.Settled:
+		if f.Settled {
+			return f
+		}
+		return g
+	case g.Order > f.Order:
+		return g
+	default:
+		return f
+	}
+}
+
+// Confirmed returns a finding that is not settled after the store was asked, once the caller had come back, for what may have overtaken it:
+// before the first event of a stream that was recorded at several versions its last record is in the store.
+func (f Finding) Confirmed(stored Finding) Finding {
+	if stored.Source == BindingUnanswered {
+		return stored
+	}
+	f = f.Or(stored)
+	f.Settled = true
+	return f
+}
+
 // IsResumption reports whether a request continues a stream of which its caller has events already.
 func IsResumption(route model.Route, f model.Forward) bool {
 	return route.Kind == model.Stream && route.Resumable && f.LastEventID != ""
@@ -101,7 +140,7 @@
 	switch {
 	case f.Source == BindingUnanswered:
 		return a, model.NewRefusal(model.NotRun, model.StreamUnknown, ClampRetryAfter(bindingUnknownRetry), "it is not known now at which version the stream began")
-	case !f.Known():
+	case !f.Known() || !f.Settled:
 		return a, model.NewRefusal(model.NotRun, model.StreamUnknown, 0, "it is not known at which version the stream began: it can only begin anew")
 	}
 	return a.WithBinding(f.Binding)
--- a/peer/message.go
+++ b/peer/message.go
@@ -395,6 +395,7 @@
 		Key     kernel.StreamKey
 		Binding kernel.Binding
 		Order   int64
+		Settled bool
 		// RecordedAgo is the time since the engine was chosen, Left the time until the record expires.
 		RecordedAgo time.Duration
 		Left        time.Duration
@@ -406,6 +407,10 @@
 		// Store is true if the receiver is to write them to the store. Otherwise the registrar that Storer names does so.
 		Store  bool
 		Storer string
+		// Overtaking is true if the receiver is to answer once the store has the records, which overtake others of their streams.
+		Overtaking bool
+		// Settled are streams that have begun as they are recorded.
+		Settled []kernel.StreamKey
 	}
 
 	// FindStream asks a registrar what a stream is bound to.
@@ -416,6 +421,8 @@
 		// the versions of the pool.
 		AskStore bool
 		MayInfer bool
+		// OvertakingOnly is true if the registrar is to read only the records that may have overtaken others.
+		OvertakingOnly bool
 	}
 
 	// FindStreamReply is the reply to FindStream.
--- a/relay/endings_test.go
+++ b/relay/endings_test.go
@@ -30,7 +30,7 @@
 	deps.PublishRateCap = func(context.Context, string, model.RateCap) error { return nil }
 	deps.WriteVersion = func(context.Context, kernel.VersionWrite) error { return nil }
 	deps.WriteBindings = func(context.Context, string, []peer.StreamBinding, []string) error { return nil }
-	deps.ReadBindings = func(context.Context) (map[string][]peer.StreamBinding, error) { return nil, nil }
+	deps.ReadBindings = func(context.Context, string) (map[string][]peer.StreamBinding, error) { return nil, nil }
 	deps.Forward = func(context.Context, relay.Send) (*model.ForwardReply, error) {
 		r := reply("id: 1\ndata: x\n\n")
 		r.Framing = ending.Connection
--- a/relay/nodewatch.go
+++ b/relay/nodewatch.go
@@ -15,6 +15,8 @@
 	// watch began.
 	attempts atomic.Int64
 	before   int
+	// asked is the number of nodes that got the request.
+	asked atomic.Int64
 	// silent is true while the node sends nothing at all. silences gets a value when that begins.
 	silent   atomic.Bool
 	silences chan<- struct{}
@@ -45,6 +47,13 @@
 	})
 }
 
+// recordAsked records that a node gets the request.
+func (w *nodeWatch) recordAsked() {
+	if w != nil {
+		w.asked.Add(1)
+	}
+}
+
 // taker returns the name of the node that has taken the request; empty if none has.
 func (w *nodeWatch) taker() string {
 	if node := w.node.Load(); node != nil {
--- a/relay/refusedafterbeginning_test.go
+++ b/relay/refusedafterbeginning_test.go
@@ -39,7 +39,7 @@
 		return errors.New("the node ends")
 	}}
 	helper.Serve(kernel.Member{Node: "helper"}, nil)
-	b.relay.SetNodes([]relay.Node{{Name: "helper", Address: helper.Address(), Capacity: 1, Binds: true}}, nil)
+	b.relay.SetNodes([]relay.Node{{Name: "helper", Address: helper.Address(), Capacity: 1, SettlesBindings: true}}, nil)
 	b.deps.Connect = func(context.Context, string) error { return syscall.EHOSTUNREACH }
 	b.deps.Forward = func(context.Context, relay.Send) (*model.ForwardReply, error) {
 		t.Error("sent without its inputs")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -128,8 +128,9 @@
 		Leaving  bool
 		// Unreached lists the pools that the node does not reach, in order: others take its part in what few nodes do.
 		Unreached []string `json:",omitempty"`
-		// Binds is true if the node keeps streams at the version that began them. Nodes of older builds do not.
-		Binds bool `json:",omitempty"`
+		// SettlesBindings is true if the node keeps streams at the version that began them, and its records of them can be relied on once
+		// they are settled. Nodes of older builds do not.
+		SettlesBindings bool `json:",omitempty"`
 		// Places is true if the node places streams for other nodes. Nodes of older builds close connections on which they
 		// are asked to.
 		Places bool `json:",omitempty"`
--- a/relay/relayedattempts_test.go
+++ b/relay/relayedattempts_test.go
@@ -45,7 +45,7 @@
 			return errors.New("the node ends")
 		}}
 		helper.Serve(kernel.Member{Node: name}, nil)
-		nodes = append(nodes, relay.Node{Name: name, Address: helper.Address(), Capacity: 1, Binds: true})
+		nodes = append(nodes, relay.Node{Name: name, Address: helper.Address(), Capacity: 1, SettlesBindings: true})
 	}
 	b.relay.SetNodes(nodes, nil)
 	b.deps.Connect = func(context.Context, string) error { return syscall.EHOSTUNREACH }
--- a/relay/resumption.go
+++ b/relay/resumption.go
@@ -32,7 +32,7 @@
 func (r *Relay) bindingPeers() []kernel.Peer {
 	binds := map[string]bool{r.options.Name: true}
 	for _, n := range *r.nodes.Load() {
-		binds[n.Name] = binds[n.Name] || n.Binds
+		binds[n.Name] = binds[n.Name] || n.SettlesBindings
 	}
 	return slices.DeleteFunc(slices.Clone(r.Reachable()), func(p kernel.Peer) bool { return !binds[p.Name] })
 }
@@ -40,7 +40,7 @@
 // allNodesBind reports whether all announced nodes keep streams at the version that began them, and record it.
 func (r *Relay) allNodesBind() bool {
 	return r.nodesKnown.Load() && !slices.ContainsFunc(*r.nodes.Load(), func(n Node) bool {
-		return !n.Binds && !n.Leaving && n.Name != r.options.Name
+		return !n.SettlesBindings && !n.Leaving && n.Name != r.options.Name
 	})
 }
 
@@ -135,46 +135,134 @@
 	return announced || j.unannounced
 }
 
-// recordBinding records which version is about to get a resumable stream.
-func (j *job) recordBinding(e model.Endpoint) {
-	b := kernel.Binding{Pool: j.admission.Pool, Version: e.Version}
-	if !isResumable(j.admission.Route) || j.isRecorded && j.recorded == b {
+// recordChoice records which version is about to get a resumable stream. Beside other attempts it is recorded only if it brings the first
+// event.
+func (j *job) recordChoice(state *streamState, e model.Endpoint) {
+	if isResumable(j.admission.Route) && len(state.running) == 0 {
+		j.recordOnce(state, kernel.Binding{Pool: j.admission.Pool, Version: e.Version})
+	}
+}
+
+// recordRemaining records the version of the only attempt that is left, if it has not brought its first event.
+func (j *job) recordRemaining(state *streamState) {
+	if len(state.running) != 1 || j.admission.Bound {
 		return
 	}
-	j.recorded, j.isRecorded = b, true
-	r := j.relay
-	j.bindingHeld = r.bindings.Record(j.bindingRecord(b), !j.unannounced && kernel.AllowsInference(j.admission.Route))
+	for _, a := range state.running {
+		if a.node == nil && isResumable(j.admission.Route) {
+			j.recordOnce(state, kernel.Binding{Pool: j.admission.Pool, Version: a.endpoint.Version})
+		}
+	}
+}
+
+// recordOnce records what a stream is bound to unless its first event comes from elsewhere, if that was not recorded last.
+func (j *job) recordOnce(state *streamState, b kernel.Binding) {
+	if !j.isRecorded || j.recorded != b {
+		j.recordBinding(state, b, j.admission.Bound)
+	}
 }
 
-// awaitBinding waits, for a short time at most, until another node has the record of what the stream is about to be bound to. Usually it
-// has long before the first event.
-func (j *job) awaitBinding(ctx context.Context) {
-	if j.bindingHeld == nil {
+// recordBinding records what a stream is bound to. An earlier record, also one of a node that got the request, may name another version.
+func (j *job) recordBinding(state *streamState, b kernel.Binding, settled bool) {
+	r := j.relay
+	record := j.bindingRecord(b)
+	record.Settled = settled
+	overtakes := !j.admission.Bound && (j.isRecorded && j.recorded != b || j.askedNodes(state) > 0)
+	j.recorded, j.isRecorded, j.lastOrder = b, true, record.Order
+	if overtakes {
+		j.receipt = r.bindings.RecordOvertaking(record)
 		return
 	}
+	j.receipt = r.bindings.Record(record, !j.unannounced && kernel.AllowsInference(j.admission.Route))
+}
+
+// askedNodes returns the number of nodes that got the request, or may get it yet, and may record the stream.
+func (j *job) askedNodes(state *streamState) int {
+	asked := j.nodesAsked
+	for _, a := range state.running {
+		if a.node != nil {
+			asked += max(1, int(a.node.asked.Load()))
+		}
+	}
+	return asked
+}
+
+// bindAtFirstEvent binds a resumable stream to the version that has brought its first event, before the event is passed on. It returns a
+// refusal if other nodes could go by a record that names another version.
+func (j *job) bindAtFirstEvent(ctx context.Context, p *pool, state *streamState, part streamPart) *model.Refusal {
+	a := part.attempt
+	if part.end != nil || a.spoke || !isResumable(j.admission.Route) {
+		return nil
+	}
+	b := kernel.Binding{Pool: p.name, Version: a.endpoint.Version}
+	if a.node != nil {
+		if a.binding == nil {
+			return nil
+		}
+		b = *a.binding
+	}
+	settles := j.forNode == "" && !j.admission.Bound
+	switch {
+	case a.node != nil && !j.isRecorded && j.askedNodes(state) == 1:
+		// That node has recorded it, and no other one has.
+		j.relay.bindings.Record(j.settledRecord(b), true)
+	case !j.isRecorded || j.recorded != b || a.node != nil:
+		j.recordBinding(state, b, settles || j.admission.Bound)
+	case settles && j.receipt.Overtakes:
+		j.relay.bindings.Record(j.settledRecord(b), false)
+	case settles:
+		j.relay.bindings.Settle(j.streamKey)
+	}
+	if refusal := j.awaitBinding(ctx, p); refusal != nil {
+		return refusal
+	}
+	j.bind(b)
+	return nil
+}
+
+// awaitBinding waits until the store has a record that overtakes another one or, for a short time at most, until another node has any other
+// record of what the stream is about to be bound to. Usually either is so long before the first event.
+func (j *job) awaitBinding(ctx context.Context, p *pool) *model.Refusal {
+	receipt := j.receipt
+	j.receipt = &binding.Receipt{}
+	if receipt == nil || receipt.Done == nil {
+		return nil
+	}
+	if receipt.Overtakes {
+		select {
+		case <-receipt.Done:
+			if receipt.Err() == nil || !j.relay.bindings.NeedsRecord(p.name) {
+				return nil
+			}
+		case <-ctx.Done():
+		}
+		return model.NewRefusal(model.MayHaveRun, model.StreamUnknown, 0, "the store has not taken the version that the stream is bound to")
+	}
 	timeout := time.NewTimer(maxBindingWait)
 	defer timeout.Stop()
 	select {
-	case <-j.bindingHeld:
+	case <-receipt.Done:
 	case <-timeout.C:
 		j.relay.metrics.CountEvent("BindingNotHeld")
 	case <-ctx.Done():
 	}
-	j.bindingHeld = nil
+	return nil
 }
 
-// keepBinding keeps what a stream is bound to that another node has sent and recorded, in case its caller comes back here.
-func (j *job) keepBinding(b kernel.Binding) {
-	if isResumable(j.admission.Route) {
-		j.relay.bindings.Record(j.bindingRecord(b), true)
-	}
+func (j *job) settledRecord(b kernel.Binding) kernel.BindingRecord {
+	record := j.bindingRecord(b)
+	record.Settled = true
+	return record
 }
 
 func (j *job) bindingRecord(b kernel.Binding) kernel.BindingRecord {
 	now := j.relay.now()
+	order := now.Sub(j.forward.ReceivedAt).Milliseconds()
+	if j.isRecorded {
+		order = max(order, j.lastOrder+1)
+	}
 	return kernel.BindingRecord{
-		Key: j.streamKey, Binding: b, Order: now.Sub(j.forward.ReceivedAt).Milliseconds(),
-		RecordedAt: now, ExpiresAt: kernel.BindingExpiry(now, j.admission.Deadline),
+		Key: j.streamKey, Binding: b, Order: order, RecordedAt: now, ExpiresAt: kernel.BindingExpiry(now, j.admission.Deadline),
 	}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -117,9 +117,15 @@
 			if state.running[a.number] != a {
 				continue
 			}
-			result := streamResult{callerGone: part.end == nil && !j.writeEvents(ctx, p, state, run, part)}
-			if part.end != nil {
+			var result streamResult
+			switch refusal := j.bindAtFirstEvent(ctx, p, state, part); {
+			case part.end != nil:
 				result = j.endStreamAttempt(p, state, a, *part.end)
+			case refusal != nil:
+				j.dropAttempt(p, state, a, errNotBound)
+				result.err = refusal
+			default:
+				result.callerGone = !j.writeEvents(p, state, run, part)
 			}
 			if result.complete || result.failureWritten || result.callerGone || len(state.running) == 0 {
 				return a, result
@@ -239,7 +245,7 @@
 
 // writeEvents writes the events that an attempt has received to the caller. Attempts that it has overtaken are dropped before.
 // It returns false if the caller is gone.
-func (j *job) writeEvents(ctx context.Context, p *pool, state *streamState, run *stageRun, part streamPart) bool {
+func (j *job) writeEvents(p *pool, state *streamState, run *stageRun, part streamPart) bool {
 	a := part.attempt
 	a.heardAt = j.relay.now()
 	race, overtaken := state.race.WithHeard(a.heardAt, a.number)
@@ -249,7 +255,7 @@
 	}
 	if !a.spoke {
 		a.spoke = true
-		j.recordSpeaker(ctx, p, state, run, a)
+		j.recordSpeaker(p, state, run, a)
 	}
 	j.sendHeader(part.reply, state)
 	state.lastID = part.lastID
@@ -257,23 +263,15 @@
 }
 
 // recordSpeaker records that an attempt has received its first event: the stream goes on there.
-func (j *job) recordSpeaker(ctx context.Context, p *pool, state *streamState, run *stageRun, a *streamAttempt) {
+func (j *job) recordSpeaker(p *pool, state *streamState, run *stageRun, a *streamAttempt) {
 	r, e := j.relay, a.endpoint
 	if state.headerSent {
 		r.logResumed(j.forward, state.source, e, state.lastID)
 	}
 	state.source, state.framing, state.ending = e, a.framing, ending.Judgement{}
 	if a.node != nil {
-		if a.binding != nil {
-			j.bind(*a.binding)
-			j.keepBinding(*a.binding)
-		}
 		return
 	}
-	// Another attempt may have been recorded since.
-	j.recordBinding(e)
-	j.awaitBinding(ctx)
-	j.bind(kernel.Binding{Pool: p.name, Version: e.Version})
 	elapsed := r.now().Sub(a.startedAt)
 	p.recordFirstEvent(e.Incarnation(), j.forward.Prompt.TokensIn, elapsed)
 	a.placed.recordFirstEvent(elapsed, p.reportedLoad(r.now(), a.startedAt, e.Incarnation()))
@@ -289,6 +287,7 @@
 	state.race = state.race.WithEnded(a.number)
 	delete(state.running, a.number)
 	j.releaseAttempt(p, a)
+	j.recordRemaining(state)
 	result := j.resultOf(state, end)
 	if a.node != nil {
 		j.recordNodeResult(a.node.taker(), a.node.attemptsMade(), result.err)
--- a/relay/streamattempt.go
+++ b/relay/streamattempt.go
@@ -19,6 +19,8 @@
 	errOvertaken = errors.New("relay: the engine was silent, and another one has gone on")
 	// errStreamOver is the cause if a stream has ended while an attempt at it ran.
 	errStreamOver = errors.New("relay: the request has ended")
+	// errNotBound is the cause if the store did not take what a stream is bound to before its first event.
+	errNotBound = errors.New("relay: the store has not taken what the stream is bound to")
 )
 
 type (
@@ -100,7 +102,7 @@
 	}
 	j.recordAttempt(e)
 	placed.recordSent(e)
-	j.recordBinding(e)
+	j.recordChoice(state, e)
 	a := &streamAttempt{endpoint: e, placed: placed}
 	attempt := j.snapshot()
 	send := attempt.newSend(e, j.attempts > 1)
@@ -224,6 +226,7 @@
 // releaseAttempt frees what was counted for an attempt that does not run any more.
 func (j *job) releaseAttempt(p *pool, a *streamAttempt) {
 	if a.node != nil {
+		j.nodesAsked += int(a.node.asked.Load())
 		return
 	}
 	incarnation := a.endpoint.Incarnation()
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -166,6 +166,7 @@
 	if refusal := j.recheck(); refusal != nil {
 		return nil, attempts, refusal
 	}
+	j.watch.recordAsked()
 	if err := j.writeRelayRequest(stream, lastEventID); err != nil {
 		// The last part was not written, so the node has no whole request.
 		return nil, attempts, errors.Wrap(errNodeDeclined, err.Error())
@@ -230,7 +231,6 @@
 	}
 	if head.Binding != nil {
 		j.bind(*head.Binding)
-		j.keepBinding(*head.Binding)
 	}
 	header := http.Header{}
 	maps.Copy(header, head.Header)
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"basilstall.example/basilstall/binding"
 	"basilstall.example/basilstall/ending"
 	"basilstall.example/basilstall/endpoint"
 	"basilstall.example/basilstall/kernel"
@@ -83,8 +84,11 @@
 		streamKey  kernel.StreamKey
 		recorded   kernel.Binding
 		isRecorded bool
-		// bindingHeld is closed once another node has the record; nil if none needs it.
-		bindingHeld <-chan struct{}
+		// receipt tells how far the last record has got, lastOrder is the order of that record. nodesAsked is the number of other nodes
+		// that got the request and may have recorded the stream, by attempts that are over.
+		receipt    *binding.Receipt
+		lastOrder  int64
+		nodesAsked int
 		// unannounced is true if the stream may begin at versions that could not be announced to other nodes.
 		unannounced bool
 		// lastEventID is the ID of the last event that the caller of a relayed stream already has.
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -69,7 +69,7 @@
 		ReadVersions  func(ctx context.Context) ([]kernel.VersionChange, error)
 		WriteVersion  func(ctx context.Context, w kernel.VersionWrite) error
 		WriteBindings func(ctx context.Context, key string, records []peer.StreamBinding, remove []string) error
-		ReadBindings  func(ctx context.Context) (map[string][]peer.StreamBinding, error)
+		ReadBindings  func(ctx context.Context, prefix string) (map[string][]peer.StreamBinding, error)
 		// HoldRelayed counts the body of a request that another node passes on, in bytes. It returns false if the node takes
 		// on no more; nil if such requests are not counted.
 		HoldRelayed func(bodyBytes int64) (HeldRequest, bool)
