An empty list of customers admits no key

Cause: the decoder read "tenants" into a list, and keys were asked for where it had entries: absent and empty were one value. Ruled out: an old routing (all nodes had the new one in force), the age of the keys.

Change: the routing states whether keys are required, which the field being there says, null included.

--- a/kernel/admit.go
+++ b/kernel/admit.go
@@ -76,7 +76,7 @@
 		a.Deadline = f.Deadline
 	}
 	a.Regions = AllowedRegionsFor(route, model.KeyHolder{})
-	if !route.Public && view.Table.HasCustomers() {
+	if !route.Public && view.Table.RequiresKeys() {
 		holder, known := view.Table.CustomerByKey(f.Key)
 		if !known {
 			return Admission{}, model.NewRefusal(model.NotRun, model.Unauthorized, 0, "the API key is not known")
--- a/kernel/routes.go
+++ b/kernel/routes.go
@@ -132,9 +132,9 @@
 	return mixedShare
 }
 
-// HasCustomers reports whether callers must present API keys on routes that are not public.
-func (t *RouteTable) HasCustomers() bool {
-	return len(t.routing.Customers) > 0
+// RequiresKeys reports whether callers must present API keys on routes that are not public.
+func (t *RouteTable) RequiresKeys() bool {
+	return t.routing.KeysRequired || len(t.routing.Customers) > 0
 }
 
 // Match returns the route with the longest prefix of a path on a host. A port of the host is ignored.
--- a/kernel/settings_test.go
+++ b/kernel/settings_test.go
@@ -106,3 +106,23 @@
 		}
 	})
 }
+
+// The last customer of a team is taken out of its document. Guards against a token that still works then.
+func TestTeamWithoutCustomersAdmitsNoToken(t *testing.T) {
+	settings, refused := kernel.NewSettings().WithSnapshot(model.Snapshot{Revision: 1, Documents: []model.Document{{Path: "teams/bilbao", Revision: 1, YAML: validTeam}}})
+	must.Len(t, 0, refused)
+	customer := settings.Teams()[0].Customers[0]
+	_, known := settings.Caller(customer.Token)
+	must.True(t, known)
+	for i, list := range []string{"[]", "null", "~"} {
+		text := strings.Replace(validTeam, "\n  - {Name: bar, Token: token-of-bar}", " "+list, 1)
+		revision := uint64(i + 2)
+		changed, refused := settings.WithSnapshot(model.Snapshot{Revision: revision, Documents: []model.Document{{Path: "teams/bilbao", Revision: revision, YAML: text}}})
+		_, known := changed.Caller(customer.Token)
+		// A document that is refused leaves what is in force.
+		must.EqOp(t, len(refused) > 0, known, must.Sprint(list))
+	}
+	emptied, _ := settings.WithSnapshot(model.Snapshot{Revision: 9})
+	_, known = emptied.Caller(customer.Token)
+	must.False(t, known)
+}
--- a/model/routing.go
+++ b/model/routing.go
@@ -22,7 +22,10 @@
 		Version   uint64
 		Routes    []Route
 		Pools     map[string]Pool
-		Customers []KeyHolder
+		// Customers are the holders of API keys. KeysRequired is true if callers need a key on routes that are not public, also where
+		// nobody holds one.
+		Customers    []KeyHolder
+		KeysRequired bool
 		Limits    CallerLimits
 	}
 
