Stated pieces are accounted before they are made

Cause: a piece was made for each stated number before it was known whether any could be made, twice at the node that had the request and again at the batcher, and nothing of it was counted. Ruled out: the header (within all limits), results of workers (none was asked).

Change: what the listed workers can't make by the deadline, or have no room for, is refused at once (PiecesUnmakable, a counter of its own); the rest is reserved on the node's one account of held bytes before the first piece is made, at the batcher too, and freed once they are made.

--- a/connlimit/tracker.go
+++ b/connlimit/tracker.go
@@ -350,6 +350,19 @@
 	return r.reserve(ctx, n, held.ForRequest)
 }
 
+// FreeBody frees n bytes that were reserved with ReserveBody.
+func (r *Request) FreeBody(n int64) {
+	t := r.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.ended {
+		return
+	}
+	r.body -= n
+	t.ledger.Add(r.id, -n, held.ForRequest)
+	t.wakeLocked()
+}
+
 func (r *Request) reserve(ctx context.Context, n int64, use held.Use) error {
 	var timeout <-chan time.Time
 	for {
--- a/model/routing.go
+++ b/model/routing.go
@@ -19,14 +19,14 @@
 	// Routing is one version of the routing table: routes, pools and API keys. It is immutable,
 	// and versions only increase.
 	Routing struct {
-		Version   uint64
-		Routes    []Route
-		Pools     map[string]Pool
+		Version uint64
+		Routes  []Route
+		Pools   map[string]Pool
 		// Customers are the holders of API keys. KeysRequired is true if callers need a key on routes that are not public, also where
 		// nobody holds one.
 		Customers    []KeyHolder
 		KeysRequired bool
-		Limits    CallerLimits
+		Limits       CallerLimits
 	}
 
 	// Route maps requests of one virtual host and path prefix to a pool.
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -87,6 +87,8 @@
 	StreamUnknown Reason = "StreamUnknown"
 	// VersionGone: no endpoint of the version at which the stream began takes work.
 	VersionGone Reason = "VersionGone"
+	// PiecesUnmakable: the workers of a stage cannot make as many pieces as the request states.
+	PiecesUnmakable Reason = "PiecesUnmakable"
 	// NodeFull: the node holds as many bytes of requests and answers as it may.
 	NodeFull Reason = "NodeFull"
 	// EndpointRefused: the endpoint did not run the request, and no other endpoint could be tried.
--- a/relay/batchpeer.go
+++ b/relay/batchpeer.go
@@ -131,6 +131,12 @@
 	if b == nil || r.Leaving() {
 		return peer.BatchReply{Leaving: true}, nil
 	}
+	held, ok := r.holdRelayed("", kernel.GroupBytes(len(m.Numbers), len(m.Inputs)))
+	if !ok {
+		r.metrics.CountEvent("BatchFull")
+		return peer.BatchReply{Refused: true, RetryAfter: fullRetryAfter}, nil
+	}
+	defer held.End()
 	now := r.now()
 	group := kernel.PieceGroup{
 		ID:           r.lastGroupID.Add(1),
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -46,6 +46,14 @@
 // runStages runs all stages of a request. A stage starts once all stages that it depends on are done; the first failure
 // cancels all others. The caller must release the stageRun, also after a refusal.
 func (j *job) runStages(ctx context.Context, p *pool) (*stageRun, *model.Refusal) {
+	if refusal := kernel.RefuseUnmakable(j.relay.now(), j.forward, j.admission, j.stageWorkers()); refusal != nil {
+		return &stageRun{relay: j.relay}, refusal
+	}
+	freePieces, refusal := j.holdPieces(ctx)
+	if refusal != nil {
+		return &stageRun{relay: j.relay}, refusal
+	}
+	defer freePieces()
 	run, refusal := j.planStages(ctx, p)
 	if refusal != nil || len(run.plan.FinalStages) == 0 {
 		return run, refusal
@@ -79,6 +87,35 @@
 	return run, nil
 }
 
+// stageWorkers returns the workers of each stage that may make the pieces of the request.
+func (j *job) stageWorkers() []kernel.StageWorkers {
+	registry, stages := j.relay.Registry(), j.admission.Route.Stages
+	out := make([]kernel.StageWorkers, len(stages))
+	for i, e := range j.relay.batchers.poolTraits(stages) {
+		out[i].Traits = e.Traits
+		for _, worker := range j.admission.Regions.AllowedEndpoints(registry.Endpoints(stages[i].Pool)) {
+			if worker.TakesWork() {
+				out[i].Count++
+			}
+		}
+	}
+	return out
+}
+
+// holdPieces counts what the node is to hold for the pieces of the request, or refuses it. The returned function frees what is not needed
+// once they are made.
+func (j *job) holdPieces(ctx context.Context) (free func(), refusal *model.Refusal) {
+	held := j.responder.Held
+	making, made := kernel.PieceBytes(j.forward, j.admission.Route.Stages)
+	if held.ReserveRequest == nil || making == 0 {
+		return func() {}, nil
+	}
+	if held.ReserveRequest(ctx, making) != nil {
+		return nil, refuseFull()
+	}
+	return func() { held.FreeRequest(making - made) }, nil
+}
+
 // planStages plans a request's stages. It refuses the request if they can't be done in time.
 func (j *job) planStages(ctx context.Context, p *pool) (*stageRun, *model.Refusal) {
 	r := j.relay
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -138,6 +138,9 @@
 		MeanAnswer func() int64
 		// Reserve counts n bytes of a buffered answer until the request ends. It fails if the node holds as many as it may.
 		Reserve func(ctx context.Context, n int64) error
+		// ReserveRequest reserves n bytes for what the node makes of the request before it is sent anywhere, and FreeRequest frees them.
+		ReserveRequest func(ctx context.Context, n int64) error
+		FreeRequest    func(n int64)
 		// Add counts n bytes that are being passed on, or that many fewer if n is negative.
 		Add func(n int64)
 	}
