--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// maxKeepAliveSeconds bounds what an endpoint states, so that it does not overflow.
+	maxKeepAliveSeconds = 3600
 	// dialTimeout is the maximum time to open a connection: several times what it takes to detect a lost SYN on a
 	// healthy network, and short compared to any latency objective that leaves time for a second endpoint.
 	dialTimeout = 700 * time.Millisecond
@@ -322,7 +324,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil && seconds > 0 {
-			return time.Duration(seconds) * time.Second
+			return time.Duration(min(seconds, maxKeepAliveSeconds)) * time.Second
 		}
 	}
 	return defaultIdleTimeout
