The order of stages comes from what they follow, not from their numbers

Cause: the decoder refused a stage that follows one with a higher number, the plan counted the remaining time back from the last number, and stages without pieces were skipped in the order of numbers only. Ruled out: the store, the age of the routing.

Change: kernel.StageOrder; the plan goes by it, and omitted stages are skipped until none is left.

--- a/kernel/stageplan.go
+++ b/kernel/stageplan.go
@@ -78,7 +78,8 @@
 	for i := range remaining {
 		remaining[i] = firstEvent
 	}
-	for i := len(stages) - 1; i >= 0; i-- {
+	order, _ := StageOrder(stages)
+	for _, i := range slices.Backward(order) {
 		stageDuration := time.Duration(0)
 		if PieceCount(f, i) > 0 {
 			stageDuration = stageTime(estimates[i])
--- a/model/routing.go
+++ b/model/routing.go
@@ -49,7 +49,7 @@
 		Split []WeightedPool
 		// MaxAttempts limits how many endpoints one attempt of a caller is sent to; at least 1.
 		MaxAttempts int
-		// Stages is a DAG in topological order: each entry depends only on earlier ones.
+		// Stages is a DAG in any order.
 		Stages []StageNode
 		// Public routes require no API key.
 		Public bool
--- a/relay/stages.go
+++ b/relay/stages.go
@@ -203,16 +203,13 @@
 
 // startStages starts the stages that are ready and returns their number. Each sends its result to finished.
 func (j *job) startStages(ctx context.Context, run *stageRun, finished chan<- stageResult) int {
+	run.skipOmitted(j.forward)
 	running := 0
 	for i := range run.stages {
 		if run.started[i] || !run.ready(i) {
 			continue
 		}
 		run.started[i] = true
-		if kernel.PieceCount(j.forward, i) == 0 {
-			run.results[i] = nil
-			continue
-		}
 		running++
 		req := j.newBatchRequest(run, i)
 		go func() {
@@ -225,6 +222,19 @@
 	return running
 }
 
+// skipOmitted completes the stages without pieces that are ready, also those that are so once another one is skipped.
+func (s *stageRun) skipOmitted(f model.Forward) {
+	for skipped := true; skipped; {
+		skipped = false
+		for i := range s.stages {
+			if !s.started[i] && kernel.PieceCount(f, i) == 0 && s.ready(i) {
+				s.started[i], s.results[i] = true, nil
+				skipped = true
+			}
+		}
+	}
+}
+
 // collectInputs sets inputs to the results of the final stages.
 func (s *stageRun) collectInputs() {
 	var refs []kernel.ResultRef
