What a node can't read in a routing doesn't stop the rest

Cause: the routing was decoded as one value. Ruled out: the store, which serves the row; its age, which only followed.

Change: parts are decoded one by one. Requests that an unread part decides on are refused as RoutingUnread, not run, to come back, and go to no shorter prefix; the rest is in force and proven.

--- a/cli/check.go
+++ b/cli/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"github.com/go-faster/errors"
 	"github.com/peterbourgon/ff/v4"
 
 	"basilstall.example/basilstall/platform"
@@ -54,6 +55,12 @@
 	if err != nil {
 		return exitWith(ExitUsage, withFileName(name, err))
 	}
+	for _, f := range r.Unread.Faults {
+		fmt.Fprintf(p.stderr, "%s: %s %s: %s\n", name, f.Part, f.Name, f.Err)
+	}
+	if len(r.Unread.Faults) > 0 {
+		return exitWith(ExitUsage, errors.Errorf("%s: %d parts can't be read", name, len(r.Unread.Faults)))
+	}
 	fmt.Fprintf(p.stdout, "%s: version %d, %d routes, %d pools, %d customers\n", name, r.Version, len(r.Routes), len(r.Pools), len(r.Customers))
 	return nil
 }
--- a/kernel/admit.go
+++ b/kernel/admit.go
@@ -62,7 +62,10 @@
 		return Admission{}, refusal
 	}
 	route, ok := view.Table.Match(f.Host, f.Path)
-	if !ok {
+	switch unread := view.Table.routing.Unread; {
+	case !ok && unread.AnyRoute, route.Unread:
+		return Admission{}, refuseUnread("the route of the request can't be read by this node")
+	case !ok:
 		return Admission{}, model.NewRefusal(model.NotRun, model.UnknownPipeline, 0, "no route matches")
 	}
 	a := Admission{
@@ -78,6 +81,9 @@
 	a.Regions = AllowedRegionsFor(route, model.KeyHolder{})
 	if !route.Public && view.Table.RequiresKeys() {
 		holder, known := view.Table.CustomerByKey(f.Key)
+		if !known && view.Table.routing.Unread.AnyKey {
+			return Admission{}, refuseUnread("the customers who may hold the API key can't be read by this node")
+		}
 		if !known {
 			return Admission{}, model.NewRefusal(model.NotRun, model.Unauthorized, 0, "the API key is not known")
 		}
@@ -97,6 +103,11 @@
 	return a, nil
 }
 
+// refuseUnread refuses a request that a part of the routing decides on which could not be decoded. A node of another build may.
+func refuseUnread(detail string) *model.Refusal {
+	return model.NewRefusal(model.NotRun, model.RoutingUnread, notReadyRetryAfter, detail)
+}
+
 // RecheckAdmission decides again, right before a request is first sent: since it was admitted, the process may have
 // been suspended or the API key revoked.
 func RecheckAdmission(now time.Time, view RoutingView, trust RoutingTrust, f model.Forward, a Admission) *model.Refusal {
--- a/kernel/helpers.go
+++ b/kernel/helpers.go
@@ -180,7 +180,7 @@
 		return false
 	}
 	switch refusal.Reason {
-	case model.EndpointsUnreachable, model.StaleRouting, model.NotReady, model.NoEndpoint, model.EndpointsPaused, model.EndpointsCold, model.EndpointsCapped,
+	case model.EndpointsUnreachable, model.StaleRouting, model.NotReady, model.RoutingUnread, model.NoEndpoint, model.EndpointsPaused, model.EndpointsCold, model.EndpointsCapped,
 		model.EndpointsBrittle, model.VersionGone, model.NodeFull, model.Draining:
 		return true
 	default:
--- a/kernel/routes.go
+++ b/kernel/routes.go
@@ -57,6 +57,9 @@
 			}
 		}
 	}
+	for _, scope := range routing.Unread.Routes {
+		t.byHost[scope.Host] = t.byHost[scope.Host].with(model.Route{Host: scope.Host, Prefix: scope.Prefix, Unread: true})
+	}
 	for _, holder := range routing.Customers {
 		for _, key := range holder.Keys {
 			t.customersByKey[key] = holder
@@ -137,6 +140,14 @@
 	return t.routing.KeysRequired || len(t.routing.Customers) > 0
 }
 
+// Faults returns the number of parts of the routing that could not be decoded.
+func (t *RouteTable) Faults() int {
+	if t == nil {
+		return 0
+	}
+	return len(t.routing.Unread.Faults)
+}
+
 // Match returns the route with the longest prefix of a path on a host. A port of the host is ignored.
 func (t *RouteTable) Match(host, path string) (model.Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/model/routing.go
+++ b/model/routing.go
@@ -22,6 +22,8 @@
 		Version uint64
 		Routes  []Route
 		Pools   map[string]Pool
+		// Unread are the parts that could not be decoded. They do not stop the others: what may depend on one is refused.
+		Unread Unread
 		// Customers are the holders of API keys. KeysRequired is true if callers need a key on routes that are not public, also where
 		// nobody holds one.
 		Customers    []KeyHolder
@@ -29,6 +31,30 @@
 		Limits       CallerLimits
 	}
 
+	// Unread holds what is known of the parts of a routing that could not be decoded.
+	Unread struct {
+		// Faults says what is wrong with each.
+		Faults []RoutingFault
+		// Routes are the hosts and prefixes of routes that could not be decoded. AnyRoute is true if there are further routes, of which
+		// not even these are known, and AnyKey if customers could not be decoded, who may hold any key.
+		Routes   []RouteScope
+		AnyRoute bool
+		AnyKey   bool
+	}
+
+	// RoutingFault is a part of a routing that could not be decoded: a route, a service, a customer or a whole list, by its name.
+	RoutingFault struct {
+		Part string
+		Name string
+		Err  error
+	}
+
+	// RouteScope is what requests a route is for.
+	RouteScope struct {
+		Host   string
+		Prefix string
+	}
+
 	// Route maps requests of one virtual host and path prefix to a pool.
 	Route struct {
 		Name string
@@ -59,6 +85,8 @@
 		Resumable bool
 		// AllowedRegions lists the regions that requests may be served in; empty for any region.
 		AllowedRegions []string
+		// Unread is true for a route of which only Host and Prefix could be decoded.
+		Unread bool
 	}
 
 	// WeightedPool is a pool with the weight of its share of a route.
--- a/model/verdict.go
+++ b/model/verdict.go
@@ -87,6 +87,8 @@
 	StreamUnknown Reason = "StreamUnknown"
 	// VersionGone: no endpoint of the version at which the stream began takes work.
 	VersionGone Reason = "VersionGone"
+	// RoutingUnread: the part of the routing that decides on the request could not be decoded.
+	RoutingUnread Reason = "RoutingUnread"
 	// PiecesUnmakable: the workers of a stage cannot make as many pieces as the request states.
 	PiecesUnmakable Reason = "PiecesUnmakable"
 	// NodeFull: the node holds as many bytes of requests and answers as it may.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -172,6 +172,7 @@
 	r.quarantine = quarantine.NewAgent(r.ctx, options.Name, quarantine.Dependencies{
 		Peers: r.Reachable, Call: r.callNode, Connect: deps.Connect, ReachesOthers: r.paths.ReachesOthers, Store: deps.StoreQuarantine,
 	}, now, metrics, log)
+	metrics.Gauge("routing_parts_unread", func() float64 { return float64(r.View().Table.Faults()) })
 	metrics.Gauge("requests_held_back", func() float64 { return float64(r.quarantine.Len()) })
 	metrics.Gauge("endpoints_with_refusal_cap", func() float64 { return float64(r.refusalCaps.Len()) })
 	metrics.Gauge("endpoints_with_rate_cap", func() float64 { return float64(r.rateCaps.Len()) })
