Keys are trusted at any age where the settings set no maximum

Cause: the settings state no maximum as 0, as MaxRoutingAge says, and the admission took 0 for a maximum of no time. Ruled out: the age of the routing, which the nodes' readiness showed to be young. Change: RoutingTrust takes 0 for no maximum.

--- a/kernel/admit.go
+++ b/kernel/admit.go
@@ -38,12 +38,17 @@
 
 // RoutingTrust tells how far a node trusts the routing that it knows.
 type RoutingTrust struct {
-	// MaxKeyAge is the maximum age of the routing up to which API keys are trusted.
+	// MaxKeyAge is the maximum age of the routing up to which API keys are trusted; 0 means that they are trusted at any age.
 	MaxKeyAge time.Duration
 	// Behind is true if another node may know a newer routing, and this one has been unproven for too long to go by it.
 	Behind bool
 }
 
+// trustsKeys reports whether API keys may be checked by a routing.
+func (t RoutingTrust) trustsKeys(now time.Time, view RoutingView) bool {
+	return t.MaxKeyAge == 0 || view.Fresh(now, t.MaxKeyAge)
+}
+
 // refuseBehind returns a refusal if no request may be decided on by the routing.
 func (t RoutingTrust) refuseBehind() *model.Refusal {
 	if !t.Behind {
@@ -87,7 +92,7 @@
 		if !known {
 			return Admission{}, model.NewRefusal(model.NotRun, model.Unauthorized, 0, "the API key is not known")
 		}
-		if !view.Fresh(now, trust.MaxKeyAge) {
+		if !trust.trustsKeys(now, view) {
 			return Admission{}, model.NewRefusal(model.NotRun, model.StaleRouting, notReadyRetryAfter, "the API keys known here are too old to trust")
 		}
 		a.Customer = holder.Name
@@ -124,7 +129,7 @@
 	if !known || holder.Name != a.Customer {
 		return model.NewRefusal(model.NotRun, model.Unauthorized, 0, "the API key was taken away meanwhile")
 	}
-	if !view.Fresh(now, trust.MaxKeyAge) {
+	if !trust.trustsKeys(now, view) {
 		return model.NewRefusal(model.NotRun, model.StaleRouting, notReadyRetryAfter, "the API keys known here are too old to trust")
 	}
 	return nil
