A leaving node sends nothing right before it stops

Requests that came late in the grace were passed on and cut off as the node stopped (reported by other operators): what had waited for its stages was sent with as little time left as usual requests take from there on, some milliseconds, and cut if its engine took longer.

Cause: before the first attempt only twice the longest time seen from there on was asked for, without the least time that is granted at the receipt; and a node that sends in place of a leaving one knew nothing of its stop. Ruled out: the decision at the receipt, which refused as it should.

Change: 1 s at least for unary requests and 2.5 s for streams from the first attempt on, unless the deadline is before; the node that sends gets the time until the other one stops.

TestAdmit asked for 40 ms left to be enough, which is the fault: it now has the new bound and its other side, and three more cases.

--- a/leaving/admit.go
+++ b/leaving/admit.go
@@ -12,6 +12,9 @@
 	// from its receipt to its end, as single requests may take longer than those before.
 	streamAllowance = 5 * time.Second
 	unaryAllowance  = 2 * time.Second
+	// streamSendAllowance and unarySendAllowance are the same from the first attempt at an endpoint on.
+	streamSendAllowance = 2500 * time.Millisecond
+	unarySendAllowance  = time.Second
 	// margin is how many times as long as the longest request before it a request is granted: endpoints may be slower while
 	// nodes are restarted.
 	margin = 2
@@ -57,8 +60,10 @@
 // granted returns the time that the request is assumed to need at most.
 func (r Request) granted() time.Duration {
 	switch {
+	case r.Stage == AtSend && r.Stream:
+		return max(streamSendAllowance, margin*r.Seen.Longest.SinceSent)
 	case r.Stage == AtSend:
-		return margin * r.Seen.Longest.SinceSent
+		return max(unarySendAllowance, margin*r.Seen.Longest.SinceSent)
 	case r.Stream:
 		return max(streamAllowance, margin*r.Seen.Longest.Whole)
 	default:
--- a/leaving/admit_test.go
+++ b/leaving/admit_test.go
@@ -42,8 +42,11 @@
 		"stream, short ones seen":                        {stream, 20 * time.Second, short, leaving.AtReceipt, 5 * time.Second, true},
 		"stream, short ones seen, close to the stop":     {stream, 20 * time.Second, short, leaving.AtReceipt, 4 * time.Second, false},
 		"stream, long ones seen, too little time":        {stream, 20 * time.Second, long, leaving.AtReceipt, 6 * time.Second, false},
-		"about to be sent, short ones seen":              {unary, 9 * time.Second, short, leaving.AtSend, 40 * time.Millisecond, true},
-		"about to be sent, short ones seen, at the stop": {unary, 9 * time.Second, short, leaving.AtSend, 30 * time.Millisecond, false},
+		"about to be sent, short ones seen":              {unary, 9 * time.Second, short, leaving.AtSend, time.Second, true},
+		"about to be sent, short ones seen, at the stop": {unary, 9 * time.Second, short, leaving.AtSend, 990 * time.Millisecond, false},
+		"about to be sent, ends by its deadline":         {unary, 40 * time.Millisecond, short, leaving.AtSend, 40 * time.Millisecond, true},
+		"stream about to be sent, short ones seen":       {stream, 9 * time.Second, short, leaving.AtSend, 2500 * time.Millisecond, true},
+		"stream about to be sent, close to the stop":     {stream, 9 * time.Second, short, leaving.AtSend, 2400 * time.Millisecond, false},
 		"about to be sent, long ones seen":               {unary, 9 * time.Second, long, leaving.AtSend, 5 * time.Second, false},
 		"about to be sent, nothing seen":                 {unary, 9 * time.Second, none, leaving.AtSend, 5 * time.Second, false},
 	} {
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -48,6 +48,8 @@
 		ReceivedAgo time.Duration
 		Left        time.Duration
 		Waited      time.Duration
+		// StopsIn is the time until the sender stops; 0 if it is not leaving.
+		StopsIn time.Duration
 		// Route and Customer are those by which the sender has admitted the request.
 		Route    string
 		Customer string
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -337,7 +337,7 @@
 	view := r.View()
 	admission, refusal := kernel.Admit(r.now(), view, r.trust(), f)
 	if refusal == nil {
-		refusal = r.admitWhileLeaving(admission, leaving.AtReceipt)
+		refusal = r.admitWhileLeaving(admission, leaving.AtReceipt, nil)
 	}
 	var resumption *kernel.Finding
 	if refusal == nil {
@@ -377,9 +377,13 @@
 	return outcome
 }
 
-// admitWhileLeaving refuses a request at a leaving node that might be cut off when the node stops.
-func (r *Relay) admitWhileLeaving(a kernel.Admission, stage leaving.Stage) *model.Refusal {
+// admitWhileLeaving refuses a request that might be cut off when this node stops, or the one that has its caller, at callerStopsAt; nil
+// if that one is not known to leave.
+func (r *Relay) admitWhileLeaving(a kernel.Admission, stage leaving.Stage, callerStopsAt *time.Time) *model.Refusal {
 	stopsAt := r.stopsAt.Load()
+	if stopsAt == nil || callerStopsAt != nil && callerStopsAt.Before(*stopsAt) {
+		stopsAt = callerStopsAt
+	}
 	if stopsAt == nil {
 		return nil
 	}
--- a/relay/relayed.go
+++ b/relay/relayed.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -111,9 +112,14 @@
 	if refusal == nil && m.Binding != nil {
 		admission, refusal = admission.WithBinding(*m.Binding)
 	}
+	var callerStopsAt *time.Time
+	if m.StopsIn > 0 {
+		at := r.now().Add(m.StopsIn)
+		callerStopsAt = &at
+	}
 	if refusal == nil && m.Attempts == 0 {
 		// The node may have begun to leave since it took the offer.
-		refusal = r.admitWhileLeaving(admission, leaving.AtReceipt)
+		refusal = r.admitWhileLeaving(admission, leaving.AtReceipt, callerStopsAt)
 	}
 	if refusal == nil {
 		refusal = r.admitEndpoints(f, admission)
@@ -126,8 +132,8 @@
 		job := &job{
 			relay: r, forward: f, admission: admission, responder: &answerWriter{Responder: newStreamResponder(stream, count), method: f.Method}, startedAt: r.now(), trial: m.Trial,
 			forNode: m.Node, attempts: m.Attempts, excluded: m.Excluded, mayHaveRun: m.MayHaveRun, counted: m.Counted, lastEventID: m.LastEventID,
-			streamKey: m.StreamKey,
-			onSend:    func(attempts int) { r.notifySent(stream, attempts) },
+			streamKey: m.StreamKey, callerStopsAt: callerStopsAt,
+			onSend: func(attempts int) { r.notifySent(stream, attempts) },
 		}
 		outcome = job.serve(ctx)
 		f = job.forward
--- a/relay/retry.go
+++ b/relay/retry.go
@@ -208,7 +208,7 @@
 	send.BeforeSend = func() error {
 		refusal := kernel.RecheckAdmission(j.relay.now(), j.relay.View(), j.relay.trust(), j.forward, j.admission)
 		if refusal == nil && !retry {
-			refusal = j.relay.admitWhileLeaving(j.admission, leaving.AtSend)
+			refusal = j.relay.admitWhileLeaving(j.admission, leaving.AtSend, j.callerStopsAt)
 		}
 		if refusal == nil && !onTrial {
 			refusal = j.relay.quarantine.Check(j.forward.Digests())
--- a/relay/throughnode.go
+++ b/relay/throughnode.go
@@ -212,7 +212,7 @@
 		return refusal
 	}
 	if j.attempts == 0 {
-		if refusal := j.relay.admitWhileLeaving(j.admission, leaving.AtSend); refusal != nil {
+		if refusal := j.relay.admitWhileLeaving(j.admission, leaving.AtSend, nil); refusal != nil {
 			return refusal
 		}
 		j.relay.requestTimes.RecordSent(j.relay.now(), j.admission.Route.Name, j.number)
@@ -272,6 +272,9 @@
 	if j.admission.Bound {
 		message.Binding = &j.admission.Binding
 	}
+	if stopsAt := j.relay.stopsAt.Load(); stopsAt != nil {
+		message.StopsIn = max(time.Millisecond, stopsAt.Sub(now))
+	}
 	if !f.Deadline.IsZero() {
 		message.Left = max(time.Millisecond, f.Deadline.Sub(now))
 	}
--- a/relay/unary.go
+++ b/relay/unary.go
@@ -60,6 +60,8 @@
 		// forNode is the node that got the request from its caller and does not reach the pool; empty if this node did. Such
 		// a request is sent to endpoints only, never to a further node.
 		forNode string
+		// callerStopsAt is when that node stops; nil if it is not known to leave.
+		callerStopsAt *time.Time
 		// throughNode is the last node that sent the request in place of this one; empty if none did. excludedNodes are
 		// those that were lost over it.
 		throughNode   string
