--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -48,6 +48,8 @@
 	model.EndpointsCapped:      http.StatusServiceUnavailable,
 	model.NoHome:               http.StatusServiceUnavailable,
 	model.NodeFull:             http.StatusServiceUnavailable,
+	model.PiecesUnmakable:      http.StatusServiceUnavailable,
+	model.RoutingUnread:        http.StatusServiceUnavailable,
 	model.EndpointRefused:      http.StatusServiceUnavailable,
 	model.OverShare:            http.StatusServiceUnavailable,
 	model.StreamUnknown:        http.StatusServiceUnavailable,
