Rows of other writers are not taken for the platform's

Cause: encoding/json matches names without case, and the part of a row in the feed was decoded and not looked at. Ruled out: what nodes pass on, invalid entries.

--- a/follow/nodes.go
+++ b/follow/nodes.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"basilstall.example/basilstall/clock"
+	"basilstall.example/basilstall/exactjson"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/metric"
 	"basilstall.example/basilstall/relay"
@@ -94,7 +95,7 @@
 			continue
 		}
 		var node relay.Node
-		if err := json.Unmarshal([]byte(row.Value), &node); err != nil {
+		if err := exactjson.Unmarshal([]byte(row.Value), &node); err != nil {
 			n.log.Error().Str("Node", row.Key).Err(err).Msg("invalid row of a node")
 			continue
 		}
--- a/follow/notices.go
+++ b/follow/notices.go
@@ -1,13 +1,13 @@
 package follow
 
 import (
-	"encoding/json"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"basilstall.example/basilstall/exactjson"
 	"basilstall.example/basilstall/kernel"
 	"basilstall.example/basilstall/model"
 	"basilstall.example/basilstall/relay"
@@ -71,7 +71,7 @@
 			continue
 		}
 		var held kernel.HeldRequest
-		if err := json.Unmarshal([]byte(row.Value), &held); err != nil || held.Digest != model.Digest(row.Key) {
+		if err := exactjson.Unmarshal([]byte(row.Value), &held); err != nil || held.Digest != model.Digest(row.Key) {
 			n.log.Error().Str("Digest", row.Key).Err(err).Msg("invalid row of a held request")
 			continue
 		}
@@ -89,7 +89,7 @@
 	if row.Removed {
 		return out, nil
 	}
-	if err := json.Unmarshal([]byte(row.Value), &out.Row); err != nil {
+	if err := exactjson.Unmarshal([]byte(row.Value), &out.Row); err != nil {
 		return out, errors.Wrap(err, "follow: unable to decode a row of a version")
 	}
 	if kernel.VersionKey(out.Row.Binding()) != key {
@@ -101,7 +101,7 @@
 func (n *Notices) applyCap(incarnation string, row kernel.Row, set func(incarnation string, stated model.RateCap)) {
 	var stated model.RateCap
 	if !row.Removed {
-		if err := json.Unmarshal([]byte(row.Value), &stated); err != nil || !stated.Stated {
+		if err := exactjson.Unmarshal([]byte(row.Value), &stated); err != nil || !stated.Stated {
 			n.log.Error().Str("Endpoint", incarnation).Err(err).Msg("invalid row of a cap of an endpoint")
 			return
 		}
