A stream that other nodes got too is settled in the store before its first event

Found by reading the change again: an own attempt that was recorded before another node got the request as well was settled by its key alone, without the store. That node may still record what it likes under the key, with a higher order, and after the loss of all nodes its record would have held.

Change: while another node may have the request, the first event waits for a settled record in the store, whatever was recorded before.

--- a/relay/resumption.go
+++ b/relay/resumption.go
@@ -135,17 +135,17 @@
 	return announced || j.unannounced
 }
 
-// recordChoice records which version is about to get a resumable stream. Beside other attempts it is recorded only if it brings the first
-// event.
+// recordChoice records which version is about to get a resumable stream. Beside other attempts, and after those through other nodes, it is
+// recorded only if it brings the first event.
 func (j *job) recordChoice(state *streamState, e model.Endpoint) {
-	if isResumable(j.admission.Route) && len(state.running) == 0 {
+	if isResumable(j.admission.Route) && j.askedNodes(state) == 0 && len(state.running) == 0 {
 		j.recordOnce(state, kernel.Binding{Pool: j.admission.Pool, Version: e.Version})
 	}
 }
 
 // recordRemaining records the version of the only attempt that is left, if it has not brought its first event.
 func (j *job) recordRemaining(state *streamState) {
-	if len(state.running) != 1 || j.admission.Bound {
+	if len(state.running) != 1 || j.admission.Bound || j.askedNodes(state) > 0 {
 		return
 	}
 	for _, a := range state.running {
@@ -205,11 +205,13 @@
 		b = *a.binding
 	}
 	settles := j.forNode == "" && !j.admission.Bound
+	asked := j.askedNodes(state)
 	switch {
-	case a.node != nil && !j.isRecorded && j.askedNodes(state) == 1:
+	case a.node != nil && !j.isRecorded && asked == 1:
 		// That node has recorded it, and no other one has.
 		j.relay.bindings.Record(j.settledRecord(b), true)
-	case !j.isRecorded || j.recorded != b || a.node != nil:
+	case !j.isRecorded || j.recorded != b || asked > 0:
+		// A node that got the request may still record what it likes: only a settled record holds over that.
 		j.recordBinding(state, b, settles || j.admission.Bound)
 	case settles && j.receipt.Overtakes:
 		j.relay.bindings.Record(j.settledRecord(b), false)
