--- a/kernel/bindingmodel_test.go
+++ b/kernel/bindingmodel_test.go
@@ -32,6 +32,7 @@
 		rows       map[string]kernel.VersionChange
 		rowVersion uint64
 		records    map[kernel.StreamKey]kernel.BindingRecord
+		overtaking map[kernel.StreamKey]kernel.BindingRecord
 		// listed are the versions that have engines.
 		listed []kernel.Binding
 		// registrars are those of the nodes that others take for alive, as of the last change that they have noticed.
@@ -48,14 +49,17 @@
 		kernel.Peer
 		alive     bool
 		startedAt time.Time
-		// cutUntil is the time until which it does not reach the store.
-		cutUntil  time.Time
+		// cutUntil is the time until which it does not reach the store, and asleepUntil that until which it does nothing, while others
+		// take it for alive.
+		cutUntil, asleepUntil time.Time
+
 		versions  kernel.PoolVersions
 		listed    []kernel.Binding
 		publisher *kernel.VersionPublisher
 		bindings  *kernel.Bindings
 		unsent    []kernel.BindingRecord
 		outgoing  []kernel.BindingRecord
+		settled   []kernel.StreamKey
 		pacer     kernel.Pacer
 		sendAt    time.Time
 		waiting   []kernel.BindingRecord
@@ -77,7 +81,7 @@
 func newBindingModel(seed uint64, nodes, domains int, versions ...string) *bindingModel {
 	m := &bindingModel{
 		random: rand.New(rand.NewPCG(seed, 0)), now: bindingStart, rows: map[string]kernel.VersionChange{},
-		records: map[kernel.StreamKey]kernel.BindingRecord{}, seconds: map[int]*resumptions{},
+		records: map[kernel.StreamKey]kernel.BindingRecord{}, overtaking: map[kernel.StreamKey]kernel.BindingRecord{}, seconds: map[int]*resumptions{},
 	}
 	m.list(versions...)
 	for _, p := range registrarPeers(nodes, domains) {
@@ -91,7 +95,7 @@
 func (m *bindingModel) startNode(n *bindingNode) {
 	*n = bindingNode{
 		Peer: n.Peer, alive: true, startedAt: m.now, publisher: kernel.NewVersionPublisher(), bindings: kernel.NewBindings(),
-		pacer: kernel.NewRegistrarPacer(), cutUntil: n.cutUntil,
+		pacer: kernel.NewRegistrarPacer(), cutUntil: n.cutUntil, asleepUntil: n.asleepUntil,
 	}
 }
 
@@ -147,6 +151,20 @@
 	return nil
 }
 
+// sleep has a third of the registrars sleep for a time, if there are other nodes.
+func (m *bindingModel) sleep(d time.Duration) {
+	for i, name := range m.registrars.All() {
+		if i%3 == 0 && len(m.nodes) > 1 {
+			m.node(name).asleepUntil = m.now.Add(d)
+		}
+	}
+}
+
+// awake reports whether a node is alive and not asleep.
+func (m *bindingModel) awake(n *bindingNode) bool {
+	return n.alive && !m.now.Before(n.asleepUntil)
+}
+
 // reachesStore reports whether a node reaches the store.
 func (m *bindingModel) reachesStore(n *bindingNode) bool {
 	return !m.now.Before(n.cutUntil)
@@ -160,7 +178,7 @@
 		}
 		step := int(m.now.Sub(bindingStart) / modelStep)
 		for i, n := range m.nodes {
-			if n.alive {
+			if m.awake(n) {
 				m.stepNode(n, (step+i)%int(pollTime/modelStep) == 0)
 			}
 		}
@@ -225,7 +243,7 @@
 
 // flush sends the records that wait at a node to its registrars.
 func (m *bindingModel) flush(n *bindingNode) {
-	if len(n.outgoing) == 0 || m.now.Before(n.sendAt) {
+	if len(n.outgoing)+len(n.settled) == 0 || m.now.Before(n.sendAt) {
 		return
 	}
 	var wait time.Duration
@@ -235,13 +253,16 @@
 	sent := false
 	for i, name := range []string{primary, secondary} {
 		registrar := m.node(name)
-		if registrar == nil || !registrar.alive {
+		if registrar == nil || !m.awake(registrar) {
 			continue
 		}
 		sent = sent || i == 0
 		for _, r := range n.outgoing {
 			registrar.bindings.Add(m.now, r)
 		}
+		for _, key := range n.settled {
+			registrar.bindings.Settle(m.now, key)
+		}
 		if i == 0 {
 			registrar.waiting = append(registrar.waiting, n.outgoing...)
 		}
@@ -249,12 +270,13 @@
 	if sent {
 		n.outgoing = nil
 	}
+	n.settled = nil
 }
 
 // aliveNode draws a node that serves.
 func (m *bindingModel) aliveNode() int {
 	for range 1000 {
-		if i := m.random.IntN(len(m.nodes)); m.nodes[i].alive {
+		if i := m.random.IntN(len(m.nodes)); m.awake(m.nodes[i]) {
 			return i
 		}
 	}
@@ -283,15 +305,43 @@
 		s.breaksAt = m.now.Add(time.Duration(m.random.Float64() * float64(s.endsAt.Sub(m.now))))
 	}
 	r := kernel.BindingRecord{Key: s.key, Binding: s.binding, RecordedAt: m.now, ExpiresAt: kernel.BindingExpiry(m.now, m.now.Add(10*time.Second))}
+	if len(may) > 1 && m.random.IntN(5) == 0 {
+		if !m.reachesStore(n) {
+			return
+		}
+		m.overtake(n, r, may)
+		m.live = append(m.live, s)
+		return
+	}
 	n.bindings.Add(m.now, r)
+	n.bindings.Settle(m.now, r.Key)
 	if kernel.NeedsBindingRecord(m.now, n.versions, n.listed, modelPool, true) {
 		n.outgoing = append(n.outgoing, r)
+		n.settled = append(n.settled, r.Key)
 	} else {
 		n.unsent = append(n.unsent, r)
 	}
 	m.live = append(m.live, s)
 }
 
+// overtake begins a stream at a node that was sent to an engine of another version before: the store has the last record before the first
+// event, and other nodes may have either.
+func (m *bindingModel) overtake(n *bindingNode, r kernel.BindingRecord, may []kernel.Binding) {
+	earlier := r
+	for earlier.Binding == r.Binding {
+		earlier.Binding = may[m.random.IntN(len(may))]
+	}
+	n.outgoing = append(n.outgoing, earlier)
+	n.sendAt = m.now
+	m.flush(n)
+	r.Order, r.Settled = 1500, true
+	n.bindings.Add(m.now, r)
+	m.overtaking[r.Key] = r
+	if m.random.IntN(2) == 0 {
+		n.outgoing = append(n.outgoing, r)
+	}
+}
+
 // stepStreams ends streams, breaks them off, and takes up those whose callers come back.
 func (m *bindingModel) stepStreams() {
 	live := m.live[:0]
@@ -340,24 +390,26 @@
 }
 
 func (m *bindingModel) find(n *bindingNode, key kernel.StreamKey) (kernel.Binding, bool) {
-	if r, ok := n.bindings.Find(m.now, key); ok {
-		return r.Binding, true
-	}
+	found := m.recordOf(n, key)
 	asker := n
 	for _, name := range m.registrars.All() {
 		registrar := m.node(name)
-		if !registrar.alive {
+		if !m.awake(registrar) {
 			continue
 		}
-		if r, ok := registrar.bindings.Find(m.now, key); ok {
-			return r.Binding, true
-		}
+		found = found.Or(m.recordOf(registrar, key))
 		if !m.reachesStore(asker) {
 			asker = registrar
 		}
 	}
-	if !m.reachesStore(asker) {
+	switch {
+	case found.Settled:
+		return found.Binding, true
+	case !m.reachesStore(asker):
 		return kernel.Binding{}, false
+	case found.Known():
+		found = found.Confirmed(findingOf(m.overtaking, key))
+		return found.Binding, true
 	}
 	var rows []kernel.VersionChange
 	for _, row := range m.rows {
@@ -366,8 +418,25 @@
 	if only, ok := (kernel.PoolVersions{}).With(m.now, rows).Only(modelPool); ok {
 		return only, true
 	}
-	r, ok := m.records[key]
-	return r.Binding, ok
+	found = findingOf(m.records, key).Or(findingOf(m.overtaking, key))
+	return found.Binding, found.Known()
+}
+
+// recordOf returns what a node knows of a stream by itself.
+func (m *bindingModel) recordOf(n *bindingNode, key kernel.StreamKey) kernel.Finding {
+	r, ok := n.bindings.Find(m.now, key)
+	if !ok {
+		return kernel.Finding{Source: kernel.BindingNotRecorded}
+	}
+	return kernel.Finding{Source: kernel.BindingRecorded, Binding: r.Binding, Settled: r.Settled, Order: r.Order}
+}
+
+func findingOf(records map[kernel.StreamKey]kernel.BindingRecord, key kernel.StreamKey) kernel.Finding {
+	r, ok := records[key]
+	if !ok {
+		return kernel.Finding{Source: kernel.BindingNotRecorded}
+	}
+	return kernel.Finding{Source: kernel.BindingRecorded, Binding: r.Binding, Settled: r.Settled, Order: r.Order}
 }
 
 // total adds up all seconds, and returns the smallest share that went on in any second with twelve streams or more.
@@ -406,6 +475,8 @@
 			m.run(3*time.Second, tc.perSecond)
 			m.list("v2", "v3")
 			m.run(2*time.Second, tc.perSecond)
+			m.sleep(2 * time.Second)
+			m.run(3*time.Second, tc.perSecond)
 			m.kill(func(_ int, n *bindingNode) bool { return tc.domains > 1 && n.Domain == "domain-1" })
 			m.run(3*time.Second, tc.perSecond)
 			m.restart()
