Test that a stream which two nodes got is settled in the store

Two nodes that send in place of one that reaches no endpoint: the first is lost before it answers, and may have recorded the stream at any version. The first event of the second one's answer is written only once the store has the settled record, and the stream ends as StreamUnknown, may have run, if the store does not take it.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -72,7 +72,7 @@
 		PublishRateCap:  func(context.Context, string, model.RateCap) error { return nil },
 		ReadVersions:    func(ctx context.Context) ([]kernel.VersionChange, error) { return b.deps.ReadVersions(ctx) },
 		WriteVersion:    func(context.Context, kernel.VersionWrite) error { return nil },
-		WriteBindings:   func(context.Context, string, []peer.StreamBinding, []string) error { return nil },
+		WriteBindings:   b.writeBindings,
 		HoldRelayed:     b.holdRelayed,
 		ReadBindings:    func(context.Context, string) (map[string][]peer.StreamBinding, error) { return nil, nil },
 	}
@@ -98,6 +98,13 @@
 	return b
 }
 
+func (b *testBed) writeBindings(ctx context.Context, key string, records []peer.StreamBinding, remove []string) error {
+	if b.deps.WriteBindings == nil {
+		return nil
+	}
+	return b.deps.WriteBindings(ctx, key, records, remove)
+}
+
 func (b *testBed) holdRelayed(n int64) (relay.HeldRequest, bool) {
 	if b.deps.HoldRelayed == nil {
 		return relay.HeldRequest{End: func() {}}, true
