The search for a binding does not change its query while it is read

Not seen to change an answer. Change: the second question is a value of its own. 12 of 12 runs of the package with the race detector after it.

--- a/binding/find.go
+++ b/binding/find.go
@@ -53,8 +53,8 @@
 	case found.Settled:
 		return found
 	case found.Known():
-		q.OvertakingOnly = true
-		return found.Confirmed(a.askStore(ctx, registrars, q))
+		confirmation := Query{Key: q.Key, Pool: q.Pool, OvertakingOnly: true}
+		return found.Confirmed(a.askStore(ctx, registrars, confirmation))
 	}
 	if found := <-inferred; found.Known() {
 		return found
